--- /dev/null
+++ b/medlarlanding-core/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Configuration tree: parsing, validation and inheritance.
--- /dev/null
+++ b/medlarlanding-core/src/events.rs
@@ -0,0 +1,102 @@
+//! Closed list of numbered log events.
+
+/// Severity of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventLevel {
+    /// Needs an operator's attention.
+    Error,
+    /// Unusual, handled by the system.
+    Warn,
+    /// Normal change of state.
+    Info,
+    /// Detail for fault finding.
+    Debug,
+}
+
+/// Describes one event of the catalogue.
+#[derive(Clone, Copy, Debug)]
+pub struct EventDescriptor {
+    /// The event.
+    pub kind: EventKind,
+    /// Stable number; never reused.
+    pub number: u16,
+    /// Stable name.
+    pub name: &'static str,
+    /// Severity.
+    pub level: EventLevel,
+    /// Names of the fields, in the order they are written.
+    pub fields: &'static [&'static str],
+}
+
+macro_rules! event_table {
+    ($( $(#[$meta:meta])* $number:literal $kind:ident $level:ident $name:literal [$($field:literal),*]; )*) => {
+        /// Events that the system logs.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum EventKind {
+            $( $(#[$meta])* $kind, )*
+        }
+
+        /// One row per event, in the order of the enum.
+        pub static EVENT_TABLE: &[EventDescriptor] = &[
+            $( EventDescriptor {
+                kind: EventKind::$kind,
+                number: $number,
+                name: $name,
+                level: EventLevel::$level,
+                fields: &[$($field),*],
+            }, )*
+        ];
+    };
+}
+
+event_table! {
+    /// The process started.
+    100 ProcessStarted Info "process_started" ["instance", "zone", "incarnation", "version"];
+    /// The process received SIGTERM and drains.
+    101 DrainStarted Info "drain_started" ["open_requests"];
+    /// The last request in progress finished and the process ends.
+    102 DrainFinished Info "drain_finished" ["waited_ms"];
+    /// A child of the supervisor failed and is restarted.
+    103 ChildRestarted Warn "child_restarted" ["child", "reason", "restarts"];
+    /// A child failed too often; the process ends.
+    104 ChildGivenUp Error "child_given_up" ["child", "reason"];
+    /// The process was paused longer than the limit and re-reads its views.
+    105 PauseDetected Warn "pause_detected" ["paused_ms"];
+    /// A configuration version came into force.
+    200 ConfigAccepted Info "config_accepted" ["version", "source"];
+    /// A configuration version was refused.
+    201 ConfigRefused Warn "config_refused" ["version", "faults", "first"];
+    /// The configuration service could not be read.
+    202 PlatformUnreachable Warn "platform_unreachable" ["what", "reason"];
+    /// The configuration service can be read again.
+    203 PlatformReachable Info "platform_reachable" ["what"];
+    /// A new instance list came into force.
+    204 ListAccepted Info "list_accepted" ["version", "entries"];
+    /// A member's state changed.
+    300 MemberChanged Info "member_changed" ["instance", "state"];
+    /// A peer frame was dropped.
+    301 FrameDropped Debug "frame_dropped" ["reason", "peer"];
+    /// A request was refused.
+    400 RequestRefused Info "request_refused" ["request", "kind", "run", "detail"];
+    /// A generation was resumed on its engine.
+    401 GenerationResumed Info "generation_resumed" ["request", "server", "after"];
+    /// A generation was started again before any token was delivered.
+    402 GenerationRetried Info "generation_retried" ["request", "server"];
+    /// A generation was lost after tokens were delivered.
+    403 GenerationLost Warn "generation_lost" ["request", "server"];
+    /// A backend server is suspected.
+    404 ServerSuspected Warn "server_suspected" ["server", "reason"];
+    /// An order was sent to its plain service.
+    500 OrderSent Info "order_sent" ["request", "server", "partition"];
+    /// An order's outcome is unknown.
+    501 OrderUnknown Warn "order_unknown" ["request", "server", "reason"];
+    /// A partition's replica group changed view.
+    502 PartitionView Debug "partition_view" ["partition", "version", "synchronised"];
+}
+
+impl EventKind {
+    /// Gets the row of the event table.
+    pub fn descriptor(self) -> &'static EventDescriptor {
+        &EVENT_TABLE[self as usize]
+    }
+}
--- /dev/null
+++ b/medlarlanding-core/src/generations/mod.rs
@@ -0,0 +1,1 @@
+//! One generation, delivered once and in order.
--- /dev/null
+++ b/medlarlanding-core/src/handles.rs
@@ -0,0 +1,110 @@
+//! Authenticated resume handles and minted order keys.
+
+use std::fmt::Write;
+
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::ids::{CustomerId, DeskId, ServerId};
+use crate::wire::constant_time_eq;
+
+const TAG_LEN: usize = 16;
+const HANDLE_CONTEXT: &str = "medlarlanding 2026-12 resume handles";
+const ORDER_KEY_CONTEXT: &str = "medlarlanding 2026-12 order keys";
+/// Longest handle or minted key in characters that is parsed.
+const HANDLE_LIMIT: usize = 512;
+
+value_type! {
+    /// What any instance needs to resume a generation.
+    pub struct ResumeHandle {
+        /// The customer that the generation belongs to.
+        pub customer: CustomerId,
+        /// The desk it was started at.
+        pub desk: DeskId,
+        /// The engine that runs it.
+        pub server: ServerId,
+        /// Name of the generation on its engine.
+        pub generation: String,
+    }
+}
+
+value_type! {
+    /// An idempotency key that the system minted for a customer.
+    pub struct MintedKey {
+        /// The customer that may use the key.
+        pub customer: CustomerId,
+        /// The desk at which the key may be used.
+        pub desk: DeskId,
+        /// Epoch of the key's partition when it was minted. Only replicas whose memory
+        /// descends from that epoch grant a claim on the key.
+        pub epoch: u64,
+        /// Random part that makes the key unique.
+        pub nonce: u64,
+    }
+}
+
+/// Signs and checks handles with the cluster secret.
+///
+/// The tag is a keyed BLAKE3 hash truncated to 128 bits.
+#[derive(Clone)]
+pub struct HandleSigner {
+    handle_key: [u8; 32],
+    order_key: [u8; 32],
+}
+
+impl HandleSigner {
+    /// Derives the keys from the cluster secret.
+    pub fn new(cluster_secret: &str) -> Self {
+        let secret = cluster_secret.as_bytes();
+        Self {
+            handle_key: blake3::derive_key(HANDLE_CONTEXT, secret),
+            order_key: blake3::derive_key(ORDER_KEY_CONTEXT, secret),
+        }
+    }
+
+    /// Writes a resume handle as text that is safe in URLs and event ids.
+    pub fn sign_handle(&self, handle: &ResumeHandle) -> String {
+        sign(&self.handle_key, handle)
+    }
+
+    /// Reads a resume handle. Returns `None` unless this cluster signed it.
+    pub fn open_handle(&self, text: &str) -> Option<ResumeHandle> {
+        open(&self.handle_key, text)
+    }
+
+    /// Writes a minted order key.
+    pub fn sign_key(&self, key: &MintedKey) -> String {
+        sign(&self.order_key, key)
+    }
+
+    /// Reads a minted order key. Returns `None` unless this cluster minted it.
+    pub fn open_key(&self, text: &str) -> Option<MintedKey> {
+        open(&self.order_key, text)
+    }
+}
+
+fn sign<T: Serialize>(key: &[u8; 32], value: &T) -> String {
+    let mut bytes = postcard::to_stdvec(value).expect("handles are plain data");
+    let tag = blake3::keyed_hash(key, &bytes);
+    bytes.extend_from_slice(&tag.as_bytes()[..TAG_LEN]);
+    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+fn open<T: DeserializeOwned>(key: &[u8; 32], text: &str) -> Option<T> {
+    if text.len() > HANDLE_LIMIT || !text.len().is_multiple_of(2) || !text.is_ascii() {
+        return None;
+    }
+    let bytes = (0..text.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok())
+        .collect::<Option<Vec<_>>>()?;
+    let split = bytes.len().checked_sub(TAG_LEN)?;
+    let (signed, tag) = bytes.split_at(split);
+    let expected = blake3::keyed_hash(key, signed);
+    if !constant_time_eq(&expected.as_bytes()[..TAG_LEN], tag) {
+        return None;
+    }
+    postcard::from_bytes(signed).ok()
+}
--- /dev/null
+++ b/medlarlanding-core/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of the medlarlanding serving system as state machines without I/O.
+//!
+//! Time, random numbers, messages and views come in as arguments; messages to
+//! send, answers and wake-up times come out. Nothing in this crate reads a clock,
+//! a socket, a thread or an environment variable.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+#[macro_use]
+mod derives;
+
+pub mod admission;
+pub mod config;
+pub mod distribution;
+pub mod errors;
+pub mod events;
+pub mod generations;
+pub mod handles;
+pub mod ids;
+pub mod membership;
+pub mod orders;
+pub mod rendezvous;
+pub mod time;
+pub mod views;
+pub mod wire;
+
+pub use errors::{ErrorKind, Result, ServeError};
--- /dev/null
+++ b/medlarlanding/src/lib.rs
@@ -0,0 +1,1 @@
+#![forbid(unsafe_code)]
