--- /dev/null
+++ b/medlarlanding-bench/src/engine_model.rs
@@ -0,0 +1,1 @@
+//! Model engine as a state machine in virtual time.
--- a/medlarlanding-bench/src/lib.rs
+++ b/medlarlanding-bench/src/lib.rs
@@ -1,1 +1,12 @@
+//! Stand-ins for outside systems, load generator, experiments and demo.
+
 #![forbid(unsafe_code)]
+
+pub mod demo;
+pub mod engine_model;
+pub mod experiment;
+pub mod fleet_trials;
+pub mod load;
+pub mod order_trials;
+pub mod report;
+pub mod stand_ins;
--- /dev/null
+++ b/medlarlanding-bench/src/report.rs
@@ -0,0 +1,1 @@
+//! Machine-readable results, Markdown reports and plots.
--- a/medlarlanding-core/src/derives.rs
+++ b/medlarlanding-core/src/derives.rs
@@ -19,3 +19,24 @@
         $vis $kind $name $($body)*
     };
 }
+
+/// Names each case of a table-driven test: one `#[test]` per line.
+///
+/// ```text
+/// cases! { check;
+///     rejects_empty_name => ("", false),
+///     accepts_plain_name => ("desk", true),
+/// }
+/// ```
+#[macro_export]
+macro_rules! cases {
+    ($check:path; $( $(#[$meta:meta])* $name:ident => $argument:expr ),* $(,)?) => {
+        $(
+            $(#[$meta])*
+            #[test]
+            fn $name() {
+                $check($argument);
+            }
+        )*
+    };
+}
