--- /dev/null
+++ b/medlarlanding/src/backends/connection.rs
@@ -0,0 +1,76 @@
+//! HTTP client for backend servers and the platform.
+//!
+//! Every exchange uses a connection of its own. A pooled connection may have gone silent
+//! without notice or may still carry the rest of an abandoned answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ntex::SharedCfg;
+use ntex::client::error::ClientError;
+use ntex::client::{Client, ClientBuilder, ClientRequest, Connector};
+use ntex::http::Method;
+use ntex::io::IoConfig;
+use ntex::time::{Millis, Seconds};
+
+/// Longest time to establish a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// How an exchange with a backend server failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ExchangeFault {
+    /// No connection was established: no byte of the request left.
+    NotSent(String),
+    /// The request may have reached the backend server.
+    MaybeSent(String),
+}
+
+impl ExchangeFault {
+    /// Classifies an error of the HTTP client.
+    pub fn from_client(error: &ClientError) -> Self {
+        match error {
+            ClientError::Connect(error) => Self::NotSent(error.to_string()),
+            error => Self::MaybeSent(error.to_string()),
+        }
+    }
+
+    /// Gets the reason.
+    pub fn reason(&self) -> &str {
+        match self {
+            Self::NotSent(reason) | Self::MaybeSent(reason) => reason,
+        }
+    }
+}
+
+/// Builds a client for the current thread.
+///
+/// # Errors
+///
+/// Fails if the connector cannot be created.
+pub async fn build_client() -> anyhow::Result<Client> {
+    let config = SharedCfg::new("BACKENDS")
+        .add(IoConfig::new().set_connect_timeout(Millis::from(CONNECT_TIMEOUT)));
+    ClientBuilder::new()
+        .connector::<()>(Connector::new().limit(0).keep_alive(Seconds(0)))
+        .disable_redirects()
+        .disable_timeout()
+        .build(config)
+        .await
+        .map_err(|error| anyhow::anyhow!("cannot build the HTTP client: {error}"))
+}
+
+/// Creates a request on a connection of its own. `timeout` limits the time to the headers.
+pub fn request(
+    client: &Client,
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    timeout: Duration,
+) -> ClientRequest {
+    client
+        .request(method, format!("http://{address}{path}"))
+        .address(address)
+        .timeout(Millis::from(timeout))
+        .force_close()
+        .no_decompress()
+}
--- /dev/null
+++ b/medlarlanding/src/backends/mod.rs
@@ -0,0 +1,6 @@
+//! Clients of backend servers.
+
+pub mod connection;
+pub mod engine;
+pub mod events;
+pub mod service;
--- /dev/null
+++ b/medlarlanding/src/http/mod.rs
@@ -0,0 +1,4 @@
+//! HTTP listeners: callers and operators.
+
+pub mod answers;
+pub mod reading;
--- /dev/null
+++ b/medlarlanding/src/logging.rs
@@ -0,0 +1,76 @@
+//! Numbered log events, written through `log` and `fern`.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use medlarlanding_core::events::{EventKind, EventLevel};
+
+use anyhow::Context;
+use log::{Level, LevelFilter};
+
+use crate::clock::wall_millis;
+
+/// Target of all numbered events.
+pub const EVENT_TARGET: &str = "medlarlanding";
+
+/// Configures the logger.
+#[derive(Clone, Debug)]
+pub struct LogOptions {
+    /// Least severe level that is written.
+    pub level: LevelFilter,
+    /// File that receives the log; standard error if absent.
+    pub file: Option<String>,
+}
+
+impl Default for LogOptions {
+    fn default() -> Self {
+        Self { level: LevelFilter::Info, file: None }
+    }
+}
+
+/// Installs the logger of the process.
+///
+/// # Errors
+///
+/// Fails if the file cannot be opened or a logger is installed already.
+pub fn install(options: &LogOptions, instance: &str) -> anyhow::Result<()> {
+    let instance = instance.to_owned();
+    let dispatch = fern::Dispatch::new()
+        .format(move |out, message, record| {
+            out.finish(format_args!("{} {} {instance} {message}", wall_millis(), record.level()))
+        })
+        .level(LevelFilter::Warn)
+        .level_for(EVENT_TARGET, options.level);
+    let dispatch = match &options.file {
+        Some(file) => dispatch.chain(
+            fern::log_file(Path::new(file)).with_context(|| format!("cannot open log {file}"))?,
+        ),
+        None => dispatch.chain(std::io::stderr()),
+    };
+    dispatch.apply().context("cannot install the logger")
+}
+
+/// Logs a numbered event. `values` follow the order of the event's fields.
+pub fn event(kind: EventKind, values: &[&dyn std::fmt::Display]) {
+    let descriptor = kind.descriptor();
+    debug_assert_eq!(descriptor.fields.len(), values.len(), "fields of {}", descriptor.name);
+    let level = match descriptor.level {
+        EventLevel::Error => Level::Error,
+        EventLevel::Warn => Level::Warn,
+        EventLevel::Info => Level::Info,
+        EventLevel::Debug => Level::Debug,
+    };
+    if !log::log_enabled!(target: EVENT_TARGET, level) {
+        return;
+    }
+    let mut line = format!("E{:03} {}", descriptor.number, descriptor.name);
+    for (field, value) in descriptor.fields.iter().zip(values) {
+        let text = value.to_string();
+        if text.is_empty() || text.contains(|c: char| c.is_whitespace() || c == '"' || c == '=') {
+            let _ = write!(line, " {field}={text:?}");
+        } else {
+            let _ = write!(line, " {field}={text}");
+        }
+    }
+    log::log!(target: EVENT_TARGET, level, "{line}");
+}
--- /dev/null
+++ b/medlarlanding/src/metrics.rs
@@ -0,0 +1,139 @@
+//! Prometheus metrics of an instance.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds in seconds for the time to the first token; the target is 1.4 s.
+const FIRST_TOKEN_BOUNDS: &[f64] =
+    &[0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 4.0, 8.0, 16.0, 60.0];
+/// Upper bounds in seconds for the time between tokens; the target is 54 ms.
+const TOKEN_GAP_BOUNDS: &[f64] =
+    &[0.01, 0.02, 0.03, 0.04, 0.054, 0.08, 0.12, 0.25, 0.5, 1.0, 5.0, 30.0];
+
+/// All metrics of one process.
+pub struct MetricSet {
+    registry: Registry,
+    /// Requests by endpoint and result (`whole`, `refused`, `cancelled`).
+    pub requests: IntCounterVec,
+    /// Refusals by error kind.
+    pub refusals: IntCounterVec,
+    /// Tokens delivered to callers.
+    pub tokens: IntCounter,
+    /// Tokens from engines that were dropped because they were repeated or belonged to
+    /// another generation or attachment.
+    pub dropped_tokens: IntCounter,
+    /// Generations resumed on a new connection.
+    pub resumes: IntCounter,
+    /// Generations started again before the first delivered token, and repeated look-ups.
+    pub retries: IntCounter,
+    /// Generations lost after the first delivered token.
+    pub lost: IntCounter,
+    /// Orders by outcome (`ran`, `stored`, `unknown`, `refused`).
+    pub orders: IntCounterVec,
+    /// Bytes exchanged with peers, by direction and transport.
+    pub peer_bytes: IntCounterVec,
+    /// Peer frames dropped, by reason.
+    pub dropped_frames: IntCounterVec,
+    /// Requests in progress.
+    pub open_requests: IntGauge,
+    /// Configuration version in effect.
+    pub config_version: IntGauge,
+    /// Version of the instance list in effect.
+    pub list_version: IntGauge,
+    /// Live instances known, including this one.
+    pub live_instances: IntGauge,
+    /// 1 while the process drains.
+    pub draining: IntGauge,
+    /// Time from request to first delivered token in seconds.
+    pub first_token: Histogram,
+    /// Time between delivered tokens in seconds.
+    pub token_gap: Histogram,
+}
+
+impl MetricSet {
+    /// Creates and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a duplicate or malformed name, which is a defect.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new_custom(Some("medlarlanding".to_owned()), None)?;
+        let counter = |name: &str, help: &str| -> anyhow::Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let counters = |name: &str, help: &str, labels: &[&str]| -> anyhow::Result<IntCounterVec> {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let gauge = |name: &str, help: &str| -> anyhow::Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let histogram = |name: &str, help: &str, bounds: &[f64]| -> anyhow::Result<Histogram> {
+            let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        Ok(Self {
+            requests: counters(
+                "requests_total",
+                "Requests by endpoint and result.",
+                &["endpoint", "result"],
+            )?,
+            refusals: counters("refusals_total", "Refusals by error kind.", &["kind"])?,
+            tokens: counter("tokens_total", "Tokens delivered to callers.")?,
+            dropped_tokens: counter(
+                "dropped_tokens_total",
+                "Repeated or foreign tokens from engines that were dropped.",
+            )?,
+            resumes: counter("resumes_total", "Generations resumed on a new connection.")?,
+            retries: counter("retries_total", "Generations and look-ups tried again.")?,
+            lost: counter("generations_lost_total", "Generations lost after the first token.")?,
+            orders: counters("orders_total", "Orders by outcome.", &["outcome"])?,
+            peer_bytes: counters(
+                "peer_bytes_total",
+                "Bytes exchanged with peers.",
+                &["direction", "transport"],
+            )?,
+            dropped_frames: counters(
+                "dropped_frames_total",
+                "Peer frames dropped by reason.",
+                &["reason"],
+            )?,
+            open_requests: gauge("open_requests", "Requests in progress.")?,
+            config_version: gauge("config_version", "Configuration version in effect.")?,
+            list_version: gauge("list_version", "Instance list version in effect.")?,
+            live_instances: gauge("live_instances", "Live instances known.")?,
+            draining: gauge("draining", "1 while the process drains.")?,
+            first_token: histogram(
+                "first_token_seconds",
+                "Time from request to first token.",
+                FIRST_TOKEN_BOUNDS,
+            )?,
+            token_gap: histogram(
+                "token_gap_seconds",
+                "Time between delivered tokens.",
+                TOKEN_GAP_BOUNDS,
+            )?,
+            registry,
+        })
+    }
+
+    /// Writes all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub fn render(&self) -> anyhow::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/medlarlanding/src/platform.rs
@@ -0,0 +1,133 @@
+//! Client of the configuration service and the published instance list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use medlarlanding_core::ids::{InstanceId, ZoneId};
+use medlarlanding_core::views::{InstanceEntry, InstanceList, InstanceState, ListVersion};
+
+use ntex::client::Client;
+use ntex::http::Method;
+use ntex::time::Millis;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::backends::connection::request;
+
+/// Largest answer in bytes: a value of 1 MiB, escaped as JSON, and its envelope.
+const ANSWER_LIMIT: usize = 3 << 20;
+/// Longest time for an answer beyond the time that a watch waits.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A value of the configuration service.
+#[derive(Clone, Debug, Deserialize)]
+pub struct PlatformValue {
+    /// Revision of the value.
+    pub revision: u64,
+    /// Text of the value.
+    pub value: String,
+}
+
+#[derive(Deserialize)]
+struct PublishedList {
+    revision: u64,
+    instances: Vec<PublishedEntry>,
+}
+
+#[derive(Deserialize)]
+struct PublishedEntry {
+    name: String,
+    zone: String,
+    state: PublishedState,
+    udp: SocketAddr,
+    tcp: SocketAddr,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum PublishedState {
+    Live,
+    Leaving,
+}
+
+/// A watch: answers when the revision exceeds `after` or the wait ends.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchParams {
+    /// Revision that the reader knows.
+    pub after: u64,
+    /// Longest wait.
+    pub wait: Duration,
+}
+
+/// Reads a value, or waits for a newer one.
+///
+/// # Errors
+///
+/// Returns why no answer was received.
+pub async fn read_value(
+    client: &Client,
+    address: SocketAddr,
+    name: &str,
+    watch: Option<WatchParams>,
+) -> Result<PlatformValue, String> {
+    get(client, address, &format!("/v1/values/{name}"), watch).await
+}
+
+/// Reads the instance list, or waits for a newer one.
+///
+/// # Errors
+///
+/// Returns why no answer was received.
+pub async fn read_instances(
+    client: &Client,
+    address: SocketAddr,
+    watch: Option<WatchParams>,
+) -> Result<InstanceList, String> {
+    let list: PublishedList = get(client, address, "/v1/instances", watch).await?;
+    let entries = list
+        .instances
+        .into_iter()
+        .map(|entry| InstanceEntry {
+            id: InstanceId::from_name(&entry.name),
+            zone: ZoneId::from_name(&entry.zone),
+            name: entry.name,
+            state: match entry.state {
+                PublishedState::Live => InstanceState::Live,
+                PublishedState::Leaving => InstanceState::Leaving,
+            },
+            udp: entry.udp,
+            tcp: entry.tcp,
+        })
+        .collect();
+    Ok(InstanceList { version: ListVersion(list.revision), entries })
+}
+
+async fn get<T: DeserializeOwned>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+    watch: Option<WatchParams>,
+) -> Result<T, String> {
+    let (path, timeout) = match watch {
+        Some(watch) => (
+            format!("{path}?after={}&wait_ms={}", watch.after, watch.wait.as_millis()),
+            watch.wait + ANSWER_TIMEOUT,
+        ),
+        None => (path.to_owned(), ANSWER_TIMEOUT),
+    };
+    let answer = request(client, Method::GET, address, &path, timeout)
+        .send()
+        .await
+        .map_err(|error| error.to_string())?;
+    let status = answer.status();
+    if !status.is_success() {
+        return Err(format!("status {}", status.as_u16()));
+    }
+    let body = answer
+        .body()
+        .limit(ANSWER_LIMIT)
+        .timeout(Millis::from(ANSWER_TIMEOUT))
+        .await
+        .map_err(|error| error.to_string())?;
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
+}
