Serve generations and look-ups on a thin whole path

Callers' and operators' listeners, command line, settings, request gate and drain are connected to engines, plain services and the configuration service.

--- /dev/null
+++ b/medlarlanding/src/cli.rs
@@ -0,0 +1,80 @@
+//! Command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Serving system for generations of unknown length on crowded engines.
+///
+/// Example: medlarlanding serve --settings instance.yaml
+#[derive(FromArgs, Debug)]
+pub struct CommandLine {
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// Subcommands.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    Serve(ServeOptions),
+    Check(CheckOptions),
+    Dump(DumpOptions),
+    Credential(CredentialOptions),
+    Version(VersionOptions),
+}
+
+/// runs an entry instance until SIGTERM
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "serve",
+    example = "medlarlanding serve --settings /etc/medlarlanding/instance.yaml"
+)]
+pub struct ServeOptions {
+    /// settings file of the instance
+    #[argh(option)]
+    pub settings: PathBuf,
+}
+
+/// checks settings files and configuration trees; exit status 1 on a fault
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "medlarlanding check instance.yaml tree.yaml",
+    note = "A file with the key `instance` is checked as settings, any other as a tree."
+)]
+pub struct CheckOptions {
+    /// files to check
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// prints the state of a running instance as JSON
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "dump",
+    example = "medlarlanding dump --admin 127.0.0.1:7001",
+    example = "medlarlanding dump --admin 127.0.0.1:7001 --request 00ab-18f-2a"
+)]
+pub struct DumpOptions {
+    /// address of the instance's listener for operators
+    #[argh(option)]
+    pub admin: SocketAddr,
+    /// print only the decisions on this request, as a time line
+    #[argh(option)]
+    pub request: Option<String>,
+}
+
+/// prints a new credential and its digest for the configuration tree
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "credential", example = "medlarlanding credential")]
+pub struct CredentialOptions {}
+
+/// prints the version
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "version", example = "medlarlanding version")]
+pub struct VersionOptions {}
--- /dev/null
+++ b/medlarlanding/src/commands.rs
@@ -0,0 +1,134 @@
+//! Subcommands of the binary.
+
+use std::fmt::Write;
+use std::fs;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use medlarlanding_core::config::{ConfigTree, credential_digest};
+
+use anyhow::{Context, bail};
+use ntex::http::Method;
+use rand::RngCore;
+
+use crate::backends::connection::{build_client, request};
+use crate::cli::{CheckOptions, DumpOptions, ServeOptions};
+use crate::logging;
+use crate::serve;
+use crate::settings::InstanceSettings;
+
+/// Longest time for a dump.
+const DUMP_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest dump in bytes.
+const DUMP_LIMIT: usize = 256 << 20;
+
+/// Runs an instance.
+///
+/// # Errors
+///
+/// Fails on faulty settings or when the instance ends abnormally.
+pub fn serve(options: &ServeOptions) -> anyhow::Result<ExitCode> {
+    let settings = InstanceSettings::load(&options.settings)?;
+    let log = settings.log_options().map_err(anyhow::Error::msg)?;
+    logging::install(&log, &settings.instance)?;
+    serve::run(settings)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Checks files and prints every fault.
+///
+/// # Errors
+///
+/// Fails if a file cannot be read.
+pub fn check(options: &CheckOptions) -> anyhow::Result<ExitCode> {
+    if options.files.is_empty() {
+        bail!("no file to check");
+    }
+    let mut faulty = false;
+    for file in &options.files {
+        let name = file.display();
+        let text = fs::read_to_string(file).with_context(|| format!("cannot read {name}"))?;
+        let faults = if text.lines().any(|line| line.starts_with("instance:")) {
+            InstanceSettings::parse(&text).err().into_iter().collect()
+        } else {
+            ConfigTree::parse(&text)
+                .err()
+                .unwrap_or_default()
+                .iter()
+                .map(ToString::to_string)
+                .collect::<Vec<_>>()
+        };
+        for fault in &faults {
+            println!("{name}:{fault}");
+        }
+        if faults.is_empty() {
+            println!("{name}: ok");
+        }
+        faulty |= !faults.is_empty();
+    }
+    Ok(if faulty { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
+
+/// Prints the state of a running instance.
+///
+/// # Errors
+///
+/// Fails if the instance does not answer.
+pub fn dump(options: &DumpOptions) -> anyhow::Result<ExitCode> {
+    let path = match &options.request {
+        Some(request) => format!("/dump?request={request}"),
+        None => "/dump".to_owned(),
+    };
+    let text = ntex::rt::System::build()
+        .name("dump")
+        .build(ntex::rt::DefaultRuntime)
+        .block_on(fetch_dump(options.admin, path))?;
+    println!("{text}");
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn fetch_dump(admin: std::net::SocketAddr, path: String) -> anyhow::Result<String> {
+    let client = build_client().await?;
+    let answer = request(&client, Method::GET, admin, &path, DUMP_TIMEOUT)
+        .send()
+        .await
+        .map_err(|error| anyhow::anyhow!("{admin}: {error}"))?;
+    let body = answer
+        .body()
+        .limit(DUMP_LIMIT)
+        .await
+        .map_err(|error| anyhow::anyhow!("{admin}: {error}"))?;
+    let value: serde_json::Value = serde_json::from_slice(&body).context("answer is not JSON")?;
+    Ok(serde_json::to_string_pretty(&value)?)
+}
+
+/// Prints a new credential and its digest.
+///
+/// # Errors
+///
+/// Never fails.
+pub fn credential() -> anyhow::Result<ExitCode> {
+    let mut bytes = [0u8; 32];
+    rand::rng().fill_bytes(&mut bytes);
+    let credential = hex(&bytes);
+    println!("credential: {credential}");
+    println!("credential_digest: {}", hex(&credential_digest(&credential)));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Prints the version.
+///
+/// # Errors
+///
+/// Never fails.
+pub fn version() -> anyhow::Result<ExitCode> {
+    println!("medlarlanding {}", env!("CARGO_PKG_VERSION"));
+    Ok(ExitCode::SUCCESS)
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
--- /dev/null
+++ b/medlarlanding/src/http/callers.rs
@@ -0,0 +1,94 @@
+//! Listener for callers.
+
+use std::sync::Arc;
+
+use medlarlanding_core::ids::RequestId;
+use medlarlanding_core::{ErrorKind, Result, ServeError};
+
+use ntex::client::Client;
+use ntex::http::header::HeaderMap;
+use ntex::web::types::{Payload, State};
+use ntex::web::{self, HttpRequest, HttpResponse};
+
+use crate::instance::{DeskAccess, InstanceShared};
+
+use super::answers::refusal;
+use super::{generations, lookups};
+
+/// What the handlers of one worker thread share.
+#[derive(Clone)]
+pub struct CallerContext {
+    /// State of the instance.
+    pub shared: Arc<InstanceShared>,
+    /// HTTP client of the worker thread.
+    pub client: Client,
+}
+
+/// A request that was authenticated.
+pub struct CallerRequest {
+    /// Id of the request.
+    pub id: RequestId,
+    /// Desk and customer.
+    pub access: DeskAccess,
+}
+
+/// Adds the callers' routes to an application.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config
+        .service(
+            web::resource("/v1/desks/{desk}/generations").route(web::post().to(generations::start)),
+        )
+        .service(
+            web::resource("/v1/desks/{desk}/generations/{handle}")
+                .route(web::get().to(generations::resume))
+                .route(web::delete().to(generations::cancel)),
+        )
+        .service(web::resource("/v1/desks/{desk}/lookups").route(web::post().to(lookups::look_up)));
+}
+
+/// Answers requests for resources that do not exist.
+pub async fn not_found() -> HttpResponse {
+    refusal(&ErrorKind::NotFound.into(), None)
+}
+
+impl CallerContext {
+    /// Authenticates a request and finds its desk.
+    ///
+    /// # Errors
+    ///
+    /// See [`InstanceShared::access`].
+    pub fn accept(&self, request: &HttpRequest) -> Result<CallerRequest> {
+        let desk = request.match_info().get("desk").unwrap_or_default();
+        let access = self.shared.access(bearer(request.headers()), desk)?;
+        Ok(CallerRequest { id: self.shared.next_request(), access })
+    }
+
+    /// Reads the body of a request.
+    ///
+    /// # Errors
+    ///
+    /// See [`super::reading::read_body`].
+    pub async fn read(&self, payload: Payload) -> Result<Vec<u8>> {
+        super::reading::read_body(payload, self.shared.settings.limits.body()).await
+    }
+
+    /// Builds, counts and logs the answer to a refused request.
+    pub fn refuse(
+        &self,
+        endpoint: &str,
+        error: &ServeError,
+        request: Option<RequestId>,
+    ) -> HttpResponse {
+        self.shared.count_refusal(endpoint, error, request);
+        refusal(error, request)
+    }
+}
+
+/// Gets the credential of a request.
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let (scheme, credential) = headers.get("authorization")?.to_str().ok()?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then_some(credential.trim())
+}
+
+/// Extracts the context in handlers.
+pub type Context = State<CallerContext>;
--- /dev/null
+++ b/medlarlanding/src/http/lookups.rs
@@ -0,0 +1,86 @@
+//! Idempotent look-ups at plain services.
+
+use std::time::Duration;
+
+use medlarlanding_core::config::ServerState;
+use medlarlanding_core::{ErrorKind, Result};
+
+use ntex::http::StatusCode;
+use ntex::web::types::Payload;
+use ntex::web::{HttpRequest, HttpResponse};
+use rand::seq::SliceRandom;
+use serde_json::Value;
+
+use crate::backends::service::{self, ServiceAnswer};
+
+use super::callers::{CallerContext, CallerRequest, Context};
+use super::reading::parse_json;
+
+const ENDPOINT: &str = "lookups";
+/// Share of the remaining time that one attempt may take, so that a silent server leaves
+/// time for another.
+const ATTEMPT_FRACTION: u32 = 3;
+
+/// Handles `POST /v1/desks/{desk}/lookups`.
+pub async fn look_up(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
+    let accepted = match context.accept(&request) {
+        Ok(accepted) => accepted,
+        Err(error) => return context.refuse(ENDPOINT, &error, None),
+    };
+    match serve(&context, &accepted, payload).await {
+        Ok(answer) => {
+            context.shared.count_result(ENDPOINT, "whole");
+            pass_on(&answer)
+        },
+        Err(error) => context.refuse(ENDPOINT, &error, Some(accepted.id)),
+    }
+}
+
+/// Builds the caller's answer from a plain service's answer.
+pub fn pass_on(answer: &ServiceAnswer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    HttpResponse::build(status).content_type("application/json").body(answer.body.clone())
+}
+
+async fn serve(
+    context: &CallerContext,
+    accepted: &CallerRequest,
+    payload: Payload,
+) -> Result<ServiceAnswer> {
+    let _guard = context.shared.gate.enter()?;
+    let body = context.read(payload).await?;
+    parse_json::<Value>(&body)?;
+    let access = &accepted.access;
+    let route = access.desk().lookups.ok_or(ErrorKind::NotFound)?;
+    let mut servers: Vec<_> = access
+        .servers(route)
+        .filter(|server| server.state == ServerState::Live)
+        .filter(|server| !context.shared.server_leaving(server.id))
+        .collect();
+    servers.shuffle(&mut rand::rng());
+    let deadline = context.shared.clock.now() + access.desk().deadline;
+    let mut last = ErrorKind::NoBackend;
+    for (attempt, server) in servers.iter().enumerate() {
+        if attempt > 0 && !context.shared.spend_retry() {
+            break;
+        }
+        let remaining = deadline.since(context.shared.clock.now());
+        if remaining < Duration::from_millis(1) {
+            return Err(ErrorKind::DeadlineNotRun.into());
+        }
+        let timeout = remaining / ATTEMPT_FRACTION;
+        match service::look_up(&context.client, server.address, &body, timeout).await {
+            Ok(answer) if answer.status < 500 => {
+                context.shared.earn_retry();
+                return Ok(answer);
+            },
+            // A look-up changes nothing, so it may run again on another server.
+            Ok(_) => last = ErrorKind::BackendFailed,
+            Err(fault) => {
+                context.shared.suspect_server(server.id, fault.reason());
+                last = ErrorKind::BackendFailed;
+            },
+        }
+    }
+    Err(last.into())
+}
--- a/medlarlanding/src/http/mod.rs
+++ b/medlarlanding/src/http/mod.rs
@@ -1,4 +1,8 @@
 //! HTTP listeners: callers and operators.
 
+pub mod admin;
 pub mod answers;
+pub mod callers;
+pub mod generations;
+pub mod lookups;
 pub mod reading;
--- /dev/null
+++ b/medlarlanding/src/instance.rs
@@ -0,0 +1,207 @@
+//! State that the tasks of one instance share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, RwLock};
+
+use medlarlanding_core::config::{
+    ConfigTree, CustomerConfig, CustomerKey, DeskConfig, DeskKey, RouteConfig, RouteKey,
+    ServerConfig, credential_digest,
+};
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::handles::HandleSigner;
+use medlarlanding_core::ids::{Incarnation, InstanceId, InstanceIdentity, RequestId, ServerId};
+use medlarlanding_core::{ErrorKind, Result, ServeError};
+
+use crate::clock::{ProcessClock, wall_millis};
+use crate::gate::RequestGate;
+use crate::logging::event;
+use crate::metrics::MetricSet;
+use crate::settings::InstanceSettings;
+
+/// A configuration tree with its version.
+#[derive(Debug)]
+pub struct ActiveTree {
+    /// Version of the tree.
+    pub version: u64,
+    /// The tree.
+    pub tree: ConfigTree,
+}
+
+/// A desk and the customer that uses it, under one configuration version.
+#[derive(Clone)]
+pub struct DeskAccess {
+    active: Arc<ActiveTree>,
+    desk: DeskKey,
+    customer: CustomerKey,
+}
+
+impl DeskAccess {
+    /// Gets the desk.
+    pub fn desk(&self) -> &DeskConfig {
+        &self.active.tree[self.desk]
+    }
+
+    /// Gets the customer.
+    pub fn customer(&self) -> &CustomerConfig {
+        &self.active.tree[self.customer]
+    }
+
+    /// Gets a route of the tree.
+    pub fn route(&self, route: RouteKey) -> &RouteConfig {
+        &self.active.tree[route]
+    }
+
+    /// Gets the tree under which the access was granted.
+    pub fn tree(&self) -> &ConfigTree {
+        &self.active.tree
+    }
+
+    /// Iterates over the servers of a route.
+    pub fn servers(&self, route: RouteKey) -> impl Iterator<Item = &ServerConfig> {
+        self.route(route).servers.iter().map(|&server| &self.active.tree[server])
+    }
+}
+
+/// What all tasks of an instance share.
+pub struct InstanceShared {
+    /// Settings of the process.
+    pub settings: InstanceSettings,
+    /// Identity at the start; refutations are counted by the node.
+    pub identity: InstanceIdentity,
+    /// Clock of the process.
+    pub clock: ProcessClock,
+    /// Signs resume handles and minted keys.
+    pub signer: HandleSigner,
+    /// Metrics.
+    pub metrics: MetricSet,
+    /// Requests in progress.
+    pub gate: Arc<RequestGate>,
+    active: RwLock<Option<Arc<ActiveTree>>>,
+    next_request: AtomicU64,
+}
+
+impl InstanceShared {
+    /// Creates the shared state.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the metrics cannot be registered.
+    pub fn new(settings: InstanceSettings) -> anyhow::Result<Arc<Self>> {
+        let metrics = MetricSet::new()?;
+        let gate = RequestGate::new(settings.limits.open_requests, metrics.open_requests.clone());
+        Ok(Arc::new(Self {
+            identity: InstanceIdentity {
+                id: InstanceId::from_name(&settings.instance),
+                incarnation: Incarnation::new(wall_millis()),
+            },
+            clock: ProcessClock::start(),
+            signer: HandleSigner::new(&settings.cluster_secret),
+            metrics,
+            gate,
+            active: RwLock::new(None),
+            next_request: AtomicU64::new(1),
+            settings,
+        }))
+    }
+
+    /// Draws the id of a new request.
+    pub fn next_request(&self) -> RequestId {
+        RequestId {
+            instance: self.identity.id,
+            started: self.identity.incarnation.started,
+            number: self.next_request.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    /// Gets the configuration in effect.
+    pub fn active(&self) -> Option<Arc<ActiveTree>> {
+        self.active.read().expect("no panic under the lock").clone()
+    }
+
+    /// Puts a configuration into effect. Older versions are ignored.
+    pub fn activate(&self, next: ActiveTree) {
+        let mut active = self.active.write().expect("no panic under the lock");
+        if active.as_ref().is_none_or(|current| current.version < next.version) {
+            self.metrics.config_version.set(next.version as i64);
+            *active = Some(Arc::new(next));
+        }
+    }
+
+    /// Finds the customer of a credential and the desk that it names.
+    ///
+    /// # Errors
+    ///
+    /// `NotReady`, `Unauthorized`, or `NotFound` for a desk that does not exist or that the
+    /// customer may not use; the two cannot be told apart.
+    pub fn access(&self, credential: Option<&str>, desk: &str) -> Result<DeskAccess> {
+        let active = self.active().ok_or(ErrorKind::NotReady)?;
+        let digest = credential_digest(credential.ok_or(ErrorKind::Unauthorized)?);
+        let customer = active.tree.customer_by_digest(&digest).ok_or(ErrorKind::Unauthorized)?;
+        let desk = active.tree.desk(desk).ok_or(ErrorKind::NotFound)?;
+        if !active.tree[desk].admits(customer) {
+            return Err(ErrorKind::NotFound.into());
+        }
+        Ok(DeskAccess { active, desk, customer })
+    }
+
+    /// Gets the address of a server in the configuration in effect.
+    pub fn server_address(&self, server: ServerId) -> Option<SocketAddr> {
+        let active = self.active()?;
+        let key = active.tree.server_by_id(server)?;
+        Some(active.tree[key].address)
+    }
+}
+
+/// Bookkeeping of requests.
+impl InstanceShared {
+    /// Counts a request by its result.
+    pub fn count_result(&self, endpoint: &str, result: &str) {
+        self.metrics.requests.with_label_values(&[endpoint, result]).inc();
+    }
+
+    /// Counts and logs a refusal.
+    pub fn count_refusal(&self, endpoint: &str, error: &ServeError, request: Option<RequestId>) {
+        let descriptor = error.kind.descriptor();
+        self.count_result(endpoint, "refused");
+        self.metrics.refusals.with_label_values(&[descriptor.code]).inc();
+        let request = request.map_or_else(|| "-".to_owned(), |request| request.to_string());
+        let detail = error.detail.as_deref().unwrap_or("");
+        event(
+            EventKind::RequestRefused,
+            &[&request, &descriptor.code, &descriptor.run.as_str(), &detail],
+        );
+    }
+
+    /// Returns whether a server is known to be leaving before the configuration says so.
+    pub fn server_leaving(&self, _server: ServerId) -> bool {
+        false
+    }
+
+    /// Takes a retry from the budget. Returns whether one was left.
+    pub fn spend_retry(&self) -> bool {
+        true
+    }
+
+    /// Credits the retry budget with a success.
+    pub fn earn_retry(&self) {}
+
+    /// Reports that an exchange with a server failed.
+    pub fn suspect_server(&self, server: ServerId, reason: &str) {
+        event(EventKind::ServerSuspected, &[&server, &reason]);
+    }
+
+    /// Gets the state of the process for operators.
+    pub fn dump(&self, _request: Option<&str>) -> serde_json::Value {
+        let active = self.active();
+        serde_json::json!({
+            "instance": self.settings.instance,
+            "zone": self.settings.zone,
+            "incarnation": self.identity.incarnation,
+            "requests": { "open": self.gate.open(), "draining": self.gate.draining() },
+            "configuration": active.as_ref().map(|active| serde_json::json!({
+                "version": active.version, "tree": active.tree,
+            })),
+        })
+    }
+}
--- a/medlarlanding/src/lib.rs
+++ b/medlarlanding/src/lib.rs
@@ -3,10 +3,16 @@
 #![forbid(unsafe_code)]
 
 pub mod backends;
+pub mod cli;
 pub mod clock;
+pub mod commands;
+pub mod gate;
 pub mod http;
+pub mod instance;
 pub mod logging;
 pub mod metrics;
 pub mod peers;
 pub mod platform;
+pub mod serve;
+pub mod settings;
 pub mod supervisor;
--- a/medlarlanding/src/main.rs
+++ b/medlarlanding/src/main.rs
@@ -1,1 +1,23 @@
-fn main() {}
+//! Command line entry point.
+
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+use medlarlanding::cli::{Command, CommandLine};
+use medlarlanding::commands;
+
+fn main() -> ExitCode {
+    let line: CommandLine = argh::from_env();
+    let result = match line.command {
+        Command::Serve(options) => commands::serve(&options),
+        Command::Check(options) => commands::check(&options),
+        Command::Dump(options) => commands::dump(&options),
+        Command::Credential(_) => commands::credential(),
+        Command::Version(_) => commands::version(),
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("medlarlanding: {error:#}");
+        ExitCode::FAILURE
+    })
+}
