Add at-most-once orders as a state machine without I/O

Ruled out: version-only views (a restarted replica would answer for memory it lost); reading only the latest known view (a view may be known and still have granted nothing, or may hold nothing of its predecessors); releasing old copies by message (records expire by themselves after the retention).

Change: proposer, replica, group views with their partial order, copies with fencing, doubt and epochs, minted keys, outcomes, queries, store limits and retention, list staleness, suspension after a pause, drain, dump and an invariant check. `choose_base` decides from fenced copies whether a memory is complete: a view counts as a base when a read majority answered, one of them was synchronised in it, and every later view that may have granted was read too or can no longer be established. The doubt limit is max(retention + list limit, 2 x list limit + idle limit) + permit limit; retention + list limit alone leaves a window in which a group that starts from an idle memory and an empty-started group both grant.

Conclusion: usable by the runtime; behaviour under faults is not tried yet.

--- /dev/null
+++ b/medlarlanding-core/tests/orders_basic.rs
@@ -0,0 +1,315 @@
+//! Orders without faults beyond single failures: claims, duplicates, doubt, limits, drain.
+
+mod orders_support;
+
+use std::time::Duration;
+
+use medlarlanding_core::ErrorKind;
+use medlarlanding_core::orders::{OrderAnswer, OrderInput, OrderParams, OrderResult};
+use orders_support::{CUSTOMER, DESK, Fleet, answered, list};
+
+fn params() -> OrderParams {
+    OrderParams { partitions: 16, ..OrderParams::default() }
+}
+
+fn stored(body: &str) -> OrderAnswer {
+    OrderAnswer::Answered { status: 200, body: body.as_bytes().to_vec(), stored: true }
+}
+
+/// Guards against partitions that never start after a cold start, and against traffic when
+/// nothing happens.
+#[test]
+fn cold_start_settles_and_falls_silent() {
+    let mut fleet = Fleet::settled(6, params());
+    assert_eq!(fleet.syncing(), 0);
+    let messages = fleet.messages;
+    fleet.advance(Duration::from_secs(600));
+    assert_eq!(fleet.messages, messages);
+}
+
+/// Guards against replicas of one group that start empty in different epochs, which would
+/// refuse each other's minted keys.
+#[test]
+fn cold_start_agrees_on_one_epoch_per_partition() {
+    let fleet = Fleet::settled(6, params());
+    let mut epochs = std::collections::BTreeMap::new();
+    for coordinator in fleet.nodes.values() {
+        for partition in coordinator.dump().partitions {
+            if partition.synchronised {
+                let epoch = epochs.entry(partition.partition).or_insert(partition.epoch);
+                assert_eq!(*epoch, partition.epoch);
+            }
+        }
+    }
+    assert_eq!(epochs.len(), 16);
+}
+
+/// Guards against a second execution when a caller repeats its key at another instance.
+#[test]
+fn repeated_key_gets_the_stored_answer() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    fleet.submit(0, 1, "k", 1);
+    assert_eq!(fleet.runs.len(), 1);
+    fleet.finish(0, 1, answered("first"));
+    fleet.submit(3, 2, "k", 1);
+    assert_eq!(fleet.runs.len(), 1);
+    assert_eq!(*fleet.last_answer(), stored("first"));
+}
+
+/// Guards against running a repeated key while the first request is in progress.
+#[test]
+fn duplicate_waits_for_the_first_outcome() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    fleet.submit(0, 1, "k", 1);
+    fleet.submit(3, 2, "k", 1);
+    fleet.advance(Duration::from_secs(1));
+    assert!(fleet.answers.is_empty());
+    fleet.finish(0, 1, answered("first"));
+    fleet.advance(Duration::from_secs(1));
+    assert_eq!(*fleet.last_answer(), stored("first"));
+    assert_eq!(fleet.runs.len(), 1);
+}
+
+/// Guards against a duplicate that waits beyond its deadline.
+#[test]
+fn duplicate_is_answered_at_its_deadline() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    fleet.submit(0, 1, "k", 1);
+    fleet.submit(3, 2, "k", 1);
+    fleet.advance(Duration::from_millis(5100));
+    assert!(fleet.answers.iter().any(|(node, _, answer)| *node == 3
+        && *answer == OrderAnswer::Refused(ErrorKind::DuplicateInProgress)));
+}
+
+/// Guards against running a key again for another request body.
+#[test]
+fn key_with_another_body_is_refused() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    fleet.submit(0, 1, "k", 1);
+    fleet.finish(0, 1, answered("first"));
+    fleet.submit(3, 2, "k", 2);
+    assert_eq!(*fleet.last_answer(), OrderAnswer::Refused(ErrorKind::KeyReused));
+}
+
+/// Guards against running unminted keys before the memory is known to be complete.
+#[test]
+fn order_in_doubt_is_not_run_unless_minted_or_checked() {
+    let mut fleet = Fleet::settled(6, params());
+    fleet.submit(0, 1, "k", 1);
+    assert_eq!(*fleet.last_answer(), OrderAnswer::Refused(ErrorKind::OrderInDoubt));
+    assert!(fleet.runs.is_empty());
+    fleet.submit_checked(0, 2, "k", 1, true);
+    assert_eq!(fleet.runs.len(), 1);
+    fleet.input(
+        2,
+        OrderInput::Mint {
+            query: medlarlanding_core::orders::QueryId(1),
+            customer: CUSTOMER,
+            desk: DESK,
+        },
+    );
+    let minted = fleet.minted.pop().expect("an answer").expect("a key");
+    fleet.submit(4, 3, &minted, 1);
+    assert_eq!(fleet.runs.len(), 2);
+}
+
+/// Guards against running a minted key in a group that lost the memory of its epoch.
+#[test]
+fn minted_key_of_an_earlier_epoch_is_refused() {
+    let mut fleet = Fleet::settled(3, params());
+    fleet.input(
+        0,
+        OrderInput::Mint {
+            query: medlarlanding_core::orders::QueryId(1),
+            customer: CUSTOMER,
+            desk: DESK,
+        },
+    );
+    let minted = fleet.minted.pop().expect("an answer").expect("a key");
+    fleet.submit(1, 1, &minted, 1);
+    fleet.finish(1, 1, answered("first"));
+    for node in 0..3 {
+        fleet.start(node);
+    }
+    fleet.publish_views();
+    fleet.advance(Duration::from_secs(40));
+    fleet.submit(1, 2, &minted, 1);
+    assert_eq!(*fleet.last_answer(), OrderAnswer::Refused(ErrorKind::OrderInDoubt));
+    assert_eq!(fleet.runs.len(), 1);
+}
+
+/// Guards against orders that run with a minority of the group.
+#[test]
+fn order_without_majority_is_refused() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    let group = fleet.group("k");
+    fleet.cut = group[..2].to_vec();
+    fleet.submit(group[2], 1, "k", 1);
+    fleet.advance(Duration::from_secs(6));
+    assert_eq!(*fleet.last_answer(), OrderAnswer::Refused(ErrorKind::NoQuorum));
+    assert!(fleet.runs.is_empty());
+}
+
+/// Guards against a blocked partition when one replica fails.
+#[test]
+fn order_runs_with_one_replica_cut_off() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    let group = fleet.group("k");
+    fleet.cut = vec![group[0]];
+    fleet.submit(group[2], 1, "k", 1);
+    assert_eq!(fleet.runs.len(), 1);
+}
+
+/// Guards against forgetting claims when two replicas restart one after the other.
+#[test]
+fn claims_survive_restarts_one_at_a_time() {
+    let mut fleet = Fleet::without_doubt(3, params());
+    fleet.submit(0, 1, "k", 1);
+    fleet.finish(0, 1, answered("first"));
+    for node in [1, 2, 0] {
+        fleet.start(node);
+        fleet.publish_views();
+        fleet.advance(Duration::from_secs(1));
+        assert_eq!(fleet.syncing(), 0);
+    }
+    fleet.submit(1, 2, "k", 1);
+    assert_eq!(*fleet.last_answer(), stored("first"));
+    assert_eq!(fleet.runs.len(), 1);
+}
+
+/// Guards against running the key of a proposer that died without reporting an outcome.
+#[test]
+fn order_of_a_dead_proposer_is_unknown() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    let group = fleet.group("k");
+    let proposer = (0..6).find(|node| !group.contains(node)).expect("a node");
+    fleet.submit(proposer, 1, "k", 1);
+    fleet.nodes.remove(&proposer);
+    fleet.publish_views();
+    fleet.submit(group[0], 2, "k", 1);
+    assert_eq!(*fleet.last_answer(), OrderAnswer::Refused(ErrorKind::OrderUnknown));
+    fleet.query(group[1], 1, "k");
+    assert_eq!(fleet.query_answers[0].2, OrderAnswer::Refused(ErrorKind::OrderUnknown));
+    assert_eq!(fleet.runs.len(), 1);
+}
+
+/// Guards against an unsent order that blocks its key.
+#[test]
+fn unsent_order_frees_its_key() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    fleet.submit(0, 1, "k", 1);
+    fleet.finish(0, 1, OrderResult::NotSent(ErrorKind::NoBackend));
+    assert_eq!(*fleet.last_answer(), OrderAnswer::Refused(ErrorKind::NoBackend));
+    fleet.submit(1, 2, "k", 1);
+    assert_eq!(fleet.runs.len(), 2);
+}
+
+/// Guards against lost memory when the whole group is replaced by a list change.
+#[test]
+fn claims_move_to_a_disjoint_group() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    fleet.submit(0, 1, "k", 1);
+    fleet.finish(0, 1, answered("first"));
+    let group = fleet.group("k");
+    let rest: Vec<_> = (0..6).filter(|node| !group.contains(node)).collect();
+    fleet.list = list(2, &rest);
+    fleet.publish_views();
+    fleet.advance(Duration::from_secs(1));
+    assert_eq!(fleet.syncing(), 0);
+    fleet.submit(rest[0], 2, "k", 1);
+    assert_eq!(*fleet.last_answer(), stored("first"));
+}
+
+/// Guards against evicting claims, or running orders without one, when the store is full.
+#[test]
+fn full_store_refuses_new_orders() {
+    let mut fleet = Fleet::without_doubt(3, OrderParams { claim_limit: 2, ..params() });
+    for order in 1..=3 {
+        fleet.submit(0, order, &format!("k{order}"), 1);
+    }
+    assert_eq!(*fleet.last_answer(), OrderAnswer::Refused(ErrorKind::ClaimsFull));
+    assert_eq!(fleet.runs.len(), 2);
+}
+
+/// Guards against records that outlive their retention and fill the memory.
+#[test]
+fn records_expire_after_retention() {
+    let mut fleet = Fleet::without_doubt(3, params());
+    fleet.submit(0, 1, "k", 1);
+    fleet.finish(0, 1, answered("first"));
+    fleet.advance(fleet.params.keep() + Duration::from_secs(1));
+    assert!(fleet.nodes.values().all(|node| node.dump().claims == 0));
+}
+
+/// Guards against replicas that grant under a list that may have been replaced long ago.
+#[test]
+fn stale_list_ends_granting() {
+    let mut fleet = Fleet::without_doubt(3, params());
+    fleet.advance(fleet.params.list_limit + Duration::from_secs(1));
+    fleet.submit(0, 1, "k", 1);
+    fleet.advance(Duration::from_secs(6));
+    assert_eq!(*fleet.last_answer(), OrderAnswer::Refused(ErrorKind::NoQuorum));
+    for node in 0..3 {
+        fleet.input(node, OrderInput::ListConfirmed { age: Duration::ZERO });
+    }
+    fleet.submit(0, 2, "k", 1);
+    assert_eq!(fleet.runs.len(), 1);
+}
+
+/// Guards against a process that acts on its old views after a pause.
+#[test]
+fn woken_process_waits_for_fresh_views() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    fleet.input(0, OrderInput::Woke);
+    fleet.submit(0, 1, "k", 1);
+    assert!(fleet.runs.is_empty());
+    fleet.publish_view(0);
+    fleet.advance(Duration::from_secs(1));
+    assert_eq!(fleet.runs.len(), 1);
+}
+
+/// Guards against new orders at a process that is about to end.
+#[test]
+fn draining_process_refuses_orders_and_finishes_open_ones() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    fleet.submit(0, 1, "k", 1);
+    fleet.input(0, OrderInput::Drain);
+    fleet.submit(0, 2, "other", 1);
+    assert_eq!(*fleet.last_answer(), OrderAnswer::Refused(ErrorKind::Draining));
+    assert_eq!(fleet.nodes[&0].open_work(), 1);
+    fleet.finish(0, 1, answered("first"));
+    assert_eq!(fleet.nodes[&0].open_work(), 0);
+}
+
+/// Guards against a query that reports another customer's or an unknown order.
+#[test]
+fn query_finds_the_outcome_or_nothing() {
+    let mut fleet = Fleet::without_doubt(6, params());
+    fleet.query(0, 1, "k");
+    assert_eq!(fleet.query_answers[0].2, OrderAnswer::Refused(ErrorKind::NotFound));
+    fleet.submit(0, 1, "k", 1);
+    fleet.query(1, 2, "k");
+    assert_eq!(fleet.query_answers[1].2, OrderAnswer::Refused(ErrorKind::DuplicateInProgress));
+    fleet.finish(0, 1, answered("first"));
+    fleet.query(2, 3, "k");
+    assert_eq!(fleet.query_answers[2].2, stored("first"));
+}
+
+/// Guards against lost answers that exceed what the replicas store.
+#[test]
+fn large_answer_is_repeated_by_its_proposer() {
+    let mut fleet = Fleet::without_doubt(6, OrderParams { answer_limit: 4, ..params() });
+    fleet.submit(0, 1, "k", 1);
+    fleet.finish(0, 1, answered("longer than four"));
+    fleet.submit(1, 2, "k", 1);
+    fleet.advance(Duration::from_millis(100));
+    assert_eq!(*fleet.last_answer(), stored("longer than four"));
+    fleet.query(2, 1, "k");
+    assert_eq!(fleet.query_answers[0].2, stored("longer than four"));
+    fleet.nodes.remove(&0);
+    fleet.publish_views();
+    fleet.submit(1, 3, "k", 1);
+    assert_eq!(*fleet.last_answer(), OrderAnswer::AnswerLost { status: 200 });
+    fleet.query(2, 2, "k");
+    assert_eq!(fleet.query_answers[1].2, OrderAnswer::AnswerLost { status: 200 });
+}
