Add membership table, configuration distributor and fleet trial

Ruled out: confirmations sent by each watcher to every instance (349 datagrams per second at 350 instances exceed 12 KB/s), and ages taken from unasked messages (a message that waited in the buffer of a paused process would make a list look fresh).

Change: `MembershipTable` and `ConfigDistributor` as state machines. Watchers confirm by numbered waves that each instance passes on to 3 peers. Ages of confirmation are counted back from the time at which the answered question was sent. `fleet` runs both in virtual time and checks that versions never go back and that no list counts as confirmed after the platform stopped publishing it.

Randomised runs are still to come.

--- /dev/null
+++ b/medlarlanding-bench/src/fleet_trials/measure.rs
@@ -0,0 +1,354 @@
+//! Measurements at one fleet size.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use medlarlanding_core::distribution::Subject;
+use medlarlanding_core::ids::ServerId;
+use medlarlanding_core::rendezvous;
+use serde::Serialize;
+
+use super::node::NodeParams;
+use super::sim::{FleetSim, SECOND};
+
+/// Settings of a measurement.
+#[derive(Clone, Debug)]
+pub struct MeasureOptions {
+    /// Number of instances.
+    pub size: usize,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// Bytes of the configuration text.
+    pub text_bytes: usize,
+    /// Virtual seconds of the steady state over which traffic is counted.
+    pub steady_s: u64,
+    /// Virtual seconds with bad links.
+    pub bad_link_s: u64,
+    /// Settings of the instances.
+    pub node: NodeParams,
+}
+
+impl Default for MeasureOptions {
+    fn default() -> Self {
+        Self {
+            size: 8,
+            seed: 1,
+            text_bytes: 256 << 10,
+            steady_s: 60,
+            bad_link_s: 120,
+            node: NodeParams::default(),
+        }
+    }
+}
+
+/// Results at one fleet size. Times are virtual seconds; `None` means not within 60 s.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct FleetMeasurement {
+    /// Number of instances.
+    pub size: usize,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// Bytes of the configuration text.
+    pub text_bytes: usize,
+    /// Start of all instances at once until all are current.
+    pub cold_start_s: Option<f64>,
+    /// Start of all instances until all views agree.
+    pub cold_views_s: Option<f64>,
+    /// Publication until a version is in effect everywhere.
+    pub change_s: Option<f64>,
+    /// The same with 10% loss.
+    pub change_loss_s: Option<f64>,
+    /// Read by one watcher until in effect everywhere; the platform is down from the read on.
+    pub change_down_s: Option<f64>,
+    /// Publication until in effect on all instances that are not paused; one watcher is paused.
+    pub change_paused_s: Option<f64>,
+    /// Resumption of the paused watcher until the version is in effect on it.
+    pub resumed_s: Option<f64>,
+    /// Restart of one instance until it is current.
+    pub restart_s: Option<f64>,
+    /// Mean encoded bytes sent per node and second in the steady state.
+    pub sent_mean: f64,
+    /// The same of the node that sent most.
+    pub sent_max: f64,
+    /// Mean encoded bytes received per node and second in the steady state.
+    pub received_mean: f64,
+    /// The same of the node that received most.
+    pub received_max: f64,
+    /// Datagrams sent per node and second in the steady state.
+    pub datagrams: f64,
+    /// Mean of sent and received bytes per node and second with 10% loss.
+    pub loss_mean: f64,
+    /// Most of sent and received bytes per node and second with 10% loss.
+    pub loss_max: f64,
+    /// Calls on the platform in the busiest second of the steady state, pending ones included.
+    pub calls_steady: u64,
+    /// The same while the platform is down and comes back.
+    pub calls_outage: u64,
+    /// Calls that the platform refused for their rate in the whole run.
+    pub calls_refused: u64,
+    /// CPU time per node and virtual second in the steady state, µs, with simulation.
+    pub cpu_us: f64,
+    /// Evictions of running instances with one link blocked in both directions.
+    pub false_bad_link: usize,
+    /// Evictions of running instances with one link blocked in one direction.
+    pub false_one_way: usize,
+    /// Evictions of running instances with 10% loss.
+    pub false_loss: usize,
+    /// Crash until the first instance holds it as dead.
+    pub death_first_s: Option<f64>,
+    /// Crash until every instance holds it as dead.
+    pub death_all_s: Option<f64>,
+    /// Leaving mark until known everywhere.
+    pub mark_s: Option<f64>,
+    /// The same with 10% loss.
+    pub mark_loss_s: Option<f64>,
+    /// End of a network partition of 60 s in two halves until all views agree.
+    pub heal_s: Option<f64>,
+    /// CPU time of the whole run, s.
+    pub cpu_s: f64,
+    /// Violated invariants.
+    pub violations: Vec<String>,
+}
+
+/// Returns the CPU time of the thread in ns, or 0 where the system doesn't report it.
+fn cpu_time() -> u64 {
+    std::fs::read_to_string("/proc/thread-self/schedstat")
+        .ok()
+        .and_then(|text| text.split(' ').next()?.parse().ok())
+        .unwrap_or(0)
+}
+
+/// Creates a configuration text that differs from others in one line.
+pub fn text(bytes: usize, version: u64) -> Arc<str> {
+    let head = format!("# version {version}\n");
+    let line = "customer-0000: { share: 4, open_limit: 64 }\n";
+    head.chars().chain(line.chars().cycle()).take(bytes.max(head.len())).collect::<String>().into()
+}
+
+struct Trial {
+    sim: FleetSim,
+    text_bytes: usize,
+    version: u64,
+}
+
+impl Trial {
+    fn seconds_since(&self, start: u64, end: Option<u64>) -> Option<f64> {
+        end.map(|end| (end - start) as f64 / SECOND as f64)
+    }
+
+    fn wait(&mut self, done: impl FnMut(&FleetSim) -> bool) -> Option<f64> {
+        let start = self.sim.now;
+        let end = self.sim.run_while(start + 60 * SECOND, done);
+        self.seconds_since(start, end)
+    }
+
+    fn run(&mut self, seconds: u64) {
+        let until = self.sim.now + seconds * SECOND;
+        self.sim.run_until(until);
+    }
+
+    /// Publishes the next version.
+    fn publish(&mut self) -> u64 {
+        self.version += 1;
+        let text = text(self.text_bytes, self.version);
+        self.sim.publish(self.version, text);
+        self.version
+    }
+
+    fn change(&mut self) -> Option<f64> {
+        let version = self.publish();
+        self.wait(|sim| sim.all_hold(Subject::Config, version))
+    }
+
+    /// Returns the node that ranks at `rank` for the watcher role.
+    fn watcher(&self, rank: usize) -> usize {
+        let key = medlarlanding_core::ids::stable_hash(b"watch");
+        let mut nodes = self.sim.running();
+        nodes.sort_by_key(|&node| std::cmp::Reverse(rendezvous::weight(key, self.sim.id(node))));
+        nodes[rank]
+    }
+
+    fn mark(&mut self, name: &str) -> Option<f64> {
+        let server = ServerId::from_name(name);
+        let node = self.sim.running()[0];
+        self.sim.mark_leaving(node, server, true);
+        self.wait(|sim| {
+            let known = sim.log.marks.get(&server);
+            sim.running().iter().all(|node| known.is_some_and(|known| known.contains_key(node)))
+        })
+    }
+
+    fn false_evictions(&self, from: usize) -> usize {
+        self.sim.log.evictions[from..].iter().filter(|&&(_, _, _, running)| running).count()
+    }
+
+    fn busiest_second(&self, from: u64, until: u64) -> u64 {
+        let seconds = from / SECOND..=until / SECOND;
+        let load = self.sim.platform.load.range(seconds);
+        load.map(|(_, load)| load.started + load.pending).max().unwrap_or(0)
+    }
+}
+
+/// Runs all measurements at one fleet size.
+pub fn measure(options: &MeasureOptions) -> FleetMeasurement {
+    let cpu_start = cpu_time();
+    let size = options.size;
+    let first = text(options.text_bytes, 1);
+    let sim = FleetSim::new(size, options.node.clone(), options.seed, first);
+    let mut trial = Trial { sim, text_bytes: options.text_bytes, version: 1 };
+    let mut result = FleetMeasurement {
+        size,
+        seed: options.seed,
+        text_bytes: options.text_bytes,
+        ..FleetMeasurement::default()
+    };
+
+    for node in 0..size {
+        trial.sim.start(node, 0);
+    }
+    result.cold_start_s = trial.wait(|sim| sim.log.current.len() == size);
+    let start = result.cold_start_s.unwrap_or(60.0);
+    result.cold_views_s = trial.wait(FleetSim::views_agree).map(|rest| start + rest);
+    trial.run(30);
+
+    measure_steady(&mut trial, options, &mut result);
+    result.change_s = trial.change();
+    trial.run(5);
+    result.mark_s = trial.mark("engine-1");
+    trial.run(5);
+    measure_paused(&mut trial, &mut result);
+    trial.run(10);
+    measure_restart(&mut trial, &mut result);
+    trial.run(10);
+    measure_bad_links(&mut trial, options, &mut result);
+    trial.run(10);
+    measure_outage(&mut trial, &mut result);
+    trial.run(10);
+    measure_loss(&mut trial, &mut result);
+    trial.run(20);
+    measure_death(&mut trial, &mut result);
+    trial.run(10);
+    measure_partition(&mut trial, &mut result);
+
+    result.calls_refused = trial.sim.platform.load.values().map(|load| load.refused).sum();
+    result.cpu_s = (cpu_time() - cpu_start) as f64 / 1e9;
+    result.violations = trial.sim.log.violations;
+    result
+}
+
+fn measure_steady(trial: &mut Trial, options: &MeasureOptions, result: &mut FleetMeasurement) {
+    trial.sim.reset_traffic();
+    let (start, cpu_start) = (trial.sim.now, cpu_time());
+    trial.run(options.steady_s);
+    let node_seconds = (options.size as u64 * options.steady_s) as f64;
+    let seconds = options.steady_s as f64;
+    let traffic = &trial.sim.traffic;
+    let total =
+        |of: fn(&super::sim::NodeTraffic) -> u64| traffic.iter().map(of).sum::<u64>() as f64;
+    let most =
+        |of: fn(&super::sim::NodeTraffic) -> u64| traffic.iter().map(of).max().unwrap_or(0) as f64;
+    result.sent_mean = total(|node| node.sent) / node_seconds;
+    result.sent_max = most(|node| node.sent) / seconds;
+    result.received_mean = total(|node| node.received) / node_seconds;
+    result.received_max = most(|node| node.received) / seconds;
+    result.datagrams = total(|node| node.datagrams) / node_seconds;
+    result.calls_steady = trial.busiest_second(start, trial.sim.now);
+    result.cpu_us = (cpu_time() - cpu_start) as f64 / 1000.0 / node_seconds;
+}
+
+fn measure_paused(trial: &mut Trial, result: &mut FleetMeasurement) {
+    let paused = trial.watcher(0);
+    trial.sim.pause(paused);
+    trial.run(1);
+    result.change_paused_s = trial.change();
+    let version = trial.version;
+    trial.run(3);
+    trial.sim.resume(paused);
+    result.resumed_s = trial.wait(|sim| {
+        sim.version(paused, Subject::Config) == version && sim.log.current.contains_key(&paused)
+    });
+}
+
+fn measure_restart(trial: &mut Trial, result: &mut FleetMeasurement) {
+    let node = trial.sim.running()[1];
+    trial.sim.crash(node);
+    trial.run(1);
+    trial.sim.start(node, 0);
+    result.restart_s = trial.wait(|sim| sim.log.current.contains_key(&node));
+}
+
+fn measure_bad_links(trial: &mut Trial, options: &MeasureOptions, result: &mut FleetMeasurement) {
+    let from = trial.sim.log.evictions.len();
+    let last = trial.sim.len() - 1;
+    trial.sim.block(0, last);
+    trial.sim.block(last, 0);
+    trial.run(options.bad_link_s);
+    trial.sim.heal();
+    result.false_bad_link = trial.false_evictions(from);
+    let from = trial.sim.log.evictions.len();
+    trial.sim.block(0, last);
+    trial.run(options.bad_link_s);
+    trial.sim.heal();
+    result.false_one_way = trial.false_evictions(from);
+}
+
+fn measure_outage(trial: &mut Trial, result: &mut FleetMeasurement) {
+    let start = trial.sim.now;
+    let reader = trial.watcher(1);
+    trial.sim.limit_platform(Some(HashSet::from([reader])));
+    trial.run(1);
+    let version = trial.publish();
+    let read = trial.wait(|sim| sim.platform.readers.contains(&reader));
+    trial.sim.set_platform_down(true);
+    trial.sim.limit_platform(None);
+    result.change_down_s =
+        read.and_then(|_| trial.wait(|sim| sim.all_hold(Subject::Config, version)));
+    trial.run(30);
+    trial.sim.set_platform_down(false);
+    trial.run(15);
+    result.calls_outage = trial.busiest_second(start, trial.sim.now);
+}
+
+fn measure_loss(trial: &mut Trial, result: &mut FleetMeasurement) {
+    trial.sim.set_faults(0.1, 0.01, 0.01);
+    let from = trial.sim.log.evictions.len();
+    trial.sim.reset_traffic();
+    let start = trial.sim.now;
+    result.change_loss_s = trial.change();
+    trial.run(5);
+    result.mark_loss_s = trial.mark("engine-2");
+    trial.run(40);
+    let seconds = (trial.sim.now - start) as f64 / SECOND as f64;
+    let bytes: Vec<_> =
+        trial.sim.traffic.iter().map(|node| (node.sent + node.received) as f64 / seconds).collect();
+    result.loss_mean = bytes.iter().sum::<f64>() / bytes.len() as f64;
+    result.loss_max = bytes.iter().copied().fold(0.0, f64::max);
+    result.false_loss = trial.false_evictions(from);
+    trial.sim.set_faults(0.0, 0.0, 0.0);
+}
+
+fn measure_death(trial: &mut Trial, result: &mut FleetMeasurement) {
+    let node = trial.sim.len() / 2;
+    let id = trial.sim.id(node);
+    let holds_dead = |sim: &FleetSim, other: usize| {
+        sim.node(other)
+            .and_then(|process| process.table.record(id))
+            .is_none_or(|record| !record.is_present())
+    };
+    let start = trial.sim.now;
+    trial.sim.crash(node);
+    result.death_first_s =
+        trial.wait(|sim| sim.running().into_iter().any(|other| holds_dead(sim, other)));
+    trial.wait(|sim| sim.running().into_iter().all(|other| holds_dead(sim, other)));
+    result.death_all_s = trial.seconds_since(start, Some(trial.sim.now));
+    trial.sim.start(node, 0);
+    trial.wait(|sim| sim.views_agree());
+}
+
+fn measure_partition(trial: &mut Trial, result: &mut FleetMeasurement) {
+    let half = trial.sim.len() / 2;
+    trial.sim.partition(|node| node < half);
+    trial.run(60);
+    trial.sim.heal();
+    result.heal_s = trial.wait(|sim| sim.views_agree());
+}
--- /dev/null
+++ b/medlarlanding-bench/src/fleet_trials/node.rs
@@ -0,0 +1,275 @@
+//! One instance of the trial: both state machines and the frames between them.
+
+use std::sync::Arc;
+
+use medlarlanding_core::distribution::{
+    ConfigDistributor, DistributionEffect, DistributionInput, DistributionParams, PlatformAnswer,
+    Subject,
+};
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::ids::{InstanceId, ServerId};
+use medlarlanding_core::membership::{
+    MembershipEffect, MembershipInput, MembershipParams, MembershipTable,
+};
+use medlarlanding_core::time::Timestamp;
+use medlarlanding_core::views::InstanceEntry;
+use medlarlanding_core::wire::{PeerCodec, PeerFrame, PeerMessage, PeerTransport};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Settings of both subsystems and of the trial's faulty variants.
+#[derive(Clone, Debug, Default)]
+pub struct NodeParams {
+    /// Settings of the membership table.
+    pub membership: MembershipParams,
+    /// Settings of the distributor.
+    pub distribution: DistributionParams,
+    /// Faulty variant: ages in unasked reports are taken as if they had not travelled.
+    pub trust_unasked_ages: bool,
+}
+
+/// What a node asks of its surroundings.
+#[derive(Debug)]
+pub enum NodeOutput {
+    /// Send an encoded frame.
+    Send {
+        /// Receiver.
+        to: InstanceId,
+        /// Transport.
+        transport: PeerTransport,
+        /// The frame.
+        bytes: Vec<u8>,
+    },
+    /// Call the platform.
+    Watch {
+        /// What to read.
+        subject: Subject,
+        /// Revision to exceed.
+        after: u64,
+        /// Longest wait, µs.
+        wait: u64,
+    },
+    /// Cancel the call.
+    StopWatch(Subject),
+    /// A version came into effect.
+    InEffect(Subject, u64),
+    /// A configuration was validated; false if it was rejected.
+    Validated(u64, bool),
+    /// The held versions are current, or no longer.
+    Current(bool),
+    /// A member is dead in this node's view.
+    Evicted(InstanceId),
+    /// A backend server's mark changed.
+    Marked(ServerId, bool),
+    /// A pause was detected.
+    Paused,
+}
+
+/// One process of an instance.
+#[derive(Debug)]
+pub struct FleetNode {
+    /// Membership table.
+    pub table: MembershipTable,
+    /// Distributor.
+    pub distributor: ConfigDistributor,
+    params: NodeParams,
+}
+
+impl FleetNode {
+    /// Creates a process.
+    pub fn new(
+        params: NodeParams,
+        started: u64,
+        own: &InstanceEntry,
+        seeds: &[InstanceEntry],
+        seed: u64,
+    ) -> Self {
+        let table = MembershipTable::new(
+            params.membership.clone(),
+            started,
+            own,
+            seeds,
+            SmallRng::seed_from_u64(seed),
+        );
+        let distributor = ConfigDistributor::new(
+            params.distribution.clone(),
+            table.identity(),
+            SmallRng::seed_from_u64(seed ^ 0x5eed),
+        );
+        Self { table, distributor, params }
+    }
+
+    /// Returns when the node must be woken.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        Timestamp::earliest(self.table.next_wakeup(), self.distributor.next_wakeup())
+    }
+
+    /// Runs the timers that are due.
+    pub fn tick(&mut self, now: Timestamp, codec: &PeerCodec, outputs: &mut Vec<NodeOutput>) {
+        if self.table.next_wakeup().is_none_or(|at| at <= now) {
+            self.membership(now, MembershipInput::Tick, codec, outputs);
+        }
+        if self.distributor.next_wakeup().is_none_or(|at| at <= now) {
+            self.distribution(now, DistributionInput::Tick, codec, outputs);
+        }
+    }
+
+    /// Processes an encoded frame. The timers that are due run first, so that a pause is noticed
+    /// before anything is decided.
+    pub fn receive(
+        &mut self,
+        now: Timestamp,
+        bytes: &[u8],
+        transport: PeerTransport,
+        codec: &PeerCodec,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        self.tick(now, codec, outputs);
+        let frame = codec.decode(bytes, transport).expect("frames of the trial are valid");
+        let own = self.table.identity();
+        if frame.to != own.id
+            || frame.to_started.is_some_and(|started| started != own.incarnation.started)
+        {
+            return;
+        }
+        match frame.message {
+            PeerMessage::Membership(message) => {
+                let input = MembershipInput::Message { from: frame.from, message };
+                self.membership(now, input, codec, outputs);
+            },
+            PeerMessage::Distribution(message) if !self.table.is_replaced(frame.from) => {
+                self.membership(now, MembershipInput::Heard(frame.from), codec, outputs);
+                let input = DistributionInput::Message { from: frame.from.id, message };
+                self.distribution(now, input, codec, outputs);
+            },
+            _ => {},
+        }
+    }
+
+    /// Processes the result of a call on the platform.
+    pub fn answer(
+        &mut self,
+        now: Timestamp,
+        subject: Subject,
+        answer: PlatformAnswer,
+        codec: &PeerCodec,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        self.tick(now, codec, outputs);
+        let input = DistributionInput::Platform { subject, answer };
+        self.distribution(now, input, codec, outputs);
+    }
+
+    /// Runs one input of the membership table with all that follows from it.
+    pub fn membership(
+        &mut self,
+        now: Timestamp,
+        input: MembershipInput,
+        codec: &PeerCodec,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        let mut effects = Vec::new();
+        self.table.handle(now, input, &mut effects);
+        for effect in effects {
+            match effect {
+                MembershipEffect::Send { to, transport, message } => {
+                    let message = PeerMessage::Membership(message);
+                    self.send(to, None, transport, message, codec, outputs);
+                },
+                MembershipEffect::IdentityChanged(identity) => {
+                    self.distributor.set_identity(identity);
+                },
+                MembershipEffect::LiveChanged => {
+                    let known = self.table.peers().collect();
+                    let live = self.table.live().map(|live| live.identity.id).collect();
+                    let input = DistributionInput::Peers { known, live };
+                    self.distribution(now, input, codec, outputs);
+                },
+                MembershipEffect::ServerMarked(mark) => {
+                    outputs.push(NodeOutput::Marked(mark.server, mark.leaving));
+                },
+                MembershipEffect::PeerVersions { from, versions, asked } => {
+                    let asked = asked.or(self.params.trust_unasked_ages.then_some(now));
+                    let input = DistributionInput::PeerVersions { from, versions, asked };
+                    self.distribution(now, input, codec, outputs);
+                },
+                MembershipEffect::Paused(_) => {
+                    outputs.push(NodeOutput::Paused);
+                    self.distribution(now, DistributionInput::Woke, codec, outputs);
+                },
+                MembershipEffect::Event { kind: EventKind::MemberChanged, fields } => {
+                    if fields[1] == "dead"
+                        && let Ok(id) = u64::from_str_radix(&fields[0], 16)
+                    {
+                        outputs.push(NodeOutput::Evicted(InstanceId(id)));
+                    }
+                },
+                MembershipEffect::Event { .. } => {},
+            }
+        }
+    }
+
+    /// Runs one input of the distributor with all that follows from it.
+    pub fn distribution(
+        &mut self,
+        now: Timestamp,
+        input: DistributionInput,
+        codec: &PeerCodec,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        let mut effects = Vec::new();
+        self.distributor.handle(now, input, &mut effects);
+        for effect in effects {
+            match effect {
+                DistributionEffect::Send { to, transport, message } => {
+                    let started = self.table.record(to).map(|held| held.incarnation.started);
+                    let message = PeerMessage::Distribution(message);
+                    self.send(to, started, transport, message, codec, outputs);
+                },
+                DistributionEffect::Watch { subject, after, wait } => {
+                    let wait = wait.as_micros() as u64;
+                    outputs.push(NodeOutput::Watch { subject, after, wait });
+                },
+                DistributionEffect::StopWatch { subject } => {
+                    outputs.push(NodeOutput::StopWatch(subject));
+                },
+                DistributionEffect::Validate { version, text } => {
+                    let accepted = !text.starts_with("invalid");
+                    outputs.push(NodeOutput::Validated(version, accepted));
+                    if accepted {
+                        outputs.push(NodeOutput::InEffect(Subject::Config, version));
+                    }
+                    let input = DistributionInput::Verdict { version, accepted };
+                    self.distribution(now, input, codec, outputs);
+                },
+                DistributionEffect::ListInEffect(list) => {
+                    outputs.push(NodeOutput::InEffect(Subject::List, list.version.0));
+                    let input = MembershipInput::List(Arc::clone(&list));
+                    self.membership(now, input, codec, outputs);
+                },
+                DistributionEffect::VersionsChanged(versions) => {
+                    let input = MembershipInput::Versions(versions);
+                    self.membership(now, input, codec, outputs);
+                },
+                DistributionEffect::Current(current) => {
+                    outputs.push(NodeOutput::Current(current));
+                },
+                DistributionEffect::Event { .. } => {},
+            }
+        }
+    }
+
+    fn send(
+        &self,
+        to: InstanceId,
+        to_started: Option<u64>,
+        transport: PeerTransport,
+        message: PeerMessage,
+        codec: &PeerCodec,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        let frame = PeerFrame { from: self.table.identity(), to, to_started, message };
+        let bytes = codec.encode(&frame, transport).expect("frames stay within their limit");
+        outputs.push(NodeOutput::Send { to, transport, bytes });
+    }
+}
--- /dev/null
+++ b/medlarlanding-bench/src/fleet_trials/sim.rs
@@ -0,0 +1,755 @@
+//! Many instances in one process in virtual time, with the network between them.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use medlarlanding_core::distribution::{DistributionInput, PlatformAnswer, Subject};
+use medlarlanding_core::ids::{InstanceId, ServerId, ZoneId};
+use medlarlanding_core::membership::MembershipInput;
+use medlarlanding_core::time::Timestamp;
+use medlarlanding_core::views::{InstanceEntry, InstanceList, InstanceState, ListVersion};
+use medlarlanding_core::wire::{PeerCodec, PeerTransport};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::node::{FleetNode, NodeOutput, NodeParams};
+use super::platform::{PendingCall, PlatformModel};
+
+/// Microseconds of a virtual second.
+pub const SECOND: u64 = 1_000_000;
+/// Datagrams that a socket buffers while its process is paused.
+const SOCKET_BUFFER: usize = 256;
+/// Bytes per µs that an instance's network interface sends: 1 Gbit/s.
+const BYTES_PER_MICRO: u64 = 125;
+/// Time after which a connection that cannot be established is given up, µs.
+const CONNECT_TIMEOUT: u64 = SECOND;
+
+/// Faults of the network.
+#[derive(Clone, Debug, Default)]
+pub struct NetworkFaults {
+    /// Share of datagrams that are lost.
+    pub loss: f64,
+    /// Share of datagrams that arrive twice.
+    pub duplication: f64,
+    /// Share of datagrams that arrive up to 200 ms late, hence out of order.
+    pub reordering: f64,
+    /// Directed pairs of nodes between which nothing passes.
+    pub blocked: HashSet<(usize, usize)>,
+}
+
+/// Bytes that a node sent and received.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NodeTraffic {
+    /// Encoded bytes sent.
+    pub sent: u64,
+    /// Encoded bytes received.
+    pub received: u64,
+    /// Datagrams sent.
+    pub datagrams: u64,
+    /// Stream frames sent.
+    pub streams: u64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Wake { node: usize, process: u64 },
+    Deliver { node: usize, transport: PeerTransport, bytes: Arc<[u8]> },
+    Unreached { node: usize, process: u64, peer: usize },
+    PlatformExpiry { number: u64 },
+    PlatformAnswer { node: usize, process: u64, subject: Subject, answer: PlatformAnswer },
+}
+
+/// State of one instance's host.
+#[derive(Debug)]
+struct Host {
+    entry: InstanceEntry,
+    /// Running process, or `None` while it is down.
+    node: Option<FleetNode>,
+    process: u64,
+    paused: bool,
+    backlog: Vec<Event>,
+    wake_at: Option<u64>,
+    /// Offset of the node's monotonic clock, µs.
+    clock: u64,
+    busy_until: u64,
+    /// Highest version of each subject that was in effect in any process of the instance.
+    highest: HashMap<Subject, u64>,
+    /// Version of each subject in the running process.
+    versions: HashMap<Subject, u64>,
+    /// Versions that were validated in the running process.
+    validated: HashSet<u64>,
+    /// Start of the running process, or end of its last pause.
+    undisturbed_since: u64,
+    /// Versions held before the restart that other live instances held, too.
+    floor: HashMap<Subject, u64>,
+    marks: HashSet<ServerId>,
+}
+
+/// What the trial observed.
+#[derive(Debug, Default)]
+pub struct FleetLog {
+    /// Time at which each node put a version into effect.
+    pub in_effect: HashMap<(Subject, u64), HashMap<usize, u64>>,
+    /// Evictions: time, observer, evicted, whether the evicted process was running.
+    pub evictions: Vec<(u64, usize, usize, bool)>,
+    /// Time at which each node learned the leaving mark of a server.
+    pub marks: HashMap<ServerId, HashMap<usize, u64>>,
+    /// Time at which each node became current.
+    pub current: HashMap<usize, u64>,
+    /// Number of pauses that nodes detected.
+    pub pauses: usize,
+    /// Violations of invariants.
+    pub violations: Vec<String>,
+    /// Number of handled events.
+    pub events: u64,
+}
+
+/// A fleet of instances.
+pub struct FleetSim {
+    /// Virtual time, µs.
+    pub now: u64,
+    /// The platform.
+    pub platform: PlatformModel,
+    /// Observations.
+    pub log: FleetLog,
+    /// Traffic by node since the last reset.
+    pub traffic: Vec<NodeTraffic>,
+    faults: NetworkFaults,
+    /// Time of the last change of blocked links.
+    links_changed: u64,
+    params: NodeParams,
+    hosts: Vec<Host>,
+    index: HashMap<InstanceId, usize>,
+    regions: usize,
+    codec: PeerCodec,
+    rng: SmallRng,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
+    last_event: u64,
+}
+
+impl FleetSim {
+    /// Creates `count` instances that are down, and a platform that lists them.
+    pub fn new(count: usize, params: NodeParams, seed: u64, text: Arc<str>) -> Self {
+        // The deployments have 3 zones; the fleet of two years has 12 zones in 3 regions.
+        let (zones, regions) = if count > 50 { (12, 3) } else { (3, 1) };
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let entries: Vec<_> = (0..count)
+            .map(|number| {
+                let name = format!("entry-{number}");
+                let address =
+                    IpAddr::V4(Ipv4Addr::new(10, 1, (number / 250) as u8, (number % 250) as u8));
+                InstanceEntry {
+                    id: InstanceId::from_name(&name),
+                    name,
+                    zone: ZoneId::from_name(&format!("zone-{}", number % zones)),
+                    state: InstanceState::Live,
+                    udp: SocketAddr::new(address, 7000),
+                    tcp: SocketAddr::new(address, 7001),
+                }
+            })
+            .collect();
+        let list = InstanceList { version: ListVersion(1), entries: entries.clone() };
+        let index = entries.iter().enumerate().map(|(node, entry)| (entry.id, node)).collect();
+        let hosts = entries
+            .into_iter()
+            .map(|entry| Host {
+                entry,
+                node: None,
+                process: 0,
+                paused: false,
+                backlog: Vec::new(),
+                wake_at: None,
+                // Clocks of different nodes differ by up to a day.
+                clock: 3_600 * SECOND + rng.random_range(0..86_400 * SECOND),
+                busy_until: 0,
+                highest: HashMap::new(),
+                versions: HashMap::new(),
+                validated: HashSet::new(),
+                undisturbed_since: 0,
+                floor: HashMap::new(),
+                marks: HashSet::new(),
+            })
+            .collect();
+        Self {
+            now: 0,
+            platform: PlatformModel::new((1, text), Arc::new(list)),
+            log: FleetLog::default(),
+            traffic: vec![NodeTraffic::default(); count],
+            faults: NetworkFaults::default(),
+            links_changed: 0,
+            params,
+            hosts,
+            index,
+            regions,
+            codec: PeerCodec::new("fleet trials"),
+            rng,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            last_event: 0,
+        }
+    }
+
+    /// Returns the number of instances.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Returns whether there are no instances.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Gets the running process of an instance.
+    pub fn node(&self, node: usize) -> Option<&FleetNode> {
+        self.hosts[node].node.as_ref()
+    }
+
+    /// Returns the id of an instance.
+    pub fn id(&self, node: usize) -> InstanceId {
+        self.hosts[node].entry.id
+    }
+
+    /// Returns whether an instance runs and is not paused.
+    pub fn is_running(&self, node: usize) -> bool {
+        self.hosts[node].node.is_some() && !self.hosts[node].paused
+    }
+
+    /// Returns the nodes that run and are not paused.
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.len()).filter(|&node| self.is_running(node)).collect()
+    }
+
+    /// Changes the loss, duplication and reordering of datagrams.
+    pub fn set_faults(&mut self, loss: f64, duplication: f64, reordering: f64) {
+        self.faults.loss = loss;
+        self.faults.duplication = duplication;
+        self.faults.reordering = reordering;
+    }
+
+    /// Blocks a directed link.
+    pub fn block(&mut self, from: usize, to: usize) {
+        self.faults.blocked.insert((from, to));
+        self.links_changed = self.now;
+    }
+
+    /// Blocks all links between two sides; nodes for which `side` is equal stay connected.
+    pub fn partition(&mut self, side: impl Fn(usize) -> bool) {
+        for from in 0..self.len() {
+            for to in 0..self.len() {
+                if side(from) != side(to) {
+                    self.faults.blocked.insert((from, to));
+                }
+            }
+        }
+        self.links_changed = self.now;
+    }
+
+    /// Removes all blocks.
+    pub fn heal(&mut self) {
+        self.faults.blocked.clear();
+        self.links_changed = self.now;
+    }
+
+    /// Starts a process. Its wall clock is off by `skew_ms`.
+    pub fn start(&mut self, node: usize, skew_ms: i64) {
+        let started =
+            1_800_000_000_000u64.saturating_add(self.now / 1000).saturating_add_signed(skew_ms);
+        let seeds: Vec<_> = self.hosts.iter().map(|host| host.entry.clone()).collect();
+        let floor = Subject::ALL
+            .into_iter()
+            .map(|subject| (subject, self.known_elsewhere(node, subject)))
+            .collect();
+        let seed = self.rng.random();
+        let host = &mut self.hosts[node];
+        host.process += 1;
+        host.paused = false;
+        host.backlog.clear();
+        host.versions.clear();
+        host.validated.clear();
+        host.marks.clear();
+        host.wake_at = None;
+        host.undisturbed_since = self.now;
+        host.floor = floor;
+        host.node = Some(FleetNode::new(self.params.clone(), started, &host.entry, &seeds, seed));
+        self.log.current.remove(&node);
+        self.run_node(node, |node, now, codec, outputs| node.tick(now, codec, outputs));
+    }
+
+    /// Returns the highest version that the instance held before and that a running instance,
+    /// connected in both directions, holds now.
+    fn known_elsewhere(&self, node: usize, subject: Subject) -> u64 {
+        let before = self.hosts[node].highest.get(&subject).copied().unwrap_or(0);
+        let elsewhere = (0..self.len())
+            .filter(|&other| {
+                other != node
+                    && self.is_running(other)
+                    && !self.faults.blocked.contains(&(node, other))
+                    && !self.faults.blocked.contains(&(other, node))
+            })
+            .filter_map(|other| self.hosts[other].versions.get(&subject).copied())
+            .max();
+        before.min(elsewhere.unwrap_or(0))
+    }
+
+    /// Ends a process without notice.
+    pub fn crash(&mut self, node: usize) {
+        let host = &mut self.hosts[node];
+        host.node = None;
+        host.process += 1;
+        host.paused = false;
+        host.backlog.clear();
+        self.platform.pending.retain(|call| call.node != node);
+    }
+
+    /// Stops a process; its messages wait.
+    pub fn pause(&mut self, node: usize) {
+        self.hosts[node].paused = true;
+    }
+
+    /// Continues a paused process. Buffered messages and overdue timers come in random order.
+    pub fn resume(&mut self, node: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[node];
+        host.paused = false;
+        host.undisturbed_since = now;
+        let mut backlog = std::mem::take(&mut host.backlog);
+        host.wake_at = None;
+        let process = host.process;
+        let position = self.rng.random_range(0..=backlog.len());
+        backlog.insert(position, Event::Wake { node, process });
+        for event in backlog {
+            self.push(now, event);
+        }
+    }
+
+    /// Publishes a configuration text under the next revision, or under a given one.
+    pub fn publish(&mut self, revision: u64, text: Arc<str>) {
+        self.platform.readers.clear();
+        self.platform.config = (revision, text);
+        self.answer_waiting();
+    }
+
+    /// Publishes an instance list.
+    pub fn publish_list(&mut self, list: InstanceList) {
+        self.platform.note_published(self.now);
+        self.platform.list = Arc::new(list);
+        self.answer_waiting();
+    }
+
+    /// Takes the platform down, or up again. Pending calls fail.
+    pub fn set_platform_down(&mut self, down: bool) {
+        self.platform.note_published(self.now);
+        self.platform.down = down;
+        if down {
+            self.fail_waiting();
+        }
+    }
+
+    /// Limits the platform to some nodes. Pending calls of others fail.
+    pub fn limit_platform(&mut self, nodes: Option<HashSet<usize>>) {
+        self.platform.reachable_by = nodes;
+        self.fail_waiting();
+    }
+
+    /// Reports a backend server as leaving at one node.
+    pub fn mark_leaving(&mut self, node: usize, server: ServerId, leaving: bool) {
+        self.run_node(node, |node, now, codec, outputs| {
+            node.membership(now, MembershipInput::MarkServer { server, leaving }, codec, outputs);
+        });
+    }
+
+    /// Passes an input to the membership table of a node.
+    pub fn tell_membership(&mut self, node: usize, input: MembershipInput) {
+        self.run_node(node, |node, now, codec, outputs| {
+            node.membership(now, input, codec, outputs);
+        });
+    }
+
+    /// Runs until the given virtual time.
+    pub fn run_until(&mut self, until: u64) {
+        while let Some(&Reverse((at, number))) = self.queue.peek()
+            && at <= until
+        {
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&number) {
+                self.log.events += 1;
+                self.dispatch(event);
+            }
+        }
+        self.now = until;
+    }
+
+    /// Runs until `done` holds, checked every millisecond, or the time limit is reached.
+    /// Returns the time at which it held.
+    pub fn run_while(&mut self, limit: u64, mut done: impl FnMut(&Self) -> bool) -> Option<u64> {
+        while self.now < limit {
+            if done(self) {
+                return Some(self.now);
+            }
+            self.run_until((self.now + 1000).min(limit));
+        }
+        done(self).then_some(self.now)
+    }
+
+    /// Sets the traffic counters to zero.
+    pub fn reset_traffic(&mut self) {
+        self.traffic.fill(NodeTraffic::default());
+    }
+
+    /// Returns whether every running node has a version of a subject in effect.
+    pub fn all_hold(&self, subject: Subject, version: u64) -> bool {
+        self.running().into_iter().all(|node| self.version(node, subject) == version)
+    }
+
+    /// Returns the version of a subject in effect at a node, 0 for none.
+    pub fn version(&self, node: usize, subject: Subject) -> u64 {
+        self.hosts[node].versions.get(&subject).copied().unwrap_or(0)
+    }
+
+    /// Returns whether every running node holds exactly the other running nodes as live.
+    pub fn views_agree(&self) -> bool {
+        let running = self.running();
+        running.iter().all(|&node| {
+            let Some(process) = self.node(node) else { return false };
+            let live: HashSet<_> = process.table.live().map(|live| live.identity.id).collect();
+            live.len() == running.len() - 1
+                && running.iter().all(|&other| other == node || live.contains(&self.id(other)))
+        })
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.last_event += 1;
+        self.queue.push(Reverse((at, self.last_event)));
+        self.events.insert(self.last_event, event);
+    }
+
+    fn dispatch(&mut self, event: Event) {
+        match event {
+            Event::Wake { node, process } => {
+                let host = &mut self.hosts[node];
+                if host.process != process || host.paused {
+                    return;
+                }
+                host.wake_at = None;
+                self.run_node(node, |node, now, codec, outputs| node.tick(now, codec, outputs));
+            },
+            Event::Deliver { node, transport, bytes } => {
+                let host = &mut self.hosts[node];
+                if host.paused {
+                    let full = host.backlog.len() >= SOCKET_BUFFER;
+                    if !full || transport == PeerTransport::Stream {
+                        host.backlog.push(Event::Deliver { node, transport, bytes });
+                    }
+                    return;
+                }
+                if host.node.is_none() {
+                    return;
+                }
+                self.traffic[node].received += bytes.len() as u64;
+                self.run_node(node, |node, now, codec, outputs| {
+                    node.receive(now, &bytes, transport, codec, outputs);
+                });
+            },
+            Event::Unreached { node, process, peer } => {
+                let host = &mut self.hosts[node];
+                if host.process != process {
+                    return;
+                }
+                if host.paused {
+                    host.backlog.push(Event::Unreached { node, process, peer });
+                    return;
+                }
+                let peer = self.hosts[peer].entry.id;
+                self.run_node(node, |node, now, codec, outputs| {
+                    node.tick(now, codec, outputs);
+                    let input = DistributionInput::Unreached { peer };
+                    node.distribution(now, input, codec, outputs);
+                });
+            },
+            Event::PlatformExpiry { number } => {
+                let position = self.platform.pending.iter().position(|call| call.number == number);
+                if let Some(position) = position {
+                    let call = self.platform.pending.swap_remove(position);
+                    self.answer_call(&call);
+                }
+            },
+            Event::PlatformAnswer { node, process, subject, answer } => {
+                let host = &mut self.hosts[node];
+                if host.process != process {
+                    return;
+                }
+                if host.paused {
+                    let event = Event::PlatformAnswer { node, process, subject, answer };
+                    host.backlog.push(event);
+                    return;
+                }
+                if let PlatformAnswer::Config { revision, .. } = &answer
+                    && *revision == self.platform.config.0
+                {
+                    self.platform.readers.insert(node);
+                }
+                self.run_node(node, |node, now, codec, outputs| {
+                    node.answer(now, subject, answer, codec, outputs);
+                });
+            },
+        }
+    }
+
+    fn run_node(
+        &mut self,
+        node: usize,
+        action: impl FnOnce(&mut FleetNode, Timestamp, &PeerCodec, &mut Vec<NodeOutput>),
+    ) {
+        let host = &mut self.hosts[node];
+        let Some(process) = &mut host.node else {
+            return;
+        };
+        let mut outputs = Vec::new();
+        let now = Timestamp(self.now + host.clock);
+        action(process, now, &self.codec, &mut outputs);
+        for output in outputs {
+            self.perform(node, output);
+        }
+        self.check_age(node);
+        let host = &mut self.hosts[node];
+        let next = host.node.as_ref().and_then(FleetNode::next_wakeup);
+        if let Some(next) = next {
+            let at = next.0.saturating_sub(host.clock).max(self.now + 1);
+            if host.wake_at.is_none_or(|wake_at| at < wake_at) {
+                host.wake_at = Some(at);
+                let process = host.process;
+                self.push(at, Event::Wake { node, process });
+            }
+        }
+    }
+
+    fn perform(&mut self, node: usize, output: NodeOutput) {
+        match output {
+            NodeOutput::Send { to, transport, bytes } => {
+                if let Some(&to) = self.index.get(&to) {
+                    self.transmit(node, to, transport, bytes);
+                }
+            },
+            NodeOutput::Watch { subject, after, wait } => self.call(node, subject, after, wait),
+            NodeOutput::StopWatch(subject) => {
+                self.platform.pending.retain(|call| call.node != node || call.subject != subject);
+            },
+            NodeOutput::InEffect(subject, version) => self.note_version(node, subject, version),
+            NodeOutput::Validated(version, _) => {
+                if !self.hosts[node].validated.insert(version) {
+                    self.violate(format!("node {node} validated version {version} twice"));
+                }
+            },
+            NodeOutput::Current(true) => {
+                self.log.current.insert(node, self.now);
+                self.check_floor(node);
+            },
+            NodeOutput::Current(false) => {
+                self.log.current.remove(&node);
+            },
+            NodeOutput::Evicted(id) => {
+                if let Some(&evicted) = self.index.get(&id) {
+                    let running = self.is_running(evicted);
+                    self.log.evictions.push((self.now, node, evicted, running));
+                }
+            },
+            NodeOutput::Marked(server, leaving) => {
+                let now = self.now;
+                if leaving {
+                    self.hosts[node].marks.insert(server);
+                    self.log.marks.entry(server).or_default().entry(node).or_insert(now);
+                } else {
+                    self.hosts[node].marks.remove(&server);
+                }
+            },
+            NodeOutput::Paused => self.log.pauses += 1,
+        }
+    }
+
+    fn note_version(&mut self, node: usize, subject: Subject, version: u64) {
+        let host = &mut self.hosts[node];
+        let before = host.versions.insert(subject, version).unwrap_or(0);
+        let highest = host.highest.entry(subject).or_default();
+        *highest = version.max(*highest);
+        let now = self.now;
+        let times = self.log.in_effect.entry((subject, version)).or_default();
+        times.entry(node).or_insert(now);
+        if version <= before {
+            self.violate(format!(
+                "node {node} went from {} version {before} to {version}",
+                subject.as_str()
+            ));
+        }
+    }
+
+    /// Checks that a restarted process holds what it held before, if a peer held it all along.
+    fn check_floor(&mut self, node: usize) {
+        if self.links_changed > self.hosts[node].undisturbed_since {
+            return;
+        }
+        for subject in Subject::ALL {
+            let floor = self.hosts[node].floor.get(&subject).copied().unwrap_or(0);
+            let still_held = (0..self.len()).any(|other| {
+                other != node
+                    && self.is_running(other)
+                    && self.hosts[other].undisturbed_since < self.hosts[node].undisturbed_since
+                    && self.version(other, subject) >= floor
+            });
+            let version = self.version(node, subject);
+            if still_held && version < floor {
+                self.violate(format!(
+                    "node {node} restarted from {} version {floor} to {version}",
+                    subject.as_str()
+                ));
+            }
+        }
+    }
+
+    /// Checks that the list's confirmation is not younger than the platform allows.
+    fn check_age(&mut self, node: usize) {
+        let host = &self.hosts[node];
+        let Some(process) = &host.node else {
+            return;
+        };
+        let versions = process.distributor.versions();
+        let Some(confirmed) = versions.list_confirmed else {
+            return;
+        };
+        let confirmed = confirmed.0.saturating_sub(host.clock);
+        let published = self.platform.list_published(versions.list, self.now);
+        if published.is_none_or(|published| confirmed > published) {
+            self.violate(format!(
+                "node {node} holds list version {} as confirmed at {confirmed} µs, but it was \
+                 published until {published:?}",
+                versions.list
+            ));
+        }
+    }
+
+    fn violate(&mut self, text: String) {
+        let now = self.now;
+        self.log.violations.push(format!("{now} µs: {text}"));
+    }
+
+    fn delay(&mut self, from: usize, to: usize) -> u64 {
+        let zones = if self.regions > 1 { 12 } else { 3 };
+        let (from, to) = (from % zones, to % zones);
+        let base = if from == to {
+            300
+        } else if from % self.regions == to % self.regions {
+            1_000
+        } else {
+            30_000
+        };
+        base + self.rng.random_range(0..=base / 2)
+    }
+
+    fn transmit(&mut self, from: usize, to: usize, transport: PeerTransport, bytes: Vec<u8>) {
+        let len = bytes.len() as u64;
+        let traffic = &mut self.traffic[from];
+        traffic.sent += len;
+        let blocked = self.faults.blocked.contains(&(from, to));
+        let process = self.hosts[from].process;
+        let bytes: Arc<[u8]> = bytes.into();
+        match transport {
+            PeerTransport::Datagram => {
+                traffic.datagrams += 1;
+                if blocked || self.rng.random_bool(self.faults.loss) {
+                    return;
+                }
+                let copies = 1 + u32::from(self.rng.random_bool(self.faults.duplication));
+                for _ in 0..copies {
+                    let mut delay = self.delay(from, to);
+                    if self.rng.random_bool(self.faults.reordering) {
+                        delay += self.rng.random_range(0..200_000);
+                    }
+                    let bytes = Arc::clone(&bytes);
+                    self.push(self.now + delay, Event::Deliver { node: to, transport, bytes });
+                }
+            },
+            PeerTransport::Stream => {
+                traffic.streams += 1;
+                let back = self.faults.blocked.contains(&(to, from));
+                if blocked || back {
+                    let event = Event::Unreached { node: from, process, peer: to };
+                    self.push(self.now + CONNECT_TIMEOUT, event);
+                    return;
+                }
+                let mut delay = self.delay(from, to);
+                // A new connection takes one more round trip.
+                delay += 2 * delay;
+                while self.rng.random_bool(self.faults.loss) {
+                    // Least retransmission timeout of common TCP implementations.
+                    delay += 200_000;
+                }
+                if self.hosts[to].node.is_none() {
+                    let event = Event::Unreached { node: from, process, peer: to };
+                    self.push(self.now + delay, event);
+                    return;
+                }
+                let host = &mut self.hosts[from];
+                host.busy_until = host.busy_until.max(self.now) + len / BYTES_PER_MICRO;
+                let at = host.busy_until + delay;
+                self.push(at, Event::Deliver { node: to, transport, bytes });
+            },
+        }
+    }
+
+    fn call(&mut self, node: usize, subject: Subject, after: u64, wait: u64) {
+        let now = self.now;
+        let process = self.hosts[node].process;
+        let within_limit = self.platform.admit(now);
+        if !within_limit || !self.platform.answers(node) {
+            let reason = if within_limit { "connection refused" } else { "rate limit" };
+            let answer = PlatformAnswer::Unreachable { reason: reason.to_owned() };
+            let event = Event::PlatformAnswer { node, process, subject, answer };
+            self.push(now + 2_000, event);
+            return;
+        }
+        let number = self.platform.number();
+        let until = now + wait;
+        let call = PendingCall { node, process, subject, after, until, number };
+        if self.platform.revision(subject) > after || after == 0 {
+            self.answer_call(&call);
+        } else {
+            self.platform.pending.push(call);
+            self.push(until, Event::PlatformExpiry { number });
+        }
+    }
+
+    fn answer_call(&mut self, call: &PendingCall) {
+        let delay = self.rng.random_range(1_000..5_000);
+        let answer = self.platform.value(call.subject);
+        let PendingCall { node, process, subject, .. } = *call;
+        self.push(self.now + delay, Event::PlatformAnswer { node, process, subject, answer });
+    }
+
+    fn answer_waiting(&mut self) {
+        let pending = std::mem::take(&mut self.platform.pending);
+        for call in pending {
+            if self.platform.revision(call.subject) > call.after {
+                self.answer_call(&call);
+            } else {
+                self.platform.pending.push(call);
+            }
+        }
+    }
+
+    fn fail_waiting(&mut self) {
+        let pending = std::mem::take(&mut self.platform.pending);
+        for call in pending {
+            if self.platform.answers(call.node) {
+                self.platform.pending.push(call);
+                continue;
+            }
+            let PendingCall { node, process, subject, .. } = call;
+            let answer = PlatformAnswer::Unreachable { reason: "connection reset".to_owned() };
+            let event = Event::PlatformAnswer { node, process, subject, answer };
+            self.push(self.now + 1_000, event);
+        }
+    }
+}
--- a/medlarlanding-core/src/distribution/mod.rs
+++ b/medlarlanding-core/src/distribution/mod.rs
@@ -1,9 +1,22 @@
-//! Subsystem `distribution`; see the design page.
+//! Distribution of the configuration and of the instance list.
+//!
+//! [`ConfigDistributor`] decides who reads the configuration service, accepts versions that
+//! only rise, and spreads them between instances. The texts are opaque to it.
 
-value_type! {
-    /// Messages between the `distribution` subsystems of two instances.
-    pub enum DistributionMessage {
-        /// Carries nothing.
-        Empty,
-    }
-}
+mod distributor;
+mod fetch;
+mod message;
+mod params;
+mod query;
+mod track;
+mod versions;
+mod watch;
+mod waves;
+
+pub use distributor::{
+    ConfigDistributor, DistributionDump, DistributionEffect, DistributionInput, PlatformAnswer,
+    SubjectDump,
+};
+pub use message::{DistributionMessage, Payload, ValueBody, VersionMark};
+pub use params::{DistributionParams, VersionRule};
+pub use versions::{LocalVersions, Subject, SubjectVersion, VersionStatus};
--- /dev/null
+++ b/medlarlanding-core/src/distribution/versions.rs
@@ -0,0 +1,82 @@
+//! Versions in effect and the ages of their confirmation.
+
+use crate::time::Timestamp;
+
+value_type! { copy
+    /// A value that the platform publishes.
+    pub enum Subject {
+        /// The configuration text.
+        Config,
+        /// The instance list.
+        List,
+    }
+}
+
+impl Subject {
+    /// All subjects.
+    pub const ALL: [Self; 2] = [Self::Config, Self::List];
+
+    /// Gets the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::List => "list",
+        }
+    }
+}
+
+value_type! { copy
+    /// Version of one subject as reported to peers.
+    #[derive(Default)]
+    pub struct SubjectVersion {
+        /// Version in effect, 0 for none.
+        pub version: u64,
+        /// Time in ms since the platform was known to publish this version.
+        pub age_ms: Option<u64>,
+    }
+}
+
+value_type! { copy
+    /// Versions in effect at an instance.
+    #[derive(Default)]
+    pub struct VersionStatus {
+        /// The configuration.
+        pub config: SubjectVersion,
+        /// The instance list.
+        pub list: SubjectVersion,
+    }
+}
+
+impl VersionStatus {
+    /// Gets the version of a subject.
+    pub fn get(&self, subject: Subject) -> SubjectVersion {
+        match subject {
+            Subject::Config => self.config,
+            Subject::List => self.list,
+        }
+    }
+}
+
+/// Versions in effect at this instance, with times of its own clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LocalVersions {
+    /// Configuration version, 0 for none.
+    pub config: u64,
+    /// Latest time at which the platform is known to have published `config`.
+    pub config_confirmed: Option<Timestamp>,
+    /// List version, 0 for none.
+    pub list: u64,
+    /// Latest time at which the platform is known to have published `list`.
+    pub list_confirmed: Option<Timestamp>,
+}
+
+impl LocalVersions {
+    /// Converts the times to ages.
+    pub fn status(&self, now: Timestamp) -> VersionStatus {
+        let age = |at: Option<Timestamp>| at.map(|at| now.since(at).as_millis() as u64);
+        VersionStatus {
+            config: SubjectVersion { version: self.config, age_ms: age(self.config_confirmed) },
+            list: SubjectVersion { version: self.list, age_ms: age(self.list_confirmed) },
+        }
+    }
+}
--- a/medlarlanding-core/src/membership/mod.rs
+++ b/medlarlanding-core/src/membership/mod.rs
@@ -1,9 +1,21 @@
-//! Subsystem `membership`; see the design page.
+//! Failure detection and dissemination of member states and leaving servers.
+//!
+//! [`MembershipTable`] probes peers directly and through others, spreads what it learns on the
+//! datagrams that it sends anyway, and detects that its own process was paused.
 
-value_type! {
-    /// Messages between the `membership` subsystems of two instances.
-    pub enum MembershipMessage {
-        /// Carries nothing.
-        Empty,
-    }
-}
+mod marks;
+mod message;
+mod params;
+mod pause;
+mod probe;
+mod record;
+mod table;
+mod updates;
+
+pub use marks::ServerMark;
+pub use message::{MemberContact, MembershipMessage, MembershipUpdate};
+pub use params::MembershipParams;
+pub use record::{MemberRecord, MemberStatus};
+pub use table::{
+    LiveInstance, MemberDump, MembershipDump, MembershipEffect, MembershipInput, MembershipTable,
+};
