--- a/medlarlanding-core/src/lib.rs
+++ b/medlarlanding-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod handles;
 pub mod ids;
 pub mod membership;
+pub mod node;
 pub mod orders;
 pub mod rendezvous;
 pub mod time;
