--- /dev/null
+++ b/medlarlanding-core/src/generations/ledger.rs
@@ -0,0 +1,75 @@
+//! Asserts the guarantees of a session independently of its decisions.
+
+use crate::ids::ServerId;
+
+/// Records what a session did and panics when it breaks a guarantee.
+///
+/// It shares no state with the cursor. A panic ends one request; a token of another
+/// generation in a response would break the caller's data without a trace.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DeliveryLedger {
+    /// Source of every token delivered or collected so far.
+    source: Option<(ServerId, String)>,
+    /// The last token delivered on the caller's current connection, or collected.
+    last: u64,
+    /// Whether any token was delivered to the caller.
+    delivered: bool,
+    /// The server whose permit is held.
+    permit: Option<ServerId>,
+    finished: bool,
+}
+
+impl DeliveryLedger {
+    /// Records the caller's connection, on which tokens after `after` are expected.
+    pub fn begin_connection(&mut self, after: u64) {
+        self.last = after;
+        self.delivered |= after > 0;
+    }
+
+    /// Records a token with the server and generation that the engine's event named: one that
+    /// is delivered, or one that is collected for whole delivery.
+    pub fn record_token(&mut self, server: ServerId, generation: &str, seq: u64, delivered: bool) {
+        assert!(!self.finished, "a token follows the end of the response");
+        assert_eq!(seq, self.last + 1, "a token is repeated or out of order");
+        match &self.source {
+            None => self.source = Some((server, generation.to_owned())),
+            Some((known_server, known)) => assert!(
+                *known_server == server && known == generation,
+                "a token comes from another generation"
+            ),
+        }
+        self.last = seq;
+        self.delivered |= delivered;
+    }
+
+    /// Records that a new generation is started.
+    pub fn start_generation(&mut self) {
+        assert!(!self.finished, "a generation is started after the end of the response");
+        assert!(!self.delivered, "a generation is started after a token was delivered");
+        self.source = None;
+        self.last = 0;
+    }
+
+    /// Returns whether any token was delivered to the caller.
+    pub fn has_delivered(&self) -> bool {
+        self.delivered
+    }
+
+    /// Records a permit.
+    pub fn take_permit(&mut self, server: ServerId) {
+        assert!(self.permit.is_none(), "a second permit arrives while one is held");
+        self.permit = Some(server);
+    }
+
+    /// Gives the permit back, or returns `None` if it was released before.
+    pub fn release_permit(&mut self) -> Option<ServerId> {
+        self.permit.take()
+    }
+
+    /// Records the end of the response.
+    pub fn finish(&mut self) {
+        assert!(!self.finished, "a response ends twice");
+        assert!(self.permit.is_none(), "a response ends while its permit is held");
+        self.finished = true;
+    }
+}
