--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -87,7 +87,7 @@
     /// A backend server is suspected.
     404 ServerSuspected Warn "server_suspected" ["server", "reason"];
     /// An order was sent to its plain service.
-    500 OrderSent Info "order_sent" ["request", "server", "partition"];
+    500 OrderSent Info "order_sent" ["request", "server", "key"];
     /// An order's outcome is unknown.
     501 OrderUnknown Warn "order_unknown" ["request", "server", "reason"];
     /// A partition's replica group changed view.
--- a/medlarlanding/src/backends/engine.rs
+++ b/medlarlanding/src/backends/engine.rs
@@ -4,9 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use medlarlanding_core::generations::ExchangeId;
+
+use ntex::client::error::ClientError;
 use ntex::client::{Client, ClientResponse};
 use ntex::http::{Method, Payload};
 use ntex::util::stream_recv;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::connection::{ExchangeFault, request};
@@ -16,20 +20,20 @@
 ///
 /// An engine sends the headers when it accepts the generation, before prefill.
 const HEADERS_TIMEOUT: Duration = Duration::from_secs(5);
+/// Attachment number above any that an engine gives; cancels whatever is attached.
+pub const ANY_ATTACHMENT: u64 = u32::MAX as u64;
 /// Longest time for a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Request that starts a generation.
 #[derive(Clone, Debug, Serialize)]
-pub struct GenerationOrder<'a> {
-    /// Request id; unique over all processes.
-    pub request: String,
+pub struct GenerationOrder {
     /// Model name.
-    pub model: &'a str,
+    pub model: String,
     /// Model version.
-    pub version: &'a str,
+    pub version: String,
     /// Prompt text.
-    pub prompt: &'a str,
+    pub prompt: String,
     /// Length of the prompt in tokens, as estimated by the entry instance.
     pub prompt_tokens: u64,
     /// Largest number of tokens to generate.
@@ -72,10 +76,33 @@
     Exchange(ExchangeFault),
     /// The engine does not know the generation.
     Gone,
+    /// The stream belongs to a later attachment.
+    Superseded,
+    /// The answer does not name a generation and an attachment.
+    Malformed,
     /// The engine refused with this status, before it started anything.
     Refused(u16),
 }
 
+/// How a stream ended without the end of its generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamFault {
+    /// The connection ended or broke.
+    Closed,
+    /// The engine gave the generation to a later attachment.
+    Superseded,
+    /// An event is too large or does not parse.
+    Malformed,
+}
+
+#[derive(Serialize)]
+struct NamedOrder<'a> {
+    /// Exchange id; unique over all processes.
+    request: String,
+    #[serde(flatten)]
+    order: &'a GenerationOrder,
+}
+
 #[derive(Deserialize)]
 struct TokenData {
     generation: String,
@@ -93,6 +120,8 @@
 pub struct EngineStream {
     /// Generation that the engine named in its headers.
     pub generation: String,
+    /// Exchange that the engine names, if it does.
+    pub echo: Option<ExchangeId>,
     /// Number of this attachment; a later attachment has a higher number.
     pub attachment: u64,
     payload: Payload,
@@ -109,14 +138,11 @@
     pub async fn start(
         client: &Client,
         address: SocketAddr,
-        order: &GenerationOrder<'_>,
-        test_tokens: Option<&str>,
+        id: &ExchangeId,
+        order: &GenerationOrder,
     ) -> Result<Self, OpenFault> {
-        let mut start = request(client, Method::POST, address, "/v1/generations", HEADERS_TIMEOUT);
-        if let Some(tokens) = test_tokens {
-            start = start.header("x-test-tokens", tokens);
-        }
-        Self::open(start.send_json(order).await)
+        let start = request(client, Method::POST, address, "/v1/generations", HEADERS_TIMEOUT);
+        Self::open(start.send_json(&NamedOrder { request: id.to_string(), order }).await)
     }
 
     /// Resumes a generation after token `after`.
@@ -127,35 +153,32 @@
     pub async fn resume(
         client: &Client,
         address: SocketAddr,
+        id: &ExchangeId,
         generation: &str,
         after: u64,
     ) -> Result<Self, OpenFault> {
         let path = format!("/v1/generations/{generation}?after={after}");
-        let resume = request(client, Method::GET, address, &path, HEADERS_TIMEOUT);
+        let resume = request(client, Method::GET, address, &path, HEADERS_TIMEOUT)
+            .header("x-request", id.to_string());
         Self::open(resume.send().await)
     }
 
-    fn open(
-        answer: Result<ClientResponse, ntex::client::error::ClientError>,
-    ) -> Result<Self, OpenFault> {
+    fn open(answer: Result<ClientResponse, ClientError>) -> Result<Self, OpenFault> {
         let answer =
             answer.map_err(|error| OpenFault::Exchange(ExchangeFault::from_client(&error)))?;
         match answer.status().as_u16() {
             200 => {},
             404 | 410 => return Err(OpenFault::Gone),
+            409 => return Err(OpenFault::Superseded),
             status => return Err(OpenFault::Refused(status)),
         }
-        let text = |name: &str| {
-            answer.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
-        };
-        let missing =
-            || OpenFault::Exchange(ExchangeFault::MaybeSent("answer without ids".to_owned()));
-        let generation = text("x-generation").ok_or_else(missing)?;
-        let attachment =
-            text("x-attachment").and_then(|value| value.parse().ok()).ok_or_else(missing)?;
+        let text = |name: &str| answer.headers().get(name).and_then(|value| value.to_str().ok());
+        let generation = text("x-generation").ok_or(OpenFault::Malformed)?.to_owned();
+        let attachment = text("x-attachment").and_then(|value| value.parse().ok());
         Ok(Self {
+            echo: text("x-request").and_then(ExchangeId::parse),
             generation,
-            attachment,
+            attachment: attachment.ok_or(OpenFault::Malformed)?,
             payload: answer.take_payload(),
             decoder: EventDecoder::default(),
             events: VecDeque::new(),
@@ -167,49 +190,48 @@
     /// # Errors
     ///
     /// Fails when the connection ends, breaks, or carries something that does not parse.
-    pub async fn next(&mut self) -> Result<EngineItem, String> {
+    pub async fn next(&mut self) -> Result<EngineItem, StreamFault> {
         loop {
             while let Some(event) = self.events.pop_front() {
                 if let Some(item) = parse_event(&event)? {
                     return Ok(item);
                 }
             }
-            let chunk = match stream_recv(&mut self.payload).await {
-                Some(Ok(chunk)) => chunk,
-                Some(Err(error)) => return Err(error.to_string()),
-                None => return Err("the connection ended".to_owned()),
+            let Some(Ok(chunk)) = stream_recv(&mut self.payload).await else {
+                return Err(StreamFault::Closed);
             };
             let mut events = Vec::new();
-            self.decoder
-                .push(&chunk, &mut events)
-                .map_err(|_| "an event is too large or not UTF-8".to_owned())?;
+            self.decoder.push(&chunk, &mut events).map_err(|_| StreamFault::Malformed)?;
             self.events.extend(events);
         }
     }
 }
 
-fn parse_event(event: &StreamEvent) -> Result<Option<EngineItem>, String> {
+fn parse_event(event: &StreamEvent) -> Result<Option<EngineItem>, StreamFault> {
     match event.name.as_str() {
         "token" => {
-            let seq = event.id.parse().map_err(|_| "token without number".to_owned())?;
-            let data: TokenData = serde_json::from_str(&event.data)
-                .map_err(|error| format!("token data: {error}"))?;
+            let seq = event.id.parse().map_err(|_| StreamFault::Malformed)?;
+            let data: TokenData = parse_data(event)?;
             Ok(Some(EngineItem::Token { generation: data.generation, seq, text: data.text }))
         },
         "end" => {
-            let data: EndData =
-                serde_json::from_str(&event.data).map_err(|error| format!("end data: {error}"))?;
+            let data: EndData = parse_data(event)?;
             Ok(Some(EngineItem::End {
                 generation: data.generation,
                 tokens: data.tokens,
                 finish: data.finish,
             }))
         },
+        "superseded" => Err(StreamFault::Superseded),
         _ => Ok(None),
     }
 }
 
-/// Cancels a generation unless a later attachment exists.
+fn parse_data<T: DeserializeOwned>(event: &StreamEvent) -> Result<T, StreamFault> {
+    serde_json::from_str(&event.data).map_err(|_| StreamFault::Malformed)
+}
+
+/// Cancels a generation unless an attachment later than `attachment` exists.
 ///
 /// # Errors
 ///
@@ -219,11 +241,11 @@
     address: SocketAddr,
     generation: &str,
     attachment: u64,
-) -> Result<(), String> {
+) -> Result<(), ExchangeFault> {
     let path = format!("/v1/generations/{generation}?attachment={attachment}");
     request(client, Method::DELETE, address, &path, CANCEL_TIMEOUT)
         .send()
         .await
         .map(drop)
-        .map_err(|error| error.to_string())
+        .map_err(|error| ExchangeFault::from_client(&error))
 }
--- /dev/null
+++ b/medlarlanding/src/delivery/task.rs
@@ -0,0 +1,284 @@
+//! Task of one generation request: connects the session with engine, admission and caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::generations::{
+    GenerationSession, SessionEffect, SessionInput, SessionPhase,
+};
+use medlarlanding_core::handles::ResumeHandle;
+use medlarlanding_core::ids::{CustomerId, DeskId, RequestId, ServerId};
+use medlarlanding_core::time::Timestamp;
+use medlarlanding_core::{ErrorKind, ServeError};
+
+use ntex::client::Client;
+use tokio::sync::mpsc;
+
+use crate::backends::engine::{self, GenerationOrder};
+use crate::gate::OpenGuard;
+use crate::instance::InstanceShared;
+use crate::logging::event;
+
+use super::exchanges::{ExchangeSet, ExchangeStart};
+use super::permit::{PermitOutcome, RequestPermit};
+use super::sink::{CallerSink, WholeAnswer, token_event};
+
+const ENDPOINT: &str = "generations";
+/// Time for which a finished session takes late headers of exchanges that it gave up, in
+/// order to cancel what they started.
+const LINGER_TIME: Duration = Duration::from_millis(200);
+
+/// What a task needs about its request.
+pub struct DeliveryPlan {
+    /// The request.
+    pub request: RequestId,
+    /// Customer, for the resume handle.
+    pub customer: CustomerId,
+    /// Desk, for the resume handle.
+    pub desk: DeskId,
+    /// What to send to an engine; `None` for a generation that was taken over.
+    pub order: Option<Arc<GenerationOrder>>,
+    /// Last token that the caller already has.
+    pub after: u64,
+}
+
+/// Serves one request until its answer has ended.
+pub struct DeliveryTask {
+    shared: Arc<InstanceShared>,
+    client: Client,
+    plan: DeliveryPlan,
+    session: GenerationSession,
+    permit: RequestPermit,
+    sink: CallerSink,
+    exchanges: ExchangeSet,
+    inputs: mpsc::Receiver<SessionInput>,
+    handle: String,
+    caller_present: bool,
+    arrived: Timestamp,
+    last_delivery: Option<Timestamp>,
+    _guard: OpenGuard,
+}
+
+impl DeliveryTask {
+    /// Creates the task.
+    pub fn new(
+        shared: Arc<InstanceShared>,
+        client: Client,
+        plan: DeliveryPlan,
+        session: GenerationSession,
+        permit: RequestPermit,
+        sink: CallerSink,
+        guard: OpenGuard,
+    ) -> Self {
+        let (exchanges, inputs) = ExchangeSet::new(client.clone());
+        Self {
+            arrived: shared.clock.now(),
+            shared,
+            client,
+            plan,
+            session,
+            permit,
+            sink,
+            exchanges,
+            inputs,
+            handle: String::new(),
+            caller_present: true,
+            last_delivery: None,
+            _guard: guard,
+        }
+    }
+
+    /// Starts with an input (`Adopt`), or waits for the permit.
+    pub async fn run(mut self, first: Option<SessionInput>) {
+        if let Some(input) = first {
+            self.step(input).await;
+        }
+        while self.session.phase() != SessionPhase::Finished {
+            let input = self.next_input().await;
+            self.step(input).await;
+        }
+        self.permit.release(false);
+        self.linger().await;
+    }
+
+    async fn next_input(&mut self) -> SessionInput {
+        let delay = self
+            .session
+            .next_wakeup()
+            .map_or(Duration::MAX, |at| at.since(self.shared.clock.now()));
+        tokio::select! {
+            // What the connections hold comes before the time-out that their silence causes.
+            biased;
+            Some(input) = self.inputs.recv() => input,
+            outcome = self.permit.decided() => match outcome {
+                PermitOutcome::Start(server) => SessionInput::Start { server },
+                PermitOutcome::Refused(kind) => SessionInput::Refused(kind),
+            },
+            () = self.sink.closed(), if self.caller_present => {
+                self.caller_present = false;
+                SessionInput::CallerGone
+            },
+            () = tokio::time::sleep(delay.min(Duration::from_secs(3600))) => SessionInput::Tick,
+        }
+    }
+
+    async fn step(&mut self, input: SessionInput) {
+        let mut effects = Vec::new();
+        self.session.handle(self.shared.clock.now(), input, &mut effects);
+        let wants_server =
+            effects.iter().any(|effect| matches!(effect, SessionEffect::RequestServer { .. }));
+        for effect in effects {
+            match effect {
+                SessionEffect::ReleasePermit { .. } if wants_server => {},
+                effect => self.perform(effect).await,
+            }
+        }
+    }
+
+    async fn perform(&mut self, effect: SessionEffect) {
+        match effect {
+            SessionEffect::Open { exchange, server } => match self.plan.order.clone() {
+                Some(order) => self.begin(exchange, server, ExchangeStart::Open(order)),
+                None => debug_assert!(false, "an adopted generation is not started again"),
+            },
+            SessionEffect::Resume { exchange, server, generation, after } => {
+                self.shared.metrics.resumes.inc();
+                event(EventKind::GenerationResumed, &[&self.plan.request, &server, &after]);
+                self.begin(exchange, server, ExchangeStart::Resume { generation, after });
+            },
+            SessionEffect::Close { exchange } => self.exchanges.close(exchange),
+            SessionEffect::Deliver { seq, text } => self.deliver(seq, &text).await,
+            SessionEffect::Complete { tokens, finish, text } => {
+                self.permit.progress(tokens);
+                self.permit.release(true);
+                self.shared.earn_retry();
+                self.shared.count_result(ENDPOINT, "whole");
+                let handle = self.handle();
+                let text = text.unwrap_or_default();
+                self.sink.complete(WholeAnswer { text, tokens, finish, handle }).await;
+            },
+            SessionEffect::Fail(kind) => self.fail(kind).await,
+            SessionEffect::Cancel { server, generation, attachment } => {
+                self.cancel(server, generation, attachment);
+            },
+            SessionEffect::Suspect { server, reason } => {
+                self.shared.suspect_server(server, &format!("{reason:?}"));
+            },
+            SessionEffect::RequestServer { .. } => {
+                if self.shared.spend_retry() {
+                    event(EventKind::GenerationRetried, &[&self.plan.request, &"-"]);
+                    self.permit.retry();
+                } else {
+                    let mut effects = Vec::new();
+                    let refused = SessionInput::Refused(ErrorKind::BackendFailed);
+                    self.session.handle(self.shared.clock.now(), refused, &mut effects);
+                    for effect in effects {
+                        Box::pin(self.perform(effect)).await;
+                    }
+                }
+            },
+            SessionEffect::ReleasePermit { .. } => self.permit.release(false),
+        }
+    }
+
+    fn begin(&mut self, exchange: u32, server: ServerId, start: ExchangeStart) {
+        match self.shared.server_address(server) {
+            Some(address) => {
+                self.exchanges.begin(self.session.exchange_id(exchange), address, start);
+            },
+            // The server was removed from the tree; its silence ends the exchange.
+            None => event(EventKind::ServerSuspected, &[&server, &"not in the configuration"]),
+        }
+    }
+
+    async fn deliver(&mut self, seq: u64, text: &str) {
+        let now = self.shared.clock.now();
+        match self.last_delivery.replace(now) {
+            Some(last) => {
+                self.shared.metrics.token_gap.observe(now.since(last).as_secs_f64());
+            },
+            None if self.plan.after == 0 => {
+                self.shared.metrics.first_token.observe(now.since(self.arrived).as_secs_f64());
+            },
+            None => {},
+        }
+        self.shared.metrics.tokens.inc();
+        self.permit.progress(seq);
+        let handle = self.handle();
+        let event = token_event(&handle, seq, text);
+        match self.sink.try_send(event) {
+            Ok(()) => {},
+            Err(None) => self.lose_caller(),
+            Err(Some(event)) => {
+                let mut ignored = Vec::new();
+                let now = self.shared.clock.now();
+                self.session.handle(now, SessionInput::ReadPaused, &mut ignored);
+                if !self.sink.send(event).await {
+                    self.lose_caller();
+                }
+                let now = self.shared.clock.now();
+                self.session.handle(now, SessionInput::ReadContinued, &mut ignored);
+                debug_assert!(ignored.is_empty(), "pausing the reader has no effects");
+            },
+        }
+    }
+
+    fn lose_caller(&mut self) {
+        if std::mem::take(&mut self.caller_present) {
+            let mut ignored = Vec::new();
+            self.session.handle(self.shared.clock.now(), SessionInput::CallerGone, &mut ignored);
+            debug_assert!(ignored.is_empty(), "a caller that leaves has no immediate effects");
+        }
+    }
+
+    async fn fail(&mut self, kind: ErrorKind) {
+        let error = ServeError::from(kind);
+        if kind == ErrorKind::GenerationLost {
+            self.shared.metrics.lost.inc();
+            let server = self.session.generation().map(|(server, _)| server.to_string());
+            let server = server.unwrap_or_default();
+            event(EventKind::GenerationLost, &[&self.plan.request, &server]);
+        }
+        if kind == ErrorKind::Cancelled {
+            self.shared.count_result(ENDPOINT, "cancelled");
+        } else {
+            self.shared.count_refusal(ENDPOINT, &error, Some(self.plan.request));
+        }
+        self.sink.fail(error).await;
+    }
+
+    fn cancel(&self, server: ServerId, generation: String, attachment: u64) {
+        let Some(address) = self.shared.server_address(server) else { return };
+        let client = self.client.clone();
+        ntex::rt::spawn(async move {
+            // Best effort: an engine drops a generation without attachment by itself.
+            let _ = engine::cancel(&client, address, &generation, attachment).await;
+        })
+        .detach();
+    }
+
+    fn handle(&mut self) -> String {
+        if self.handle.is_empty()
+            && let Some((server, generation)) = self.session.generation()
+        {
+            self.handle = self.shared.signer.sign_handle(&ResumeHandle {
+                customer: self.plan.customer,
+                desk: self.plan.desk,
+                server,
+                generation: generation.to_owned(),
+            });
+        }
+        self.handle.clone()
+    }
+
+    /// Cancels what attaches late on exchanges that were given up.
+    async fn linger(&mut self) {
+        let _ = tokio::time::timeout(LINGER_TIME, async {
+            while let Some(input) = self.inputs.recv().await {
+                self.step(input).await;
+            }
+        })
+        .await;
+    }
+}
--- a/medlarlanding/src/http/admin.rs
+++ b/medlarlanding/src/http/admin.rs
@@ -35,8 +35,8 @@
 async fn ready(shared: State<Arc<InstanceShared>>) -> HttpResponse {
     if shared.gate.draining() {
         HttpResponse::ServiceUnavailable().body("draining\n")
-    } else if shared.active().is_none() {
-        HttpResponse::ServiceUnavailable().body("no configuration in effect\n")
+    } else if !shared.is_ready() {
+        HttpResponse::ServiceUnavailable().body("no current configuration in effect\n")
     } else {
         HttpResponse::Ok().body("ready\n")
     }
--- a/medlarlanding/src/http/callers.rs
+++ b/medlarlanding/src/http/callers.rs
@@ -13,7 +13,7 @@
 use crate::instance::{DeskAccess, InstanceShared};
 
 use super::answers::refusal;
-use super::{generations, lookups};
+use super::{generations, lookups, orders};
 
 /// What the handlers of one worker thread share.
 #[derive(Clone)]
@@ -43,7 +43,10 @@
                 .route(web::get().to(generations::resume))
                 .route(web::delete().to(generations::cancel)),
         )
-        .service(web::resource("/v1/desks/{desk}/lookups").route(web::post().to(lookups::look_up)));
+        .service(web::resource("/v1/desks/{desk}/lookups").route(web::post().to(lookups::look_up)))
+        .service(web::resource("/v1/desks/{desk}/orders").route(web::post().to(orders::submit)))
+        .service(web::resource("/v1/desks/{desk}/orders/{key}").route(web::get().to(orders::query)))
+        .service(web::resource("/v1/desks/{desk}/order-keys").route(web::post().to(orders::mint)));
 }
 
 /// Answers requests for resources that do not exist.
@@ -72,6 +75,16 @@
         super::reading::read_body(payload, self.shared.settings.limits.body()).await
     }
 
+    /// Counts and logs a refusal.
+    pub fn count_refusal(&self, endpoint: &str, error: &ServeError, request: RequestId) {
+        self.shared.count_refusal(endpoint, error, Some(request));
+    }
+
+    /// Builds the answer to a refusal that its task has counted and logged.
+    pub fn refuse_uncounted(&self, error: &ServeError, request: RequestId) -> HttpResponse {
+        refusal(error, Some(request))
+    }
+
     /// Builds, counts and logs the answer to a refused request.
     pub fn refuse(
         &self,
--- a/medlarlanding/src/http/generations.rs
+++ b/medlarlanding/src/http/generations.rs
@@ -1,6 +1,11 @@
-//! Generations: start, resume, cancel, delivery as a stream or whole.
+//! Generations: start, resume, cancel.
 
-use medlarlanding_core::config::{DeliveryMode, ServerConfig, ServerState};
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarlanding_core::admission::{AdmissionRequest, AdoptedWork, Objective};
+use medlarlanding_core::config::{DeliveryMode, DeskObjective, RouteKey};
+use medlarlanding_core::generations::{GenerationSession, SessionInput, SessionParams};
 use medlarlanding_core::handles::ResumeHandle;
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
@@ -8,18 +13,24 @@
 use ntex::util::Bytes;
 use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
-use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde_json::json;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
-use crate::backends::engine::{EngineItem, EngineStream, GenerationOrder, OpenFault};
+use crate::backends::engine::{self, GenerationOrder};
+use crate::delivery::permit::RequestPermit;
+use crate::delivery::sink::{CallerSink, EVENT_QUEUE, WholeAnswer};
+use crate::delivery::task::{DeliveryPlan, DeliveryTask};
+use crate::gate::OpenGuard;
 
-use super::answers::refusal_json;
 use super::callers::{CallerContext, CallerRequest, Context};
 use super::reading::parse_json;
 
 const ENDPOINT: &str = "generations";
+/// Characters of a prompt that count as its reusable prefix.
+const PREFIX_CHARS: usize = 256;
+/// Characters per token, for estimating the length of a prompt before it is tokenised.
+const CHARS_PER_TOKEN: usize = 4;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -31,114 +42,294 @@
     priority: Option<u8>,
 }
 
-/// Handles `POST /v1/desks/{desk}/generations`.
+/// A generation that runs already, as its resume handle names it.
+struct ResumePoint {
+    handle: ResumeHandle,
+    after: u64,
+}
+
+/// Handles `POST /v1/desks/{desk}/generations`, with `Last-Event-ID` as a resume.
 pub async fn start(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
     let accepted = match context.accept(&request) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
     let id = accepted.id;
-    match serve(&context, accepted, payload).await {
-        Ok(response) => response,
-        Err(error) => context.refuse(ENDPOINT, &error, Some(id)),
+    let served = match last_event_id(&request) {
+        Some(text) => {
+            let handle = text.rsplit_once('.').map_or(text, |(handle, _)| handle);
+            resume_stream(&context, accepted, handle, Some(text)).await
+        },
+        None => start_new(&context, accepted, payload).await,
+    };
+    served.unwrap_or_else(|error| context.refuse_uncounted(&error, id))
+}
+
+/// Handles `GET /v1/desks/{desk}/generations/{handle}`.
+pub async fn resume(request: HttpRequest, context: Context) -> HttpResponse {
+    let accepted = match context.accept(&request) {
+        Ok(accepted) => accepted,
+        Err(error) => return context.refuse(ENDPOINT, &error, None),
+    };
+    let id = accepted.id;
+    let handle = request.match_info().get("handle").unwrap_or_default();
+    let served = resume_stream(&context, accepted, handle, last_event_id(&request)).await;
+    served.unwrap_or_else(|error| context.refuse_uncounted(&error, id))
+}
+
+/// Handles `DELETE /v1/desks/{desk}/generations/{handle}`.
+pub async fn cancel(request: HttpRequest, context: Context) -> HttpResponse {
+    let accepted = match context.accept(&request) {
+        Ok(accepted) => accepted,
+        Err(error) => return context.refuse(ENDPOINT, &error, None),
+    };
+    let text = request.match_info().get("handle").unwrap_or_default();
+    let handle = match open_handle(&context, &accepted, text) {
+        Ok(handle) => handle,
+        Err(error) => return context.refuse(ENDPOINT, &error, Some(accepted.id)),
+    };
+    let address = context.shared.server_address(handle.server);
+    let cancelled = match address {
+        Some(address) => {
+            let generation = &handle.generation;
+            engine::cancel(&context.client, address, generation, engine::ANY_ATTACHMENT).await
+        },
+        None => Ok(()),
+    };
+    match cancelled {
+        Ok(()) => {
+            context.shared.count_result(ENDPOINT, "cancelled");
+            HttpResponse::Ok().json(&json!({"cancelled": true}))
+        },
+        Err(_) => {
+            let error = ServeError::from(ErrorKind::BackendFailed);
+            context.refuse(ENDPOINT, &error, Some(accepted.id))
+        },
     }
 }
 
-async fn serve(
+fn last_event_id(request: &HttpRequest) -> Option<&str> {
+    request.headers().get("last-event-id").and_then(|value| value.to_str().ok())
+}
+
+/// Reads a handle and checks that it belongs to the customer and the desk.
+fn open_handle(
+    context: &CallerContext,
+    accepted: &CallerRequest,
+    text: &str,
+) -> Result<ResumeHandle> {
+    let access = &accepted.access;
+    context
+        .shared
+        .signer
+        .open_handle(text)
+        .filter(|handle| handle.customer == access.customer().id)
+        .filter(|handle| handle.desk == access.desk().id)
+        .ok_or_else(|| ErrorKind::NotFound.into())
+}
+
+async fn start_new(
     context: &CallerContext,
     accepted: CallerRequest,
     payload: Payload,
 ) -> Result<HttpResponse> {
-    let guard = context.shared.gate.enter()?;
-    let body = context.read(payload).await?;
-    let body: GenerationBody = parse_json(&body)?;
-    let access = &accepted.access;
-    let route = access.desk().generations.ok_or(ErrorKind::NotFound)?;
-    let model = access.route(route).model.as_ref().ok_or(ErrorKind::Internal)?;
-    let servers: Vec<&ServerConfig> =
-        access.servers(route).filter(|server| server.state == ServerState::Live).collect();
-    let server = *servers.choose(&mut rand::rng()).ok_or(ErrorKind::NoBackend)?;
-    let deadline = access.desk().deadline.as_millis() as u64;
-    let order = GenerationOrder {
-        request: accepted.id.to_string(),
-        model: &model.model,
-        version: &model.version,
-        prompt: &body.prompt,
-        prompt_tokens: body.prompt.len() as u64 / 4 + 1,
-        max_tokens: u64::from(body.max_tokens.unwrap_or(u32::MAX).min(access.desk().max_tokens)),
-        priority: body.priority.unwrap_or(access.desk().priority).min(9),
-        deadline_ms: body.deadline_ms.unwrap_or(deadline).min(deadline),
-        prefix: format!("{:016x}", stable_hash(body.prompt.as_bytes())),
+    let counted = async {
+        let guard = context.shared.gate.enter()?;
+        let body: GenerationBody = parse_json(&context.read(payload).await?)?;
+        let route = accepted.access.desk().generations.ok_or(ErrorKind::NotFound)?;
+        Ok((guard, body, route))
     };
-    let mut stream = EngineStream::start(&context.client, server.address, &order, None)
-        .await
-        .map_err(|fault| open_error(&fault))?;
-    let handle = context.shared.signer.sign_handle(&ResumeHandle {
-        customer: access.customer().id,
-        desk: access.desk().id,
-        server: server.id,
-        generation: stream.generation.clone(),
-    });
-    let delivery = body.delivery.unwrap_or(access.desk().delivery);
-    if delivery == DeliveryMode::Whole {
-        let mut text = String::new();
-        loop {
-            match stream.next().await.map_err(|_| ServeError::from(ErrorKind::BackendFailed))? {
-                EngineItem::Token { text: piece, .. } => text.push_str(&piece),
-                EngineItem::End { tokens, finish, .. } => {
-                    return Ok(HttpResponse::Ok().json(&json!({
-                        "generation": handle, "text": text, "tokens": tokens, "finish": finish,
-                    })));
-                },
+    let (guard, body, route) =
+        counted.await.inspect_err(|error| context.count_refusal(ENDPOINT, error, accepted.id))?;
+    let delivery = body.delivery.unwrap_or(accepted.access.desk().delivery);
+    let request = admission_request(context, &accepted, route, &body);
+    let order = generation_order(&accepted, route, &body, &request, context);
+    let session = session(context, &accepted, delivery, request.deadline);
+    let permit = RequestPermit::ask(context.shared.clone(), request);
+    let plan = plan(&accepted, Some(Arc::new(order)), 0);
+    deliver(context, plan, session, permit, guard, delivery, None).await
+}
+
+async fn resume_stream(
+    context: &CallerContext,
+    accepted: CallerRequest,
+    handle: &str,
+    last_event: Option<&str>,
+) -> Result<HttpResponse> {
+    let point = resume_point(context, &accepted, handle, last_event);
+    let guarded = point.and_then(|point| Ok((point, context.shared.gate.enter()?)));
+    let (point, guard) =
+        guarded.inspect_err(|error| context.count_refusal(ENDPOINT, error, accepted.id))?;
+    let route = accepted.access.desk().generations.ok_or(ErrorKind::NotFound)?;
+    let body = GenerationBody {
+        prompt: String::new(),
+        delivery: Some(DeliveryMode::Stream),
+        max_tokens: None,
+        deadline_ms: None,
+        priority: None,
+    };
+    let request = admission_request(context, &accepted, route, &body);
+    let session = session(context, &accepted, DeliveryMode::Stream, request.deadline);
+    let server = point.handle.server;
+    let decoded = u32::try_from(point.after).unwrap_or(u32::MAX);
+    let work = AdoptedWork { request, server, decoded };
+    let permit = RequestPermit::adopt(context.shared.clone(), work);
+    let plan = plan(&accepted, None, point.after);
+    let adopt =
+        SessionInput::Adopt { server, generation: point.handle.generation, after: point.after };
+    deliver(context, plan, session, permit, guard, DeliveryMode::Stream, Some(adopt)).await
+}
+
+fn resume_point(
+    context: &CallerContext,
+    accepted: &CallerRequest,
+    handle: &str,
+    last_event: Option<&str>,
+) -> Result<ResumePoint> {
+    let opened = open_handle(context, accepted, handle)?;
+    let after = match last_event {
+        None => 0,
+        Some(text) => {
+            let (named, seq) = text.rsplit_once('.').ok_or(ErrorKind::BadRequest)?;
+            if named != handle {
+                return Err(ErrorKind::NotFound.into());
             }
-        }
+            seq.parse().map_err(|_| ErrorKind::BadRequest)?
+        },
+    };
+    Ok(ResumePoint { handle: opened, after })
+}
+
+fn plan(accepted: &CallerRequest, order: Option<Arc<GenerationOrder>>, after: u64) -> DeliveryPlan {
+    DeliveryPlan {
+        request: accepted.id,
+        customer: accepted.access.customer().id,
+        desk: accepted.access.desk().id,
+        order,
+        after,
     }
-    let (sender, mut receiver) = mpsc::channel::<Bytes>(16);
-    ntex::rt::spawn(async move {
-        let _guard = guard;
-        loop {
-            let event = match stream.next().await {
-                Ok(EngineItem::Token { seq, text, .. }) => {
-                    format!("event: token\nid: {handle}.{seq}\ndata: {}\n\n", json!({"text": text}))
-                },
-                Ok(EngineItem::End { tokens, finish, .. }) => {
-                    let data = json!({"tokens": tokens, "finish": finish});
-                    let _ = sender.send(Bytes::from(format!("event: end\ndata: {data}\n\n"))).await;
-                    return;
-                },
-                Err(_) => {
-                    let data = refusal_json(&ErrorKind::GenerationLost.into(), None);
-                    let _ =
-                        sender.send(Bytes::from(format!("event: error\ndata: {data}\n\n"))).await;
-                    return;
-                },
-            };
-            if sender.send(Bytes::from(event)).await.is_err() {
-                return;
-            }
-        }
-    })
-    .detach();
-    let body = futures_util::stream::poll_fn(move |cx| {
-        receiver.poll_recv(cx).map(|chunk| chunk.map(Ok::<_, std::io::Error>))
-    });
-    Ok(HttpResponse::Ok().content_type("text/event-stream").streaming(body))
 }
 
-fn open_error(fault: &OpenFault) -> ServeError {
-    match fault {
-        OpenFault::Exchange(_) | OpenFault::Refused(_) => ErrorKind::BackendFailed.into(),
-        OpenFault::Gone => ErrorKind::GenerationLost.into(),
+fn session(
+    context: &CallerContext,
+    accepted: &CallerRequest,
+    delivery: DeliveryMode,
+    deadline: medlarlanding_core::time::Timestamp,
+) -> GenerationSession {
+    let grace = Duration::from_millis(context.shared.settings.limits.resume_grace_ms);
+    // Nobody can resume a whole delivery, so nothing is kept for a caller that is gone.
+    let caller_grace = match delivery {
+        DeliveryMode::Stream => grace,
+        DeliveryMode::Whole => Duration::ZERO,
+    };
+    let params = SessionParams { caller_grace, ..SessionParams::default() };
+    GenerationSession::new(accepted.id, delivery, deadline, params)
+}
+
+fn admission_request(
+    context: &CallerContext,
+    accepted: &CallerRequest,
+    route: RouteKey,
+    body: &GenerationBody,
+) -> AdmissionRequest {
+    let access = &accepted.access;
+    let (desk, customer) = (access.desk(), access.customer());
+    let deadline =
+        body.deadline_ms.map_or(desk.deadline, |ms| desk.deadline.min(Duration::from_millis(ms)));
+    AdmissionRequest {
+        request: accepted.id,
+        route: access.route(route).id,
+        candidates: access.servers(route).map(|server| server.id).collect(),
+        customer: customer.id,
+        share: customer.share,
+        open_limit: customer.open_limit,
+        prompt_tokens: u32::try_from(body.prompt.len() / CHARS_PER_TOKEN + 1).unwrap_or(u32::MAX),
+        max_tokens: body.max_tokens.map_or(desk.max_tokens, |wanted| wanted.min(desk.max_tokens)),
+        priority: body.priority.map_or(desk.priority, |wanted| wanted.min(desk.priority)),
+        objective: match desk.objective {
+            DeskObjective::LeastStall => Objective::LeastStall,
+            DeskObjective::FewestPreemptions => Objective::FewestPreemptions,
+        },
+        deadline: context.shared.clock.now() + deadline,
+        prefix: Some(prefix_hash(accepted, &body.prompt)),
     }
 }
 
-/// Handles `GET /v1/desks/{desk}/generations/{handle}`.
-pub async fn resume(_request: HttpRequest, _context: Context) -> HttpResponse {
-    super::callers::not_found().await
+/// Hashes the prefix together with the customer, so that the time to the first token tells no
+/// customer which prompts another one uses.
+fn prefix_hash(accepted: &CallerRequest, prompt: &str) -> u64 {
+    let end = prompt.char_indices().nth(PREFIX_CHARS).map_or(prompt.len(), |(at, _)| at);
+    let mut bytes = accepted.access.customer().id.0.to_le_bytes().to_vec();
+    bytes.extend_from_slice(&prompt.as_bytes()[..end]);
+    stable_hash(&bytes)
 }
 
-/// Handles `DELETE /v1/desks/{desk}/generations/{handle}`.
-pub async fn cancel(_request: HttpRequest, context: Context) -> HttpResponse {
-    let _ = &context.client;
-    super::callers::not_found().await
+fn generation_order(
+    accepted: &CallerRequest,
+    route: RouteKey,
+    body: &GenerationBody,
+    request: &AdmissionRequest,
+    context: &CallerContext,
+) -> GenerationOrder {
+    let model = accepted.access.route(route).model.as_ref();
+    GenerationOrder {
+        model: model.map(|model| model.model.clone()).unwrap_or_default(),
+        version: model.map(|model| model.version.clone()).unwrap_or_default(),
+        prompt: body.prompt.clone(),
+        prompt_tokens: u64::from(request.prompt_tokens),
+        max_tokens: u64::from(request.max_tokens),
+        priority: request.priority,
+        deadline_ms: request.deadline.since(context.shared.clock.now()).as_millis() as u64,
+        prefix: format!("{:016x}", request.prefix.unwrap_or_default()),
+    }
+}
+
+async fn deliver(
+    context: &CallerContext,
+    plan: DeliveryPlan,
+    session: GenerationSession,
+    permit: RequestPermit,
+    guard: OpenGuard,
+    delivery: DeliveryMode,
+    first: Option<SessionInput>,
+) -> Result<HttpResponse> {
+    let (shared, client) = (context.shared.clone(), context.client.clone());
+    let spawn = |sink| {
+        let task = DeliveryTask::new(shared, client, plan, session, permit, sink, guard);
+        ntex::rt::spawn(task.run(first)).detach();
+    };
+    match delivery {
+        DeliveryMode::Whole => {
+            let (sender, receiver) = oneshot::channel();
+            spawn(CallerSink::Whole(Some(sender)));
+            let answer = receiver.await.map_err(|_| ErrorKind::Internal)??;
+            Ok(whole_response(&answer))
+        },
+        DeliveryMode::Stream => {
+            let (head, status) = oneshot::channel();
+            let (events, receiver) = mpsc::channel(EVENT_QUEUE);
+            spawn(CallerSink::Stream { head: Some(head), events });
+            status.await.map_err(|_| ErrorKind::Internal)??;
+            Ok(stream_response(receiver))
+        },
+    }
+}
+
+fn whole_response(answer: &WholeAnswer) -> HttpResponse {
+    HttpResponse::Ok().json(&json!({
+        "generation": answer.handle,
+        "text": answer.text,
+        "tokens": answer.tokens,
+        "finish": answer.finish.as_str(),
+    }))
+}
+
+fn stream_response(mut events: mpsc::Receiver<Bytes>) -> HttpResponse {
+    let body = futures_util::stream::poll_fn(move |cx| {
+        events.poll_recv(cx).map(|event| event.map(Ok::<_, std::io::Error>))
+    });
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .header("cache-control", "no-store")
+        .streaming(body)
 }
--- a/medlarlanding/src/http/mod.rs
+++ b/medlarlanding/src/http/mod.rs
@@ -5,4 +5,5 @@
 pub mod callers;
 pub mod generations;
 pub mod lookups;
+pub mod orders;
 pub mod reading;
--- /dev/null
+++ b/medlarlanding/src/http/orders.rs
@@ -0,0 +1,251 @@
+//! Non-idempotent orders: submit, query, mint keys.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarlanding_core::config::{ServerConfig, ServerState};
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::ids::RequestId;
+use medlarlanding_core::node::NodeInput;
+use medlarlanding_core::orders::{
+    OrderAnswer, OrderId, OrderInput, OrderKey, OrderResult, QueryId,
+};
+use medlarlanding_core::time::Timestamp;
+use medlarlanding_core::{ErrorKind, Result, ServeError};
+
+use ntex::client::Client;
+use ntex::web::types::Payload;
+use ntex::web::{HttpRequest, HttpResponse};
+use rand::seq::SliceRandom;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+use crate::backends::connection::ExchangeFault;
+use crate::backends::service::{self, ServiceAnswer};
+use crate::gate::OpenGuard;
+use crate::instance::{DeskAccess, InstanceShared};
+use crate::logging::event;
+use crate::runtime::waiters::{OrderSignal, QueryResult};
+
+use super::callers::{CallerContext, CallerRequest, Context};
+use super::lookups::pass_on;
+use super::reading::parse_json;
+
+const ENDPOINT: &str = "orders";
+const KEY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key in bytes; a minted key has about 100.
+const KEY_LIMIT: usize = 512;
+/// Longest time for a query or for minting a key.
+const QUERY_TIME: Duration = Duration::from_secs(3);
+
+/// Handles `POST /v1/desks/{desk}/orders`.
+pub async fn submit(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
+    let accepted = match context.accept(&request) {
+        Ok(accepted) => accepted,
+        Err(error) => return context.refuse(ENDPOINT, &error, None),
+    };
+    let answer = match start(&context, &accepted, &request, payload).await {
+        // The task goes on if the caller disconnects: its order may have been sent.
+        Ok(answer) => answer.await.unwrap_or(OrderAnswer::Refused(ErrorKind::Internal)),
+        Err(error) => return context.refuse(ENDPOINT, &error, Some(accepted.id)),
+    };
+    respond(&context, &answer, accepted.id)
+}
+
+/// Handles `GET /v1/desks/{desk}/orders/{key}`.
+pub async fn query(request: HttpRequest, context: Context) -> HttpResponse {
+    let accepted = match context.accept(&request) {
+        Ok(accepted) => accepted,
+        Err(error) => return context.refuse(ENDPOINT, &error, None),
+    };
+    let key = request.match_info().get("key").unwrap_or_default().to_owned();
+    let deadline = context.shared.clock.now() + QUERY_TIME;
+    let (customer, desk) = (accepted.access.customer().id, accepted.access.desk().id);
+    let result =
+        ask(&context.shared, |query| OrderInput::Query { query, customer, desk, key, deadline })
+            .await;
+    match result {
+        Some(QueryResult::Outcome(answer)) => respond(&context, &answer, accepted.id),
+        _ => context.refuse(ENDPOINT, &ErrorKind::NoQuorum.into(), Some(accepted.id)),
+    }
+}
+
+/// Handles `POST /v1/desks/{desk}/order-keys`.
+pub async fn mint(request: HttpRequest, context: Context) -> HttpResponse {
+    let accepted = match context.accept(&request) {
+        Ok(accepted) => accepted,
+        Err(error) => return context.refuse(ENDPOINT, &error, None),
+    };
+    let (customer, desk) = (accepted.access.customer().id, accepted.access.desk().id);
+    let result = ask(&context.shared, |query| OrderInput::Mint { query, customer, desk }).await;
+    match result {
+        Some(QueryResult::Minted(Ok(key))) => HttpResponse::Ok().json(&json!({ "key": key })),
+        Some(QueryResult::Minted(Err(kind))) => {
+            context.refuse(ENDPOINT, &kind.into(), Some(accepted.id))
+        },
+        _ => context.refuse(ENDPOINT, &ErrorKind::NoQuorum.into(), Some(accepted.id)),
+    }
+}
+
+async fn ask(
+    shared: &Arc<InstanceShared>,
+    input: impl FnOnce(QueryId) -> OrderInput,
+) -> Option<QueryResult> {
+    let query = QueryId(shared.next_number());
+    let result = shared.waiters.await_query(query);
+    let _ = shared.apply(NodeInput::Order(input(query)));
+    // The node answers by its deadline; the margin covers the way back.
+    tokio::time::timeout(QUERY_TIME * 2, result).await.ok()?.ok()
+}
+
+async fn start(
+    context: &CallerContext,
+    accepted: &CallerRequest,
+    request: &HttpRequest,
+    payload: Payload,
+) -> Result<oneshot::Receiver<OrderAnswer>> {
+    let guard = context.shared.gate.enter()?;
+    let key = idempotency_key(request)?;
+    let body = context.read(payload).await?;
+    parse_json::<Value>(&body)?;
+    let access = accepted.access.clone();
+    let route = access.desk().orders.ok_or(ErrorKind::NotFound)?;
+    let service_checks_keys = access
+        .servers(route)
+        .all(|server| server.service().is_some_and(|service| service.checks_idempotency_keys));
+    let deadline = context.shared.clock.now() + access.desk().deadline;
+    let order = OrderId(context.shared.next_number());
+    let submit = OrderInput::Submit {
+        order,
+        customer: access.customer().id,
+        desk: access.desk().id,
+        key,
+        body_digest: *blake3::hash(&body).as_bytes(),
+        deadline,
+        service_checks_keys,
+    };
+    let (sender, receiver) = oneshot::channel();
+    let task = OrderTask {
+        shared: context.shared.clone(),
+        client: context.client.clone(),
+        request: accepted.id,
+        order,
+        access,
+        body,
+        deadline,
+        _guard: guard,
+    };
+    ntex::rt::spawn(async move {
+        let answer = task.run(submit).await;
+        let _ = sender.send(answer);
+    })
+    .detach();
+    Ok(receiver)
+}
+
+fn idempotency_key(request: &HttpRequest) -> Result<String> {
+    let key = request.headers().get(KEY_HEADER).ok_or(ErrorKind::MissingKey)?;
+    let key = key.to_str().unwrap_or_default();
+    if key.is_empty() || key.len() > KEY_LIMIT || !key.bytes().all(|byte| byte.is_ascii_graphic()) {
+        let detail = format!("{KEY_HEADER}: 1 to {KEY_LIMIT} visible ASCII characters");
+        return Err(ServeError::with_detail(ErrorKind::BadRequest, detail));
+    }
+    Ok(key.to_owned())
+}
+
+fn respond(context: &CallerContext, answer: &OrderAnswer, request: RequestId) -> HttpResponse {
+    let outcome = match answer {
+        OrderAnswer::Answered { stored: false, .. } => "ran",
+        OrderAnswer::Answered { .. } | OrderAnswer::AnswerLost { .. } => "stored",
+        OrderAnswer::Refused(ErrorKind::OrderUnknown) => "unknown",
+        OrderAnswer::Refused(_) => "refused",
+    };
+    context.shared.metrics.orders.with_label_values(&[outcome]).inc();
+    match answer {
+        OrderAnswer::Answered { status, body, .. } => {
+            context.shared.count_result(ENDPOINT, "whole");
+            pass_on(&ServiceAnswer { status: *status, body: body.clone() })
+        },
+        OrderAnswer::AnswerLost { status } => {
+            context.shared.count_result(ENDPOINT, "whole");
+            HttpResponse::Ok().json(&json!({"run": "ran", "status": status, "answer": null}))
+        },
+        OrderAnswer::Refused(kind) => context.refuse(ENDPOINT, &(*kind).into(), Some(request)),
+    }
+}
+
+/// Serves one order until its answer is known.
+struct OrderTask {
+    shared: Arc<InstanceShared>,
+    client: Client,
+    request: RequestId,
+    order: OrderId,
+    access: DeskAccess,
+    body: Vec<u8>,
+    deadline: Timestamp,
+    _guard: OpenGuard,
+}
+
+impl OrderTask {
+    async fn run(self, submit: OrderInput) -> OrderAnswer {
+        let mut signals = self.shared.waiters.await_order(self.order);
+        let _ = self.shared.apply(NodeInput::Order(submit));
+        while let Some(signal) = signals.recv().await {
+            match signal {
+                OrderSignal::Run { key, fence, permit_deadline } => {
+                    let result = self.send(key, fence, permit_deadline).await;
+                    let finished = OrderInput::Finished { order: self.order, result };
+                    let _ = self.shared.apply(NodeInput::Order(finished));
+                },
+                OrderSignal::Answer(answer) => return answer,
+            }
+        }
+        OrderAnswer::Refused(ErrorKind::Internal)
+    }
+
+    /// Sends the order to the first server that can be connected to. Once a connection was
+    /// established no other server is tried, because a byte may have left.
+    async fn send(&self, key: OrderKey, fence: u64, permit_deadline: Timestamp) -> OrderResult {
+        let mut sent = false;
+        for server in self.servers() {
+            let now = self.shared.clock.now();
+            if now >= permit_deadline || now >= self.deadline {
+                return OrderResult::NotSent(ErrorKind::DeadlineNotRun);
+            }
+            if !std::mem::replace(&mut sent, true) {
+                let _ = self.shared.apply(NodeInput::Order(OrderInput::Sent { order: self.order }));
+            }
+            event(EventKind::OrderSent, &[&self.request, &server.name, &key]);
+            let timeout = self.deadline.since(now);
+            let (client, body) = (&self.client, &self.body);
+            let key = key.to_string();
+            let exchange =
+                service::send_order(client, server.address, &key, fence, body, timeout).await;
+            match exchange {
+                Ok(ServiceAnswer { status, body }) => {
+                    return OrderResult::Answered { status, body };
+                },
+                Err(ExchangeFault::NotSent(reason)) => {
+                    event(EventKind::ServerSuspected, &[&server.name, &reason]);
+                },
+                Err(ExchangeFault::MaybeSent(reason)) => {
+                    event(EventKind::OrderUnknown, &[&self.request, &server.name, &reason]);
+                    return OrderResult::Unknown;
+                },
+            }
+        }
+        OrderResult::NotSent(ErrorKind::NoBackend)
+    }
+
+    fn servers(&self) -> Vec<&ServerConfig> {
+        let Some(route) = self.access.desk().orders else { return Vec::new() };
+        let mut servers: Vec<_> = self
+            .access
+            .servers(route)
+            .filter(|server| server.state == ServerState::Live)
+            .filter(|server| !self.shared.server_leaving(server.id))
+            .collect();
+        servers.shuffle(&mut rand::rng());
+        servers
+    }
+}
--- a/medlarlanding/src/instance.rs
+++ b/medlarlanding/src/instance.rs
@@ -2,21 +2,31 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
+use medlarlanding_core::admission::AdmissionInput;
 use medlarlanding_core::config::{
     ConfigTree, CustomerConfig, CustomerKey, DeskConfig, DeskKey, RouteConfig, RouteKey,
     ServerConfig, credential_digest,
 };
 use medlarlanding_core::events::EventKind;
+use medlarlanding_core::generations::{BudgetParams, RetryBudget};
 use medlarlanding_core::handles::HandleSigner;
 use medlarlanding_core::ids::{Incarnation, InstanceId, InstanceIdentity, RequestId, ServerId};
+use medlarlanding_core::node::{EntryNode, NodeDump, NodeInput};
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
+use rand::Rng;
+use serde_json::json;
+use tokio::sync::Notify;
+
 use crate::clock::{ProcessClock, wall_millis};
 use crate::gate::RequestGate;
 use crate::logging::event;
 use crate::metrics::MetricSet;
+use crate::runtime;
+use crate::runtime::links::NodeLinks;
+use crate::runtime::waiters::WaiterTable;
 use crate::settings::InstanceSettings;
 
 /// A configuration tree with its version.
@@ -77,8 +87,16 @@
     pub metrics: MetricSet,
     /// Requests in progress.
     pub gate: Arc<RequestGate>,
+    /// Queues to the children that perform the node's effects.
+    pub links: NodeLinks,
+    /// Requests that wait for a decision of the node.
+    pub waiters: WaiterTable,
+    /// Wakes the ticker after each input of the node.
+    pub ticker: Notify,
+    node: Mutex<EntryNode>,
     active: RwLock<Option<Arc<ActiveTree>>>,
-    next_request: AtomicU64,
+    budget: Mutex<RetryBudget>,
+    next_number: AtomicU64,
 }
 
 impl InstanceShared {
@@ -90,27 +108,53 @@
     pub fn new(settings: InstanceSettings) -> anyhow::Result<Arc<Self>> {
         let metrics = MetricSet::new()?;
         let gate = RequestGate::new(settings.limits.open_requests, metrics.open_requests.clone());
+        let started = wall_millis();
+        let signer = HandleSigner::new(&settings.cluster_secret);
+        let node = EntryNode::new(
+            runtime::node::params(&settings),
+            runtime::node::own_entry(&settings),
+            &runtime::node::seed_entries(&settings),
+            started,
+            signer.clone(),
+            rand::rng().random(),
+        );
         Ok(Arc::new(Self {
             identity: InstanceIdentity {
                 id: InstanceId::from_name(&settings.instance),
-                incarnation: Incarnation::new(wall_millis()),
+                incarnation: Incarnation::new(started),
             },
             clock: ProcessClock::start(),
-            signer: HandleSigner::new(&settings.cluster_secret),
+            signer,
             metrics,
             gate,
+            links: NodeLinks::default(),
+            waiters: WaiterTable::default(),
+            ticker: Notify::new(),
+            node: Mutex::new(node),
             active: RwLock::new(None),
-            next_request: AtomicU64::new(1),
+            budget: Mutex::new(RetryBudget::new(BudgetParams::default())),
+            next_number: AtomicU64::new(1),
             settings,
         }))
     }
 
+    /// Locks the node. A node whose invariant broke must not go on, so a poisoned lock ends
+    /// every task that needs it.
+    pub fn node(&self) -> MutexGuard<'_, EntryNode> {
+        self.node.lock().expect("an invariant of the node broke")
+    }
+
+    /// Draws a number that is unique within the process.
+    pub fn next_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Draws the id of a new request.
     pub fn next_request(&self) -> RequestId {
         RequestId {
             instance: self.identity.id,
             started: self.identity.incarnation.started,
-            number: self.next_request.fetch_add(1, Ordering::Relaxed),
+            number: self.next_number(),
         }
     }
 
@@ -174,34 +218,83 @@
     }
 
     /// Returns whether a server is known to be leaving before the configuration says so.
-    pub fn server_leaving(&self, _server: ServerId) -> bool {
-        false
+    pub fn server_leaving(&self, server: ServerId) -> bool {
+        self.node().is_server_leaving(server)
     }
 
     /// Takes a retry from the budget. Returns whether one was left.
     pub fn spend_retry(&self) -> bool {
-        true
+        let granted = self.budget().try_spend();
+        if granted {
+            self.metrics.retries.inc();
+        }
+        granted
     }
 
     /// Credits the retry budget with a success.
-    pub fn earn_retry(&self) {}
+    pub fn earn_retry(&self) {
+        self.budget().record_success();
+    }
+
+    fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 
     /// Reports that an exchange with a server failed.
     pub fn suspect_server(&self, server: ServerId, reason: &str) {
         event(EventKind::ServerSuspected, &[&server, &reason]);
+        let _ = self.apply(NodeInput::Admission(AdmissionInput::ServerSuspect(server)));
+    }
+
+    /// Returns whether the process accepts requests.
+    pub fn is_ready(&self) -> bool {
+        !self.gate.draining() && self.active().is_some() && self.node().is_ready()
+    }
+
+    /// Updates the gauges that follow the node's state.
+    pub fn refresh_gauges(&self) {
+        let node = self.node();
+        self.metrics.live_instances.set(node.live_count() as i64);
+        self.metrics.list_version.set(node.list_version() as i64);
     }
 
-    /// Gets the state of the process for operators.
-    pub fn dump(&self, _request: Option<&str>) -> serde_json::Value {
+    /// Gets the state of the process for operators; with `request` only the decisions on it.
+    pub fn dump(&self, request: Option<&str>) -> serde_json::Value {
+        let node = self.node().dump(self.clock.now());
+        if let Some(request) = request {
+            return request_decisions(&node, request);
+        }
         let active = self.active();
-        serde_json::json!({
-            "instance": self.settings.instance,
-            "zone": self.settings.zone,
-            "incarnation": self.identity.incarnation,
+        json!({
+            "process": {
+                "instance": self.settings.instance,
+                "zone": self.settings.zone,
+                "incarnation": self.identity.incarnation,
+                "uptime_ms": self.clock.now().as_millis(),
+                "ready": self.is_ready(),
+            },
             "requests": { "open": self.gate.open(), "draining": self.gate.draining() },
-            "configuration": active.as_ref().map(|active| serde_json::json!({
+            "retries": self.budget().dump(),
+            "configuration": active.as_ref().map(|active| json!({
                 "version": active.version, "tree": active.tree,
             })),
+            "membership": node.membership,
+            "distribution": node.distribution,
+            "orders": node.orders,
+            "admission": node.admission,
         })
     }
 }
+
+/// Collects the decisions on one request: finished ones and the one in progress.
+fn request_decisions(node: &NodeDump, request: &str) -> serde_json::Value {
+    let admission = &node.admission;
+    let finished =
+        admission.decisions.iter().filter(|record| record.request.to_string() == request);
+    let open = admission.open.iter().filter(|open| open.record.request.to_string() == request);
+    json!({
+        "request": request,
+        "decisions": finished.collect::<Vec<_>>(),
+        "open": open.collect::<Vec<_>>(),
+    })
+}
--- a/medlarlanding/src/logging.rs
+++ b/medlarlanding/src/logging.rs
@@ -1,6 +1,6 @@
 //! Numbered log events, written through `log` and `fern`.
 
-use std::fmt::Write;
+use std::fmt::{Display, Write};
 use std::path::Path;
 
 use medlarlanding_core::events::{EventKind, EventLevel};
@@ -51,7 +51,16 @@
 }
 
 /// Logs a numbered event. `values` follow the order of the event's fields.
-pub fn event(kind: EventKind, values: &[&dyn std::fmt::Display]) {
+pub fn event(kind: EventKind, values: &[&dyn Display]) {
+    write_event(kind, values.iter().copied());
+}
+
+/// Logs a numbered event that the core reported.
+pub fn event_fields(kind: EventKind, fields: &[String]) {
+    write_event(kind, fields.iter().map(|field| field as &dyn Display));
+}
+
+fn write_event<'a>(kind: EventKind, values: impl ExactSizeIterator<Item = &'a dyn Display>) {
     let descriptor = kind.descriptor();
     debug_assert_eq!(descriptor.fields.len(), values.len(), "fields of {}", descriptor.name);
     let level = match descriptor.level {
--- a/medlarlanding/src/peers/mod.rs
+++ b/medlarlanding/src/peers/mod.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use medlarlanding_core::ids::InstanceId;
 use medlarlanding_core::wire::PeerFrame;
 
 /// A frame on its way to a peer.
@@ -26,4 +27,7 @@
 
     /// Counts and logs a frame that was dropped.
     fn drop_frame(&self, reason: &str, source: SocketAddr);
+
+    /// Reports that a frame could not be delivered over a connection.
+    fn report_unreached(&self, peer: InstanceId);
 }
--- /dev/null
+++ b/medlarlanding/src/runtime/platform.rs
@@ -0,0 +1,88 @@
+//! Performs the node's calls on the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarlanding_core::distribution::{PlatformAnswer, Subject};
+use medlarlanding_core::node::NodeInput;
+
+use indexmap::IndexMap;
+use ntex::client::Client;
+use ntex::rt::JoinHandle;
+
+use crate::backends::connection::build_client;
+use crate::instance::InstanceShared;
+use crate::platform::{WatchParams, read_instances, read_value};
+
+use super::links::PlatformCommand;
+
+/// Name of the configuration tree at the configuration service.
+pub const TREE_NAME: &str = "tree";
+
+/// Performs calls until the process ends.
+///
+/// # Errors
+///
+/// Fails if the HTTP client cannot be built.
+pub async fn run(shared: Arc<InstanceShared>) -> anyhow::Result<()> {
+    let client = build_client().await?;
+    let mut pending: IndexMap<Subject, JoinHandle<()>> = IndexMap::new();
+    let mut commands = shared.links.platform.receiver().await;
+    let mut turn = 0;
+    while let Some(command) = commands.recv().await {
+        let subject = match command {
+            PlatformCommand::Watch { subject, .. } | PlatformCommand::Stop(subject) => subject,
+        };
+        if let Some(call) = pending.swap_remove(&subject) {
+            call.cancel();
+        }
+        if let PlatformCommand::Watch { after, wait, .. } = command {
+            let addresses = &shared.settings.platform;
+            // Each call uses the next address, so a dead one costs at most one call in a row.
+            let address = addresses.get(turn % addresses.len().max(1)).copied();
+            turn += 1;
+            let watch = (after > 0).then_some(WatchParams { after, wait });
+            let call = call(shared.clone(), client.clone(), address, subject, watch);
+            pending.insert(subject, ntex::rt::spawn(call));
+        }
+    }
+    Ok(())
+}
+
+async fn call(
+    shared: Arc<InstanceShared>,
+    client: Client,
+    address: Option<SocketAddr>,
+    subject: Subject,
+    watch: Option<WatchParams>,
+) {
+    let answer = match address {
+        Some(address) => read(&client, address, subject, watch).await,
+        None => {
+            // Without a platform the node lives from its peers; the pause bounds its retries.
+            ntex::time::sleep(watch.map_or(Duration::from_secs(1), |watch| watch.wait)).await;
+            Err("no platform address in the settings".to_owned())
+        },
+    };
+    let answer = answer.unwrap_or_else(|reason| PlatformAnswer::Unreachable { reason });
+    let _ = shared.apply(NodeInput::Platform { subject, answer });
+}
+
+async fn read(
+    client: &Client,
+    address: SocketAddr,
+    subject: Subject,
+    watch: Option<WatchParams>,
+) -> Result<PlatformAnswer, String> {
+    match subject {
+        Subject::Config => {
+            let value = read_value(client, address, TREE_NAME, watch).await?;
+            Ok(PlatformAnswer::Config { revision: value.revision, text: value.value.into() })
+        },
+        Subject::List => {
+            let list = read_instances(client, address, watch).await?;
+            Ok(PlatformAnswer::List(Arc::new(list)))
+        },
+    }
+}
--- a/medlarlanding/src/serve.rs
+++ b/medlarlanding/src/serve.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarlanding_core::config::ConfigTree;
 use medlarlanding_core::events::EventKind;
+use medlarlanding_core::node::NodeInput;
 
 use anyhow::Context;
 use ntex::SharedCfg;
@@ -15,14 +15,20 @@
 
 use crate::backends::connection::build_client;
 use crate::http::{admin, callers};
-use crate::instance::{ActiveTree, InstanceShared};
+use crate::instance::InstanceShared;
 use crate::logging::event;
-use crate::platform::read_value;
+use crate::runtime::{links, node, platform};
 use crate::settings::InstanceSettings;
 use crate::supervisor::{ChildSupervisor, RestartParams};
 
 /// Worker threads of the callers' listener.
 const CALLER_WORKERS: usize = 2;
+/// Time for the news of the leave to reach the peers and the platform's balancer.
+const LEAVE_TIME: Duration = Duration::from_millis(1500);
+/// Time for the last datagrams to leave.
+const DEPART_TIME: Duration = Duration::from_millis(50);
+/// Interval at which a drain looks for orders that are not complete.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Time for connections to flush their last bytes after the drain.
 const FLUSH_TIMEOUT: Seconds = Seconds(5);
 
@@ -55,8 +61,12 @@
     let admin = admin_server(shared.clone())?;
     let supervisor = ChildSupervisor::new(RestartParams::default());
     let mut given_up = supervisor.given_up();
-    let polled = shared.clone();
-    supervisor.spawn("platform", move || Box::pin(poll_platform(polled.clone())));
+    links::start(&shared, &supervisor).await?;
+    let child = shared.clone();
+    supervisor.spawn("platform", move || Box::pin(platform::run(child.clone())));
+    let child = shared.clone();
+    supervisor.spawn("ticker", move || Box::pin(node::tick(child.clone())));
+    shared.start_node();
 
     tokio::select! {
         _ = terminate.recv() => {},
@@ -67,15 +77,31 @@
     shared.metrics.draining.set(1);
     event(EventKind::DrainStarted, &[&open]);
     let started = shared.clock.now();
+    let _ = shared.apply(NodeInput::Leave);
     let limit = Duration::from_millis(shared.settings.limits.drain_ms);
-    let _ = tokio::time::timeout(limit, shared.gate.drained()).await;
+    let _ = tokio::time::timeout(limit, drained(&shared)).await;
     callers.stop(true).await;
+    let _ = shared.apply(NodeInput::Depart);
+    ntex::time::sleep(DEPART_TIME).await;
     admin.stop(false).await;
     let waited = shared.clock.now().since(started).as_millis();
     event(EventKind::DrainFinished, &[&waited]);
     Ok(())
 }
 
+/// Waits until no request is in progress and the outcome of every order has reached its
+/// replicas, but at least until peers can have heard that this instance leaves.
+async fn drained(shared: &InstanceShared) {
+    ntex::time::sleep(LEAVE_TIME).await;
+    loop {
+        shared.gate.drained().await;
+        if shared.node().open_orders() == 0 {
+            return;
+        }
+        ntex::time::sleep(DRAIN_POLL).await;
+    }
+}
+
 fn callers_server(shared: Arc<InstanceShared>) -> anyhow::Result<ntex::server::Server> {
     let address = shared.settings.callers;
     let limits = shared.settings.limits.clone();
@@ -110,22 +136,3 @@
             .with_context(|| format!("bind admin {address}"))?;
     Ok(server.run())
 }
-
-async fn poll_platform(shared: Arc<InstanceShared>) -> anyhow::Result<()> {
-    let client = build_client().await?;
-    loop {
-        for &address in &shared.settings.platform {
-            if let Ok(value) = read_value(&client, address, "tree", None).await {
-                match ConfigTree::parse(&value.value) {
-                    Ok(tree) => shared.activate(ActiveTree { version: value.revision, tree }),
-                    Err(faults) => event(
-                        EventKind::ConfigRefused,
-                        &[&value.revision, &faults.len(), &faults[0]],
-                    ),
-                }
-                break;
-            }
-        }
-        ntex::time::sleep(Duration::from_secs(1)).await;
-    }
-}
--- a/medlarlanding/src/supervisor.rs
+++ b/medlarlanding/src/supervisor.rs
@@ -54,7 +54,7 @@
     pub fn spawn(&self, name: &'static str, mut start: impl FnMut() -> ChildFuture + 'static) {
         let params = self.params;
         let given_up = self.given_up.clone();
-        drop(ntex::rt::spawn(async move {
+        ntex::rt::spawn(async move {
             let mut restarts: Vec<Instant> = Vec::new();
             while let Err(error) = start().await {
                 let now = Instant::now();
@@ -68,6 +68,7 @@
                 event(EventKind::ChildRestarted, &[&name, &format!("{error:#}"), &restarts.len()]);
                 ntex::time::sleep(params.delay).await;
             }
-        }));
+        })
+        .detach();
     }
 }
