--- a/medlarlanding-bench/src/lib.rs
+++ b/medlarlanding-bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod client;
 pub mod demo;
 pub mod engine_model;
 pub mod experiment;
--- a/medlarlanding-bench/src/stand_ins/mod.rs
+++ b/medlarlanding-bench/src/stand_ins/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod engine;
 pub mod platform;
+pub mod server;
 pub mod service;
+pub mod tokens;
