Give replicas of a partition one epoch after a cold start

Cause: with a 1 s search the members of a group started empty 0.2 s apart but asked one another only every 2 s, so all three drew epochs of their own and every minted key was refused as in doubt (0 of 1,024 partitions agreed). Ruled out: lost frames (no drops counted) and a wrong partition of the key. The pause between questions is now half the step between the members' starts. After: 9 of 9 requests with minted keys answered from one execution each, on three processes; the same key with another body is refused.

--- a/medlarlanding/src/runtime/node.rs
+++ b/medlarlanding/src/runtime/node.rs
@@ -23,15 +23,22 @@
 /// Longest sleep of the ticker; bounds the effect of a missed wake-up.
 const TICK_LIMIT: Duration = Duration::from_millis(250);
 
+/// Shortest step between the empty starts of two members of a replica group.
+const EMPTY_START_STEP_MIN_MS: u64 = 500;
+
 /// Builds the node's parameters from the settings.
 pub fn params(settings: &InstanceSettings) -> NodeParams {
     let OrderSettings { retention_ms, list_limit_ms, search_ms } = settings.orders;
+    let step = Duration::from_millis((search_ms / 5).max(EMPTY_START_STEP_MIN_MS));
     let orders = OrderParams {
         retention: Duration::from_millis(retention_ms),
         list_limit: Duration::from_millis(list_limit_ms),
         idle_limit: Duration::from_millis(list_limit_ms / 2),
         empty_start: Duration::from_millis(search_ms),
-        empty_start_step: Duration::from_millis(search_ms / 5),
+        empty_start_step: step,
+        // A member must ask the one before it at least once per step, or both start empty
+        // with epochs of their own and minted keys are refused.
+        sync_retry_max: step / 2,
         ..OrderParams::default()
     };
     NodeParams { orders, ..NodeParams::default() }
