--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -81,7 +81,7 @@
     /// A generation was resumed on its engine.
     401 GenerationResumed Info "generation_resumed" ["request", "server", "after"];
     /// A generation was started again before any token was delivered.
-    402 GenerationRetried Info "generation_retried" ["request", "server"];
+    402 GenerationRetried Info "generation_retried" ["request"];
     /// A generation was lost after tokens were delivered.
     403 GenerationLost Warn "generation_lost" ["request", "server"];
     /// A backend server is suspected.
--- a/medlarlanding/src/commands.rs
+++ b/medlarlanding/src/commands.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 use std::fs;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use anyhow::{Context, bail};
 use ntex::http::Method;
 use rand::RngCore;
+use serde_json::Value;
 
 use crate::backends::connection::{build_client, request};
 use crate::cli::{CheckOptions, DumpOptions, ServeOptions};
@@ -79,15 +81,43 @@
         Some(request) => format!("/dump?request={request}"),
         None => "/dump".to_owned(),
     };
-    let text = ntex::rt::System::build()
+    let dump = ntex::rt::System::build()
         .name("dump")
         .build(ntex::rt::DefaultRuntime)
         .block_on(fetch_dump(options.admin, path))?;
-    println!("{text}");
+    match &options.request {
+        Some(_) => print_time_line(&dump),
+        None => println!("{}", serde_json::to_string_pretty(&dump)?),
+    }
     Ok(ExitCode::SUCCESS)
 }
 
-async fn fetch_dump(admin: std::net::SocketAddr, path: String) -> anyhow::Result<String> {
+/// Prints the steps of a request as a time line, then the decisions of admission on it.
+fn print_time_line(dump: &Value) {
+    let steps = dump["steps"].as_array().map_or(&[][..], Vec::as_slice);
+    if steps.is_empty() {
+        println!("no steps of this request are kept by this instance");
+    }
+    let start = steps.first().and_then(|step| step["at_ms"].as_u64()).unwrap_or(0);
+    for step in steps {
+        let offset = step["at_ms"].as_u64().unwrap_or(start) - start;
+        let name = step["step"].as_str().unwrap_or_default();
+        let mut line = format!("+{offset:>7} ms  {name}");
+        for (field, value) in step.as_object().into_iter().flatten() {
+            if !matches!(field.as_str(), "at_ms" | "request" | "step") {
+                let _ = write!(line, " {field}={value}");
+            }
+        }
+        println!("{line}");
+    }
+    for key in ["decisions", "open"] {
+        for decision in dump[key].as_array().into_iter().flatten() {
+            println!("admission {key}: {decision}");
+        }
+    }
+}
+
+async fn fetch_dump(admin: SocketAddr, path: String) -> anyhow::Result<Value> {
     let client = build_client().await?;
     let answer = request(&client, Method::GET, admin, &path, DUMP_TIMEOUT)
         .send()
@@ -98,8 +128,7 @@
         .limit(DUMP_LIMIT)
         .await
         .map_err(|error| anyhow::anyhow!("{admin}: {error}"))?;
-    let value: serde_json::Value = serde_json::from_slice(&body).context("answer is not JSON")?;
-    Ok(serde_json::to_string_pretty(&value)?)
+    serde_json::from_slice(&body).context("answer is not JSON")
 }
 
 /// Prints a new credential and its digest.
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -19,6 +19,7 @@
 use crate::gate::OpenGuard;
 use crate::instance::InstanceShared;
 use crate::logging::event;
+use crate::trace::TraceStep;
 
 use super::exchanges::{ExchangeSet, ExchangeStart};
 use super::permit::{PermitOutcome, RequestPermit};
@@ -112,11 +113,16 @@
             biased;
             Some(input) = self.inputs.recv() => input,
             outcome = self.permit.decided() => match outcome {
-                PermitOutcome::Start(server) => SessionInput::Start { server },
+                PermitOutcome::Start(server) => {
+                    let name = self.shared.server_name(server);
+                    self.trace(TraceStep::PermitGranted { server: name });
+                    SessionInput::Start { server }
+                },
                 PermitOutcome::Refused(kind) => SessionInput::Refused(kind),
             },
             () = self.sink.closed(), if self.caller_present => {
                 self.caller_present = false;
+                self.trace(TraceStep::CallerGone);
                 SessionInput::CallerGone
             },
             () = tokio::time::sleep(delay.min(Duration::from_secs(3600))) => SessionInput::Tick,
@@ -144,7 +150,9 @@
             },
             SessionEffect::Resume { exchange, server, generation, after } => {
                 self.shared.metrics.resumes.inc();
-                event(EventKind::GenerationResumed, &[&self.plan.request, &server, &after]);
+                let name = self.shared.server_name(server);
+                event(EventKind::GenerationResumed, &[&self.plan.request, &name, &after]);
+                self.trace(TraceStep::Resumed { exchange, server: name, after });
                 self.begin(exchange, server, ExchangeStart::Resume { generation, after });
             },
             SessionEffect::Close { exchange } => self.exchanges.close(exchange),
@@ -153,6 +161,7 @@
                 self.permit.progress(tokens);
                 self.permit.release(true);
                 self.shared.earn_retry();
+                self.trace(TraceStep::Completed { tokens });
                 self.shared.count_result(ENDPOINT, "whole");
                 let handle = self.handle();
                 let text = text.unwrap_or_default();
@@ -163,11 +172,15 @@
                 self.cancel(server, generation, attachment);
             },
             SessionEffect::Suspect { server, reason } => {
-                self.shared.suspect_server(server, &format!("{reason:?}"));
+                let reason = format!("{reason:?}");
+                self.shared.suspect_server(server, &reason);
+                let server = self.shared.server_name(server);
+                self.trace(TraceStep::ServerFailed { server, reason });
             },
             SessionEffect::RequestServer { .. } => {
                 if self.shared.spend_retry() {
-                    event(EventKind::GenerationRetried, &[&self.plan.request, &"-"]);
+                    event(EventKind::GenerationRetried, &[&self.plan.request]);
+                    self.trace(TraceStep::Retried);
                     self.permit.retry();
                 } else {
                     let mut effects = Vec::new();
@@ -182,6 +195,10 @@
         }
     }
 
+    fn trace(&self, step: TraceStep) {
+        self.shared.trace(self.plan.request, step);
+    }
+
     fn begin(&mut self, exchange: u32, server: ServerId, start: ExchangeStart) {
         match self.shared.server_address(server) {
             Some(address) => {
@@ -194,6 +211,9 @@
 
     async fn deliver(&mut self, seq: u64, text: &str) {
         let now = self.shared.clock.now();
+        if self.last_delivery.is_none() {
+            self.trace(TraceStep::FirstToken);
+        }
         match self.last_delivery.replace(now) {
             Some(last) => {
                 self.shared.metrics.token_gap.observe(now.since(last).as_secs_f64());
--- a/medlarlanding/src/http/answers.rs
+++ b/medlarlanding/src/http/answers.rs
@@ -7,6 +7,9 @@
 use ntex::web::HttpResponse;
 use serde_json::json;
 
+/// Header that carries the id of the request, for `medlarlanding dump --request`.
+pub const REQUEST_HEADER: &str = "x-request-id";
+
 /// Builds the JSON text of a refusal.
 pub fn refusal_json(error: &ServeError, request: Option<RequestId>) -> serde_json::Value {
     let descriptor = error.kind.descriptor();
@@ -29,6 +32,9 @@
     if let Some(delay) = descriptor.retry_after {
         response.header("retry-after", delay.as_secs().max(1).to_string());
     }
+    if let Some(request) = request {
+        response.header(REQUEST_HEADER, request.to_string());
+    }
     if descriptor.status == 401 {
         response.header("www-authenticate", "Bearer");
     }
--- a/medlarlanding/src/http/callers.rs
+++ b/medlarlanding/src/http/callers.rs
@@ -11,6 +11,7 @@
 use ntex::web::{self, HttpRequest, HttpResponse};
 
 use crate::instance::{DeskAccess, InstanceShared};
+use crate::trace::TraceStep;
 
 use super::answers::refusal;
 use super::{generations, lookups, orders};
@@ -60,10 +61,13 @@
     /// # Errors
     ///
     /// See [`InstanceShared::access`].
-    pub fn accept(&self, request: &HttpRequest) -> Result<CallerRequest> {
+    pub fn accept(&self, request: &HttpRequest, endpoint: &'static str) -> Result<CallerRequest> {
         let desk = request.match_info().get("desk").unwrap_or_default();
         let access = self.shared.access(bearer(request.headers()), desk)?;
-        Ok(CallerRequest { id: self.shared.next_request(), access })
+        let id = self.shared.next_request();
+        let (desk, version) = (access.desk().name.clone(), access.version());
+        self.shared.trace(id, TraceStep::Accepted { endpoint, desk, version });
+        Ok(CallerRequest { id, access })
     }
 
     /// Reads the body of a request.
--- a/medlarlanding/src/http/generations.rs
+++ b/medlarlanding/src/http/generations.rs
@@ -7,7 +7,7 @@
 use medlarlanding_core::config::{DeliveryMode, DeskObjective, RouteKey};
 use medlarlanding_core::generations::{GenerationSession, SessionInput, SessionParams};
 use medlarlanding_core::handles::ResumeHandle;
-use medlarlanding_core::ids::stable_hash;
+use medlarlanding_core::ids::{RequestId, stable_hash};
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
 use ntex::util::Bytes;
@@ -23,6 +23,7 @@
 use crate::delivery::task::{DeliveryPlan, DeliveryTask};
 use crate::gate::OpenGuard;
 
+use super::answers::REQUEST_HEADER;
 use super::callers::{CallerContext, CallerRequest, Context};
 use super::reading::parse_json;
 
@@ -50,7 +51,7 @@
 
 /// Handles `POST /v1/desks/{desk}/generations`, with `Last-Event-ID` as a resume.
 pub async fn start(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request) {
+    let accepted = match context.accept(&request, ENDPOINT) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
@@ -67,7 +68,7 @@
 
 /// Handles `GET /v1/desks/{desk}/generations/{handle}`.
 pub async fn resume(request: HttpRequest, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request) {
+    let accepted = match context.accept(&request, ENDPOINT) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
@@ -79,7 +80,7 @@
 
 /// Handles `DELETE /v1/desks/{desk}/generations/{handle}`.
 pub async fn cancel(request: HttpRequest, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request) {
+    let accepted = match context.accept(&request, ENDPOINT) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
@@ -294,6 +295,7 @@
     first: Option<SessionInput>,
 ) -> Result<HttpResponse> {
     let (shared, client) = (context.shared.clone(), context.client.clone());
+    let request = plan.request;
     let spawn = |sink| {
         let task = DeliveryTask::new(shared, client, plan, session, permit, sink, guard);
         ntex::rt::spawn(task.run(first)).detach();
@@ -303,20 +305,20 @@
             let (sender, receiver) = oneshot::channel();
             spawn(CallerSink::Whole(Some(sender)));
             let answer = receiver.await.map_err(|_| ErrorKind::Internal)??;
-            Ok(whole_response(&answer))
+            Ok(whole_response(&answer, request))
         },
         DeliveryMode::Stream => {
             let (head, status) = oneshot::channel();
             let (events, receiver) = mpsc::channel(EVENT_QUEUE);
             spawn(CallerSink::Stream { head: Some(head), events });
             status.await.map_err(|_| ErrorKind::Internal)??;
-            Ok(stream_response(receiver))
+            Ok(stream_response(receiver, request))
         },
     }
 }
 
-fn whole_response(answer: &WholeAnswer) -> HttpResponse {
-    HttpResponse::Ok().json(&json!({
+fn whole_response(answer: &WholeAnswer, request: RequestId) -> HttpResponse {
+    HttpResponse::Ok().header(REQUEST_HEADER, request.to_string()).json(&json!({
         "generation": answer.handle,
         "text": answer.text,
         "tokens": answer.tokens,
@@ -324,12 +326,13 @@
     }))
 }
 
-fn stream_response(mut events: mpsc::Receiver<Bytes>) -> HttpResponse {
+fn stream_response(mut events: mpsc::Receiver<Bytes>, request: RequestId) -> HttpResponse {
     let body = futures_util::stream::poll_fn(move |cx| {
         events.poll_recv(cx).map(|event| event.map(Ok::<_, std::io::Error>))
     });
     HttpResponse::Ok()
         .content_type("text/event-stream")
         .header("cache-control", "no-store")
+        .header(REQUEST_HEADER, request.to_string())
         .streaming(body)
 }
--- a/medlarlanding/src/http/lookups.rs
+++ b/medlarlanding/src/http/lookups.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use medlarlanding_core::config::ServerState;
+use medlarlanding_core::ids::RequestId;
 use medlarlanding_core::{ErrorKind, Result};
 
 use ntex::http::StatusCode;
@@ -12,7 +13,9 @@
 use serde_json::Value;
 
 use crate::backends::service::{self, ServiceAnswer};
+use crate::trace::TraceStep;
 
+use super::answers::REQUEST_HEADER;
 use super::callers::{CallerContext, CallerRequest, Context};
 use super::reading::parse_json;
 
@@ -23,23 +26,26 @@
 
 /// Handles `POST /v1/desks/{desk}/lookups`.
 pub async fn look_up(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request) {
+    let accepted = match context.accept(&request, ENDPOINT) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
     match serve(&context, &accepted, payload).await {
         Ok(answer) => {
             context.shared.count_result(ENDPOINT, "whole");
-            pass_on(&answer)
+            pass_on(&answer, accepted.id)
         },
         Err(error) => context.refuse(ENDPOINT, &error, Some(accepted.id)),
     }
 }
 
 /// Builds the caller's answer from a plain service's answer.
-pub fn pass_on(answer: &ServiceAnswer) -> HttpResponse {
+pub fn pass_on(answer: &ServiceAnswer, request: RequestId) -> HttpResponse {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    HttpResponse::build(status).content_type("application/json").body(answer.body.clone())
+    HttpResponse::build(status)
+        .header(REQUEST_HEADER, request.to_string())
+        .content_type("application/json")
+        .body(answer.body.clone())
 }
 
 async fn serve(
@@ -69,6 +75,7 @@
             return Err(ErrorKind::DeadlineNotRun.into());
         }
         let timeout = remaining / ATTEMPT_FRACTION;
+        context.shared.trace(accepted.id, TraceStep::Sent { server: server.name.clone() });
         match service::look_up(&context.client, server.address, &body, timeout).await {
             Ok(answer) if answer.status < 500 => {
                 context.shared.earn_retry();
--- a/medlarlanding/src/http/orders.rs
+++ b/medlarlanding/src/http/orders.rs
@@ -26,6 +26,7 @@
 use crate::instance::{DeskAccess, InstanceShared};
 use crate::logging::event;
 use crate::runtime::waiters::{OrderSignal, QueryResult};
+use crate::trace::TraceStep;
 
 use super::callers::{CallerContext, CallerRequest, Context};
 use super::lookups::pass_on;
@@ -40,7 +41,7 @@
 
 /// Handles `POST /v1/desks/{desk}/orders`.
 pub async fn submit(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request) {
+    let accepted = match context.accept(&request, ENDPOINT) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
@@ -54,7 +55,7 @@
 
 /// Handles `GET /v1/desks/{desk}/orders/{key}`.
 pub async fn query(request: HttpRequest, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request) {
+    let accepted = match context.accept(&request, ENDPOINT) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
@@ -72,7 +73,7 @@
 
 /// Handles `POST /v1/desks/{desk}/order-keys`.
 pub async fn mint(request: HttpRequest, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request) {
+    let accepted = match context.accept(&request, ENDPOINT) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
@@ -164,7 +165,7 @@
     match answer {
         OrderAnswer::Answered { status, body, .. } => {
             context.shared.count_result(ENDPOINT, "whole");
-            pass_on(&ServiceAnswer { status: *status, body: body.clone() })
+            pass_on(&ServiceAnswer { status: *status, body: body.clone() }, request)
         },
         OrderAnswer::AnswerLost { status } => {
             context.shared.count_result(ENDPOINT, "whole");
@@ -193,6 +194,7 @@
         while let Some(signal) = signals.recv().await {
             match signal {
                 OrderSignal::Run { key, fence, permit_deadline } => {
+                    self.shared.trace(self.request, TraceStep::Claimed { fence });
                     let result = self.send(key, fence, permit_deadline).await;
                     let finished = OrderInput::Finished { order: self.order, result };
                     let _ = self.shared.apply(NodeInput::Order(finished));
@@ -215,6 +217,8 @@
             if !std::mem::replace(&mut sent, true) {
                 let _ = self.shared.apply(NodeInput::Order(OrderInput::Sent { order: self.order }));
             }
+            let step = TraceStep::Sent { server: server.name.clone() };
+            self.shared.trace(self.request, step);
             event(EventKind::OrderSent, &[&self.request, &server.name, &key]);
             let timeout = self.deadline.since(now);
             let (client, body) = (&self.client, &self.body);
--- a/medlarlanding/src/instance.rs
+++ b/medlarlanding/src/instance.rs
@@ -28,6 +28,7 @@
 use crate::runtime::links::NodeLinks;
 use crate::runtime::waiters::WaiterTable;
 use crate::settings::InstanceSettings;
+use crate::trace::{TraceRing, TraceStep};
 
 /// A configuration tree with its version.
 #[derive(Debug)]
@@ -57,6 +58,11 @@
         &self.active.tree[self.customer]
     }
 
+    /// Gets the configuration version of the tree.
+    pub fn version(&self) -> u64 {
+        self.active.version
+    }
+
     /// Gets a route of the tree.
     pub fn route(&self, route: RouteKey) -> &RouteConfig {
         &self.active.tree[route]
@@ -91,6 +97,8 @@
     pub links: NodeLinks,
     /// Requests that wait for a decision of the node.
     pub waiters: WaiterTable,
+    /// Recent steps of requests.
+    pub traces: TraceRing,
     /// Wakes the ticker after each input of the node.
     pub ticker: Notify,
     node: Mutex<EntryNode>,
@@ -129,6 +137,7 @@
             gate,
             links: NodeLinks::default(),
             waiters: WaiterTable::default(),
+            traces: TraceRing::default(),
             ticker: Notify::new(),
             node: Mutex::new(node),
             active: RwLock::new(None),
@@ -204,9 +213,27 @@
         self.metrics.requests.with_label_values(&[endpoint, result]).inc();
     }
 
-    /// Counts and logs a refusal.
+    /// Records a step of a request.
+    pub fn trace(&self, request: RequestId, step: TraceStep) {
+        self.traces.record(request, self.clock.now(), step);
+    }
+
+    /// Gets the name of a server, or its id if the configuration does not name it.
+    pub fn server_name(&self, server: ServerId) -> String {
+        let active = self.active();
+        let key = active.as_ref().and_then(|active| active.tree.server_by_id(server));
+        match (active, key) {
+            (Some(active), Some(key)) => active.tree[key].name.clone(),
+            _ => server.to_string(),
+        }
+    }
+
+    /// Counts, records and logs a refusal.
     pub fn count_refusal(&self, endpoint: &str, error: &ServeError, request: Option<RequestId>) {
         let descriptor = error.kind.descriptor();
+        if let Some(request) = request {
+            self.trace(request, TraceStep::Refused { kind: descriptor.code });
+        }
         self.count_result(endpoint, "refused");
         self.metrics.refusals.with_label_values(&[descriptor.code]).inc();
         let request = request.map_or_else(|| "-".to_owned(), |request| request.to_string());
@@ -262,7 +289,9 @@
     pub fn dump(&self, request: Option<&str>) -> serde_json::Value {
         let node = self.node().dump(self.clock.now());
         if let Some(request) = request {
-            return request_decisions(&node, request);
+            let mut decisions = request_decisions(&node, request);
+            decisions["steps"] = json!(self.traces.steps_of(request));
+            return decisions;
         }
         let active = self.active();
         json!({
@@ -273,7 +302,11 @@
                 "uptime_ms": self.clock.now().as_millis(),
                 "ready": self.is_ready(),
             },
-            "requests": { "open": self.gate.open(), "draining": self.gate.draining() },
+            "requests": {
+                "open": self.gate.open(),
+                "draining": self.gate.draining(),
+                "recorded_steps": self.traces.len(),
+            },
             "retries": self.budget().dump(),
             "configuration": active.as_ref().map(|active| json!({
                 "version": active.version, "tree": active.tree,
--- a/medlarlanding/src/lib.rs
+++ b/medlarlanding/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod serve;
 pub mod settings;
 pub mod supervisor;
+pub mod trace;
