Tell a superseded stream from a broken one

Cause: the engine closed the earlier stream without a word when a generation was resumed elsewhere, so a session that still had its caller would resume in turn and take the stream back, up to its limit of 16 resumes. Ruled out: guessing from the order of attachments, which the earlier session does not see.

--- a/medlarlanding-bench/src/stand_ins/engine.rs
+++ b/medlarlanding-bench/src/stand_ins/engine.rs
@@ -139,6 +139,8 @@
 enum StreamItem {
     Token(u32),
     Ended { tokens: u32, finish: FinishReason },
+    /// A later attachment took the stream.
+    Superseded,
 }
 
 #[derive(Debug)]
@@ -195,8 +197,12 @@
                     }
                 },
                 // A stream whose sender is gone breaks its connection.
-                EngineOutput::Gone { request, .. } => {
-                    self.streams.remove(&request);
+                EngineOutput::Gone { request, reason, .. } => {
+                    if let Some(stream) = self.streams.remove(&request)
+                        && reason == GoneReason::Superseded
+                    {
+                        let _ = stream.send(StreamItem::Superseded);
+                    }
                 },
                 EngineOutput::Cache { number, prefix, stored } => {
                     self.cache_events.push_back(CacheEvent { number, prefix, stored });
@@ -724,6 +730,11 @@
                 let _ = write!(text, "event: end\ndata: {data}\n\n");
                 self.ended = true;
             },
+            StreamItem::Superseded => {
+                let data = json!({"generation": self.attached.name});
+                let _ = write!(text, "event: superseded\ndata: {data}\n\n");
+                self.ended = true;
+            },
         }
     }
 }
