--- a/medlarlanding-bench/src/stand_ins/engine.rs
+++ b/medlarlanding-bench/src/stand_ins/engine.rs
@@ -138,7 +138,10 @@
 #[derive(Clone, Copy, Debug)]
 enum StreamItem {
     Token(u32),
-    Ended { tokens: u32, finish: FinishReason },
+    Ended {
+        tokens: u32,
+        finish: FinishReason,
+    },
     /// A later attachment took the stream.
     Superseded,
 }
