Command engines to hold the models that the tree names

Engines accept commands to load models, but nothing sent them. The account manager of an engine now brings it to the target state: fencing numbers rise with the configuration version, engines that ignore them are never told to unload, and loads are spaced so that the fleet stays within the weight store's rate. Ruled out: outbidding a number of a newer configuration.

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -86,6 +86,8 @@
     403 GenerationLost Warn "generation_lost" ["request", "server"];
     /// A backend server is suspected.
     404 ServerSuspected Warn "server_suspected" ["server", "reason"];
+    /// An engine was commanded.
+    405 EngineCommanded Info "engine_commanded" ["server", "action", "model", "fence", "outcome"];
     /// An order was sent to its plain service.
     500 OrderSent Info "order_sent" ["request", "server", "key"];
     /// An order's outcome is unknown.
--- a/medlarlanding-core/src/lib.rs
+++ b/medlarlanding-core/src/lib.rs
@@ -11,6 +11,7 @@
 mod derives;
 
 pub mod admission;
+pub mod commands;
 pub mod config;
 pub mod distribution;
 pub mod errors;
--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -12,6 +12,9 @@
     AdmissionController, AdmissionDump, AdmissionEffect, AdmissionInput, AdmissionParams,
     ServerCapacity,
 };
+use crate::commands::{
+    CommandEffect, CommandInput, CommandParams, CommanderDump, EngineCommander, EngineTarget,
+};
 use crate::distribution::{
     ConfigDistributor, DistributionDump, DistributionEffect, DistributionInput, DistributionParams,
     PlatformAnswer, Subject,
@@ -41,6 +44,8 @@
     pub orders: OrderParams,
     /// Admission and routing.
     pub admission: AdmissionParams,
+    /// Commands to engines.
+    pub commands: CommandParams,
 }
 
 /// Inputs of an [`EntryNode`].
@@ -65,7 +70,16 @@
     /// A frame could not be delivered over a connection.
     Unreached(InstanceId),
     /// Model engines of the configuration in effect.
-    Engines(Vec<ServerCapacity>),
+    Engines {
+        /// Configuration version.
+        version: u64,
+        /// Capacities, for admission.
+        capacities: Vec<ServerCapacity>,
+        /// Target states.
+        targets: Vec<EngineTarget>,
+    },
+    /// Input for commands to engines.
+    Command(CommandInput),
     /// A backend server was seen to leave, or to be back.
     MarkServer {
         /// The backend server.
@@ -117,6 +131,8 @@
     },
     /// Effect of admission, never `Send`.
     Admission(AdmissionEffect),
+    /// Send a command to an engine.
+    Command(CommandEffect),
     /// Effect of orders, never `Send`.
     Order(OrderEffect),
     /// The set of leaving backend servers changed.
@@ -163,6 +179,8 @@
     pub orders: OrderDump,
     /// Admission and routing.
     pub admission: AdmissionDump,
+    /// Commands to engines.
+    pub commands: CommanderDump,
 }
 
 /// State machine of one instance.
@@ -173,7 +191,8 @@
     distributor: ConfigDistributor,
     orders: OrderCoordinator,
     admission: AdmissionController,
-    engines: Vec<ServerCapacity>,
+    commander: EngineCommander,
+    capacities: Vec<ServerCapacity>,
     /// Whether orders wait for fresh views: at the start and after a pause, until peers were
     /// asked for the instance list.
     stale_views: bool,
@@ -205,6 +224,7 @@
         );
         let orders = OrderCoordinator::new(params.orders, identity, signer, rng.random());
         let admission = AdmissionController::new(params.admission, identity, rng.random());
+        let commander = EngineCommander::new(params.commands, own.id);
         Self {
             own,
             identity,
@@ -212,7 +232,8 @@
             distributor,
             orders,
             admission,
-            engines: Vec::new(),
+            commander,
+            capacities: Vec::new(),
             stale_views: true,
         }
     }
@@ -247,10 +268,13 @@
             NodeInput::Unreached(peer) => {
                 self.distribute(now, DistributionInput::Unreached { peer }, effects);
             },
-            NodeInput::Engines(engines) => {
-                self.engines = engines;
+            NodeInput::Engines { version, capacities, targets } => {
+                self.capacities = capacities;
                 self.refresh_engines(now, effects);
+                let input = CommandInput::Targets { version, engines: targets };
+                self.command(now, input, effects);
             },
+            NodeInput::Command(input) => self.command(now, input, effects),
             NodeInput::MarkServer { server, leaving } => {
                 self.detect(now, MembershipInput::MarkServer { server, leaving }, effects);
             },
@@ -273,6 +297,7 @@
             self.distributor.next_wakeup(),
             self.orders.next_wakeup(),
             self.admission.next_wakeup(),
+            self.commander.next_wakeup(),
         ]
         .into_iter()
         .fold(None, Timestamp::earliest)
@@ -285,6 +310,7 @@
             distribution: self.distributor.dump(now),
             orders: self.orders.dump(),
             admission: self.admission.dump(),
+            commands: self.commander.dump(),
         }
     }
 
@@ -364,6 +390,9 @@
         if due(self.admission.next_wakeup()) {
             self.admit(now, AdmissionInput::Tick, effects);
         }
+        if due(self.commander.next_wakeup()) {
+            self.command(now, CommandInput::Tick, effects);
+        }
     }
 
     fn detect(&mut self, now: Timestamp, input: MembershipInput, effects: &mut Vec<NodeEffect>) {
@@ -389,6 +418,7 @@
                 },
                 MembershipEffect::Paused(_) => {
                     self.stale_views = true;
+                    self.command(now, CommandInput::Stale(true), effects);
                     self.order(now, OrderInput::Woke, effects);
                     self.distribute(now, DistributionInput::Woke, effects);
                 },
@@ -433,6 +463,7 @@
                 },
                 DistributionEffect::Current(current) => {
                     self.stale_views = !current;
+                    self.command(now, CommandInput::Stale(!current), effects);
                     self.refresh_order_view(now, effects);
                 },
                 DistributionEffect::Event { kind, fields } => {
@@ -470,6 +501,12 @@
         }
     }
 
+    fn command(&mut self, now: Timestamp, input: CommandInput, effects: &mut Vec<NodeEffect>) {
+        let mut results = Vec::new();
+        self.commander.handle(now, input, &mut results);
+        effects.extend(results.into_iter().map(NodeEffect::Command));
+    }
+
     fn send(
         &self,
         to: InstanceId,
@@ -494,13 +531,15 @@
         self.distribute(now, DistributionInput::Peers { known, live }, effects);
         // A leaving instance hands its accounts over while it still responds; it stays in its
         // own view so that it can use its local share until it ends.
-        let managers = self
+        let managers: Vec<_> = self
             .membership
             .live()
             .filter(|member| !member.leaving)
             .map(|member| member.identity)
             .chain([self.identity])
             .collect();
+        let ids = managers.iter().map(|manager| manager.id).collect();
+        self.command(now, CommandInput::Live(ids), effects);
         self.admit(now, AdmissionInput::Live(managers), effects);
         self.refresh_order_view(now, effects);
     }
@@ -517,7 +556,7 @@
 
     fn refresh_engines(&mut self, now: Timestamp, effects: &mut Vec<NodeEffect>) {
         let engines = self
-            .engines
+            .capacities
             .iter()
             .map(|&engine| ServerCapacity {
                 accepting: engine.accepting && !self.membership.is_server_leaving(engine.server),
--- a/medlarlanding/src/backends/engine.rs
+++ b/medlarlanding/src/backends/engine.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use medlarlanding_core::commands::{CommandAction, CommandResult};
+use medlarlanding_core::config::ModelVersion;
 use medlarlanding_core::generations::ExchangeId;
 
 use ntex::client::error::ClientError;
@@ -20,6 +22,10 @@
 ///
 /// An engine sends the headers when it accepts the generation, before prefill.
 const HEADERS_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time for a command; a load may read its weights first.
+const COMMAND_TIMEOUT: Duration = Duration::from_secs(25);
+/// Largest answer to a command in bytes.
+const COMMAND_ANSWER_LIMIT: usize = 64 << 10;
 /// Attachment number above any that an engine gives; cancels whatever is attached.
 pub const ANY_ATTACHMENT: u64 = u32::MAX as u64;
 /// Longest time for a cancellation.
@@ -249,3 +255,55 @@
         .map(drop)
         .map_err(|error| ExchangeFault::from_client(&error))
 }
+
+#[derive(Serialize)]
+struct CommandBody<'a> {
+    fence: u64,
+    action: &'static str,
+    model: &'a str,
+    version: &'a str,
+}
+
+#[derive(Deserialize)]
+struct CommandAnswer {
+    fence: u64,
+    /// Model versions as `MODEL@VERSION`; absent in a refusal.
+    #[serde(default)]
+    loaded: Vec<String>,
+}
+
+/// Sends a command with a fencing number.
+pub async fn command(
+    client: &Client,
+    address: SocketAddr,
+    fence: u64,
+    action: CommandAction,
+    model: &ModelVersion,
+) -> CommandResult {
+    let body = CommandBody {
+        fence,
+        action: action.as_str(),
+        model: &model.model,
+        version: &model.version,
+    };
+    let command = request(client, Method::POST, address, "/v1/admin/orders", COMMAND_TIMEOUT);
+    let Ok(answer) = command.send_json(&body).await else { return CommandResult::Failed };
+    let status = answer.status().as_u16();
+    let Ok(answer) = answer.json::<CommandAnswer>().limit(COMMAND_ANSWER_LIMIT).await else {
+        return CommandResult::Failed;
+    };
+    match status {
+        200 => CommandResult::Done {
+            loaded: answer
+                .loaded
+                .iter()
+                .filter_map(|name| {
+                    let (model, version) = name.split_once('@')?;
+                    Some(ModelVersion { model: model.to_owned(), version: version.to_owned() })
+                })
+                .collect(),
+        },
+        409 => CommandResult::Fenced { seen: answer.fence },
+        _ => CommandResult::Failed,
+    }
+}
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -144,9 +144,13 @@
 
     async fn perform(&mut self, effect: SessionEffect) {
         match effect {
-            SessionEffect::Open { exchange, server } => match self.plan.order.clone() {
-                Some(order) => self.begin(exchange, server, ExchangeStart::Open(order)),
-                None => debug_assert!(false, "an adopted generation is not started again"),
+            SessionEffect::Open { exchange, server } => {
+                let name = self.shared.server_name(server);
+                self.trace(TraceStep::Opened { exchange, server: name });
+                match self.plan.order.clone() {
+                    Some(order) => self.begin(exchange, server, ExchangeStart::Open(order)),
+                    None => debug_assert!(false, "an adopted generation is not started again"),
+                }
             },
             SessionEffect::Resume { exchange, server, generation, after } => {
                 self.shared.metrics.resumes.inc();
--- a/medlarlanding/src/instance.rs
+++ b/medlarlanding/src/instance.rs
@@ -315,6 +315,7 @@
             "distribution": node.distribution,
             "orders": node.orders,
             "admission": node.admission,
+            "commands": node.commands,
         })
     }
 }
--- /dev/null
+++ b/medlarlanding/src/runtime/commands.rs
@@ -0,0 +1,47 @@
+//! Sends commands to engines.
+
+use std::sync::Arc;
+
+use medlarlanding_core::commands::{CommandEffect, CommandInput, CommandResult};
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::node::NodeInput;
+
+use ntex::client::Client;
+
+use crate::backends::connection::build_client;
+use crate::backends::engine;
+use crate::instance::InstanceShared;
+use crate::logging::event;
+
+/// Sends commands until the process ends.
+///
+/// # Errors
+///
+/// Fails if the HTTP client cannot be built.
+pub async fn run(shared: Arc<InstanceShared>) -> anyhow::Result<()> {
+    let client = build_client().await?;
+    let mut commands = shared.links.commands.receiver().await;
+    while let Some(command) = commands.recv().await {
+        ntex::rt::spawn(send(shared.clone(), client.clone(), command)).detach();
+    }
+    Ok(())
+}
+
+async fn send(shared: Arc<InstanceShared>, client: Client, command: CommandEffect) {
+    let CommandEffect::Send { server, fence, action, model } = command;
+    let result = match shared.server_address(server) {
+        Some(address) => engine::command(&client, address, fence, action, &model).await,
+        None => CommandResult::Failed,
+    };
+    let outcome = match &result {
+        CommandResult::Done { .. } => "done",
+        CommandResult::Fenced { .. } => "fenced",
+        CommandResult::Failed => "failed",
+    };
+    let name = format!("{}@{}", model.model, model.version);
+    event(
+        EventKind::EngineCommanded,
+        &[&shared.server_name(server), &action.as_str(), &name, &fence, &outcome],
+    );
+    let _ = shared.apply(NodeInput::Command(CommandInput::Finished { server, fence, result }));
+}
--- a/medlarlanding/src/runtime/links.rs
+++ b/medlarlanding/src/runtime/links.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use medlarlanding_core::commands::CommandEffect;
 use medlarlanding_core::distribution::Subject;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::ids::InstanceId;
@@ -65,6 +66,8 @@
     streams: ChildQueue<OutboundFrame>,
     /// Calls on the platform.
     pub platform: ChildQueue<PlatformCommand>,
+    /// Commands to engines.
+    pub commands: ChildQueue<CommandEffect>,
 }
 
 impl Default for NodeLinks {
@@ -73,6 +76,7 @@
             datagrams: ChildQueue::new(DATAGRAM_QUEUE),
             streams: ChildQueue::new(STREAM_QUEUE),
             platform: ChildQueue::new(64),
+            commands: ChildQueue::new(256),
         }
     }
 }
@@ -87,6 +91,11 @@
         queue.sender.try_send(outbound).is_ok()
     }
 
+    /// Queues a command to an engine. Returns whether there was room.
+    pub fn command_engine(&self, command: CommandEffect) -> bool {
+        self.commands.sender.try_send(command).is_ok()
+    }
+
     /// Queues a call on the platform.
     pub fn command(&self, command: PlatformCommand) -> bool {
         self.platform.sender.try_send(command).is_ok()
--- a/medlarlanding/src/runtime/mod.rs
+++ b/medlarlanding/src/runtime/mod.rs
@@ -1,5 +1,6 @@
 //! Drives the node: performs its effects and feeds it frames, answers and time.
 
+pub mod commands;
 pub mod links;
 pub mod node;
 pub mod platform;
--- a/medlarlanding/src/runtime/node.rs
+++ b/medlarlanding/src/runtime/node.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 
 use medlarlanding_core::admission::{AdmissionInput, ServerCapacity};
+use medlarlanding_core::commands::{
+    CommandEffect, CommandInput, CommandParams, CommandResult, EngineTarget,
+};
 use medlarlanding_core::config::{ConfigTree, ServerState};
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::ids::{InstanceId, ZoneId};
@@ -41,7 +44,9 @@
         sync_retry_max: step / 2,
         ..OrderParams::default()
     };
-    NodeParams { orders, ..NodeParams::default() }
+    let loads_per_minute = settings.limits.weight_loads_per_minute;
+    let commands = CommandParams { loads_per_minute, ..CommandParams::default() };
+    NodeParams { orders, commands, ..NodeParams::default() }
 }
 
 /// Builds the entry of this instance.
@@ -134,6 +139,14 @@
                     inputs.push_back(NodeInput::Admission(finished));
                 }
             },
+            NodeEffect::Command(command) => {
+                if !self.links.command_engine(command.clone()) {
+                    let CommandEffect::Send { server, fence, .. } = command;
+                    let result = CommandResult::Failed;
+                    let finished = CommandInput::Finished { server, fence, result };
+                    inputs.push_back(NodeInput::Command(finished));
+                }
+            },
             NodeEffect::Order(effect) => self.waiters.settle_order(effect),
             NodeEffect::ServersMarked => {},
             NodeEffect::Event { kind, fields } => event_fields(kind, &fields),
@@ -143,7 +156,8 @@
     fn validate(&self, version: u64, text: &str, inputs: &mut VecDeque<NodeInput>) {
         let accepted = match ConfigTree::parse(text) {
             Ok(tree) => {
-                inputs.push_back(NodeInput::Engines(engines(&tree)));
+                let (capacities, targets) = (capacities(&tree), targets(&tree));
+                inputs.push_back(NodeInput::Engines { version, capacities, targets });
                 self.activate(ActiveTree { version, tree });
                 true
             },
@@ -157,7 +171,7 @@
     }
 }
 
-fn engines(tree: &ConfigTree) -> Vec<ServerCapacity> {
+fn capacities(tree: &ConfigTree) -> Vec<ServerCapacity> {
     tree.servers()
         .filter_map(|(_, server)| {
             let engine = server.engine()?;
@@ -171,6 +185,19 @@
         .collect()
 }
 
+fn targets(tree: &ConfigTree) -> Vec<EngineTarget> {
+    tree.servers()
+        .filter_map(|(_, server)| {
+            let engine = server.engine()?;
+            Some(EngineTarget {
+                server: server.id,
+                models: engine.models.clone(),
+                checks_fencing: engine.checks_fencing,
+            })
+        })
+        .collect()
+}
+
 /// Calls the node at its wake-up times until the process ends.
 ///
 /// # Errors
--- a/medlarlanding/src/serve.rs
+++ b/medlarlanding/src/serve.rs
@@ -17,7 +17,7 @@
 use crate::http::{admin, callers};
 use crate::instance::InstanceShared;
 use crate::logging::event;
-use crate::runtime::{links, node, platform};
+use crate::runtime::{commands, links, node, platform};
 use crate::settings::InstanceSettings;
 use crate::supervisor::{ChildSupervisor, RestartParams};
 
@@ -65,6 +65,8 @@
     let child = shared.clone();
     supervisor.spawn("platform", move || Box::pin(platform::run(child.clone())));
     let child = shared.clone();
+    supervisor.spawn("commands", move || Box::pin(commands::run(child.clone())));
+    let child = shared.clone();
     supervisor.spawn("ticker", move || Box::pin(node::tick(child.clone())));
     shared.start_node();
 
--- a/medlarlanding/src/settings.rs
+++ b/medlarlanding/src/settings.rs
@@ -92,6 +92,8 @@
     pub connections: usize,
     /// Time for which a generation is kept after its caller disconnected, in milliseconds.
     pub resume_grace_ms: u64,
+    /// Loads per minute that the weight store allows over all instances; equal on all.
+    pub weight_loads_per_minute: u32,
     /// Longest time that a drain waits for requests in progress, in milliseconds.
     pub drain_ms: u64,
 }
@@ -105,6 +107,7 @@
             open_requests: 4_096,
             connections: 8_192,
             resume_grace_ms: 10_000,
+            weight_loads_per_minute: 60,
             // A request in progress ends at its own deadline, which is at most a day.
             drain_ms: 86_400_000,
         }
