--- a/medlarlanding-bench/src/stand_ins/engine.rs
+++ b/medlarlanding-bench/src/stand_ins/engine.rs
@@ -79,7 +79,8 @@
     pub params: EngineParams,
     /// Seed of lengths and event losses.
     pub seed: u64,
-    /// Median of the output lengths, which are log-normal and thus heavy-tailed.
+    /// Median of the output lengths, which are log-normal and thus heavy-tailed. A request
+    /// can set its own length with the header `x-test-tokens` or `#tokens=N` in its prompt.
     pub length_median: f64,
     /// Standard deviation of the logarithm of the output lengths.
     pub length_sigma: f64,
@@ -480,7 +481,8 @@
         Ok(body) => body,
         Err(answer) => return answer,
     };
-    let wanted = header(&request, "x-test-tokens").and_then(|tokens| tokens.parse().ok());
+    let wanted = header(&request, "x-test-tokens").or_else(|| prompted_tokens(&body.prompt));
+    let wanted = wanted.and_then(|tokens| tokens.parse().ok());
     let opened = {
         let mut guard = state.lock();
         let work = &mut *guard;
@@ -507,6 +509,13 @@
     answer_stream(&state, age, opened)
 }
 
+/// Gets the output length that a prompt asks for with `#tokens=N `. To the system under
+/// test the prompt is opaque, so the length stays unknown to it.
+fn prompted_tokens(prompt: &str) -> Option<&str> {
+    let (_, rest) = prompt.split_once("#tokens=")?;
+    rest.split_whitespace().next()
+}
+
 #[derive(Debug, Deserialize)]
 struct ResumeQuery {
     #[serde(default)]
