Add the demo and the cluster harness on loopback

Cause: the whole path needs one command that shows it, and tests need instances as processes next to stand-ins.

Change: Cluster starts platform, engines, plain services and instances, publishes tree and list, waits for readiness, and ends every process on drop. The demo sends both deployments' work, kills one of three instances in the middle, checks the invariants and stops the others with SIGTERM.

--- a/medlarlanding-bench/src/lib.rs
+++ b/medlarlanding-bench/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod client;
+pub mod cluster;
 pub mod demo;
 pub mod engine_model;
 pub mod experiment;
