Add randomised trials of orders in virtual time

Cause: the order subsystem was tried only with single failures.

Ruled out: weakening switches inside the shipped code; the deliberate faults are made on messages between the coordinators instead (forged grants, copies without records, providers whose fence is forgotten, a reused incarnation, doubt removed).

Change: order_trials draws arrivals and faults from a seed (crashes, pauses with and without a stopped clock, splits, loss, repeated and late datagrams, lagging lists, several list changes at once, platform outages, cold starts), runs this design, a pair, a ticket and delegation, and counts double executions, requests run but told not_run, answers that differ from the first, and wrong queries.

Before: no trials.

--- /dev/null
+++ b/medlarlanding-bench/src/order_trials/plan.rs
@@ -0,0 +1,296 @@
+//! Plan of one trial: arrivals and faults, drawn from a seed before the trial starts.
+//!
+//! Every design gets the same plan for the same seed.
+
+use std::time::Duration;
+
+use medlarlanding_core::orders::OrderParams;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+/// Time of the trial in microseconds.
+pub type TrialTime = u64;
+
+/// One second of the trial.
+pub const SECOND: TrialTime = 1_000_000;
+
+/// A fault or a change of the fleet.
+#[derive(Clone, Debug)]
+pub enum TrialFault {
+    /// The process of a node ends and loses its memory.
+    Crash { node: usize },
+    /// A node starts a new process, if it has none.
+    Start { node: usize },
+    /// A process stops for a while and then goes on with its old state. `clock_stops` tells
+    /// whether its clock misses the pause, as after the suspension of a virtual machine.
+    Pause { node: usize, length: TrialTime, clock_stops: bool },
+    /// Nodes of different sides cannot reach each other.
+    Split { sides: Vec<u8> },
+    /// All nodes reach each other again.
+    Heal,
+    /// Share of datagrams that are lost.
+    Loss { share: f64 },
+    /// The platform publishes the next list, with these nodes.
+    List { nodes: Vec<usize> },
+    /// A node reads the list with this probability per second.
+    ListLag { node: usize, fetch: f64 },
+    /// No node can read the list.
+    PlatformDown { down: bool },
+}
+
+/// A caller's order, under one idempotency key.
+#[derive(Clone, Debug)]
+pub struct PlannedOrder {
+    /// First submission.
+    pub at: TrialTime,
+    /// Node that receives it.
+    pub node: usize,
+    /// Whether the caller lets the system mint the key.
+    pub minted: bool,
+    /// Whether the order's service checks keys.
+    pub service_checks_keys: bool,
+    /// Further submissions with the same key: delay after the first, node, other body.
+    pub repeats: Vec<(TrialTime, usize, bool)>,
+    /// Queries for the outcome: delay after the first submission and node.
+    pub queries: Vec<(TrialTime, usize)>,
+}
+
+/// Arrivals and faults of one trial.
+#[derive(Clone, Debug)]
+pub struct TrialPlan {
+    /// The seed.
+    pub seed: u64,
+    /// Number of nodes, listed or not.
+    pub nodes: usize,
+    /// Nodes of the first list.
+    pub listed: Vec<usize>,
+    /// Limits and intervals of the order subsystem.
+    pub params: OrderParams,
+    /// Length of the quiet time before the first arrival.
+    pub warm_up: TrialTime,
+    /// End of arrivals and faults.
+    pub end: TrialTime,
+    /// Orders.
+    pub orders: Vec<PlannedOrder>,
+    /// Faults in order of time.
+    pub faults: Vec<(TrialTime, TrialFault)>,
+}
+
+/// Kinds of trials.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrialProfile {
+    /// No faults.
+    Calm,
+    /// Faults every few seconds, with the limits of the product.
+    Faulty,
+    /// Faults every few seconds, with short limits, so that retention, doubt, idle memory and
+    /// stale lists end within the trial.
+    ShortLimits,
+    /// Starts cold, without a quiet time, with short limits.
+    ColdStart,
+}
+
+impl TrialProfile {
+    /// All profiles.
+    pub const ALL: [Self; 4] = [Self::Calm, Self::Faulty, Self::ShortLimits, Self::ColdStart];
+
+    /// Returns the name used on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Calm => "calm",
+            Self::Faulty => "faulty",
+            Self::ShortLimits => "short-limits",
+            Self::ColdStart => "cold-start",
+        }
+    }
+
+    fn params(self) -> OrderParams {
+        let base = OrderParams { partitions: 12, ..OrderParams::default() };
+        match self {
+            Self::Calm | Self::Faulty => base,
+            Self::ShortLimits | Self::ColdStart => OrderParams {
+                retention: Duration::from_secs(20),
+                list_limit: Duration::from_secs(10),
+                idle_limit: Duration::from_secs(5),
+                permit_limit: Duration::from_secs(3),
+                empty_start: Duration::from_secs(3),
+                empty_start_step: Duration::from_secs(3),
+                ..base
+            },
+        }
+    }
+}
+
+impl TrialPlan {
+    /// Draws a plan of the given length.
+    pub fn draw(seed: u64, profile: TrialProfile, length: TrialTime) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let nodes = 9;
+        let listed: Vec<_> = (0..rng.random_range(4..=7)).collect();
+        let params = profile.params();
+        let warm_up = match profile {
+            TrialProfile::ColdStart => 2 * SECOND,
+            _ => params.doubt_limit().as_micros() as TrialTime + 60 * SECOND,
+        };
+        let end = warm_up + length;
+        let orders = draw_orders(&mut rng, nodes, warm_up, end);
+        let faults = match profile {
+            TrialProfile::Calm => Vec::new(),
+            _ => draw_faults(&mut rng, nodes, &listed, warm_up, end),
+        };
+        Self { seed, nodes, listed, params, warm_up, end, orders, faults }
+    }
+}
+
+fn draw_orders(
+    rng: &mut SmallRng,
+    nodes: usize,
+    start: TrialTime,
+    end: TrialTime,
+) -> Vec<PlannedOrder> {
+    let mut orders = Vec::new();
+    let mut at = start;
+    loop {
+        at += rng.random_range(1000..=250_000);
+        if at >= end {
+            return orders;
+        }
+        let mut repeats = Vec::new();
+        if rng.random_bool(0.3) {
+            for _ in 0..rng.random_range(1..=2) {
+                repeats.push((rng.random_range(0..=4000), rng.random_range(0..nodes), false));
+            }
+        }
+        if rng.random_bool(0.4) {
+            for _ in 0..rng.random_range(1..=3) {
+                let delay = rng.random_range(SECOND / 2..=30 * SECOND);
+                repeats.push((delay, rng.random_range(0..nodes), rng.random_bool(0.05)));
+            }
+        }
+        let mut queries = Vec::new();
+        if rng.random_bool(0.3) {
+            let delay = rng.random_range(0..=20 * SECOND);
+            queries.push((delay, rng.random_range(0..nodes)));
+        }
+        orders.push(PlannedOrder {
+            at,
+            node: rng.random_range(0..nodes),
+            minted: rng.random_bool(0.3),
+            service_checks_keys: rng.random_bool(0.1),
+            repeats,
+            queries,
+        });
+    }
+}
+
+fn draw_faults(
+    rng: &mut SmallRng,
+    nodes: usize,
+    listed: &[usize],
+    start: TrialTime,
+    end: TrialTime,
+) -> Vec<(TrialTime, TrialFault)> {
+    let mut faults = Vec::new();
+    let mut listed = listed.to_vec();
+    let mut at = start;
+    let pace = *[SECOND / 2, 2 * SECOND, 6 * SECOND].choose(rng).expect("paces");
+    loop {
+        at += rng.random_range(pace / 4..=pace * 2);
+        if at >= end {
+            break;
+        }
+        let node = rng.random_range(0..nodes);
+        match rng.random_range(0..100) {
+            0..25 => {
+                let down = rng.random_range(SECOND / 10..=8 * SECOND);
+                faults.push((at, TrialFault::Crash { node }));
+                faults.push((at + down, TrialFault::Start { node }));
+            },
+            25..40 => {
+                let length = rng.random_range(SECOND / 20..=12 * SECOND);
+                let clock_stops = rng.random_bool(0.2);
+                faults.push((at, TrialFault::Pause { node, length, clock_stops }));
+            },
+            40..52 => {
+                let sides = (0..nodes).map(|_| u8::from(rng.random_bool(0.4))).collect();
+                faults.push((at, TrialFault::Split { sides }));
+                let length = rng.random_range(SECOND / 2..=20 * SECOND);
+                faults.push((at + length, TrialFault::Heal));
+            },
+            52..60 => {
+                let share = rng.random_range(0.05..0.5);
+                faults.push((at, TrialFault::Loss { share }));
+                let length = rng.random_range(SECOND..=10 * SECOND);
+                faults.push((at + length, TrialFault::Loss { share: 0.01 }));
+            },
+            60..80 => {
+                // Several changes at once in a third of the cases.
+                let count = if rng.random_bool(0.33) { rng.random_range(2..=4) } else { 1 };
+                for step in 0..count {
+                    change_list(rng, nodes, &mut listed);
+                    let at = at + step * rng.random_range(0..=SECOND / 5);
+                    faults.push((at, TrialFault::List { nodes: listed.clone() }));
+                }
+            },
+            80..90 => {
+                faults.push((at, TrialFault::ListLag { node, fetch: 0.03 }));
+                let length = rng.random_range(3 * SECOND..=40 * SECOND);
+                faults.push((at + length, TrialFault::ListLag { node, fetch: 0.7 }));
+            },
+            90..95 => {
+                faults.push((at, TrialFault::PlatformDown { down: true }));
+                let length = rng.random_range(2 * SECOND..=25 * SECOND);
+                faults.push((at + length, TrialFault::PlatformDown { down: false }));
+            },
+            95..98 => {
+                // Two or three nodes fail at the same moment.
+                for _ in 0..rng.random_range(2..=3) {
+                    let node = rng.random_range(0..nodes);
+                    faults.push((at, TrialFault::Crash { node }));
+                    faults.push((
+                        at + rng.random_range(SECOND..=9 * SECOND),
+                        TrialFault::Start { node },
+                    ));
+                }
+            },
+            _ => {
+                if rng.random_bool(0.3) {
+                    for node in 0..nodes {
+                        faults.push((at, TrialFault::Crash { node }));
+                        let down = rng.random_range(0..=3 * SECOND);
+                        faults.push((at + down, TrialFault::Start { node }));
+                    }
+                }
+            },
+        }
+    }
+    // Everything recovers at the end, so that open orders are decided.
+    faults.push((end, TrialFault::Heal));
+    faults.push((end, TrialFault::Loss { share: 0.0 }));
+    faults.push((end, TrialFault::PlatformDown { down: false }));
+    for node in 0..nodes {
+        faults.push((end, TrialFault::Start { node }));
+        faults.push((end, TrialFault::ListLag { node, fetch: 0.9 }));
+    }
+    faults.sort_by_key(|&(at, _)| at);
+    faults
+}
+
+fn change_list(rng: &mut SmallRng, nodes: usize, listed: &mut Vec<usize>) {
+    let spare: Vec<_> = (0..nodes).filter(|node| !listed.contains(node)).collect();
+    let add = listed.len() <= 3 || (rng.random_bool(0.5) && !spare.is_empty());
+    if rng.random_bool(0.1) {
+        // Half of the fleet is replaced.
+        let keep = listed.len() / 2;
+        listed.truncate(keep.max(1));
+        listed.extend(spare.iter().take(3));
+    } else if add {
+        if let Some(&node) = spare.choose(rng) {
+            listed.push(node);
+        }
+    } else {
+        let at = rng.random_range(0..listed.len());
+        listed.remove(at);
+    }
+}
--- /dev/null
+++ b/medlarlanding-bench/src/order_trials/world.rs
@@ -0,0 +1,896 @@
+//! One trial in virtual time: nodes, network, platform, service and callers.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarlanding_core::ErrorKind;
+use medlarlanding_core::errors::RunState;
+use medlarlanding_core::handles::HandleSigner;
+use medlarlanding_core::ids::{
+    CustomerId, DeskId, Incarnation, InstanceId, InstanceIdentity, ZoneId,
+};
+use medlarlanding_core::orders::{
+    OrderAnswer, OrderId, OrderInput, OrderKey, OrderMessage, OrderResult, QueryId,
+};
+use medlarlanding_core::time::Timestamp;
+use medlarlanding_core::views::{InstanceEntry, InstanceList, InstanceState, ListVersion};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::machine::{TrialDesign, TrialEffect, TrialMachine, TrialMessage};
+use super::plan::{SECOND, TrialFault, TrialPlan, TrialTime};
+use super::report::TrialReport;
+use super::service::{FakeService, OrderIndex};
+use super::tamper::TrialTamper;
+
+const CUSTOMER: CustomerId = CustomerId(1);
+const DESK: DeskId = DeskId(2);
+/// Time for open orders to be decided after the last arrival.
+const COOL_DOWN: TrialTime = 30 * SECOND;
+/// Failure detection holds a process dead after this time without contact.
+const DEAD_AFTER: TrialTime = 4 * SECOND;
+/// Retries of a caller that was told that its order was not run.
+const CALLER_RETRIES: u32 = 3;
+/// The invariants of a machine are checked after one of this many inputs, because the check
+/// visits every record.
+const CHECK_EVERY: u64 = 64;
+
+#[derive(Clone, Debug)]
+enum TrialEvent {
+    Deliver {
+        to: usize,
+        to_started: Option<u64>,
+        from: InstanceIdentity,
+        message: TrialMessage,
+    },
+    Wake {
+        node: usize,
+        birth: TrialTime,
+    },
+    /// The node reads its list and its view of live processes.
+    Refresh {
+        node: usize,
+        birth: TrialTime,
+    },
+    Resume {
+        node: usize,
+        birth: TrialTime,
+    },
+    Submit {
+        order: OrderIndex,
+        node: usize,
+        other_body: bool,
+        retries: u32,
+        first: bool,
+    },
+    AskQuery {
+        order: OrderIndex,
+        node: usize,
+    },
+    /// The runtime of a node gets to send an order.
+    Dispatch {
+        node: usize,
+        birth: TrialTime,
+        order: OrderId,
+        key: OrderKey,
+        permit: Timestamp,
+    },
+    /// The order arrives at the service.
+    Arrive {
+        node: usize,
+        birth: TrialTime,
+        order: OrderId,
+        key: OrderKey,
+    },
+    Finish {
+        node: usize,
+        birth: TrialTime,
+        order: OrderId,
+        result: OrderResult,
+    },
+    Fault(usize),
+}
+
+struct Scheduled {
+    at: TrialTime,
+    number: u64,
+    event: TrialEvent,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// A running process.
+struct Process {
+    machine: TrialMachine,
+    identity: InstanceIdentity,
+    birth: TrialTime,
+    /// Time that its clock missed.
+    clock_lost: TrialTime,
+    /// Start of the present pause and whether the clock stops, if paused.
+    paused: Option<(TrialTime, bool)>,
+    /// Events that wait for the end of the pause.
+    stash: Vec<TrialEvent>,
+    wake_at: Option<TrialTime>,
+    list: Option<Arc<InstanceList>>,
+    confirmed: TrialTime,
+    /// Last contact per node, with the start time of its process.
+    contacts: HashMap<usize, (TrialTime, u64)>,
+    told: Option<(ListVersion, Vec<InstanceIdentity>)>,
+    inputs: u64,
+}
+
+struct Node {
+    id: InstanceId,
+    name: String,
+    zone: ZoneId,
+    last_started: u64,
+    process: Option<Process>,
+    fetch: f64,
+}
+
+/// One submission by a caller.
+struct Submission {
+    order: OrderIndex,
+    at: TrialTime,
+    first: bool,
+    retries: u32,
+    other_body: bool,
+    executed: bool,
+    answer: Option<OrderAnswer>,
+}
+
+/// One trial.
+pub struct TrialWorld<'a> {
+    plan: &'a TrialPlan,
+    design: TrialDesign,
+    tamper: TrialTamper,
+    now: TrialTime,
+    next_number: u64,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    rng: SmallRng,
+    nodes: Vec<Node>,
+    sides: Vec<u8>,
+    loss: f64,
+    platform_down: bool,
+    published: Arc<InstanceList>,
+    service: FakeService,
+    signer: HandleSigner,
+    /// Key text per order, once the caller has one.
+    keys: Vec<Option<String>>,
+    orders_by_key: HashMap<OrderKey, OrderIndex>,
+    submissions: HashMap<(usize, TrialTime, OrderId), Submission>,
+    /// Open queries: order and time.
+    queries: HashMap<(usize, TrialTime, QueryId), (OrderIndex, TrialTime)>,
+    /// Submissions that wait for a minted key.
+    minting: HashMap<(usize, TrialTime, QueryId), TrialEvent>,
+    next_order: u64,
+    report: TrialReport,
+}
+
+/// Runs one trial.
+pub fn run_trial(plan: &TrialPlan, design: TrialDesign, tamper: TrialTamper) -> TrialReport {
+    let mut world = TrialWorld::new(plan, design, tamper);
+    world.run();
+    world.finish()
+}
+
+impl<'a> TrialWorld<'a> {
+    fn new(plan: &'a TrialPlan, design: TrialDesign, tamper: TrialTamper) -> Self {
+        let nodes: Vec<_> = (0..plan.nodes)
+            .map(|node| {
+                let name = format!("node-{node}");
+                Node {
+                    id: InstanceId::from_name(&name),
+                    name,
+                    zone: ZoneId(node as u64 % 3),
+                    last_started: 0,
+                    process: None,
+                    fetch: 0.7,
+                }
+            })
+            .collect();
+        let mut world = Self {
+            plan,
+            design,
+            tamper,
+            now: 0,
+            next_number: 0,
+            queue: BinaryHeap::new(),
+            rng: SmallRng::seed_from_u64(plan.seed ^ 0x5eed),
+            sides: vec![0; plan.nodes],
+            nodes,
+            loss: 0.01,
+            platform_down: false,
+            published: Arc::default(),
+            service: FakeService::default(),
+            signer: HandleSigner::new("trial"),
+            keys: vec![None; plan.orders.len()],
+            orders_by_key: HashMap::new(),
+            submissions: HashMap::new(),
+            queries: HashMap::new(),
+            minting: HashMap::new(),
+            next_order: 0,
+            report: TrialReport { trials: 1, ..TrialReport::default() },
+        };
+        world.publish(&plan.listed);
+        for node in 0..plan.nodes {
+            world.start(node);
+        }
+        for (index, (at, _)) in plan.faults.iter().enumerate() {
+            world.schedule(*at, TrialEvent::Fault(index));
+        }
+        for (order, planned) in plan.orders.iter().enumerate() {
+            let event = |node, other_body, first| TrialEvent::Submit {
+                order,
+                node,
+                other_body,
+                retries: 0,
+                first,
+            };
+            world.schedule(planned.at, event(planned.node, false, true));
+            for &(delay, node, other_body) in &planned.repeats {
+                world.schedule(planned.at + delay, event(node, other_body, false));
+            }
+            for &(delay, node) in &planned.queries {
+                world.schedule(planned.at + delay, TrialEvent::AskQuery { order, node });
+            }
+        }
+        world
+    }
+
+    fn schedule(&mut self, at: TrialTime, event: TrialEvent) {
+        self.next_number += 1;
+        self.queue.push(Reverse(Scheduled { at, number: self.next_number, event }));
+    }
+
+    fn run(&mut self) {
+        let end = self.plan.end + COOL_DOWN;
+        while let Some(Reverse(next)) = self.queue.pop() {
+            if next.at > end {
+                break;
+            }
+            self.now = next.at;
+            self.step(next.event);
+        }
+    }
+
+    fn step(&mut self, event: TrialEvent) {
+        let node = match &event {
+            TrialEvent::Deliver { to, .. } => Some((*to, None)),
+            TrialEvent::Wake { node, birth }
+            | TrialEvent::Refresh { node, birth }
+            | TrialEvent::Dispatch { node, birth, .. }
+            | TrialEvent::Finish { node, birth, .. } => Some((*node, Some(*birth))),
+            TrialEvent::Submit { node, .. } | TrialEvent::AskQuery { node, .. } => {
+                Some((*node, None))
+            },
+            TrialEvent::Resume { .. } | TrialEvent::Arrive { .. } | TrialEvent::Fault(_) => None,
+        };
+        if let Some((node, birth)) = node {
+            let Some(process) = &mut self.nodes[node].process else {
+                self.without_process(&event);
+                return;
+            };
+            if birth.is_some_and(|birth| birth != process.birth) {
+                return;
+            }
+            if process.paused.is_some() {
+                process.stash.push(event);
+                return;
+            }
+        }
+        match event {
+            TrialEvent::Deliver { to, to_started, from, message } => {
+                self.receive(to, to_started, from, message);
+            },
+            TrialEvent::Wake { node, .. } => {
+                if let Some(process) = &mut self.nodes[node].process
+                    && process.wake_at.take().is_some()
+                {
+                    self.input(node, OrderInput::Tick);
+                }
+            },
+            TrialEvent::Refresh { node, birth } => {
+                self.refresh(node);
+                let pause = if self.now < self.plan.warm_up.saturating_sub(30 * SECOND) {
+                    // Nothing happens in the quiet time but the end of the first doubt.
+                    if self.now < 60 * SECOND { SECOND } else { 20 * SECOND }
+                } else {
+                    SECOND
+                };
+                let pause = pause.min(self.plan.params.list_limit.as_micros() as u64 / 3);
+                self.schedule(self.now + pause, TrialEvent::Refresh { node, birth });
+            },
+            TrialEvent::Resume { node, birth } => self.resume(node, birth),
+            TrialEvent::Submit { order, node, other_body, retries, first } => {
+                self.submit(order, node, other_body, retries, first);
+            },
+            TrialEvent::AskQuery { order, node } => self.ask(order, node),
+            TrialEvent::Dispatch { node, birth, order, key, permit } => {
+                self.dispatch(node, birth, order, key, permit);
+            },
+            TrialEvent::Arrive { node, birth, order, key } => self.arrive(node, birth, order, key),
+            TrialEvent::Finish { node, order, result, .. } => {
+                self.input(node, OrderInput::Finished { order, result });
+            },
+            TrialEvent::Fault(index) => self.fault(index),
+        }
+    }
+
+    /// A caller whose node has no process is refused by its load balancer and tries another.
+    fn without_process(&mut self, event: &TrialEvent) {
+        if let TrialEvent::Submit { order, node, other_body, retries, first } = *event
+            && retries < CALLER_RETRIES
+        {
+            let node = (node + 1) % self.plan.nodes;
+            let retries = retries + 1;
+            let event = TrialEvent::Submit { order, node, other_body, retries, first };
+            self.schedule(self.now + SECOND / 100, event);
+        }
+    }
+
+    // ---- processes
+
+    fn start(&mut self, node: usize) {
+        if self.nodes[node].process.is_some() {
+            return;
+        }
+        let slot = &mut self.nodes[node];
+        if self.tamper != TrialTamper::SameIncarnation || slot.last_started == 0 {
+            slot.last_started = (self.now / 1000).max(slot.last_started + 1);
+        }
+        let incarnation = Incarnation::new(slot.last_started);
+        let identity = InstanceIdentity { id: slot.id, incarnation };
+        let seed = self.rng.random();
+        slot.process = Some(Process {
+            machine: TrialMachine::new(self.design, &self.plan.params, identity, seed),
+            identity,
+            birth: self.now,
+            clock_lost: 0,
+            paused: None,
+            stash: Vec::new(),
+            wake_at: None,
+            list: None,
+            confirmed: 0,
+            contacts: HashMap::new(),
+            told: None,
+            inputs: 0,
+        });
+        let at = self.now + self.rng.random_range(1000..=300_000);
+        self.schedule(at, TrialEvent::Refresh { node, birth: self.now });
+    }
+
+    fn local_time(&self, node: usize) -> Option<Timestamp> {
+        let process = self.nodes[node].process.as_ref()?;
+        Some(Timestamp(self.now - process.birth - process.clock_lost))
+    }
+
+    fn input(&mut self, node: usize, input: OrderInput) {
+        let Some(now) = self.local_time(node) else { return };
+        let Some(process) = &mut self.nodes[node].process else { return };
+        let mut effects = Vec::new();
+        process.machine.handle(now, input, &mut effects);
+        self.after_input(node, effects);
+    }
+
+    fn receive(
+        &mut self,
+        node: usize,
+        to_started: Option<u64>,
+        from: InstanceIdentity,
+        message: TrialMessage,
+    ) {
+        let Some(now) = self.local_time(node) else { return };
+        let Some(process) = &mut self.nodes[node].process else { return };
+        if to_started.is_some_and(|started| started != process.identity.incarnation.started) {
+            return;
+        }
+        let mut effects = Vec::new();
+        if self.tamper.forgets(&message) {
+            process.machine.clone().receive(now, from, message, &mut effects);
+        } else {
+            for (from, message) in self.tamper.apply(from, message) {
+                process.machine.receive(now, from, message, &mut effects);
+            }
+        }
+        self.after_input(node, effects);
+    }
+
+    fn after_input(&mut self, node: usize, effects: Vec<TrialEffect>) {
+        let Some(process) = &mut self.nodes[node].process else { return };
+        process.inputs += 1;
+        if process.inputs.is_multiple_of(CHECK_EVERY)
+            && let Err(violation) = process.machine.check()
+        {
+            self.report.violations.push(format!("seed {}: {violation}", self.plan.seed));
+        }
+        for effect in effects {
+            self.perform(node, effect);
+        }
+        self.plan_wake(node);
+    }
+
+    fn plan_wake(&mut self, node: usize) {
+        let Some(process) = &mut self.nodes[node].process else { return };
+        let Some(next) = process.machine.next_wakeup() else { return };
+        let at = (next.0 + process.birth + process.clock_lost).max(self.now + 1);
+        if process.wake_at.is_none_or(|planned| at < planned) {
+            process.wake_at = Some(at);
+            let birth = process.birth;
+            self.schedule(at, TrialEvent::Wake { node, birth });
+        }
+    }
+
+    fn resume(&mut self, node: usize, birth: TrialTime) {
+        let now = self.now;
+        let woke_first = self.rng.random_bool(0.5);
+        let Some(process) = &mut self.nodes[node].process else { return };
+        let Some((since, clock_stops)) = process.paused.take().filter(|_| process.birth == birth)
+        else {
+            return;
+        };
+        if clock_stops {
+            process.clock_lost += now - since;
+        }
+        let stash = std::mem::take(&mut process.stash);
+        let long = now - since > 2 * SECOND;
+        process.told = None;
+        // A process can work off its sockets before its timer shows the pause.
+        if long && woke_first {
+            self.input(node, OrderInput::Woke);
+        }
+        for event in stash {
+            self.step(event);
+        }
+        if long && !woke_first {
+            self.input(node, OrderInput::Woke);
+        }
+        self.plan_wake(node);
+    }
+
+    // ---- views
+
+    fn publish(&mut self, listed: &[usize]) {
+        let version = ListVersion(self.published.version.0 + 1);
+        let address = ([127, 0, 0, 1], 1).into();
+        let entries = listed
+            .iter()
+            .map(|&node| InstanceEntry {
+                id: self.nodes[node].id,
+                name: self.nodes[node].name.clone(),
+                zone: self.nodes[node].zone,
+                state: InstanceState::Live,
+                udp: address,
+                tcp: address,
+            })
+            .collect();
+        self.published = Arc::new(InstanceList { version, entries });
+    }
+
+    fn refresh(&mut self, node: usize) {
+        let now = self.now;
+        let reachable: Vec<_> = (0..self.nodes.len())
+            .filter(|&other| other != node && self.sides[other] == self.sides[node])
+            .filter_map(|other| {
+                let process = self.nodes[other].process.as_ref()?;
+                process.paused.is_none().then_some((other, process.identity))
+            })
+            .collect();
+        // Now and then failure detection misses a process.
+        let missed = self.rng.random_bool(0.02).then(|| self.rng.random_range(0..self.nodes.len()));
+        let fetches = !self.platform_down && self.rng.random_bool(self.nodes[node].fetch);
+        let published = self.published.clone();
+        let ids: Vec<_> = self.nodes.iter().map(|node| node.id).collect();
+        let quiet = now < self.plan.warm_up;
+        let Some(process) = &mut self.nodes[node].process else { return };
+        for (other, identity) in reachable {
+            if Some(other) != missed {
+                process.contacts.insert(other, (now, identity.incarnation.started));
+            }
+        }
+        if fetches || process.list.is_none() && !self.platform_down {
+            process.list = Some(published);
+            process.confirmed = now;
+        }
+        let Some(list) = process.list.clone() else { return };
+        let dead_after = if quiet { 60 * SECOND } else { DEAD_AFTER };
+        let mut live: Vec<_> = process
+            .contacts
+            .iter()
+            .filter(|&(&other, &(at, _))| now - at <= dead_after && Some(other) != missed)
+            .map(|(&other, &(_, started))| InstanceIdentity {
+                id: ids[other],
+                incarnation: Incarnation::new(started),
+            })
+            .collect();
+        live.push(process.identity);
+        live.sort();
+        let told = Some((list.version, live.clone()));
+        let age = Duration::from_micros(now - process.confirmed);
+        if process.told == told {
+            self.input(node, OrderInput::ListConfirmed { age });
+        } else {
+            process.told = told;
+            self.input(node, OrderInput::View { list, live, list_age: age });
+        }
+    }
+
+    // ---- network and service
+
+    fn perform(&mut self, node: usize, effect: TrialEffect) {
+        let Some(process) = &self.nodes[node].process else { return };
+        let (identity, birth) = (process.identity, process.birth);
+        match effect {
+            TrialEffect::Send { to, reliable, message } => {
+                self.send(node, identity, to, reliable, message);
+            },
+            TrialEffect::Run { order, key, permit_deadline } => {
+                if let Some(submission) = self.submissions.get(&(node, birth, order)) {
+                    self.report.note_latency(self.now - submission.at);
+                }
+                let wait = match self.rng.random_range(0..100) {
+                    0 => self.rng.random_range(0..=3 * SECOND),
+                    _ => self.rng.random_range(0..=2000),
+                };
+                let event =
+                    TrialEvent::Dispatch { node, birth, order, key, permit: permit_deadline };
+                self.schedule(self.now + wait, event);
+            },
+            TrialEffect::Answer { order, answer } => self.answered(node, birth, order, answer),
+            TrialEffect::QueryAnswer { query, answer } => {
+                self.query_answered(node, birth, query, answer);
+            },
+            TrialEffect::Minted { query, key } => self.minted(node, birth, query, key),
+        }
+    }
+
+    fn send(
+        &mut self,
+        node: usize,
+        from: InstanceIdentity,
+        to: InstanceId,
+        reliable: bool,
+        message: TrialMessage,
+    ) {
+        if self.now >= self.plan.warm_up {
+            let copies = matches!(
+                message,
+                TrialMessage::Majority(
+                    OrderMessage::Pull(_)
+                        | OrderMessage::Copies(_)
+                        | OrderMessage::OtherLineage { .. }
+                ) | TrialMessage::Pair(
+                    super::pair::PairMessage::Pull { .. } | super::pair::PairMessage::Copies { .. }
+                )
+            );
+            if copies {
+                self.report.copy_messages += 1;
+            } else {
+                self.report.order_messages += 1;
+            }
+        }
+        let Some(target) = self.nodes.iter().position(|other| other.id == to) else { return };
+        if self.sides[target] != self.sides[node] {
+            return;
+        }
+        let loss = if reliable { 0.005 } else { self.loss };
+        if self.rng.random_bool(loss) {
+            return;
+        }
+        // Half of the senders know the process that they send to.
+        let known = self.nodes[node]
+            .process
+            .as_ref()
+            .and_then(|process| process.contacts.get(&target).map(|&(_, started)| started));
+        let to_started = known.filter(|_| self.rng.random_bool(0.5));
+        let copies = if !reliable && self.rng.random_bool(0.02) { 2 } else { 1 };
+        let same_zone = self.nodes[target].zone == self.nodes[node].zone;
+        for _ in 0..copies {
+            let base = if same_zone { 200 } else { 1000 };
+            let delay = match self.rng.random_range(0..1000) {
+                0 => self.rng.random_range(0..=10 * SECOND),
+                1..=20 => self.rng.random_range(base..=SECOND / 10),
+                _ => self.rng.random_range(base..=base * 3 / 2),
+            };
+            let message = message.clone();
+            let event = TrialEvent::Deliver { to: target, to_started, from, message };
+            self.schedule(self.now + delay, event);
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        node: usize,
+        birth: TrialTime,
+        order: OrderId,
+        key: OrderKey,
+        permit: Timestamp,
+    ) {
+        let refused = match self.local_time(node) {
+            Some(now) if now > permit => Some(ErrorKind::DeadlineNotRun),
+            _ if self.rng.random_bool(0.01) => Some(ErrorKind::NoBackend),
+            _ => None,
+        };
+        if let Some(kind) = refused {
+            let result = OrderResult::NotSent(kind);
+            self.input(node, OrderInput::Finished { order, result });
+            return;
+        }
+        self.input(node, OrderInput::Sent { order });
+        let delay = match self.rng.random_range(0..100) {
+            0..=1 => self.rng.random_range(0..=6 * SECOND),
+            _ => self.rng.random_range(300..=2000),
+        };
+        self.schedule(self.now + delay, TrialEvent::Arrive { node, birth, order, key });
+    }
+
+    fn arrive(&mut self, node: usize, birth: TrialTime, order: OrderId, key: OrderKey) {
+        let lost_before = self.rng.random_bool(0.005);
+        let lost_after = self.rng.random_bool(0.02);
+        let service_time = self.rng.random_range(1000..=30_000);
+        let timeout = self.rng.random_range(SECOND..=2 * SECOND);
+        let result = if lost_before {
+            None
+        } else if let Some(&index) = self.orders_by_key.get(&key) {
+            let checks = match self.design {
+                TrialDesign::DelegateChecked => true,
+                TrialDesign::DelegateUnchecked => false,
+                _ => self.plan.orders[index].service_checks_keys,
+            };
+            if let Some(submission) = self.submissions.get_mut(&(node, birth, order)) {
+                submission.executed = true;
+            }
+            Some(self.service.execute(self.now, index, checks))
+        } else {
+            None
+        };
+        let (at, result) = match result.filter(|_| !lost_after) {
+            Some(body) => (service_time, OrderResult::Answered { status: 200, body }),
+            None => (timeout, OrderResult::Unknown),
+        };
+        self.schedule(self.now + at, TrialEvent::Finish { node, birth, order, result });
+    }
+
+    // ---- callers
+
+    fn submit(
+        &mut self,
+        order: OrderIndex,
+        node: usize,
+        other_body: bool,
+        retries: u32,
+        first: bool,
+    ) {
+        let Some(birth) = self.nodes[node].process.as_ref().map(|process| process.birth) else {
+            return;
+        };
+        let planned = &self.plan.orders[order];
+        let Some(key) = self.keys[order].clone() else {
+            let mints = planned.minted || self.design == TrialDesign::Ticket;
+            if mints && self.design != TrialDesign::Pair {
+                self.next_order += 1;
+                let query = QueryId(self.next_order);
+                // The caller's two ways to the instance.
+                self.report.fetches += 1;
+                let event = TrialEvent::Submit { order, node, other_body, retries, first };
+                self.minting.insert((node, birth, query), event);
+                self.input(node, OrderInput::Mint { query, customer: CUSTOMER, desk: DESK });
+            } else {
+                self.set_key(order, format!("order-{order}"));
+                self.submit(order, node, other_body, retries, first);
+            }
+            return;
+        };
+        self.next_order += 1;
+        let id = OrderId(self.next_order);
+        self.submissions.insert(
+            (node, birth, id),
+            Submission {
+                order,
+                at: self.now,
+                first,
+                retries,
+                other_body,
+                executed: false,
+                answer: None,
+            },
+        );
+        let Some(now) = self.local_time(node) else { return };
+        let deadline = now + Duration::from_micros(self.rng.random_range(2 * SECOND..=5 * SECOND));
+        self.input(
+            node,
+            OrderInput::Submit {
+                order: id,
+                customer: CUSTOMER,
+                desk: DESK,
+                key,
+                body_digest: [u8::from(other_body); 32],
+                deadline,
+                service_checks_keys: planned.service_checks_keys,
+            },
+        );
+    }
+
+    fn set_key(&mut self, order: OrderIndex, key: String) {
+        let id = match self.signer.open_key(&key) {
+            Some(key) if self.design == TrialDesign::Majority => OrderKey::from_minted(&key),
+            _ => OrderKey::from_text(CUSTOMER, DESK, &key),
+        };
+        self.orders_by_key.insert(id, order);
+        self.keys[order] = Some(key);
+    }
+
+    fn minted(
+        &mut self,
+        node: usize,
+        birth: TrialTime,
+        query: QueryId,
+        key: Result<String, ErrorKind>,
+    ) {
+        let Some(event) = self.minting.remove(&(node, birth, query)) else { return };
+        let TrialEvent::Submit { order, .. } = event else { return };
+        if self.keys[order].is_none() {
+            // Without a minted key the caller makes its own.
+            self.set_key(order, key.unwrap_or_else(|_| format!("order-{order}")));
+        }
+        self.schedule(self.now + 2000, event);
+    }
+
+    fn answered(&mut self, node: usize, birth: TrialTime, id: OrderId, answer: OrderAnswer) {
+        let Some(submission) = self.submissions.get_mut(&(node, birth, id)) else { return };
+        if submission.answer.is_some() {
+            self.report
+                .violations
+                .push(format!("seed {}: order {} answered twice", self.plan.seed, id.0));
+            return;
+        }
+        let (order, retries, other_body) =
+            (submission.order, submission.retries, submission.other_body);
+        submission.answer = Some(answer.clone());
+        if submission.first {
+            self.report.note_answer(&answer, self.now - submission.at);
+        }
+        if let OrderAnswer::Answered { body, .. } = &answer {
+            let retention = self.plan.params.retention.as_micros() as TrialTime;
+            if !self.service.is_first_answer(order, body, retention) {
+                self.report.differing_answers += 1;
+                self.report
+                    .violations
+                    .push(format!("seed {}: order {order}: not the first answer", self.plan.seed));
+            }
+        }
+        let retry_after = match answer.run_state() {
+            RunState::NotRun => Some(self.rng.random_range(SECOND / 10..=2 * SECOND)),
+            RunState::OutcomeUnknown => Some(self.rng.random_range(SECOND..=6 * SECOND)),
+            RunState::Ran => None,
+        };
+        if let Some(delay) = retry_after
+            && retries < CALLER_RETRIES
+        {
+            let node = self.rng.random_range(0..self.plan.nodes);
+            let retries = retries + 1;
+            let event = TrialEvent::Submit { order, node, other_body, retries, first: false };
+            self.schedule(self.now + delay, event);
+        }
+    }
+
+    fn ask(&mut self, order: OrderIndex, node: usize) {
+        let Some(birth) = self.nodes[node].process.as_ref().map(|process| process.birth) else {
+            return;
+        };
+        let (Some(key), Some(now)) = (self.keys[order].clone(), self.local_time(node)) else {
+            return;
+        };
+        self.next_order += 1;
+        let query = QueryId(self.next_order);
+        self.queries.insert((node, birth, query), (order, self.now));
+        let deadline = now + Duration::from_secs(2);
+        self.input(
+            node,
+            OrderInput::Query { query, customer: CUSTOMER, desk: DESK, key, deadline },
+        );
+    }
+
+    fn query_answered(
+        &mut self,
+        node: usize,
+        birth: TrialTime,
+        query: QueryId,
+        answer: OrderAnswer,
+    ) {
+        let Some((order, asked)) = self.queries.remove(&(node, birth, query)) else { return };
+        let retention = self.plan.params.retention.as_micros() as TrialTime;
+        let wrong = match &answer {
+            OrderAnswer::Answered { body, .. } => {
+                !self.service.is_first_answer(order, body, retention)
+            },
+            OrderAnswer::Refused(ErrorKind::NotFound) => {
+                let last = self.service.executions(order).last();
+                last.is_some_and(|last| last.at < asked && self.now - last.at < retention)
+            },
+            _ => false,
+        };
+        self.report.queries += 1;
+        if wrong {
+            self.report.wrong_queries += 1;
+            self.report
+                .violations
+                .push(format!("seed {}: order {order}: wrong query answer", self.plan.seed));
+        }
+    }
+
+    // ---- faults
+
+    fn fault(&mut self, index: usize) {
+        match self.plan.faults[index].1.clone() {
+            TrialFault::Crash { node } => self.nodes[node].process = None,
+            TrialFault::Start { node } => self.start(node),
+            TrialFault::Pause { node, length, clock_stops } => {
+                let now = self.now;
+                if let Some(process) = &mut self.nodes[node].process
+                    && process.paused.is_none()
+                {
+                    process.paused = Some((now, clock_stops));
+                    let birth = process.birth;
+                    self.schedule(now + length, TrialEvent::Resume { node, birth });
+                }
+            },
+            TrialFault::Split { sides } => self.sides = sides,
+            TrialFault::Heal => self.sides.fill(0),
+            TrialFault::Loss { share } => self.loss = share,
+            TrialFault::List { nodes } => self.publish(&nodes),
+            TrialFault::ListLag { node, fetch } => self.nodes[node].fetch = fetch,
+            TrialFault::PlatformDown { down } => self.platform_down = down,
+        }
+    }
+
+    fn finish(mut self) -> TrialReport {
+        let retention = self.plan.params.retention.as_micros() as TrialTime;
+        self.report.orders = self.plan.orders.len();
+        self.report.executed = self.service.executed_orders();
+        self.report.double_executions = self.service.repeated_executions(retention);
+        for submission in self.submissions.values() {
+            self.report.submissions += 1;
+            match &submission.answer {
+                Some(answer) if submission.executed && answer.run_state() == RunState::NotRun => {
+                    self.report.false_not_run += 1;
+                    self.report.violations.push(format!(
+                        "seed {}: order {} was run and answered {answer:?}",
+                        self.plan.seed, submission.order
+                    ));
+                },
+                Some(_) => {},
+                None => self.report.unanswered += 1,
+            }
+        }
+        if self.report.double_executions > 0 {
+            self.report.violations.push(format!(
+                "seed {}: {} double executions, orders {:?}",
+                self.plan.seed,
+                self.report.double_executions,
+                self.service.repeated_orders(retention)
+            ));
+        }
+        self.report
+    }
+}
