Add random faults to the fleet trial and fix what they found

A process restarted with a wall clock that went back, and its query got no answer for 2 s, so it started with an older version than its only reachable peer held. Peers drop its frames because they know a later process. A peer with another digest is now asked again after 1 s and full states are exchanged if neither digest changed.

Ruled out: exchanging states at the first difference, because every new update would cause exchanges between half of the instances while it spreads. Two reported reversals were faults of the trial's own check (a holder that was not connected to the restarted instance).

--- a/medlarlanding-bench/src/fleet_trials/mod.rs
+++ b/medlarlanding-bench/src/fleet_trials/mod.rs
@@ -4,6 +4,7 @@
 mod node;
 mod platform;
 mod sim;
+mod stress;
 mod table;
 
 use std::path::PathBuf;
@@ -15,6 +16,7 @@
 pub use node::{FleetNode, NodeOutput, NodeParams};
 pub use platform::{CALL_LIMIT, PlatformModel, SecondLoad};
 pub use sim::{FleetLog, FleetSim, NodeTraffic, SECOND};
+pub use stress::{StressOptions, StressReport, stress};
 pub use table::markdown;
 
 /// measures control cost and propagation time at several fleet sizes
@@ -33,6 +35,12 @@
     /// file for the results as JSON
     #[argh(option)]
     json: Option<PathBuf>,
+    /// run this many rounds of random faults instead, with rising seeds
+    #[argh(option)]
+    stress: Option<u64>,
+    /// random actions per round of random faults (default 60)
+    #[argh(option, default = "60")]
+    steps: usize,
 }
 
 /// Runs the subcommand.
@@ -41,6 +49,10 @@
 ///
 /// Fails if an argument is malformed, a file cannot be written or an invariant is violated.
 pub fn run(options: FleetTrialsOptions) -> anyhow::Result<()> {
+    if let Some(rounds) = options.stress {
+        anyhow::ensure!(rounds > 0, "the number of rounds must be positive");
+        return run_stress(&options, rounds);
+    }
     let mut measurements = Vec::new();
     for size in options.sizes.split(',') {
         let size = size.trim().parse().with_context(|| format!("fleet size `{size}`"))?;
@@ -63,3 +75,47 @@
     anyhow::ensure!(violations.is_empty(), "violated invariants: {violations:#?}");
     Ok(())
 }
+
+fn run_stress(options: &FleetTrialsOptions, rounds: u64) -> anyhow::Result<()> {
+    let mut failed = 0u64;
+    for size in options.sizes.split(',') {
+        let size = size.trim().parse().with_context(|| format!("fleet size `{size}`"))?;
+        let (mut changes, mut settled) = (Vec::new(), Vec::new());
+        let (mut events, mut restarts, mut pauses) = (0, 0, 0);
+        for seed in options.seed..options.seed + rounds {
+            let stress_options =
+                StressOptions { size, seed, steps: options.steps, ..StressOptions::default() };
+            let report = stress(&stress_options);
+            if !report.violations.is_empty() {
+                failed += 1;
+                println!("{}", serde_json::to_string_pretty(&report)?);
+            }
+            changes.push((report.change_s.unwrap_or(f64::INFINITY), seed));
+            settled.push((report.settled_s.unwrap_or(f64::INFINITY), seed));
+            events += report.events;
+            restarts += report.restarts;
+            pauses += report.pauses;
+        }
+        println!(
+            "{size} instances, {rounds} rounds from seed {}: {events} events, {restarts} restarts, \
+             {pauses} pauses; after the end of faults: configuration {}, all views {}",
+            options.seed,
+            spread(changes),
+            spread(settled)
+        );
+    }
+    anyhow::ensure!(failed == 0, "{failed} rounds violated an invariant");
+    Ok(())
+}
+
+/// Formats the median, the 99th percentile and the longest of some times with its seed.
+fn spread(mut times: Vec<(f64, u64)>) -> String {
+    times.sort_by(|left, right| left.0.total_cmp(&right.0));
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+    let (longest, seed) = at(1.0);
+    format!(
+        "median {:.2} s, p99 {:.2} s, longest {longest:.2} s (seed {seed})",
+        at(0.5).0,
+        at(0.99).0
+    )
+}
--- a/medlarlanding-bench/src/fleet_trials/node.rs
+++ b/medlarlanding-bench/src/fleet_trials/node.rs
@@ -44,6 +44,8 @@
     Watch {
         /// What to read.
         subject: Subject,
+        /// Number of the call.
+        call: u32,
         /// Revision to exceed.
         after: u64,
         /// Longest wait, µs.
@@ -137,10 +139,12 @@
                 let input = MembershipInput::Message { from: frame.from, message };
                 self.membership(now, input, codec, outputs);
             },
-            PeerMessage::Distribution(message) if !self.table.is_replaced(frame.from) => {
+            PeerMessage::Distribution(message) => {
                 self.membership(now, MembershipInput::Heard(frame.from), codec, outputs);
-                let input = DistributionInput::Message { from: frame.from.id, message };
-                self.distribution(now, input, codec, outputs);
+                if !self.table.is_replaced(frame.from) {
+                    let input = DistributionInput::Message { from: frame.from.id, message };
+                    self.distribution(now, input, codec, outputs);
+                }
             },
             _ => {},
         }
@@ -150,13 +154,13 @@
     pub fn answer(
         &mut self,
         now: Timestamp,
-        subject: Subject,
+        (subject, call): (Subject, u32),
         answer: PlatformAnswer,
         codec: &PeerCodec,
         outputs: &mut Vec<NodeOutput>,
     ) {
         self.tick(now, codec, outputs);
-        let input = DistributionInput::Platform { subject, answer };
+        let input = DistributionInput::Platform { subject, call, answer };
         self.distribution(now, input, codec, outputs);
     }
 
@@ -226,9 +230,9 @@
                     let message = PeerMessage::Distribution(message);
                     self.send(to, started, transport, message, codec, outputs);
                 },
-                DistributionEffect::Watch { subject, after, wait } => {
+                DistributionEffect::Watch { subject, call, after, wait } => {
                     let wait = wait.as_micros() as u64;
-                    outputs.push(NodeOutput::Watch { subject, after, wait });
+                    outputs.push(NodeOutput::Watch { subject, call, after, wait });
                 },
                 DistributionEffect::StopWatch { subject } => {
                     outputs.push(NodeOutput::StopWatch(subject));
--- a/medlarlanding-bench/src/fleet_trials/platform.rs
+++ b/medlarlanding-bench/src/fleet_trials/platform.rs
@@ -18,11 +18,13 @@
     pub process: u64,
     /// What is read.
     pub subject: Subject,
+    /// Number of the call at the caller.
+    pub call: u32,
     /// Revision to exceed.
     pub after: u64,
     /// Virtual time at which the call is answered without news, µs.
     pub until: u64,
-    /// Number of the call.
+    /// Number of the call at the platform.
     pub number: u64,
 }
 
--- a/medlarlanding-bench/src/fleet_trials/sim.rs
+++ b/medlarlanding-bench/src/fleet_trials/sim.rs
@@ -54,11 +54,30 @@
 
 #[derive(Debug)]
 enum Event {
-    Wake { node: usize, process: u64 },
-    Deliver { node: usize, transport: PeerTransport, bytes: Arc<[u8]> },
-    Unreached { node: usize, process: u64, peer: usize },
-    PlatformExpiry { number: u64 },
-    PlatformAnswer { node: usize, process: u64, subject: Subject, answer: PlatformAnswer },
+    Wake {
+        node: usize,
+        process: u64,
+    },
+    Deliver {
+        node: usize,
+        transport: PeerTransport,
+        bytes: Arc<[u8]>,
+    },
+    Unreached {
+        node: usize,
+        process: u64,
+        peer: usize,
+    },
+    PlatformExpiry {
+        number: u64,
+    },
+    PlatformAnswer {
+        node: usize,
+        process: u64,
+        subject: Subject,
+        call: u32,
+        answer: PlatformAnswer,
+    },
 }
 
 /// State of one instance's host.
@@ -82,8 +101,8 @@
     validated: HashSet<u64>,
     /// Start of the running process, or end of its last pause.
     undisturbed_since: u64,
-    /// Versions held before the restart that other live instances held, too.
-    floor: HashMap<Subject, u64>,
+    /// Versions held before the restart, with the processes that held them at the restart.
+    floor: HashMap<Subject, (u64, Vec<(usize, u64)>)>,
     marks: HashSet<ServerId>,
 }
 
@@ -278,20 +297,26 @@
         self.run_node(node, |node, now, codec, outputs| node.tick(now, codec, outputs));
     }
 
-    /// Returns the highest version that the instance held before and that a running instance,
-    /// connected in both directions, holds now.
-    fn known_elsewhere(&self, node: usize, subject: Subject) -> u64 {
+    /// Returns the highest version that the instance held before and that another running
+    /// instance, connected in both directions, holds now, with the processes that hold it.
+    fn known_elsewhere(&self, node: usize, subject: Subject) -> (u64, Vec<(usize, u64)>) {
         let before = self.hosts[node].highest.get(&subject).copied().unwrap_or(0);
-        let elsewhere = (0..self.len())
+        let connected: Vec<_> = (0..self.len())
             .filter(|&other| {
                 other != node
                     && self.is_running(other)
                     && !self.faults.blocked.contains(&(node, other))
                     && !self.faults.blocked.contains(&(other, node))
             })
-            .filter_map(|other| self.hosts[other].versions.get(&subject).copied())
-            .max();
-        before.min(elsewhere.unwrap_or(0))
+            .collect();
+        let elsewhere = connected.iter().map(|&other| self.version(other, subject)).max();
+        let floor = before.min(elsewhere.unwrap_or(0));
+        let holders = connected
+            .into_iter()
+            .filter(|&other| self.version(other, subject) >= floor)
+            .map(|other| (other, self.hosts[other].process))
+            .collect();
+        (floor, holders)
     }
 
     /// Ends a process without notice.
@@ -477,13 +502,13 @@
                     self.answer_call(&call);
                 }
             },
-            Event::PlatformAnswer { node, process, subject, answer } => {
+            Event::PlatformAnswer { node, process, subject, call, answer } => {
                 let host = &mut self.hosts[node];
                 if host.process != process {
                     return;
                 }
                 if host.paused {
-                    let event = Event::PlatformAnswer { node, process, subject, answer };
+                    let event = Event::PlatformAnswer { node, process, subject, call, answer };
                     host.backlog.push(event);
                     return;
                 }
@@ -493,7 +518,7 @@
                     self.platform.readers.insert(node);
                 }
                 self.run_node(node, |node, now, codec, outputs| {
-                    node.answer(now, subject, answer, codec, outputs);
+                    node.answer(now, (subject, call), answer, codec, outputs);
                 });
             },
         }
@@ -534,7 +559,9 @@
                     self.transmit(node, to, transport, bytes);
                 }
             },
-            NodeOutput::Watch { subject, after, wait } => self.call(node, subject, after, wait),
+            NodeOutput::Watch { subject, call, after, wait } => {
+                self.call(node, (subject, call), after, wait);
+            },
             NodeOutput::StopWatch(subject) => {
                 self.platform.pending.retain(|call| call.node != node || call.subject != subject);
             },
@@ -592,12 +619,15 @@
             return;
         }
         for subject in Subject::ALL {
-            let floor = self.hosts[node].floor.get(&subject).copied().unwrap_or(0);
-            let still_held = (0..self.len()).any(|other| {
-                other != node
-                    && self.is_running(other)
-                    && self.hosts[other].undisturbed_since < self.hosts[node].undisturbed_since
-                    && self.version(other, subject) >= floor
+            let Some((floor, holders)) = self.hosts[node].floor.get(&subject) else {
+                continue;
+            };
+            let floor = *floor;
+            let still_held = holders.iter().any(|&(other, process)| {
+                let host = &self.hosts[other];
+                host.process == process
+                    && !host.paused
+                    && host.undisturbed_since <= self.hosts[node].undisturbed_since
             });
             let version = self.version(node, subject);
             if still_held && version < floor {
@@ -699,20 +729,20 @@
         }
     }
 
-    fn call(&mut self, node: usize, subject: Subject, after: u64, wait: u64) {
+    fn call(&mut self, node: usize, (subject, call): (Subject, u32), after: u64, wait: u64) {
         let now = self.now;
         let process = self.hosts[node].process;
         let within_limit = self.platform.admit(now);
         if !within_limit || !self.platform.answers(node) {
             let reason = if within_limit { "connection refused" } else { "rate limit" };
             let answer = PlatformAnswer::Unreachable { reason: reason.to_owned() };
-            let event = Event::PlatformAnswer { node, process, subject, answer };
+            let event = Event::PlatformAnswer { node, process, subject, call, answer };
             self.push(now + 2_000, event);
             return;
         }
         let number = self.platform.number();
         let until = now + wait;
-        let call = PendingCall { node, process, subject, after, until, number };
+        let call = PendingCall { node, process, subject, call, after, until, number };
         if self.platform.revision(subject) > after || after == 0 {
             self.answer_call(&call);
         } else {
@@ -723,9 +753,9 @@
 
     fn answer_call(&mut self, call: &PendingCall) {
         let delay = self.rng.random_range(1_000..5_000);
-        let answer = self.platform.value(call.subject);
-        let PendingCall { node, process, subject, .. } = *call;
-        self.push(self.now + delay, Event::PlatformAnswer { node, process, subject, answer });
+        let PendingCall { node, process, subject, call, .. } = *call;
+        let answer = self.platform.value(subject);
+        self.push(self.now + delay, Event::PlatformAnswer { node, process, subject, call, answer });
     }
 
     fn answer_waiting(&mut self) {
@@ -746,9 +776,9 @@
                 self.platform.pending.push(call);
                 continue;
             }
-            let PendingCall { node, process, subject, .. } = call;
+            let PendingCall { node, process, subject, call, .. } = call;
             let answer = PlatformAnswer::Unreachable { reason: "connection reset".to_owned() };
-            let event = Event::PlatformAnswer { node, process, subject, answer };
+            let event = Event::PlatformAnswer { node, process, subject, call, answer };
             self.push(self.now + 1_000, event);
         }
     }
--- a/medlarlanding-core/src/distribution/distributor.rs
+++ b/medlarlanding-core/src/distribution/distributor.rs
@@ -14,7 +14,7 @@
 use super::query::PeerQuery;
 use super::track::{Judgement, Offer, ValueTrack};
 use super::versions::{LocalVersions, Subject, VersionStatus};
-use super::watch::WatchState;
+use super::watch::{WatchCall, WatchState};
 use super::waves::{WaveLog, watch_key};
 use crate::events::EventKind;
 use crate::ids::{InstanceId, InstanceIdentity};
@@ -74,6 +74,8 @@
     Platform {
         /// What was read.
         subject: Subject,
+        /// Number from the effect. Results of cancelled calls are ignored.
+        call: u32,
         /// The result.
         answer: PlatformAnswer,
     },
@@ -110,12 +112,14 @@
     Watch {
         /// What to read.
         subject: Subject,
+        /// Number of the call, returned with its result.
+        call: u32,
         /// The call waits for a revision above this one. 0 returns at once.
         after: u64,
         /// Longest wait.
         wait: Duration,
     },
-    /// Cancel the pending call; no result is passed.
+    /// Cancel the pending call.
     StopWatch {
         /// What the call reads.
         subject: Subject,
@@ -263,8 +267,8 @@
             DistributionInput::PeerVersions { from, versions, asked } => {
                 self.compare(now, from, &versions, asked, effects);
             },
-            DistributionInput::Platform { subject, answer } => {
-                self.take_answer(now, subject, answer, effects);
+            DistributionInput::Platform { subject, call, answer } => {
+                self.take_answer(now, subject, call, answer, effects);
             },
             DistributionInput::Verdict { version, accepted } => {
                 self.decide(now, Subject::Config, version, accepted, effects);
@@ -304,7 +308,9 @@
             at(state.fetch.deadline(params.fetch_timeout));
             if watching {
                 let lost = params.watch_wait + params.watch_grace;
-                at(Some(state.watch.pending.map_or(state.watch.next_call, |since| since + lost)));
+                at(Some(
+                    state.watch.pending.map_or(state.watch.next_call, |call| call.started + lost),
+                ));
             }
         }
         if watching {
@@ -621,10 +627,15 @@
         &mut self,
         now: Timestamp,
         subject: Subject,
+        call: u32,
         answer: PlatformAnswer,
         effects: &mut Vec<DistributionEffect>,
     ) {
-        let started = self.subject(subject).watch.pending.unwrap_or(now);
+        // A result that waited while the process was paused belongs to an earlier call; taken
+        // for the pending one it would confirm a list that the platform no longer publishes.
+        let Some(started) = self.subject(subject).watch.started(call) else {
+            return;
+        };
         let payload = match answer {
             PlatformAnswer::Unreachable { reason } => {
                 self.fail_watch(now, subject, reason, effects);
@@ -888,8 +899,8 @@
         let lost = self.params.watch_wait + self.params.watch_grace;
         for subject in Subject::ALL {
             let pending = self.subject(subject).watch.pending;
-            if let Some(since) = pending
-                && (!wanted || now >= since + lost)
+            if let Some(call) = pending
+                && (!wanted || now >= call.started + lost)
             {
                 effects.push(DistributionEffect::StopWatch { subject });
                 self.subject_mut(subject).watch.pending = None;
@@ -898,15 +909,16 @@
                 }
             }
             let rule = self.params.version_rule;
+            let number = self.number();
             let state = self.subject_mut(subject);
             if wanted && state.watch.pending.is_none() && now >= state.watch.next_call {
-                state.watch.pending = Some(now);
+                state.watch.pending = Some(WatchCall { number, started: now });
                 let after = match rule {
                     VersionRule::Rising => state.watch.seen.max(state.track.version()),
                     VersionRule::Latest => 0,
                 };
                 let wait = self.params.watch_wait;
-                effects.push(DistributionEffect::Watch { subject, after, wait });
+                effects.push(DistributionEffect::Watch { subject, call: number, after, wait });
             }
         }
     }
--- a/medlarlanding-core/src/distribution/watch.rs
+++ b/medlarlanding-core/src/distribution/watch.rs
@@ -4,11 +4,18 @@
 
 use crate::time::Timestamp;
 
+/// A call that has not ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WatchCall {
+    pub number: u32,
+    pub started: Timestamp,
+}
+
 /// Pending call and outcome of earlier calls on one subject.
 #[derive(Debug, Default)]
 pub(super) struct WatchState {
-    /// Start of the pending call.
-    pub pending: Option<Timestamp>,
+    /// The pending call.
+    pub pending: Option<WatchCall>,
     /// Earliest time of the next call.
     pub next_call: Timestamp,
     /// Number of calls that failed since the last answer.
@@ -21,9 +28,14 @@
 }
 
 impl WatchState {
+    /// Returns the start of the pending call if it has the given number.
+    pub fn started(&self, number: u32) -> Option<Timestamp> {
+        self.pending.filter(|call| call.number == number).map(|call| call.started)
+    }
+
     /// Records an answer.
     pub fn answer(&mut self, now: Timestamp, revision: u64, interval: Duration) {
-        let started = self.pending.take().unwrap_or(now);
+        let started = self.pending.take().map_or(now, |call| call.started);
         self.answered = Some(now);
         self.failures = 0;
         // A platform that answers at once without news must not be called in a tight loop.
--- a/medlarlanding-core/src/membership/params.rs
+++ b/medlarlanding-core/src/membership/params.rs
@@ -32,7 +32,8 @@
     pub pause_limit: Duration,
     /// Time between two probes of instances that are listed but not live.
     pub reconnect_interval: Duration,
-    /// Time for which the digests must differ before full states are exchanged.
+    /// Time after which a peer with another digest is asked again; if neither digest changed,
+    /// full states are exchanged. News reaches 350 instances in about half of it.
     pub sync_delay: Duration,
     /// Least time between two exchanges of full states that this instance starts.
     pub sync_interval: Duration,
@@ -54,8 +55,8 @@
             message_limit: DATAGRAM_LIMIT - 64,
             pause_limit: Duration::from_secs(2),
             reconnect_interval: Duration::from_secs(5),
-            sync_delay: Duration::from_secs(3),
-            sync_interval: Duration::from_secs(10),
+            sync_delay: Duration::from_secs(1),
+            sync_interval: Duration::from_secs(5),
             dead_retention: Duration::from_secs(600),
         }
     }
--- a/medlarlanding-core/src/membership/table.rs
+++ b/medlarlanding-core/src/membership/table.rs
@@ -38,8 +38,9 @@
         /// The message.
         message: MembershipMessage,
     },
-    /// A frame of another subsystem arrived. Without it, answers to a restarted peer would be
-    /// addressed to its previous process until news of the restart spread.
+    /// A frame of another subsystem arrived; passed before the frame is dropped or processed.
+    /// Without it, answers to a restarted peer would be addressed to its previous process until
+    /// news of the restart spread, and a peer whose wall clock went back would not learn it.
     Heard(InstanceIdentity),
     /// An instance list is in effect.
     List(Arc<InstanceList>),
@@ -166,6 +167,17 @@
     pub digest: u32,
 }
 
+/// A peer whose digest differs from the own one.
+#[derive(Clone, Copy, Debug)]
+struct DigestDifference {
+    peer: InstanceId,
+    own: u32,
+    theirs: u32,
+    /// Whether the peer was asked again.
+    asked: bool,
+    at: Timestamp,
+}
+
 /// Keeps the state of every instance and of leaving backend servers.
 #[derive(Debug)]
 pub struct MembershipTable {
@@ -182,7 +194,7 @@
     pause: PauseDetector,
     /// Sum (exclusive or) over present members and marks.
     digest: u32,
-    differs_since: Option<Timestamp>,
+    difference: Option<DigestDifference>,
     live_changed: bool,
     joined: bool,
     next_cycle: Timestamp,
@@ -238,7 +250,7 @@
             updates: UpdateQueue::default(),
             probes: ProbeCycle::default(),
             digest: member_digest(own.id, record),
-            differs_since: None,
+            difference: None,
             live_changed: true,
             joined: false,
             next_cycle: Timestamp::default(),
@@ -299,6 +311,11 @@
     /// Returns when `handle` must be called with `Tick`.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let mut next = self.next_cycle.min(self.next_reconnect);
+        if let Some(held) = &self.difference
+            && !held.asked
+        {
+            next = next.min(held.at + self.params.sync_delay);
+        }
         if let Some(probe) = self.probes.own
             && !probe.acked
             && !probe.indirect
@@ -418,7 +435,7 @@
         for member in self.members.values_mut() {
             member.dead_at = member.dead_at.map(|at| at + late);
         }
-        self.differs_since = None;
+        self.difference = None;
         self.next_cycle = now;
         effects.push(MembershipEffect::Paused(late));
         effects.push(MembershipEffect::Event {
@@ -447,7 +464,7 @@
         }
         match message {
             MembershipMessage::Ping { probe, versions, digest, .. } => {
-                self.send_ack(now, from, probe, effects);
+                self.send_ack(now, from.id, probe, effects);
                 self.compare(now, from.id, digest, effects);
                 effects.push(MembershipEffect::PeerVersions {
                     from: from.id,
@@ -464,7 +481,7 @@
                     own.acked = true;
                     asked = Some(own.sent);
                 } else if let Some((origin, origin_probe)) = self.probes.take_relay(probe) {
-                    let updates = self.take_updates(origin, false);
+                    let updates = self.take_updates(origin);
                     Self::send_datagram(
                         origin,
                         MembershipMessage::RelayedAck { probe: origin_probe, updates },
@@ -513,6 +530,14 @@
             let alive = MemberRecord::alive(from.incarnation);
             let record = held.map_or(alive, |held| held.join(alive));
             self.set_member(now, from.id, record, None, effects);
+        } else if let Some(record) = held
+            && record.incarnation.started > from.incarnation.started
+        {
+            // A process whose wall clock went back learns the start time that it must exceed.
+            // Its frames are dropped until then, so it must not depend on chance for this.
+            let claim = MembershipUpdate::Member { id: from.id, record, contact: None };
+            let message = MembershipMessage::Gossip { updates: vec![claim] };
+            Self::send_datagram(from.id, message, effects);
         }
     }
 
@@ -673,6 +698,7 @@
     fn run_timers(&mut self, now: Timestamp, effects: &mut Vec<MembershipEffect>) {
         self.evict_suspects(now, effects);
         self.run_probe(now, effects);
+        self.recheck_difference(now, effects);
         if now >= self.next_reconnect {
             self.next_reconnect = now + self.params.reconnect_interval;
             self.forget_dead(now);
@@ -690,7 +716,7 @@
             self.next_gossip = now + self.params.gossip_interval;
             let targets = self.choose_present(self.params.gossip_fanout, None);
             for target in targets {
-                let updates = self.take_updates(target, false);
+                let updates = self.take_updates(target);
                 if !updates.is_empty() {
                     Self::send_datagram(target, MembershipMessage::Gossip { updates }, effects);
                 }
@@ -723,7 +749,7 @@
             }
             let helpers = self.choose_present(self.params.indirect_peers, Some(probe.target));
             for helper in helpers {
-                let updates = self.take_updates(helper, false);
+                let updates = self.take_updates(helper);
                 let message = MembershipMessage::PingRequest {
                     probe: probe.number,
                     target: probe.target,
@@ -794,15 +820,40 @@
         digest: u32,
         effects: &mut Vec<MembershipEffect>,
     ) {
-        if digest == self.digest {
-            self.differs_since = None;
-            return;
+        let found =
+            DigestDifference { peer, own: self.digest, theirs: digest, asked: false, at: now };
+        let lapsed = |held: &DigestDifference| now.since(held.at) >= self.params.sync_delay * 3;
+        match self.difference {
+            Some(held) if held.peer == peer && held.asked => {
+                self.difference = None;
+                if digest != self.digest && (held.own, held.theirs) == (self.digest, digest) {
+                    self.next_sync = now + self.params.sync_interval;
+                    let updates = self.full_state();
+                    Self::send_stream(peer, MembershipMessage::SyncRequest { updates }, effects);
+                }
+            },
+            Some(held) if !lapsed(&held) => {},
+            _ => {
+                let differs = digest != self.digest && now >= self.next_sync;
+                self.difference = differs.then_some(found);
+            },
         }
-        let since = *self.differs_since.get_or_insert(now);
-        if now.since(since) >= self.params.sync_delay && now >= self.next_sync {
-            self.next_sync = now + self.params.sync_interval;
-            let updates = self.full_state();
-            Self::send_stream(peer, MembershipMessage::SyncRequest { updates }, effects);
+    }
+
+    /// Asks the peer with another digest again once news had the time to arrive.
+    ///
+    /// Agreement with other peers proves nothing: two halves of a fleet can differ for good
+    /// while most pairs of instances agree.
+    fn recheck_difference(&mut self, now: Timestamp, effects: &mut Vec<MembershipEffect>) {
+        let delay = self.params.sync_delay;
+        if let Some(held) = &mut self.difference
+            && !held.asked
+            && now >= held.at + delay
+        {
+            held.asked = true;
+            let peer = held.peer;
+            let number = self.probes.number();
+            self.send_ping(now, peer, number, effects);
         }
     }
 
@@ -843,13 +894,13 @@
         std::iter::once(own).chain(members).chain(marks).collect()
     }
 
-    /// Takes news for a datagram to `to`. If `to` is not held as alive, or if `replaced`, the
-    /// claim about itself comes first, so that it can refute.
-    fn take_updates(&mut self, to: InstanceId, replaced: bool) -> Vec<MembershipUpdate> {
+    /// Takes news for a datagram to `to`. If `to` is not held as alive, the claim about itself
+    /// comes first, so that it can refute.
+    fn take_updates(&mut self, to: InstanceId) -> Vec<MembershipUpdate> {
         let mut room = self.params.message_limit - MESSAGE_BASE;
         let claim = self
             .record(to)
-            .filter(|record| replaced || record.status != MemberStatus::Alive)
+            .filter(|record| record.status != MemberStatus::Alive)
             .map(|record| MembershipUpdate::Member { id: to, record, contact: None });
         room -= claim.as_ref().map_or(0, encoded_len);
         let doublings = (self.members.len() as f64 + 2.0).log2().ceil() as u32;
@@ -864,7 +915,7 @@
         probe: u32,
         effects: &mut Vec<MembershipEffect>,
     ) {
-        let updates = self.take_updates(to, false);
+        let updates = self.take_updates(to);
         let versions = self.versions.status(now);
         let message = MembershipMessage::Ping { probe, versions, digest: self.digest, updates };
         Self::send_datagram(to, message, effects);
@@ -873,15 +924,11 @@
     fn send_ack(
         &mut self,
         now: Timestamp,
-        from: InstanceIdentity,
+        to: InstanceId,
         probe: u32,
         effects: &mut Vec<MembershipEffect>,
     ) {
-        let to = from.id;
-        // A process whose wall clock went back learns the start time that it must exceed.
-        let replaced =
-            self.record(to).is_some_and(|held| held.incarnation.started > from.incarnation.started);
-        let updates = self.take_updates(to, replaced);
+        let updates = self.take_updates(to);
         let versions = self.versions.status(now);
         let message = MembershipMessage::Ack { probe, versions, digest: self.digest, updates };
         Self::send_datagram(to, message, effects);
