Split membership table and distributor into modules with one job each

Cause: `table.rs` and `distributor.rs` had grown to about 900 lines each, with claims, probes, exchange, acceptance, start and watching in one impl block.

Ruled out: separate types for each part; every part needs the members, the random numbers and the effect list, so they would only pass each other around.

Change: inputs, effects and views move to `interface.rs`; the impl blocks move to child modules. No change of behaviour.

--- a/medlarlanding-bench/src/fleet_trials/measure.rs
+++ b/medlarlanding-bench/src/fleet_trials/measure.rs
@@ -3,13 +3,13 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use super::node::NodeParams;
+use super::sim::{FleetSim, SECOND};
 use medlarlanding_core::distribution::Subject;
 use medlarlanding_core::ids::ServerId;
 use medlarlanding_core::rendezvous;
-use serde::Serialize;
 
-use super::node::NodeParams;
-use super::sim::{FleetSim, SECOND};
+use serde::Serialize;
 
 /// Settings of a measurement.
 #[derive(Clone, Debug)]
--- a/medlarlanding-bench/src/fleet_trials/node.rs
+++ b/medlarlanding-bench/src/fleet_trials/node.rs
@@ -14,6 +14,7 @@
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::views::InstanceEntry;
 use medlarlanding_core::wire::{PeerCodec, PeerFrame, PeerMessage, PeerTransport};
+
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
--- a/medlarlanding-bench/src/fleet_trials/sim.rs
+++ b/medlarlanding-bench/src/fleet_trials/sim.rs
@@ -5,18 +5,18 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
+use super::node::{FleetNode, NodeOutput, NodeParams};
+use super::platform::{PendingCall, PlatformModel};
 use medlarlanding_core::distribution::{DistributionInput, PlatformAnswer, Subject};
 use medlarlanding_core::ids::{InstanceId, ServerId, ZoneId};
 use medlarlanding_core::membership::MembershipInput;
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::views::{InstanceEntry, InstanceList, InstanceState, ListVersion};
 use medlarlanding_core::wire::{PeerCodec, PeerTransport};
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::node::{FleetNode, NodeOutput, NodeParams};
-use super::platform::{PendingCall, PlatformModel};
-
 /// Microseconds of a virtual second.
 pub const SECOND: u64 = 1_000_000;
 /// Datagrams that a socket buffers while its process is paused.
--- a/medlarlanding-bench/src/fleet_trials/stress.rs
+++ b/medlarlanding-bench/src/fleet_trials/stress.rs
@@ -3,18 +3,18 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use super::measure::text;
+use super::node::NodeParams;
+use super::sim::{FleetSim, SECOND};
 use medlarlanding_core::distribution::Subject;
 use medlarlanding_core::ids::ServerId;
 use medlarlanding_core::views::{InstanceList, InstanceState, ListVersion};
+
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 
-use super::measure::text;
-use super::node::NodeParams;
-use super::sim::{FleetSim, SECOND};
-
 /// Settings of a run with random faults.
 #[derive(Clone, Debug)]
 pub struct StressOptions {
--- a/medlarlanding-core/src/distribution/mod.rs
+++ b/medlarlanding-core/src/distribution/mod.rs
@@ -5,6 +5,7 @@
 
 mod distributor;
 mod fetch;
+mod interface;
 mod message;
 mod params;
 mod query;
@@ -13,9 +14,9 @@
 mod watch;
 mod waves;
 
-pub use distributor::{
-    ConfigDistributor, DistributionDump, DistributionEffect, DistributionInput, PlatformAnswer,
-    SubjectDump,
+pub use distributor::ConfigDistributor;
+pub use interface::{
+    DistributionDump, DistributionEffect, DistributionInput, PlatformAnswer, SubjectDump,
 };
 pub use message::{DistributionMessage, Payload, ValueBody, VersionMark};
 pub use params::{DistributionParams, VersionRule};
--- a/medlarlanding-core/src/distribution/query.rs
+++ b/medlarlanding-core/src/distribution/query.rs
@@ -1,11 +1,11 @@
 //! Questions to peers at the start of the process and after a pause.
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::versions::Subject;
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
 
+use indexmap::{IndexMap, IndexSet};
+
 /// A query in progress.
 #[derive(Debug)]
 pub(super) struct PeerQuery {
--- a/medlarlanding-core/src/distribution/waves.rs
+++ b/medlarlanding-core/src/distribution/waves.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use crate::ids::{InstanceId, stable_hash};
 use crate::rendezvous;
 use crate::time::Timestamp;
 
+use indexmap::IndexMap;
+
 /// Returns the rendezvous key of the watcher role.
 pub(super) fn watch_key() -> u64 {
     stable_hash(b"watch")
--- a/medlarlanding-core/src/membership/marks.rs
+++ b/medlarlanding-core/src/membership/marks.rs
@@ -1,9 +1,9 @@
 //! Leaving marks of backend servers.
 
-use indexmap::IndexMap;
-
 use crate::ids::ServerId;
 
+use indexmap::IndexMap;
+
 value_type! { copy
     /// Claim that a backend server is leaving, or that it is no longer.
     pub struct ServerMark {
--- a/medlarlanding-core/src/membership/probe.rs
+++ b/medlarlanding-core/src/membership/probe.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
-
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
 
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+
 /// The probe that the instance runs in the current cycle.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OwnProbe {
--- a/medlarlanding-core/src/membership/updates.rs
+++ b/medlarlanding-core/src/membership/updates.rs
@@ -1,10 +1,10 @@
 //! News that waits to be sent on other messages.
 
-use postcard::ser_flavors::Size;
-
 use super::message::MembershipUpdate;
 use crate::ids::{InstanceId, ServerId};
 
+use postcard::ser_flavors::Size;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Topic {
     Member(InstanceId),
