Send configuration changes as differences from the text held by the receiver

Ruled out: compression (needs another library and still grows with the text) and a line-based difference (a change touches one place, so common beginning and end suffice).

Change: a fetch names the version that the sender holds; the answer replaces the part between common prefix and suffix. Three earlier texts are kept. A version unknown to the provider is sent whole.

Changes at both ends of a text are still sent almost whole.

--- a/medlarlanding-bench/src/fleet_trials/mod.rs
+++ b/medlarlanding-bench/src/fleet_trials/mod.rs
@@ -32,6 +32,9 @@
     /// bytes of the configuration text (default 262144)
     #[argh(option, default = "262_144")]
     text_bytes: usize,
+    /// earlier texts kept for differences (default 3; 0 sends whole texts)
+    #[argh(option, default = "3")]
+    delta_history: usize,
     /// file for the results as JSON
     #[argh(option)]
     json: Option<PathBuf>,
@@ -56,7 +59,10 @@
     let mut measurements = Vec::new();
     for size in options.sizes.split(',') {
         let size = size.trim().parse().with_context(|| format!("fleet size `{size}`"))?;
+        let mut node = NodeParams::default();
+        node.distribution.delta_history = options.delta_history;
         let measure_options = MeasureOptions {
+            node,
             size,
             seed: options.seed,
             text_bytes: options.text_bytes,
--- a/medlarlanding-bench/src/fleet_trials/table.rs
+++ b/medlarlanding-bench/src/fleet_trials/table.rs
@@ -25,7 +25,10 @@
     ("bytes/s received, mean (max) node", "12,000", |m| {
         format!("{:.0} ({:.0})", m.received_mean, m.received_max)
     }),
-    ("bytes/s sent + received with 10% loss and one change, mean (max) node", "12,000", |m| {
+    ("bytes sent + received by one change, mean (max) node", "", |m| {
+        format!("{:.0} ({:.0})", m.change_bytes_mean, m.change_bytes_max)
+    }),
+    ("bytes/s sent + received with 10% loss, mean (max) node", "12,000", |m| {
         format!("{:.0} ({:.0})", m.loss_mean, m.loss_max)
     }),
     ("datagrams/s sent per node", "", |m| format!("{:.1}", m.datagrams)),
--- a/medlarlanding-core/src/distribution/distributor/acceptance.rs
+++ b/medlarlanding-core/src/distribution/distributor/acceptance.rs
@@ -70,7 +70,12 @@
         accepted: bool,
         effects: &mut Vec<DistributionEffect>,
     ) {
-        if let Some(offer) = self.subject_mut(subject).track.decide(version, accepted) {
+        let history = match subject {
+            Subject::Config => self.params.delta_history,
+            Subject::List => 0,
+        };
+        let track = &mut self.subject_mut(subject).track;
+        if let Some(offer) = track.decide(version, accepted, history) {
             self.announce(subject, &offer, effects);
         }
         if let Some(offer) = self.subject_mut(subject).track.take_waiting() {
--- a/medlarlanding-core/src/distribution/fetch.rs
+++ b/medlarlanding-core/src/distribution/fetch.rs
@@ -41,10 +41,9 @@
         }
     }
 
-    /// Ends the fetch with the given number. Returns when it was asked and the version.
-    pub fn finish(&mut self, number: u32) -> Option<(Timestamp, u64)> {
-        let attempt = self.attempt.take_if(|attempt| attempt.number == number)?;
-        Some((attempt.asked, attempt.version))
+    /// Ends the fetch with the given number. Returns when it was asked.
+    pub fn finish(&mut self, number: u32) -> Option<Timestamp> {
+        self.attempt.take_if(|attempt| attempt.number == number).map(|attempt| attempt.asked)
     }
 
     /// Turns to the next peer. Returns it, or `None` if there is none; the fetch then ends.
--- a/medlarlanding-core/src/distribution/message.rs
+++ b/medlarlanding-core/src/distribution/message.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::delta::TextDelta;
 use super::versions::Subject;
 use crate::ids::InstanceId;
 use crate::views::InstanceList;
@@ -53,6 +54,13 @@
     pub enum ValueBody {
         /// The whole content.
         Full(Payload),
+        /// The difference of a configuration text from one that the receiver reported to hold.
+        Delta {
+            /// The version that the difference starts from.
+            base: VersionMark,
+            /// The difference.
+            delta: TextDelta,
+        },
     }
 }
 
@@ -86,6 +94,8 @@
             subject: Subject,
             /// Number chosen by the sender.
             number: u32,
+            /// Version that the sender holds and that a difference may start from.
+            base: Option<VersionMark>,
         },
         /// Answers a `Fetch`. Sent on a stream.
         Value {
--- a/medlarlanding-core/src/distribution/mod.rs
+++ b/medlarlanding-core/src/distribution/mod.rs
@@ -3,6 +3,7 @@
 //! [`ConfigDistributor`] decides who reads the configuration service, accepts versions that
 //! only rise, and spreads them between instances. The texts are opaque to it.
 
+mod delta;
 mod distributor;
 mod fetch;
 mod interface;
@@ -14,6 +15,7 @@
 mod watch;
 mod waves;
 
+pub use delta::TextDelta;
 pub use distributor::ConfigDistributor;
 pub use interface::{
     DistributionDump, DistributionEffect, DistributionInput, PlatformAnswer, SubjectDump,
--- a/medlarlanding-core/src/distribution/params.rs
+++ b/medlarlanding-core/src/distribution/params.rs
@@ -51,6 +51,8 @@
     pub query_settle: Duration,
     /// Time after which the platform's value is taken if no peer reported a version.
     pub query_timeout: Duration,
+    /// Number of earlier configuration texts that are kept to send differences from them.
+    pub delta_history: usize,
     /// Largest configuration text, bytes.
     pub text_limit: usize,
 }
@@ -75,6 +77,7 @@
             query_repeat: Duration::from_millis(150),
             query_settle: Duration::from_secs(1),
             query_timeout: Duration::from_secs(2),
+            delta_history: 3,
             text_limit: 1 << 20,
         }
     }
--- a/medlarlanding-core/src/distribution/track.rs
+++ b/medlarlanding-core/src/distribution/track.rs
@@ -43,6 +43,8 @@
 pub(super) struct ValueTrack {
     /// Version in effect. Its number only rises under `VersionRule::Rising`.
     held: Option<(VersionMark, Payload)>,
+    /// Versions that were in effect before, latest last.
+    earlier: VecDeque<(VersionMark, Payload)>,
     confirmed: Option<Timestamp>,
     /// Offer that the caller validates.
     validating: Option<Offer>,
@@ -62,6 +64,12 @@
         self.held.as_ref()
     }
 
+    /// Gets a version that is or was in effect.
+    pub fn get(&self, mark: VersionMark) -> Option<&Payload> {
+        let versions = self.held.iter().chain(&self.earlier);
+        versions.into_iter().find(|(held, _)| *held == mark).map(|(_, payload)| payload)
+    }
+
     pub fn confirmed(&self) -> Option<Timestamp> {
         self.confirmed
     }
@@ -130,10 +138,15 @@
     }
 
     /// Ends the validation of `version`. Returns the offer if it came into effect.
-    pub fn decide(&mut self, version: u64, accepted: bool) -> Option<Offer> {
+    ///
+    /// Up to `history` versions that were in effect before are kept.
+    pub fn decide(&mut self, version: u64, accepted: bool, history: usize) -> Option<Offer> {
         let offer = self.validating.take_if(|offer| offer.mark.version == version)?;
         if accepted {
-            self.held = Some((offer.mark, offer.payload.clone()));
+            self.earlier.extend(self.held.replace((offer.mark, offer.payload.clone())));
+            while self.earlier.len() > history {
+                self.earlier.pop_front();
+            }
             self.confirmed = offer.confirmed;
             return Some(offer);
         }
