Announce a new version twice

Cause: one round of 4 announcements per instance misses about e^-4 of the fleet; the missed instances waited up to 1 s for the next confirmation.

Change: each instance announces a version again to 4 other peers after 150 ms.

--- a/medlarlanding-core/src/distribution/distributor/acceptance.rs
+++ b/medlarlanding-core/src/distribution/distributor/acceptance.rs
@@ -76,7 +76,7 @@
         };
         let track = &mut self.subject_mut(subject).track;
         if let Some(offer) = track.decide(version, accepted, history) {
-            self.announce(subject, &offer, effects);
+            self.announce(now, subject, &offer, effects);
         }
         if let Some(offer) = self.subject_mut(subject).track.take_waiting() {
             self.offer(now, subject, offer, effects);
@@ -85,6 +85,7 @@
 
     pub(super) fn announce(
         &mut self,
+        now: Timestamp,
         subject: Subject,
         offer: &Offer,
         effects: &mut Vec<DistributionEffect>,
@@ -100,9 +101,36 @@
             },
         };
         effects.push(DistributionEffect::Event { kind, fields });
-        let source: Vec<_> = offer.source.into_iter().collect();
-        for peer in self.choose_peers(self.params.announce_fanout, &source) {
-            let message = DistributionMessage::Announce { subject, mark: offer.mark };
+        self.subject_mut(subject).announce_at = Some(now + self.params.announce_repeat);
+        self.send_announcements(subject, offer.mark, offer.source, effects);
+    }
+
+    /// Announces the version in effect once more when its time has come.
+    pub(super) fn run_announcements(
+        &mut self,
+        now: Timestamp,
+        effects: &mut Vec<DistributionEffect>,
+    ) {
+        for subject in Subject::ALL {
+            let state = self.subject_mut(subject);
+            if state.announce_at.take_if(|at| *at <= now).is_some()
+                && let Some(&(mark, _)) = state.track.held()
+            {
+                self.send_announcements(subject, mark, None, effects);
+            }
+        }
+    }
+
+    fn send_announcements(
+        &mut self,
+        subject: Subject,
+        mark: VersionMark,
+        except: Option<InstanceId>,
+        effects: &mut Vec<DistributionEffect>,
+    ) {
+        let except: Vec<_> = except.into_iter().collect();
+        for peer in self.choose_peers(self.params.announce_fanout, &except) {
+            let message = DistributionMessage::Announce { subject, mark };
             Self::send(peer, PeerTransport::Datagram, message, effects);
         }
     }
--- a/medlarlanding-core/src/distribution/distributor/mod.rs
+++ b/medlarlanding-core/src/distribution/distributor/mod.rs
@@ -43,6 +43,8 @@
     track: ValueTrack,
     fetch: FetchState,
     watch: WatchState,
+    /// Time of the second announcement of the version in effect.
+    announce_at: Option<Timestamp>,
     /// Platform's value that is held back until peers were asked.
     candidate: Option<Offer>,
 }
@@ -152,6 +154,7 @@
         let watching = self.wants_watch();
         for subject in Subject::ALL {
             let state = self.subject(subject);
+            at(state.announce_at);
             at(state.fetch.deadline(params.fetch_timeout));
             if watching {
                 let lost = params.watch_wait + params.watch_grace;
@@ -282,6 +285,7 @@
                 self.fetch_elsewhere(now, subject, effects);
             }
         }
+        self.run_announcements(now, effects);
         self.run_query(now, effects);
         self.run_start(now, effects);
         self.run_watch(now, effects);
--- a/medlarlanding-core/src/distribution/params.rs
+++ b/medlarlanding-core/src/distribution/params.rs
@@ -39,6 +39,9 @@
     pub wave_fanout: usize,
     /// Number of peers to which a new version is announced.
     pub announce_fanout: usize,
+    /// Time after which a new version is announced once more, to other peers. A single round
+    /// misses about e^-4 of the fleet.
+    pub announce_repeat: Duration,
     /// Time without the value after which it is fetched from another instance.
     pub fetch_timeout: Duration,
     /// Number of peers that are asked at the start and after a pause. The default asks all:
@@ -72,6 +75,7 @@
             wave_interval: Duration::from_secs(1),
             wave_fanout: 3,
             announce_fanout: 4,
+            announce_repeat: Duration::from_millis(150),
             fetch_timeout: Duration::from_millis(700),
             query_peers: 512,
             query_repeat: Duration::from_millis(150),
