--- a/medlarlanding-core/src/distribution/mod.rs
+++ b/medlarlanding-core/src/distribution/mod.rs
@@ -3,8 +3,10 @@
 //! [`ConfigDistributor`] decides who reads the configuration service, accepts versions that
 //! only rise, and spreads them between instances. The texts are opaque to it.
 
+mod delta;
 mod distributor;
 mod fetch;
+mod interface;
 mod message;
 mod params;
 mod query;
@@ -13,9 +15,10 @@
 mod watch;
 mod waves;
 
-pub use distributor::{
-    ConfigDistributor, DistributionDump, DistributionEffect, DistributionInput, PlatformAnswer,
-    SubjectDump,
+pub use delta::TextDelta;
+pub use distributor::ConfigDistributor;
+pub use interface::{
+    DistributionDump, DistributionEffect, DistributionInput, PlatformAnswer, SubjectDump,
 };
 pub use message::{DistributionMessage, Payload, ValueBody, VersionMark};
 pub use params::{DistributionParams, VersionRule};
--- a/medlarlanding-core/src/distribution/params.rs
+++ b/medlarlanding-core/src/distribution/params.rs
@@ -39,6 +39,9 @@
     pub wave_fanout: usize,
     /// Number of peers to which a new version is announced.
     pub announce_fanout: usize,
+    /// Time after which a new version is announced once more, to other peers. A single round
+    /// misses about e^-4 of the fleet.
+    pub announce_repeat: Duration,
     /// Time without the value after which it is fetched from another instance.
     pub fetch_timeout: Duration,
     /// Number of peers that are asked at the start and after a pause. The default asks all:
@@ -51,6 +54,8 @@
     pub query_settle: Duration,
     /// Time after which the platform's value is taken if no peer reported a version.
     pub query_timeout: Duration,
+    /// Number of earlier configuration texts that are kept to send differences from them.
+    pub delta_history: usize,
     /// Largest configuration text, bytes.
     pub text_limit: usize,
 }
@@ -70,11 +75,13 @@
             wave_interval: Duration::from_secs(1),
             wave_fanout: 3,
             announce_fanout: 4,
+            announce_repeat: Duration::from_millis(150),
             fetch_timeout: Duration::from_millis(700),
             query_peers: 512,
             query_repeat: Duration::from_millis(150),
             query_settle: Duration::from_secs(1),
             query_timeout: Duration::from_secs(2),
+            delta_history: 3,
             text_limit: 1 << 20,
         }
     }
