--- a/medlarlanding-core/src/generations/messages.rs
+++ b/medlarlanding-core/src/generations/messages.rs
@@ -147,10 +147,16 @@
     ReadPaused,
     /// The runtime reads from the engine again.
     ReadContinued,
-    /// The caller's connection was closed.
-    CallerGone,
-    /// The caller continues on a new connection.
+    /// A connection of the caller was closed. Ignored unless it is the latest, because the
+    /// closing of an old connection is often noticed after the caller is back.
+    CallerGone {
+        /// Number of the caller's connection; the first one has number 1.
+        connection: u32,
+    },
+    /// The caller continues on a new connection, which replaces the one before.
     CallerBack {
+        /// Number of the new connection; higher than those before.
+        connection: u32,
         /// The last token that the caller has; 0 for none.
         after: u64,
     },
--- a/medlarlanding-core/src/generations/session.rs
+++ b/medlarlanding-core/src/generations/session.rs
@@ -54,6 +54,9 @@
     }
 }
 
+/// Foreign attachments that a session tolerates which adopted its generation.
+const ADOPTED_SUPERSESSIONS: u64 = 2;
+
 value_type! { copy
     /// What a session waits for.
     #[serde(rename_all = "snake_case")]
@@ -122,13 +125,18 @@
     /// Set for a generation that began elsewhere: its handle is with the caller, so no other
     /// generation can take its place.
     adopted: bool,
-    /// Set by a resume that was closed before its headers arrived. The engine may have
-    /// counted it as the latest attachment.
-    uncertain_attachment: bool,
+    /// Resumes that ended before their headers arrived. The engine may have counted each as
+    /// the latest attachment.
+    unanswered_resumes: u64,
+    /// Number of the first attachment; later ones rise by at most one per resume unless
+    /// another instance attaches too.
+    first_attachment: Option<u64>,
     /// Times that the engine named a later attachment.
-    supersessions: u32,
+    supersessions: u64,
     /// Set when the response ended before the generation.
     abandoned: bool,
+    /// Number of the caller's latest connection.
+    caller_connection: u32,
     /// End of the grace period of a caller that is gone.
     grace_end: Option<Timestamp>,
     read_paused: bool,
@@ -192,9 +200,11 @@
             avoid: Vec::new(),
             attached: false,
             adopted: false,
-            uncertain_attachment: false,
+            unanswered_resumes: 0,
+            first_attachment: None,
             supersessions: 0,
             abandoned: false,
+            caller_connection: 1,
             grace_end: None,
             read_paused: false,
             text: String::new(),
@@ -300,8 +310,17 @@
                 self.read_paused = false;
                 self.arm_stall(now);
             },
-            SessionInput::CallerGone => self.caller_gone(now),
-            SessionInput::CallerBack { after } => self.caller_back(now, after, effects),
+            SessionInput::CallerGone { connection } => {
+                if connection == self.caller_connection {
+                    self.caller_gone(now);
+                }
+            },
+            SessionInput::CallerBack { connection, after } => {
+                if connection > self.caller_connection {
+                    self.caller_connection = connection;
+                    self.caller_back(now, after, effects);
+                }
+            },
             SessionInput::CallerCancelled => self.fail(ErrorKind::Cancelled, effects),
             SessionInput::Tick => self.tick(now, effects),
         }
@@ -372,6 +391,13 @@
         }
         self.pending = None;
         self.attached = true;
+        // Attachments beyond those that this session can account for are another instance's.
+        let base = *self.first_attachment.get_or_insert(attachment);
+        if attachment > base.saturating_add(self.resumes + self.foreign_limit()) {
+            effects.push(SessionEffect::Close { exchange });
+            self.step_back(effects);
+            return;
+        }
         if let Some(replaced) = self.current.replace(exchange) {
             effects.push(SessionEffect::Close { exchange: replaced });
         }
@@ -507,6 +533,7 @@
             }
             return;
         }
+        self.unanswered_resumes += 1;
         let recovered = self.current.is_some() && self.cursor.last() > pending.after;
         if self.caller_absent() || recovered {
             return;
@@ -584,19 +611,28 @@
         }
     }
 
-    /// A later attachment exists, so the caller has probably reconnected at another instance.
-    ///
-    /// The session ends without cancelling the generation, after as many supersessions as
-    /// make the later of two sessions stay: a session that adopted the generation may be
-    /// superseded by a resume that its predecessor had sent before, and any session by a
-    /// resume of its own that it had given up.
+    /// The engine says that a later attachment exists. Each resume of the session itself that
+    /// ended before its headers may be the one.
     fn superseded(&mut self, now: Timestamp, effects: &mut Vec<SessionEffect>) {
         self.supersessions += 1;
-        let tolerated = 2 * u32::from(self.adopted) + u32::from(self.uncertain_attachment);
-        if self.supersessions <= tolerated {
+        if self.supersessions > self.foreign_limit() + self.unanswered_resumes {
+            self.step_back(effects);
+        } else {
             self.plan_resume(now, effects);
-            return;
         }
+    }
+
+    /// Gets the number of attachments of other instances that the session tolerates.
+    ///
+    /// More than these mean that the caller has reconnected elsewhere. Of two sessions that
+    /// take the generation from each other the later one must stay, so the session that began
+    /// the generation tolerates none.
+    fn foreign_limit(&self) -> u64 {
+        if self.adopted { ADOPTED_SUPERSESSIONS } else { 0 }
+    }
+
+    /// Ends the response and leaves the generation to the instance that continues it.
+    fn step_back(&mut self, effects: &mut Vec<SessionEffect>) {
         self.close_exchanges(effects);
         self.release_permit(effects);
         self.finish_with(ErrorKind::Cancelled, effects);
@@ -615,7 +651,8 @@
         self.cursor = StreamCursor::default();
         self.stall = StallDetector::new(self.params.stall);
         self.recovery = None;
-        self.uncertain_attachment = false;
+        self.unanswered_resumes = 0;
+        self.first_attachment = None;
         self.text.clear();
         self.phase = SessionPhase::Waiting;
         effects.push(SessionEffect::RequestServer { avoid: self.avoid.clone() });
@@ -658,7 +695,6 @@
         }
         if let Some(pending) = self.pending.filter(|pending| pending.expires <= now) {
             effects.push(SessionEffect::Close { exchange: pending.exchange });
-            self.uncertain_attachment |= pending.resume;
             self.pending_failed(now, pending, LostReason::Silent, effects);
         }
         if self.pending.is_some() || self.phase != SessionPhase::Running {
@@ -773,7 +809,7 @@
 
     fn close_exchanges(&mut self, effects: &mut Vec<SessionEffect>) {
         let pending = self.pending.take();
-        self.uncertain_attachment |= pending.is_some_and(|pending| pending.resume);
+        self.unanswered_resumes += u64::from(pending.is_some_and(|pending| pending.resume));
         let open = [self.current.take(), pending.map(|pending| pending.exchange)];
         effects
             .extend(open.into_iter().flatten().map(|exchange| SessionEffect::Close { exchange }));
--- a/medlarlanding-core/tests/generations_session.rs
+++ b/medlarlanding-core/tests/generations_session.rs
@@ -333,47 +333,55 @@
     ]]),
     /// The caller is gone for longer than the grace period.
     caller_gone_for_good => (Stream, vec![running(1, true), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, token(1, "g", 1, 2), vec![]),
         (10_100, tick(), vec![close(1), cancel(A, "g", 1), release(A), fail(ErrorKind::Cancelled)]),
     ]]),
     caller_back_within_the_grace_period => (Stream, vec![running(3, true), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, token(1, "g", 1, 4), vec![]),
-        (200, SessionInput::CallerBack { after: 2 }, vec![close(1), resume(2, A, "g", 2)]),
+        (200, SessionInput::CallerBack { connection: 2, after: 2 }, vec![close(1), resume(2, A, "g", 2)]),
         (210, attached(2, "g", 2), vec![]),
         (220, token(2, "g", 2, 3), vec![deliver("g", 3)]),
         (230, token(2, "g", 2, 4), vec![deliver("g", 4)]),
     ]]),
     caller_back_before_its_old_connection_closed => (Stream, vec![running(3, true), vec![
-        (200, SessionInput::CallerBack { after: 3 }, vec![close(1), resume(2, A, "g", 3)]),
+        (200, SessionInput::CallerBack { connection: 2, after: 3 }, vec![close(1), resume(2, A, "g", 3)]),
+        (210, attached(2, "g", 2), vec![]),
+        (220, token(2, "g", 2, 4), vec![deliver("g", 4)]),
+    ]]),
+    /// The old connection's end is noticed late and must not end the new one.
+    old_connection_closes_after_the_caller_is_back => (Stream, vec![running(3, true), vec![
+        (200, SessionInput::CallerBack { connection: 2, after: 3 }, vec![close(1), resume(2, A, "g", 3)]),
+        (205, SessionInput::CallerGone { connection: 1 }, vec![]),
+        (206, SessionInput::CallerBack { connection: 2, after: 1 }, vec![]),
         (210, attached(2, "g", 2), vec![]),
         (220, token(2, "g", 2, 4), vec![deliver("g", 4)]),
     ]]),
     /// The engine finishes while the caller is gone; its permit is free, the tokens are not lost.
     end_while_the_caller_is_gone => (Stream, vec![running(3, true), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, end(1, "g", 1, 4), vec![release(A)]),
-        (200, SessionInput::CallerBack { after: 3 }, vec![resume(2, A, "g", 3)]),
+        (200, SessionInput::CallerBack { connection: 2, after: 3 }, vec![resume(2, A, "g", 3)]),
         (210, attached(2, "g", 2), vec![]),
         (220, token(2, "g", 2, 4), vec![deliver("g", 4)]),
         (230, end(2, "g", 2, 4), vec![complete(4, None)]),
     ]]),
     end_while_the_caller_is_gone_for_good => (Stream, vec![running(3, true), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, end(1, "g", 1, 4), vec![release(A)]),
         (10_100, tick(), vec![fail(ErrorKind::Cancelled)]),
     ]]),
     /// Another instance may have attached, so a lost connection is not resumed for nobody.
     lost_while_the_caller_is_gone => (Stream, vec![running(3, true), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, lost(1, LostReason::Superseded), vec![]),
         (10_100, tick(), vec![cancel(A, "g", 1), release(A), fail(ErrorKind::Cancelled)]),
     ]]),
     whole_delivery_goes_on_without_its_caller => (Whole, vec![running(1, false), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, token(1, "g", 1, 2), vec![]),
-        (120, SessionInput::CallerBack { after: 0 }, vec![]),
+        (120, SessionInput::CallerBack { connection: 2, after: 0 }, vec![]),
         (130, end(1, "g", 1, 2), vec![release(A), complete(2, Some("g1 g2 "))]),
     ]]),
     /// A generation from a resume handle is resumed and never started anew.
