--- a/medlarlanding-core/src/generations/session.rs
+++ b/medlarlanding-core/src/generations/session.rs
@@ -54,6 +54,9 @@
     }
 }
 
+/// Foreign attachments that a session tolerates which adopted its generation.
+const ADOPTED_SUPERSESSIONS: u64 = 2;
+
 value_type! { copy
     /// What a session waits for.
     #[serde(rename_all = "snake_case")]
@@ -91,6 +94,37 @@
     suspected: bool,
 }
 
+/// What the session knows about the attachments of its current generation.
+///
+/// Tells its own attachments, some of which it never saw, from those of another instance.
+#[derive(Clone, Copy, Debug, Default)]
+struct AttachmentAccount {
+    /// Number of the first attachment; later ones rise by at most one per resume unless
+    /// another instance attaches too.
+    first: Option<u64>,
+    /// Resumes sent.
+    resumes: u64,
+    /// Resumes that ended before their headers arrived. The engine may have counted each as
+    /// the latest attachment.
+    unanswered: u64,
+    /// Times that the engine named a later attachment.
+    supersessions: u64,
+}
+
+impl AttachmentAccount {
+    /// Records the number of an attachment. Returns how many attachments must be foreign.
+    fn record(&mut self, attachment: u64) -> u64 {
+        let first = *self.first.get_or_insert(attachment);
+        attachment.saturating_sub(first.saturating_add(self.resumes))
+    }
+
+    /// Records that a later attachment exists. Returns how many of them must be foreign.
+    fn record_supersession(&mut self) -> u64 {
+        self.supersessions += 1;
+        self.supersessions.saturating_sub(self.unanswered)
+    }
+}
+
 /// Delivers one generation exactly once and in order.
 ///
 /// Takes part in at most two exchanges at a time: the one that tokens are accepted from, and
@@ -122,13 +156,11 @@
     /// Set for a generation that began elsewhere: its handle is with the caller, so no other
     /// generation can take its place.
     adopted: bool,
-    /// Set by a resume that was closed before its headers arrived. The engine may have
-    /// counted it as the latest attachment.
-    uncertain_attachment: bool,
-    /// Times that the engine named a later attachment.
-    supersessions: u32,
+    attachments: AttachmentAccount,
     /// Set when the response ended before the generation.
     abandoned: bool,
+    /// Number of the caller's latest connection.
+    caller_connection: u32,
     /// End of the grace period of a caller that is gone.
     grace_end: Option<Timestamp>,
     read_paused: bool,
@@ -192,9 +224,9 @@
             avoid: Vec::new(),
             attached: false,
             adopted: false,
-            uncertain_attachment: false,
-            supersessions: 0,
+            attachments: AttachmentAccount::default(),
             abandoned: false,
+            caller_connection: 1,
             grace_end: None,
             read_paused: false,
             text: String::new(),
@@ -300,8 +332,17 @@
                 self.read_paused = false;
                 self.arm_stall(now);
             },
-            SessionInput::CallerGone => self.caller_gone(now),
-            SessionInput::CallerBack { after } => self.caller_back(now, after, effects),
+            SessionInput::CallerGone { connection } => {
+                if connection == self.caller_connection {
+                    self.caller_gone(now);
+                }
+            },
+            SessionInput::CallerBack { connection, after } => {
+                if connection > self.caller_connection {
+                    self.caller_connection = connection;
+                    self.caller_back(now, after, effects);
+                }
+            },
             SessionInput::CallerCancelled => self.fail(ErrorKind::Cancelled, effects),
             SessionInput::Tick => self.tick(now, effects),
         }
@@ -372,6 +413,11 @@
         }
         self.pending = None;
         self.attached = true;
+        if self.attachments.record(attachment) > self.foreign_limit() {
+            effects.push(SessionEffect::Close { exchange });
+            self.step_back(effects);
+            return;
+        }
         if let Some(replaced) = self.current.replace(exchange) {
             effects.push(SessionEffect::Close { exchange: replaced });
         }
@@ -507,6 +553,7 @@
             }
             return;
         }
+        self.attachments.unanswered += 1;
         let recovered = self.current.is_some() && self.cursor.last() > pending.after;
         if self.caller_absent() || recovered {
             return;
@@ -549,6 +596,9 @@
             next: None,
             suspected: false,
         });
+        if recovery.next.is_some() {
+            return;
+        }
         if recovery.attempts >= resume_limit || now >= recovery.since + resume_window {
             self.give_up_generation(effects);
             return;
@@ -570,6 +620,7 @@
         let (generation, after) = (generation.to_owned(), self.cursor.last());
         let exchange = self.next_exchange();
         self.resumes += 1;
+        self.attachments.resumes += 1;
         let expires = now + self.params.resume_timeout;
         self.pending = Some(PendingExchange { exchange, resume: true, after, expires });
         effects.push(SessionEffect::Resume { exchange, server, generation, after });
@@ -584,19 +635,26 @@
         }
     }
 
-    /// A later attachment exists, so the caller has probably reconnected at another instance.
-    ///
-    /// The session ends without cancelling the generation, after as many supersessions as
-    /// make the later of two sessions stay: a session that adopted the generation may be
-    /// superseded by a resume that its predecessor had sent before, and any session by a
-    /// resume of its own that it had given up.
+    /// The engine says that a later attachment exists.
     fn superseded(&mut self, now: Timestamp, effects: &mut Vec<SessionEffect>) {
-        self.supersessions += 1;
-        let tolerated = 2 * u32::from(self.adopted) + u32::from(self.uncertain_attachment);
-        if self.supersessions <= tolerated {
+        if self.attachments.record_supersession() > self.foreign_limit() {
+            self.step_back(effects);
+        } else {
             self.plan_resume(now, effects);
-            return;
         }
+    }
+
+    /// Gets the number of attachments of other instances that the session tolerates.
+    ///
+    /// More than these mean that the caller has reconnected elsewhere. Of two sessions that
+    /// take the generation from each other the later one must stay, so the session that began
+    /// the generation tolerates none.
+    fn foreign_limit(&self) -> u64 {
+        if self.adopted { ADOPTED_SUPERSESSIONS } else { 0 }
+    }
+
+    /// Ends the response and leaves the generation to the instance that continues it.
+    fn step_back(&mut self, effects: &mut Vec<SessionEffect>) {
         self.close_exchanges(effects);
         self.release_permit(effects);
         self.finish_with(ErrorKind::Cancelled, effects);
@@ -615,7 +673,7 @@
         self.cursor = StreamCursor::default();
         self.stall = StallDetector::new(self.params.stall);
         self.recovery = None;
-        self.uncertain_attachment = false;
+        self.attachments = AttachmentAccount::default();
         self.text.clear();
         self.phase = SessionPhase::Waiting;
         effects.push(SessionEffect::RequestServer { avoid: self.avoid.clone() });
@@ -658,7 +716,6 @@
         }
         if let Some(pending) = self.pending.filter(|pending| pending.expires <= now) {
             effects.push(SessionEffect::Close { exchange: pending.exchange });
-            self.uncertain_attachment |= pending.resume;
             self.pending_failed(now, pending, LostReason::Silent, effects);
         }
         if self.pending.is_some() || self.phase != SessionPhase::Running {
@@ -773,7 +830,7 @@
 
     fn close_exchanges(&mut self, effects: &mut Vec<SessionEffect>) {
         let pending = self.pending.take();
-        self.uncertain_attachment |= pending.is_some_and(|pending| pending.resume);
+        self.attachments.unanswered += u64::from(pending.is_some_and(|pending| pending.resume));
         let open = [self.current.take(), pending.map(|pending| pending.exchange)];
         effects
             .extend(open.into_iter().flatten().map(|exchange| SessionEffect::Close { exchange }));
--- a/medlarlanding-core/tests/generations_session.rs
+++ b/medlarlanding-core/tests/generations_session.rs
@@ -333,47 +333,55 @@
     ]]),
     /// The caller is gone for longer than the grace period.
     caller_gone_for_good => (Stream, vec![running(1, true), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, token(1, "g", 1, 2), vec![]),
         (10_100, tick(), vec![close(1), cancel(A, "g", 1), release(A), fail(ErrorKind::Cancelled)]),
     ]]),
     caller_back_within_the_grace_period => (Stream, vec![running(3, true), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, token(1, "g", 1, 4), vec![]),
-        (200, SessionInput::CallerBack { after: 2 }, vec![close(1), resume(2, A, "g", 2)]),
+        (200, SessionInput::CallerBack { connection: 2, after: 2 }, vec![close(1), resume(2, A, "g", 2)]),
         (210, attached(2, "g", 2), vec![]),
         (220, token(2, "g", 2, 3), vec![deliver("g", 3)]),
         (230, token(2, "g", 2, 4), vec![deliver("g", 4)]),
     ]]),
     caller_back_before_its_old_connection_closed => (Stream, vec![running(3, true), vec![
-        (200, SessionInput::CallerBack { after: 3 }, vec![close(1), resume(2, A, "g", 3)]),
+        (200, SessionInput::CallerBack { connection: 2, after: 3 }, vec![close(1), resume(2, A, "g", 3)]),
+        (210, attached(2, "g", 2), vec![]),
+        (220, token(2, "g", 2, 4), vec![deliver("g", 4)]),
+    ]]),
+    /// The old connection's end is noticed late and must not end the new one.
+    old_connection_closes_after_the_caller_is_back => (Stream, vec![running(3, true), vec![
+        (200, SessionInput::CallerBack { connection: 2, after: 3 }, vec![close(1), resume(2, A, "g", 3)]),
+        (205, SessionInput::CallerGone { connection: 1 }, vec![]),
+        (206, SessionInput::CallerBack { connection: 2, after: 1 }, vec![]),
         (210, attached(2, "g", 2), vec![]),
         (220, token(2, "g", 2, 4), vec![deliver("g", 4)]),
     ]]),
     /// The engine finishes while the caller is gone; its permit is free, the tokens are not lost.
     end_while_the_caller_is_gone => (Stream, vec![running(3, true), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, end(1, "g", 1, 4), vec![release(A)]),
-        (200, SessionInput::CallerBack { after: 3 }, vec![resume(2, A, "g", 3)]),
+        (200, SessionInput::CallerBack { connection: 2, after: 3 }, vec![resume(2, A, "g", 3)]),
         (210, attached(2, "g", 2), vec![]),
         (220, token(2, "g", 2, 4), vec![deliver("g", 4)]),
         (230, end(2, "g", 2, 4), vec![complete(4, None)]),
     ]]),
     end_while_the_caller_is_gone_for_good => (Stream, vec![running(3, true), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, end(1, "g", 1, 4), vec![release(A)]),
         (10_100, tick(), vec![fail(ErrorKind::Cancelled)]),
     ]]),
     /// Another instance may have attached, so a lost connection is not resumed for nobody.
     lost_while_the_caller_is_gone => (Stream, vec![running(3, true), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, lost(1, LostReason::Superseded), vec![]),
         (10_100, tick(), vec![cancel(A, "g", 1), release(A), fail(ErrorKind::Cancelled)]),
     ]]),
     whole_delivery_goes_on_without_its_caller => (Whole, vec![running(1, false), vec![
-        (100, SessionInput::CallerGone, vec![]),
+        (100, SessionInput::CallerGone { connection: 1 }, vec![]),
         (110, token(1, "g", 1, 2), vec![]),
-        (120, SessionInput::CallerBack { after: 0 }, vec![]),
+        (120, SessionInput::CallerBack { connection: 2, after: 0 }, vec![]),
         (130, end(1, "g", 1, 2), vec![release(A), complete(2, Some("g1 g2 "))]),
     ]]),
     /// A generation from a resume handle is resumed and never started anew.
@@ -409,6 +417,25 @@
         (60, attached(3, "g", 6), vec![]),
         (70, lost(3, LostReason::Superseded), vec![release(A), fail(ErrorKind::Cancelled)]),
     ]]),
+    /// A resume that ended before its headers may be the later attachment, after a restart as
+    /// well as before.
+    own_lost_resume_supersedes_the_stream => (Whole, vec![running(5, false), vec![
+        (600, tick(), vec![resume(2, A, "g", 5)]),
+        (610, lost(2, LostReason::Closed), vec![suspect(A, LostReason::Closed)]),
+        (615, lost(1, LostReason::Superseded), vec![]),
+        (860, tick(), vec![resume(3, A, "g", 5)]),
+        (870, lost(3, LostReason::NotFound), vec![cancel(A, "g", 1), release(A), request(&[A])]),
+        (880, start(B), vec![open(4, B)]),
+        (890, attached(4, "h", 1), vec![]),
+        (900, token(4, "h", 1, 1), vec![]),
+        (910, token(4, "h", 1, 2), vec![]),
+        (1410, tick(), vec![resume(5, B, "h", 2)]),
+        (1420, lost(5, LostReason::Closed), vec![suspect(B, LostReason::Closed)]),
+        (1425, lost(4, LostReason::Superseded), vec![]),
+        (1670, tick(), vec![resume(6, B, "h", 2)]),
+        (1680, attached(6, "h", 3), vec![]),
+        (1690, end(6, "h", 3, 2), vec![release(B), complete(2, Some("h1 h2 "))]),
+    ]]),
     /// The runtime does not read while the caller is slow; that is no stall.
     slow_caller_is_no_stall => (Stream, vec![running(5, true), vec![
         (150, SessionInput::ReadPaused, vec![]),
