Split the admission controller by job

Cause: one file of 1,600 lines held views, requests, limits, messages and reports.

Ruled out: separate state machines for each part, because all of them change the open requests.

Change: child modules with one job each; no change of behaviour.

--- /dev/null
+++ b/medlarlanding-core/src/admission/controller/views.rs
@@ -0,0 +1,131 @@
+//! Servers, live instances and who manages what.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::admission::account::BackendAccount;
+use crate::ids::{CustomerId, InstanceIdentity, ServerId, stable_hash};
+use crate::rendezvous;
+use crate::time::Timestamp;
+
+use super::{AdmissionController, AdmissionEffect, AskState, OpenStage, ServerCapacity};
+
+impl AdmissionController {
+    pub(super) fn set_servers(
+        &mut self,
+        servers: Vec<ServerCapacity>,
+        effects: &mut Vec<AdmissionEffect>,
+    ) {
+        self.servers = servers.into_iter().map(|server| (server.server, server)).collect();
+        self.seen.retain(|server, _| self.servers.contains_key(server));
+        self.rebuild_accounts();
+        self.report_all(true, effects);
+    }
+
+    pub(super) fn set_live(
+        &mut self,
+        live: Vec<InstanceIdentity>,
+        effects: &mut Vec<AdmissionEffect>,
+    ) {
+        if live == self.live {
+            return;
+        }
+        let before: Vec<_> =
+            self.servers.keys().map(|&server| (server, self.manager(server))).collect();
+        let customers: Vec<_> = self.uses.keys().map(|&c| (c, self.customer_manager(c))).collect();
+        self.live = live;
+        self.view_at = self.now;
+        let ids: BTreeSet<_> = self.live.iter().map(|instance| instance.id).collect();
+        self.unreachable.retain(|id| ids.contains(id));
+        self.rebuild_accounts();
+        let own_id = self.own.id;
+        let ranked: Vec<_> = self.customers.keys().copied().collect();
+        for customer in ranked {
+            if self.customer_manager(customer).is_some_and(|manager| manager.id != own_id) {
+                self.customers.remove(&customer);
+            }
+        }
+        for (customer, manager) in customers {
+            if self.customer_manager(customer) != manager
+                && let Some(used) = self.uses.get_mut(&customer)
+            {
+                (used.allotment, used.sent) = (used.opened, None);
+            }
+        }
+        let moved: BTreeSet<_> = before
+            .into_iter()
+            .filter(|&(server, manager)| self.manager(server) != manager)
+            .map(|(server, _)| server)
+            .collect();
+        let now = self.now;
+        let mut waiting = Vec::new();
+        for (&number, open) in &mut self.open {
+            let OpenStage::Asking { asks, .. } = &mut open.stage else { continue };
+            for ask in asks.iter_mut().filter(|ask| moved.contains(&ask.server)) {
+                (ask.state, ask.since) = (AskState::Sent, now);
+                ask.sent.clear();
+                waiting.push(number);
+            }
+        }
+        self.report_all(true, effects);
+        for number in waiting {
+            self.advance(number, effects);
+        }
+    }
+
+    /// Creates the accounts that this instance manages and drops the others.
+    pub(super) fn rebuild_accounts(&mut self) {
+        let managed: BTreeMap<_, _> = self
+            .servers
+            .values()
+            .filter(|capacity| {
+                self.manager(capacity.server).is_some_and(|manager| manager.id == self.own.id)
+            })
+            .map(|capacity| (capacity.server, *capacity))
+            .collect();
+        self.accounts.retain(|server, _| managed.contains_key(server));
+        for (server, capacity) in managed {
+            match self.accounts.get_mut(&server) {
+                Some(account) => {
+                    account.set_capacity(capacity);
+                    account.set_live(&self.live);
+                },
+                None => {
+                    let params = self.params.clone();
+                    let account = BackendAccount::new(params, capacity, &self.live, self.now);
+                    self.accounts.insert(server, account);
+                },
+            }
+        }
+    }
+
+    /// Forgets what others may have replaced while this process did not run.
+    pub(super) fn resume_after_pause(&mut self, now: Timestamp) {
+        self.view_at = now;
+        for account in self.accounts.values_mut() {
+            account.start_warm_up(&self.live, now);
+        }
+        for account in self.customers.values_mut() {
+            account.set_warm_until(now + self.params.lease);
+        }
+        for used in self.uses.values_mut() {
+            (used.allotment, used.sent) = (used.opened, None);
+        }
+        self.confirmed.clear();
+        self.next_report = now;
+    }
+
+    pub(super) fn manager(&self, server: ServerId) -> Option<InstanceIdentity> {
+        self.first_live(server.0)
+    }
+
+    pub(super) fn customer_manager(&self, customer: CustomerId) -> Option<InstanceIdentity> {
+        let mut key = *b"customer........";
+        key[8..].copy_from_slice(&customer.0.to_le_bytes());
+        self.first_live(stable_hash(&key))
+    }
+
+    pub(super) fn first_live(&self, key: u64) -> Option<InstanceIdentity> {
+        let id = rendezvous::first(key, self.live.iter().map(|instance| instance.id))?;
+        self.live.iter().copied().find(|instance| instance.id == id)
+    }
+}
--- a/medlarlanding/src/backends/engine.rs
+++ b/medlarlanding/src/backends/engine.rs
@@ -112,8 +112,7 @@
         order: &GenerationOrder<'_>,
         test_tokens: Option<&str>,
     ) -> Result<Self, OpenFault> {
-        let mut start =
-            request(client, Method::POST, address, "/v1/generations", HEADERS_TIMEOUT);
+        let mut start = request(client, Method::POST, address, "/v1/generations", HEADERS_TIMEOUT);
         if let Some(tokens) = test_tokens {
             start = start.header("x-test-tokens", tokens);
         }
--- a/medlarlanding/src/backends/events.rs
+++ b/medlarlanding/src/backends/events.rs
@@ -51,11 +51,7 @@
         Ok(())
     }
 
-    fn end_line(
-        &mut self,
-        line: &[u8],
-        events: &mut Vec<StreamEvent>,
-    ) -> Result<(), EventFault> {
+    fn end_line(&mut self, line: &[u8], events: &mut Vec<StreamEvent>) -> Result<(), EventFault> {
         let line = std::str::from_utf8(line).map_err(|_| EventFault)?;
         let line = line.strip_suffix('\r').unwrap_or(line);
         if line.is_empty() {
--- a/medlarlanding/src/backends/service.rs
+++ b/medlarlanding/src/backends/service.rs
@@ -61,8 +61,8 @@
     body: &[u8],
     timeout: Duration,
 ) -> Result<ServiceAnswer, ExchangeFault> {
-    let mut request = request(client, Method::POST, address, path, timeout)
-        .content_type("application/json");
+    let mut request =
+        request(client, Method::POST, address, path, timeout).content_type("application/json");
     for &(name, value) in headers {
         request = request.header(name, value);
     }
--- a/medlarlanding/src/http/answers.rs
+++ b/medlarlanding/src/http/answers.rs
@@ -1,7 +1,7 @@
 //! Answers for refused requests, from the error table.
 
-use medlarlanding_core::ids::RequestId;
 use medlarlanding_core::ServeError;
+use medlarlanding_core::ids::RequestId;
 
 use ntex::http::StatusCode;
 use ntex::web::HttpResponse;
--- a/medlarlanding/src/http/reading.rs
+++ b/medlarlanding/src/http/reading.rs
@@ -46,7 +46,6 @@
 ///
 /// `BadRequest` with line and column.
 pub fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(|error| {
-        ServeError::with_detail(ErrorKind::BadRequest, format!("JSON: {error}"))
-    })
+    serde_json::from_slice(body)
+        .map_err(|error| ServeError::with_detail(ErrorKind::BadRequest, format!("JSON: {error}")))
 }
--- a/medlarlanding/src/peers/tcp.rs
+++ b/medlarlanding/src/peers/tcp.rs
@@ -90,9 +90,8 @@
     let mut bytes = vec![0; len];
     stream.read_exact(&mut bytes).await?;
     handler.count_bytes("received", LABEL, len + 4);
-    let frame = codec
-        .decode(&bytes, PeerTransport::Stream)
-        .map_err(|fault| anyhow::anyhow!("{fault}"))?;
+    let frame =
+        codec.decode(&bytes, PeerTransport::Stream).map_err(|fault| anyhow::anyhow!("{fault}"))?;
     handler.handle_frame(frame, source);
     stream.write_u8(ACKNOWLEDGEMENT).await?;
     Ok(())
--- a/medlarlanding/src/supervisor.rs
+++ b/medlarlanding/src/supervisor.rs
@@ -26,11 +26,7 @@
 
 impl Default for RestartParams {
     fn default() -> Self {
-        Self {
-            limit: 10,
-            window: Duration::from_secs(60),
-            delay: Duration::from_millis(100),
-        }
+        Self { limit: 10, window: Duration::from_secs(60), delay: Duration::from_millis(100) }
     }
 }
 
@@ -69,10 +65,7 @@
                     return;
                 }
                 restarts.push(now);
-                event(
-                    EventKind::ChildRestarted,
-                    &[&name, &format!("{error:#}"), &restarts.len()],
-                );
+                event(EventKind::ChildRestarted, &[&name, &format!("{error:#}"), &restarts.len()]);
                 ntex::time::sleep(params.delay).await;
             }
         }));
