Add experiments in virtual time with baselines, report and plots

Ruled out: measuring over HTTP, because runs of 25 min with 12 engines and paired arrivals are needed; and the plain number of answers per second as capacity, because strict priorities let the short class grow without bound while drafts starve. Capacity counts complete answers in the proportions of the mix.

Change: deployments, open-loop arrivals with log-normal lengths, round robin, least outstanding (counted without lag over all instances), two choices on the lagging report, reservation of the largest output (one queue, without lag), faults, HDR histograms, JSON, Markdown and SVG.

--- /dev/null
+++ b/medlarlanding-bench/src/experiment/plan.rs
@@ -0,0 +1,282 @@
+//! Experiment files and the deployments they name.
+
+use std::time::Duration;
+
+use medlarlanding_core::admission::{AdmissionParams, Objective};
+
+use serde::{Deserialize, Serialize};
+
+use crate::engine_model::EngineParams;
+
+/// How requests are distributed over the servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PolicyKind {
+    /// Each instance takes the servers in turn.
+    RoundRobin,
+    /// The server with the fewest requests of all instances, counted without lag.
+    LeastOutstanding,
+    /// The less loaded of two random servers by their lagging reports.
+    TwoChoices,
+    /// One queue; a request starts when its prompt and its largest output fit.
+    Reservation,
+    /// The admission subsystem.
+    Admission,
+}
+
+impl PolicyKind {
+    /// Policies that the admission subsystem is compared with.
+    pub const BASELINES: [Self; 4] =
+        [Self::RoundRobin, Self::LeastOutstanding, Self::TwoChoices, Self::Reservation];
+
+    /// Gets the name in results.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::RoundRobin => "round_robin",
+            Self::LeastOutstanding => "least_outstanding",
+            Self::TwoChoices => "two_choices",
+            Self::Reservation => "reservation",
+            Self::Admission => "admission",
+        }
+    }
+}
+
+/// Disturbance during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultKind {
+    /// Nothing fails.
+    None,
+    /// One server is killed in a third of the window and one instance is paused for 10 s in
+    /// two thirds of it.
+    KillAndPause,
+    /// One customer sends ten times its limit of open requests.
+    NoisyCustomer,
+}
+
+impl FaultKind {
+    /// Gets the name in results.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::KillAndPause => "kill_and_pause",
+            Self::NoisyCustomer => "noisy_customer",
+        }
+    }
+}
+
+/// A deployment with its mix of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DeploymentKind {
+    /// Overnight drafts and fitment checks.
+    Nile,
+    /// Narratives and assessments.
+    Consortium,
+}
+
+/// One class of requests.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestClass {
+    /// Name in results.
+    pub name: &'static str,
+    /// Share of the arrivals, 0 to 1.
+    pub part: f64,
+    /// Median and log standard deviation of the prompt's length in tokens.
+    pub prompt: (f64, f64),
+    /// Median and log standard deviation of the output's length in tokens.
+    pub output: (f64, f64),
+    /// Limit of the output in tokens.
+    pub max_tokens: u32,
+    /// 0 to 9, 9 most urgent.
+    pub priority: u8,
+    /// Time for the complete answer.
+    pub deadline: Duration,
+    /// Objective of the desk.
+    pub objective: Objective,
+    /// Whether the answer is delivered only when complete, so that it can start again.
+    pub whole: bool,
+}
+
+/// Size and mix of a deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Name in results.
+    pub name: &'static str,
+    /// Number of model engines.
+    pub servers: usize,
+    /// Classes; their parts add up to 1.
+    pub classes: Vec<RequestClass>,
+    /// Part of the arrivals of each customer. Shares and limits are in proportion.
+    pub customers: Vec<f64>,
+    /// Largest number of open requests of all customers together at the limit.
+    pub open_total: f64,
+    /// Capacity and speed of an engine.
+    pub engine: EngineParams,
+}
+
+impl Deployment {
+    /// Gets a deployment.
+    pub fn new(kind: DeploymentKind) -> Self {
+        // Three large and seven small customers.
+        let customers = vec![0.28, 0.22, 0.15, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05];
+        // Size of the servers in the configuration example of the design page. The memory
+        // holds about 20 drafts, so it is exhausted before the batch is full.
+        let engine = EngineParams {
+            kv_tokens: 65_536,
+            max_batch: 32,
+            prefix_cache_tokens: 32_768,
+            ..EngineParams::default()
+        };
+        match kind {
+            DeploymentKind::Nile => Self {
+                name: "nile",
+                servers: 12,
+                classes: vec![
+                    RequestClass {
+                        name: "overnight",
+                        part: 0.4,
+                        prompt: (700.0, 0.5),
+                        output: (1200.0, 1.0),
+                        max_tokens: 32_768,
+                        priority: 2,
+                        deadline: Duration::from_secs(3600),
+                        objective: Objective::FewestPreemptions,
+                        whole: true,
+                    },
+                    RequestClass {
+                        name: "fitment",
+                        part: 0.6,
+                        prompt: (300.0, 0.4),
+                        output: (40.0, 0.8),
+                        max_tokens: 1024,
+                        priority: 7,
+                        deadline: Duration::from_secs(60),
+                        objective: Objective::FewestPreemptions,
+                        whole: false,
+                    },
+                ],
+                customers,
+                open_total: 600.0,
+                engine,
+            },
+            DeploymentKind::Consortium => Self {
+                name: "consortium",
+                servers: 9,
+                classes: vec![
+                    RequestClass {
+                        name: "narrative",
+                        part: 0.5,
+                        prompt: (1500.0, 0.4),
+                        output: (500.0, 0.9),
+                        max_tokens: 8192,
+                        priority: 5,
+                        deadline: Duration::from_secs(300),
+                        objective: Objective::LeastStall,
+                        whole: false,
+                    },
+                    RequestClass {
+                        name: "assessment",
+                        part: 0.5,
+                        prompt: (2500.0, 0.4),
+                        output: (150.0, 0.7),
+                        max_tokens: 2048,
+                        priority: 5,
+                        deadline: Duration::from_secs(120),
+                        objective: Objective::LeastStall,
+                        whole: false,
+                    },
+                ],
+                customers,
+                open_total: 450.0,
+                engine,
+            },
+        }
+    }
+}
+
+/// Changes of the admission parameters for one experiment.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdmissionTuning {
+    /// See `AdmissionParams::z_fewest_preemptions`.
+    pub z_fewest_preemptions: Option<f64>,
+    /// See `AdmissionParams::z_least_stall`.
+    pub z_least_stall: Option<f64>,
+    /// See `AdmissionParams::ask_width`.
+    pub ask_width: Option<usize>,
+    /// See `AdmissionParams::affinity_bound`.
+    pub affinity_bound: Option<f64>,
+    /// See `AdmissionParams::target_gap`, in milliseconds.
+    pub target_gap_ms: Option<u64>,
+}
+
+impl AdmissionTuning {
+    /// Gets the parameters with the changes.
+    pub fn params(&self) -> AdmissionParams {
+        let defaults = AdmissionParams::default();
+        AdmissionParams {
+            z_fewest_preemptions: self
+                .z_fewest_preemptions
+                .unwrap_or(defaults.z_fewest_preemptions),
+            z_least_stall: self.z_least_stall.unwrap_or(defaults.z_least_stall),
+            ask_width: self.ask_width.unwrap_or(defaults.ask_width),
+            affinity_bound: self.affinity_bound.unwrap_or(defaults.affinity_bound),
+            target_gap: self.target_gap_ms.map_or(defaults.target_gap, Duration::from_millis),
+            ..defaults
+        }
+    }
+}
+
+/// An experiment file.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ExperimentPlan {
+    /// Title of the report.
+    pub name: String,
+    /// Deployments to run.
+    pub deployments: Vec<DeploymentKind>,
+    /// Policies to run.
+    pub policies: Vec<PolicyKind>,
+    /// Offered load in parts of the capacity.
+    pub loads: Vec<f64>,
+    /// Seeds; each policy and fault sees the same arrivals under a seed.
+    pub seeds: Vec<u64>,
+    /// Disturbances to run.
+    pub faults: Vec<FaultKind>,
+    /// Number of instances.
+    pub instances: usize,
+    /// Time before the measurement, s.
+    pub warmup_s: f64,
+    /// Time of the measurement, s.
+    pub window_s: f64,
+    /// Longest time after the measurement in which open requests may end, s.
+    pub drain_s: f64,
+    /// Complete answers per second that count as load 1; determined by a sweep of the
+    /// baselines if absent.
+    pub capacity: Option<f64>,
+    /// Rates of the sweep, answers per second and server.
+    pub sweep: Vec<f64>,
+    /// Changes of the admission parameters.
+    pub tuning: AdmissionTuning,
+}
+
+impl Default for ExperimentPlan {
+    fn default() -> Self {
+        Self {
+            name: "admission".to_owned(),
+            deployments: vec![DeploymentKind::Nile, DeploymentKind::Consortium],
+            policies: [&PolicyKind::BASELINES[..], &[PolicyKind::Admission]].concat(),
+            loads: vec![0.7, 0.9, 1.0, 1.2],
+            seeds: vec![1, 2, 3],
+            faults: vec![FaultKind::None],
+            instances: 8,
+            warmup_s: 300.0,
+            window_s: 600.0,
+            drain_s: 1200.0,
+            capacity: None,
+            sweep: vec![0.5, 0.7, 0.9, 1.1, 1.3, 1.6, 2.0],
+            tuning: AdmissionTuning::default(),
+        }
+    }
+}
--- /dev/null
+++ b/medlarlanding-bench/src/experiment/workload.rs
@@ -0,0 +1,126 @@
+//! Open-loop arrivals with heavy-tailed lengths.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, LogNormal};
+
+use super::plan::{Deployment, FaultKind};
+
+/// Prompt templates per customer; each template is a cacheable prefix.
+const TEMPLATES: u64 = 4;
+/// Part of a prompt that its template covers.
+const TEMPLATE_PART: f64 = 0.6;
+/// The customer that sends too much under `NoisyCustomer`: the first of the small ones.
+pub const NOISY_CUSTOMER: usize = 3;
+/// How many times its limit the noisy customer sends.
+const NOISY_FACTOR: f64 = 10.0;
+
+/// One request of a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// Time in µs.
+    pub at: u64,
+    /// Index of the class.
+    pub class: usize,
+    /// Index of the customer.
+    pub customer: usize,
+    /// Index of the instance that the load balancer chooses.
+    pub instance: usize,
+    /// Length of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens that the model will produce. Not told to any policy.
+    pub output_tokens: u32,
+    /// Template of the prompt.
+    pub prefix: u64,
+    /// Tokens that the template covers.
+    pub prefix_tokens: u32,
+}
+
+/// Returns the mean time that a request of the mix is open, in seconds, at 25 ms per token.
+fn mean_open_seconds(deployment: &Deployment) -> f64 {
+    let class_mean = |class: &super::plan::RequestClass| {
+        let (median, sigma) = class.output;
+        class.part * median * (sigma * sigma / 2.0).exp() * 0.025
+    };
+    deployment.classes.iter().map(class_mean).sum()
+}
+
+/// Creates the arrivals of a run of `seconds` at `rate` requests per second.
+///
+/// The same seed yields the same requests in the same order at every rate; only the distances
+/// change. The requests of a noisy customer come from a generator of their own, so the others
+/// stay the same.
+pub fn arrivals(
+    deployment: &Deployment,
+    instances: usize,
+    fault: FaultKind,
+    rate: f64,
+    seconds: f64,
+    seed: u64,
+) -> Vec<Arrival> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut all = Vec::new();
+    draw(deployment, instances, rate, seconds, None, &mut random, &mut all);
+    if fault == FaultKind::NoisyCustomer {
+        let mut random = SmallRng::seed_from_u64(seed ^ 0x006e_6f69_7379);
+        let limit = deployment.customers[NOISY_CUSTOMER] * deployment.open_total;
+        let rate = NOISY_FACTOR * limit / mean_open_seconds(deployment);
+        let noisy = Some(NOISY_CUSTOMER);
+        draw(deployment, instances, rate, seconds, noisy, &mut random, &mut all);
+        all.sort_by_key(|arrival| arrival.at);
+    }
+    all
+}
+
+fn draw(
+    deployment: &Deployment,
+    instances: usize,
+    rate: f64,
+    seconds: f64,
+    only: Option<usize>,
+    random: &mut SmallRng,
+    all: &mut Vec<Arrival>,
+) {
+    let mut at = 0.0;
+    loop {
+        at += -(1.0 - random.random::<f64>()).ln() / rate;
+        if at >= seconds {
+            return;
+        }
+        let class = pick(deployment.classes.iter().map(|class| class.part), random);
+        let customer = pick(deployment.customers.iter().copied(), random);
+        let customer = only.unwrap_or(customer);
+        let shape = &deployment.classes[class];
+        let prompt_tokens = draw_length(shape.prompt, 16_000, random);
+        let output_tokens = draw_length(shape.output, shape.max_tokens, random);
+        let template = random.random_range(0..TEMPLATES);
+        all.push(Arrival {
+            at: (at * 1e6) as u64,
+            class,
+            customer,
+            instance: random.random_range(0..instances),
+            prompt_tokens,
+            output_tokens,
+            prefix: (class as u64) << 32 | (customer as u64) << 8 | template,
+            prefix_tokens: (f64::from(prompt_tokens) * TEMPLATE_PART) as u32,
+        });
+    }
+}
+
+fn pick(parts: impl Iterator<Item = f64>, random: &mut SmallRng) -> usize {
+    let mut left = random.random::<f64>();
+    let mut last = 0;
+    for (at, part) in parts.enumerate() {
+        last = at;
+        if left < part {
+            break;
+        }
+        left -= part;
+    }
+    last
+}
+
+fn draw_length((median, sigma): (f64, f64), limit: u32, random: &mut SmallRng) -> u32 {
+    let lengths = LogNormal::new(median.ln(), sigma).expect("the deviation is finite");
+    (lengths.sample(random) as u32).clamp(1, limit)
+}
