Limit the memory forecast to the new request's horizon

Cause: the forecast was checked at every horizon up to 32,768 tokens, so a fitment check of 40 tokens waited for the tail of the drafts' lengths.

Ruled out: a smaller z for every request, which admits more drafts as well.

--- a/medlarlanding-core/src/admission/account.rs
+++ b/medlarlanding-core/src/admission/account.rs
@@ -20,6 +20,8 @@
 const DRAIN_WINDOW: Duration = Duration::from_secs(60);
 /// Shortest distance of two reports from which a time between tokens is derived.
 const PACE_WINDOW: Duration = Duration::from_millis(200);
+/// Shortest horizon of the memory forecast in tokens; about one second of decoding.
+const SHORTEST_HORIZON: u32 = 32;
 /// Priority for which the wait in a status is computed.
 const MIDDLE_PRIORITY: u8 = 5;
 
@@ -465,7 +467,10 @@
         };
         let mut forecast = self.forecast(lengths);
         forecast.add(&need(item, lengths));
-        forecast.peak(z) <= limit
+        // Up to the time at which the new request reaches its median length; later growth is
+        // met by admitting less then.
+        let median = lengths.curve(item.route).median().min(item.max_tokens);
+        forecast.peak(z, median.max(SHORTEST_HORIZON)) <= limit
     }
 
     fn forecast(&self, lengths: &LengthEstimator) -> MemoryForecast {
@@ -478,7 +483,7 @@
 
     /// Returns the state that instances rank servers by.
     pub fn status(&self, now: Timestamp, lengths: &LengthEstimator) -> ServerStatus {
-        let memory = self.forecast(lengths).peak(0.0) / self.usable().max(1.0);
+        let memory = self.forecast(lengths).peak(0.0, u32::MAX) / self.usable().max(1.0);
         let batch = self.permits.len() as f64 / f64::from(self.capacity.max_batch.max(1));
         ServerStatus {
             server: self.capacity.server,
@@ -526,7 +531,7 @@
                 })
                 .collect(),
             queued: self.queue.len(),
-            expected_tokens: self.forecast(lengths).peak(0.0) as u64,
+            expected_tokens: self.forecast(lengths).peak(0.0, u32::MAX) as u64,
             kv_tokens: self.capacity.kv_tokens,
             batch_limit: self.pace.limit(),
             unheard: self.unheard.len(),
--- a/medlarlanding-core/src/admission/controller/requests.rs
+++ b/medlarlanding-core/src/admission/controller/requests.rs
@@ -316,7 +316,9 @@
             }
         }
         let batch = (f64::from(capacity.max_batch) * part).max(1.0);
-        if f64::from(running) > batch || forecast.peak(0.0) > capacity.kv_tokens as f64 * part {
+        if f64::from(running) > batch
+            || forecast.peak(0.0, u32::MAX) > capacity.kv_tokens as f64 * part
+        {
             return false;
         }
         let start_by = self.now + self.params.lease;
--- a/medlarlanding-core/src/admission/memory.rs
+++ b/medlarlanding-core/src/admission/memory.rs
@@ -37,12 +37,15 @@
         }
     }
 
-    /// Returns the highest memory use in tokens with `z` standard deviations kept free.
-    pub fn peak(&self, z: f64) -> f64 {
+    /// Returns the highest memory use in tokens within `horizon` steps, with `z` standard
+    /// deviations kept free.
+    pub fn peak(&self, z: f64, horizon: u32) -> f64 {
         self.mean
             .iter()
             .zip(&self.variance)
-            .map(|(mean, variance)| mean + z * variance.sqrt())
+            .zip(HORIZONS)
+            .filter(|&(_, steps)| steps <= horizon)
+            .map(|((mean, variance), _)| mean + z * variance.sqrt())
             .fold(0.0, f64::max)
     }
 }
