--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -57,6 +57,8 @@
     Platform {
         /// What was read.
         subject: Subject,
+        /// Number of the call.
+        call: u32,
         /// The result.
         answer: PlatformAnswer,
     },
@@ -115,6 +117,8 @@
     Watch {
         /// What to read.
         subject: Subject,
+        /// Number of the call, returned with its result.
+        call: u32,
         /// Wait for a revision above this one; 0 returns at once.
         after: u64,
         /// Longest wait.
@@ -259,8 +263,9 @@
     ) -> Result<(), FrameRejection> {
         match input {
             NodeInput::Frame(frame) => self.receive(now, *frame, effects)?,
-            NodeInput::Platform { subject, answer } => {
-                self.distribute(now, DistributionInput::Platform { subject, answer }, effects);
+            NodeInput::Platform { subject, call, answer } => {
+                let input = DistributionInput::Platform { subject, call, answer };
+                self.distribute(now, input, effects);
             },
             NodeInput::Verdict { version, accepted } => {
                 self.distribute(now, DistributionInput::Verdict { version, accepted }, effects);
@@ -442,8 +447,8 @@
                 DistributionEffect::Send { to, transport, message } => {
                     self.send(to, None, transport, PeerMessage::Distribution(message), effects);
                 },
-                DistributionEffect::Watch { subject, after, wait } => {
-                    effects.push(NodeEffect::Watch { subject, after, wait });
+                DistributionEffect::Watch { subject, call, after, wait } => {
+                    effects.push(NodeEffect::Watch { subject, call, after, wait });
                 },
                 DistributionEffect::StopWatch { subject } => {
                     effects.push(NodeEffect::StopWatch(subject));
--- a/medlarlanding/src/runtime/links.rs
+++ b/medlarlanding/src/runtime/links.rs
@@ -33,6 +33,8 @@
     Watch {
         /// What to read.
         subject: Subject,
+        /// Number of the call, returned with its result.
+        call: u32,
         /// Wait for a revision above this one; 0 returns at once.
         after: u64,
         /// Longest wait.
--- a/medlarlanding/src/runtime/node.rs
+++ b/medlarlanding/src/runtime/node.rs
@@ -126,8 +126,8 @@
                     inputs.push_back(NodeInput::Unreached(to));
                 }
             },
-            NodeEffect::Watch { subject, after, wait } => {
-                self.links.command(PlatformCommand::Watch { subject, after, wait });
+            NodeEffect::Watch { subject, call, after, wait } => {
+                self.links.command(PlatformCommand::Watch { subject, call, after, wait });
             },
             NodeEffect::StopWatch(subject) => {
                 self.links.command(PlatformCommand::Stop(subject));
--- a/medlarlanding/src/runtime/platform.rs
+++ b/medlarlanding/src/runtime/platform.rs
@@ -34,39 +34,41 @@
         let subject = match command {
             PlatformCommand::Watch { subject, .. } | PlatformCommand::Stop(subject) => subject,
         };
-        if let Some(call) = pending.swap_remove(&subject) {
-            call.cancel();
+        if let Some(task) = pending.swap_remove(&subject) {
+            task.cancel();
         }
-        if let PlatformCommand::Watch { after, wait, .. } = command {
+        if let PlatformCommand::Watch { call, after, wait, .. } = command {
             let addresses = &shared.settings.platform;
             // Each call uses the next address, so a dead one costs at most one call in a row.
             let address = addresses.get(turn % addresses.len().max(1)).copied();
             turn += 1;
             let watch = (after > 0).then_some(WatchParams { after, wait });
-            let call = call(shared.clone(), client.clone(), address, subject, watch);
-            pending.insert(subject, ntex::rt::spawn(call));
+            let (shared, client) = (shared.clone(), client.clone());
+            let task = ntex::rt::spawn(async move {
+                let answer = answer(&client, address, subject, watch).await;
+                let _ = shared.apply(NodeInput::Platform { subject, call, answer });
+            });
+            pending.insert(subject, task);
         }
     }
     Ok(())
 }
 
-async fn call(
-    shared: Arc<InstanceShared>,
-    client: Client,
+async fn answer(
+    client: &Client,
     address: Option<SocketAddr>,
     subject: Subject,
     watch: Option<WatchParams>,
-) {
+) -> PlatformAnswer {
     let answer = match address {
-        Some(address) => read(&client, address, subject, watch).await,
+        Some(address) => read(client, address, subject, watch).await,
         None => {
             // Without a platform the node lives from its peers; the pause bounds its retries.
             ntex::time::sleep(watch.map_or(Duration::from_secs(1), |watch| watch.wait)).await;
             Err("no platform address in the settings".to_owned())
         },
     };
-    let answer = answer.unwrap_or_else(|reason| PlatformAnswer::Unreachable { reason });
-    let _ = shared.apply(NodeInput::Platform { subject, answer });
+    answer.unwrap_or_else(|reason| PlatformAnswer::Unreachable { reason })
 }
 
 async fn read(
