--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -26,6 +26,8 @@
 use super::sink::{CallerSink, WholeAnswer, token_event};
 
 const ENDPOINT: &str = "generations";
+/// A caller that comes back gets a session of its own, so each has one connection.
+const CALLER_GONE: SessionInput = SessionInput::CallerGone { connection: 1 };
 /// Time for which a finished session takes late headers of exchanges that it gave up, in
 /// order to cancel what they started.
 const LINGER_TIME: Duration = Duration::from_millis(200);
@@ -123,7 +125,7 @@
             () = self.sink.closed(), if self.caller_present => {
                 self.caller_present = false;
                 self.trace(TraceStep::CallerGone);
-                SessionInput::CallerGone
+                CALLER_GONE
             },
             () = tokio::time::sleep(delay.min(Duration::from_secs(3600))) => SessionInput::Tick,
         }
@@ -251,7 +253,7 @@
     fn lose_caller(&mut self) {
         if std::mem::take(&mut self.caller_present) {
             let mut ignored = Vec::new();
-            self.session.handle(self.shared.clock.now(), SessionInput::CallerGone, &mut ignored);
+            self.session.handle(self.shared.clock.now(), CALLER_GONE, &mut ignored);
             debug_assert!(ignored.is_empty(), "a caller that leaves has no immediate effects");
         }
     }
