--- a/medlarlanding-bench/src/lib.rs
+++ b/medlarlanding-bench/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod client;
 pub mod cluster;
+pub mod cost;
 pub mod demo;
 pub mod engine_model;
 pub mod experiment;
@@ -12,3 +13,4 @@
 pub mod order_trials;
 pub mod report;
 pub mod stand_ins;
+pub mod usage;
--- a/medlarlanding-bench/src/main.rs
+++ b/medlarlanding-bench/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use medlarlanding_bench::stand_ins::{engine, platform, service};
-use medlarlanding_bench::{demo, experiment, fleet_trials, load, order_trials};
+use medlarlanding_bench::{cost, demo, experiment, fleet_trials, load, order_trials};
 
 use argh::FromArgs;
 
@@ -23,6 +23,7 @@
     Platform(platform::PlatformOptions),
     Load(load::LoadOptions),
     Experiment(experiment::ExperimentOptions),
+    Cost(cost::CostOptions),
     Orders(order_trials::OrderTrialsOptions),
     Fleet(fleet_trials::FleetTrialsOptions),
 }
@@ -36,6 +37,7 @@
         BenchCommand::Platform(options) => platform::run(options),
         BenchCommand::Load(options) => load::run(options),
         BenchCommand::Experiment(options) => experiment::run(options),
+        BenchCommand::Cost(options) => cost::run(options),
         BenchCommand::Orders(options) => order_trials::run(options),
         BenchCommand::Fleet(options) => fleet_trials::run(options),
     }
