--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -103,6 +103,8 @@
         }
         self.permit.release(false);
         self.linger().await;
+        let dump = self.session.dump();
+        self.shared.metrics.dropped_tokens.inc_by(dump.cursor.dropped + dump.stray);
     }
 
     async fn next_input(&mut self) -> SessionInput {
