--- a/medlarlanding-bench/src/fleet_trials/mod.rs
+++ b/medlarlanding-bench/src/fleet_trials/mod.rs
@@ -12,7 +12,7 @@
 use anyhow::Context;
 use argh::FromArgs;
 
-pub use measure::{FleetMeasurement, MeasureOptions, measure};
+pub use measure::{FleetMeasurement, MeasureOptions, measure, text};
 pub use node::{FleetNode, NodeOutput, NodeParams};
 pub use platform::{CALL_LIMIT, PlatformModel, SecondLoad};
 pub use sim::{FleetLog, FleetSim, NodeTraffic, SECOND};
--- a/medlarlanding-core/src/membership/table/mod.rs
+++ b/medlarlanding-core/src/membership/table/mod.rs
@@ -77,6 +77,7 @@
     live_changed: bool,
     joined: bool,
     next_cycle: Timestamp,
+    last_gossip: Timestamp,
     next_gossip: Timestamp,
     next_reconnect: Timestamp,
     next_join: Timestamp,
@@ -133,6 +134,7 @@
             live_changed: true,
             joined: false,
             next_cycle: Timestamp::default(),
+            last_gossip: Timestamp::default(),
             next_gossip: Timestamp::default(),
             next_reconnect: Timestamp::default(),
             next_join: Timestamp::default(),
@@ -170,13 +172,13 @@
             MembershipInput::MarkServer { server, leaving } => {
                 if let Some(mark) = self.marks.change(server, leaving) {
                     self.merge_mark(mark, effects);
-                    self.next_gossip = now;
+                    self.hasten_gossip();
                 }
             },
             MembershipInput::Leave => {
                 let record = MemberRecord { leaving: true, ..self.own };
                 self.set_own(record, effects);
-                self.next_gossip = now;
+                self.hasten_gossip();
             },
             MembershipInput::Depart => self.depart(effects),
         }
@@ -307,6 +309,12 @@
         self.members.retain(|_, member| member.record.is_some() || member.listed || member.seed);
     }
 
+    /// Sends own news soon; not at once for each piece, as many servers may leave together.
+    fn hasten_gossip(&mut self) {
+        let soon = self.last_gossip + self.params.gossip_interval / 10;
+        self.next_gossip = self.next_gossip.min(soon);
+    }
+
     fn resume(&mut self, now: Timestamp, late: Duration, effects: &mut Vec<MembershipEffect>) {
         // Answers that arrived during the pause were not read, so neither the probe in progress
         // nor the suspicion timeouts say anything about the peers.
@@ -341,6 +349,7 @@
             }
         }
         if now >= self.next_gossip && !self.updates.is_empty() {
+            self.last_gossip = now;
             self.next_gossip = now + self.params.gossip_interval;
             let targets = self.choose_present(self.params.gossip_fanout, None);
             for target in targets {
