Spread the addresses of instances that no list names

Cause: an instance was counted in the digest as soon as its record was known. If its address announcement was lost, digests agreed, nothing repaired the loss, and the instance stayed out of reach. After a restart at another address, whoever heard of the new process first spread the old address together with the new incarnation.

Ruled out: sending addresses with every claim (28 bytes more per update and transmission).

Change: a member remembers which process announced its addresses. Only announced addresses are spread, they count in the digest, and the list replaces an address only if no running process announced it.

Conclusion: the list may lag without hiding instances.

--- a/medlarlanding-bench/src/fleet_trials/sim.rs
+++ b/medlarlanding-bench/src/fleet_trials/sim.rs
@@ -142,6 +142,8 @@
     hosts: Vec<Host>,
     index: HashMap<InstanceId, usize>,
     regions: usize,
+    /// Number of instances that settings and the list name.
+    named: usize,
     codec: PeerCodec,
     rng: SmallRng,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -203,6 +205,7 @@
             hosts,
             index,
             regions,
+            named: count,
             codec: PeerCodec::new("fleet trials"),
             rng,
             queue: BinaryHeap::new(),
@@ -211,6 +214,14 @@
         }
     }
 
+    /// Leaves all but the first `count` instances out of the settings and the list.
+    pub fn name_only(&mut self, count: usize) {
+        self.named = count;
+        let mut list = InstanceList::clone(&self.platform.list);
+        list.entries.truncate(count);
+        self.platform.list = Arc::new(list);
+    }
+
     /// Returns the number of instances.
     pub fn len(&self) -> usize {
         self.hosts.len()
@@ -276,7 +287,8 @@
     pub fn start(&mut self, node: usize, skew_ms: i64) {
         let started =
             1_800_000_000_000u64.saturating_add(self.now / 1000).saturating_add_signed(skew_ms);
-        let seeds: Vec<_> = self.hosts.iter().map(|host| host.entry.clone()).collect();
+        let named = self.hosts.iter().take(self.named);
+        let seeds: Vec<_> = named.map(|host| host.entry.clone()).collect();
         let floor = Subject::ALL
             .into_iter()
             .map(|subject| (subject, self.known_elsewhere(node, subject)))
--- a/medlarlanding-bench/tests/fleet.rs
+++ b/medlarlanding-bench/tests/fleet.rs
@@ -99,6 +99,22 @@
     assert!(evictions_with_a_bad_link(weakened) > 0);
 }
 
+/// Guards against instances that run but stay out of reach because the list lags: they announce
+/// their addresses themselves, and full states repair lost announcements.
+#[test]
+fn instances_outside_the_list_are_found() {
+    let mut sim = FleetSim::new(20, NodeParams::default(), 1, text(512, 1));
+    sim.name_only(3);
+    sim.set_faults(0.3, 0.0, 0.0);
+    for node in 0..sim.len() {
+        sim.start(node, 0);
+    }
+    run(&mut sim, 10);
+    sim.set_faults(0.0, 0.0, 0.0);
+    let found = sim.run_while(sim.now + 20 * SECOND, FleetSim::views_agree);
+    assert!(found.is_some());
+}
+
 fn evictions_with_loss(params: NodeParams) -> usize {
     let mut sim = fleet(20, 1, params);
     sim.set_faults(0.2, 0.0, 0.0);
--- a/medlarlanding-core/src/membership/table/claims.rs
+++ b/medlarlanding-core/src/membership/table/claims.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{MembershipTable, mark_digest, member_digest};
+use super::{Member, MembershipTable, mark_digest, member_digest};
 use crate::events::EventKind;
 use crate::ids::{Incarnation, InstanceId, InstanceIdentity};
 use crate::membership::interface::MembershipEffect;
@@ -79,17 +79,15 @@
             claim.status = MemberStatus::Suspect;
         }
         let record = held.join(claim);
+        // Addresses of an earlier process say nothing about the later one.
         let contact = contact.filter(|_| record.incarnation.same_process(claim.incarnation));
-        let unknown_contact = contact.is_some() && self.contact(id) != contact;
-        if record != held {
+        let announced = self.members.get(&id).and_then(Member::announced_contact);
+        if record != held || (contact.is_some() && announced.is_none()) {
             self.set_member(now, id, record, contact, effects);
-        } else if unknown_contact && let Some(member) = self.members.get_mut(&id) {
-            member.contact = contact;
-            self.live_changed = true;
         }
     }
 
-    /// Stores a changed record and spreads it.
+    /// Stores a changed record and spreads it. `contact` is what its process announced.
     pub(super) fn set_member(
         &mut self,
         now: Timestamp,
@@ -100,23 +98,27 @@
     ) {
         let timeout = self.suspicion_timeout();
         let member = self.members.entry(id).or_default();
+        self.digest ^= member.digest(id);
         let before = member.record.replace(record);
-        member.contact = contact.or(member.contact);
+        if let Some(contact) = contact {
+            self.live_changed |= member.contact != Some(contact);
+            member.contact = Some(contact);
+            member.announced_by = Some(record.incarnation.started);
+        }
+        self.digest ^= member.digest(id);
         member.dead_at = match record.status {
             MemberStatus::Suspect => member.dead_at.or(Some(now + timeout)),
             _ => None,
         };
         member.died = (!record.is_present()).then_some(now);
-        let contact = member.contact;
+        let announced = member.announced_contact();
         let member_changed = before.is_none_or(|before| {
             before.is_present() != record.is_present()
                 || before.leaving != record.leaving
                 || before.incarnation != record.incarnation
         });
         self.live_changed |= member_changed;
-        self.digest ^= before.map_or(0, |before| member_digest(id, before));
-        self.digest ^= member_digest(id, record);
-        self.push_member(id, record, contact);
+        self.push_member(id, record, announced);
         if before.is_none_or(|before| {
             (before.status, before.leaving, before.incarnation.started)
                 != (record.status, record.leaving, record.incarnation.started)
@@ -155,7 +157,7 @@
         if before == record {
             return;
         }
-        self.digest ^= member_digest(self.id, before) ^ member_digest(self.id, record);
+        self.digest ^= member_digest(self.id, before, true) ^ member_digest(self.id, record, true);
         self.push_own();
         if before.incarnation != record.incarnation {
             effects.push(MembershipEffect::IdentityChanged(self.identity()));
--- a/medlarlanding-core/src/membership/table/exchange.rs
+++ b/medlarlanding-core/src/membership/table/exchange.rs
@@ -151,7 +151,8 @@
             contact: Some(self.own_contact),
         };
         let members = self.members.iter().filter_map(|(&id, member)| {
-            Some(MembershipUpdate::Member { id, record: member.record?, contact: member.contact })
+            let contact = member.announced_contact();
+            Some(MembershipUpdate::Member { id, record: member.record?, contact })
         });
         let marks = self.marks.iter().map(MembershipUpdate::Server);
         std::iter::once(own).chain(members).chain(marks).collect()
--- a/medlarlanding-core/src/membership/table/mod.rs
+++ b/medlarlanding-core/src/membership/table/mod.rs
@@ -31,6 +31,8 @@
     /// `None` until the first claim; listed members start unheard.
     record: Option<MemberRecord>,
     contact: Option<MemberContact>,
+    /// Start time of the process that announced `contact`; `None` if it is from the list.
+    announced_by: Option<u64>,
     /// Whether settings or the instance list name the member; such members are never forgotten.
     seed: bool,
     listed: bool,
@@ -44,6 +46,17 @@
     fn is_present(&self) -> bool {
         self.record.is_some_and(MemberRecord::is_present) && self.contact.is_some()
     }
+
+    /// Returns the addresses if the process in the record announced them itself.
+    fn announced_contact(&self) -> Option<MemberContact> {
+        let started = self.record?.incarnation.started;
+        self.contact.filter(|_| self.announced_by == Some(started))
+    }
+
+    fn digest(&self, id: InstanceId) -> u32 {
+        let announced = self.announced_contact().is_some();
+        self.record.map_or(0, |record| member_digest(id, record, announced))
+    }
 }
 
 /// A peer whose digest differs from the own one.
@@ -84,15 +97,17 @@
     next_sync: Timestamp,
 }
 
-fn member_digest(id: InstanceId, record: MemberRecord) -> u32 {
+fn member_digest(id: InstanceId, record: MemberRecord, announced: bool) -> u32 {
     if !record.is_present() {
         return 0;
     }
     // Refutations are left out: under loss they change too often for two digests to meet.
-    let mut bytes = [0u8; 17];
+    // Without the announcement an instance that is in no list would stay out of reach for good.
+    let mut bytes = [0u8; 18];
     bytes[..8].copy_from_slice(&id.0.to_le_bytes());
     bytes[8..16].copy_from_slice(&record.incarnation.started.to_le_bytes());
     bytes[16] = record.leaving.into();
+    bytes[17] = announced.into();
     stable_hash(&bytes) as u32
 }
 
@@ -129,7 +144,7 @@
             marks: ServerMarks::default(),
             updates: UpdateQueue::default(),
             probes: ProbeCycle::default(),
-            digest: member_digest(own.id, record),
+            digest: member_digest(own.id, record, true),
             difference: None,
             live_changed: true,
             joined: false,
@@ -289,12 +304,17 @@
 
     fn add_entry(&mut self, entry: &InstanceEntry) -> &mut Member {
         let member = self.members.entry(entry.id).or_default();
-        // A contact that the process announced itself is newer than the list, which lags.
-        member.contact.get_or_insert(MemberContact {
-            zone: entry.zone,
-            udp: entry.udp,
-            tcp: entry.tcp,
-        });
+        let contact = MemberContact { zone: entry.zone, udp: entry.udp, tcp: entry.tcp };
+        // What a running process announced itself is newer than the list, which lags.
+        if member.contact != Some(contact)
+            && (member.announced_by.is_none() || !member.is_present())
+        {
+            self.digest ^= member.digest(entry.id);
+            member.contact = Some(contact);
+            member.announced_by = None;
+            self.digest ^= member.digest(entry.id);
+            self.live_changed = true;
+        }
         member
     }
 
--- a/medlarlanding-core/tests/membership_table.rs
+++ b/medlarlanding-core/tests/membership_table.rs
@@ -8,8 +8,8 @@
 use medlarlanding_core::distribution::VersionStatus;
 use medlarlanding_core::ids::{Incarnation, InstanceId, InstanceIdentity, ServerId, ZoneId};
 use medlarlanding_core::membership::{
-    MemberRecord, MemberStatus, MembershipEffect, MembershipInput, MembershipMessage,
-    MembershipParams, MembershipTable, MembershipUpdate,
+    MemberContact, MemberRecord, MemberStatus, MembershipEffect, MembershipInput,
+    MembershipMessage, MembershipParams, MembershipTable, MembershipUpdate,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::views::{InstanceEntry, InstanceList, InstanceState, ListVersion};
@@ -247,6 +247,56 @@
     assert!(!bench.table.is_server_leaving(server));
 }
 
+/// Guards against a restarted instance that is reached at its old address: the list lags, and
+/// whoever heard of the restart first must not spread the old address as the new one.
+#[test]
+fn a_restarted_instance_is_reached_at_its_new_address() {
+    let mut bench = Bench::new(1, MembershipParams::default());
+    let moved = entry(9);
+    let contact = MemberContact { zone: moved.zone, udp: moved.udp, tcp: moved.tcp };
+    let mut effects = bench.pass(MembershipInput::Heard(identity(1, STARTED + 1)));
+    effects.extend(bench.run(Duration::from_millis(500)));
+    let spread = effects.iter().filter_map(|effect| match effect {
+        MembershipEffect::Send { message, .. } => Some(message.updates().to_vec()),
+        _ => None,
+    });
+    for update in spread.flatten() {
+        if let MembershipUpdate::Member { id, contact, .. } = update
+            && id == entry(1).id
+        {
+            assert_eq!(contact, None);
+        }
+    }
+    let record = MemberRecord::alive(Incarnation::new(STARTED + 1));
+    let updates =
+        vec![MembershipUpdate::Member { id: entry(1).id, record, contact: Some(contact) }];
+    let message = MembershipMessage::Gossip { updates };
+    bench.pass(MembershipInput::Message { from: identity(1, STARTED + 1), message });
+    assert_eq!(bench.table.contact(entry(1).id), Some(contact));
+    // A list that lags doesn't bring the old address back.
+    let list = InstanceList { version: ListVersion(2), entries: vec![entry(0), entry(1)] };
+    bench.pass(MembershipInput::List(Arc::new(list)));
+    assert_eq!(bench.table.contact(entry(1).id), Some(contact));
+}
+
+/// Guards against a suspicion timeout for an instance that announced its end.
+#[test]
+fn an_announced_end_takes_effect_at_once() {
+    let mut bench = Bench::new(2, MembershipParams::default());
+    bench.pass(MembershipInput::Leave);
+    let effects = bench.pass(MembershipInput::Depart);
+    let claim = effects.iter().find_map(|effect| match effect {
+        MembershipEffect::Send { message, .. } => message.updates().first().copied(),
+        _ => None,
+    });
+    let Some(MembershipUpdate::Member { record, .. }) = claim else {
+        panic!("no claim in {effects:?}");
+    };
+    assert!(record.leaving);
+    bench.claim(1, 2, record);
+    assert_eq!(bench.status(2), Some(MemberStatus::Dead));
+}
+
 /// Guards against members that vanish from the list being forgotten while they run, and against
 /// listed members that were never heard counting as live.
 #[test]
