Report a platform that went back and remove a timer that stayed due

Cause: a platform that publishes a version below the one in effect was ignored without a word to the operator. The fleet trial hid timers that are still due after they ran, because it never wakes a node twice at the same time; a runtime would call in a tight loop.

Ruled out: an event per answer (one each 500 ms while the platform is behind).

Change: one event per older version.

--- a/medlarlanding-bench/src/fleet_trials/node.rs
+++ b/medlarlanding-bench/src/fleet_trials/node.rs
@@ -66,6 +66,8 @@
     Marked(ServerId, bool),
     /// A pause was detected.
     Paused,
+    /// A timer is still due after it ran; a runtime would call in a tight loop.
+    Overdue,
 }
 
 /// One process of an instance.
@@ -115,6 +117,9 @@
         if self.distributor.next_wakeup().is_none_or(|at| at <= now) {
             self.distribution(now, DistributionInput::Tick, codec, outputs);
         }
+        if self.next_wakeup().is_some_and(|at| at <= now) {
+            outputs.push(NodeOutput::Overdue);
+        }
     }
 
     /// Processes an encoded frame. The timers that are due run first, so that a pause is noticed
--- a/medlarlanding-bench/src/fleet_trials/sim.rs
+++ b/medlarlanding-bench/src/fleet_trials/sim.rs
@@ -289,10 +289,7 @@
             1_800_000_000_000u64.saturating_add(self.now / 1000).saturating_add_signed(skew_ms);
         let named = self.hosts.iter().take(self.named);
         let seeds: Vec<_> = named.map(|host| host.entry.clone()).collect();
-        let floor = Subject::ALL
-            .into_iter()
-            .map(|subject| (subject, self.known_elsewhere(node, subject)))
-            .collect();
+        let floor = self.floor(node);
         let seed = self.rng.random();
         let host = &mut self.hosts[node];
         host.process += 1;
@@ -309,6 +306,12 @@
         self.run_node(node, |node, now, codec, outputs| node.tick(now, codec, outputs));
     }
 
+    /// Returns what the instance must hold once it is current.
+    fn floor(&self, node: usize) -> HashMap<Subject, (u64, Vec<(usize, u64)>)> {
+        let subjects = Subject::ALL.into_iter();
+        subjects.map(|subject| (subject, self.known_elsewhere(node, subject))).collect()
+    }
+
     /// Returns the highest version that the instance held before and that another running
     /// instance, connected in both directions, holds now, with the processes that hold it.
     fn known_elsewhere(&self, node: usize, subject: Subject) -> (u64, Vec<(usize, u64)>) {
@@ -349,7 +352,10 @@
     /// Continues a paused process. Buffered messages and overdue timers come in random order.
     pub fn resume(&mut self, node: usize) {
         let now = self.now;
+        // Links may have changed since the process started.
+        let floor = self.floor(node);
         let host = &mut self.hosts[node];
+        host.floor = floor;
         host.paused = false;
         host.undisturbed_since = now;
         let mut backlog = std::mem::take(&mut host.backlog);
@@ -606,6 +612,7 @@
                 }
             },
             NodeOutput::Paused => self.log.pauses += 1,
+            NodeOutput::Overdue => self.violate(format!("node {node} has a timer that stays due")),
         }
     }
 
--- a/medlarlanding-core/src/distribution/distributor/acceptance.rs
+++ b/medlarlanding-core/src/distribution/distributor/acceptance.rs
@@ -21,6 +21,9 @@
         let mark = offer.mark;
         let confirmed = offer.confirmed;
         self.check_conflict(subject, mark, offer.source, effects);
+        if offer.source.is_none() {
+            self.check_platform(subject, mark.version, effects);
+        }
         let rule = self.params.version_rule;
         let state = self.subject_mut(subject);
         match state.track.offer(offer, rule) {
@@ -34,6 +37,29 @@
         }
     }
 
+    /// Reports a platform that went back, once per version.
+    fn check_platform(
+        &mut self,
+        subject: Subject,
+        version: u64,
+        effects: &mut Vec<DistributionEffect>,
+    ) {
+        let track = &mut self.subject_mut(subject).track;
+        let held = track.version();
+        if version >= held {
+            track.reported_older = 0;
+        } else if version != std::mem::replace(&mut track.reported_older, version) {
+            effects.push(DistributionEffect::Event {
+                kind: EventKind::ConfigRefused,
+                fields: vec![
+                    version.to_string(),
+                    "1".to_owned(),
+                    format!("platform is behind {} version {held}", subject.as_str()),
+                ],
+            });
+        }
+    }
+
     pub(super) fn validate(
         &mut self,
         now: Timestamp,
--- a/medlarlanding-core/src/distribution/distributor/start.rs
+++ b/medlarlanding-core/src/distribution/distributor/start.rs
@@ -11,9 +11,10 @@
 use rand::seq::IndexedRandom;
 
 impl ConfigDistributor {
-    pub(super) fn start_query(&mut self, now: Timestamp) {
+    /// Starts to ask peers at the given time.
+    pub(super) fn start_query(&mut self, at: Timestamp) {
         let number = self.number();
-        self.phase = Some(Phase::Querying(PeerQuery::new(now, number)));
+        self.phase = Some(Phase::Querying(PeerQuery::new(at, number)));
     }
 
     /// Returns whether values from the platform wait until peers were asked.
@@ -79,7 +80,7 @@
                 && state.track.validating().is_none()
             {
                 // Every holder failed to send the version; another may hold it by now.
-                self.start_query(now);
+                self.start_query(now + self.params.query_repeat);
                 return;
             }
         }
--- a/medlarlanding-core/src/distribution/query.rs
+++ b/medlarlanding-core/src/distribution/query.rs
@@ -23,11 +23,11 @@
 }
 
 impl PeerQuery {
-    pub fn new(now: Timestamp, number: u32) -> Self {
+    pub fn new(at: Timestamp, number: u32) -> Self {
         Self {
             number,
-            started: now,
-            next_send: now,
+            started: at,
+            next_send: at,
             asked: false,
             open: IndexSet::new(),
             answers: IndexMap::new(),
--- a/medlarlanding-core/src/distribution/track.rs
+++ b/medlarlanding-core/src/distribution/track.rs
@@ -53,6 +53,8 @@
     rejected: VecDeque<VersionMark>,
     /// Number of offers below the version in effect.
     pub older_offers: u64,
+    /// Latest version below the one in effect that the platform published.
+    pub reported_older: u64,
 }
 
 impl ValueTrack {
--- a/medlarlanding-core/tests/distribution_versions.rs
+++ b/medlarlanding-core/tests/distribution_versions.rs
@@ -168,9 +168,14 @@
 fn check_old_platform((rule, expected): (VersionRule, u64)) {
     let params = DistributionParams { version_rule: rule, ..DistributionParams::default() };
     let mut bench = Bench::current(6, params);
-    bench.run(Duration::from_millis(600));
-    bench.platform_config(3, text(3));
+    for _ in 0..3 {
+        bench.run(Duration::from_millis(600));
+        bench.platform_config(3, text(3));
+    }
     assert_eq!(bench.version(), expected);
+    // The operator is told once that the platform went back.
+    let told = bench.events.iter().filter(|&&kind| kind == EventKind::ConfigRefused).count();
+    assert_eq!(told, 1);
 }
 
 cases! { check_old_platform;
