--- a/medlarlanding-bench/src/fleet_trials/sim.rs
+++ b/medlarlanding-bench/src/fleet_trials/sim.rs
@@ -142,6 +142,8 @@
     hosts: Vec<Host>,
     index: HashMap<InstanceId, usize>,
     regions: usize,
+    /// Number of instances that settings and the list name.
+    named: usize,
     codec: PeerCodec,
     rng: SmallRng,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -203,6 +205,7 @@
             hosts,
             index,
             regions,
+            named: count,
             codec: PeerCodec::new("fleet trials"),
             rng,
             queue: BinaryHeap::new(),
@@ -211,6 +214,14 @@
         }
     }
 
+    /// Leaves all but the first `count` instances out of the settings and the list.
+    pub fn name_only(&mut self, count: usize) {
+        self.named = count;
+        let mut list = InstanceList::clone(&self.platform.list);
+        list.entries.truncate(count);
+        self.platform.list = Arc::new(list);
+    }
+
     /// Returns the number of instances.
     pub fn len(&self) -> usize {
         self.hosts.len()
@@ -276,11 +287,9 @@
     pub fn start(&mut self, node: usize, skew_ms: i64) {
         let started =
             1_800_000_000_000u64.saturating_add(self.now / 1000).saturating_add_signed(skew_ms);
-        let seeds: Vec<_> = self.hosts.iter().map(|host| host.entry.clone()).collect();
-        let floor = Subject::ALL
-            .into_iter()
-            .map(|subject| (subject, self.known_elsewhere(node, subject)))
-            .collect();
+        let named = self.hosts.iter().take(self.named);
+        let seeds: Vec<_> = named.map(|host| host.entry.clone()).collect();
+        let floor = self.floor(node);
         let seed = self.rng.random();
         let host = &mut self.hosts[node];
         host.process += 1;
@@ -297,6 +306,12 @@
         self.run_node(node, |node, now, codec, outputs| node.tick(now, codec, outputs));
     }
 
+    /// Returns what the instance must hold once it is current.
+    fn floor(&self, node: usize) -> HashMap<Subject, (u64, Vec<(usize, u64)>)> {
+        let subjects = Subject::ALL.into_iter();
+        subjects.map(|subject| (subject, self.known_elsewhere(node, subject))).collect()
+    }
+
     /// Returns the highest version that the instance held before and that another running
     /// instance, connected in both directions, holds now, with the processes that hold it.
     fn known_elsewhere(&self, node: usize, subject: Subject) -> (u64, Vec<(usize, u64)>) {
@@ -337,7 +352,10 @@
     /// Continues a paused process. Buffered messages and overdue timers come in random order.
     pub fn resume(&mut self, node: usize) {
         let now = self.now;
+        // Links may have changed since the process started.
+        let floor = self.floor(node);
         let host = &mut self.hosts[node];
+        host.floor = floor;
         host.paused = false;
         host.undisturbed_since = now;
         let mut backlog = std::mem::take(&mut host.backlog);
@@ -435,6 +453,15 @@
         self.hosts[node].versions.get(&subject).copied().unwrap_or(0)
     }
 
+    /// Returns the running nodes that hold another node as dead.
+    pub fn dead_at(&self, node: usize) -> impl Iterator<Item = usize> {
+        let id = self.id(node);
+        self.running().into_iter().filter(move |&other| {
+            let record = self.node(other).and_then(|process| process.table.record(id));
+            record.is_none_or(|record| !record.is_present())
+        })
+    }
+
     /// Returns whether every running node holds exactly the other running nodes as live.
     pub fn views_agree(&self) -> bool {
         let running = self.running();
@@ -594,6 +621,7 @@
                 }
             },
             NodeOutput::Paused => self.log.pauses += 1,
+            NodeOutput::Overdue => self.violate(format!("node {node} has a timer that stays due")),
         }
     }
 
--- a/medlarlanding-core/src/membership/table/mod.rs
+++ b/medlarlanding-core/src/membership/table/mod.rs
@@ -23,6 +23,7 @@
 use crate::views::{InstanceEntry, InstanceList};
 
 use indexmap::IndexMap;
+use rand::Rng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 
@@ -31,6 +32,8 @@
     /// `None` until the first claim; listed members start unheard.
     record: Option<MemberRecord>,
     contact: Option<MemberContact>,
+    /// Start time of the process that announced `contact`; `None` if it is from the list.
+    announced_by: Option<u64>,
     /// Whether settings or the instance list name the member; such members are never forgotten.
     seed: bool,
     listed: bool,
@@ -44,6 +47,17 @@
     fn is_present(&self) -> bool {
         self.record.is_some_and(MemberRecord::is_present) && self.contact.is_some()
     }
+
+    /// Returns the addresses if the process in the record announced them itself.
+    fn announced_contact(&self) -> Option<MemberContact> {
+        let started = self.record?.incarnation.started;
+        self.contact.filter(|_| self.announced_by == Some(started))
+    }
+
+    fn digest(&self, id: InstanceId) -> u32 {
+        let announced = self.announced_contact().is_some();
+        self.record.map_or(0, |record| member_digest(id, record, announced))
+    }
 }
 
 /// A peer whose digest differs from the own one.
@@ -75,23 +89,29 @@
     digest: u32,
     difference: Option<DigestDifference>,
     live_changed: bool,
+    /// Whether the timers run.
+    started: bool,
+    /// Whether a peer sent its full state.
     joined: bool,
     next_cycle: Timestamp,
+    last_gossip: Timestamp,
     next_gossip: Timestamp,
     next_reconnect: Timestamp,
     next_join: Timestamp,
     next_sync: Timestamp,
 }
 
-fn member_digest(id: InstanceId, record: MemberRecord) -> u32 {
+fn member_digest(id: InstanceId, record: MemberRecord, announced: bool) -> u32 {
     if !record.is_present() {
         return 0;
     }
     // Refutations are left out: under loss they change too often for two digests to meet.
-    let mut bytes = [0u8; 17];
+    // Without the announcement an instance that is in no list would stay out of reach for good.
+    let mut bytes = [0u8; 18];
     bytes[..8].copy_from_slice(&id.0.to_le_bytes());
     bytes[8..16].copy_from_slice(&record.incarnation.started.to_le_bytes());
     bytes[16] = record.leaving.into();
+    bytes[17] = announced.into();
     stable_hash(&bytes) as u32
 }
 
@@ -128,11 +148,13 @@
             marks: ServerMarks::default(),
             updates: UpdateQueue::default(),
             probes: ProbeCycle::default(),
-            digest: member_digest(own.id, record),
+            digest: member_digest(own.id, record, true),
             difference: None,
             live_changed: true,
+            started: false,
             joined: false,
             next_cycle: Timestamp::default(),
+            last_gossip: Timestamp::default(),
             next_gossip: Timestamp::default(),
             next_reconnect: Timestamp::default(),
             next_join: Timestamp::default(),
@@ -170,13 +192,13 @@
             MembershipInput::MarkServer { server, leaving } => {
                 if let Some(mark) = self.marks.change(server, leaving) {
                     self.merge_mark(mark, effects);
-                    self.next_gossip = now;
+                    self.hasten_gossip();
                 }
             },
             MembershipInput::Leave => {
                 let record = MemberRecord { leaving: true, ..self.own };
                 self.set_own(record, effects);
-                self.next_gossip = now;
+                self.hasten_gossip();
             },
             MembershipInput::Depart => self.depart(effects),
         }
@@ -287,12 +309,17 @@
 
     fn add_entry(&mut self, entry: &InstanceEntry) -> &mut Member {
         let member = self.members.entry(entry.id).or_default();
-        // A contact that the process announced itself is newer than the list, which lags.
-        member.contact.get_or_insert(MemberContact {
-            zone: entry.zone,
-            udp: entry.udp,
-            tcp: entry.tcp,
-        });
+        let contact = MemberContact { zone: entry.zone, udp: entry.udp, tcp: entry.tcp };
+        // What a running process announced itself is newer than the list, which lags.
+        if member.contact != Some(contact)
+            && (member.announced_by.is_none() || !member.is_present())
+        {
+            self.digest ^= member.digest(entry.id);
+            member.contact = Some(contact);
+            member.announced_by = None;
+            self.digest ^= member.digest(entry.id);
+            self.live_changed = true;
+        }
         member
     }
 
@@ -307,6 +334,12 @@
         self.members.retain(|_, member| member.record.is_some() || member.listed || member.seed);
     }
 
+    /// Sends own news soon; not at once for each piece, as many servers may leave together.
+    fn hasten_gossip(&mut self) {
+        let soon = self.last_gossip + self.params.gossip_interval / 10;
+        self.next_gossip = self.next_gossip.min(soon);
+    }
+
     fn resume(&mut self, now: Timestamp, late: Duration, effects: &mut Vec<MembershipEffect>) {
         // Answers that arrived during the pause were not read, so neither the probe in progress
         // nor the suspicion timeouts say anything about the peers.
@@ -324,8 +357,13 @@
     }
 
     fn run_timers(&mut self, now: Timestamp, effects: &mut Vec<MembershipEffect>) {
-        self.evict_suspects(now, effects);
+        if !std::mem::replace(&mut self.started, true) {
+            // Instances that start at the same time must not act at the same times ever after.
+            self.next_cycle = now + self.params.probe_interval.mul_f64(self.rng.random());
+            self.next_reconnect = now + self.params.reconnect_interval.mul_f64(self.rng.random());
+        }
         self.run_probe(now, effects);
+        self.evict_suspects(now, effects);
         self.recheck_difference(now, effects);
         if now >= self.next_reconnect {
             self.next_reconnect = now + self.params.reconnect_interval;
@@ -341,6 +379,7 @@
             }
         }
         if now >= self.next_gossip && !self.updates.is_empty() {
+            self.last_gossip = now;
             self.next_gossip = now + self.params.gossip_interval;
             let targets = self.choose_present(self.params.gossip_fanout, None);
             for target in targets {
