Compare session parameters under the same faults

Ruled out: judging the short timeout by completed responses.

Change: two tests run the same scenarios with other parameters.

Conclusion: the chosen parameters stay.

--- a/medlarlanding-core/tests/generations_random.rs
+++ b/medlarlanding-core/tests/generations_random.rs
@@ -9,6 +9,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::time::Duration;
 
 use medlarlanding_core::ErrorKind;
 use medlarlanding_core::config::DeliveryMode;
@@ -227,9 +228,21 @@
     cancels: bool,
 }
 
+impl Outcome {
+    fn name(self) -> &'static str {
+        match self {
+            Self { complete: true, .. } => "complete",
+            Self { error: Some(ErrorKind::Cancelled), cancels: true, .. } => "cancelled_by_caller",
+            Self { error: Some(kind), .. } => kind.descriptor().code,
+            Self { .. } => "caller_gone",
+        }
+    }
+}
+
 struct World {
     scenario: Scenario,
     weakness: Weakness,
+    params: SessionParams,
     rng: SmallRng,
     now: u64,
     order: u64,
@@ -251,10 +264,11 @@
 }
 
 impl World {
-    fn new(scenario: Scenario, weakness: Weakness) -> Self {
+    fn new(scenario: Scenario, weakness: Weakness, params: SessionParams) -> Self {
         let mut world = Self {
             scenario,
             weakness,
+            params,
             rng: SmallRng::seed_from_u64(scenario.seed),
             now: 0,
             order: 0,
@@ -329,8 +343,8 @@
     fn new_instance(&mut self, last: u64) -> usize {
         let deadline = Timestamp::from_millis(self.now + self.rng.random_range(2_000..60_000));
         let index = self.instances.len();
-        let params = SessionParams::default();
-        let session = GenerationSession::new(request(index), self.delivery(), deadline, params);
+        let session =
+            GenerationSession::new(request(index), self.delivery(), deadline, self.params);
         let (connection, permits, opens, ended, wakeup) = (1, 0, 0, false, None);
         let (reads_at, only_unread) = (None, false);
         self.instances.push(Instance {
@@ -863,7 +877,15 @@
 }
 
 fn run(scenario: Scenario, weakness: Weakness) -> Result<Outcome, String> {
-    catch_unwind(AssertUnwindSafe(|| World::new(scenario, weakness).run()))
+    run_with(scenario, weakness, SessionParams::default())
+}
+
+fn run_with(
+    scenario: Scenario,
+    weakness: Weakness,
+    params: SessionParams,
+) -> Result<Outcome, String> {
+    catch_unwind(AssertUnwindSafe(|| World::new(scenario, weakness, params).run()))
         .unwrap_or_else(|_| Err("an assertion of the session failed".to_owned()))
 }
 
@@ -913,15 +935,7 @@
             let faulty = Scenario::arbitrary(&mut generator);
             let outcome =
                 run(faulty, Weakness::None).unwrap_or_else(|text| panic!("{faulty:?} {text}"));
-            let name = match outcome {
-                Outcome { complete: true, .. } => "complete".to_owned(),
-                Outcome { error: Some(ErrorKind::Cancelled), cancels: true, .. } => {
-                    "cancelled_by_caller".to_owned()
-                },
-                Outcome { error: Some(kind), .. } => kind.descriptor().code.to_owned(),
-                Outcome { .. } => "caller_gone".to_owned(),
-            };
-            *counts.entry(name).or_insert(0) += 1;
+            *counts.entry(outcome.name()).or_insert(0) += 1;
             let Scenario { seed, whole, .. } = faulty;
             let calm = Scenario { seed, whole, ..CALM };
             let calm_outcome =
@@ -974,3 +988,47 @@
 fn attachment_check_alone_is_not_needed_for_the_order_of_tokens() {
     assert_eq!(violations(Weakness::Attachment).0, 0);
 }
+
+/// Runs the same scenarios with other parameters. Gets the number of each outcome.
+fn outcomes_with(name: &str, change: impl Fn(&mut SessionParams)) -> BTreeMap<&'static str, u64> {
+    let mut params = SessionParams::default();
+    change(&mut params);
+    let seed = random_runs::seeds(&[21])[0];
+    let cases = 2000 * random_runs::factor();
+    let mut generator = Gen::from_size_and_seed(100, seed);
+    let mut counts = BTreeMap::new();
+    for _ in 0..cases {
+        let scenario = Scenario::arbitrary(&mut generator);
+        let outcome = run_with(scenario, Weakness::None, params);
+        let name = outcome.map_or("violation", Outcome::name);
+        *counts.entry(name).or_insert(0) += 1;
+    }
+    println!("{name}: MEDLARLANDING_TEST_SEED={seed}, {cases} runs: {counts:?}");
+    counts
+}
+
+/// Guards against parameters that make sessions give up what can be saved: each alternative
+/// completes fewer responses under the same faults.
+#[test]
+fn alternatives_complete_fewer_responses() {
+    let millis = Duration::from_millis;
+    let chosen = outcomes_with("chosen", |_| {});
+    for alternative in [
+        outcomes_with("timeout fixed at 10 s", |params| params.stall.floor = millis(10_000)),
+        outcomes_with("no resume after a failure", |params| params.resume_window = millis(0)),
+        outcomes_with("one resume after a failure", |params| params.resume_limit = 1),
+        outcomes_with("no second generation", |params| params.generation_limit = 1),
+    ] {
+        assert!(alternative["complete"] < chosen["complete"], "{alternative:?}, not {chosen:?}");
+    }
+}
+
+/// Guards against a timeout that takes engines for failed which only have not begun yet: a
+/// short one moves generations before their first token until the attempts are used up.
+#[test]
+fn short_timeout_wastes_attempts() {
+    let chosen = outcomes_with("chosen", |_| {});
+    let ceiling = Duration::from_millis(500);
+    let short = outcomes_with("timeout fixed at 0.5 s", |params| params.stall.ceiling = ceiling);
+    assert!(short["backend_failed"] > chosen["backend_failed"], "{short:?}, not {chosen:?}");
+}
