--- a/medlarlanding-bench/src/experiment/plan.rs
+++ b/medlarlanding-bench/src/experiment/plan.rs
@@ -157,7 +157,7 @@
                     },
                 ],
                 customers,
-                open_total: 600.0,
+                open_total: 1200.0,
                 engine,
             },
             DeploymentKind::Consortium => Self {
@@ -188,7 +188,7 @@
                     },
                 ],
                 customers,
-                open_total: 450.0,
+                open_total: 900.0,
                 engine,
             },
         }
