--- a/medlarlanding-bench/src/stand_ins/engine.rs
+++ b/medlarlanding-bench/src/stand_ins/engine.rs
@@ -474,6 +474,9 @@
 
 #[derive(Debug, Deserialize)]
 struct GenerationBody {
+    /// Name of the exchange, echoed in the headers.
+    #[serde(default)]
+    request: String,
     #[serde(default)]
     prompt: String,
     prompt_tokens: u32,
@@ -492,6 +495,7 @@
     };
     let wanted = header(&request, "x-test-tokens").or_else(|| prompted_tokens(&body.prompt));
     let wanted = wanted.and_then(|tokens| tokens.parse().ok());
+    let echo = body.request;
     let opened = {
         let mut guard = state.lock();
         let work = &mut *guard;
@@ -515,7 +519,7 @@
         let prompt = body.prompt;
         work.open(state.now(), request, input, |number| generation_name(number, &prompt))
     };
-    answer_stream(&state, age, opened)
+    answer_stream(&state, age, opened, &echo)
 }
 
 /// Gets the output length that a prompt asks for with `#tokens=N `. To the system under
@@ -539,6 +543,7 @@
 ) -> HttpResponse {
     let age = state.silence.enter(&request);
     state.silence.pass(age).await;
+    let echo = header(&request, "x-request").unwrap_or_default().to_owned();
     let opened = {
         let mut work = state.lock();
         let Some(&generation) = work.names.get(name.as_str()) else {
@@ -549,7 +554,7 @@
         let input = EngineInput::Resume { request, generation, after: query.after };
         work.open(state.now(), request, input, |_| name.clone())
     };
-    answer_stream(&state, age, opened)
+    answer_stream(&state, age, opened, &echo)
 }
 
 #[derive(Debug, Deserialize)]
@@ -644,6 +649,7 @@
     state: &Arc<EngineState>,
     age: ConnectionAge,
     opened: Result<Attached, GoneReason>,
+    echo: &str,
 ) -> HttpResponse {
     state.changed.notify_one();
     let attached = match opened {
@@ -657,7 +663,8 @@
     response
         .content_type("text/event-stream")
         .header("x-generation", attached.name.as_str())
-        .header("x-attachment", attached.attachment.to_string());
+        .header("x-attachment", attached.attachment.to_string())
+        .header("x-request", echo);
     let stream = GenerationStream {
         state: Arc::clone(state),
         age,
