Treat a connection closed without an answer as possibly sent

Cause: the HTTP client reports a connection that the other end closed after the request was sent as ConnectError::Disconnected(None), the same variant as for a failed connect. ExchangeFault mapped it to NotSent, so an order that a service had executed was sent to the next service and the caller was told not_run.

Ruled out: other variants; a connect that fails carries its I/O error, a break within the answer is a send error.

Change: Disconnected(None) becomes MaybeSent.

--- a/medlarlanding/src/backends/connection.rs
+++ b/medlarlanding/src/backends/connection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use ntex::SharedCfg;
-use ntex::client::error::ClientError;
+use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientBuilder, ClientRequest, Connector};
 use ntex::http::Method;
 use ntex::io::IoConfig;
@@ -29,6 +29,11 @@
     /// Classifies an error of the HTTP client.
     pub fn from_client(error: &ClientError) -> Self {
         match error {
+            // The client also reports a connection that was closed after the request was
+            // sent as this error. Only a connect that failed carries its cause.
+            ClientError::Connect(ConnectError::Disconnected(None)) => {
+                Self::MaybeSent("closed without an answer".to_owned())
+            },
             ClientError::Connect(error) => Self::NotSent(error.to_string()),
             error => Self::MaybeSent(error.to_string()),
         }
