Fix three faults that the order trials found

Cause: (1) The refusal of a pull, sent because the provider was in a higher view, passed for a complete empty copy when the requester had moved up to that view and asked again before the refusal arrived.

Ruled out: lost digests (the store's totals were consistent), merging of expired records, the choice of the base view (the traced bases were right).

Change: a copy says whether it was given for the pulled view; records are kept for `transit_limit` longer and the doubt limit includes it; a query remembers that it was in doubt.

The runtime's clock must count suspension.

--- a/medlarlanding-core/src/orders/messages.rs
+++ b/medlarlanding-core/src/orders/messages.rs
@@ -137,8 +137,12 @@
     pub struct PartitionCopy {
         /// The partition.
         pub partition: PartitionId,
-        /// The provider's view. The copy counts only if it equals the requester's target.
+        /// The provider's view.
         pub view: GroupView,
+        /// Whether `view` is the target of the pull. Otherwise the provider is in a higher view
+        /// and gives no copy. Without this mark the refusal of an earlier pull would pass for
+        /// an empty copy once the requester has moved up to the same view.
+        pub fenced: bool,
         /// The provider's last synchronised view.
         pub synced: Option<SyncedState>,
         /// Views above `synced` for which the provider gave copies.
--- a/medlarlanding-core/src/orders/minting.rs
+++ b/medlarlanding-core/src/orders/minting.rs
@@ -22,7 +22,8 @@
     desk: DeskId,
     rng: &mut SmallRng,
 ) -> Result<String, ErrorKind> {
-    if !scope.may_grant() {
+    // Without a synchronised partition no nonce fits; trying them all takes milliseconds.
+    if !scope.may_grant() || replica.numbered().all(|(_, state)| state.current().is_none()) {
         return Err(ErrorKind::NotReady);
     }
     (0..scope.params.mint_tries)
--- a/medlarlanding-core/src/orders/params.rs
+++ b/medlarlanding-core/src/orders/params.rs
@@ -16,6 +16,9 @@
     pub idle_limit: Duration,
     /// Longest time from the receipt of an order to the send to its plain service.
     pub permit_limit: Duration,
+    /// Longest time from the first byte of an order to its arrival at the plain service. A
+    /// process can end in between, and the order still arrives.
+    pub transit_limit: Duration,
     /// First interval between repetitions of an unanswered claim, outcome or read.
     pub retry: Duration,
     /// Longest interval between repetitions.
@@ -61,6 +64,7 @@
             list_limit: Duration::from_secs(3600),
             idle_limit: Duration::from_secs(1800),
             permit_limit: Duration::from_secs(10),
+            transit_limit: Duration::from_secs(60),
             retry: Duration::from_millis(100),
             retry_max: Duration::from_millis(800),
             outcome_limit: Duration::from_secs(10),
@@ -85,19 +89,21 @@
 impl OrderParams {
     /// Returns how long a record is kept after its last change.
     ///
-    /// The order may be sent up to `permit_limit` after its claim was recorded.
+    /// The order may be run up to `permit_limit` and `transit_limit` after its claim was
+    /// recorded. Without this margin a key was run again within the retention when its first
+    /// request arrived 5 s late.
     pub fn keep(&self) -> Duration {
-        self.retention + self.permit_limit
+        self.retention + self.permit_limit + self.transit_limit
     }
 
     /// Returns the age at which a doubt ends.
     ///
     /// A group that was active before the empty start may grant for `list_limit` longer,
-    /// and its claims count for `retention`. A group that starts from its memory without a
+    /// and its claims count for `keep`. A group that starts from its memory without a
     /// doubt does so within `idle_limit`, and then the empty-started group's list is refused
     /// after another `list_limit`.
     pub fn doubt_limit(&self) -> Duration {
-        (self.retention + self.list_limit).max(2 * self.list_limit + self.idle_limit)
-            + self.permit_limit
+        let reopened = 2 * self.list_limit + self.idle_limit + self.permit_limit;
+        (self.keep() + self.list_limit).max(reopened)
     }
 }
--- a/medlarlanding-core/src/orders/queries.rs
+++ b/medlarlanding-core/src/orders/queries.rs
@@ -27,6 +27,8 @@
     replies: HashMap<InstanceIdentity, ReadReply>,
     /// Attempts without a known outcome whose proposers are asked.
     holders: Vec<AttemptId>,
+    /// Answer if no attempt is left.
+    nothing: ErrorKind,
     /// Status of the answer, if only its proposer stores the answer.
     lost: Option<u16>,
     next: Timestamp,
@@ -72,6 +74,7 @@
                 deadline,
                 replies: HashMap::new(),
                 holders: Vec::new(),
+                nothing: ErrorKind::NotFound,
                 lost: None,
                 next: scope.now,
                 interval: scope.params.retry,
@@ -137,8 +140,9 @@
             .collect();
         holders.sort_unstable();
         holders.dedup();
+        query.nothing = if in_doubt { ErrorKind::OrderInDoubt } else { ErrorKind::NotFound };
         if holders.is_empty() {
-            let kind = if in_doubt { ErrorKind::OrderInDoubt } else { ErrorKind::NotFound };
+            let kind = query.nothing;
             self.answer(id, OrderAnswer::Refused(kind), outbox);
         } else {
             query.holders = holders;
@@ -171,7 +175,7 @@
                     if !query.holders.is_empty() {
                         continue;
                     }
-                    OrderAnswer::Refused(ErrorKind::NotFound)
+                    OrderAnswer::Refused(query.nothing)
                 },
             };
             self.answer(id, answer, outbox);
--- a/medlarlanding-core/src/orders/replica.rs
+++ b/medlarlanding-core/src/orders/replica.rs
@@ -312,6 +312,7 @@
         PartitionCopy {
             partition: pull.partition,
             view,
+            fenced,
             synced: partition.synced.as_ref().map(|synced| synced.state(scope.now)),
             supplied: partition.supplied.clone(),
             after: pull.after,
@@ -347,7 +348,7 @@
         let number = copy.partition;
         self.raise(scope, number, &copy.view);
         let partition = &mut self.partitions[usize::from(number.0)];
-        if partition.view.as_ref() != Some(&copy.view) {
+        if !copy.fenced || partition.view.as_ref() != Some(&copy.view) {
             return;
         }
         let Some(sync) = &mut partition.sync else { return };
