Report kinds of refusals and unsettled partitions in the order trials

Cause: the share of rejected orders under faults could not be explained, and a partition that never synchronises again would have gone unnoticed. The ticket design executed orders twice because a process ran tickets of the process before it: a fault of its implementation, not of the design.

Change: the ticket's issuer is checked; a table of refusal kinds; a mild profile with a fault about every 15 s; a trial whose partitions are not all synchronised 30 s after the last fault violates.

--- a/medlarlanding-bench/src/order_trials/machine.rs
+++ b/medlarlanding-bench/src/order_trials/machine.rs
@@ -154,6 +154,14 @@
         }
     }
 
+    /// Returns the number of partitions that the machine has not synchronised.
+    pub fn syncing(&self) -> usize {
+        match self {
+            Self::Majority(coordinator) => coordinator.syncing(),
+            _ => 0,
+        }
+    }
+
     /// Checks the invariants of the machine.
     ///
     /// # Errors
--- a/medlarlanding-bench/src/order_trials/mod.rs
+++ b/medlarlanding-bench/src/order_trials/mod.rs
@@ -18,7 +18,7 @@
 
 pub use machine::{TrialDesign, TrialMachine};
 pub use plan::{PlannedOrder, SECOND, TrialFault, TrialPlan, TrialProfile, TrialTime};
-pub use report::{TrialReport, table};
+pub use report::{TrialReport, refusals, table};
 pub use tamper::TrialTamper;
 pub use world::run_trial;
 
@@ -35,7 +35,7 @@
     /// seconds of virtual time with arrivals and faults per trial (default 60)
     #[argh(option, default = "60")]
     pub seconds: u64,
-    /// profile: calm, faulty, short-limits, cold-start or all (default all)
+    /// profile: calm, mild, faulty, short-limits, cold-start or all (default all)
     #[argh(option, default = "String::from(\"all\")")]
     pub profile: String,
     /// design: majority, pair, ticket, delegate-checked, delegate-unchecked or all (default all)
@@ -100,6 +100,7 @@
             }
         }
         println!("{}", table(&rows));
+        println!("{}", refusals(&rows));
     }
     // The first ones name the seeds to look at.
     for violation in violations.iter().take(30) {
--- a/medlarlanding-bench/src/order_trials/plan.rs
+++ b/medlarlanding-bench/src/order_trials/plan.rs
@@ -82,6 +82,8 @@
 pub enum TrialProfile {
     /// No faults.
     Calm,
+    /// A fault about every 15 s, with the limits of the product.
+    Mild,
     /// Faults every few seconds, with the limits of the product.
     Faulty,
     /// Faults every few seconds, with short limits, so that retention, doubt, idle memory and
@@ -93,12 +95,14 @@
 
 impl TrialProfile {
     /// All profiles.
-    pub const ALL: [Self; 4] = [Self::Calm, Self::Faulty, Self::ShortLimits, Self::ColdStart];
+    pub const ALL: [Self; 5] =
+        [Self::Calm, Self::Mild, Self::Faulty, Self::ShortLimits, Self::ColdStart];
 
     /// Returns the name used on the command line.
     pub fn name(self) -> &'static str {
         match self {
             Self::Calm => "calm",
+            Self::Mild => "mild",
             Self::Faulty => "faulty",
             Self::ShortLimits => "short-limits",
             Self::ColdStart => "cold-start",
@@ -108,7 +112,7 @@
     fn params(self) -> OrderParams {
         let base = OrderParams { partitions: 12, ..OrderParams::default() };
         match self {
-            Self::Calm | Self::Faulty => base,
+            Self::Calm | Self::Mild | Self::Faulty => base,
             Self::ShortLimits | Self::ColdStart => OrderParams {
                 retention: Duration::from_secs(20),
                 list_limit: Duration::from_secs(10),
@@ -140,7 +144,11 @@
         let orders = draw_orders(&mut rng, nodes, warm_up, end);
         let faults = match profile {
             TrialProfile::Calm => Vec::new(),
-            _ => draw_faults(&mut rng, nodes, &listed, warm_up, end),
+            TrialProfile::Mild => draw_faults(&mut rng, nodes, &listed, warm_up, end, 15 * SECOND),
+            _ => {
+                let pace = *[SECOND / 2, 2 * SECOND, 6 * SECOND].choose(&mut rng).expect("paces");
+                draw_faults(&mut rng, nodes, &listed, warm_up, end, pace)
+            },
         };
         Self { seed, nodes, listed, params, warm_up, end, orders, faults }
     }
@@ -193,11 +201,11 @@
     listed: &[usize],
     start: TrialTime,
     end: TrialTime,
+    pace: TrialTime,
 ) -> Vec<(TrialTime, TrialFault)> {
     let mut faults = Vec::new();
     let mut listed = listed.to_vec();
     let mut at = start;
-    let pace = *[SECOND / 2, 2 * SECOND, 6 * SECOND].choose(rng).expect("paces");
     loop {
         at += rng.random_range(pace / 4..=pace * 2);
         if at >= end {
--- a/medlarlanding-bench/src/order_trials/report.rs
+++ b/medlarlanding-bench/src/order_trials/report.rs
@@ -1,5 +1,6 @@
 //! Results of trials and their table.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
 use hdrhistogram::Histogram;
@@ -30,6 +31,8 @@
     pub queries: usize,
     /// Queries that were answered wrongly.
     pub wrong_queries: usize,
+    /// Replicas of partitions that were not synchronised at the end.
+    pub unsettled: usize,
     /// Requests without an answer, because their process ended or the trial did.
     pub unanswered: usize,
     /// First requests that were answered with the service's answer.
@@ -40,6 +43,8 @@
     pub first_unknown: usize,
     /// Those of `first_unknown` that were refused as in doubt.
     pub first_in_doubt: usize,
+    /// Kinds of the refusals of first requests.
+    pub refusals: BTreeMap<&'static str, usize>,
     /// Keys or tickets that callers fetched first.
     pub fetches: usize,
     /// Messages about orders between instances.
@@ -64,11 +69,13 @@
             differing_answers: 0,
             queries: 0,
             wrong_queries: 0,
+            unsettled: 0,
             unanswered: 0,
             first_ran: 0,
             first_rejected: 0,
             first_unknown: 0,
             first_in_doubt: 0,
+            refusals: BTreeMap::new(),
             fetches: 0,
             order_messages: 0,
             copy_messages: 0,
@@ -85,7 +92,10 @@
     }
 
     /// Notes the answer to the first request with a key.
-    pub(super) fn note_answer(&mut self, answer: &OrderAnswer, _time: TrialTime) {
+    pub(super) fn note_answer(&mut self, answer: &OrderAnswer) {
+        if let OrderAnswer::Refused(kind) = answer {
+            *self.refusals.entry(kind.descriptor().code).or_default() += 1;
+        }
         match answer.run_state() {
             RunState::Ran => self.first_ran += 1,
             RunState::NotRun => self.first_rejected += 1,
@@ -108,6 +118,7 @@
         self.differing_answers += other.differing_answers;
         self.queries += other.queries;
         self.wrong_queries += other.wrong_queries;
+        self.unsettled += other.unsettled;
         self.unanswered += other.unanswered;
         self.first_ran += other.first_ran;
         self.first_rejected += other.first_rejected;
@@ -116,6 +127,9 @@
         self.fetches += other.fetches;
         self.order_messages += other.order_messages;
         self.copy_messages += other.copy_messages;
+        for (kind, count) in &other.refusals {
+            *self.refusals.entry(kind).or_default() += count;
+        }
         self.latency.add(&other.latency).expect("the histograms have the same limits");
         self.violations.extend(other.violations.iter().cloned());
     }
@@ -125,6 +139,19 @@
     }
 }
 
+/// Writes one line per design with the kinds of its refusals of first requests.
+pub fn refusals(rows: &[(String, TrialReport)]) -> String {
+    let mut text = String::new();
+    for (name, report) in rows {
+        let kinds = report
+            .refusals
+            .iter()
+            .map(|(kind, &count)| format!("{kind} {:.2} %", report.share(count)));
+        let _ = writeln!(text, "refused by {name}: {}", kinds.collect::<Vec<_>>().join(", "));
+    }
+    text
+}
+
 /// Writes a Markdown table with one row per design.
 pub fn table(rows: &[(String, TrialReport)]) -> String {
     let mut text = String::from(
--- a/medlarlanding-bench/src/order_trials/ticket.rs
+++ b/medlarlanding-bench/src/order_trials/ticket.rs
@@ -20,7 +20,13 @@
 #[derive(Clone, Debug)]
 pub enum TicketMessage {
     /// Asks the issuer to run an order or to repeat its answer.
-    Forward { order: OrderId, key: OrderKey, body: [u8; 32], left: Duration },
+    Forward {
+        issuer: InstanceIdentity,
+        order: OrderId,
+        key: OrderKey,
+        body: [u8; 32],
+        left: Duration,
+    },
     /// The issuer's answer.
     Answer { order: OrderId, answer: OrderAnswer },
 }
@@ -229,7 +235,12 @@
         effects: &mut Vec<TrialEffect>,
     ) {
         match message {
-            TicketMessage::Forward { order, key, body, left } => {
+            TicketMessage::Forward { issuer, order, .. } if issuer != self.identity => {
+                // Another process of the same instance issued the ticket.
+                let answer = OrderAnswer::Refused(ErrorKind::OrderUnknown);
+                Self::tell(&TicketWaiter::Peer { to: from.id, order }, answer, effects);
+            },
+            TicketMessage::Forward { order, key, body, left, .. } => {
                 let waiter = TicketWaiter::Peer { to: from.id, order };
                 let permit = now + left.min(self.params.permit_limit);
                 self.run(key, body, permit, None, waiter, effects);
@@ -255,8 +266,8 @@
             if now >= open.next {
                 open.next = now + Duration::from_millis(100);
                 let left = open.deadline.since(now);
-                let (key, body) = (open.key, open.body);
-                let message = TicketMessage::Forward { order, key, body, left };
+                let (issuer, key, body) = (open.issuer, open.key, open.body);
+                let message = TicketMessage::Forward { issuer, order, key, body, left };
                 effects.push(TrialEffect::Send {
                     to: open.issuer.id,
                     reliable: false,
--- a/medlarlanding-bench/src/order_trials/world.rs
+++ b/medlarlanding-bench/src/order_trials/world.rs
@@ -768,7 +768,7 @@
             (submission.order, submission.retries, submission.other_body);
         submission.answer = Some(answer.clone());
         if submission.first {
-            self.report.note_answer(&answer, self.now - submission.at);
+            self.report.note_answer(&answer);
         }
         if let OrderAnswer::Answered { body, .. } = &answer {
             let retention = self.plan.params.retention.as_micros() as TrialTime;
@@ -883,6 +883,15 @@
                 None => self.report.unanswered += 1,
             }
         }
+        // All faults ended 30 s ago.
+        let processes = self.nodes.iter().filter_map(|node| node.process.as_ref());
+        self.report.unsettled = processes.map(|process| process.machine.syncing()).sum();
+        if self.report.unsettled > 0 && self.tamper == TrialTamper::None {
+            self.report.violations.push(format!(
+                "seed {}: {} partitions are not synchronised",
+                self.plan.seed, self.report.unsettled
+            ));
+        }
         if self.report.double_executions > 0 {
             self.report.violations.push(format!(
                 "seed {}: {} double executions, orders {:?}",
