--- a/medlarlanding-core/tests/orders_faults.rs
+++ b/medlarlanding-core/tests/orders_faults.rs
@@ -10,7 +10,7 @@
 use medlarlanding_core::orders::{
     OrderAnswer, OrderCoordinator, OrderEffect, OrderInput, OrderMessage, OrderParams, OrderResult,
 };
-use orders_support::{Fleet, answered, instance};
+use orders_support::{Fleet, answered, instance, list};
 
 fn params() -> OrderParams {
     OrderParams { partitions: 1, ..OrderParams::default() }
@@ -107,3 +107,29 @@
     fleet.advance(Duration::from_secs(1));
     assert_eq!(fleet.query_answers[0].2, OrderAnswer::Refused(ErrorKind::OrderInDoubt));
 }
+
+/// Runs one key at a member of the old group that lags, and at the new group. Returns the
+/// number of runs.
+fn runs_across_a_list_change(forget_pulls: bool) -> usize {
+    let mut fleet = Fleet::without_doubt(6, params());
+    fleet.forget_pulls = forget_pulls;
+    let group = fleet.group("k");
+    let rest: Vec<_> = (0..6).filter(|node| !group.contains(node)).collect();
+    fleet.list = list(2, &rest);
+    for &node in &rest {
+        fleet.publish_view(node);
+    }
+    fleet.advance(Duration::from_secs(1));
+    fleet.submit(group[0], 1, "k", 1);
+    fleet.submit(rest[0], 2, "k", 1);
+    fleet.advance(Duration::from_secs(1));
+    fleet.runs.len()
+}
+
+/// Guards against providers of copies that go on granting in the older view.
+#[test]
+fn copies_fence_their_providers() {
+    assert_eq!(runs_across_a_list_change(false), 1);
+    // Without the fence the same steps run the key twice, so the check detects its loss.
+    assert_eq!(runs_across_a_list_change(true), 2);
+}
--- a/medlarlanding-core/tests/orders_support/mod.rs
+++ b/medlarlanding-core/tests/orders_support/mod.rs
@@ -42,6 +42,8 @@
     pub answers: Vec<(usize, OrderId, OrderAnswer)>,
     pub query_answers: Vec<(usize, QueryId, OrderAnswer)>,
     pub minted: Vec<Result<String, medlarlanding_core::ErrorKind>>,
+    /// Whether nodes forget that they gave copies, as if there were no fence.
+    pub forget_pulls: bool,
     /// Number of messages between different nodes.
     pub messages: usize,
     pub list: Arc<InstanceList>,
@@ -85,6 +87,7 @@
             answers: Vec::new(),
             query_answers: Vec::new(),
             minted: Vec::new(),
+            forget_pulls: false,
             messages: 0,
             list: list(1, &nodes),
         };
@@ -154,7 +157,13 @@
             let (node, input) = queue.remove(0);
             let Some(coordinator) = self.nodes.get_mut(&node) else { continue };
             let mut effects = Vec::new();
-            coordinator.handle(self.now, input, &mut effects);
+            let message =
+                matches!(input, OrderInput::Message { message: OrderMessage::Pull(_), .. });
+            if message && self.forget_pulls {
+                coordinator.clone().handle(self.now, input, &mut effects);
+            } else {
+                coordinator.handle(self.now, input, &mut effects);
+            }
             check_invariants(coordinator).expect("invariants hold");
             for effect in effects {
                 if let Some(next) = self.perform(node, effect) {
