--- a/medlarlanding-bench/src/order_trials/world.rs
+++ b/medlarlanding-bench/src/order_trials/world.rs
@@ -314,10 +314,11 @@
                 self.refresh(node);
                 let pause = if self.now < self.plan.warm_up.saturating_sub(30 * SECOND) {
                     // Nothing happens in the quiet time but the end of the first doubt.
-                    if self.now < 60 * SECOND { SECOND } else { 20 * SECOND }
+                    if self.now < 60 * SECOND { SECOND } else { 200 * SECOND }
                 } else {
                     SECOND
                 };
+                let pause = pause.min(self.plan.warm_up.saturating_sub(self.now).max(SECOND));
                 let pause = pause.min(self.plan.params.list_limit.as_micros() as u64 / 3);
                 self.schedule(self.now + pause, TrialEvent::Refresh { node, birth });
             },
@@ -513,7 +514,7 @@
             process.confirmed = now;
         }
         let Some(list) = process.list.clone() else { return };
-        let dead_after = if quiet { 60 * SECOND } else { DEAD_AFTER };
+        let dead_after = if quiet { 600 * SECOND } else { DEAD_AFTER };
         let mut live: Vec<_> = process
             .contacts
             .iter()
--- a/medlarlanding-core/src/orders/replica.rs
+++ b/medlarlanding-core/src/orders/replica.rs
@@ -98,8 +98,8 @@
     pub(super) store: ClaimStore,
     /// Partitions with a `sync`.
     syncing: BTreeSet<PartitionId>,
-    /// Whether a question may be due before the next wake-up.
-    unasked: bool,
+    /// Partitions of `syncing` in which a question may be due before the next wake-up.
+    unasked: BTreeSet<PartitionId>,
     /// Whether a view rose since the proposer looked.
     pub(super) raised: bool,
 }
@@ -110,7 +110,7 @@
             partitions: vec![ReplicaPartition::default(); usize::from(params.partitions.max(1))],
             store: ClaimStore::new(params.partitions, params.keep()),
             syncing: BTreeSet::new(),
-            unasked: false,
+            unasked: BTreeSet::new(),
             raised: false,
         }
     }
@@ -169,7 +169,7 @@
         if member {
             partition.sync.get_or_insert_with(|| SyncProgress::new(scope.now)).retarget();
             self.syncing.insert(number);
-            self.unasked = true;
+            self.unasked.insert(number);
         } else {
             partition.sync = None;
             self.syncing.remove(&number);
@@ -369,7 +369,7 @@
         if first.member != seen.member {
             ask.after = None;
             ask.next = scope.now;
-            self.unasked = true;
+            self.unasked.insert(number);
             return;
         }
         for record in copy.records {
@@ -379,12 +379,12 @@
             ask.after = last;
             ask.first = Some(first);
             ask.next = scope.now;
-            self.unasked = true;
+            self.unasked.insert(number);
             return;
         }
         ask.after = None;
         sync.responses.insert(first.member, first);
-        self.unasked = true;
+        self.unasked.insert(number);
         self.try_establish(scope, number, rng, outbox);
     }
 
@@ -486,7 +486,7 @@
             partition.synced = None;
             partition.sync = Some(SyncProgress::new(scope.now));
             self.syncing.insert(number);
-            self.unasked = true;
+            self.unasked.insert(number);
         }
     }
 
@@ -502,16 +502,13 @@
         for number in self.syncing.clone() {
             self.try_establish(scope, number, rng, outbox);
         }
-        self.unasked = true;
+        self.unasked.clone_from(&self.syncing);
     }
 
     /// Sends the questions that are due, batched per peer.
     pub(super) fn send_pulls(&mut self, scope: &StepScope<'_>, outbox: &mut Outbox<'_>) {
-        if !std::mem::take(&mut self.unasked) {
-            return;
-        }
         let mut batches: BTreeMap<InstanceId, Vec<PartitionPull>> = BTreeMap::new();
-        for &number in &self.syncing {
+        for number in std::mem::take(&mut self.unasked) {
             let partition = &mut self.partitions[usize::from(number.0)];
             let (Some(target), Some(sync)) = (&partition.view, &mut partition.sync) else {
                 continue;
--- a/medlarlanding-core/tests/orders_basic.rs
+++ b/medlarlanding-core/tests/orders_basic.rs
@@ -313,3 +313,51 @@
     fleet.query(2, 2, "k");
     assert_eq!(fleet.query_answers[1].2, OrderAnswer::AnswerLost { status: 200 });
 }
+
+/// Guards against messages per partition instead of per peer when the list changes, and
+/// against messages that exceed their transport.
+#[test]
+fn list_change_is_batched_per_peer() {
+    let mut fleet = Fleet::without_doubt(8, OrderParams::default());
+    let messages = fleet.messages;
+    fleet.list = list(2, &[0, 1, 2, 3, 4, 5, 6]);
+    fleet.publish_views();
+    fleet.advance(Duration::from_secs(2));
+    assert_eq!(fleet.syncing(), 0);
+    // 1,024 partitions with 3 replicas each would need thousands of single questions.
+    let used = fleet.messages - messages;
+    println!("{used} messages");
+    assert!(used < 8 * 7 * 8, "{used} messages");
+}
+
+/// Guards against copies that exceed a frame and against pages that lose records.
+#[test]
+fn large_partition_is_copied_in_pages() {
+    let params = OrderParams { partitions: 1, page_limit: 40_000, ..params() };
+    let mut fleet = Fleet::without_doubt(3, params);
+    let body = "x".repeat(15_000);
+    for order in 1..=40 {
+        fleet.submit(0, order, &format!("k{order}"), 1);
+        fleet.finish(0, order, answered(&body));
+    }
+    for node in [1, 2] {
+        fleet.start(node);
+        fleet.publish_views();
+        fleet.advance(Duration::from_secs(2));
+        assert_eq!(fleet.syncing(), 0);
+    }
+    assert_eq!(fleet.nodes[&2].dump().claims, 40);
+    fleet.submit(2, 100, "k17", 1);
+    assert_eq!(*fleet.last_answer(), stored(&body));
+}
+
+/// Guards against a dump that cannot be written for the admin interface.
+#[test]
+fn dump_is_serialisable() {
+    let mut fleet = Fleet::without_doubt(3, params());
+    fleet.submit(0, 1, "k", 1);
+    let dump = fleet.nodes[&0].dump();
+    assert_eq!((dump.permitted, dump.claims), (1, 1));
+    assert_eq!(dump.partitions.len(), 16);
+    assert!(postcard::to_stdvec(&dump).is_ok_and(|bytes| !bytes.is_empty()));
+}
--- a/medlarlanding-core/tests/orders_support/mod.rs
+++ b/medlarlanding-core/tests/orders_support/mod.rs
@@ -16,6 +16,7 @@
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::views::{InstanceEntry, InstanceList, InstanceState, ListVersion};
+use medlarlanding_core::wire::{PeerCodec, PeerFrame, PeerMessage};
 
 pub const CUSTOMER: CustomerId = CustomerId(7);
 pub const DESK: DeskId = DeskId(9);
@@ -44,6 +45,7 @@
     pub minted: Vec<Result<String, medlarlanding_core::ErrorKind>>,
     /// Whether nodes forget that they gave copies, as if there were no fence.
     pub forget_pulls: bool,
+    codec: Option<PeerCodec>,
     /// Number of messages between different nodes.
     pub messages: usize,
     pub list: Arc<InstanceList>,
@@ -88,6 +90,7 @@
             query_answers: Vec::new(),
             minted: Vec::new(),
             forget_pulls: false,
+            codec: None,
             messages: 0,
             list: list(1, &nodes),
         };
@@ -175,7 +178,17 @@
 
     fn perform(&mut self, node: usize, effect: OrderEffect) -> Option<(usize, OrderInput)> {
         match effect {
-            OrderEffect::Send { to, message, .. } => return self.deliver(node, to, message),
+            OrderEffect::Send { to, transport, message } => {
+                let frame = PeerFrame {
+                    from: self.identity(node),
+                    to,
+                    to_started: Some(u64::MAX),
+                    message: PeerMessage::Order(message.clone()),
+                };
+                let codec = self.codec.get_or_insert_with(|| PeerCodec::new("secret"));
+                codec.encode(&frame, transport).expect("the message fits its transport");
+                return self.deliver(node, to, message);
+            },
             OrderEffect::Run { order, key, fence, permit_deadline } => {
                 self.runs.push(PermittedRun { node, order, key, fence, permit_deadline });
             },
