--- a/medlarlanding-bench/src/fleet_trials/measure.rs
+++ b/medlarlanding-bench/src/fleet_trials/measure.rs
@@ -82,6 +82,10 @@
     pub received_max: f64,
     /// Datagrams sent per node and second in the steady state.
     pub datagrams: f64,
+    /// Mean age of the list's confirmation at the end of the steady state.
+    pub list_age_mean_s: f64,
+    /// The same of the node with the oldest confirmation.
+    pub list_age_max_s: f64,
     /// Mean bytes sent and received per node by one configuration change.
     pub change_bytes_mean: f64,
     /// The same of the node with most.
@@ -279,6 +283,9 @@
     result.received_mean = total(|node| node.received) / node_seconds;
     result.received_max = most(|node| node.received) / seconds;
     result.datagrams = total(|node| node.datagrams) / node_seconds;
+    let ages = trial.sim.list_ages();
+    result.list_age_mean_s = ages.iter().sum::<f64>() / ages.len() as f64;
+    result.list_age_max_s = ages.into_iter().fold(0.0, f64::max);
     result.calls_steady = trial.busiest_second(start, trial.sim.now);
     result.cpu_us = (cpu_time() - cpu_start) as f64 / 1000.0 / node_seconds;
 }
--- a/medlarlanding-bench/src/fleet_trials/sim.rs
+++ b/medlarlanding-bench/src/fleet_trials/sim.rs
@@ -443,6 +443,17 @@
         self.traffic.fill(NodeTraffic::default());
     }
 
+    /// Returns the age of the list's confirmation at each running node in s; infinite if unknown.
+    pub fn list_ages(&self) -> Vec<f64> {
+        let hosts = self.hosts.iter().filter(|host| !host.paused);
+        let ages = hosts.filter_map(|host| {
+            let now = Timestamp(self.now + host.clock);
+            let age = host.node.as_ref()?.distributor.list_age(now);
+            Some(age.map_or(f64::INFINITY, |age| age.as_secs_f64()))
+        });
+        ages.collect()
+    }
+
     /// Returns whether every running node has a version of a subject in effect.
     pub fn all_hold(&self, subject: Subject, version: u64) -> bool {
         self.running().into_iter().all(|node| self.version(node, subject) == version)
--- a/medlarlanding-bench/src/fleet_trials/table.rs
+++ b/medlarlanding-bench/src/fleet_trials/table.rs
@@ -31,6 +31,9 @@
     ("bytes/s sent + received with 10% loss, mean (max) node", "12,000", |m| {
         format!("{:.0} ({:.0})", m.loss_mean, m.loss_max)
     }),
+    ("age of the list's confirmation, mean (max) node, s", "", |m| {
+        format!("{:.1} ({:.1})", m.list_age_mean_s, m.list_age_max_s)
+    }),
     ("datagrams/s sent per node", "", |m| format!("{:.1}", m.datagrams)),
     ("CPU per node and second, µs (with simulation)", "24,000", |m| format!("{:.0}", m.cpu_us)),
     ("platform calls/s, busiest second, steady", "2,000", |m| m.calls_steady.to_string()),
