Repeat queries that ended without or before answers; round ages up

Ruled out: a shorter limit for pauses; an instance under load would then suspend its permits for delays that harm nothing else.

Change: ages are rounded up. The first contact after a query without answers repeats the query. A query that ends more than 300 ms late is repeated.

--- a/medlarlanding-core/src/distribution/distributor/receive.rs
+++ b/medlarlanding-core/src/distribution/distributor/receive.rs
@@ -5,7 +5,7 @@
 use crate::distribution::interface::DistributionEffect;
 use crate::distribution::message::{DistributionMessage, Payload, ValueBody, VersionMark};
 use crate::distribution::track::Offer;
-use crate::distribution::versions::{Subject, VersionStatus};
+use crate::distribution::versions::{Subject, VersionStatus, age_ms};
 use crate::ids::InstanceId;
 use crate::time::Timestamp;
 use crate::wire::PeerTransport;
@@ -80,7 +80,7 @@
             },
             _ => ValueBody::Full(payload.clone()),
         };
-        let age_ms = track.confirmed().map(|at| now.since(at).as_millis() as u64);
+        let age_ms = track.confirmed().map(|at| age_ms(now, at));
         DistributionMessage::Value { number, mark: *mark, age_ms, body }
     }
 
@@ -158,6 +158,14 @@
         version: u64,
         effects: &mut Vec<DistributionEffect>,
     ) {
+        if matches!(self.phase, Some(Phase::Fetching { config: 0, list: 0 }))
+            && !self.is_ready()
+            && version > 0
+        {
+            // The query ended without a report. The first peer that is heard afterwards may hold
+            // an older version than others, so all are asked again.
+            self.start_query(now);
+        }
         if let Some(Phase::Querying(query)) = &mut self.phase {
             match subject {
                 Subject::Config => query.report(now, peer, version, 0),
--- a/medlarlanding-core/src/distribution/distributor/start.rs
+++ b/medlarlanding-core/src/distribution/distributor/start.rs
@@ -52,10 +52,18 @@
                 Self::send(peer, PeerTransport::Datagram, message.clone(), effects);
             }
         }
-        let settled = (query.asked && query.open.is_empty())
-            || query.first_report.is_some_and(|first| now >= first + self.params.query_settle);
-        if !settled && now < query.started + self.params.query_timeout {
-            return;
+        let timeout = query.started + self.params.query_timeout;
+        let settled = query.first_report.map(|first| first + self.params.query_settle);
+        let end = Timestamp::earliest(settled, Some(timeout)).unwrap_or(timeout);
+        if !query.asked || !query.open.is_empty() {
+            if now < end {
+                return;
+            }
+            // A process that was held up may have answers waiting to be read.
+            if now.since(end) > self.params.query_late {
+                self.start_query(now + self.params.query_repeat);
+                return;
+            }
         }
         let best = Subject::ALL.map(|subject| query.best(subject));
         let version = |best: &Option<(u64, _)>| best.as_ref().map_or(0, |&(version, _)| version);
--- a/medlarlanding-core/src/distribution/params.rs
+++ b/medlarlanding-core/src/distribution/params.rs
@@ -54,6 +54,9 @@
     pub query_settle: Duration,
     /// Time after which the platform's value is taken if no peer reported a version.
     pub query_timeout: Duration,
+    /// Delay of the end of a query after which it is repeated. The process was held up too
+    /// briefly to count as paused, but answers may wait to be read.
+    pub query_late: Duration,
     /// Number of earlier configuration texts that are kept to send differences from them.
     pub delta_history: usize,
     /// Largest configuration text, bytes.
@@ -81,6 +84,7 @@
             query_repeat: Duration::from_millis(150),
             query_settle: Duration::from_secs(1),
             query_timeout: Duration::from_secs(2),
+            query_late: Duration::from_millis(300),
             delta_history: 3,
             text_limit: 1 << 20,
         }
--- a/medlarlanding-core/src/distribution/versions.rs
+++ b/medlarlanding-core/src/distribution/versions.rs
@@ -2,6 +2,12 @@
 
 use crate::time::Timestamp;
 
+/// Returns an age in ms, rounded up: an age that is cut off at every hop makes a list look
+/// fresher than it is.
+pub(super) fn age_ms(now: Timestamp, at: Timestamp) -> u64 {
+    now.since(at).as_micros().div_ceil(1000) as u64
+}
+
 value_type! { copy
     /// A value that the platform publishes.
     pub enum Subject {
@@ -73,7 +79,7 @@
 impl LocalVersions {
     /// Converts the times to ages.
     pub fn status(&self, now: Timestamp) -> VersionStatus {
-        let age = |at: Option<Timestamp>| at.map(|at| now.since(at).as_millis() as u64);
+        let age = |at: Option<Timestamp>| at.map(|at| age_ms(now, at));
         VersionStatus {
             config: SubjectVersion { version: self.config, age_ms: age(self.config_confirmed) },
             list: SubjectVersion { version: self.list, age_ms: age(self.list_confirmed) },
--- a/medlarlanding-core/tests/distribution_versions.rs
+++ b/medlarlanding-core/tests/distribution_versions.rs
@@ -250,6 +250,49 @@
     assert!(bench.distributor.is_current());
 }
 
+/// Guards against a late start with the first version that is heard: all peers are asked again
+/// once one of them is reached.
+#[test]
+fn after_a_query_without_answers_the_first_contact_repeats_it() {
+    let mut bench = Bench::new(3, DistributionParams::default());
+    bench.run(Duration::from_secs(3));
+    assert!(!bench.distributor.is_current());
+    bench.queries.clear();
+    bench.announce(1, 5, &text(5));
+    assert!(bench.fetches.is_empty());
+    bench.reply_queries(1, 5);
+    bench.reply_queries(2, 7);
+    bench.reply_queries(3, 5);
+    bench.serve(2, 7, text(7));
+    assert_eq!(bench.configs, [7]);
+}
+
+/// Guards against the end of a query while answers wait to be read: the process was held up,
+/// but too briefly to count as paused.
+#[test]
+fn a_query_that_ends_late_is_repeated() {
+    let mut bench = Bench::new(3, DistributionParams::default());
+    bench.platform_config(3, text(3));
+    bench.run(Duration::from_millis(1000));
+    bench.now = bench.now + Duration::from_millis(1900);
+    bench.pass(DistributionInput::Tick);
+    assert_eq!(bench.version(), 0);
+    bench.run(Duration::from_millis(200));
+    bench.reply_queries(1, 6);
+    bench.run(Duration::from_millis(1100));
+    bench.serve(1, 6, text(6));
+    assert_eq!(bench.configs, [6]);
+}
+
+/// Guards against an age that is cut off at every hop and so makes a list look fresher.
+#[test]
+fn reported_ages_are_rounded_up() {
+    let mut bench = Bench::current(6, DistributionParams::default());
+    bench.now = bench.now + Duration::from_micros(1_500_100);
+    let status = bench.distributor.versions().status(bench.now);
+    assert_eq!(status.config.age_ms, Some(1501));
+}
+
 /// Guards against readiness without any configuration.
 #[test]
 fn with_neither_peers_nor_platform_the_instance_is_not_ready() {
