Wait briefly at the server that holds the prefix under least_stall

Change: under least_stall the prefix's server is preferred up to 0.3 above the least load, also when all servers have queues, and a request asks further managers after 4 s.

--- a/medlarlanding-bench/src/experiment/plan.rs
+++ b/medlarlanding-bench/src/experiment/plan.rs
@@ -207,6 +207,10 @@
     pub ask_width: Option<usize>,
     /// See `AdmissionParams::affinity_bound`.
     pub affinity_bound: Option<f64>,
+    /// See `AdmissionParams::affinity_bound_least_stall`.
+    pub affinity_bound_least_stall: Option<f64>,
+    /// See `AdmissionParams::affinity_wait`, in milliseconds.
+    pub affinity_wait_ms: Option<u64>,
     /// See `AdmissionParams::target_gap`, in milliseconds.
     pub target_gap_ms: Option<u64>,
 }
@@ -222,6 +226,12 @@
             z_least_stall: self.z_least_stall.unwrap_or(defaults.z_least_stall),
             ask_width: self.ask_width.unwrap_or(defaults.ask_width),
             affinity_bound: self.affinity_bound.unwrap_or(defaults.affinity_bound),
+            affinity_bound_least_stall: self
+                .affinity_bound_least_stall
+                .unwrap_or(defaults.affinity_bound_least_stall),
+            affinity_wait: self
+                .affinity_wait_ms
+                .map_or(defaults.affinity_wait, Duration::from_millis),
             target_gap: self.target_gap_ms.map_or(defaults.target_gap, Duration::from_millis),
             ..defaults
         }
--- a/medlarlanding-core/src/admission/controller/requests.rs
+++ b/medlarlanding-core/src/admission/controller/requests.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::admission::memory::{MemoryForecast, MemoryNeed};
-use crate::admission::messages::DeclineReason;
+use crate::admission::messages::{DeclineReason, Objective};
 use crate::admission::record::{CandidateView, DecisionReason, DecisionRecord};
 use crate::admission::routing::{ServerView, rank_servers};
 use crate::errors::ErrorKind;
@@ -157,8 +157,15 @@
             })
             .collect();
         let prefix = open.request.prefix;
-        let bound = self.params.affinity_bound;
-        let (ranked, by_prefix) = rank_servers(views, prefix, bound, &mut self.random);
+        let (bound, longest_wait_ms) = match open.request.objective {
+            Objective::FewestPreemptions => (self.params.affinity_bound, 0),
+            Objective::LeastStall => (
+                self.params.affinity_bound_least_stall,
+                self.params.affinity_wait.as_millis() as u32,
+            ),
+        };
+        let (ranked, by_prefix) =
+            rank_servers(views, prefix, bound, longest_wait_ms, &mut self.random);
         let Some(open) = self.open.get_mut(&number) else { return };
         open.record.candidates = ranked
             .iter()
@@ -189,7 +196,13 @@
         let now = self.now;
         let Some(open) = self.open.get_mut(&number) else { return };
         let deadline = open.request.deadline - self.params.answer_margin;
-        let OpenStage::Asking { ranked, asks, .. } = &mut open.stage else { return };
+        let arrived = open.arrived;
+        let OpenStage::Asking { ranked, asks, by_prefix } = &mut open.stage else { return };
+        let affine = *by_prefix
+            && open.request.objective == Objective::LeastStall
+            && asks.len() == 1
+            && asks[0].state == AskState::Queued
+            && now < arrived + self.params.affinity_wait;
         if now >= deadline {
             self.refuse(number, DecisionReason::DeadlineReached, effects);
             return;
@@ -218,7 +231,7 @@
                 return;
             }
         }
-        if !pending && waiting < self.params.ask_width {
+        if !pending && !affine && waiting < self.params.ask_width {
             match next {
                 Some(server) => {
                     self.ask(number, server, effects);
@@ -253,14 +266,20 @@
 
     pub(super) fn update_due(&mut self, number: u64) {
         let Some(open) = self.open.get(&number) else { return };
-        let OpenStage::Asking { asks, .. } = &open.stage else { return };
+        let OpenStage::Asking { asks, by_prefix, .. } = &open.stage else { return };
+        let widen = open.arrived + self.params.affinity_wait;
+        let widen = (*by_prefix
+            && open.request.objective == Objective::LeastStall
+            && asks.len() == 1
+            && widen > self.now)
+            .then_some(widen);
         let reply = asks
             .iter()
             .filter(|ask| ask.state == AskState::Sent)
             .map(|ask| ask.since + self.params.reply_timeout)
             .min();
         let deadline = open.request.deadline - self.params.answer_margin;
-        let due = Timestamp::earliest(reply, Some(deadline));
+        let due = Timestamp::earliest(Timestamp::earliest(reply, widen), Some(deadline));
         self.set_due(number, due);
     }
 
--- a/medlarlanding-core/src/admission/params.rs
+++ b/medlarlanding-core/src/admission/params.rs
@@ -32,6 +32,11 @@
     pub quantum_tokens: u32,
     /// Load above the least loaded server up to which the prefix's server is preferred, 0 to 1.
     pub affinity_bound: f64,
+    /// The same under `least_stall`, where a prompt computed again delays the tokens of others.
+    pub affinity_bound_least_stall: f64,
+    /// Time for which a request under `least_stall` waits only at the server that holds its
+    /// prefix before it asks further managers, if all servers have queues.
+    pub affinity_wait: Duration,
     /// Time for which a suspected server gets no new permits.
     pub suspect_hold: Duration,
     /// Time before the deadline at which a waiting request is refused.
@@ -66,6 +71,8 @@
             ask_width: 3,
             quantum_tokens: 512,
             affinity_bound: 0.15,
+            affinity_bound_least_stall: 0.3,
+            affinity_wait: Duration::from_secs(4),
             suspect_hold: Duration::from_secs(5),
             answer_margin: Duration::from_millis(50),
             length_half_life: Duration::from_secs(600),
--- a/medlarlanding-core/src/admission/routing.rs
+++ b/medlarlanding-core/src/admission/routing.rs
@@ -18,13 +18,15 @@
 
 /// Ranks servers: shortest wait, then least load, equal ones at random.
 ///
-/// The server that ranks first for the prefix moves to the front if it has no queue and its
-/// load is within `bound` of the least loaded one. Every instance computes the same server for
+/// The server that ranks first for the prefix moves to the front if its load is within `bound`
+/// of the first one's and either it has no queue, or all have one and its wait is within
+/// `longest_wait_ms` of the first one's. Every instance computes the same server for
 /// a prefix, so the prefix is likely in its cache. Returns whether the prefix decided.
 pub fn rank_servers(
     mut views: Vec<ServerView>,
     prefix: Option<u64>,
     bound: f64,
+    longest_wait_ms: u32,
     random: &mut impl Rng,
 ) -> (Vec<ServerView>, bool) {
     // Differences below a hundredth are noise of lagging states; a random order among them
@@ -36,14 +38,18 @@
     keyed.sort_by(|left, right| left.0.0.cmp(&right.0.0).then(left.0.1.total_cmp(&right.0.1)));
     let mut ranked: Vec<_> = keyed.into_iter().map(|(_, view)| view).collect();
     let Some(prefix) = prefix else { return (ranked, false) };
-    let Some(least) = ranked.first().map(|view| view.load) else { return (ranked, false) };
+    let Some(first) = ranked.first().copied() else { return (ranked, false) };
     let home = ranked
         .iter()
         .enumerate()
         .max_by_key(|(_, view)| weight(prefix, InstanceId(view.server.0)))
         .map(|(at, view)| (at, *view));
     match home {
-        Some((at, view)) if view.wait_ms == 0 && view.load <= least + bound => {
+        Some((at, view))
+            if (view.wait_ms == 0
+                || first.wait_ms > 0 && view.wait_ms - first.wait_ms <= longest_wait_ms)
+                && view.load <= first.load + bound =>
+        {
             ranked.remove(at);
             ranked.insert(0, view);
             (ranked, true)
