--- a/medlarlanding/src/backends/connection.rs
+++ b/medlarlanding/src/backends/connection.rs
@@ -3,6 +3,7 @@
 //! Every exchange uses a connection of its own. A pooled connection may have gone silent
 //! without notice or may still carry the rest of an abandoned answer.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,15 +28,28 @@
 
 impl ExchangeFault {
     /// Classifies an error of the HTTP client.
+    ///
+    /// Only errors that can arise before a connection exists count as `NotSent`. The client
+    /// also reports a connection that the other end closed after the request was sent as a
+    /// connect error, without a cause.
     pub fn from_client(error: &ClientError) -> Self {
-        match error {
-            // The client also reports a connection that was closed after the request was
-            // sent as this error. Only a connect that failed carries its cause.
-            ClientError::Connect(ConnectError::Disconnected(None)) => {
-                Self::MaybeSent("closed without an answer".to_owned())
-            },
-            ClientError::Connect(error) => Self::NotSent(error.to_string()),
-            error => Self::MaybeSent(error.to_string()),
+        let connecting = match error {
+            ClientError::Connect(ConnectError::Disconnected(Some(cause))) => matches!(
+                cause.kind(),
+                ErrorKind::ConnectionRefused
+                    | ErrorKind::HostUnreachable
+                    | ErrorKind::NetworkUnreachable
+                    | ErrorKind::AddrNotAvailable
+                    | ErrorKind::TimedOut
+            ),
+            ClientError::Connect(ConnectError::Disconnected(None)) => false,
+            ClientError::Connect(_) => true,
+            _ => false,
+        };
+        if connecting {
+            Self::NotSent(error.to_string())
+        } else {
+            Self::MaybeSent(error.to_string())
         }
     }
 
