--- a/medlarlanding-bench/src/client.rs
+++ b/medlarlanding-bench/src/client.rs
@@ -7,6 +7,7 @@
 use medlarlanding::backends::connection::{build_client, request};
 use medlarlanding::backends::events::{EventDecoder, StreamEvent};
 
+use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientResponse};
 use ntex::http::{Method, Payload};
 use ntex::time::{Millis, timeout};
@@ -67,7 +68,7 @@
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
-    /// Header names and values in the order of arrival.
+    /// Header names and values, sorted by name.
     pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Bytes,
@@ -95,7 +96,7 @@
 
 /// An open event stream. Dropping it closes the connection.
 pub struct EventStream {
-    /// Header names and values.
+    /// Header names and values, sorted by name.
     pub headers: Vec<(String, String)>,
     payload: Payload,
     decoder: EventDecoder,
@@ -202,9 +203,12 @@
             sent.content_type("application/json").send_body(call.body.clone()).await
         };
         result.map_err(|error| match error {
-            ntex::client::error::ClientError::Connect(error) => {
-                CallFault::NotSent(error.to_string())
+            // Also reported when the other end closes the connection after the request was
+            // sent; only a failed connect carries its cause.
+            ClientError::Connect(ConnectError::Disconnected(None)) => {
+                CallFault::Broken("closed without an answer".to_owned())
             },
+            ClientError::Connect(error) => CallFault::NotSent(error.to_string()),
             error => CallFault::Broken(error.to_string()),
         })
     }
@@ -212,11 +216,13 @@
 
 fn header_list(response: &ClientResponse) -> Vec<(String, String)> {
     let headers = response.headers().iter();
-    headers
+    let mut list: Vec<_> = headers
         .map(|(name, value)| {
             (name.as_str().to_owned(), value.to_str().unwrap_or_default().to_owned())
         })
-        .collect()
+        .collect();
+    list.sort();
+    list
 }
 
 async fn read_answer(response: ClientResponse, wait: Duration) -> Result<Answer, CallFault> {
--- a/medlarlanding-bench/src/cluster.rs
+++ b/medlarlanding-bench/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::fmt::Write;
+use std::fs::File;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -12,6 +13,7 @@
 use medlarlanding_core::config::credential_digest;
 
 use anyhow::{Context, bail};
+use ntex::http::Method;
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::client::{Call, CallClient};
@@ -23,12 +25,19 @@
 const READY_LIMIT: Duration = Duration::from_secs(30);
 /// Calls per second that the platform answers.
 const PLATFORM_RATE: u32 = 2_000;
+/// First port for instances.
+const FIRST_PORT: u16 = 20_000;
+/// Number of ports for instances.
+const PORT_COUNT: u64 = 12_000;
 /// Secret of every cluster on loopback.
 const CLUSTER_SECRET: &str = "loopback-cluster-secret-0123456789";
 /// Customers of the tree; the credential of each is its name and `-credential`.
 pub const CUSTOMERS: &[&str] =
     &["cairo-museum", "luxor-guild", "rome-press", "turin-press", "small-desk"];
 
+/// Limit of open requests of the customer `small-desk`.
+pub const SMALL_LIMIT: usize = 6;
+
 /// What a cluster consists of.
 #[derive(Clone, Debug)]
 pub struct ClusterParams {
@@ -83,6 +92,7 @@
     /// Addresses.
     pub addresses: InstanceAddresses,
     settings: PathBuf,
+    errors: PathBuf,
     child: Option<Child>,
 }
 
@@ -94,13 +104,15 @@
     /// Fails if the binary cannot be run.
     pub fn start(&mut self) -> anyhow::Result<()> {
         self.kill();
+        // Panics are written to standard error, not to the log.
+        let errors = File::options().create(true).append(true).open(&self.errors)?;
         let child = Command::new(binary()?)
             .arg("serve")
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(errors)
             .spawn()
             .context("cannot start the binary")?;
         self.child = Some(child);
@@ -303,7 +315,7 @@
                 let _ = write!(text, "{byte:02x}");
                 text
             });
-            let limit = if *name == "small-desk" { 1 } else { 256 };
+            let limit = if *name == "small-desk" { SMALL_LIMIT } else { 256 };
             let _ = writeln!(
                 text,
                 "  {name}: {{ credential_digest: {hex}, share: 2, open_limit: {limit} }}"
@@ -324,7 +336,7 @@
              drafts: {{ generations: writing, delivery: whole, priority: 4 }}\n      \
              hurried: {{ generations: writing, delivery: whole, deadline_ms: 400 }}\n      \
              releases: {{ orders: ledgers, deadline_ms: 8000 }}\n      \
-             releases-brief: {{ orders: portals, deadline_ms: 1500 }}",
+             ledgers-brief: {{ orders: ledgers, deadline_ms: 1500 }}",
         );
         text
     }
@@ -358,7 +370,7 @@
         if instance.child.is_none() {
             return true;
         }
-        let call = Call::new(ntex::http::Method::GET, "/readyz");
+        let call = Call::new(Method::GET, "/readyz");
         let answer = client.call(instance.addresses.admin, &call, Duration::from_secs(1)).await;
         answer.is_ok_and(|answer| answer.status == 200)
     }
@@ -372,7 +384,7 @@
     pub async fn wait_orders(&self, client: &CallClient) -> anyhow::Result<()> {
         let started = Instant::now();
         let path = "/v1/desks/trade/order-keys";
-        let call = Call::post(path, &serde_json::json!({})).bearer(&credential(CUSTOMERS[0]));
+        let call = Call::new(Method::POST, path).bearer(&credential(CUSTOMERS[0]));
         for instance in self.instances.iter().filter(|instance| instance.child.is_some()) {
             loop {
                 let answer =
@@ -396,7 +408,8 @@
             let log = std::fs::read_to_string(self.log_file(&instance.name)).unwrap_or_default();
             let lines: Vec<&str> = log.lines().collect();
             let tail = lines.len().saturating_sub(15);
-            let _ = writeln!(text, "--- {}\n{}", instance.name, lines[tail..].join("\n"));
+            let errors = std::fs::read_to_string(&instance.errors).unwrap_or_default();
+            let _ = writeln!(text, "--- {}\n{}\n{errors}", instance.name, lines[tail..].join("\n"));
         }
         text
     }
@@ -413,6 +426,7 @@
                 zone: zone(index).to_owned(),
                 addresses: *addresses,
                 settings: self.dir.join(format!("entry-{}.yaml", index + 1)),
+                errors: self.dir.join(format!("entry-{}.err", index + 1)),
                 child: None,
             });
         }
@@ -484,25 +498,32 @@
     Ok(dir)
 }
 
-/// Chooses free ports. They are held together until all are known, so that no two are equal.
+/// Chooses ports that are free now. They lie below the range from which the system takes
+/// the ports of outgoing connections, so that none is taken before an instance binds it.
 fn free_addresses(count: usize) -> anyhow::Result<Vec<InstanceAddresses>> {
-    let mut sockets = Vec::new();
-    let mut datagrams = Vec::new();
-    let mut addresses = Vec::new();
-    for _ in 0..count {
-        let mut listen = || -> anyhow::Result<SocketAddr> {
-            let socket = TcpListener::bind("127.0.0.1:0")?;
-            let address = socket.local_addr()?;
-            sockets.push(socket);
-            Ok(address)
-        };
-        let (callers, admin, tcp) = (listen()?, listen()?, listen()?);
-        let datagram = UdpSocket::bind("127.0.0.1:0")?;
-        let udp = datagram.local_addr()?;
-        datagrams.push(datagram);
-        addresses.push(InstanceAddresses { callers, admin, udp, tcp });
-    }
-    Ok(addresses)
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let mut tries = 0;
+    let mut choose = || -> anyhow::Result<SocketAddr> {
+        loop {
+            // Processes that run at the same time start at different ports.
+            let offset = u64::from(std::process::id()) * 61 + NEXT.fetch_add(1, Ordering::Relaxed);
+            let port = FIRST_PORT + (offset % PORT_COUNT) as u16;
+            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+                return Ok(address);
+            }
+            tries += 1;
+            if tries > PORT_COUNT {
+                bail!("no free port");
+            }
+        }
+    };
+    (0..count)
+        .map(|_| {
+            let (callers, admin) = (choose()?, choose()?);
+            Ok(InstanceAddresses { callers, admin, udp: choose()?, tcp: choose()? })
+        })
+        .collect()
 }
 
 /// Finds the binary next to the current executable; builds it if it is missing or older.
--- a/medlarlanding-bench/src/load.rs
+++ b/medlarlanding-bench/src/load.rs
@@ -773,7 +773,7 @@
         let key = match arrival.spec.keys {
             KeySource::Own => format!("key-{:x}", arrival.number),
             KeySource::Minted => {
-                let mint = Call::post(arrival.path("order-keys"), &json!({}));
+                let mint = Call::new(Method::POST, arrival.path("order-keys"));
                 match self.call(arrival, &mint.bearer(&arrival.credential)).await {
                     Ok(answer) if answer.status < 300 => match answer.json()["key"].as_str() {
                         Some(key) => key.to_owned(),
--- a/medlarlanding-bench/src/stand_ins/service.rs
+++ b/medlarlanding-bench/src/stand_ins/service.rs
@@ -45,6 +45,8 @@
     pub delay_ms: Option<u64>,
     /// Requests are executed and never answered.
     pub no_answer: Option<bool>,
+    /// Requests are executed and the connection is closed without any answer.
+    pub close_unanswered: Option<bool>,
     /// Requests are refused with 503 before they are executed.
     pub refuse: Option<bool>,
     /// Requests are executed and the connection is closed within the answer.
@@ -96,6 +98,7 @@
         let current = &mut work.faults;
         current.delay_ms = faults.delay_ms.or(current.delay_ms);
         current.no_answer = faults.no_answer.or(current.no_answer);
+        current.close_unanswered = faults.close_unanswered.or(current.close_unanswered);
         current.refuse = faults.refuse.or(current.refuse);
         current.close_early = faults.close_early.or(current.close_early);
         current.check_fences = faults.check_fences.or(current.check_fences);
@@ -197,7 +200,12 @@
     let age = state.silence.enter(request);
     delay(faults.delay_ms.unwrap_or(0)).await;
     state.silence.pass(age).await;
-    if faults.no_answer == Some(true) {
+    if faults.close_unanswered == Some(true)
+        && let Some(io) = request.io()
+    {
+        io.terminate();
+    }
+    if faults.no_answer == Some(true) || faults.close_unanswered == Some(true) {
         std::future::pending::<()>().await;
     }
     if faults.close_early == Some(true) {
--- a/medlarlanding-bench/tests/stand_ins.rs
+++ b/medlarlanding-bench/tests/stand_ins.rs
@@ -271,8 +271,16 @@
     service.set_faults(&ServiceFaults { no_answer: Some(true), ..ServiceFaults::default() });
     let lost = client.call(address, &order("d", 7), Duration::from_millis(500)).await;
     assert!(matches!(lost, Err(CallFault::Broken(_))), "{lost:?}");
-    let early = ServiceFaults {
+    let closing = ServiceFaults {
         no_answer: Some(false),
+        close_unanswered: Some(true),
+        ..ServiceFaults::default()
+    };
+    service.set_faults(&closing);
+    let lost = client.call(address, &order("g", 7), WAIT).await;
+    assert!(matches!(lost, Err(CallFault::Broken(_))), "{lost:?}");
+    let early = ServiceFaults {
+        close_unanswered: Some(false),
         close_early: Some(true),
         ..ServiceFaults::default()
     };
@@ -283,8 +291,9 @@
     assert_eq!(call(&client, address, order("f", 7)).await.status, 503);
     let executions = service.executions();
     let counts: Vec<_> = executions.executions.iter().collect();
-    let names = ["a", "b", "d", "e"].map(str::to_owned);
-    assert_eq!(counts, [(&names[0], &2), (&names[1], &1), (&names[2], &1), (&names[3], &1)]);
+    let names = ["a", "b", "d", "g", "e"].map(str::to_owned);
+    let expected: Vec<_> = names.iter().zip(&[2, 1, 1, 1, 1]).collect();
+    assert_eq!(counts, expected);
     assert_eq!(executions.repetitions, 1);
     assert_eq!(executions.references, executions.executions);
 }
