Read the body of a request before refusing it

Ruled out: the size of the body alone, small ones were hit too. The body is now read and dropped within the body's limits and 1 s.

--- a/medlarlanding/src/http/callers.rs
+++ b/medlarlanding/src/http/callers.rs
@@ -10,6 +10,7 @@
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse};
 
+use crate::gate::OpenGuard;
 use crate::instance::{DeskAccess, InstanceShared};
 use crate::trace::TraceStep;
 
@@ -70,12 +71,47 @@
         Ok(CallerRequest { id, access })
     }
 
-    /// Reads the body of a request.
+    /// Admits a request and reads its body.
     ///
     /// # Errors
     ///
-    /// See [`super::reading::read_body`].
-    pub async fn read(&self, payload: Payload) -> Result<Vec<u8>> {
+    /// `Draining` or `Overloaded`, or see [`super::reading::read_body`].
+    pub async fn enter(&self, payload: Payload) -> Result<(OpenGuard, Vec<u8>)> {
+        match self.shared.gate.enter() {
+            Ok(guard) => Ok((guard, self.read(payload).await?)),
+            Err(error) => {
+                self.discard(payload).await;
+                Err(error)
+            },
+        }
+    }
+
+    /// Authenticates a request with a body. The body of a refused request is read and dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer of the refusal.
+    pub async fn accept_body(
+        &self,
+        request: &HttpRequest,
+        payload: Payload,
+        endpoint: &'static str,
+    ) -> std::result::Result<(CallerRequest, Payload), HttpResponse> {
+        match self.accept(request, endpoint) {
+            Ok(accepted) => Ok((accepted, payload)),
+            Err(error) => {
+                self.discard(payload).await;
+                Err(self.refuse(endpoint, &error, None))
+            },
+        }
+    }
+
+    /// Reads and drops a body that is not needed.
+    pub async fn discard(&self, payload: Payload) {
+        super::reading::discard_body(payload, self.shared.settings.limits.body()).await;
+    }
+
+    async fn read(&self, payload: Payload) -> Result<Vec<u8>> {
         super::reading::read_body(payload, self.shared.settings.limits.body()).await
     }
 
--- a/medlarlanding/src/http/generations.rs
+++ b/medlarlanding/src/http/generations.rs
@@ -51,13 +51,14 @@
 
 /// Handles `POST /v1/desks/{desk}/generations`, with `Last-Event-ID` as a resume.
 pub async fn start(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request, ENDPOINT) {
+    let (accepted, payload) = match context.accept_body(&request, payload, ENDPOINT).await {
         Ok(accepted) => accepted,
-        Err(error) => return context.refuse(ENDPOINT, &error, None),
+        Err(refusal) => return refusal,
     };
     let id = accepted.id;
     let served = match last_event_id(&request) {
         Some(text) => {
+            context.discard(payload).await;
             let handle = text.rsplit_once('.').map_or(text, |(handle, _)| handle);
             resume_stream(&context, accepted, handle, Some(text)).await
         },
@@ -135,8 +136,8 @@
     payload: Payload,
 ) -> Result<HttpResponse> {
     let counted = async {
-        let guard = context.shared.gate.enter()?;
-        let body: GenerationBody = parse_json(&context.read(payload).await?)?;
+        let (guard, body) = context.enter(payload).await?;
+        let body: GenerationBody = parse_json(&body)?;
         let route = accepted.access.desk().generations.ok_or(ErrorKind::NotFound)?;
         Ok((guard, body, route))
     };
--- a/medlarlanding/src/http/lookups.rs
+++ b/medlarlanding/src/http/lookups.rs
@@ -26,9 +26,9 @@
 
 /// Handles `POST /v1/desks/{desk}/lookups`.
 pub async fn look_up(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request, ENDPOINT) {
+    let (accepted, payload) = match context.accept_body(&request, payload, ENDPOINT).await {
         Ok(accepted) => accepted,
-        Err(error) => return context.refuse(ENDPOINT, &error, None),
+        Err(refusal) => return refusal,
     };
     match serve(&context, &accepted, payload).await {
         Ok(answer) => {
@@ -53,8 +53,7 @@
     accepted: &CallerRequest,
     payload: Payload,
 ) -> Result<ServiceAnswer> {
-    let _guard = context.shared.gate.enter()?;
-    let body = context.read(payload).await?;
+    let (_guard, body) = context.enter(payload).await?;
     parse_json::<Value>(&body)?;
     let access = &accepted.access;
     let route = access.desk().lookups.ok_or(ErrorKind::NotFound)?;
--- a/medlarlanding/src/http/orders.rs
+++ b/medlarlanding/src/http/orders.rs
@@ -41,9 +41,9 @@
 
 /// Handles `POST /v1/desks/{desk}/orders`.
 pub async fn submit(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request, ENDPOINT) {
+    let (accepted, payload) = match context.accept_body(&request, payload, ENDPOINT).await {
         Ok(accepted) => accepted,
-        Err(error) => return context.refuse(ENDPOINT, &error, None),
+        Err(refusal) => return refusal,
     };
     let answer = match start(&context, &accepted, &request, payload).await {
         // The task goes on if the caller disconnects: its order may have been sent.
@@ -72,10 +72,15 @@
 }
 
 /// Handles `POST /v1/desks/{desk}/order-keys`.
-pub async fn mint(request: HttpRequest, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request, ENDPOINT) {
+pub async fn mint(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
+    let (accepted, payload) = match context.accept_body(&request, payload, ENDPOINT).await {
         Ok(accepted) => accepted,
-        Err(error) => return context.refuse(ENDPOINT, &error, None),
+        Err(refusal) => return refusal,
+    };
+    // The body carries nothing, but must be read for the connection to be used again.
+    let _guard = match context.enter(payload).await {
+        Ok((guard, _)) => guard,
+        Err(error) => return context.refuse(ENDPOINT, &error, Some(accepted.id)),
     };
     let (customer, desk) = (accepted.access.customer().id, accepted.access.desk().id);
     let result = ask(&context.shared, |query| OrderInput::Mint { query, customer, desk }).await;
@@ -105,9 +110,8 @@
     request: &HttpRequest,
     payload: Payload,
 ) -> Result<oneshot::Receiver<OrderAnswer>> {
-    let guard = context.shared.gate.enter()?;
+    let (guard, body) = context.enter(payload).await?;
     let key = idempotency_key(request)?;
-    let body = context.read(payload).await?;
     parse_json::<Value>(&body)?;
     let access = accepted.access.clone();
     let route = access.desk().orders.ok_or(ErrorKind::NotFound)?;
--- a/medlarlanding/src/http/reading.rs
+++ b/medlarlanding/src/http/reading.rs
@@ -9,6 +9,9 @@
 use ntex::web::types::Payload;
 use serde::de::DeserializeOwned;
 
+/// Longest time for which the rest of a refused body is read.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Limits for reading one request body.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyLimits {
@@ -24,20 +27,43 @@
 ///
 /// `BodyTooLarge` or `ReadTimeout` past a limit, `BadRequest` if the caller ends early.
 pub async fn read_body(mut payload: Payload, limits: BodyLimits) -> Result<Vec<u8>> {
-    let read = async {
-        let mut body = BytesMut::new();
-        while let Some(chunk) = payload.recv().await {
-            let chunk = chunk.map_err(|error| {
-                ServeError::with_detail(ErrorKind::BadRequest, format!("body: {error}"))
-            })?;
-            if body.len() + chunk.len() > limits.bytes {
-                return Err(ErrorKind::BodyTooLarge.into());
+    let body = timeout(limits.time, collect(&mut payload, limits.bytes)).await;
+    let body = body.unwrap_or(Err(ErrorKind::ReadTimeout.into()));
+    if body.is_err() {
+        discard_body(payload, limits).await;
+    }
+    body
+}
+
+async fn collect(payload: &mut Payload, limit: usize) -> Result<Vec<u8>> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.recv().await {
+        let chunk = chunk.map_err(|error| {
+            ServeError::with_detail(ErrorKind::BadRequest, format!("body: {error}"))
+        })?;
+        if body.len() + chunk.len() > limit {
+            return Err(ErrorKind::BodyTooLarge.into());
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.to_vec())
+}
+
+/// Reads and drops the rest of a body before the request is refused.
+///
+/// Closing a connection with bytes unread resets it, and the caller may then lose the answer.
+/// The limits bound what a caller can make the instance read for nothing.
+pub async fn discard_body(mut payload: Payload, limits: BodyLimits) {
+    let drain = async {
+        let mut dropped = 0;
+        while let Some(Ok(chunk)) = payload.recv().await {
+            dropped += chunk.len();
+            if dropped > limits.bytes {
+                break;
             }
-            body.extend_from_slice(&chunk);
         }
-        Ok(body.to_vec())
     };
-    timeout(limits.time, read).await.unwrap_or(Err(ErrorKind::ReadTimeout.into()))
+    let _ = timeout(limits.time.min(DISCARD_TIME), drain).await;
 }
 
 /// Parses a JSON body.
