Try an outage of the whole network, a deaf instance and an hour of partition

Cause: the design names partitions of an hour and switch failures; the trial had partitions of 60 s and independent loss only.

Change: two tests with a weakened variant each (2 s without any datagram; an instance that sends but receives nothing) and `--partition-s`.

Figures: no false eviction in both tests; without suspicion time both have some.

--- a/medlarlanding-bench/src/fleet_trials/measure.rs
+++ b/medlarlanding-bench/src/fleet_trials/measure.rs
@@ -27,6 +27,8 @@
     pub steady_s: u64,
     /// Virtual seconds with bad links.
     pub bad_link_s: u64,
+    /// Virtual seconds of the network partition.
+    pub partition_s: u64,
     /// Settings of the instances.
     pub node: NodeParams,
 }
@@ -40,6 +42,7 @@
             text_bytes: 256 << 10,
             steady_s: 60,
             bad_link_s: 120,
+            partition_s: 60,
             node: NodeParams::default(),
         }
     }
@@ -123,7 +126,7 @@
     pub change_side_s: Option<f64>,
     /// End of that network partition until in effect everywhere.
     pub change_heal_s: Option<f64>,
-    /// End of a network partition of 60 s in two halves until all views agree.
+    /// End of the network partition in two halves until all views agree.
     pub heal_s: Option<f64>,
     /// CPU time of the whole run, s.
     pub cpu_s: f64,
@@ -259,7 +262,7 @@
     trial.run(20);
     measure_death(&mut trial, &mut result);
     trial.run(10);
-    measure_partition(&mut trial, &mut result);
+    measure_partition(&mut trial, options, &mut result);
 
     result.calls_refused = trial.sim.platform.load.values().map(|load| load.refused).sum();
     result.cpu_s = (cpu_time() - cpu_start) as f64 / 1e9;
@@ -391,11 +394,11 @@
     trial.wait(FleetSim::views_agree);
 }
 
-fn measure_partition(trial: &mut Trial, result: &mut FleetMeasurement) {
+fn measure_partition(trial: &mut Trial, options: &MeasureOptions, result: &mut FleetMeasurement) {
     let half = trial.sim.len() / 2;
     trial.sim.partition(|node| node < half);
     trial.sim.limit_platform(Some((0..half).collect()));
-    trial.run(50);
+    trial.run(options.partition_s.saturating_sub(10));
     let version = trial.publish();
     let held_by = |sim: &FleetSim, mut nodes: std::ops::Range<usize>| {
         nodes.all(|node| sim.version(node, Subject::Config) == version)
--- a/medlarlanding-bench/src/fleet_trials/mod.rs
+++ b/medlarlanding-bench/src/fleet_trials/mod.rs
@@ -40,6 +40,9 @@
     /// peers asked at the start and after a pause (default 512)
     #[argh(option, default = "512")]
     query_peers: usize,
+    /// virtual seconds of the network partition (default 60)
+    #[argh(option, default = "60")]
+    partition_s: u64,
     /// compare variants of the settings at each size
     #[argh(switch)]
     variants: bool,
@@ -76,9 +79,15 @@
                 node.distribution.delta_history = options.delta_history;
                 node.distribution.query_peers = options.query_peers;
             }
-            let (seed, text_bytes) = (options.seed, options.text_bytes);
-            let measure_options =
-                MeasureOptions { label, size, seed, text_bytes, node, ..MeasureOptions::default() };
+            let measure_options = MeasureOptions {
+                label,
+                size,
+                seed: options.seed,
+                text_bytes: options.text_bytes,
+                partition_s: options.partition_s,
+                node,
+                ..MeasureOptions::default()
+            };
             let measurement = measure(&measure_options);
             eprintln!("{}: {:.1} s of CPU time", measurement.label, measurement.cpu_s);
             measurements.push(measurement);
--- a/medlarlanding-bench/src/fleet_trials/table.rs
+++ b/medlarlanding-bench/src/fleet_trials/table.rs
@@ -55,7 +55,7 @@
     ("end of the partition until the change is in effect everywhere, s", "4", |m| {
         seconds(m.change_heal_s)
     }),
-    ("end of a 60 s partition in halves until views agree, s", "", |m| seconds(m.heal_s)),
+    ("end of the partition in halves until views agree, s", "", |m| seconds(m.heal_s)),
     ("violated invariants", "0", |m| m.violations.len().to_string()),
 ];
 
--- a/medlarlanding-bench/tests/fleet.rs
+++ b/medlarlanding-bench/tests/fleet.rs
@@ -130,6 +130,43 @@
     assert!(evictions_with_loss(weakened) > 0);
 }
 
+fn evictions_after_an_outage(params: NodeParams) -> usize {
+    let mut sim = fleet(20, 1, params);
+    sim.set_faults(1.0, 0.0, 0.0);
+    run(&mut sim, 2);
+    sim.set_faults(0.0, 0.0, 0.0);
+    run(&mut sim, 15);
+    false_evictions(&sim)
+}
+
+/// Guards against evictions by a switch that drops everything for 2 s.
+#[test]
+fn a_short_outage_of_the_network_evicts_nobody() {
+    assert_eq!(evictions_after_an_outage(NodeParams::default()), 0);
+    let weakened = with_membership(|params| params.suspicion_base = Duration::ZERO);
+    assert!(evictions_after_an_outage(weakened) > 0);
+}
+
+/// Returns the evictions of other instances than node 0, seen by others, while node 0 sends but
+/// receives nothing.
+fn evictions_by_a_deaf_instance(params: NodeParams) -> usize {
+    let mut sim = fleet(20, 1, params);
+    for node in 1..sim.len() {
+        sim.block(node, 0);
+    }
+    run(&mut sim, 60);
+    let evictions = sim.log.evictions.iter();
+    evictions.filter(|&&(_, observer, evicted, _)| observer != 0 && evicted != 0).count()
+}
+
+/// Guards against an instance that receives nothing and spreads suspicions of everybody else.
+#[test]
+fn a_deaf_instance_evicts_nobody_else() {
+    assert_eq!(evictions_by_a_deaf_instance(NodeParams::default()), 0);
+    let weakened = with_membership(|params| params.suspicion_base = Duration::ZERO);
+    assert!(evictions_by_a_deaf_instance(weakened) > 0);
+}
+
 /// Returns the time until a leaving mark is known everywhere, up to 60 s.
 fn mark_time(params: NodeParams) -> f64 {
     let mut sim = fleet(20, 1, params);
