Use the terms heartbeat and fallback watcher

Cause: "wave" and "volunteer" are not the usual terms of the field.

Change: names and comments only; `wave_interval` and `wave_fanout` become `heartbeat_interval` and `heartbeat_fanout`, the dump's `volunteered` becomes `fallback`.

Conclusion: no change of behaviour.

--- a/medlarlanding-bench/tests/fleet.rs
+++ b/medlarlanding-bench/tests/fleet.rs
@@ -149,7 +149,7 @@
 
 /// Returns the evictions of other instances than node 0, seen by others, while node 0 sends but
 /// receives nothing.
-fn evictions_by_a_deaf_instance(params: NodeParams) -> usize {
+fn evictions_by_a_one_way_instance(params: NodeParams) -> usize {
     let mut sim = fleet(20, 1, params);
     for node in 1..sim.len() {
         sim.block(node, 0);
@@ -161,10 +161,10 @@
 
 /// Guards against an instance that receives nothing and spreads suspicions of everybody else.
 #[test]
-fn a_deaf_instance_evicts_nobody_else() {
-    assert_eq!(evictions_by_a_deaf_instance(NodeParams::default()), 0);
+fn an_instance_that_receives_nothing_evicts_nobody_else() {
+    assert_eq!(evictions_by_a_one_way_instance(NodeParams::default()), 0);
     let weakened = with_membership(|params| params.suspicion_base = Duration::ZERO);
-    assert!(evictions_by_a_deaf_instance(weakened) > 0);
+    assert!(evictions_by_a_one_way_instance(weakened) > 0);
 }
 
 /// Returns the time until a leaving mark is known everywhere, up to 60 s.
@@ -215,7 +215,7 @@
     // Without announcements and confirmations only the versions on probes are left.
     let mut weakened = with_membership(|params| params.probe_interval = Duration::from_secs(10));
     weakened.distribution.announce_fanout = 0;
-    weakened.distribution.wave_fanout = 0;
+    weakened.distribution.heartbeat_fanout = 0;
     assert!(change_time_with_the_platform_down(weakened) > 4.0);
 }
 
--- a/medlarlanding-core/src/distribution/distributor/mod.rs
+++ b/medlarlanding-core/src/distribution/distributor/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::fetch::FetchState;
+use super::heartbeats::{HeartbeatLog, watch_key};
 use super::interface::{DistributionDump, DistributionEffect, DistributionInput, SubjectDump};
 use super::message::{DistributionMessage, Payload};
 use super::params::DistributionParams;
@@ -16,7 +17,6 @@
 use super::track::{Offer, ValueTrack};
 use super::versions::{LocalVersions, Subject};
 use super::watch::WatchState;
-use super::waves::{WaveLog, watch_key};
 use crate::ids::{InstanceId, InstanceIdentity};
 use crate::rendezvous;
 use crate::time::Timestamp;
@@ -61,12 +61,12 @@
     known: Vec<InstanceId>,
     live: Vec<InstanceId>,
     ranked: bool,
-    volunteered: bool,
-    waves: WaveLog,
-    last_wave: u32,
-    next_wave: Timestamp,
+    fallback: bool,
+    heartbeats: HeartbeatLog,
+    last_heartbeat: u32,
+    next_heartbeat: Timestamp,
     /// Time at which the instance starts to watch for lack of confirmations.
-    volunteer_at: Timestamp,
+    fallback_at: Timestamp,
     last_number: u32,
     reported: LocalVersions,
     reported_current: bool,
@@ -90,11 +90,11 @@
             known: Vec::new(),
             live: Vec::new(),
             ranked: false,
-            volunteered: false,
-            waves: WaveLog::default(),
-            last_wave: 0,
-            next_wave: Timestamp::default(),
-            volunteer_at: Timestamp::default(),
+            fallback: false,
+            heartbeats: HeartbeatLog::default(),
+            last_heartbeat: 0,
+            next_heartbeat: Timestamp::default(),
+            fallback_at: Timestamp::default(),
             reported: LocalVersions::default(),
             reported_current: false,
         }
@@ -164,9 +164,9 @@
             }
         }
         if watching {
-            at(Some(self.next_wave));
+            at(Some(self.next_heartbeat));
         } else {
-            at(Some(self.volunteer_at));
+            at(Some(self.fallback_at));
         }
         next
     }
@@ -217,7 +217,7 @@
                 Some(Phase::Current) => "current",
             },
             ranked: self.ranked,
-            volunteered: self.volunteered,
+            fallback: self.fallback,
             subjects: Subject::ALL
                 .into_iter()
                 .map(|subject| {
@@ -279,8 +279,8 @@
             self.start_query(now);
             self.note_contact(now);
             // Watchers that start at the same time confirm at different times.
-            let phase = self.params.wave_interval.mul_f64(self.rng.random());
-            self.next_wave = now + phase;
+            let phase = self.params.heartbeat_interval.mul_f64(self.rng.random());
+            self.next_heartbeat = now + phase;
         }
         for subject in Subject::ALL {
             let deadline = self.subject(subject).fetch.deadline(self.params.fetch_timeout);
@@ -292,7 +292,7 @@
         self.run_query(now, effects);
         self.run_start(now, effects);
         self.run_watch(now, effects);
-        self.run_wave(now, effects);
+        self.run_heartbeat(now, effects);
     }
 
     fn report(&mut self, effects: &mut Vec<DistributionEffect>) {
--- a/medlarlanding-core/src/distribution/distributor/receive.rs
+++ b/medlarlanding-core/src/distribution/distributor/receive.rs
@@ -55,8 +55,8 @@
                     }
                 }
             },
-            DistributionMessage::Confirm { watcher, started, wave, config, list } => {
-                self.take_wave(now, from, (watcher, started, wave), (config, list), effects);
+            DistributionMessage::Confirm { watcher, started, number, config, list } => {
+                self.take_heartbeat(now, from, (watcher, started, number), (config, list), effects);
             },
         }
     }
--- a/medlarlanding-core/src/distribution/distributor/watching.rs
+++ b/medlarlanding-core/src/distribution/distributor/watching.rs
@@ -1,13 +1,13 @@
 //! Calls on the platform and confirmations by watchers.
 
 use super::ConfigDistributor;
+use crate::distribution::heartbeats::watch_key;
 use crate::distribution::interface::{DistributionEffect, PlatformAnswer};
 use crate::distribution::message::{DistributionMessage, Payload, VersionMark};
 use crate::distribution::params::VersionRule;
 use crate::distribution::track::Offer;
 use crate::distribution::versions::Subject;
 use crate::distribution::watch::WatchCall;
-use crate::distribution::waves::watch_key;
 use crate::events::EventKind;
 use crate::ids::InstanceId;
 use crate::rendezvous;
@@ -87,8 +87,8 @@
     }
 
     pub(super) fn run_watch(&mut self, now: Timestamp, effects: &mut Vec<DistributionEffect>) {
-        if now >= self.volunteer_at && !self.ranked {
-            self.volunteered = true;
+        if now >= self.fallback_at && !self.ranked {
+            self.fallback = true;
         }
         let wanted = self.wants_watch();
         let lost = self.params.watch_wait + self.params.watch_grace;
@@ -119,53 +119,55 @@
     }
 
     /// Sends the periodic confirmation while the own watch works.
-    pub(super) fn run_wave(&mut self, now: Timestamp, effects: &mut Vec<DistributionEffect>) {
-        if now < self.next_wave || !self.wants_watch() {
+    pub(super) fn run_heartbeat(&mut self, now: Timestamp, effects: &mut Vec<DistributionEffect>) {
+        if now < self.next_heartbeat || !self.wants_watch() {
             return;
         }
-        self.next_wave = now + self.params.wave_interval;
+        self.next_heartbeat = now + self.params.heartbeat_interval;
         let limit = self.params.watch_wait + self.params.watch_grace;
         let works =
             Subject::ALL.into_iter().all(|subject| self.subject(subject).watch.works(now, limit));
         if !works || !self.is_current() {
             return;
         }
-        self.last_wave = self.last_wave.wrapping_add(1);
+        self.last_heartbeat = self.last_heartbeat.wrapping_add(1);
         let versions = self.versions();
         let message = DistributionMessage::Confirm {
             watcher: self.identity.id,
             started: self.identity.incarnation.started,
-            wave: self.last_wave,
+            number: self.last_heartbeat,
             config: versions.config,
             list: versions.list,
         };
-        for peer in self.choose_peers(self.params.wave_fanout, &[]) {
+        for peer in self.choose_peers(self.params.heartbeat_fanout, &[]) {
             Self::send(peer, PeerTransport::Datagram, message.clone(), effects);
         }
     }
 
-    pub(super) fn take_wave(
+    pub(super) fn take_heartbeat(
         &mut self,
         now: Timestamp,
         from: InstanceId,
-        (watcher, started, wave): (InstanceId, u64, u32),
+        (watcher, started, number): (InstanceId, u64, u32),
         (config, list): (u64, u64),
         effects: &mut Vec<DistributionEffect>,
     ) {
-        let keep = self.params.wave_interval * 3;
-        if watcher == self.identity.id || !self.waves.record(now, watcher, started, wave, keep) {
+        let keep = self.params.heartbeat_interval * 3;
+        if watcher == self.identity.id
+            || !self.heartbeats.record(now, watcher, started, number, keep)
+        {
             return;
         }
         self.note_contact(now);
-        // The better ranked of two volunteers remains, so they neither stop each other nor
+        // The better ranked of two fallback watchers remains, so they neither stop each other nor
         // both go on.
         let own = rendezvous::weight(watch_key(), self.identity.id);
         if rendezvous::weight(watch_key(), watcher) > own {
-            self.volunteered = false;
+            self.fallback = false;
         }
-        if self.waves.is_ranked(watcher, self.params.watchers) {
-            let message = DistributionMessage::Confirm { watcher, started, wave, config, list };
-            for peer in self.choose_peers(self.params.wave_fanout, &[from, watcher]) {
+        if self.heartbeats.is_ranked(watcher, self.params.watchers) {
+            let message = DistributionMessage::Confirm { watcher, started, number, config, list };
+            for peer in self.choose_peers(self.params.heartbeat_fanout, &[from, watcher]) {
                 Self::send(peer, PeerTransport::Datagram, message.clone(), effects);
             }
         }
@@ -177,11 +179,11 @@
 
     pub(super) fn note_contact(&mut self, now: Timestamp) {
         let jitter = self.rng.random_range(0.0..1.0);
-        self.volunteer_at =
+        self.fallback_at =
             now + self.params.contact_limit + self.params.contact_jitter.mul_f64(jitter);
     }
 
     pub(super) fn wants_watch(&self) -> bool {
-        self.ranked || self.volunteered || !self.is_current()
+        self.ranked || self.fallback || !self.is_current()
     }
 }
--- a/medlarlanding-core/src/distribution/waves.rs
+++ b/medlarlanding-core/src/distribution/heartbeats.rs
@@ -16,33 +16,33 @@
 #[derive(Clone, Copy, Debug)]
 struct Heard {
     started: u64,
-    wave: u32,
+    number: u32,
     at: Timestamp,
 }
 
 /// Last confirmation of each watcher.
 #[derive(Debug, Default)]
-pub(super) struct WaveLog {
+pub(super) struct HeartbeatLog {
     heard: IndexMap<InstanceId, Heard>,
 }
 
-impl WaveLog {
+impl HeartbeatLog {
     /// Records a confirmation. Returns whether it is new.
     pub fn record(
         &mut self,
         now: Timestamp,
         watcher: InstanceId,
         started: u64,
-        wave: u32,
+        number: u32,
         keep: Duration,
     ) -> bool {
         self.heard.retain(|_, heard| now.since(heard.at) < keep);
         if let Some(heard) = self.heard.get(&watcher)
-            && (heard.started, heard.wave) >= (started, wave)
+            && (heard.started, heard.number) >= (started, number)
         {
             return false;
         }
-        self.heard.insert(watcher, Heard { started, wave, at: now });
+        self.heard.insert(watcher, Heard { started, number, at: now });
         true
     }
 
--- a/medlarlanding-core/src/distribution/interface.rs
+++ b/medlarlanding-core/src/distribution/interface.rs
@@ -165,7 +165,7 @@
     /// Whether this instance is among the ranked watchers of its own view.
     pub ranked: bool,
     /// Whether it watches for lack of confirmations.
-    pub volunteered: bool,
+    pub fallback: bool,
     /// State per subject.
     pub subjects: Vec<SubjectDump>,
 }
--- a/medlarlanding-core/src/distribution/message.rs
+++ b/medlarlanding-core/src/distribution/message.rs
@@ -121,7 +121,7 @@
             /// Start time of the watcher's process.
             started: u64,
             /// Number of the confirmation, rising.
-            wave: u32,
+            number: u32,
             /// Configuration version in effect at the watcher.
             config: u64,
             /// List version in effect at the watcher.
--- a/medlarlanding-core/src/distribution/mod.rs
+++ b/medlarlanding-core/src/distribution/mod.rs
@@ -6,6 +6,7 @@
 mod delta;
 mod distributor;
 mod fetch;
+mod heartbeats;
 mod interface;
 mod message;
 mod params;
@@ -13,7 +14,6 @@
 mod track;
 mod versions;
 mod watch;
-mod waves;
 
 pub use delta::TextDelta;
 pub use distributor::ConfigDistributor;
--- a/medlarlanding-core/src/distribution/params.rs
+++ b/medlarlanding-core/src/distribution/params.rs
@@ -34,9 +34,9 @@
     /// Random addition to `contact_limit`, at most. Spreads the calls of many instances.
     pub contact_jitter: Duration,
     /// Time between two confirmations by a watcher.
-    pub wave_interval: Duration,
+    pub heartbeat_interval: Duration,
     /// Number of peers to which a confirmation is sent and passed on.
-    pub wave_fanout: usize,
+    pub heartbeat_fanout: usize,
     /// Number of peers to which a new version is announced.
     pub announce_fanout: usize,
     /// Time after which a new version is announced once more, to other peers. A single round
@@ -75,8 +75,8 @@
             other_backoff: Duration::from_secs(8),
             contact_limit: Duration::from_secs(2),
             contact_jitter: Duration::from_secs(2),
-            wave_interval: Duration::from_secs(1),
-            wave_fanout: 3,
+            heartbeat_interval: Duration::from_secs(1),
+            heartbeat_fanout: 3,
             announce_fanout: 4,
             announce_repeat: Duration::from_millis(150),
             fetch_timeout: Duration::from_millis(700),
--- a/medlarlanding-core/tests/distribution_versions.rs
+++ b/medlarlanding-core/tests/distribution_versions.rs
@@ -397,7 +397,7 @@
     Down,
     Announce(u16, u64),
     Serve(u64),
-    Wave(u16, u64),
+    Heartbeat(u16, u64),
     Woke,
     Reply(u16, u64),
 }
@@ -412,7 +412,7 @@
             6 => Self::Down,
             7..9 => Self::Announce(from, version),
             9..12 => Self::Serve(version),
-            12 => Self::Wave(from, version),
+            12 => Self::Heartbeat(from, version),
             13 => Self::Woke,
             _ => Self::Reply(from, version),
         }
@@ -450,11 +450,11 @@
                     }
                 }
             },
-            Step::Wave(from, version) => {
+            Step::Heartbeat(from, version) => {
                 let message = DistributionMessage::Confirm {
                     watcher: peer(from),
                     started: 1,
-                    wave: number as u32,
+                    number: number as u32,
                     config: version,
                     list: 0,
                 };
