Fetch from the next holder when a value is older than reported

Cause: an instance that passes a confirmation on may not hold the confirmed version yet. Its older value ended the fetch, and the other known holder (the watcher) was not asked until the next report, up to 1 s later.

Ruled out: asking the watcher first, which would make 350 instances fetch from 3.

Change: a fetch ends when its version or a higher one arrives; an older value, or one that does not match its digest, turns it to the next holder.

--- a/medlarlanding-core/src/distribution/distributor/receive.rs
+++ b/medlarlanding-core/src/distribution/distributor/receive.rs
@@ -97,7 +97,7 @@
             ValueBody::Delta { .. } => Subject::Config,
         };
         let state = self.subject_mut(subject);
-        let Some(asked) = state.fetch.finish(number) else {
+        let Some(asked) = state.fetch.asked(number) else {
             return;
         };
         let payload = match body {
@@ -109,9 +109,14 @@
                 _ => None,
             },
         };
-        // A value that doesn't match its digest is dropped; the next report of the version
-        // starts another fetch.
-        if let Some(payload) = payload.filter(|payload| payload.digest() == mark.digest) {
+        // A value that doesn't match its digest, or that is older than what the peer passed on, is
+        // fetched from the next holder.
+        let payload = payload.filter(|payload| payload.digest() == mark.digest);
+        let version = payload.as_ref().map_or(0, |_| mark.version);
+        if state.fetch.finish(version) {
+            self.fetch_elsewhere(now, subject, effects);
+        }
+        if let Some(payload) = payload {
             let confirmed = age_ms.and_then(|age| bounded_time(asked, age));
             let offer = Offer { mark, payload, source: Some(from), confirmed };
             self.offer(now, subject, offer, effects);
--- a/medlarlanding-core/src/distribution/fetch.rs
+++ b/medlarlanding-core/src/distribution/fetch.rs
@@ -41,9 +41,17 @@
         }
     }
 
-    /// Ends the fetch with the given number. Returns when it was asked.
-    pub fn finish(&mut self, number: u32) -> Option<Timestamp> {
-        self.attempt.take_if(|attempt| attempt.number == number).map(|attempt| attempt.asked)
+    /// Returns when the fetch with the given number was asked.
+    pub fn asked(&self, number: u32) -> Option<Timestamp> {
+        let attempt = self.attempt.as_ref().filter(|attempt| attempt.number == number)?;
+        Some(attempt.asked)
+    }
+
+    /// Ends a fetch that `version` satisfies. Returns whether one that it does not satisfy
+    /// remains.
+    pub fn finish(&mut self, version: u64) -> bool {
+        self.attempt.take_if(|attempt| attempt.version <= version);
+        self.attempt.is_some()
     }
 
     /// Turns to the next peer. Returns it, or `None` if there is none; the fetch then ends.
--- a/medlarlanding-core/tests/distribution_versions.rs
+++ b/medlarlanding-core/tests/distribution_versions.rs
@@ -342,6 +342,25 @@
     assert_eq!(bench.version(), 8);
 }
 
+/// Guards against a wait for the next confirmation when the peer that passed one on does not
+/// hold the version yet: the watcher does.
+#[test]
+fn a_fetch_of_an_older_value_turns_to_another_holder() {
+    let mut bench = Bench::current(6, DistributionParams::default());
+    let message = DistributionMessage::Confirm {
+        watcher: peer(2),
+        started: 1,
+        number: 1,
+        config: 8,
+        list: 0,
+    };
+    bench.message(1, message);
+    bench.serve(1, 7, text(7));
+    assert_eq!(bench.version(), 7);
+    bench.serve(2, 8, text(8));
+    assert_eq!(bench.configs, [6, 7, 8]);
+}
+
 /// Guards against a list that looks fresh because a message or an answer arrived late.
 #[test]
 fn ages_are_counted_back_from_the_question() {
