--- a/medlarlanding-bench/src/fleet_trials/mod.rs
+++ b/medlarlanding-bench/src/fleet_trials/mod.rs
@@ -37,6 +37,12 @@
     /// earlier texts kept for differences (default 3; 0 sends whole texts)
     #[argh(option, default = "3")]
     delta_history: usize,
+    /// peers asked at the start and after a pause (default 512)
+    #[argh(option, default = "512")]
+    query_peers: usize,
+    /// virtual seconds of the network partition (default 60)
+    #[argh(option, default = "60")]
+    partition_s: u64,
     /// compare variants of the settings at each size
     #[argh(switch)]
     variants: bool,
@@ -71,10 +77,17 @@
                 name.clone_into(&mut label);
             } else {
                 node.distribution.delta_history = options.delta_history;
+                node.distribution.query_peers = options.query_peers;
             }
-            let (seed, text_bytes) = (options.seed, options.text_bytes);
-            let measure_options =
-                MeasureOptions { label, size, seed, text_bytes, node, ..MeasureOptions::default() };
+            let measure_options = MeasureOptions {
+                label,
+                size,
+                seed: options.seed,
+                text_bytes: options.text_bytes,
+                partition_s: options.partition_s,
+                node,
+                ..MeasureOptions::default()
+            };
             let measurement = measure(&measure_options);
             eprintln!("{}: {:.1} s of CPU time", measurement.label, measurement.cpu_s);
             measurements.push(measurement);
@@ -103,8 +116,9 @@
         let (mut changes, mut settled) = (Vec::new(), Vec::new());
         let (mut events, mut restarts, mut pauses) = (0, 0, 0);
         for seed in options.seed..options.seed + rounds {
-            let stress_options =
+            let mut stress_options =
                 StressOptions { size, seed, steps: options.steps, ..StressOptions::default() };
+            stress_options.node.distribution.query_peers = options.query_peers;
             let report = stress(&stress_options);
             if !report.violations.is_empty() {
                 failed += 1;
--- a/medlarlanding-bench/tests/fleet.rs
+++ b/medlarlanding-bench/tests/fleet.rs
@@ -130,6 +130,43 @@
     assert!(evictions_with_loss(weakened) > 0);
 }
 
+fn evictions_after_an_outage(params: NodeParams) -> usize {
+    let mut sim = fleet(20, 1, params);
+    sim.set_faults(1.0, 0.0, 0.0);
+    run(&mut sim, 2);
+    sim.set_faults(0.0, 0.0, 0.0);
+    run(&mut sim, 15);
+    false_evictions(&sim)
+}
+
+/// Guards against evictions by a switch that drops everything for 2 s.
+#[test]
+fn a_short_outage_of_the_network_evicts_nobody() {
+    assert_eq!(evictions_after_an_outage(NodeParams::default()), 0);
+    let weakened = with_membership(|params| params.suspicion_base = Duration::ZERO);
+    assert!(evictions_after_an_outage(weakened) > 0);
+}
+
+/// Returns the evictions of other instances than node 0, seen by others, while node 0 sends but
+/// receives nothing.
+fn evictions_by_a_one_way_instance(params: NodeParams) -> usize {
+    let mut sim = fleet(20, 1, params);
+    for node in 1..sim.len() {
+        sim.block(node, 0);
+    }
+    run(&mut sim, 60);
+    let evictions = sim.log.evictions.iter();
+    evictions.filter(|&&(_, observer, evicted, _)| observer != 0 && evicted != 0).count()
+}
+
+/// Guards against an instance that receives nothing and spreads suspicions of everybody else.
+#[test]
+fn an_instance_that_receives_nothing_evicts_nobody_else() {
+    assert_eq!(evictions_by_a_one_way_instance(NodeParams::default()), 0);
+    let weakened = with_membership(|params| params.suspicion_base = Duration::ZERO);
+    assert!(evictions_by_a_one_way_instance(weakened) > 0);
+}
+
 /// Returns the time until a leaving mark is known everywhere, up to 60 s.
 fn mark_time(params: NodeParams) -> f64 {
     let mut sim = fleet(20, 1, params);
@@ -178,7 +215,7 @@
     // Without announcements and confirmations only the versions on probes are left.
     let mut weakened = with_membership(|params| params.probe_interval = Duration::from_secs(10));
     weakened.distribution.announce_fanout = 0;
-    weakened.distribution.wave_fanout = 0;
+    weakened.distribution.heartbeat_fanout = 0;
     assert!(change_time_with_the_platform_down(weakened) > 4.0);
 }
 
--- a/medlarlanding-core/tests/distribution_versions.rs
+++ b/medlarlanding-core/tests/distribution_versions.rs
@@ -342,6 +342,25 @@
     assert_eq!(bench.version(), 8);
 }
 
+/// Guards against a wait for the next confirmation when the peer that passed one on does not
+/// hold the version yet: the watcher does.
+#[test]
+fn a_fetch_of_an_older_value_turns_to_another_holder() {
+    let mut bench = Bench::current(6, DistributionParams::default());
+    let message = DistributionMessage::Confirm {
+        watcher: peer(2),
+        started: 1,
+        number: 1,
+        config: 8,
+        list: 0,
+    };
+    bench.message(1, message);
+    bench.serve(1, 7, text(7));
+    assert_eq!(bench.version(), 7);
+    bench.serve(2, 8, text(8));
+    assert_eq!(bench.configs, [6, 7, 8]);
+}
+
 /// Guards against a list that looks fresh because a message or an answer arrived late.
 #[test]
 fn ages_are_counted_back_from_the_question() {
@@ -397,7 +416,7 @@
     Down,
     Announce(u16, u64),
     Serve(u64),
-    Wave(u16, u64),
+    Heartbeat(u16, u64),
     Woke,
     Reply(u16, u64),
 }
@@ -412,7 +431,7 @@
             6 => Self::Down,
             7..9 => Self::Announce(from, version),
             9..12 => Self::Serve(version),
-            12 => Self::Wave(from, version),
+            12 => Self::Heartbeat(from, version),
             13 => Self::Woke,
             _ => Self::Reply(from, version),
         }
@@ -450,11 +469,11 @@
                     }
                 }
             },
-            Step::Wave(from, version) => {
+            Step::Heartbeat(from, version) => {
                 let message = DistributionMessage::Confirm {
                     watcher: peer(from),
                     started: 1,
-                    wave: number as u32,
+                    number: number as u32,
                     config: version,
                     list: 0,
                 };
