Serve customers that use half of their limit after the others

Change: the customer's account manager marks it while it has more than half of its limit open. Its requests come last within their priority and leave up to a fifth of the memory free; that part shrinks with the marked customers' shares and is nothing from half on.

--- a/medlarlanding-bench/src/experiment/plan.rs
+++ b/medlarlanding-bench/src/experiment/plan.rs
@@ -207,6 +207,10 @@
     pub ask_width: Option<usize>,
     /// See `AdmissionParams::affinity_bound`.
     pub affinity_bound: Option<f64>,
+    /// See `AdmissionParams::surplus_part`.
+    pub surplus_part: Option<f64>,
+    /// See `AdmissionParams::surplus_headroom`.
+    pub surplus_headroom: Option<f64>,
     /// See `AdmissionParams::affinity_bound_least_stall`.
     pub affinity_bound_least_stall: Option<f64>,
     /// See `AdmissionParams::affinity_wait`, in milliseconds.
@@ -229,6 +233,8 @@
             affinity_bound_least_stall: self
                 .affinity_bound_least_stall
                 .unwrap_or(defaults.affinity_bound_least_stall),
+            surplus_part: self.surplus_part.unwrap_or(defaults.surplus_part),
+            surplus_headroom: self.surplus_headroom.unwrap_or(defaults.surplus_headroom),
             affinity_wait: self
                 .affinity_wait_ms
                 .map_or(defaults.affinity_wait, Duration::from_millis),
--- a/medlarlanding-core/src/admission/account.rs
+++ b/medlarlanding-core/src/admission/account.rs
@@ -1,6 +1,6 @@
 //! Account of one engine: permits, memory forecast and queue, kept by its account manager.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -287,7 +287,7 @@
             Some(DeclineReason::TooLarge)
         } else if self.queue.len() >= self.params.queue_limit {
             Some(DeclineReason::QueueFull)
-        } else if now + self.wait(now, item.priority) + run > deadline {
+        } else if now + self.wait(now, level(item.priority, item.surplus)) + run > deadline {
             Some(DeclineReason::WaitTooLong)
         } else {
             None
@@ -297,7 +297,8 @@
             return;
         }
         let cost = item.prompt_tokens.saturating_add(expected as u32);
-        let work = QueuedWork { item, cost, since: now, heard: now, seq, deadline };
+        let level = level(item.priority, item.surplus);
+        let work = QueuedWork { item, cost, since: now, heard: now, seq, level, deadline };
         self.queue.push(key, work);
     }
 
@@ -335,8 +336,8 @@
     }
 
     /// Returns the expected wait of a new request. Zero while no work has finished yet.
-    fn wait(&self, now: Timestamp, priority: u8) -> Duration {
-        let ahead = self.queue.cost_ahead(priority);
+    fn wait(&self, now: Timestamp, level: u8) -> Duration {
+        let ahead = self.queue.cost_ahead(level);
         let window = now.since(self.created_at).min(DRAIN_WINDOW).as_secs_f64();
         if ahead <= 0.0 || self.drained <= 0.0 || window <= 0.0 {
             return Duration::ZERO;
@@ -457,7 +458,8 @@
         if paced && running >= self.pace.limit() {
             return false;
         }
-        let limit = self.usable() * part;
+        let headroom = if item.surplus { self.headroom() } else { 0.0 };
+        let limit = self.usable() * part * (1.0 - headroom);
         if running == 0 {
             return f64::from(item.prompt_tokens) < limit;
         }
@@ -473,6 +475,25 @@
         forecast.peak(z, median.max(SHORTEST_HORIZON)) <= limit
     }
 
+    /// Returns the part of the memory that customers in surplus leave free for the others, so
+    /// that those need not wait for a long answer to end.
+    ///
+    /// It shrinks with the shares of the customers in surplus and is nothing once they are half
+    /// of all at this server, or an overload of all customers would leave memory unused.
+    fn headroom(&self) -> f64 {
+        let queued = self.queue.iter().map(|(_, work)| &work.item);
+        let held = self.permits.values().map(|permit| &permit.item);
+        let mut shares = BTreeMap::new();
+        for item in held.chain(queued) {
+            let surplus = shares.entry(item.customer).or_insert((item.share, false));
+            surplus.1 |= item.surplus;
+        }
+        let all: u32 = shares.values().map(|&(share, _)| share).sum();
+        let over: u32 = shares.values().filter(|entry| entry.1).map(|&(share, _)| share).sum();
+        let part = f64::from(over) / f64::from(all.max(1));
+        self.params.surplus_headroom * (1.0 - 2.0 * part).max(0.0)
+    }
+
     fn forecast(&self, lengths: &LengthEstimator) -> MemoryForecast {
         let mut forecast = MemoryForecast::default();
         for permit in self.permits.values() {
@@ -489,7 +510,7 @@
             server: self.capacity.server,
             load_permille: (memory.max(batch) * 1000.0) as u32,
             queued: self.queue.len() as u32,
-            wait_ms: self.wait(now, MIDDLE_PRIORITY).as_millis() as u32,
+            wait_ms: self.wait(now, level(MIDDLE_PRIORITY, false)).as_millis() as u32,
             open: self.open(now),
         }
     }
@@ -546,6 +567,11 @@
     InstanceIdentity { id: key.0, incarnation: crate::ids::Incarnation::new(key.1) }
 }
 
+/// Returns the queue's level: by priority, and within it customers in surplus last.
+fn level(priority: u8, surplus: bool) -> u8 {
+    priority.saturating_mul(2).saturating_add(u8::from(!surplus))
+}
+
 fn need<'a>(item: &WorkItem, lengths: &'a LengthEstimator) -> MemoryNeed<'a> {
     MemoryNeed {
         prompt_tokens: item.prompt_tokens,
--- a/medlarlanding-core/src/admission/allotment.rs
+++ b/medlarlanding-core/src/admission/allotment.rs
@@ -3,16 +3,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::ids::{CustomerId, InstanceId};
+use crate::ids::{CustomerId, InstanceId, InstanceIdentity};
 use crate::time::Timestamp;
 
-use super::messages::CustomerCount;
+use super::messages::{CustomerAllotment, CustomerCount};
 
 #[derive(Clone, Copy, Debug)]
 struct InstanceAllotment {
     started: u64,
     seq: u64,
     allotment: u32,
+    open: u32,
     heard: Timestamp,
 }
 
@@ -56,16 +57,19 @@
 
     /// Takes in an instance's count and returns its allotment, or `None` for a late message.
     ///
+    /// The customer is in surplus while it has more than `surplus_part` of its limit open.
+    ///
     /// During the warm-up an instance gets only its part of the limit.
     pub fn count(
         &mut self,
         now: Timestamp,
-        from: InstanceId,
-        started: u64,
+        from: InstanceIdentity,
         seq: u64,
         count: &CustomerCount,
         live: usize,
-    ) -> Option<u32> {
+        surplus_part: f64,
+    ) -> Option<CustomerAllotment> {
+        let (from, started) = (from.id, from.incarnation.started);
         let known = self.instances.get(&from);
         if known.is_some_and(|known| (known.started, known.seq) >= (started, seq)) {
             return None;
@@ -88,8 +92,12 @@
             allotment <= count.open.max(count.limit.saturating_sub(others)),
             "allotments must stay within the limit"
         );
-        self.instances.insert(from, InstanceAllotment { started, seq, allotment, heard: now });
-        Some(allotment)
+        let open = count.open;
+        let entry = InstanceAllotment { started, seq, allotment, open, heard: now };
+        self.instances.insert(from, entry);
+        let open: u32 = self.instances.values().map(|instance| instance.open).sum();
+        let surplus = f64::from(open) > f64::from(count.limit) * surplus_part;
+        Some(CustomerAllotment { customer: self.customer, allotment, surplus })
     }
 
     /// Drops the allotments of instances that no longer report. Returns whether any remain.
--- a/medlarlanding-core/src/admission/controller/customers.rs
+++ b/medlarlanding-core/src/admission/controller/customers.rs
@@ -20,6 +20,7 @@
             allotment: 0,
             valid_until: now,
             sent: None,
+            surplus: false,
             active_at: now,
         });
         used.limit = limit;
@@ -92,6 +93,7 @@
     ) {
         let (now, lease, live) = (self.now, self.params.lease, self.live.len());
         let warm_until = self.view_at + lease;
+        let part = self.params.surplus_part;
         let mut allotments = Vec::with_capacity(counts.len());
         for count in counts {
             if self.customer_manager(count.customer).is_none_or(|m| m.id != self.own.id) {
@@ -101,10 +103,7 @@
                 .customers
                 .entry(count.customer)
                 .or_insert_with(|| CustomerAccount::new(count.customer, lease, warm_until));
-            let started = from.incarnation.started;
-            if let Some(allotment) = account.count(now, from.id, started, seq, count, live) {
-                allotments.push(CustomerAllotment { customer: count.customer, allotment });
-            }
+            allotments.extend(account.count(now, from, seq, count, live, part));
         }
         if !allotments.is_empty() {
             self.send(from, AdmissionMessage::Allot { seq, allotments }, effects);
@@ -124,6 +123,7 @@
             // others what an older one said.
             let Some((_, sent_at)) = used.sent.filter(|sent| sent.0 == seq) else { continue };
             (used.allotment, used.sent) = (allotment.allotment, None);
+            used.surplus = allotment.surplus;
             used.valid_until = sent_at + self.params.lease;
             self.admit_waiting(customer, effects);
             let waiting = self.waiting_for_allotment(customer);
--- a/medlarlanding-core/src/admission/controller/mod.rs
+++ b/medlarlanding-core/src/admission/controller/mod.rs
@@ -242,6 +242,8 @@
     valid_until: Timestamp,
     /// Number and time of the count that was not replied to yet.
     sent: Option<(u64, Timestamp)>,
+    /// Whether the customer uses so much of its limit that others come first.
+    surplus: bool,
     active_at: Timestamp,
 }
 
--- a/medlarlanding-core/src/admission/controller/reports.rs
+++ b/medlarlanding-core/src/admission/controller/reports.rs
@@ -60,6 +60,7 @@
             max_tokens: request.max_tokens,
             priority: request.priority,
             objective: request.objective,
+            surplus: self.uses.get(&request.customer).is_some_and(|used| used.surplus),
             stage,
         }
     }
--- a/medlarlanding-core/src/admission/messages.rs
+++ b/medlarlanding-core/src/admission/messages.rs
@@ -57,6 +57,8 @@
         pub priority: u8,
         /// Objective of the desk.
         pub objective: Objective,
+        /// Whether the customer uses so much of its limit that others come first.
+        pub surplus: bool,
         /// Whether it waits or runs.
         pub stage: WorkStage,
     }
@@ -129,6 +131,8 @@
         pub customer: CustomerId,
         /// The number of requests.
         pub allotment: u32,
+        /// Whether the customer uses so much of its limit that others come first.
+        pub surplus: bool,
     }
 }
 
--- a/medlarlanding-core/src/admission/params.rs
+++ b/medlarlanding-core/src/admission/params.rs
@@ -26,6 +26,10 @@
     pub target_gap: Duration,
     /// Largest number of requests queued at one server.
     pub queue_limit: usize,
+    /// Part of its limit above which a customer's requests come after those of others.
+    pub surplus_part: f64,
+    /// Part of the memory that such requests leave free while others use the server.
+    pub surplus_headroom: f64,
     /// Number of managers a request waits at concurrently.
     pub ask_width: usize,
     /// Tokens that a customer's share of 1 earns per round of the queue.
@@ -68,6 +72,8 @@
             z_least_stall: 1.5,
             target_gap: Duration::from_millis(54),
             queue_limit: 1024,
+            surplus_part: 0.5,
+            surplus_headroom: 0.2,
             ask_width: 3,
             quantum_tokens: 512,
             affinity_bound: 0.15,
--- a/medlarlanding-core/src/admission/queue.rs
+++ b/medlarlanding-core/src/admission/queue.rs
@@ -26,6 +26,8 @@
     pub heard: Timestamp,
     /// Latest message about it.
     pub seq: u64,
+    /// Level of the queue: the priority, and within it customers in surplus last.
+    pub level: u8,
     /// Caller's deadline on the manager's clock.
     pub deadline: Timestamp,
 }
@@ -78,12 +80,12 @@
         self.work.iter()
     }
 
-    /// Returns the expected tokens queued at `priority` or above. A request that waits at
+    /// Returns the expected tokens queued at `level` or above. A request that waits at
     /// several servers counts in part, because only one of them will run it.
-    pub(crate) fn cost_ahead(&self, priority: u8) -> f64 {
+    pub(crate) fn cost_ahead(&self, level: u8) -> f64 {
         self.work
             .values()
-            .filter(|work| work.item.priority >= priority)
+            .filter(|work| work.level >= level)
             .map(|work| match work.item.stage {
                 super::WorkStage::Waiting { asks, .. } => {
                     f64::from(work.cost) / f64::from(asks.max(1))
@@ -95,7 +97,7 @@
 
     pub(crate) fn push(&mut self, key: WorkKey, work: QueuedWork) {
         let customer = work.item.customer;
-        let level = self.levels.entry(Reverse(work.item.priority)).or_default();
+        let level = self.levels.entry(Reverse(work.level)).or_default();
         let flow = level.flows.entry(customer).or_default();
         flow.share = work.item.share.max(1);
         if flow.keys.is_empty() {
@@ -108,7 +110,7 @@
 
     pub(crate) fn remove(&mut self, key: WorkKey) -> Option<QueuedWork> {
         let work = self.work.swap_remove(&key)?;
-        let priority = Reverse(work.item.priority);
+        let priority = Reverse(work.level);
         let customer = work.item.customer;
         if let Some(level) = self.levels.get_mut(&priority) {
             if let Some(flow) = level.flows.get_mut(&customer) {
@@ -145,7 +147,7 @@
     /// Removes the request that `peek` returned and charges it to its customer.
     pub(crate) fn take(&mut self, key: WorkKey) -> Option<QueuedWork> {
         let work = self.work.get(&key)?;
-        let (priority, customer, cost) = (work.item.priority, work.item.customer, work.cost);
+        let (priority, customer, cost) = (work.level, work.item.customer, work.cost);
         if let Some(flow) =
             self.levels.get_mut(&Reverse(priority)).and_then(|level| level.flows.get_mut(&customer))
         {
--- a/medlarlanding-core/tests/admission_account.rs
+++ b/medlarlanding-core/tests/admission_account.rs
@@ -34,6 +34,7 @@
         max_tokens: 200,
         priority: 5,
         objective: Objective::FewestPreemptions,
+        surplus: false,
         stage,
     }
 }
--- a/medlarlanding-core/tests/admission_lengths.rs
+++ b/medlarlanding-core/tests/admission_lengths.rs
@@ -142,6 +142,7 @@
                 max_tokens: u32::MAX,
                 priority: 9,
                 objective: Objective::LeastStall,
+                surplus: false,
                 stage: WorkStage::Waiting { patience_ms: u32::MAX, asks: 3 },
             })
             .collect();
