--- a/medlarlanding-core/tests/admission_controller.rs
+++ b/medlarlanding-core/tests/admission_controller.rs
@@ -125,7 +125,7 @@
         ServerStatus { server, load_permille: 100, queued: 1, wait_ms: 50, open: true }
     }
 
-    fn from_manager(&mut self, message: AdmissionMessage) {
+    fn deliver(&mut self, message: AdmissionMessage) {
         self.input(AdmissionInput::Message { from: instance(2), message });
     }
 
@@ -167,15 +167,15 @@
     let mut bench = Bench::new(2);
     // A reachable manager with a queue.
     let status = bench.status();
-    bench.from_manager(AdmissionMessage::Status { seq: 0, servers: vec![status] });
+    bench.deliver(AdmissionMessage::Status { seq: 0, servers: vec![status] });
     bench.request(1, 60_000);
     bench.wait(160);
     let seq = *bench.asked(1).first().expect("the manager is asked");
     let asked_at = bench.now;
-    bench.from_manager(AdmissionMessage::Status { seq, servers: vec![status] });
+    bench.deliver(AdmissionMessage::Status { seq, servers: vec![status] });
     bench.wait(2000);
     assert_eq!(bench.granted(), None, "queued requests wait");
-    bench.from_manager(AdmissionMessage::Grant { heard: seq, number: 1, status });
+    bench.deliver(AdmissionMessage::Grant { heard: seq, number: 1, status });
     let (_, start_by) = bench.granted().expect("the grant is in time");
     assert!(start_by <= asked_at + Duration::from_secs(3));
 }
@@ -185,17 +185,17 @@
 fn late_grant_is_asked_for_again() {
     let mut bench = Bench::new(2);
     let status = bench.status();
-    bench.from_manager(AdmissionMessage::Status { seq: 0, servers: vec![status] });
+    bench.deliver(AdmissionMessage::Status { seq: 0, servers: vec![status] });
     bench.request(1, 60_000);
     bench.wait(160);
     let seq = *bench.asked(1).first().expect("the manager is asked");
-    bench.from_manager(AdmissionMessage::Status { seq, servers: vec![status] });
+    bench.deliver(AdmissionMessage::Status { seq, servers: vec![status] });
     bench.now = bench.now + Duration::from_secs(8);
     bench.effects.clear();
-    bench.from_manager(AdmissionMessage::Grant { heard: seq, number: 1, status });
+    bench.deliver(AdmissionMessage::Grant { heard: seq, number: 1, status });
     assert_eq!(bench.granted(), None);
     let fresh = *bench.asked(1).last().expect("the manager is asked again");
-    bench.from_manager(AdmissionMessage::Grant { heard: fresh, number: 1, status });
+    bench.deliver(AdmissionMessage::Grant { heard: fresh, number: 1, status });
     assert!(bench.granted().is_some());
 }
 
@@ -204,7 +204,7 @@
 fn unwanted_grant_is_released() {
     let mut bench = Bench::new(2);
     let status = bench.status();
-    bench.from_manager(AdmissionMessage::Grant { heard: 1, number: 99, status });
+    bench.deliver(AdmissionMessage::Grant { heard: 1, number: 99, status });
     let released = bench.effects.iter().any(|effect| {
         matches!(effect, AdmissionEffect::Send { message: AdmissionMessage::Release { items, .. }, .. }
             if items[0].number == 99)
