Name the request in error events and minted keys

Error events carried null in place of the request id and answers with minted keys had no x-request-id, so their time line could not be asked for.

--- a/medlarlanding/src/delivery/sink.rs
+++ b/medlarlanding/src/delivery/sink.rs
@@ -4,6 +4,7 @@
 
 use medlarlanding_core::ServeError;
 use medlarlanding_core::generations::FinishReason;
+use medlarlanding_core::ids::RequestId;
 
 use ntex::util::Bytes;
 use serde_json::json;
@@ -78,7 +79,7 @@
     }
 
     /// Ends the answer with a refusal.
-    pub async fn fail(&mut self, error: ServeError) {
+    pub async fn fail(&mut self, error: ServeError, request: RequestId) {
         match self {
             Self::Stream { head, .. } if head.is_some() => {
                 if let Some(head) = head.take() {
@@ -86,7 +87,7 @@
                 }
             },
             Self::Stream { .. } => {
-                let data = refusal_json(&error, None);
+                let data = refusal_json(&error, Some(request));
                 self.send(Bytes::from(format!("event: error\ndata: {data}\n\n"))).await;
             },
             Self::Whole(answer) => {
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -273,7 +273,7 @@
         } else {
             self.shared.count_refusal(ENDPOINT, &error, Some(self.plan.request));
         }
-        self.sink.fail(error).await;
+        self.sink.fail(error, self.plan.request).await;
     }
 
     fn cancel(&self, server: ServerId, generation: String, attachment: u64) {
--- a/medlarlanding/src/http/orders.rs
+++ b/medlarlanding/src/http/orders.rs
@@ -28,6 +28,7 @@
 use crate::runtime::waiters::{OrderSignal, QueryResult};
 use crate::trace::TraceStep;
 
+use super::answers::REQUEST_HEADER;
 use super::callers::{CallerContext, CallerRequest, Context};
 use super::lookups::pass_on;
 use super::reading::parse_json;
@@ -85,7 +86,9 @@
     let (customer, desk) = (accepted.access.customer().id, accepted.access.desk().id);
     let result = ask(&context.shared, |query| OrderInput::Mint { query, customer, desk }).await;
     match result {
-        Some(QueryResult::Minted(Ok(key))) => HttpResponse::Ok().json(&json!({ "key": key })),
+        Some(QueryResult::Minted(Ok(key))) => HttpResponse::Ok()
+            .header(REQUEST_HEADER, accepted.id.to_string())
+            .json(&json!({ "key": key })),
         Some(QueryResult::Minted(Err(kind))) => {
             context.refuse(ENDPOINT, &kind.into(), Some(accepted.id))
         },
