Let the members of a group agree on one epoch after empty starts

Members that held each other dead for a moment started a partition empty at the same time and kept different epochs until the next change of view, so minted keys found one grant only.

Ruled out: a longer step between the ranks, which does not help when failure detection misses the member ahead.

Change: a replica that synchronises in doubt tells the other members its lineage; a member with a better one responds with its own, one with a worse one reads again. The trials also report how many orders were answered in the end.

The new test fails without the announcement.

Conclusion: epochs converge when a datagram gets through; one that is lost leaves the difference until the next change of view, which is safe.

--- a/medlarlanding-bench/src/order_trials/report.rs
+++ b/medlarlanding-bench/src/order_trials/report.rs
@@ -21,6 +21,8 @@
     pub submissions: usize,
     /// Orders that were executed.
     pub executed: usize,
+    /// Orders whose callers got the service's answer in the end, after retries.
+    pub answered: usize,
     /// Executions of an order after another one within the retention.
     pub double_executions: usize,
     /// Requests that were run although their callers were told otherwise.
@@ -64,6 +66,7 @@
             orders: 0,
             submissions: 0,
             executed: 0,
+            answered: 0,
             double_executions: 0,
             false_not_run: 0,
             differing_answers: 0,
@@ -113,6 +116,7 @@
         self.orders += other.orders;
         self.submissions += other.submissions;
         self.executed += other.executed;
+        self.answered += other.answered;
         self.double_executions += other.double_executions;
         self.false_not_run += other.false_not_run;
         self.differing_answers += other.differing_answers;
@@ -157,15 +161,16 @@
     let mut text = String::from(
         "| variant | trials | orders | requests | double executions | run but told not_run | \
          other answer | wrong query | rejected % | unknown % | of these in doubt % | \
+         answered in the end % | \
          added p50 ms | added p99 ms | fetches per order | messages per request | \
          copy messages per trial |\n\
-         |---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n",
+         |---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n",
     );
     for (name, report) in rows {
         let millis = |quantile| report.latency.value_at_quantile(quantile) as f64 / 1000.0;
         let _ = writeln!(
             text,
-            "| {name} | {} | {} | {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.2} | {:.1} | {:.1} | {:.2} | {:.1} | {:.0} |",
+            "| {name} | {} | {} | {} | {} | {} | {} | {} | {:.2} | {:.2} | {:.2} | {:.2} | {:.1} | {:.1} | {:.2} | {:.1} | {:.0} |",
             report.trials,
             report.orders,
             report.submissions,
@@ -176,6 +181,7 @@
             report.share(report.first_rejected),
             report.share(report.first_unknown),
             report.share(report.first_in_doubt),
+            report.share(report.answered),
             millis(0.5),
             millis(0.99),
             report.fetches as f64 / report.orders.max(1) as f64,
--- a/medlarlanding-bench/src/order_trials/world.rs
+++ b/medlarlanding-bench/src/order_trials/world.rs
@@ -1,7 +1,7 @@
 //! One trial in virtual time: nodes, network, platform, service and callers.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -577,9 +577,7 @@
             let copies = matches!(
                 message,
                 TrialMessage::Majority(
-                    OrderMessage::Pull(_)
-                        | OrderMessage::Copies(_)
-                        | OrderMessage::OtherLineage { .. }
+                    OrderMessage::Pull(_) | OrderMessage::Copies(_) | OrderMessage::Lineage { .. }
                 ) | TrialMessage::Pair(
                     super::pair::PairMessage::Pull { .. } | super::pair::PairMessage::Copies { .. }
                 )
@@ -867,6 +865,16 @@
 
     fn finish(mut self) -> TrialReport {
         let retention = self.plan.params.retention.as_micros() as TrialTime;
+        let answered: HashSet<_> = self
+            .submissions
+            .values()
+            .filter(|submission| {
+                let answer = submission.answer.as_ref();
+                answer.is_some_and(|answer| answer.run_state() == RunState::Ran)
+            })
+            .map(|submission| submission.order)
+            .collect();
+        self.report.answered = answered.len();
         self.report.orders = self.plan.orders.len();
         self.report.executed = self.service.executed_orders();
         self.report.double_executions = self.service.repeated_executions(retention);
--- a/medlarlanding-core/src/orders/coordinator.rs
+++ b/medlarlanding-core/src/orders/coordinator.rs
@@ -413,8 +413,11 @@
             },
             OrderMessage::Pull(pulls) => replica.on_pulls(&scope, from.id, pulls, outbox),
             OrderMessage::Copies(copies) => replica.on_copies(&scope, from, copies, rng, outbox),
-            OrderMessage::OtherLineage { partition, view, epoch, doubt_age_ms } => {
-                replica.on_other_lineage(&scope, partition, &view, epoch, doubt_age_ms);
+            OrderMessage::Lineage { partition, view, epoch, doubt_age_ms } => {
+                let reply = replica.on_lineage(&scope, partition, &view, epoch, doubt_age_ms);
+                if let Some(reply) = reply {
+                    outbox.send(from.id, reply);
+                }
             },
         }
     }
--- a/medlarlanding-core/src/orders/messages.rs
+++ b/medlarlanding-core/src/orders/messages.rs
@@ -244,9 +244,9 @@
         Pull(Vec<PartitionPull>),
         /// Pages of copies.
         Copies(Vec<PartitionCopy>),
-        /// Tells a member of the same view that its memory descends from another empty start
-        /// than the sender's, so that it reads again.
-        OtherLineage {
+        /// Tells another member of the same view from which empty start the sender's memory
+        /// descends, so that the members agree on one.
+        Lineage {
             /// The partition.
             partition: PartitionId,
             /// The common view.
--- a/medlarlanding-core/src/orders/replica.rs
+++ b/medlarlanding-core/src/orders/replica.rs
@@ -424,15 +424,18 @@
         };
         let idle = base.view != *target && Duration::from_millis(base.idle_ms) > params.idle_limit;
         let doubt_age_ms = if idle { Some(0) } else { base.doubt_age_ms };
-        for response in &responses {
-            let other = response
-                .synced
-                .as_ref()
-                .filter(|state| state.view == *target && state.epoch != base.epoch);
-            if other.is_some() {
+        let in_doubt =
+            doubt_age_ms.is_some_and(|age_ms| Duration::from_millis(age_ms) < params.doubt_limit());
+        for member in target.members.iter().filter(|member| member.id != scope.own.id) {
+            let differs = responses.iter().any(|response| {
+                let state = response.synced.as_ref().filter(|state| state.view == *target);
+                response.member == *member && state.is_some_and(|state| state.epoch != base.epoch)
+            });
+            // Members can start empty at the same time without knowing of each other.
+            if in_doubt || differs {
                 outbox.send(
-                    response.member.id,
-                    OrderMessage::OtherLineage {
+                    member.id,
+                    OrderMessage::Lineage {
                         partition: number,
                         view: target.clone(),
                         epoch: base.epoch,
@@ -445,8 +448,7 @@
         outbox.effect(OrderEffect::Synchronised {
             partition: number,
             version: view.version,
-            in_doubt: doubt_age_ms
-                .is_some_and(|age_ms| Duration::from_millis(age_ms) < params.doubt_limit()),
+            in_doubt,
         });
         let partition = &mut self.partitions[usize::from(number.0)];
         partition.supplied.retain(|supplied| !view.covers(supplied));
@@ -467,27 +469,37 @@
         scope.params.empty_start + scope.params.empty_start_step * ahead as u32
     }
 
-    /// Reads again if the sender's memory of the same view descends from a better start.
-    pub(super) fn on_other_lineage(
+    /// Compares the memory of another member of the same view with the own one if they descend
+    /// from different empty starts. Reads again if the other is better; otherwise returns the
+    /// own lineage for the sender.
+    pub(super) fn on_lineage(
         &mut self,
         scope: &StepScope<'_>,
         number: PartitionId,
         view: &GroupView,
         epoch: u64,
         doubt_age_ms: Option<u64>,
-    ) {
-        let Some(partition) = self.partitions.get_mut(usize::from(number.0)) else { return };
-        let Some(current) = partition.current().filter(|current| current.view == *view) else {
-            return;
-        };
+    ) -> Option<OrderMessage> {
+        let partition = self.partitions.get_mut(usize::from(number.0))?;
+        let current = partition.current().filter(|current| current.view == *view)?;
+        if current.epoch == epoch {
+            return None;
+        }
         let own_age_ms = current.doubt.map(|doubt| doubt.age_ms(scope.now));
-        let own_rank = (lineage_rank(own_age_ms), current.epoch);
-        if (lineage_rank(doubt_age_ms), epoch) > own_rank {
-            partition.synced = None;
-            partition.sync = Some(SyncProgress::new(scope.now));
-            self.syncing.insert(number);
-            self.unasked.insert(number);
+        let own_epoch = current.epoch;
+        if (lineage_rank(doubt_age_ms), epoch) < (lineage_rank(own_age_ms), own_epoch) {
+            return Some(OrderMessage::Lineage {
+                partition: number,
+                view: view.clone(),
+                epoch: own_epoch,
+                doubt_age_ms: own_age_ms,
+            });
         }
+        partition.synced = None;
+        partition.sync = Some(SyncProgress::new(scope.now));
+        self.syncing.insert(number);
+        self.unasked.insert(number);
+        None
     }
 
     /// Drops expired records, asks for missing copies and starts partitions that have waited
--- a/medlarlanding-core/tests/orders_basic.rs
+++ b/medlarlanding-core/tests/orders_basic.rs
@@ -44,6 +44,19 @@
     assert_eq!(epochs.len(), 16);
 }
 
+/// Guards against epochs that stay different when members start empty at the same time because
+/// each holds the others dead.
+#[test]
+fn simultaneous_empty_starts_agree_on_one_epoch() {
+    let mut fleet = Fleet::new(3, OrderParams { empty_start_step: Duration::ZERO, ..params() });
+    fleet.advance(Duration::from_secs(30));
+    let partitions: Vec<_> = fleet.nodes.values().map(|node| node.dump().partitions).collect();
+    for (index, partition) in partitions[0].iter().enumerate() {
+        assert!(partition.synchronised);
+        assert!(partitions.iter().all(|other| other[index].epoch == partition.epoch));
+    }
+}
+
 /// Guards against a second execution when a caller repeats its key at another instance.
 #[test]
 fn repeated_key_gets_the_stored_answer() {
