Notice a pause before any other input and hear every frame's sender

Cause: the runtime fed frames to a node whose timers were overdue, so a woken process could grant a claim before it noticed that it had slept; a peer that restarted with an earlier wall clock could stay unknown; ages older than the process could not be represented. The node now runs overdue ticks first, passes the sender of every frame to failure detection, and the clock starts at 7 days.

--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -261,6 +261,8 @@
         input: NodeInput,
         effects: &mut Vec<NodeEffect>,
     ) -> Result<(), FrameRejection> {
+        // A process that was paused must notice it before it acts on any other input.
+        self.tick(now, effects);
         match input {
             NodeInput::Frame(frame) => self.receive(now, *frame, effects)?,
             NodeInput::Platform { subject, call, answer } => {
@@ -290,7 +292,7 @@
                 self.order(now, OrderInput::Drain, effects);
             },
             NodeInput::Depart => self.detect(now, MembershipInput::Depart, effects),
-            NodeInput::Tick => self.tick(now, effects),
+            NodeInput::Tick => {},
         }
         Ok(())
     }
@@ -357,9 +359,11 @@
             return Err(FrameRejection::OtherProcess);
         }
         let from = frame.from;
-        let membership = matches!(frame.message, PeerMessage::Membership(_));
-        if !membership && self.membership.is_replaced(from) {
-            return Err(FrameRejection::ReplacedSender);
+        if !matches!(frame.message, PeerMessage::Membership(_)) {
+            self.detect(now, MembershipInput::Heard(from), effects);
+            if self.membership.is_replaced(from) {
+                return Err(FrameRejection::ReplacedSender);
+            }
         }
         match frame.message {
             PeerMessage::Membership(message) => {
--- a/medlarlanding/src/clock.rs
+++ b/medlarlanding/src/clock.rs
@@ -1,10 +1,14 @@
 //! Clock of the process: the only place where the binary reads time for the core.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use medlarlanding_core::time::Timestamp;
 
-/// Monotonic clock whose zero is shortly before the start of the process.
+/// Reading of the clock at the start of the process. Peers report ages, and an age that lies
+/// before zero could not be represented.
+const START: Duration = Duration::from_secs(7 * 24 * 3600);
+
+/// Monotonic clock that starts at `START`.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
     origin: Instant,
@@ -16,9 +20,14 @@
         Self { origin: Instant::now() }
     }
 
-    /// Gets the time since the start.
+    /// Gets the present time.
     pub fn now(&self) -> Timestamp {
-        Timestamp(self.origin.elapsed().as_micros() as u64)
+        Timestamp::default() + START + self.origin.elapsed()
+    }
+
+    /// Gets the time since the start of the process.
+    pub fn uptime(&self) -> Duration {
+        self.origin.elapsed()
     }
 }
 
--- a/medlarlanding/src/instance.rs
+++ b/medlarlanding/src/instance.rs
@@ -215,7 +215,7 @@
 
     /// Records a step of a request.
     pub fn trace(&self, request: RequestId, step: TraceStep) {
-        self.traces.record(request, self.clock.now(), step);
+        self.traces.record(request, self.clock.uptime(), step);
     }
 
     /// Gets the name of a server, or its id if the configuration does not name it.
@@ -299,7 +299,7 @@
                 "instance": self.settings.instance,
                 "zone": self.settings.zone,
                 "incarnation": self.identity.incarnation,
-                "uptime_ms": self.clock.now().as_millis(),
+                "uptime_ms": self.clock.uptime().as_millis() as u64,
                 "ready": self.is_ready(),
             },
             "requests": {
--- a/medlarlanding/src/trace.rs
+++ b/medlarlanding/src/trace.rs
@@ -2,9 +2,9 @@
 
 use std::collections::VecDeque;
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
 use medlarlanding_core::ids::RequestId;
-use medlarlanding_core::time::Timestamp;
 
 use serde::Serialize;
 
@@ -95,17 +95,17 @@
 /// Ring of recent steps; the oldest is dropped for a new one.
 #[derive(Default)]
 pub struct TraceRing {
-    entries: Mutex<VecDeque<(RequestId, Timestamp, TraceStep)>>,
+    entries: Mutex<VecDeque<(RequestId, Duration, TraceStep)>>,
 }
 
 impl TraceRing {
-    /// Records a step.
-    pub fn record(&self, request: RequestId, now: Timestamp, step: TraceStep) {
+    /// Records a step with the time since the start of the process.
+    pub fn record(&self, request: RequestId, uptime: Duration, step: TraceStep) {
         let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         if entries.len() == RING_LIMIT {
             entries.pop_front();
         }
-        entries.push_back((request, now, step));
+        entries.push_back((request, uptime, step));
     }
 
     /// Gets the steps of one request, oldest first.
@@ -117,7 +117,7 @@
             .filter(|(request, ..)| *request == wanted)
             .map(|(request, at, step)| TraceEntry {
                 request: request.to_string(),
-                at_ms: at.as_millis(),
+                at_ms: at.as_millis() as u64,
                 step: step.clone(),
             })
             .collect()
