Name the right server in verdicts of a report with several servers

Cause: the verdicts about all items of a report were sent with the state of the first server the report named.

Ruled out: lease expiry and releases (the manager still had the request queued).

Change: verdicts are sent per item.

--- a/medlarlanding-core/src/admission/controller/inbox.rs
+++ b/medlarlanding-core/src/admission/controller/inbox.rs
@@ -103,7 +103,6 @@
         complete: bool,
         effects: &mut Vec<AdmissionEffect>,
     ) {
-        let mut verdicts = Vec::new();
         let mut named = BTreeSet::new();
         let mut declined = Vec::new();
         for item in items {
@@ -113,13 +112,12 @@
                 }
                 continue;
             };
+            let mut verdicts = Vec::new();
             account.report(self.now, from, seq, *item, &self.lengths, &mut verdicts);
+            self.flush(item.server, verdicts, effects);
             named.insert(item.server);
         }
         named.extend(polls.iter().copied().filter(|server| self.accounts.contains_key(server)));
-        for &server in &named {
-            self.flush(server, std::mem::take(&mut verdicts), effects);
-        }
         if complete {
             for account in self.accounts.values_mut() {
                 account.hear(from.id);
