Rank an idle memory by the doubt that it starts with

Ruled out: a lost announcement; the same choice repeated every few milliseconds.

Change: `choose_base` takes the idle limit and ranks an idle memory by doubt 0.

Conclusion: both sides now compare the same ages, so one of them keeps its memory.

--- a/medlarlanding-core/src/orders/replica.rs
+++ b/medlarlanding-core/src/orders/replica.rs
@@ -406,7 +406,7 @@
         });
         let params = scope.params;
         let waited = scope.now.since(sync.started);
-        let base = choose_base(target, &responses).filter(|base| {
+        let base = choose_base(target, &responses, params.idle_limit).filter(|base| {
             let settled = base
                 .doubt_age_ms
                 .is_none_or(|age_ms| Duration::from_millis(age_ms) >= params.doubt_limit());
@@ -414,16 +414,12 @@
         });
         let base = match base {
             Some(base) => base,
-            None if scope.may_grant() && waited >= self.empty_start(scope, target) => CopyBase {
-                view: target.clone(),
-                epoch: rng.random(),
-                doubt_age_ms: Some(0),
-                idle_ms: 0,
+            None if scope.may_grant() && waited >= self.empty_start(scope, target) => {
+                CopyBase { view: target.clone(), epoch: rng.random(), doubt_age_ms: Some(0) }
             },
             None => return,
         };
-        let idle = base.view != *target && Duration::from_millis(base.idle_ms) > params.idle_limit;
-        let doubt_age_ms = if idle { Some(0) } else { base.doubt_age_ms };
+        let doubt_age_ms = base.doubt_age_ms;
         let in_doubt =
             doubt_age_ms.is_some_and(|age_ms| Duration::from_millis(age_ms) < params.doubt_limit());
         for member in target.members.iter().filter(|member| member.id != scope.own.id) {
--- a/medlarlanding-core/src/orders/sync.rs
+++ b/medlarlanding-core/src/orders/sync.rs
@@ -6,6 +6,7 @@
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
@@ -36,29 +37,38 @@
     pub epoch: u64,
     /// Age of its doubt in ms, or `None` if it never was in doubt.
     pub doubt_age_ms: Option<u64>,
-    /// Time in ms since the memory was in use.
-    pub idle_ms: u64,
 }
 
 /// Returns the best memory that the responses are sufficient for, or `None` if there is none.
 ///
 /// The merged records of the responses then hold every claim granted in a view below `target`
 /// that descends from the base.
-pub fn choose_base(target: &GroupView, responses: &[CopyResponse]) -> Option<CopyBase> {
+///
+/// A memory that was out of use for longer than `idle_limit` is in doubt again. It is ranked by
+/// that doubt, because a replica that preferred it for its earlier age would read it again
+/// whenever another member of the view told of a better memory.
+pub fn choose_base(
+    target: &GroupView,
+    responses: &[CopyResponse],
+    idle_limit: Duration,
+) -> Option<CopyBase> {
     let states = || responses.iter().filter_map(|response| response.synced.as_ref());
     states()
         .filter(|state| is_readable(&state.view, target, responses))
-        .max_by_key(|state| (lineage_rank(state.doubt_age_ms), state.view.version, state.epoch))
-        .map(|state| CopyBase {
-            view: state.view.clone(),
-            epoch: state.epoch,
-            doubt_age_ms: state.doubt_age_ms,
-            idle_ms: states()
+        .map(|state| {
+            let idle_ms = states()
                 .filter(|other| other.view == state.view)
                 .map(|other| other.idle_ms)
                 .min()
-                .unwrap_or_default(),
+                .unwrap_or_default();
+            let idle = state.view != *target && Duration::from_millis(idle_ms) > idle_limit;
+            CopyBase {
+                view: state.view.clone(),
+                epoch: state.epoch,
+                doubt_age_ms: if idle { Some(0) } else { state.doubt_age_ms },
+            }
         })
+        .max_by_key(|base| (lineage_rank(base.doubt_age_ms), base.view.version, base.epoch))
 }
 
 /// Ranks memories by their doubt: none first, then the oldest.
@@ -160,7 +170,7 @@
             let first = params.sync_retry.as_millis() as u64;
             let ceiling = params.sync_retry_max.as_millis() as u64 * if likely { 1 } else { 16 };
             ask.interval_ms = (ask.interval_ms * 2).clamp(first, ceiling);
-            ask.next = now + std::time::Duration::from_millis(ask.interval_ms);
+            ask.next = now + Duration::from_millis(ask.interval_ms);
         }
     }
 
--- a/medlarlanding-core/tests/orders_random.rs
+++ b/medlarlanding-core/tests/orders_random.rs
@@ -144,7 +144,7 @@
                     }
                     let mut responses = reads.get(&(id, version)).cloned().unwrap_or_default();
                     responses.push(respond(id, own, started[&id], &views));
-                    if choose_base(target, &responses).is_some() {
+                    if choose_base(target, &responses, Duration::MAX).is_some() {
                         for &(earlier, claim) in &granted {
                             assert!(earlier >= version || own.claims.contains(&claim));
                         }
@@ -253,3 +253,23 @@
     println!("{} orders were run", executed.get());
     assert!(executed.get() as u64 >= cases(CASES));
 }
+
+/// Guards against two members of a view that read each other's memory without end: an idle
+/// memory must rank by the doubt that it starts with.
+#[test]
+fn idle_memory_ranks_below_an_older_doubt() {
+    let target = numbered_view(2, &[1, 2, 3]);
+    let state = |view: GroupView, epoch, doubt_age_ms, idle_ms| {
+        Some(SyncedState { view, epoch, doubt_age_ms, idle_ms })
+    };
+    let response = |id, synced| CopyResponse { member: member(id), synced, supplied: Vec::new() };
+    let idle = numbered_view(1, &[3, 4, 5]);
+    let responses = [
+        response(1, state(target.clone(), 7, Some(1000), 0)),
+        response(3, state(idle.clone(), 8, None, 60_000)),
+        response(4, state(idle, 8, None, 60_000)),
+    ];
+    let epoch = |limit| choose_base(&target, &responses, limit).map(|base| base.epoch);
+    assert_eq!(epoch(Duration::from_secs(30)), Some(7));
+    assert_eq!(epoch(Duration::from_secs(90)), Some(8));
+}
