--- a/medlarlanding-core/tests/admission_controller.rs
+++ b/medlarlanding-core/tests/admission_controller.rs
@@ -4,7 +4,8 @@
 
 use medlarlanding_core::admission::{
     AdmissionController, AdmissionEffect, AdmissionInput, AdmissionMessage, AdmissionParams,
-    AdmissionRequest, DecisionReason, Objective, ServerCapacity, ServerStatus, WorkItem, WorkStage,
+    AdmissionRequest, AdoptedWork, DecisionReason, Objective, ServerCapacity, ServerStatus,
+    WorkItem, WorkStage,
 };
 use medlarlanding_core::cases;
 use medlarlanding_core::errors::ErrorKind;
@@ -330,3 +331,36 @@
         assert_eq!(granted, [(1, servers[0]), (2, servers[1])], "report {seq}");
     }
 }
+
+/// Guards against generations that run without a permit after a caller reconnected at another
+/// instance: the adopted work must be charged to the account and released at its end.
+#[test]
+fn adopted_generation_is_charged() {
+    let mut bench = Bench::new(1);
+    let request = RequestId { instance: OWN, started: 7, number: 3 };
+    let adopted = AdoptedWork {
+        request: AdmissionRequest {
+            request,
+            route: RouteId(1),
+            candidates: Vec::new(),
+            customer: CustomerId(1),
+            share: 1,
+            open_limit: 1,
+            prompt_tokens: 50,
+            max_tokens: 100,
+            priority: 5,
+            objective: Objective::LeastStall,
+            deadline: bench.now + Duration::from_secs(60),
+            prefix: None,
+        },
+        server: bench.server,
+        decoded: 30,
+    };
+    bench.input(AdmissionInput::Adopt(Box::new(adopted)));
+    bench.wait(5000);
+    let dump = bench.controller.dump();
+    assert_eq!(dump.accounts[0].permits[0].item.decoded, 30);
+    assert_eq!(dump.decisions.last().map(|record| record.reason), Some(DecisionReason::Adopted));
+    bench.input(AdmissionInput::Finished { request, decoded: 60, whole: true });
+    assert!(bench.controller.dump().accounts[0].permits.is_empty());
+}
