Refuse a request at once when its deadline leaves no time for a reply

Cause: a request with 1 ms to its deadline waited for its customer's allotment, so either admission (overloaded) or the session (deadline_before_start) answered, depending on the machine's load; both say not_run, but the golden session rejected_overloaded was flaky.

--- a/medlarlanding-core/src/admission/controller/requests.rs
+++ b/medlarlanding-core/src/admission/controller/requests.rs
@@ -42,7 +42,13 @@
             record,
             due: None,
         };
+        let hopeless = self.now + self.params.answer_margin >= open.request.deadline;
         self.open.insert(number, open);
+        if hopeless {
+            // No manager could reply in time; asking one would only delay the refusal.
+            self.refuse(number, DecisionReason::Overloaded, effects);
+            return;
+        }
         self.set_due(number, Some(until));
         self.use_of(customer, limit).active_at = self.now;
         if self.has_room(customer) {
--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -261,8 +261,12 @@
         input: NodeInput,
         effects: &mut Vec<NodeEffect>,
     ) -> Result<(), FrameRejection> {
-        // A process that was paused must notice it before it acts on any other input.
-        self.tick(now, effects);
+        // A process that was paused must notice it before it acts on any other input. Failure
+        // detection wakes at least once a second, so a pause shows in its timer alone; asking
+        // every subsystem here would cost more than the input itself.
+        if self.membership.next_wakeup().is_some_and(|at| at <= now) {
+            self.tick(now, effects);
+        }
         match input {
             NodeInput::Frame(frame) => self.receive(now, *frame, effects)?,
             NodeInput::Platform { subject, call, answer } => {
@@ -292,7 +296,7 @@
                 self.order(now, OrderInput::Drain, effects);
             },
             NodeInput::Depart => self.detect(now, MembershipInput::Depart, effects),
-            NodeInput::Tick => {},
+            NodeInput::Tick => self.tick(now, effects),
         }
         Ok(())
     }
