Mint keys only in epochs that another member shares

Ruled out: lost messages, the epochs agreed in the end. A partition now mints only once another member is known to hold the same epoch.

--- a/medlarlanding-core/src/orders/minting.rs
+++ b/medlarlanding-core/src/orders/minting.rs
@@ -9,7 +9,8 @@
 use crate::handles::{HandleSigner, MintedKey};
 use crate::ids::{CustomerId, DeskId};
 
-/// Mints a key in a partition in which this process is synchronised.
+/// Mints a key in a partition in which this process is synchronised and shares the epoch with
+/// another member.
 ///
 /// # Errors
 ///
@@ -23,14 +24,16 @@
     rng: &mut SmallRng,
 ) -> Result<String, ErrorKind> {
     // Without a synchronised partition no nonce fits; trying them all takes milliseconds.
-    if !scope.may_grant() || replica.numbered().all(|(_, state)| state.current().is_none()) {
+    if !scope.may_grant()
+        || replica.numbered().all(|(_, state)| !state.current().is_some_and(|own| own.shared))
+    {
         return Err(ErrorKind::NotReady);
     }
     (0..scope.params.mint_tries)
         .find_map(|_| {
             let mut key = MintedKey { customer, desk, epoch: 0, nonce: rng.random() };
             let partition = OrderKey::from_minted(&key).partition(scope.params.partitions);
-            key.epoch = replica.partition(partition).current()?.epoch;
+            key.epoch = replica.partition(partition).current().filter(|own| own.shared)?.epoch;
             Some(signer.sign_key(&key))
         })
         .ok_or(ErrorKind::NotReady)
--- a/medlarlanding-core/src/orders/replica.rs
+++ b/medlarlanding-core/src/orders/replica.rs
@@ -29,6 +29,9 @@
     pub(super) view: GroupView,
     pub(super) epoch: u64,
     pub(super) doubt: Option<AgedMoment>,
+    /// Whether another member is known to hold the same epoch, or the memory is not in doubt.
+    /// A key minted in an epoch that the other members give up could never run.
+    pub(super) shared: bool,
     /// When the replica stopped granting in the view, if it has moved on.
     pub(super) stopped: Option<AgedMoment>,
 }
@@ -441,6 +444,12 @@
                 });
             }
         }
+        let holds_epoch = |response: &CopyResponse| {
+            let state = response.synced.as_ref();
+            response.member.id != scope.own.id
+                && state.is_some_and(|state| state.epoch == base.epoch)
+        };
+        let shared = !in_doubt || responses.iter().any(holds_epoch);
         let view = target.clone();
         outbox.effect(OrderEffect::Synchronised {
             partition: number,
@@ -453,6 +462,7 @@
             view,
             epoch: base.epoch,
             doubt: doubt_age_ms.map(|age_ms| AgedMoment::from_millis(age_ms, scope.now)),
+            shared,
             stopped: None,
         });
         partition.sync = None;
@@ -488,6 +498,9 @@
         };
         let rank = |lineage: &PartitionLineage| (lineage_rank(lineage.doubt_age_ms), lineage.epoch);
         if own.epoch == other.epoch {
+            if let Some(synced) = &mut partition.synced {
+                synced.shared = true;
+            }
             return;
         }
         if rank(other) < rank(&own) {
