Rank lineages without their ages

Cause: two members whose doubts differed by less than the time in transit each held their own memory for the older one and told each other without end. The core tests have no latency and missed it.

Conclusion: open: a memory whose doubt has ended does not rank above one in doubt.

--- a/medlarlanding-core/src/orders/sync.rs
+++ b/medlarlanding-core/src/orders/sync.rs
@@ -71,9 +71,12 @@
         .max_by_key(|base| (lineage_rank(base.doubt_age_ms), base.view.version, base.epoch))
 }
 
-/// Ranks memories by their doubt: none first, then the oldest.
-pub(super) fn lineage_rank(doubt_age_ms: Option<u64>) -> (bool, u64) {
-    (doubt_age_ms.is_none(), doubt_age_ms.unwrap_or_default())
+/// Ranks a memory that never was in doubt above others.
+///
+/// Ages are left out: they differ by the time in transit, so that two members with nearly equal
+/// ages each held their own memory for the older one and told each other without end.
+pub(super) fn lineage_rank(doubt_age_ms: Option<u64>) -> bool {
+    doubt_age_ms.is_none()
 }
 
 /// Returns whether the responses cover the established view `base` and every view between it
