Add failure drills: retry storm, cold start, loss of a zone

Cause: overload and the loss of several processes at once were only covered by simulations and by the demo, which kills one instance.

Ruled out: sharing one task for all callers (join_all over the client) as the cause of calls that never end. With a task per call, requests still stay unanswered (see docs/decisions/overload.md).

Change: subcommand `drills` with three bounded, seeded drills; the engine stand-in counts refusals and records times of load commands; smoke test of the cold start, the smallest drill.

How soon orders are accepted again after the loss of a zone is not measured.

--- a/medlarlanding-bench/src/lib.rs
+++ b/medlarlanding-bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cluster;
 pub mod cost;
 pub mod demo;
+pub mod drills;
 pub mod engine_model;
 pub mod experiment;
 pub mod fleet_trials;
--- a/medlarlanding-bench/src/main.rs
+++ b/medlarlanding-bench/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use medlarlanding_bench::stand_ins::{engine, platform, service};
-use medlarlanding_bench::{cost, demo, experiment, fleet_trials, load, order_trials};
+use medlarlanding_bench::{cost, demo, drills, experiment, fleet_trials, load, order_trials};
 
 use argh::FromArgs;
 
@@ -18,6 +18,7 @@
 #[argh(subcommand)]
 enum BenchCommand {
     Demo(demo::DemoOptions),
+    Drills(drills::DrillsOptions),
     Engine(engine::EngineOptions),
     Service(service::ServiceOptions),
     Platform(platform::PlatformOptions),
@@ -32,6 +33,7 @@
     let options: BenchOptions = argh::from_env();
     match options.command {
         BenchCommand::Demo(options) => demo::run(options),
+        BenchCommand::Drills(options) => drills::run(options),
         BenchCommand::Engine(options) => engine::run(options),
         BenchCommand::Service(options) => service::run(options),
         BenchCommand::Platform(options) => platform::run(options),
--- a/medlarlanding-bench/src/stand_ins/engine.rs
+++ b/medlarlanding-bench/src/stand_ins/engine.rs
@@ -170,6 +170,10 @@
     cache_events: VecDeque<CacheEvent>,
     fence: u64,
     loaded: HashSet<String>,
+    /// Times of the load commands that were performed.
+    loads: Vec<Instant>,
+    /// Generations refused by the fault `refuse`.
+    refused: u64,
     stopped: bool,
 }
 
@@ -365,6 +369,16 @@
         self.state.lock().model.stats()
     }
 
+    /// Gets the times of the load commands that were performed, oldest first.
+    pub fn loads(&self) -> Vec<Instant> {
+        self.state.lock().loads.clone()
+    }
+
+    /// Gets the number of generations refused by the fault `refuse`.
+    pub fn refused(&self) -> u64 {
+        self.state.lock().refused
+    }
+
     /// Gets the load of this moment, without the lag of `GET /v1/load`.
     pub fn load(&self) -> LoadReport {
         self.state.lock().model.load_now()
@@ -414,6 +428,8 @@
             cache_events: VecDeque::new(),
             fence: 0,
             loaded: HashSet::new(),
+            loads: Vec::new(),
+            refused: 0,
             stopped: false,
         }),
         changed: Condvar::new(),
@@ -500,6 +516,7 @@
         let mut guard = state.lock();
         let work = &mut *guard;
         if work.faults.refuse == Some(true) {
+            work.refused += 1;
             return refuse(StatusCode::SERVICE_UNAVAILABLE, "the engine refuses generations");
         }
         let drawn = work.lengths.sample(&mut work.rng).clamp(1.0, LENGTH_LIMIT) as u32;
@@ -627,6 +644,7 @@
     match body.action.as_str() {
         "load" => {
             work.loaded.insert(version);
+            work.loads.push(Instant::now());
         },
         "unload" => {
             work.loaded.remove(&version);
