Give each exchange an HTTP client of its own

Cause: the shared connection pool connects to a host for one request at a time, and with limit 0 it never wakes the requests that wait for their turn (its check compares the number of connections with the limit). Ruled out: the instances' admission, because the engines' counts matched. Each exchange now builds a client with an empty pool.

--- a/medlarlanding-bench/src/client.rs
+++ b/medlarlanding-bench/src/client.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use medlarlanding::backends::connection::{build_client, request};
+use medlarlanding::backends::connection::ExchangeClient;
 use medlarlanding::backends::events::{EventDecoder, StreamEvent};
 
+use ntex::client::ClientResponse;
 use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{Client, ClientResponse};
 use ntex::http::{Method, Payload};
 use ntex::time::{Millis, timeout};
 use ntex::util::{Bytes, stream_recv};
@@ -131,7 +131,7 @@
 /// Client for one thread. Every call uses a connection of its own.
 #[derive(Clone, Debug)]
 pub struct CallClient {
-    client: Client,
+    client: ExchangeClient,
 }
 
 impl CallClient {
@@ -141,7 +141,7 @@
     ///
     /// Fails if the connector cannot be created.
     pub async fn build() -> anyhow::Result<Self> {
-        Ok(Self { client: build_client().await? })
+        Ok(Self { client: ExchangeClient::default() })
     }
 
     /// Sends a call and reads the whole answer. `wait` limits the time to the headers and
@@ -193,7 +193,7 @@
         call: &Call,
         wait: Duration,
     ) -> Result<ClientResponse, CallFault> {
-        let mut sent = request(&self.client, call.method.clone(), address, &call.path, wait);
+        let mut sent = self.client.request(call.method.clone(), address, &call.path, wait).await;
         for (name, value) in &call.headers {
             sent = sent.header(*name, value.as_str());
         }
--- a/medlarlanding/src/backends/connection.rs
+++ b/medlarlanding/src/backends/connection.rs
@@ -9,10 +9,10 @@
 
 use ntex::SharedCfg;
 use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{Client, ClientBuilder, ClientRequest, Connector};
+use ntex::client::{ClientBuilder, ClientRequest, Connector};
 use ntex::http::Method;
 use ntex::io::IoConfig;
-use ntex::time::{Millis, Seconds};
+use ntex::time::Millis;
 
 /// Longest time to establish a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -61,35 +61,43 @@
     }
 }
 
-/// Builds a client for the current thread.
+/// Sends each request on a connection of its own.
 ///
-/// # Errors
-///
-/// Fails if the connector cannot be created.
-pub async fn build_client() -> anyhow::Result<Client> {
-    let config = SharedCfg::new("BACKENDS")
-        .add(IoConfig::new().set_connect_timeout(Millis::from(CONNECT_TIMEOUT)));
-    ClientBuilder::new()
-        .connector::<()>(Connector::new().limit(0).keep_alive(Seconds(0)))
-        .disable_redirects()
-        .disable_timeout()
-        .build(config)
-        .await
-        .map_err(|error| anyhow::anyhow!("cannot build the HTTP client: {error}"))
+/// Every exchange builds an HTTP client with an empty pool. A shared pool connects to a host
+/// for one request at a time, so a host that does not answer would hold up the others, and
+/// without a limit on connections it never wakes the requests that wait for their turn.
+#[derive(Clone, Debug)]
+pub struct ExchangeClient {
+    config: SharedCfg,
 }
 
-/// Creates a request on a connection of its own. `timeout` limits the time to the headers.
-pub fn request(
-    client: &Client,
-    method: Method,
-    address: SocketAddr,
-    path: &str,
-    timeout: Duration,
-) -> ClientRequest {
-    client
-        .request(method, format!("http://{address}{path}"))
-        .address(address)
-        .timeout(Millis::from(timeout))
-        .force_close()
-        .no_decompress()
+impl Default for ExchangeClient {
+    fn default() -> Self {
+        let io = IoConfig::new().set_connect_timeout(Millis::from(CONNECT_TIMEOUT));
+        Self { config: SharedCfg::new("EXCHANGES").add(io).into() }
+    }
+}
+
+impl ExchangeClient {
+    /// Creates a request. `timeout` limits the time to the headers of its answer.
+    pub async fn request(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> ClientRequest {
+        ClientBuilder::new()
+            .connector::<()>(Connector::new().limit(1))
+            .disable_redirects()
+            .disable_timeout()
+            .build(self.config.clone())
+            .await
+            .expect("a connector without TLS has nothing that can fail")
+            .request(method, format!("http://{address}{path}"))
+            .address(address)
+            .timeout(Millis::from(timeout))
+            .force_close()
+            .no_decompress()
+    }
 }
--- a/medlarlanding/src/backends/engine.rs
+++ b/medlarlanding/src/backends/engine.rs
@@ -8,14 +8,14 @@
 use medlarlanding_core::config::ModelVersion;
 use medlarlanding_core::generations::ExchangeId;
 
+use ntex::client::ClientResponse;
 use ntex::client::error::ClientError;
-use ntex::client::{Client, ClientResponse};
 use ntex::http::{Method, Payload};
 use ntex::util::stream_recv;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::connection::{ExchangeFault, request};
+use super::connection::{ExchangeClient, ExchangeFault};
 use super::events::{EventDecoder, StreamEvent};
 
 /// Longest time from the request to the headers of a generation's stream.
@@ -142,12 +142,12 @@
     ///
     /// Returns how the exchange failed.
     pub async fn start(
-        client: &Client,
+        client: &ExchangeClient,
         address: SocketAddr,
         id: &ExchangeId,
         order: &GenerationOrder,
     ) -> Result<Self, OpenFault> {
-        let start = request(client, Method::POST, address, "/v1/generations", HEADERS_TIMEOUT);
+        let start = client.request(Method::POST, address, "/v1/generations", HEADERS_TIMEOUT).await;
         Self::open(start.send_json(&NamedOrder { request: id.to_string(), order }).await)
     }
 
@@ -157,14 +157,16 @@
     ///
     /// Returns how the exchange failed; `Gone` if the engine does not know the generation.
     pub async fn resume(
-        client: &Client,
+        client: &ExchangeClient,
         address: SocketAddr,
         id: &ExchangeId,
         generation: &str,
         after: u64,
     ) -> Result<Self, OpenFault> {
         let path = format!("/v1/generations/{generation}?after={after}");
-        let resume = request(client, Method::GET, address, &path, HEADERS_TIMEOUT)
+        let resume = client
+            .request(Method::GET, address, &path, HEADERS_TIMEOUT)
+            .await
             .header("x-request", id.to_string());
         Self::open(resume.send().await)
     }
@@ -243,13 +245,15 @@
 ///
 /// Returns why the exchange failed. The engine drops unattached generations by itself.
 pub async fn cancel(
-    client: &Client,
+    client: &ExchangeClient,
     address: SocketAddr,
     generation: &str,
     attachment: u64,
 ) -> Result<(), ExchangeFault> {
     let path = format!("/v1/generations/{generation}?attachment={attachment}");
-    request(client, Method::DELETE, address, &path, CANCEL_TIMEOUT)
+    client
+        .request(Method::DELETE, address, &path, CANCEL_TIMEOUT)
+        .await
         .send()
         .await
         .map(drop)
@@ -274,7 +278,7 @@
 
 /// Sends a command with a fencing number.
 pub async fn command(
-    client: &Client,
+    client: &ExchangeClient,
     address: SocketAddr,
     fence: u64,
     action: CommandAction,
@@ -286,7 +290,7 @@
         model: &model.model,
         version: &model.version,
     };
-    let command = request(client, Method::POST, address, "/v1/admin/orders", COMMAND_TIMEOUT);
+    let command = client.request(Method::POST, address, "/v1/admin/orders", COMMAND_TIMEOUT).await;
     let Ok(answer) = command.send_json(&body).await else { return CommandResult::Failed };
     let status = answer.status().as_u16();
     let Ok(answer) = answer.json::<CommandAnswer>().limit(COMMAND_ANSWER_LIMIT).await else {
--- a/medlarlanding/src/backends/service.rs
+++ b/medlarlanding/src/backends/service.rs
@@ -3,11 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ntex::client::Client;
 use ntex::http::Method;
 use ntex::time::Millis;
 
-use super::connection::{ExchangeFault, request};
+use super::connection::{ExchangeClient, ExchangeFault};
 
 /// Largest answer of a plain service in bytes.
 pub const ANSWER_LIMIT: usize = 1 << 20;
@@ -27,7 +26,7 @@
 ///
 /// Returns how the exchange failed. The caller may repeat it elsewhere.
 pub async fn look_up(
-    client: &Client,
+    client: &ExchangeClient,
     address: SocketAddr,
     body: &[u8],
     timeout: Duration,
@@ -41,7 +40,7 @@
 ///
 /// `NotSent` only if no connection was established; after that the outcome is unknown.
 pub async fn send_order(
-    client: &Client,
+    client: &ExchangeClient,
     address: SocketAddr,
     order: &str,
     fence: u64,
@@ -54,7 +53,7 @@
 }
 
 async fn exchange(
-    client: &Client,
+    client: &ExchangeClient,
     address: SocketAddr,
     path: &str,
     headers: &[(&str, &str)],
@@ -62,7 +61,7 @@
     timeout: Duration,
 ) -> Result<ServiceAnswer, ExchangeFault> {
     let mut request =
-        request(client, Method::POST, address, path, timeout).content_type("application/json");
+        client.request(Method::POST, address, path, timeout).await.content_type("application/json");
     for &(name, value) in headers {
         request = request.header(name, value);
     }
--- a/medlarlanding/src/commands.rs
+++ b/medlarlanding/src/commands.rs
@@ -13,7 +13,7 @@
 use rand::RngCore;
 use serde_json::Value;
 
-use crate::backends::connection::{build_client, request};
+use crate::backends::connection::ExchangeClient;
 use crate::cli::{CheckOptions, DumpOptions, ServeOptions};
 use crate::logging;
 use crate::serve;
@@ -118,8 +118,10 @@
 }
 
 async fn fetch_dump(admin: SocketAddr, path: String) -> anyhow::Result<Value> {
-    let client = build_client().await?;
-    let answer = request(&client, Method::GET, admin, &path, DUMP_TIMEOUT)
+    let client = ExchangeClient::default();
+    let answer = client
+        .request(Method::GET, admin, &path, DUMP_TIMEOUT)
+        .await
         .send()
         .await
         .map_err(|error| anyhow::anyhow!("{admin}: {error}"))?;
--- a/medlarlanding/src/delivery/exchanges.rs
+++ b/medlarlanding/src/delivery/exchanges.rs
@@ -6,11 +6,10 @@
 use medlarlanding_core::generations::{ExchangeId, FinishReason, LostReason, SessionInput};
 
 use indexmap::IndexMap;
-use ntex::client::Client;
 use ntex::rt::JoinHandle;
 use tokio::sync::mpsc;
 
-use crate::backends::connection::ExchangeFault;
+use crate::backends::connection::{ExchangeClient, ExchangeFault};
 use crate::backends::engine::{EngineItem, EngineStream, GenerationOrder, OpenFault, StreamFault};
 
 /// Items that a reader may be ahead of its session; beyond it the connection is not read.
@@ -31,14 +30,14 @@
 
 /// Open exchanges of a session. Dropping it closes their connections.
 pub struct ExchangeSet {
-    client: Client,
+    client: ExchangeClient,
     readers: IndexMap<u32, JoinHandle<()>>,
     sender: mpsc::Sender<SessionInput>,
 }
 
 impl ExchangeSet {
     /// Creates an empty set and the queue of what its exchanges receive.
-    pub fn new(client: Client) -> (Self, mpsc::Receiver<SessionInput>) {
+    pub fn new(client: ExchangeClient) -> (Self, mpsc::Receiver<SessionInput>) {
         let (sender, receiver) = mpsc::channel(READ_AHEAD);
         (Self { client, readers: IndexMap::new(), sender }, receiver)
     }
@@ -75,7 +74,7 @@
 }
 
 async fn read(
-    client: &Client,
+    client: &ExchangeClient,
     id: ExchangeId,
     address: SocketAddr,
     start: ExchangeStart,
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -12,9 +12,9 @@
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, ServeError};
 
-use ntex::client::Client;
 use tokio::sync::mpsc;
 
+use crate::backends::connection::ExchangeClient;
 use crate::backends::engine::{self, GenerationOrder};
 use crate::gate::OpenGuard;
 use crate::instance::InstanceShared;
@@ -49,7 +49,7 @@
 /// Serves one request until its answer has ended.
 pub struct DeliveryTask {
     shared: Arc<InstanceShared>,
-    client: Client,
+    client: ExchangeClient,
     plan: DeliveryPlan,
     session: GenerationSession,
     permit: RequestPermit,
@@ -67,7 +67,7 @@
     /// Creates the task.
     pub fn new(
         shared: Arc<InstanceShared>,
-        client: Client,
+        client: ExchangeClient,
         plan: DeliveryPlan,
         session: GenerationSession,
         permit: RequestPermit,
--- a/medlarlanding/src/http/callers.rs
+++ b/medlarlanding/src/http/callers.rs
@@ -5,11 +5,11 @@
 use medlarlanding_core::ids::RequestId;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
-use ntex::client::Client;
 use ntex::http::header::HeaderMap;
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse};
 
+use crate::backends::connection::ExchangeClient;
 use crate::gate::OpenGuard;
 use crate::instance::{DeskAccess, InstanceShared};
 use crate::trace::TraceStep;
@@ -23,7 +23,7 @@
     /// State of the instance.
     pub shared: Arc<InstanceShared>,
     /// HTTP client of the worker thread.
-    pub client: Client,
+    pub client: ExchangeClient,
 }
 
 /// A request that was authenticated.
--- a/medlarlanding/src/http/orders.rs
+++ b/medlarlanding/src/http/orders.rs
@@ -13,14 +13,13 @@
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
-use ntex::client::Client;
 use ntex::web::types::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 use rand::seq::SliceRandom;
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
 
-use crate::backends::connection::ExchangeFault;
+use crate::backends::connection::{ExchangeClient, ExchangeFault};
 use crate::backends::service::{self, ServiceAnswer};
 use crate::gate::OpenGuard;
 use crate::instance::{DeskAccess, InstanceShared};
@@ -185,7 +184,7 @@
 /// Serves one order until its answer is known.
 struct OrderTask {
     shared: Arc<InstanceShared>,
-    client: Client,
+    client: ExchangeClient,
     request: RequestId,
     order: OrderId,
     access: DeskAccess,
--- a/medlarlanding/src/platform.rs
+++ b/medlarlanding/src/platform.rs
@@ -6,13 +6,12 @@
 use medlarlanding_core::ids::{InstanceId, ZoneId};
 use medlarlanding_core::views::{InstanceEntry, InstanceList, InstanceState, ListVersion};
 
-use ntex::client::Client;
 use ntex::http::Method;
 use ntex::time::Millis;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-use crate::backends::connection::request;
+use crate::backends::connection::ExchangeClient;
 
 /// Largest answer in bytes: a value of 1 MiB, escaped as JSON, and its envelope.
 const ANSWER_LIMIT: usize = 3 << 20;
@@ -65,7 +64,7 @@
 ///
 /// Returns why no answer was received.
 pub async fn read_value(
-    client: &Client,
+    client: &ExchangeClient,
     address: SocketAddr,
     name: &str,
     watch: Option<WatchParams>,
@@ -79,7 +78,7 @@
 ///
 /// Returns why no answer was received.
 pub async fn read_instances(
-    client: &Client,
+    client: &ExchangeClient,
     address: SocketAddr,
     watch: Option<WatchParams>,
 ) -> Result<InstanceList, String> {
@@ -103,7 +102,7 @@
 }
 
 async fn get<T: DeserializeOwned>(
-    client: &Client,
+    client: &ExchangeClient,
     address: SocketAddr,
     path: &str,
     watch: Option<WatchParams>,
@@ -115,7 +114,9 @@
         ),
         None => (path.to_owned(), ANSWER_TIMEOUT),
     };
-    let answer = request(client, Method::GET, address, &path, timeout)
+    let answer = client
+        .request(Method::GET, address, &path, timeout)
+        .await
         .send()
         .await
         .map_err(|error| error.to_string())?;
--- a/medlarlanding/src/runtime/commands.rs
+++ b/medlarlanding/src/runtime/commands.rs
@@ -6,9 +6,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::node::NodeInput;
 
-use ntex::client::Client;
-
-use crate::backends::connection::build_client;
+use crate::backends::connection::ExchangeClient;
 use crate::backends::engine;
 use crate::instance::InstanceShared;
 use crate::logging::event;
@@ -19,7 +17,7 @@
 ///
 /// Fails if the HTTP client cannot be built.
 pub async fn run(shared: Arc<InstanceShared>) -> anyhow::Result<()> {
-    let client = build_client().await?;
+    let client = ExchangeClient::default();
     let mut commands = shared.links.commands.receiver().await;
     while let Some(command) = commands.recv().await {
         ntex::rt::spawn(send(shared.clone(), client.clone(), command)).detach();
@@ -27,7 +25,7 @@
     Ok(())
 }
 
-async fn send(shared: Arc<InstanceShared>, client: Client, command: CommandEffect) {
+async fn send(shared: Arc<InstanceShared>, client: ExchangeClient, command: CommandEffect) {
     let CommandEffect::Send { server, fence, action, model } = command;
     let result = match shared.server_address(server) {
         Some(address) => engine::command(&client, address, fence, action, &model).await,
--- a/medlarlanding/src/runtime/platform.rs
+++ b/medlarlanding/src/runtime/platform.rs
@@ -8,10 +8,9 @@
 use medlarlanding_core::node::NodeInput;
 
 use indexmap::IndexMap;
-use ntex::client::Client;
 use ntex::rt::JoinHandle;
 
-use crate::backends::connection::build_client;
+use crate::backends::connection::ExchangeClient;
 use crate::instance::InstanceShared;
 use crate::platform::{WatchParams, read_instances, read_value};
 
@@ -26,7 +25,7 @@
 ///
 /// Fails if the HTTP client cannot be built.
 pub async fn run(shared: Arc<InstanceShared>) -> anyhow::Result<()> {
-    let client = build_client().await?;
+    let client = ExchangeClient::default();
     let mut pending: IndexMap<Subject, JoinHandle<()>> = IndexMap::new();
     let mut commands = shared.links.platform.receiver().await;
     let mut turn = 0;
@@ -55,7 +54,7 @@
 }
 
 async fn answer(
-    client: &Client,
+    client: &ExchangeClient,
     address: Option<SocketAddr>,
     subject: Subject,
     watch: Option<WatchParams>,
@@ -72,7 +71,7 @@
 }
 
 async fn read(
-    client: &Client,
+    client: &ExchangeClient,
     address: SocketAddr,
     subject: Subject,
     watch: Option<WatchParams>,
--- a/medlarlanding/src/serve.rs
+++ b/medlarlanding/src/serve.rs
@@ -13,7 +13,7 @@
 use ntex::web::{self, App, HttpServer};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::backends::connection::build_client;
+use crate::backends::connection::ExchangeClient;
 use crate::http::{admin, callers};
 use crate::instance::InstanceShared;
 use crate::logging::event;
@@ -111,7 +111,7 @@
         .set_headers_read_rate(Seconds(limits.header_s), Seconds(limits.header_s), 256)
         .set_max_buf_size(32 << 10);
     let server = HttpServer::new(async move || {
-        let client = build_client().await.expect("the client has no outside dependency");
+        let client = ExchangeClient::default();
         App::new()
             .state(callers::CallerContext { shared: shared.clone(), client })
             .configure(callers::configure)
