--- a/medlarlanding/src/serve.rs
+++ b/medlarlanding/src/serve.rs
@@ -29,8 +29,6 @@
 const DEPART_TIME: Duration = Duration::from_millis(50);
 /// Interval at which a drain looks for orders that are not complete.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
-/// Interval at which an idle worker thread wakes for its timers.
-const TIMER_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for connections to flush their last bytes after the drain.
 const FLUSH_TIMEOUT: Seconds = Seconds(5);
 
@@ -113,7 +111,6 @@
         .set_headers_read_rate(Seconds(limits.header_s), Seconds(limits.header_s), 256)
         .set_max_buf_size(32 << 10);
     let server = HttpServer::new(async move || {
-        ntex::rt::spawn(keep_time()).detach();
         let client = ExchangeClient::default();
         App::new()
             .state(callers::CallerContext { shared: shared.clone(), client })
@@ -130,16 +127,6 @@
     Ok(server.run())
 }
 
-/// Keeps the timers of a worker thread in step with the clock.
-///
-/// The library's timers count from a time that stands still while no timer runs, so the
-/// first time limit after an idle period can expire at once and close a new connection.
-async fn keep_time() {
-    loop {
-        ntex::time::sleep(TIMER_INTERVAL).await;
-    }
-}
-
 fn admin_server(shared: Arc<InstanceShared>) -> anyhow::Result<ntex::server::Server> {
     let address = shared.settings.admin;
     let server =
