--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -197,6 +197,9 @@
     admission: AdmissionController,
     commander: EngineCommander,
     capacities: Vec<ServerCapacity>,
+    /// Set by `Depart`: the node is silent from then on, because a probe that it answered
+    /// would tell its peers that it is alive after all.
+    departed: bool,
     /// Whether orders wait for fresh views: at the start and after a pause, until peers were
     /// asked for the instance list.
     stale_views: bool,
@@ -238,6 +241,7 @@
             admission,
             commander,
             capacities: Vec::new(),
+            departed: false,
             stale_views: true,
         }
     }
@@ -261,6 +265,9 @@
         input: NodeInput,
         effects: &mut Vec<NodeEffect>,
     ) -> Result<(), FrameRejection> {
+        if self.departed {
+            return Ok(());
+        }
         // A process that was paused must notice it before it acts on any other input. Failure
         // detection wakes at least once a second, so a pause shows in its timer alone; asking
         // every subsystem here would cost more than the input itself.
@@ -295,7 +302,10 @@
                 self.detect(now, MembershipInput::Leave, effects);
                 self.order(now, OrderInput::Drain, effects);
             },
-            NodeInput::Depart => self.detect(now, MembershipInput::Depart, effects),
+            NodeInput::Depart => {
+                self.detect(now, MembershipInput::Depart, effects);
+                self.departed = true;
+            },
             NodeInput::Tick => self.tick(now, effects),
         }
         Ok(())
@@ -303,6 +313,9 @@
 
     /// Returns when to call `handle` with `Tick`.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
+        if self.departed {
+            return None;
+        }
         [
             self.membership.next_wakeup(),
             self.distributor.next_wakeup(),
