--- a/medlarlanding-bench/src/cost.rs
+++ b/medlarlanding-bench/src/cost.rs
@@ -7,9 +7,9 @@
 
 use medlarlanding_core::admission::{
     AdmissionController, AdmissionEffect, AdmissionInput, AdmissionParams, AdmissionRequest,
-    Objective, ServerCapacity,
+    ServerCapacity,
 };
-use medlarlanding_core::config::{ConfigTree, DeliveryMode, credential_digest};
+use medlarlanding_core::config::{ConfigTree, DeliveryMode, DeskObjective, credential_digest};
 use medlarlanding_core::generations::{GenerationSession, SessionInput, SessionParams};
 use medlarlanding_core::handles::HandleSigner;
 use medlarlanding_core::ids::{
@@ -365,7 +365,7 @@
         prompt_tokens: 200,
         max_tokens: 1000,
         priority: 5,
-        objective: Objective::LeastStall,
+        objective: DeskObjective::LeastStall,
         deadline: now + Duration::from_secs(60),
         prefix: None,
     }
--- a/medlarlanding-bench/src/experiment/plan.rs
+++ b/medlarlanding-bench/src/experiment/plan.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use medlarlanding_core::admission::{AdmissionParams, Objective};
+use medlarlanding_core::admission::AdmissionParams;
+use medlarlanding_core::config::DeskObjective;
 
 use serde::{Deserialize, Serialize};
 
@@ -92,8 +93,8 @@
     pub priority: u8,
     /// Time for the complete answer.
     pub deadline: Duration,
-    /// Objective of the desk.
-    pub objective: Objective,
+    /// DeskObjective of the desk.
+    pub objective: DeskObjective,
     /// Whether the answer is delivered only when complete, so that it can start again.
     pub whole: bool,
 }
@@ -141,7 +142,7 @@
                         max_tokens: 32_768,
                         priority: 2,
                         deadline: Duration::from_secs(3600),
-                        objective: Objective::FewestPreemptions,
+                        objective: DeskObjective::FewestPreemptions,
                         whole: true,
                     },
                     RequestClass {
@@ -152,7 +153,7 @@
                         max_tokens: 1024,
                         priority: 7,
                         deadline: Duration::from_secs(60),
-                        objective: Objective::FewestPreemptions,
+                        objective: DeskObjective::FewestPreemptions,
                         whole: false,
                     },
                 ],
@@ -172,7 +173,7 @@
                         max_tokens: 8192,
                         priority: 5,
                         deadline: Duration::from_secs(300),
-                        objective: Objective::LeastStall,
+                        objective: DeskObjective::LeastStall,
                         whole: false,
                     },
                     RequestClass {
@@ -183,7 +184,7 @@
                         max_tokens: 2048,
                         priority: 5,
                         deadline: Duration::from_secs(120),
-                        objective: Objective::LeastStall,
+                        objective: DeskObjective::LeastStall,
                         whole: false,
                     },
                 ],
--- a/medlarlanding-bench/src/fleet_trials/measure.rs
+++ b/medlarlanding-bench/src/fleet_trials/measure.rs
@@ -5,6 +5,7 @@
 
 use super::node::NodeParams;
 use super::sim::{FleetSim, SECOND};
+use crate::usage::thread_cpu_ns;
 use medlarlanding_core::distribution::Subject;
 use medlarlanding_core::ids::ServerId;
 use medlarlanding_core::membership::MembershipInput;
@@ -134,14 +135,6 @@
     pub violations: Vec<String>,
 }
 
-/// Returns the CPU time of the thread in ns, or 0 where the system doesn't report it.
-fn cpu_time() -> u64 {
-    std::fs::read_to_string("/proc/thread-self/schedstat")
-        .ok()
-        .and_then(|text| text.split(' ').next()?.parse().ok())
-        .unwrap_or(0)
-}
-
 /// Creates a configuration text that differs from others in one line.
 pub fn text(bytes: usize, version: u64) -> Arc<str> {
     let head = format!("# version {version}\n");
@@ -222,7 +215,7 @@
 
 /// Runs all measurements at one fleet size.
 pub fn measure(options: &MeasureOptions) -> FleetMeasurement {
-    let cpu_start = cpu_time();
+    let cpu_start = thread_cpu_ns();
     let size = options.size;
     let first = text(options.text_bytes, 1);
     let sim = FleetSim::new(size, options.node.clone(), options.seed, first);
@@ -265,14 +258,14 @@
     measure_partition(&mut trial, options, &mut result);
 
     result.calls_refused = trial.sim.platform.load.values().map(|load| load.refused).sum();
-    result.cpu_s = (cpu_time() - cpu_start) as f64 / 1e9;
+    result.cpu_s = (thread_cpu_ns() - cpu_start) as f64 / 1e9;
     result.violations = trial.sim.log.violations;
     result
 }
 
 fn measure_steady(trial: &mut Trial, options: &MeasureOptions, result: &mut FleetMeasurement) {
     trial.sim.reset_traffic();
-    let (start, cpu_start) = (trial.sim.now, cpu_time());
+    let (start, cpu_start) = (trial.sim.now, thread_cpu_ns());
     trial.run(options.steady_s);
     let node_seconds = (options.size as u64 * options.steady_s) as f64;
     let seconds = options.steady_s as f64;
@@ -290,7 +283,7 @@
     result.list_age_mean_s = ages.iter().sum::<f64>() / ages.len() as f64;
     result.list_age_max_s = ages.into_iter().fold(0.0, f64::max);
     result.calls_steady = trial.busiest_second(start, trial.sim.now);
-    result.cpu_us = (cpu_time() - cpu_start) as f64 / 1000.0 / node_seconds;
+    result.cpu_us = (thread_cpu_ns() - cpu_start) as f64 / 1000.0 / node_seconds;
 }
 
 fn measure_change(trial: &mut Trial, result: &mut FleetMeasurement) {
--- a/medlarlanding-core/src/admission/account.rs
+++ b/medlarlanding-core/src/admission/account.rs
@@ -5,13 +5,14 @@
 
 use indexmap::IndexMap;
 
+use crate::config::DeskObjective;
 use crate::ids::{InstanceId, InstanceIdentity, ServerId};
 use crate::time::Timestamp;
 
 use super::controller::ServerCapacity;
 use super::lengths::LengthEstimator;
 use super::memory::{MemoryForecast, MemoryNeed};
-use super::messages::{DeclineReason, Objective, ReleasedWork, ServerStatus, WorkItem, WorkStage};
+use super::messages::{DeclineReason, ReleasedWork, ServerStatus, WorkItem, WorkStage};
 use super::pace::StepGovernor;
 use super::params::AdmissionParams;
 use super::queue::{FairQueue, QueuedWork, WorkKey};
@@ -453,7 +454,7 @@
         if (running + 1) as f64 > f64::from(self.capacity.max_batch) * part {
             return false;
         }
-        let least_stall = |item: &WorkItem| item.objective == Objective::LeastStall;
+        let least_stall = |item: &WorkItem| item.objective == DeskObjective::LeastStall;
         let paced = least_stall(item) || self.permits.values().any(|p| least_stall(&p.item));
         if paced && running >= self.pace.limit() {
             return false;
@@ -464,8 +465,8 @@
             return f64::from(item.prompt_tokens) < limit;
         }
         let z = match item.objective {
-            Objective::FewestPreemptions => self.params.z_fewest_preemptions,
-            Objective::LeastStall => self.params.z_least_stall,
+            DeskObjective::FewestPreemptions => self.params.z_fewest_preemptions,
+            DeskObjective::LeastStall => self.params.z_least_stall,
         };
         let mut forecast = self.forecast(lengths);
         forecast.add(&need(item, lengths));
--- a/medlarlanding-core/src/admission/controller/mod.rs
+++ b/medlarlanding-core/src/admission/controller/mod.rs
@@ -12,11 +12,10 @@
 use crate::admission::account::{AccountDump, BackendAccount};
 use crate::admission::allotment::{CustomerAccount, CustomerAccountDump};
 use crate::admission::lengths::{LengthEstimator, RouteLengthsDump};
-use crate::admission::messages::{
-    AdmissionMessage, DeclineReason, Objective, ReleasedWork, ServerStatus,
-};
+use crate::admission::messages::{AdmissionMessage, DeclineReason, ReleasedWork, ServerStatus};
 use crate::admission::params::AdmissionParams;
 use crate::admission::record::{DecisionReason, DecisionRecord};
+use crate::config::DeskObjective;
 use crate::errors::ErrorKind;
 use crate::ids::{CustomerId, InstanceId, InstanceIdentity, RequestId, RouteId, ServerId};
 use crate::time::Timestamp;
@@ -68,8 +67,8 @@
         pub max_tokens: u32,
         /// 0 to 9, 9 most urgent.
         pub priority: u8,
-        /// Objective of the desk.
-        pub objective: Objective,
+        /// DeskObjective of the desk.
+        pub objective: DeskObjective,
         /// Time by which the answer must be complete.
         pub deadline: Timestamp,
         /// Hash of the prompt's reusable prefix.
--- a/medlarlanding-core/src/admission/controller/requests.rs
+++ b/medlarlanding-core/src/admission/controller/requests.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use crate::admission::memory::{MemoryForecast, MemoryNeed};
-use crate::admission::messages::{DeclineReason, Objective};
+use crate::admission::messages::DeclineReason;
 use crate::admission::record::{CandidateView, DecisionReason, DecisionRecord};
 use crate::admission::routing::{ServerView, rank_servers};
+use crate::config::DeskObjective;
 use crate::errors::ErrorKind;
 use crate::ids::{RequestId, ServerId};
 use crate::time::Timestamp;
@@ -164,8 +165,8 @@
             .collect();
         let prefix = open.request.prefix;
         let (bound, longest_wait_ms) = match open.request.objective {
-            Objective::FewestPreemptions => (self.params.affinity_bound, 0),
-            Objective::LeastStall => (
+            DeskObjective::FewestPreemptions => (self.params.affinity_bound, 0),
+            DeskObjective::LeastStall => (
                 self.params.affinity_bound_least_stall,
                 self.params.affinity_wait.as_millis() as u32,
             ),
@@ -205,7 +206,7 @@
         let arrived = open.arrived;
         let OpenStage::Asking { ranked, asks, by_prefix } = &mut open.stage else { return };
         let affine = *by_prefix
-            && open.request.objective == Objective::LeastStall
+            && open.request.objective == DeskObjective::LeastStall
             && asks.len() == 1
             && asks[0].state == AskState::Queued
             && now < arrived + self.params.affinity_wait;
@@ -275,7 +276,7 @@
         let OpenStage::Asking { asks, by_prefix, .. } = &open.stage else { return };
         let widen = open.arrived + self.params.affinity_wait;
         let widen = (*by_prefix
-            && open.request.objective == Objective::LeastStall
+            && open.request.objective == DeskObjective::LeastStall
             && asks.len() == 1
             && widen > self.now)
             .then_some(widen);
--- a/medlarlanding-core/src/admission/messages.rs
+++ b/medlarlanding-core/src/admission/messages.rs
@@ -2,23 +2,13 @@
 
 use serde::Serialize;
 
+use crate::config::DeskObjective;
 use crate::ids::{CustomerId, RouteId, ServerId};
 use crate::wire::DATAGRAM_LIMIT;
 
 /// Bytes of a datagram kept for the frame's envelope, its tag and the fields around a batch.
 const ENVELOPE_BYTES: usize = 128;
 
-value_type! { copy
-    /// What a desk wants the system to keep small.
-    #[serde(rename_all = "snake_case")]
-    pub enum Objective {
-        /// Complete answers without preemption, even if they start later.
-        FewestPreemptions,
-        /// Even and short time between tokens.
-        LeastStall,
-    }
-}
-
 value_type! { copy
     /// Stage of a reported request.
     pub enum WorkStage {
@@ -55,8 +45,8 @@
         pub max_tokens: u32,
         /// 0 to 9, 9 most urgent.
         pub priority: u8,
-        /// Objective of the desk.
-        pub objective: Objective,
+        /// DeskObjective of the desk.
+        pub objective: DeskObjective,
         /// Whether the customer uses so much of its limit that others come first.
         pub surplus: bool,
         /// Whether it waits or runs.
--- a/medlarlanding-core/src/admission/mod.rs
+++ b/medlarlanding-core/src/admission/mod.rs
@@ -25,8 +25,8 @@
 pub use lengths::{LengthCurve, LengthEstimator, RouteLengthsDump};
 pub use memory::{MemoryForecast, MemoryNeed};
 pub use messages::{
-    AdmissionMessage, CustomerAllotment, CustomerCount, DeclineReason, LengthBin, Objective,
-    ReleasedWork, ServerStatus, WorkItem, WorkStage, split_for_datagrams,
+    AdmissionMessage, CustomerAllotment, CustomerCount, DeclineReason, LengthBin, ReleasedWork,
+    ServerStatus, WorkItem, WorkStage, split_for_datagrams,
 };
 pub use pace::StepGovernor;
 pub use params::AdmissionParams;
--- a/medlarlanding-core/src/handles.rs
+++ b/medlarlanding-core/src/handles.rs
@@ -2,11 +2,11 @@
 
 use std::fmt::Write;
 
-use serde::{Serialize, de::DeserializeOwned};
-
 use crate::ids::{CustomerId, DeskId, ServerId};
 use crate::wire::constant_time_eq;
 
+use serde::{Serialize, de::DeserializeOwned};
+
 const TAG_LEN: usize = 16;
 const HANDLE_CONTEXT: &str = "medlarlanding 2026-12 resume handles";
 const ORDER_KEY_CONTEXT: &str = "medlarlanding 2026-12 order keys";
--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -4,10 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
-use serde::Serialize;
-
 use crate::admission::{
     AdmissionController, AdmissionDump, AdmissionEffect, AdmissionInput, AdmissionParams,
     ServerCapacity,
@@ -30,6 +26,10 @@
 use crate::views::InstanceEntry;
 use crate::wire::{PeerFrame, PeerMessage, PeerTransport};
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+
 /// Age of a list whose confirmation is not known; above any limit on the age.
 const UNCONFIRMED_AGE: Duration = Duration::from_secs(u32::MAX as u64);
 
--- a/medlarlanding-core/src/wire.rs
+++ b/medlarlanding-core/src/wire.rs
@@ -2,14 +2,14 @@
 
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
-
 use crate::admission::AdmissionMessage;
 use crate::distribution::DistributionMessage;
 use crate::ids::{InstanceId, InstanceIdentity};
 use crate::membership::MembershipMessage;
 use crate::orders::OrderMessage;
 
+use serde::{Deserialize, Serialize};
+
 /// Version of the frame format. Frames of another version are dropped.
 pub const FRAME_VERSION: u8 = 1;
 /// Largest datagram in bytes; fits an Ethernet frame without fragmentation.
--- a/medlarlanding-core/tests/admission_account.rs
+++ b/medlarlanding-core/tests/admission_account.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use medlarlanding_core::admission::{
-    AdmissionParams, BackendAccount, DeclineReason, LengthEstimator, Objective, ReleasedWork,
-    ServerCapacity, Verdict, VerdictKind, WorkItem, WorkStage,
+    AdmissionParams, BackendAccount, DeclineReason, LengthEstimator, ReleasedWork, ServerCapacity,
+    Verdict, VerdictKind, WorkItem, WorkStage,
 };
 use medlarlanding_core::cases;
+use medlarlanding_core::config::DeskObjective;
 use medlarlanding_core::ids::{
     CustomerId, Incarnation, InstanceId, InstanceIdentity, RouteId, ServerId,
 };
@@ -33,7 +34,7 @@
         decoded: 0,
         max_tokens: 200,
         priority: 5,
-        objective: Objective::FewestPreemptions,
+        objective: DeskObjective::FewestPreemptions,
         surplus: false,
         stage,
     }
--- a/medlarlanding-core/tests/admission_controller.rs
+++ b/medlarlanding-core/tests/admission_controller.rs
@@ -4,10 +4,11 @@
 
 use medlarlanding_core::admission::{
     AdmissionController, AdmissionEffect, AdmissionInput, AdmissionMessage, AdmissionParams,
-    AdmissionRequest, AdoptedWork, DecisionReason, Objective, ServerCapacity, ServerStatus,
-    WorkItem, WorkStage,
+    AdmissionRequest, AdoptedWork, DecisionReason, ServerCapacity, ServerStatus, WorkItem,
+    WorkStage,
 };
 use medlarlanding_core::cases;
+use medlarlanding_core::config::DeskObjective;
 use medlarlanding_core::errors::ErrorKind;
 use medlarlanding_core::ids::{
     CustomerId, Incarnation, InstanceId, InstanceIdentity, RequestId, RouteId, ServerId,
@@ -86,7 +87,7 @@
             prompt_tokens: 50,
             max_tokens: 100,
             priority: 5,
-            objective: Objective::LeastStall,
+            objective: DeskObjective::LeastStall,
             deadline,
             prefix: None,
         })));
@@ -309,7 +310,7 @@
             decoded: 0,
             max_tokens: 100,
             priority: 5,
-            objective: Objective::LeastStall,
+            objective: DeskObjective::LeastStall,
             surplus: false,
             stage: WorkStage::Waiting { patience_ms: 60_000, asks: 1 },
         };
@@ -349,7 +350,7 @@
             prompt_tokens: 50,
             max_tokens: 100,
             priority: 5,
-            objective: Objective::LeastStall,
+            objective: DeskObjective::LeastStall,
             deadline: bench.now + Duration::from_secs(60),
             prefix: None,
         },
--- a/medlarlanding-core/tests/admission_lengths.rs
+++ b/medlarlanding-core/tests/admission_lengths.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use medlarlanding_core::admission::{
-    LengthEstimator, MemoryForecast, MemoryNeed, Objective, WorkItem, WorkStage,
-    split_for_datagrams,
+    LengthEstimator, MemoryForecast, MemoryNeed, WorkItem, WorkStage, split_for_datagrams,
 };
+use medlarlanding_core::config::DeskObjective;
 use medlarlanding_core::ids::{CustomerId, InstanceId, RouteId, ServerId};
 use medlarlanding_core::wire::DATAGRAM_LIMIT;
 
@@ -141,7 +141,7 @@
                 decoded: number as u32,
                 max_tokens: u32::MAX,
                 priority: 9,
-                objective: Objective::LeastStall,
+                objective: DeskObjective::LeastStall,
                 surplus: false,
                 stage: WorkStage::Waiting { patience_ms: u32::MAX, asks: 3 },
             })
--- a/medlarlanding-core/tests/admission_sim/mod.rs
+++ b/medlarlanding-core/tests/admission_sim/mod.rs
@@ -5,8 +5,9 @@
 
 use medlarlanding_core::admission::{
     AdmissionController, AdmissionEffect, AdmissionInput, AdmissionMessage, AdmissionParams,
-    AdmissionRequest, Objective, ServerCapacity,
+    AdmissionRequest, ServerCapacity,
 };
+use medlarlanding_core::config::DeskObjective;
 use medlarlanding_core::ids::{
     CustomerId, Incarnation, InstanceId, InstanceIdentity, RequestId, RouteId, ServerId,
 };
@@ -295,7 +296,11 @@
             prompt_tokens: self.random.random_range(20..600),
             max_tokens: 2000,
             priority: if short { 7 } else { 2 },
-            objective: if short { Objective::LeastStall } else { Objective::FewestPreemptions },
+            objective: if short {
+                DeskObjective::LeastStall
+            } else {
+                DeskObjective::FewestPreemptions
+            },
             deadline,
             prefix: self.random.random_bool(0.5).then(|| self.random.random_range(0..5)),
         };
--- a/medlarlanding/src/http/generations.rs
+++ b/medlarlanding/src/http/generations.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use medlarlanding_core::admission::{AdmissionRequest, AdoptedWork, Objective};
-use medlarlanding_core::config::{DeliveryMode, DeskObjective, RouteKey};
+use medlarlanding_core::admission::{AdmissionRequest, AdoptedWork};
+use medlarlanding_core::config::{DeliveryMode, RouteKey};
 use medlarlanding_core::generations::{GenerationSession, SessionInput, SessionParams};
 use medlarlanding_core::handles::ResumeHandle;
 use medlarlanding_core::ids::{RequestId, stable_hash};
@@ -248,10 +248,7 @@
         prompt_tokens: u32::try_from(body.prompt.len() / CHARS_PER_TOKEN + 1).unwrap_or(u32::MAX),
         max_tokens: body.max_tokens.map_or(desk.max_tokens, |wanted| wanted.min(desk.max_tokens)),
         priority: body.priority.map_or(desk.priority, |wanted| wanted.min(desk.priority)),
-        objective: match desk.objective {
-            DeskObjective::LeastStall => Objective::LeastStall,
-            DeskObjective::FewestPreemptions => Objective::FewestPreemptions,
-        },
+        objective: desk.objective,
         deadline: context.shared.clock.now() + deadline,
         prefix: Some(prefix_hash(accepted, &body.prompt)),
     }
