--- a/medlarlanding/src/backends/engine.rs
+++ b/medlarlanding/src/backends/engine.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::connection::{ExchangeClient, ExchangeFault};
+use super::events::{EventDecoder, StreamEvent};
 use medlarlanding_core::commands::{CommandAction, CommandResult};
 use medlarlanding_core::config::ModelVersion;
 use medlarlanding_core::generations::ExchangeId;
@@ -15,9 +17,6 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::connection::{ExchangeClient, ExchangeFault};
-use super::events::{EventDecoder, StreamEvent};
-
 /// Longest time from the request to the headers of a generation's stream.
 ///
 /// An engine sends the headers when it accepts the generation, before prefill.
--- a/medlarlanding/src/backends/service.rs
+++ b/medlarlanding/src/backends/service.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::connection::{ExchangeClient, ExchangeFault};
+
 use ntex::http::Method;
 use ntex::time::Millis;
 
-use super::connection::{ExchangeClient, ExchangeFault};
-
 /// Largest answer of a plain service in bytes.
 pub const ANSWER_LIMIT: usize = 1 << 20;
 
--- a/medlarlanding/src/commands.rs
+++ b/medlarlanding/src/commands.rs
@@ -6,6 +6,11 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use crate::backends::connection::ExchangeClient;
+use crate::cli::{CheckOptions, DumpOptions, ServeOptions};
+use crate::logging;
+use crate::serve;
+use crate::settings::InstanceSettings;
 use medlarlanding_core::config::{ConfigTree, credential_digest};
 
 use anyhow::{Context, bail};
@@ -13,12 +18,6 @@
 use rand::RngCore;
 use serde_json::Value;
 
-use crate::backends::connection::ExchangeClient;
-use crate::cli::{CheckOptions, DumpOptions, ServeOptions};
-use crate::logging;
-use crate::serve;
-use crate::settings::InstanceSettings;
-
 /// Longest time for a dump.
 const DUMP_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest dump in bytes.
--- a/medlarlanding/src/delivery/exchanges.rs
+++ b/medlarlanding/src/delivery/exchanges.rs
@@ -3,15 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::backends::connection::{ExchangeClient, ExchangeFault};
+use crate::backends::engine::{EngineItem, EngineStream, GenerationOrder, OpenFault, StreamFault};
 use medlarlanding_core::generations::{ExchangeId, FinishReason, LostReason, SessionInput};
 
 use indexmap::IndexMap;
 use ntex::rt::JoinHandle;
 use tokio::sync::mpsc;
 
-use crate::backends::connection::{ExchangeClient, ExchangeFault};
-use crate::backends::engine::{EngineItem, EngineStream, GenerationOrder, OpenFault, StreamFault};
-
 /// Items that a reader may be ahead of its session; beyond it the connection is not read.
 const READ_AHEAD: usize = 32;
 
--- a/medlarlanding/src/delivery/permit.rs
+++ b/medlarlanding/src/delivery/permit.rs
@@ -1,20 +1,18 @@
 //! Permit of one request: asks admission and releases what it was granted.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use crate::instance::InstanceShared;
+use crate::runtime::waiters::PermitDecision;
 use medlarlanding_core::ErrorKind;
 use medlarlanding_core::admission::{AdmissionInput, AdmissionRequest, AdoptedWork};
 use medlarlanding_core::ids::{RequestId, ServerId};
 use medlarlanding_core::node::NodeInput;
 use medlarlanding_core::time::Timestamp;
 
-use std::time::Duration;
-
 use tokio::sync::oneshot;
 
-use crate::instance::InstanceShared;
-use crate::runtime::waiters::PermitDecision;
-
 /// Shortest time between two reports of progress to admission.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
 
--- a/medlarlanding/src/delivery/sink.rs
+++ b/medlarlanding/src/delivery/sink.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::http::answers::refusal_json;
 use medlarlanding_core::ServeError;
 use medlarlanding_core::generations::FinishReason;
 use medlarlanding_core::ids::RequestId;
@@ -10,8 +11,6 @@
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::http::answers::refusal_json;
-
 /// Events that may wait for a caller that reads slowly.
 pub const EVENT_QUEUE: usize = 64;
 /// Time after which a caller that takes no event counts as gone.
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -3,6 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::exchanges::{ExchangeSet, ExchangeStart};
+use super::permit::{PermitOutcome, RequestPermit};
+use super::sink::{CallerSink, WholeAnswer, token_event};
+use crate::backends::connection::ExchangeClient;
+use crate::backends::engine::{self, GenerationOrder};
+use crate::gate::OpenGuard;
+use crate::instance::InstanceShared;
+use crate::logging::event;
+use crate::trace::TraceStep;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::generations::{
     GenerationSession, SessionEffect, SessionInput, SessionPhase,
@@ -14,17 +23,6 @@
 
 use tokio::sync::mpsc;
 
-use crate::backends::connection::ExchangeClient;
-use crate::backends::engine::{self, GenerationOrder};
-use crate::gate::OpenGuard;
-use crate::instance::InstanceShared;
-use crate::logging::event;
-use crate::trace::TraceStep;
-
-use super::exchanges::{ExchangeSet, ExchangeStart};
-use super::permit::{PermitOutcome, RequestPermit};
-use super::sink::{CallerSink, WholeAnswer, token_event};
-
 const ENDPOINT: &str = "generations";
 /// A caller that comes back gets a session of its own, so each has one connection.
 const CALLER_GONE: SessionInput = SessionInput::CallerGone { connection: 1 };
--- a/medlarlanding/src/http/admin.rs
+++ b/medlarlanding/src/http/admin.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
+use crate::instance::InstanceShared;
+
 use ntex::web::types::State;
 use ntex::web::{self, HttpRequest, HttpResponse};
 
-use crate::instance::InstanceShared;
-
 /// Adds the operators' routes to an application.
 pub fn configure(config: &mut web::ServiceConfig) {
     config
--- a/medlarlanding/src/http/callers.rs
+++ b/medlarlanding/src/http/callers.rs
@@ -2,6 +2,12 @@
 
 use std::sync::Arc;
 
+use super::answers::refusal;
+use super::{generations, lookups, orders};
+use crate::backends::connection::ExchangeClient;
+use crate::gate::OpenGuard;
+use crate::instance::{DeskAccess, InstanceShared};
+use crate::trace::TraceStep;
 use medlarlanding_core::ids::RequestId;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
@@ -9,14 +15,6 @@
 use ntex::web::types::{Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse};
 
-use crate::backends::connection::ExchangeClient;
-use crate::gate::OpenGuard;
-use crate::instance::{DeskAccess, InstanceShared};
-use crate::trace::TraceStep;
-
-use super::answers::refusal;
-use super::{generations, lookups, orders};
-
 /// What the handlers of one worker thread share.
 #[derive(Clone)]
 pub struct CallerContext {
--- a/medlarlanding/src/http/generations.rs
+++ b/medlarlanding/src/http/generations.rs
@@ -3,11 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::answers::REQUEST_HEADER;
+use super::callers::{CallerContext, CallerRequest, Context};
+use super::reading::parse_json;
+use crate::backends::engine::{self, GenerationOrder};
+use crate::delivery::permit::RequestPermit;
+use crate::delivery::sink::{CallerSink, EVENT_QUEUE, WholeAnswer};
+use crate::delivery::task::{DeliveryPlan, DeliveryTask};
+use crate::gate::OpenGuard;
 use medlarlanding_core::admission::{AdmissionRequest, AdoptedWork};
 use medlarlanding_core::config::{DeliveryMode, RouteKey};
 use medlarlanding_core::generations::{GenerationSession, SessionInput, SessionParams};
 use medlarlanding_core::handles::ResumeHandle;
 use medlarlanding_core::ids::{RequestId, stable_hash};
+use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
 use ntex::util::Bytes;
@@ -17,16 +26,6 @@
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::backends::engine::{self, GenerationOrder};
-use crate::delivery::permit::RequestPermit;
-use crate::delivery::sink::{CallerSink, EVENT_QUEUE, WholeAnswer};
-use crate::delivery::task::{DeliveryPlan, DeliveryTask};
-use crate::gate::OpenGuard;
-
-use super::answers::REQUEST_HEADER;
-use super::callers::{CallerContext, CallerRequest, Context};
-use super::reading::parse_json;
-
 const ENDPOINT: &str = "generations";
 /// Characters of a prompt that count as its reusable prefix.
 const PREFIX_CHARS: usize = 256;
@@ -216,7 +215,7 @@
     context: &CallerContext,
     accepted: &CallerRequest,
     delivery: DeliveryMode,
-    deadline: medlarlanding_core::time::Timestamp,
+    deadline: Timestamp,
 ) -> GenerationSession {
     let grace = Duration::from_millis(context.shared.settings.limits.resume_grace_ms);
     // Nobody can resume a whole delivery, so nothing is kept for a caller that is gone.
--- a/medlarlanding/src/http/lookups.rs
+++ b/medlarlanding/src/http/lookups.rs
@@ -2,6 +2,11 @@
 
 use std::time::Duration;
 
+use super::answers::REQUEST_HEADER;
+use super::callers::{CallerContext, CallerRequest, Context};
+use super::reading::parse_json;
+use crate::backends::service::{self, ServiceAnswer};
+use crate::trace::TraceStep;
 use medlarlanding_core::config::ServerState;
 use medlarlanding_core::ids::RequestId;
 use medlarlanding_core::{ErrorKind, Result};
@@ -12,13 +17,6 @@
 use rand::seq::SliceRandom;
 use serde_json::Value;
 
-use crate::backends::service::{self, ServiceAnswer};
-use crate::trace::TraceStep;
-
-use super::answers::REQUEST_HEADER;
-use super::callers::{CallerContext, CallerRequest, Context};
-use super::reading::parse_json;
-
 const ENDPOINT: &str = "lookups";
 /// Share of the remaining time that one attempt may take, so that a silent server leaves
 /// time for another.
--- a/medlarlanding/src/http/orders.rs
+++ b/medlarlanding/src/http/orders.rs
@@ -3,6 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::answers::REQUEST_HEADER;
+use super::callers::{CallerContext, CallerRequest, Context};
+use super::lookups::pass_on;
+use super::reading::parse_json;
+use crate::backends::connection::{ExchangeClient, ExchangeFault};
+use crate::backends::service::{self, ServiceAnswer};
+use crate::gate::OpenGuard;
+use crate::instance::{DeskAccess, InstanceShared};
+use crate::logging::event;
+use crate::runtime::waiters::{OrderSignal, QueryResult};
+use crate::trace::TraceStep;
 use medlarlanding_core::config::{ServerConfig, ServerState};
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::ids::RequestId;
@@ -19,19 +30,6 @@
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
 
-use crate::backends::connection::{ExchangeClient, ExchangeFault};
-use crate::backends::service::{self, ServiceAnswer};
-use crate::gate::OpenGuard;
-use crate::instance::{DeskAccess, InstanceShared};
-use crate::logging::event;
-use crate::runtime::waiters::{OrderSignal, QueryResult};
-use crate::trace::TraceStep;
-
-use super::answers::REQUEST_HEADER;
-use super::callers::{CallerContext, CallerRequest, Context};
-use super::lookups::pass_on;
-use super::reading::parse_json;
-
 const ENDPOINT: &str = "orders";
 const KEY_HEADER: &str = "idempotency-key";
 /// Longest idempotency key in bytes; a minted key has about 100.
--- a/medlarlanding/src/instance.rs
+++ b/medlarlanding/src/instance.rs
@@ -4,6 +4,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
+use crate::clock::{ProcessClock, wall_millis};
+use crate::gate::RequestGate;
+use crate::logging::event;
+use crate::metrics::MetricSet;
+use crate::runtime;
+use crate::runtime::links::NodeLinks;
+use crate::runtime::waiters::WaiterTable;
+use crate::settings::InstanceSettings;
+use crate::trace::{TraceRing, TraceStep};
 use medlarlanding_core::admission::AdmissionInput;
 use medlarlanding_core::config::{
     ConfigTree, CustomerConfig, CustomerKey, DeskConfig, DeskKey, RouteConfig, RouteKey,
@@ -20,16 +29,6 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
-use crate::clock::{ProcessClock, wall_millis};
-use crate::gate::RequestGate;
-use crate::logging::event;
-use crate::metrics::MetricSet;
-use crate::runtime;
-use crate::runtime::links::NodeLinks;
-use crate::runtime::waiters::WaiterTable;
-use crate::settings::InstanceSettings;
-use crate::trace::{TraceRing, TraceStep};
-
 /// A configuration tree with its version.
 #[derive(Debug)]
 pub struct ActiveTree {
--- a/medlarlanding/src/logging.rs
+++ b/medlarlanding/src/logging.rs
@@ -3,13 +3,12 @@
 use std::fmt::{Display, Write};
 use std::path::Path;
 
+use crate::clock::wall_millis;
 use medlarlanding_core::events::{EventKind, EventLevel};
 
 use anyhow::Context;
 use log::{Level, LevelFilter};
 
-use crate::clock::wall_millis;
-
 /// Target of all numbered events.
 pub const EVENT_TARGET: &str = "medlarlanding";
 
--- a/medlarlanding/src/peers/tcp.rs
+++ b/medlarlanding/src/peers/tcp.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::{FrameHandler, OutboundFrame};
 use medlarlanding_core::wire::{PeerCodec, PeerTransport, STREAM_FRAME_LIMIT};
 
 use anyhow::{Context, bail};
@@ -16,8 +17,6 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::{FrameHandler, OutboundFrame};
-
 const LABEL: &str = "tcp";
 const ACKNOWLEDGEMENT: u8 = 1;
 /// Longest time to move one frame; 1 MiB needs 80 ms at 100 Mbit/s.
--- a/medlarlanding/src/peers/udp.rs
+++ b/medlarlanding/src/peers/udp.rs
@@ -3,14 +3,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use super::{FrameHandler, OutboundFrame};
 use medlarlanding_core::wire::{DATAGRAM_LIMIT, PeerCodec, PeerTransport};
 
 use anyhow::Context;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-use super::{FrameHandler, OutboundFrame};
-
 const LABEL: &str = "udp";
 
 /// Binds the socket for datagrams.
--- a/medlarlanding/src/platform.rs
+++ b/medlarlanding/src/platform.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::backends::connection::ExchangeClient;
 use medlarlanding_core::ids::{InstanceId, ZoneId};
 use medlarlanding_core::views::{InstanceEntry, InstanceList, InstanceState, ListVersion};
 
@@ -11,8 +12,6 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-use crate::backends::connection::ExchangeClient;
-
 /// Largest answer in bytes: a value of 1 MiB, escaped as JSON, and its envelope.
 const ANSWER_LIMIT: usize = 3 << 20;
 /// Longest time for an answer beyond the time that a watch waits.
--- a/medlarlanding/src/runtime/commands.rs
+++ b/medlarlanding/src/runtime/commands.rs
@@ -2,14 +2,13 @@
 
 use std::sync::Arc;
 
-use medlarlanding_core::commands::{CommandEffect, CommandInput, CommandResult};
-use medlarlanding_core::events::EventKind;
-use medlarlanding_core::node::NodeInput;
-
 use crate::backends::connection::ExchangeClient;
 use crate::backends::engine;
 use crate::instance::InstanceShared;
 use crate::logging::event;
+use medlarlanding_core::commands::{CommandEffect, CommandInput, CommandResult};
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::node::NodeInput;
 
 /// Sends commands until the process ends.
 ///
--- a/medlarlanding/src/runtime/links.rs
+++ b/medlarlanding/src/runtime/links.rs
@@ -5,6 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::instance::InstanceShared;
+use crate::logging::event;
+use crate::peers::{FrameHandler, OutboundFrame, tcp, udp};
+use crate::supervisor::ChildSupervisor;
 use medlarlanding_core::commands::CommandEffect;
 use medlarlanding_core::distribution::Subject;
 use medlarlanding_core::events::EventKind;
@@ -16,11 +20,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, mpsc};
 
-use crate::instance::InstanceShared;
-use crate::logging::event;
-use crate::peers::{FrameHandler, OutboundFrame, tcp, udp};
-use crate::supervisor::ChildSupervisor;
-
 /// Datagrams that wait to be sent; past it they are dropped like lost ones.
 const DATAGRAM_QUEUE: usize = 4096;
 /// Frames that wait for a connection.
--- a/medlarlanding/src/runtime/node.rs
+++ b/medlarlanding/src/runtime/node.rs
@@ -2,7 +2,13 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
+use super::links::PlatformCommand;
+use crate::instance::{ActiveTree, InstanceShared};
+use crate::logging::{event, event_fields};
+use crate::peers::OutboundFrame;
+use crate::settings::{InstanceSettings, OrderSettings};
 use medlarlanding_core::admission::{AdmissionInput, ServerCapacity};
 use medlarlanding_core::commands::{
     CommandEffect, CommandInput, CommandParams, CommandResult, EngineTarget,
@@ -12,17 +18,9 @@
 use medlarlanding_core::ids::{InstanceId, ZoneId};
 use medlarlanding_core::node::{EntryNode, FrameRejection, NodeEffect, NodeInput, NodeParams};
 use medlarlanding_core::orders::OrderParams;
+use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::views::{InstanceEntry, InstanceState};
 
-use std::time::Duration;
-
-use crate::instance::{ActiveTree, InstanceShared};
-use crate::logging::{event, event_fields};
-use crate::peers::OutboundFrame;
-use crate::settings::{InstanceSettings, OrderSettings};
-
-use super::links::PlatformCommand;
-
 /// Longest sleep of the ticker; bounds the effect of a missed wake-up.
 const TICK_LIMIT: Duration = Duration::from_millis(250);
 
@@ -94,10 +92,7 @@
         result
     }
 
-    fn drive(
-        &self,
-        step: impl FnOnce(&mut EntryNode, medlarlanding_core::time::Timestamp, &mut Vec<NodeEffect>),
-    ) {
+    fn drive(&self, step: impl FnOnce(&mut EntryNode, Timestamp, &mut Vec<NodeEffect>)) {
         let mut effects = Vec::new();
         {
             let mut node = self.node();
--- a/medlarlanding/src/runtime/platform.rs
+++ b/medlarlanding/src/runtime/platform.rs
@@ -4,18 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::links::PlatformCommand;
+use crate::backends::connection::ExchangeClient;
+use crate::instance::InstanceShared;
+use crate::platform::{WatchParams, read_instances, read_value};
 use medlarlanding_core::distribution::{PlatformAnswer, Subject};
 use medlarlanding_core::node::NodeInput;
 
 use indexmap::IndexMap;
 use ntex::rt::JoinHandle;
 
-use crate::backends::connection::ExchangeClient;
-use crate::instance::InstanceShared;
-use crate::platform::{WatchParams, read_instances, read_value};
-
-use super::links::PlatformCommand;
-
 /// Name of the configuration tree at the configuration service.
 pub const TREE_NAME: &str = "tree";
 
--- a/medlarlanding/src/serve.rs
+++ b/medlarlanding/src/serve.rs
@@ -3,6 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::backends::connection::ExchangeClient;
+use crate::http::{admin, callers};
+use crate::instance::InstanceShared;
+use crate::logging::event;
+use crate::runtime::{commands, links, node, platform};
+use crate::settings::InstanceSettings;
+use crate::supervisor::{ChildSupervisor, RestartParams};
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::node::NodeInput;
 
@@ -13,14 +20,6 @@
 use ntex::web::{self, App, HttpServer};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::backends::connection::ExchangeClient;
-use crate::http::{admin, callers};
-use crate::instance::InstanceShared;
-use crate::logging::event;
-use crate::runtime::{commands, links, node, platform};
-use crate::settings::InstanceSettings;
-use crate::supervisor::{ChildSupervisor, RestartParams};
-
 /// Worker threads of the callers' listener.
 const CALLER_WORKERS: usize = 2;
 /// Time for the news of the leave to reach the peers and the platform's balancer.
--- a/medlarlanding/src/settings.rs
+++ b/medlarlanding/src/settings.rs
@@ -5,13 +5,13 @@
 use std::path::Path;
 use std::time::Duration;
 
+use crate::http::reading::BodyLimits;
+use crate::logging::LogOptions;
+
 use anyhow::{Context, bail};
 use log::LevelFilter;
 use serde::Deserialize;
 
-use crate::http::reading::BodyLimits;
-use crate::logging::LogOptions;
-
 /// Shortest accepted cluster secret in bytes.
 const SECRET_MIN: usize = 16;
 /// Largest settings file in bytes.
--- a/medlarlanding/src/supervisor.rs
+++ b/medlarlanding/src/supervisor.rs
@@ -4,12 +4,11 @@
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
+use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 
 use tokio::sync::watch;
 
-use crate::logging::event;
-
 /// A child's work. Ends with `Ok` when it is done, with `Err` when it failed.
 pub type ChildFuture = Pin<Box<dyn Future<Output = anyhow::Result<()>>>>;
 
