--- a/medlarlanding-bench/src/cluster.rs
+++ b/medlarlanding-bench/src/cluster.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use medlarlanding_core::config::credential_digest;
+use medlarlanding_core::handles::hex_text;
 
 use anyhow::{Context, bail};
 use ntex::http::Method;
@@ -310,11 +311,7 @@
             ledgers.join(", "),
         );
         for name in CUSTOMERS {
-            let digest = credential_digest(&credential(name));
-            let hex = digest.iter().fold(String::new(), |mut text, byte| {
-                let _ = write!(text, "{byte:02x}");
-                text
-            });
+            let hex = hex_text(&credential_digest(&credential(name)));
             let limit = if *name == "small-desk" { SMALL_LIMIT } else { 256 };
             let _ = writeln!(
                 text,
--- a/medlarlanding-bench/src/cost.rs
+++ b/medlarlanding-bench/src/cost.rs
@@ -11,7 +11,7 @@
 };
 use medlarlanding_core::config::{ConfigTree, DeliveryMode, DeskObjective, credential_digest};
 use medlarlanding_core::generations::{GenerationSession, SessionInput, SessionParams};
-use medlarlanding_core::handles::HandleSigner;
+use medlarlanding_core::handles::{HandleSigner, hex_text};
 use medlarlanding_core::ids::{
     CustomerId, DeskId, Incarnation, InstanceId, InstanceIdentity, RequestId, RouteId, ServerId,
     ZoneId,
@@ -107,11 +107,7 @@
 fn customer_tree(count: usize) -> String {
     let mut text = String::from("customers:\n");
     for number in 0..count {
-        let digest = credential_digest(&format!("credential-{number}"));
-        let hex = digest.iter().fold(String::new(), |mut hex, byte| {
-            let _ = write!(hex, "{byte:02x}");
-            hex
-        });
+        let hex = hex_text(&credential_digest(&format!("credential-{number}")));
         let _ = writeln!(text, "  c{number}: {{ credential_digest: {hex} }}");
     }
     text
--- a/medlarlanding-core/src/handles.rs
+++ b/medlarlanding-core/src/handles.rs
@@ -86,6 +86,11 @@
     let mut bytes = postcard::to_stdvec(value).expect("handles are plain data");
     let tag = blake3::keyed_hash(key, &bytes);
     bytes.extend_from_slice(&tag.as_bytes()[..TAG_LEN]);
+    hex_text(&bytes)
+}
+
+/// Writes bytes as lower-case hexadecimal digits.
+pub fn hex_text(bytes: &[u8]) -> String {
     bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
         let _ = write!(text, "{byte:02x}");
         text
--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -139,8 +139,6 @@
     Command(CommandEffect),
     /// Effect of orders, never `Send`.
     Order(OrderEffect),
-    /// The set of leaving backend servers changed.
-    ServersMarked,
     /// Write a log event with the fields of its descriptor.
     Event {
         /// The event.
@@ -436,7 +434,6 @@
                 MembershipEffect::LiveChanged => self.refresh_peers(now, effects),
                 MembershipEffect::ServerMarked(_) => {
                     self.refresh_engines(now, effects);
-                    effects.push(NodeEffect::ServersMarked);
                 },
                 MembershipEffect::PeerVersions { from, versions, asked } => {
                     let input = DistributionInput::PeerVersions { from, versions, asked };
--- a/medlarlanding/src/commands.rs
+++ b/medlarlanding/src/commands.rs
@@ -12,6 +12,7 @@
 use crate::serve;
 use crate::settings::InstanceSettings;
 use medlarlanding_core::config::{ConfigTree, credential_digest};
+use medlarlanding_core::handles::hex_text;
 
 use anyhow::{Context, bail};
 use ntex::http::Method;
@@ -140,9 +141,9 @@
 pub fn credential() -> anyhow::Result<ExitCode> {
     let mut bytes = [0u8; 32];
     rand::rng().fill_bytes(&mut bytes);
-    let credential = hex(&bytes);
+    let credential = hex_text(&bytes);
     println!("credential: {credential}");
-    println!("credential_digest: {}", hex(&credential_digest(&credential)));
+    println!("credential_digest: {}", hex_text(&credential_digest(&credential)));
     Ok(ExitCode::SUCCESS)
 }
 
@@ -155,10 +156,3 @@
     println!("medlarlanding {}", env!("CARGO_PKG_VERSION"));
     Ok(ExitCode::SUCCESS)
 }
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().fold(String::new(), |mut text, byte| {
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
-}
--- a/medlarlanding/src/runtime/node.rs
+++ b/medlarlanding/src/runtime/node.rs
@@ -143,7 +143,6 @@
                 }
             },
             NodeEffect::Order(effect) => self.waiters.settle_order(effect),
-            NodeEffect::ServersMarked => {},
             NodeEffect::Event { kind, fields } => event_fields(kind, &fields),
         }
     }
