--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -94,6 +94,34 @@
     501 OrderUnknown Warn "order_unknown" ["request", "server", "reason"];
     /// A partition's replica group changed view.
     502 PartitionView Debug "partition_view" ["partition", "version", "synchronised"];
+    /// A configuration of the forwarding role came into force.
+    600 ForwardConfigAccepted Info "forward_config_accepted" ["version", "source", "routes"];
+    /// A configuration of the forwarding role could not be read; the last one stays in force.
+    601 ForwardConfigRefused Warn "forward_config_refused" ["in_force", "source", "reason"];
+    /// The entry of a backend server changed.
+    602 ServerChanged Info "server_changed" ["server", "service", "state", "source"];
+    /// Newer state was fetched from a peer.
+    603 PeerFetched Info "peer_fetched" ["peer", "config", "servers_revision"];
+    /// A peer could not be asked for newer state.
+    604 PeerUnreachable Warn "peer_unreachable" ["peer", "reason"];
+    /// The settings file was read again.
+    605 SettingsRead Info "settings_read" ["seeds"];
+    /// The settings file could not be read; the last settings stay in force.
+    606 SettingsRefused Warn "settings_refused" ["reason"];
+    /// A request was refused before it was sent anywhere.
+    610 ForwardRefused Info "forward_refused" ["request", "reason", "config"];
+    /// A request was sent to a backend server.
+    611 RequestSent Info "request_sent" ["request", "route", "server", "attempt", "left_ms", "outcome", "took_ms", "config"];
+    /// A request to a plain service was answered.
+    612 RequestFinished Info "request_finished" ["request", "route", "kind", "outcome", "status", "server", "total_ms"];
+    /// A generation ended.
+    613 GenerationFinished Info "generation_finished" ["request", "route", "outcome", "status", "server", "events", "moves", "first_ms", "longest_gap_ms", "total_ms"];
+    /// A copy of a generation's memory was begun because its engine leaves.
+    614 MoveBegun Info "move_begun" ["request", "from", "to", "events"];
+    /// A copy of a generation's memory ended.
+    615 RunCopied Info "run_copied" ["request", "from", "to", "outcome", "events"];
+    /// A generation was sent to the engine that holds a copy of its memory.
+    616 RunResumed Info "run_resumed" ["request", "from", "to", "outcome", "took_ms", "last_event"];
 }
 
 impl EventKind {
--- /dev/null
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -0,0 +1,23 @@
+//! Decisions of the forwarding role: routes, servers, placement, repeats and moves.
+//!
+//! Nothing here performs input or output; the names of the platform's protocol stay in the
+//! adapter crate, which decodes into the types of this module.
+
+mod budget;
+mod config;
+mod directory;
+mod moves;
+mod peers;
+mod placement;
+
+pub use budget::{BudgetParams, RepeatBudget};
+pub use config::{
+    CustomerRecord, EngineLimits, ForwardConfig, ForwardError, KeyCheck, RequestKind,
+    RequestLimits, RouteRule, RouteTarget, ServicePolicy,
+};
+pub use directory::{
+    DirectoryChange, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
+};
+pub use moves::{MoveParams, MovePlan, MoveStep};
+pub use peers::{LoadReport, PeerDigest, PeerTable, PeerTableParams, RemoteLoad};
+pub use placement::{PlacementParams, PlacementPolicy, PlacementRequest, RunWeight};
--- /dev/null
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -0,0 +1,112 @@
+//! Choice of the server for a request.
+//!
+//! Load pattern: many instances place short and long requests on few engines. Reports of the
+//! engines are stale and shared, so each instance adds up what it and its peers have sent.
+
+use super::directory::{ServerDirectory, ServerKey, ServerRecord};
+use super::peers::RemoteLoad;
+use crate::time::Timestamp;
+
+/// What a request will take at a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RunWeight {
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Output tokens that are expected.
+    pub output: u32,
+}
+
+/// Weights of the placement, in units of one whole server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementParams {
+    /// Cost of a full batch; a batch of 24 raises a step from 7 to 10 ms.
+    pub batch: f64,
+    /// Cost of one second of prompts that wait to be read.
+    pub prefill: f64,
+    /// Cost of another availability zone: its traffic is charged.
+    pub foreign_zone: f64,
+    /// Random part; keeps instances that see the same load from choosing alike.
+    pub jitter: f64,
+}
+
+impl Default for PlacementParams {
+    fn default() -> Self {
+        Self { batch: 0.5, prefill: 0.6, foreign_zone: 0.03, jitter: 0.06 }
+    }
+}
+
+/// A request to place.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementRequest<'a> {
+    /// Service that the request goes to.
+    pub service: &'a str,
+    /// Memory of one engine in tokens; `None` for plain services.
+    pub memory_tokens: Option<u32>,
+    /// What the request will take.
+    pub weight: RunWeight,
+    /// Servers that must not be chosen.
+    pub excluded: &'a [ServerKey],
+    /// The caller's availability zone.
+    pub zone: &'a str,
+}
+
+/// Prompt tokens that an engine reads in a second while others run.
+const PREFILL_TOKENS_PER_SECOND: f64 = 7_000.0;
+
+/// Chooses servers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlacementPolicy {
+    /// Weights of the choice.
+    pub params: PlacementParams,
+}
+
+impl PlacementPolicy {
+    /// Chooses the server with the least expected load. `remote` tells what peers sent to a
+    /// server and `draw` returns random numbers from 0 to 1.
+    ///
+    /// Servers with recent failures are used only when there is no other. Returns `None` when
+    /// no server of the service takes work.
+    pub fn choose(
+        &self,
+        now: Timestamp,
+        directory: &ServerDirectory,
+        request: &PlacementRequest<'_>,
+        remote: impl Fn(&ServerRecord) -> RemoteLoad,
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<ServerKey> {
+        let mut best: Option<(bool, f64, ServerKey)> = None;
+        for (key, record) in directory.candidates(request.service) {
+            if request.excluded.contains(&key) {
+                continue;
+            }
+            let score = self.score(request, record, remote(record)) + draw() * self.params.jitter;
+            let rank = (record.is_avoided(now), score, key);
+            if best.is_none_or(|best| (rank.0, rank.1) < (best.0, best.1)) {
+                best = Some(rank);
+            }
+        }
+        best.map(|(_, _, key)| key)
+    }
+
+    fn score(
+        &self,
+        request: &PlacementRequest<'_>,
+        record: &ServerRecord,
+        remote: RemoteLoad,
+    ) -> f64 {
+        let params = &self.params;
+        let running = f64::from(record.open_requests) + remote.requests;
+        let mut score = params.batch * running / f64::from(record.entry.slots.max(1));
+        if let Some(memory) = request.memory_tokens {
+            let own = f64::from(request.weight.prompt + request.weight.output);
+            let tokens = record.open_tokens as f64 + remote.tokens + own;
+            score += tokens / f64::from(memory.max(1));
+            let waiting = record.waiting_tokens as f64 + remote.waiting_tokens;
+            score += params.prefill * waiting / PREFILL_TOKENS_PER_SECOND;
+        }
+        if &*record.entry.zone != request.zone {
+            score += params.foreign_zone;
+        }
+        score
+    }
+}
--- a/medlarlanding-core/src/lib.rs
+++ b/medlarlanding-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod distribution;
 pub mod errors;
 pub mod events;
+pub mod forwarding;
 pub mod generations;
 pub mod handles;
 pub mod ids;
--- a/medlarlanding/src/cli.rs
+++ b/medlarlanding/src/cli.rs
@@ -19,6 +19,7 @@
 #[argh(subcommand)]
 pub enum Command {
     Serve(ServeOptions),
+    Forward(ForwardOptions),
     Check(CheckOptions),
     Dump(DumpOptions),
     Credential(CredentialOptions),
@@ -38,6 +39,20 @@
     pub settings: PathBuf,
 }
 
+/// serves callers of the Nile Fossil platform until SIGTERM
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "forward",
+    example = "medlarlanding forward --metrics-port 9464",
+    note = "The platform names the settings file in an environment variable."
+)]
+pub struct ForwardOptions {
+    /// port for metrics on the instance's own address; none by default
+    #[argh(option, default = "0")]
+    pub metrics_port: u16,
+}
+
 /// checks settings files and configuration trees; exit status 1 on a fault
 #[derive(FromArgs, Debug)]
 #[argh(
--- a/medlarlanding/src/commands.rs
+++ b/medlarlanding/src/commands.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use crate::backends::connection::ExchangeClient;
-use crate::cli::{CheckOptions, DumpOptions, ServeOptions};
+use crate::cli::{CheckOptions, DumpOptions, ForwardOptions, ServeOptions};
+use crate::forwarding::{self, RoleOptions};
 use crate::logging;
 use crate::serve;
 use crate::settings::InstanceSettings;
@@ -37,6 +38,16 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Runs the forwarding role.
+///
+/// # Errors
+///
+/// Fails on faulty settings or when the role ends abnormally.
+pub fn forward(options: &ForwardOptions) -> anyhow::Result<ExitCode> {
+    forwarding::run(RoleOptions { metrics_port: options.metrics_port })?;
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Checks files and prints every fault.
 ///
 /// # Errors
--- /dev/null
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -0,0 +1,732 @@
+//! Generations on model engines: one run per request, moved while its engine leaves.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::admit::{AdmittedRequest, retry_after};
+use super::answer::{
+    AnswerBody, CallerAnswer, OwnAnswer, StreamCut, TaskGuard, pass_on,
+};
+use super::exchange::{self, Exchange, ExchangeFault};
+use super::relay::server_request;
+use super::shared::{LoadGuard, SharedState};
+use super::stream_events::{EventSplitter, StreamPiece};
+use crate::logging::event;
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::forwarding::{
+    MovePlan, MoveStep, PlacementRequest, ServerEntry, ServerKey,
+};
+use medlarlanding_core::time::Timestamp;
+use medlarlanding_platform::engines::{self, RunCopy};
+use medlarlanding_platform::headers::{
+    AnswerProof, RunContinuation, check_answer, promises_not_run,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+
+/// Events that wait for a slow caller.
+const PIECE_BACKLOG: usize = 16;
+/// Servers that refuse or cannot be reached before the request is given up.
+const UNSENT_LIMIT: u32 = 4;
+/// Sends of a moved run before it is given up.
+const RESUME_LIMIT: u32 = 4;
+/// Pause before a moved run is sent again.
+const RESUME_PAUSE: Duration = Duration::from_millis(20);
+/// Longest answer to a call for a move in bytes.
+const MOVE_ANSWER_LIMIT: usize = 64 << 10;
+/// A call for a move waits for the copies before it; an engine's whole memory takes about 4 s
+/// to another zone.
+const MOVE_TIMEOUT: Duration = Duration::from_secs(5);
+/// After a run was stopped for a move its stream ends within this time.
+const STOP_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Serves a generation.
+pub async fn serve(state: &SharedState, admitted: AdmittedRequest) -> CallerAnswer {
+    let (head_sender, head) = oneshot::channel();
+    let id = admitted.id.clone();
+    let run = GenerationRun::new(Rc::clone(state), admitted);
+    let guard = TaskGuard(tokio::task::spawn_local(run.drive(head_sender)));
+    match head.await {
+        Ok(RunHead::Answer(answer)) => answer,
+        Ok(RunHead::Stream { status, headers, pieces }) => {
+            pass_on(status, &headers, AnswerBody::Streamed { pieces, _task: guard })
+        },
+        // The task ended without an answer, which only a defect can cause.
+        Err(_) => OwnAnswer::AnswerLost.answer(&id, None),
+    }
+}
+
+/// Beginning of the answer to a caller.
+enum RunHead {
+    Answer(CallerAnswer),
+    Stream {
+        status: StatusCode,
+        headers: hyper::HeaderMap,
+        pieces: mpsc::Receiver<Result<Bytes, StreamCut>>,
+    },
+}
+
+/// The engine that a run is on, with the connection that carries its stream.
+struct RunPlace {
+    key: ServerKey,
+    entry: ServerEntry,
+    body: Incoming,
+    _exchange: Exchange,
+    load: LoadGuard,
+}
+
+/// A copy of the run's memory at another engine.
+struct RunDestination {
+    key: ServerKey,
+    entry: ServerEntry,
+    /// Handle of the newest complete copy.
+    handle: Option<String>,
+}
+
+/// How a call for a move ended.
+enum MoveAnswer {
+    Copied(RunCopy),
+    /// The engine has no such run.
+    NoRun,
+    /// The engine refused; a run that was stopped can go on with the handle.
+    Refused(Option<String>),
+    /// No usable answer.
+    Failed,
+}
+
+/// A call for a move that is in progress.
+struct MoveCall {
+    is_last: bool,
+    task: JoinHandle<MoveAnswer>,
+}
+
+impl Drop for MoveCall {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// What ended the reading of a stream.
+enum StreamEnd {
+    /// The stream is complete.
+    Complete,
+    /// The connection broke.
+    Broken,
+    /// The run was stopped to go on elsewhere.
+    Stopped,
+    /// The time ran out.
+    Late,
+    /// The caller has left.
+    CallerGone,
+}
+
+struct GenerationRun {
+    state: SharedState,
+    admitted: AdmittedRequest,
+    changes: watch::Receiver<u64>,
+    splitter: EventSplitter,
+    /// Id of the last event passed on.
+    last_event: Option<String>,
+    events: u64,
+    moves: u32,
+    last_piece_at: Timestamp,
+    /// Largest pause between events.
+    longest_gap: Duration,
+    first_after: Option<Duration>,
+}
+
+impl GenerationRun {
+    fn new(state: SharedState, admitted: AdmittedRequest) -> Self {
+        let changes = state.directory_changes();
+        let now = state.now();
+        Self {
+            state,
+            admitted,
+            changes,
+            splitter: EventSplitter::default(),
+            last_event: None,
+            events: 0,
+            moves: 0,
+            last_piece_at: now,
+            longest_gap: Duration::ZERO,
+            first_after: None,
+        }
+    }
+
+    async fn drive(mut self, head: oneshot::Sender<RunHead>) {
+        self.state.record_request(&self.admitted.service);
+        let (place, status, server_headers) = match self.start().await {
+            Ok(started) => started,
+            Err(StartEnd::Own(refusal)) => {
+                let answer =
+                    refusal.answer(&self.admitted.id, retry_after(refusal, &self.state));
+                self.finish(refusal.code(), answer.status().as_u16(), "");
+                // A caller that has left needs no answer.
+                let _ = head.send(RunHead::Answer(answer));
+                return;
+            },
+            Err(StartEnd::Server(answer, server)) => {
+                self.finish("answered", answer.status().as_u16(), &server);
+                let _ = head.send(RunHead::Answer(answer));
+                return;
+            },
+        };
+        let (sender, pieces) = mpsc::channel(PIECE_BACKLOG);
+        if head.send(RunHead::Stream { status, headers: server_headers, pieces }).is_err() {
+            self.finish("caller_gone", 0, &place.entry.id);
+            return;
+        }
+        self.stream(place, status, sender).await;
+    }
+
+    async fn start(
+        &mut self,
+    ) -> Result<(RunPlace, StatusCode, hyper::HeaderMap), StartEnd> {
+        let mut tried: Vec<ServerKey> = Vec::new();
+        loop {
+            let now = self.state.now();
+            let time_left = self.admitted.time_left(now);
+            if time_left.is_zero() {
+                return Err(StartEnd::Own(OwnAnswer::LateUnsent));
+            }
+            let Some((key, entry)) = self.choose(&tried) else {
+                let refusal =
+                    if tried.is_empty() { OwnAnswer::NoServer } else { OwnAnswer::ServersFull };
+                return Err(StartEnd::Own(refusal));
+            };
+            if !tried.is_empty() && !self.state.try_repeat(&self.admitted.service) {
+                return Err(StartEnd::Own(OwnAnswer::ServersFull));
+            }
+            tried.push(key);
+            let load = LoadGuard::begin(&self.state, key, self.admitted.weight);
+            let request = server_request(
+                &self.admitted,
+                &entry.id,
+                time_left,
+                Some(self.admitted.priority),
+                None,
+            );
+            let sent = exchange::send(entry.address, request, time_left).await;
+            let elapsed = self.state.now().since(now);
+            let outcome = match &sent {
+                Ok((response, _)) => response.status().as_str().to_owned(),
+                Err(fault) => format!("{fault:?}"),
+            };
+            event(EventKind::RequestSent, &[
+                &self.admitted.id,
+                &self.admitted.rule.name,
+                &entry.id,
+                &tried.len(),
+                &time_left.as_millis(),
+                &outcome,
+                &elapsed.as_millis(),
+                &self.admitted.config_version,
+            ]);
+            let (response, exchange) = match sent {
+                Ok(sent) => sent,
+                Err(ExchangeFault::NotConnected) => {
+                    self.note_failure(key, &entry, "not_connected");
+                    if tried.len() as u32 >= UNSENT_LIMIT {
+                        return Err(StartEnd::Own(OwnAnswer::ServersFull));
+                    }
+                    continue;
+                },
+                Err(ExchangeFault::Broken) => {
+                    self.note_failure(key, &entry, "broken");
+                    return Err(StartEnd::Own(OwnAnswer::AnswerLost));
+                },
+                Err(ExchangeFault::TimedOut) => {
+                    self.note_failure(key, &entry, "timed_out");
+                    return Err(StartEnd::Own(OwnAnswer::LateSent));
+                },
+            };
+            let (parts, body) = response.into_parts();
+            match check_answer(parts.status, &parts.headers, &self.admitted.id) {
+                AnswerProof::NotRun => {
+                    if tried.len() as u32 >= UNSENT_LIMIT {
+                        return Err(StartEnd::Own(OwnAnswer::ServersFull));
+                    }
+                    continue;
+                },
+                AnswerProof::Foreign => return Err(StartEnd::Own(OwnAnswer::AnswerLost)),
+                AnswerProof::Stamped | AnswerProof::Unstamped => {},
+            }
+            if promises_not_run(parts.status) {
+                return Err(StartEnd::Own(OwnAnswer::AnswerLost));
+            }
+            if !parts.status.is_success() {
+                let answer = self.whole_answer(parts.status, &parts.headers, body).await;
+                return Err(answer.map_or(StartEnd::Own(OwnAnswer::AnswerLost), |answer| {
+                    StartEnd::Server(answer, entry.id.to_string())
+                }));
+            }
+            self.state.directory.borrow_mut().record_success(key);
+            let place = RunPlace { key, entry, body, _exchange: exchange, load };
+            return Ok((place, parts.status, parts.headers));
+        }
+    }
+
+    /// Reads a whole answer that is not a stream.
+    async fn whole_answer(
+        &self,
+        status: StatusCode,
+        server_headers: &hyper::HeaderMap,
+        body: Incoming,
+    ) -> Option<CallerAnswer> {
+        let left = self.admitted.time_left(self.state.now());
+        let reading = Limited::new(body, MOVE_ANSWER_LIMIT).collect();
+        let collected = tokio::time::timeout(left, reading).await.ok()?.ok()?;
+        Some(pass_on(status, server_headers, AnswerBody::Whole(Some(collected.to_bytes()))))
+    }
+
+    fn note_failure(&self, key: ServerKey, entry: &ServerEntry, fault: &'static str) {
+        self.state.telemetry.faults.with_label_values(&[fault]).inc();
+        if self.state.directory.borrow_mut().record_failure(self.state.now(), key) {
+            event(EventKind::ServerSuspected, &[&entry.id, &fault]);
+        }
+    }
+
+    fn choose(&self, excluded: &[ServerKey]) -> Option<(ServerKey, ServerEntry)> {
+        let key = self.state.place(&PlacementRequest {
+            service: &self.admitted.service,
+            memory_tokens: self.admitted.engine.map(|engine| engine.memory_tokens),
+            weight: self.admitted.weight,
+            excluded,
+            zone: &self.state.settings.zone,
+        })?;
+        let entry = self.state.directory.borrow().get(key)?.entry.clone();
+        Some((key, entry))
+    }
+
+    /// Passes the stream on, from one engine to the next, until it ends.
+    async fn stream(
+        mut self,
+        mut place: RunPlace,
+        status: StatusCode,
+        sender: mpsc::Sender<Result<Bytes, StreamCut>>,
+    ) {
+        loop {
+            let mut destination = None;
+            let end = self.read_until_end(&mut place, &sender, &mut destination).await;
+            let server = place.entry.id.to_string();
+            let outcome = match end {
+                StreamEnd::Complete => "complete",
+                StreamEnd::CallerGone => "caller_gone",
+                StreamEnd::Late => "late",
+                StreamEnd::Broken | StreamEnd::Stopped => {
+                    match self.resume(place, destination, matches!(end, StreamEnd::Stopped)).await {
+                        Some(next) => {
+                            place = next;
+                            continue;
+                        },
+                        None => "broken",
+                    }
+                },
+            };
+            if matches!(outcome, "broken" | "late") {
+                // The caller sees a connection that closes before the end of the body.
+                let _ = sender.send(Err(StreamCut)).await;
+            }
+            self.finish(outcome, status.as_u16(), &server);
+            return;
+        }
+    }
+
+    async fn read_until_end(
+        &mut self,
+        place: &mut RunPlace,
+        sender: &mpsc::Sender<Result<Bytes, StreamCut>>,
+        destination: &mut Option<RunDestination>,
+    ) -> StreamEnd {
+        let mut plan: Option<MovePlan> = None;
+        let mut call: Option<MoveCall> = None;
+        let mut refused: Vec<ServerKey> = vec![place.key];
+        loop {
+            let now = self.state.now();
+            if plan.is_none() {
+                plan = self.notice(place);
+            }
+            let mut wake_at = self.admitted.deadline;
+            if let (Some(plan), None) = (&mut plan, &call) {
+                match plan.next(now) {
+                    MoveStep::Stay => {},
+                    MoveStep::Wait(until) => wake_at = wake_at.min(until),
+                    MoveStep::Copy => {
+                        call = self.begin_copy(place, destination, &refused);
+                        plan.copy_begun();
+                        if call.is_none() {
+                            plan.copy_failed(now);
+                        }
+                        continue;
+                    },
+                    MoveStep::Finish => {
+                        if let Some(target) = &destination {
+                            call = Some(self.call_move(place, target.entry.address, true));
+                        }
+                    },
+                }
+            }
+            let answered = tokio::select! {
+                biased;
+                frame = place.body.frame() => {
+                    match frame {
+                        Some(Ok(frame)) => {
+                            let Ok(data) = frame.into_data() else { continue };
+                            if !self.splitter.push(&data) {
+                                return StreamEnd::Broken;
+                            }
+                            while let Some(piece) = self.splitter.next_piece() {
+                                if !self.pass_on(place, sender, piece).await {
+                                    return StreamEnd::CallerGone;
+                                }
+                            }
+                            continue;
+                        },
+                        Some(Err(_)) => {
+                            return match call.take() {
+                                Some(call) => self.await_move(call, destination).await,
+                                None => StreamEnd::Broken,
+                            };
+                        },
+                        None => {
+                            let rest = self.splitter.take_rest();
+                            if let Some(call) = call.take_if(|call| call.is_last) {
+                                if !rest.is_empty() {
+                                    return StreamEnd::Broken;
+                                }
+                                return self.await_move(call, destination).await;
+                            }
+                            if !rest.is_empty() && sender.send(Ok(rest)).await.is_err() {
+                                return StreamEnd::CallerGone;
+                            }
+                            return StreamEnd::Complete;
+                        },
+                    }
+                },
+                answer = wait_for_move(&mut call), if call.is_some() => answer,
+                _ = self.changes.changed(), if plan.is_none() => continue,
+                () = sender.closed() => return StreamEnd::CallerGone,
+                () = sleep_until(&self.state, wake_at) => {
+                    if self.state.now() >= self.admitted.deadline {
+                        return StreamEnd::Late;
+                    }
+                    continue;
+                },
+            };
+            let is_last = call.take().is_some_and(|call| call.is_last);
+            let Some(plan) = &mut plan else { continue };
+            match answered {
+                MoveAnswer::Copied(copy) => {
+                    let target = destination.as_mut();
+                    event(EventKind::RunCopied, &[
+                        &self.admitted.id,
+                        &place.entry.id,
+                        &target.as_ref().map_or("", |target| &target.entry.id),
+                        &if is_last { "last" } else { "copied" },
+                        &self.events,
+                    ]);
+                    if let Some(target) = target {
+                        target.handle = Some(copy.handle);
+                    }
+                    plan.copy_done();
+                    if is_last {
+                        return self.drain_stopped(place, sender).await;
+                    }
+                },
+                MoveAnswer::NoRun | MoveAnswer::Failed | MoveAnswer::Refused(None) => {
+                    let reason = if matches!(answered, MoveAnswer::NoRun) { "no_run" } else { "failed" };
+                    self.note_move(place, destination, reason);
+                    if let Some(target) = destination.take_if(|_| !is_last) {
+                        refused.push(target.key);
+                    }
+                    plan.copy_failed(self.state.now());
+                },
+                MoveAnswer::Refused(Some(handle)) => {
+                    self.note_move(place, destination, "refused");
+                    if is_last {
+                        // The run was stopped and its source keeps the memory.
+                        *destination = Some(RunDestination {
+                            key: place.key,
+                            entry: place.entry.clone(),
+                            handle: Some(handle),
+                        });
+                        return self.drain_stopped(place, sender).await;
+                    }
+                    if let Some(target) = destination.take() {
+                        refused.push(target.key);
+                    }
+                    plan.copy_failed(self.state.now());
+                },
+            }
+        }
+    }
+
+    /// Begins a plan if the engine leaves and its runs can be moved.
+    fn notice(&self, place: &RunPlace) -> Option<MovePlan> {
+        let can_move = self.admitted.engine.is_some_and(|engine| engine.can_move);
+        let leaving = self.state.directory.borrow().get(place.key)?.leaving_since?;
+        (can_move && self.events > 0).then(|| MovePlan::new(self.state.move_params, leaving))
+    }
+
+    fn begin_copy(
+        &self,
+        place: &RunPlace,
+        destination: &mut Option<RunDestination>,
+        refused: &[ServerKey],
+    ) -> Option<MoveCall> {
+        if !self.state.try_repeat(&self.admitted.service) {
+            return None;
+        }
+        let (key, entry) = self.choose(refused)?;
+        let address = entry.address;
+        event(EventKind::MoveBegun, &[
+            &self.admitted.id,
+            &place.entry.id,
+            &entry.id,
+            &self.events,
+        ]);
+        *destination = Some(RunDestination { key, entry, handle: None });
+        Some(self.call_move(place, address, false))
+    }
+
+    fn call_move(
+        &self,
+        place: &RunPlace,
+        to: std::net::SocketAddr,
+        is_last: bool,
+    ) -> MoveCall {
+        let source = place.entry.address;
+        let body = engines::move_body(&self.admitted.id, to, is_last);
+        let task = tokio::task::spawn_local(async move { move_run(source, body).await });
+        MoveCall { is_last, task }
+    }
+
+    fn note_move(
+        &self,
+        place: &RunPlace,
+        destination: &Option<RunDestination>,
+        outcome: &'static str,
+    ) {
+        self.state.telemetry.moves.with_label_values(&[outcome]).inc();
+        event(EventKind::RunCopied, &[
+            &self.admitted.id,
+            &place.entry.id,
+            &destination.as_ref().map_or("", |target| &target.entry.id),
+            &outcome,
+            &self.events,
+        ]);
+    }
+
+    /// Waits for a move whose stream has already ended.
+    async fn await_move(
+        &mut self,
+        mut call: MoveCall,
+        destination: &mut Option<RunDestination>,
+    ) -> StreamEnd {
+        let answer = tokio::time::timeout(MOVE_TIMEOUT, &mut call.task).await;
+        if let Ok(Ok(MoveAnswer::Copied(copy))) = answer
+            && let Some(target) = destination
+        {
+            target.handle = Some(copy.handle);
+            return StreamEnd::Stopped;
+        }
+        StreamEnd::Broken
+    }
+
+    /// Passes on what a stopped run had made.
+    async fn drain_stopped(
+        &mut self,
+        place: &mut RunPlace,
+        sender: &mpsc::Sender<Result<Bytes, StreamCut>>,
+    ) -> StreamEnd {
+        let draining = async {
+            while let Some(Ok(frame)) = place.body.frame().await {
+                let Ok(data) = frame.into_data() else { continue };
+                if !self.splitter.push(&data) {
+                    break;
+                }
+                while let Some(piece) = self.splitter.next_piece() {
+                    if !self.pass_on(place, sender, piece).await {
+                        return StreamEnd::CallerGone;
+                    }
+                }
+            }
+            StreamEnd::Stopped
+        };
+        tokio::time::timeout(STOP_TIMEOUT, draining).await.unwrap_or(StreamEnd::Stopped)
+    }
+
+    /// Continues a run with a copy of its memory.
+    async fn resume(
+        &mut self,
+        place: RunPlace,
+        destination: Option<RunDestination>,
+        is_stopped: bool,
+    ) -> Option<RunPlace> {
+        let RunPlace { key: source_key, entry: source, load, .. } = place;
+        drop(load);
+        self.splitter = EventSplitter::default();
+        let RunDestination { key, entry, handle } = destination?;
+        let continuation = RunContinuation {
+            source: source.address,
+            handle: handle?,
+            last_event: self.last_event.clone(),
+        };
+        let mut targets = vec![(key, entry)];
+        if is_stopped && key != source_key {
+            targets.push((source_key, source.clone()));
+        }
+        for attempt in 0..RESUME_LIMIT {
+            let (key, entry) = &targets[attempt as usize % targets.len()];
+            let now = self.state.now();
+            let time_left = self.admitted.time_left(now);
+            if time_left.is_zero() {
+                return None;
+            }
+            let load = LoadGuard::begin(&self.state, *key, self.admitted.weight);
+            let request = server_request(
+                &self.admitted,
+                &entry.id,
+                time_left,
+                Some(self.admitted.priority),
+                Some(&continuation),
+            );
+            let sent = exchange::send(entry.address, request, time_left).await;
+            let outcome = match &sent {
+                Ok((response, _)) => response.status().as_str().to_owned(),
+                Err(fault) => format!("{fault:?}"),
+            };
+            event(EventKind::RunResumed, &[
+                &self.admitted.id,
+                &source.id,
+                &entry.id,
+                &outcome,
+                &self.state.now().since(now).as_millis(),
+                &self.last_event.as_deref().unwrap_or(""),
+            ]);
+            match sent {
+                Ok((response, exchange)) => {
+                    let (parts, body) = response.into_parts();
+                    let proof = check_answer(parts.status, &parts.headers, &self.admitted.id);
+                    if parts.status.is_success() && proof != AnswerProof::Foreign {
+                        self.moves += 1;
+                        self.state.telemetry.moves.with_label_values(&["resumed"]).inc();
+                        let entry = entry.clone();
+                        return Some(RunPlace { key: *key, entry, body, _exchange: exchange, load });
+                    }
+                    if proof != AnswerProof::NotRun {
+                        return None;
+                    }
+                },
+                Err(ExchangeFault::NotConnected) => {},
+                Err(_) => return None,
+            }
+            tokio::time::sleep(RESUME_PAUSE).await;
+        }
+        None
+    }
+
+    /// Passes one event on. Returns false if the caller has left.
+    async fn pass_on(
+        &mut self,
+        place: &mut RunPlace,
+        sender: &mpsc::Sender<Result<Bytes, StreamCut>>,
+        piece: StreamPiece,
+    ) -> bool {
+        if let (Some(id), Some(last)) = (&piece.id, &self.last_event)
+            && let (Ok(id), Ok(last)) = (id.parse::<u64>(), last.parse::<u64>())
+            && id <= last
+        {
+            return true;
+        }
+        let now = self.state.now();
+        if self.events == 0 {
+            let first = now.since(self.admitted.arrived_at);
+            self.state.telemetry.first_answer.observe(first.as_secs_f64());
+            self.first_after = Some(first);
+        } else {
+            let gap = now.since(self.last_piece_at);
+            self.state.telemetry.event_gap.observe(gap.as_secs_f64());
+            self.longest_gap = self.longest_gap.max(gap);
+        }
+        place.load.begun();
+        place.load.grow(TOKENS_PER_EVENT);
+        self.last_piece_at = now;
+        self.events += 1;
+        if piece.id.is_some() {
+            self.last_event = piece.id;
+        }
+        sender.send(Ok(piece.bytes)).await.is_ok()
+    }
+
+    fn finish(&self, outcome: &str, status: u16, server: &str) {
+        self.state.telemetry.requests.with_label_values(&["stream", outcome]).inc();
+        event(EventKind::GenerationFinished, &[
+            &self.admitted.id,
+            &self.admitted.rule.name,
+            &outcome,
+            &status,
+            &server,
+            &self.events,
+            &self.moves,
+            &self.first_after.map_or(0, |first| first.as_millis()),
+            &self.longest_gap.as_millis(),
+            &self.state.now().since(self.admitted.arrived_at).as_millis(),
+        ]);
+    }
+}
+
+/// Tokens of one event where the configuration does not say; engines of today's installations
+/// put four into each.
+const TOKENS_PER_EVENT: u64 = 4;
+
+/// Why a run did not start.
+enum StartEnd {
+    Own(OwnAnswer),
+    Server(CallerAnswer, String),
+}
+
+async fn wait_for_move(call: &mut Option<MoveCall>) -> MoveAnswer {
+    match call {
+        Some(call) => (&mut call.task).await.unwrap_or(MoveAnswer::Failed),
+        None => std::future::pending().await,
+    }
+}
+
+async fn sleep_until(state: &SharedState, until: Timestamp) {
+    tokio::time::sleep(until.since(state.now())).await;
+}
+
+async fn move_run(source: std::net::SocketAddr, body: Vec<u8>) -> MoveAnswer {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = hyper::Uri::from_static(engines::MOVE_PATH);
+    let request_headers = request.headers_mut();
+    request_headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Ok(host) = HeaderValue::from_str(&source.to_string()) {
+        request_headers.insert(HOST, host);
+    }
+    let Ok((response, _exchange)) = exchange::send(source, request, MOVE_TIMEOUT).await else {
+        return MoveAnswer::Failed;
+    };
+    let status = response.status();
+    let reading = Limited::new(response.into_body(), MOVE_ANSWER_LIMIT).collect();
+    let Ok(Ok(body)) = tokio::time::timeout(MOVE_TIMEOUT, reading).await else {
+        return MoveAnswer::Failed;
+    };
+    let copy = engines::decode_copy(&body.to_bytes());
+    match (status, copy) {
+        (StatusCode::OK, Ok(copy)) => MoveAnswer::Copied(copy),
+        (StatusCode::NOT_FOUND, _) => MoveAnswer::NoRun,
+        (StatusCode::SERVICE_UNAVAILABLE, copy) => {
+            MoveAnswer::Refused(copy.ok().map(|copy| copy.handle))
+        },
+        _ => MoveAnswer::Failed,
+    }
+}
--- /dev/null
+++ b/medlarlanding/src/forwarding/listener.rs
@@ -0,0 +1,142 @@
+//! Listeners: callers, the balancer's readiness question and metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::admit;
+use super::answer::AnswerBody;
+use super::exchange::tune_socket;
+use super::shared::SharedState;
+use medlarlanding_platform::engines::READINESS_PATH;
+
+use anyhow::Context;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Time for a request's head, and idle time of a connection, before a configuration states it.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+/// Idle connections are kept a little longer than the limit, so that a request that was sent
+/// within it is still read.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Smallest buffer that the HTTP library takes.
+const LEAST_HEAD_BUFFER: usize = 8192;
+/// Pause after a failed accept, for example when no descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address).with_context(|| format!("cannot bind {address}"))?;
+    Ok(socket.listen(BACKLOG)?)
+}
+
+/// Accepts callers until the process ends.
+pub async fn serve_callers(
+    listener: TcpListener,
+    state: SharedState,
+    stop: watch::Receiver<bool>,
+) -> anyhow::Result<()> {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_caller(stream, Rc::clone(&state), stop.clone()));
+            },
+            Err(error) => {
+                log::warn!("a connection was not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            },
+        }
+    }
+}
+
+async fn serve_caller(stream: TcpStream, state: SharedState, mut stop: watch::Receiver<bool>) {
+    tune_socket(&stream);
+    let config = state.config();
+    let limits = config.as_ref().map(|in_force| in_force.config.limits);
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle) + IDLE_MARGIN;
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(idle);
+    if let Some(limits) = limits {
+        builder.max_buf_size(limits.header_bytes.max(LEAST_HEAD_BUFFER));
+    }
+    let service = service_fn(move |request| admit::serve(Rc::clone(&state), request));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = stop.wait_for(|stopping| *stopping) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        },
+    };
+    if let Err(error) = result {
+        log::debug!("connection of a caller ended: {error}");
+    }
+}
+
+/// Answers the balancer.
+pub async fn serve_readiness(listener: TcpListener, state: SharedState) -> anyhow::Result<()> {
+    serve_small(listener, move |path| {
+        let is_ready = state.config_version() > 0 && !state.is_draining.get();
+        if path != READINESS_PATH {
+            return (StatusCode::NOT_FOUND, Vec::new());
+        }
+        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        (status, Vec::new())
+    })
+    .await
+}
+
+/// Serves metrics.
+pub async fn serve_metrics(listener: TcpListener, state: SharedState) -> anyhow::Result<()> {
+    serve_small(listener, move |path| match (path, state.telemetry.render()) {
+        ("/metrics", Ok(text)) => (StatusCode::OK, text),
+        ("/metrics", Err(error)) => {
+            (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes())
+        },
+        _ => (StatusCode::NOT_FOUND, Vec::new()),
+    })
+    .await
+}
+
+async fn serve_small(
+    listener: TcpListener,
+    answer: impl Fn(&str) -> (StatusCode, Vec<u8>) + Clone + 'static,
+) -> anyhow::Result<()> {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let answer = answer.clone();
+        tokio::task::spawn_local(async move {
+            tune_socket(&stream);
+            let service = service_fn(|request: Request<Incoming>| {
+                let (status, body) = answer(request.uri().path());
+                let mut response = Response::new(AnswerBody::Whole(Some(Bytes::from(body))));
+                *response.status_mut() = status;
+                std::future::ready(Ok::<_, Infallible>(response))
+            });
+            let mut builder = http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(DEFAULT_IDLE);
+            if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+                log::debug!("connection of an operator ended: {error}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -0,0 +1,23 @@
+//! Forwarding role: serves callers of the platform and sends their requests to its servers.
+//!
+//! A request comes in at `listener`, is checked in `admit`, and is sent by `relay` (plain
+//! services) or `generation` (model engines) over an `exchange`. `store_watch` and `peer_link`
+//! keep the configuration and the servers current.
+
+mod admit;
+mod answer;
+mod exchange;
+mod generation;
+mod listener;
+mod log_output;
+mod peer_link;
+mod relay;
+mod role;
+mod shared;
+mod store_client;
+mod store_watch;
+mod stream_events;
+mod telemetry;
+
+pub use role::{RoleOptions, run};
+pub use stream_events::{EventSplitter, StreamPiece};
--- /dev/null
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -0,0 +1,323 @@
+//! Requests to plain services: at most once for unsafe ones, repeated where that is allowed.
+
+use std::time::Duration;
+
+use super::admit::{AdmittedRequest, retry_after};
+use super::answer::{AnswerBody, CallerAnswer, OwnAnswer, StreamCut, TaskGuard, pass_on};
+use super::exchange::{self, Exchange, ExchangeFault};
+use super::shared::{LoadGuard, SharedState};
+use crate::logging::event;
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::forwarding::{PlacementRequest, RequestKind, ServerKey};
+use medlarlanding_platform::headers::{
+    self, AnswerProof, RunContinuation, SendHeaders, check_answer, promises_not_run,
+};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use tokio::sync::mpsc;
+
+/// Answers up to this size are collected before they are passed on, so that one that breaks off
+/// can be replaced. Answers of the measured services have at most 4,800 bytes.
+const COLLECT_LIMIT: usize = 64 << 10;
+/// Pieces of a longer answer that wait for a slow caller.
+const PIECE_BACKLOG: usize = 8;
+/// Servers that refuse or cannot be reached before the request is given up.
+const UNSENT_LIMIT: u32 = 4;
+/// A send with less time than this is not worth a server's work.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+/// Part of the time left that one server gets for a safe request while another may be asked.
+const SAFE_TIME_DIVISOR: u32 = 2;
+/// A server gets at least this multiple of the route's objective for a safe request.
+const SAFE_TIME_OBJECTIVES: u32 = 3;
+
+/// Outcome of one send.
+enum SendOutcome {
+    /// A whole answer, or the beginning of a long one.
+    Answered(StatusCode, HeaderMap, AnswerBody),
+    /// The server did not run the request and never will.
+    NotRun,
+    /// Nothing reached the server.
+    NotConnected,
+    /// The request may have run.
+    Lost(ExchangeFault),
+}
+
+impl SendOutcome {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(..) => "answered",
+            Self::NotRun => "not_run",
+            Self::NotConnected => "not_connected",
+            Self::Lost(ExchangeFault::TimedOut) => "timed_out",
+            Self::Lost(_) => "broken",
+        }
+    }
+}
+
+/// Builds the request for a server.
+pub fn server_request(
+    admitted: &AdmittedRequest,
+    server: &str,
+    time_left: Duration,
+    priority: Option<u8>,
+    continuation: Option<&RunContinuation>,
+) -> Request<Full<Bytes>> {
+    let send = SendHeaders {
+        server,
+        time_left,
+        customer: admitted.customer.as_deref(),
+        priority,
+        continuation,
+    };
+    let mut request = Request::new(Full::new(admitted.body.clone()));
+    *request.method_mut() = admitted.method.clone();
+    *request.uri_mut() = admitted.uri.clone();
+    *request.headers_mut() = headers::server_headers(&admitted.headers, &send);
+    request
+}
+
+/// Serves a request to a plain service.
+pub async fn serve(state: &SharedState, admitted: AdmittedRequest) -> CallerAnswer {
+    let is_safe = admitted.rule.kind.is_repeatable();
+    let kind = if is_safe { "safe" } else { "unsafe" };
+    let mut tried: Vec<ServerKey> = Vec::new();
+    // Servers at which the request may have run.
+    let mut run_at = 0;
+    let mut unsent = 0;
+    let mut fallback: Option<(StatusCode, HeaderMap, AnswerBody)> = None;
+    let mut last_server = String::new();
+    state.record_request(&admitted.service);
+    let (outcome, answer) = loop {
+        let now = state.now();
+        let time_left = admitted.time_left(now);
+        if time_left < LEAST_TIME {
+            break give_up(fallback, if run_at > 0 { OwnAnswer::LateSent } else { OwnAnswer::LateUnsent });
+        }
+        let placed = state.place(&PlacementRequest {
+            service: &admitted.service,
+            memory_tokens: None,
+            weight: admitted.weight,
+            excluded: &tried,
+            zone: &state.settings.zone,
+        });
+        let Some(key) = placed else {
+            let refusal = match (run_at, unsent) {
+                (0, 0) => OwnAnswer::NoServer,
+                (0, _) => OwnAnswer::ServersFull,
+                _ => OwnAnswer::AnswerLost,
+            };
+            break give_up(fallback, refusal);
+        };
+        let is_repeat = !tried.is_empty();
+        if is_repeat && !state.try_repeat(&admitted.service) {
+            break give_up(fallback, unanswered(run_at));
+        }
+        tried.push(key);
+        let limit = if is_safe && admitted.rule.max_servers > run_at + 1 {
+            let share = time_left / SAFE_TIME_DIVISOR;
+            share.max(admitted.rule.objective * SAFE_TIME_OBJECTIVES).min(time_left)
+        } else {
+            time_left
+        };
+        let (server, outcome) = send_once(state, &admitted, key, time_left, limit).await;
+        event(EventKind::RequestSent, &[
+            &admitted.id,
+            &admitted.rule.name,
+            &server,
+            &tried.len(),
+            &(time_left.as_millis()),
+            &outcome.name(),
+            &(state.now().since(now).as_millis()),
+            &admitted.config_version,
+        ]);
+        last_server = server;
+        match outcome {
+            SendOutcome::Answered(status, server_headers, body) => {
+                run_at += 1;
+                let may_repeat = is_safe && run_at < admitted.rule.max_servers;
+                if status.is_server_error() && may_repeat {
+                    state.telemetry.repeats.with_label_values(&["server_error"]).inc();
+                    fallback = Some((status, server_headers, body));
+                    continue;
+                }
+                break ("answered", Answer::Server(pass_on(status, &server_headers, body)));
+            },
+            SendOutcome::NotRun | SendOutcome::NotConnected => {
+                state.telemetry.repeats.with_label_values(&["not_run"]).inc();
+                unsent += 1;
+                if unsent >= UNSENT_LIMIT {
+                    break give_up(fallback, unanswered(run_at));
+                }
+            },
+            SendOutcome::Lost(fault) => {
+                run_at += 1;
+                if is_safe && run_at < admitted.rule.max_servers {
+                    state.telemetry.repeats.with_label_values(&["lost"]).inc();
+                    continue;
+                }
+                let refusal = match fault {
+                    ExchangeFault::TimedOut => OwnAnswer::LateSent,
+                    ExchangeFault::NotConnected | ExchangeFault::Broken => OwnAnswer::AnswerLost,
+                };
+                break give_up(fallback, refusal);
+            },
+        }
+    };
+    let answer = match answer {
+        Answer::Server(answer) => answer,
+        Answer::Own(refusal) => refusal.answer(&admitted.id, retry_after(refusal, state)),
+    };
+    finish(state, &admitted, kind, outcome, &last_server, answer)
+}
+
+/// Who makes the answer to the caller.
+enum Answer {
+    Server(CallerAnswer),
+    Own(OwnAnswer),
+}
+
+fn unanswered(run_at: u32) -> OwnAnswer {
+    if run_at == 0 { OwnAnswer::ServersFull } else { OwnAnswer::AnswerLost }
+}
+
+fn finish(
+    state: &SharedState,
+    admitted: &AdmittedRequest,
+    kind: &str,
+    outcome: &str,
+    server: &str,
+    answer: CallerAnswer,
+) -> CallerAnswer {
+    let elapsed = state.now().since(admitted.arrived_at);
+    state.telemetry.first_answer.observe(elapsed.as_secs_f64());
+    state.telemetry.requests.with_label_values(&[kind, outcome]).inc();
+    event(EventKind::RequestFinished, &[
+        &admitted.id,
+        &admitted.rule.name,
+        &kind,
+        &outcome,
+        &answer.status().as_u16(),
+        &server,
+        &elapsed.as_millis(),
+    ]);
+    answer
+}
+
+/// Uses an earlier answer of a server where there is one.
+fn give_up(
+    fallback: Option<(StatusCode, HeaderMap, AnswerBody)>,
+    refusal: OwnAnswer,
+) -> (&'static str, Answer) {
+    match fallback {
+        Some((status, server_headers, body)) => {
+            ("answered", Answer::Server(pass_on(status, &server_headers, body)))
+        },
+        None => (refusal.code(), Answer::Own(refusal)),
+    }
+}
+
+async fn send_once(
+    state: &SharedState,
+    admitted: &AdmittedRequest,
+    key: ServerKey,
+    time_left: Duration,
+    limit: Duration,
+) -> (String, SendOutcome) {
+    let target = state.directory.borrow().get(key).map(|record| record.entry.clone());
+    let Some(entry) = target else { return (String::new(), SendOutcome::NotConnected) };
+    let _load = LoadGuard::begin(state, key, admitted.weight);
+    let request = server_request(admitted, &entry.id, time_left, None, None);
+    let started = state.now();
+    let sent = exchange::send(entry.address, request, limit).await;
+    let outcome = match sent {
+        Ok((response, exchange)) => {
+            let left = limit.saturating_sub(state.now().since(started));
+            read_answer(admitted, response, exchange, left).await
+        },
+        Err(ExchangeFault::NotConnected) => SendOutcome::NotConnected,
+        Err(fault) => SendOutcome::Lost(fault),
+    };
+    let mut directory = state.directory.borrow_mut();
+    match &outcome {
+        SendOutcome::Answered(status, ..) if !status.is_server_error() => {
+            directory.record_success(key);
+        },
+        SendOutcome::Answered(..) | SendOutcome::NotRun => {},
+        SendOutcome::NotConnected | SendOutcome::Lost(_) => {
+            state.telemetry.faults.with_label_values(&[outcome.name()]).inc();
+            if directory.record_failure(state.now(), key) {
+                event(EventKind::ServerSuspected, &[&entry.id, &outcome.name()]);
+            }
+        },
+    }
+    (entry.id.to_string(), outcome)
+}
+
+async fn read_answer(
+    admitted: &AdmittedRequest,
+    response: Response<Incoming>,
+    exchange: Exchange,
+    limit: Duration,
+) -> SendOutcome {
+    let (parts, body) = response.into_parts();
+    match check_answer(parts.status, &parts.headers, &admitted.id) {
+        AnswerProof::Foreign => return SendOutcome::Lost(ExchangeFault::Broken),
+        AnswerProof::NotRun => return SendOutcome::NotRun,
+        AnswerProof::Stamped | AnswerProof::Unstamped => {},
+    }
+    // A status that promises "not run" without the server's word for it promises too much for a
+    // request that must not run twice.
+    if promises_not_run(parts.status) && admitted.rule.kind != RequestKind::Safe {
+        return SendOutcome::Lost(ExchangeFault::Broken);
+    }
+    let collecting = collect(body, exchange);
+    match tokio::time::timeout(limit, collecting).await {
+        Ok(Ok(body)) => SendOutcome::Answered(parts.status, parts.headers, body),
+        Ok(Err(StreamCut)) => SendOutcome::Lost(ExchangeFault::Broken),
+        Err(_) => SendOutcome::Lost(ExchangeFault::TimedOut),
+    }
+}
+
+/// Collects a short body; the rest of a long one is passed on as it arrives.
+async fn collect(mut body: Incoming, exchange: Exchange) -> Result<AnswerBody, StreamCut> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| StreamCut)?;
+        if let Ok(data) = frame.into_data() {
+            collected.extend_from_slice(&data);
+        }
+        if collected.len() > COLLECT_LIMIT {
+            return Ok(stream_rest(collected.freeze(), body, exchange));
+        }
+    }
+    Ok(AnswerBody::Whole(Some(collected.freeze())))
+}
+
+fn stream_rest(beginning: Bytes, mut body: Incoming, exchange: Exchange) -> AnswerBody {
+    let (sender, pieces) = mpsc::channel(PIECE_BACKLOG);
+    let task = tokio::task::spawn_local(async move {
+        let _exchange = exchange;
+        let mut next = Some(Ok(beginning));
+        while let Some(piece) = next {
+            let is_cut = piece.is_err();
+            if sender.send(piece).await.is_err() || is_cut {
+                return;
+            }
+            next = loop {
+                match body.frame().await {
+                    Some(Ok(frame)) => {
+                        if let Ok(data) = frame.into_data() {
+                            break Some(Ok(data));
+                        }
+                    },
+                    Some(Err(_)) => break Some(Err(StreamCut)),
+                    None => break None,
+                }
+            };
+        }
+    });
+    AnswerBody::Streamed { pieces, _task: TaskGuard(task) }
+}
--- /dev/null
+++ b/medlarlanding/src/forwarding/role.rs
@@ -0,0 +1,175 @@
+//! Starts the forwarding role, watches its settings and stops it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::listener;
+use super::log_output::LogWriter;
+use super::peer_link;
+use super::shared::{ForwardState, SharedState};
+use super::store_watch::{self, WatchedPart};
+use super::telemetry::Telemetry;
+use crate::clock::wall_millis;
+use crate::logging::{self, event};
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::forwarding::{PeerTable, PeerTableParams};
+use medlarlanding_platform::settings::PlatformSettings;
+
+use anyhow::Context;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::LocalSet;
+
+/// The settings file is read again this often: it may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+/// The balancer asks once a second and takes an instance out after two misses.
+const ROTATION_TIME: Duration = Duration::from_millis(2500);
+/// The process ends this long before it would be killed, so that its last log lines are written.
+const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// Period in which a stopping process looks for requests in progress.
+const DRAIN_PERIOD: Duration = Duration::from_millis(50);
+/// Time for the log thread to write the last lines.
+const LOG_FLUSH: Duration = Duration::from_millis(30);
+
+/// Options of the command line.
+#[derive(Clone, Copy, Debug)]
+pub struct RoleOptions {
+    /// Port for metrics on the instance's own address; 0 serves none.
+    pub metrics_port: u16,
+}
+
+/// Runs the role until it is stopped.
+///
+/// # Errors
+///
+/// Fails on faulty settings, addresses that cannot be bound, or a task that failed.
+pub fn run(options: RoleOptions) -> anyhow::Result<()> {
+    let settings = PlatformSettings::read(&PlatformSettings::path())?;
+    logging::install_writer(Box::new(LogWriter::start()?), &settings.instance)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let result = LocalSet::new().block_on(&runtime, serve(settings, options));
+    if let Err(error) = &result {
+        event(EventKind::ChildGivenUp, &[&"forwarding", &format!("{error:#}")]);
+    }
+    std::thread::sleep(LOG_FLUSH);
+    result
+}
+
+async fn serve(settings: PlatformSettings, options: RoleOptions) -> anyhow::Result<()> {
+    let boot = wall_millis().max(1);
+    event(EventKind::ProcessStarted, &[
+        &settings.instance,
+        &settings.zone,
+        &boot,
+        &env!("CARGO_PKG_VERSION"),
+    ]);
+    let callers = listener::bind(settings.callers)?;
+    let readiness = listener::bind(settings.readiness)?;
+    let control = settings.control.map(listener::bind).transpose()?;
+    let fetches = listener::bind(settings.peers)?;
+    let digests = UdpSocket::bind(settings.peers)
+        .await
+        .with_context(|| format!("cannot bind {} (UDP)", settings.peers))?;
+    let metrics = match options.metrics_port {
+        0 => None,
+        port => Some(listener::bind(SocketAddr::new(settings.peers.ip(), port))?),
+    };
+    let grace = settings.stop_grace;
+    let peers =
+        PeerTable::new(PeerTableParams::default(), settings.peers, settings.seeds.clone());
+    let state = Rc::new(ForwardState::new(settings, boot, Telemetry::new()?, peers));
+    let (stop, stopping) = watch::channel(false);
+    let tasks = RoleTasks::new();
+    tasks.spawn("callers", listener::serve_callers(callers, Rc::clone(&state), stopping));
+    tasks.spawn("readiness", listener::serve_readiness(readiness, Rc::clone(&state)));
+    if let Some(control) = control {
+        tasks.spawn("control", listener::serve_readiness(control, Rc::clone(&state)));
+    }
+    if let Some(metrics) = metrics {
+        tasks.spawn("metrics", listener::serve_metrics(metrics, Rc::clone(&state)));
+    }
+    tasks.spawn("digests", peer_link::run_digests(Rc::new(digests), Rc::clone(&state)));
+    tasks.spawn("fetches", peer_link::serve_fetches(fetches, Rc::clone(&state)));
+    tasks.spawn("config", store_watch::run(Rc::clone(&state), WatchedPart::Config));
+    tasks.spawn("servers", store_watch::run(Rc::clone(&state), WatchedPart::Servers));
+    tasks.spawn("settings", watch_settings(Rc::clone(&state)));
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut failures = tasks.failures;
+    tokio::select! {
+        _ = terminate.recv() => drain(&state, &stop, grace).await,
+        Some(error) = failures.recv() => return Err(error),
+    }
+    Ok(())
+}
+
+/// Tasks whose failure ends the process: the platform starts it again.
+struct RoleTasks {
+    failed: mpsc::UnboundedSender<anyhow::Error>,
+    failures: mpsc::UnboundedReceiver<anyhow::Error>,
+}
+
+impl RoleTasks {
+    fn new() -> Self {
+        let (failed, failures) = mpsc::unbounded_channel();
+        Self { failed, failures }
+    }
+
+    fn spawn(
+        &self,
+        name: &'static str,
+        task: impl Future<Output = anyhow::Result<()>> + 'static,
+    ) {
+        let failed = self.failed.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(error) = task.await {
+                // The receiver is gone only when the process ends anyway.
+                let _ = failed.send(error.context(name));
+            }
+        });
+    }
+}
+
+/// Lets requests in progress finish.
+async fn drain(state: &SharedState, stop: &watch::Sender<bool>, grace: Duration) {
+    let started = Instant::now();
+    let open = state.telemetry.open_requests.get();
+    event(EventKind::DrainStarted, &[&open]);
+    state.is_draining.set(true);
+    stop.send_replace(true);
+    let latest = grace.saturating_sub(KILL_MARGIN);
+    while started.elapsed() < latest {
+        let is_idle = state.telemetry.open_requests.get() == 0;
+        if is_idle && started.elapsed() >= ROTATION_TIME.min(latest) {
+            break;
+        }
+        tokio::time::sleep(DRAIN_PERIOD).await;
+    }
+    event(EventKind::DrainFinished, &[&started.elapsed().as_millis()]);
+}
+
+/// Takes new seeds from the settings file, on SIGHUP and periodically.
+async fn watch_settings(state: SharedState) -> anyhow::Result<()> {
+    let mut reload = signal(SignalKind::hangup())?;
+    let path = PlatformSettings::path();
+    let mut seeds = state.settings.seeds.clone();
+    loop {
+        let is_signalled = tokio::select! {
+            _ = reload.recv() => true,
+            () = tokio::time::sleep(SETTINGS_PERIOD) => false,
+        };
+        match PlatformSettings::read(&path) {
+            Ok(settings) => {
+                if is_signalled || settings.seeds != seeds {
+                    event(EventKind::SettingsRead, &[&settings.seeds.len()]);
+                }
+                if settings.seeds != seeds {
+                    state.peers.borrow_mut().set_seeds(settings.seeds.clone());
+                    seeds = settings.seeds;
+                }
+            },
+            Err(error) => event(EventKind::SettingsRefused, &[&format!("{error:#}")]),
+        }
+    }
+}
--- /dev/null
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -0,0 +1,312 @@
+//! State that the tasks of one process share, on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use super::telemetry::Telemetry;
+use crate::clock::ProcessClock;
+use crate::logging::event;
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::forwarding::{
+    BudgetParams, DirectoryChange, ForwardConfig, LoadReport, MoveParams, PeerTable,
+    PlacementPolicy, PlacementRequest, RepeatBudget, RunWeight, ServerDirectory, ServerKey,
+};
+use medlarlanding_core::time::Timestamp;
+use medlarlanding_platform::config::decode_config;
+use medlarlanding_platform::servers::decode_entry;
+use medlarlanding_platform::settings::PlatformSettings;
+
+use indexmap::IndexMap;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::watch;
+
+/// Where a change came from; written in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeSource {
+    /// The platform's store.
+    Store,
+    /// Another instance.
+    Peer,
+}
+
+impl ChangeSource {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// Entries of servers as they lie in the store, to pass on to peers.
+#[derive(Debug, Default)]
+pub struct RawServers {
+    /// Revision of the store up to which changes are contained; 0 before the first reading.
+    pub revision: u64,
+    /// Value of each entry by server id.
+    pub values: IndexMap<String, Vec<u8>>,
+}
+
+/// Configuration in force, with its text for peers.
+#[derive(Clone)]
+pub struct ConfigInForce {
+    /// The decoded configuration.
+    pub config: Rc<ForwardConfig>,
+    /// The text that was decoded.
+    pub text: Rc<Vec<u8>>,
+}
+
+/// State of one process of the forwarding role.
+pub struct ForwardState {
+    /// Settings of the process.
+    pub settings: PlatformSettings,
+    /// Start of the process in Unix milliseconds; tells starts apart.
+    pub boot: u64,
+    /// Counters and histograms.
+    pub telemetry: Telemetry,
+    /// SIGTERM was received.
+    pub is_draining: Cell<bool>,
+    /// Bytes of request bodies that are held.
+    pub body_bytes: Cell<u64>,
+    /// Servers known.
+    pub directory: RefCell<ServerDirectory>,
+    /// Peers known.
+    pub peers: RefCell<PeerTable>,
+    /// Values of server entries.
+    pub raw_servers: RefCell<RawServers>,
+    /// Figures of moves.
+    pub move_params: MoveParams,
+    clock: ProcessClock,
+    config: RefCell<Option<ConfigInForce>>,
+    budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
+    placement: PlacementPolicy,
+    random: RefCell<SmallRng>,
+    directory_changes: watch::Sender<u64>,
+}
+
+/// Shared handle of the state.
+pub type SharedState = Rc<ForwardState>;
+
+impl ForwardState {
+    /// Creates the state of a process that knows nothing yet.
+    pub fn new(
+        settings: PlatformSettings,
+        boot: u64,
+        telemetry: Telemetry,
+        peers: PeerTable,
+    ) -> Self {
+        let mut hasher = DefaultHasher::new();
+        (&settings.instance, boot).hash(&mut hasher);
+        Self {
+            settings,
+            boot,
+            telemetry,
+            is_draining: Cell::new(false),
+            body_bytes: Cell::new(0),
+            directory: RefCell::default(),
+            peers: RefCell::new(peers),
+            raw_servers: RefCell::default(),
+            move_params: MoveParams::default(),
+            clock: ProcessClock::start(),
+            config: RefCell::default(),
+            budgets: RefCell::default(),
+            placement: PlacementPolicy::default(),
+            random: RefCell::new(SmallRng::seed_from_u64(hasher.finish())),
+            directory_changes: watch::Sender::new(0),
+        }
+    }
+
+    /// Gets the present time.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Gets the configuration in force.
+    pub fn config(&self) -> Option<ConfigInForce> {
+        self.config.borrow().clone()
+    }
+
+    /// Gets the version of the configuration in force; 0 for none.
+    pub fn config_version(&self) -> u64 {
+        self.config.borrow().as_ref().map_or(0, |in_force| in_force.config.version)
+    }
+
+    /// Gets a number from 0 (inclusive) to 1 (exclusive).
+    pub fn draw(&self) -> f64 {
+        self.random.borrow_mut().random()
+    }
+
+    /// Gets a channel that is notified when servers begin to leave or come.
+    pub fn directory_changes(&self) -> watch::Receiver<u64> {
+        self.directory_changes.subscribe()
+    }
+
+    /// Puts a configuration in force if its version is higher than the one in force.
+    pub fn offer_config(&self, text: &[u8], source: ChangeSource) {
+        let config = match decode_config(text) {
+            Ok(config) => config,
+            Err(error) => {
+                let version = self.config_version();
+                event(EventKind::ForwardConfigRefused, &[&version, &source.name(), &error]);
+                return;
+            },
+        };
+        if config.version <= self.config_version() {
+            return;
+        }
+        let (version, routes) = (config.version, config.route_count());
+        event(EventKind::ForwardConfigAccepted, &[&version, &source.name(), &routes]);
+        self.telemetry.config_version.set(version as i64);
+        let in_force = ConfigInForce { config: Rc::new(config), text: Rc::new(text.to_vec()) };
+        *self.config.borrow_mut() = Some(in_force);
+    }
+
+    /// Applies one changed entry of a server; `value` is `None` for a removed one.
+    pub fn change_server(&self, id: &str, value: Option<Vec<u8>>, source: ChangeSource) {
+        let change = match &value {
+            Some(value) => decode_entry(id, value),
+            None => DirectoryChange::Removed(Arc::from(id)),
+        };
+        match value {
+            Some(value) => self.raw_servers.borrow_mut().values.insert(id.to_owned(), value),
+            None => self.raw_servers.borrow_mut().values.swap_remove(id),
+        };
+        let written = match &change {
+            DirectoryChange::Written(entry) => match entry.phase {
+                medlarlanding_core::forwarding::ServerPhase::Ready => "ready",
+                medlarlanding_core::forwarding::ServerPhase::Draining => "draining",
+            },
+            DirectoryChange::Removed(_) => "removed",
+        };
+        let now = self.now();
+        let applied = self.directory.borrow_mut().apply(now, change);
+        if let Some((key, _)) = applied {
+            let directory = self.directory.borrow();
+            let service = directory.get(key).map_or("", |record| &record.entry.service);
+            event(EventKind::ServerChanged, &[&id, &service, &written, &source.name()]);
+        }
+        self.directory_changes.send_modify(|count| *count += 1);
+    }
+
+    /// Replaces all servers by a snapshot of the entries at a revision.
+    pub fn replace_servers(
+        &self,
+        revision: u64,
+        values: IndexMap<String, Vec<u8>>,
+        source: ChangeSource,
+    ) {
+        let known: Vec<String> = self.raw_servers.borrow().values.keys().cloned().collect();
+        for id in known.iter().filter(|id| !values.contains_key(*id)) {
+            self.change_server(id, None, source);
+        }
+        for (id, value) in values {
+            let is_known = self.raw_servers.borrow().values.get(&id) == Some(&value);
+            if !is_known {
+                self.change_server(&id, Some(value), source);
+            }
+        }
+        let mut raw = self.raw_servers.borrow_mut();
+        raw.revision = raw.revision.max(revision);
+    }
+
+    /// Chooses a server for a request.
+    pub fn place(&self, request: &PlacementRequest<'_>) -> Option<ServerKey> {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        self.placement.choose(
+            now,
+            &self.directory.borrow(),
+            request,
+            |record| peers.remote_load(now, server_hash(&record.entry.id)),
+            || self.draw(),
+        )
+    }
+
+    /// Counts the first send of a request to a service.
+    pub fn record_request(&self, service: &Arc<str>) {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(Arc::clone(service)).or_default();
+        budget.record_request(self.now(), &self.budget_params());
+    }
+
+    /// Takes a repeat out of the budget of a service, if it allows one.
+    pub fn try_repeat(&self, service: &Arc<str>) -> bool {
+        let instances = self.peers.borrow().instance_count();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(Arc::clone(service)).or_default();
+        budget.try_repeat(self.now(), &self.budget_params(), instances)
+    }
+
+    fn budget_params(&self) -> BudgetParams {
+        BudgetParams {
+            ratio: self.settings.repeat_ratio,
+            window: self.settings.repeat_window,
+            slack: self.settings.repeat_slack,
+            ..BudgetParams::default()
+        }
+    }
+
+    /// Load that this instance puts on servers, for peers.
+    pub fn own_loads(&self) -> Vec<LoadReport> {
+        let directory = self.directory.borrow();
+        let busy = directory.iter().filter(|(_, record)| record.open_requests > 0);
+        busy.map(|(_, record)| LoadReport {
+            server: server_hash(&record.entry.id),
+            requests: record.open_requests.min(u32::from(u16::MAX)) as u16,
+            tokens: record.open_tokens.min(u64::from(u32::MAX)) as u32,
+            waiting_tokens: record.waiting_tokens.min(u64::from(u32::MAX)) as u32,
+        })
+        .collect()
+    }
+}
+
+/// Hash of a server's id that all instances share.
+fn server_hash(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A request's share of a server's load; given back when it is dropped.
+pub struct LoadGuard {
+    state: SharedState,
+    key: ServerKey,
+    tokens: u64,
+    waiting: u64,
+}
+
+impl LoadGuard {
+    /// Counts a request at a server.
+    pub fn begin(state: &SharedState, key: ServerKey, weight: RunWeight) -> Self {
+        let (tokens, waiting) = (u64::from(weight.prompt), u64::from(weight.prompt));
+        let mut directory = state.directory.borrow_mut();
+        directory.begin(key, tokens);
+        directory.set_waiting(key, waiting, 0);
+        drop(directory);
+        Self { state: Rc::clone(state), key, tokens, waiting }
+    }
+
+    /// Records that the answer began, so that no prompt waits any more.
+    pub fn begun(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        self.state.directory.borrow_mut().set_waiting(self.key, 0, waiting);
+    }
+
+    /// Adds tokens that were made.
+    pub fn grow(&mut self, tokens: u64) {
+        self.tokens += tokens;
+        self.state.directory.borrow_mut().grow(self.key, tokens);
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        let mut directory = self.state.directory.borrow_mut();
+        directory.set_waiting(self.key, 0, self.waiting);
+        directory.finish(self.key, self.tokens);
+    }
+}
--- /dev/null
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -0,0 +1,165 @@
+//! Keeps configuration and servers current from the platform's store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::shared::{ChangeSource, SharedState};
+use super::store_client::{StoreClient, WatchAnswer};
+use crate::logging::event;
+use medlarlanding_core::events::EventKind;
+use medlarlanding_platform::config::CONFIG_KEY;
+use medlarlanding_platform::servers::{SERVERS_PREFIX, server_id};
+use medlarlanding_platform::store::StoreItem;
+
+use indexmap::IndexMap;
+
+/// Time that a watch waits at the store; silent connections are found by the kernel's probes.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause after a failed call; doubles up to `RETRY_MAX`. Calls are charged, refused ones too.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+/// Longest pause after failed calls; a change must be in force 2 s after its confirmation.
+const RETRY_MAX: Duration = Duration::from_millis(800);
+/// Pause between two watches that returned changes, so that changes that come together need
+/// one call.
+const BATCH_PAUSE: Duration = Duration::from_millis(30);
+
+/// A part of the store that is watched.
+#[derive(Clone, Copy, Debug)]
+pub enum WatchedPart {
+    /// The newest configuration.
+    Config,
+    /// Entries of servers.
+    Servers,
+}
+
+impl WatchedPart {
+    fn prefix(self) -> &'static str {
+        match self {
+            Self::Config => CONFIG_KEY,
+            Self::Servers => SERVERS_PREFIX,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Servers => "servers",
+        }
+    }
+}
+
+/// Reads a part and follows its changes until the process ends.
+pub async fn run(state: SharedState, part: WatchedPart) -> anyhow::Result<()> {
+    let mut watch = PartWatch {
+        client: StoreClient::new(state.settings.store),
+        state: Rc::clone(&state),
+        part,
+        revision: None,
+    };
+    let mut is_lost = false;
+    let mut pause = RETRY_MIN;
+    loop {
+        match watch.step().await {
+            Ok(()) => {
+                state.telemetry.store_calls.with_label_values(&["ok"]).inc();
+                if is_lost {
+                    event(EventKind::PlatformReachable, &[&part.name()]);
+                }
+                is_lost = false;
+                pause = RETRY_MIN;
+            },
+            Err(error) => {
+                state.telemetry.store_calls.with_label_values(&["failed"]).inc();
+                if !is_lost {
+                    event(EventKind::PlatformUnreachable, &[&part.name(), &format!("{error:#}")]);
+                }
+                is_lost = true;
+                tokio::time::sleep(pause.mul_f64(0.75 + state.draw() / 2.0)).await;
+                pause = (pause * 2).min(RETRY_MAX);
+            },
+        }
+    }
+}
+
+struct PartWatch {
+    client: StoreClient,
+    state: SharedState,
+    part: WatchedPart,
+    /// Revision up to which changes are known; `None` before the part was read.
+    revision: Option<u64>,
+}
+
+impl PartWatch {
+    async fn step(&mut self) -> anyhow::Result<()> {
+        let Some(revision) = self.revision else {
+            return self.read_all().await;
+        };
+        match self.client.watch(self.part.prefix(), revision, WATCH_WAIT).await? {
+            WatchAnswer::HistoryGone => self.revision = None,
+            WatchAnswer::Changes(changes) => {
+                let has_changes = !changes.items.is_empty();
+                for item in changes.items {
+                    self.apply(item);
+                }
+                self.advance(changes.revision.max(revision));
+                if has_changes {
+                    tokio::time::sleep(BATCH_PAUSE).await;
+                }
+            },
+        }
+        Ok(())
+    }
+
+    /// Reads all pages. Later pages may be newer than the first, whose revision is the one from
+    /// which the watch goes on.
+    async fn read_all(&mut self) -> anyhow::Result<()> {
+        let mut items: Vec<StoreItem> = Vec::new();
+        let mut first_revision = None;
+        loop {
+            let after = items.last().map(|item| item.key.clone());
+            let page = self.client.read_page(self.part.prefix(), after.as_deref()).await?;
+            first_revision.get_or_insert(page.revision);
+            let is_done = !page.has_more || page.items.is_empty();
+            items.extend(page.items);
+            if is_done {
+                break;
+            }
+        }
+        match self.part {
+            WatchedPart::Config => items.into_iter().for_each(|item| self.apply(item)),
+            WatchedPart::Servers => {
+                let values: IndexMap<String, Vec<u8>> = items
+                    .into_iter()
+                    .filter_map(|item| Some((server_id(&item.key)?.to_owned(), item.value?)))
+                    .collect();
+                let revision = first_revision.unwrap_or(0);
+                self.state.replace_servers(revision, values, ChangeSource::Store);
+            },
+        }
+        self.advance(first_revision.unwrap_or(0));
+        Ok(())
+    }
+
+    fn apply(&self, item: StoreItem) {
+        match self.part {
+            WatchedPart::Config if item.key == CONFIG_KEY => match item.value {
+                Some(text) => self.state.offer_config(&text, ChangeSource::Store),
+                None => log::warn!("the store holds no configuration that can be read"),
+            },
+            WatchedPart::Config => {},
+            WatchedPart::Servers => {
+                if let Some(id) = server_id(&item.key) {
+                    self.state.change_server(id, item.value, ChangeSource::Store);
+                }
+            },
+        }
+    }
+
+    fn advance(&mut self, revision: u64) {
+        self.revision = Some(revision);
+        if let WatchedPart::Servers = self.part {
+            let mut raw = self.state.raw_servers.borrow_mut();
+            raw.revision = raw.revision.max(revision);
+        }
+    }
+}
--- /dev/null
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -0,0 +1,99 @@
+//! Counters and histograms of the forwarding role.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds in seconds of the time to an answer or its first event; the installations'
+/// objectives lie between 0.1 and 1.8 s.
+const ANSWER_BOUNDS: &[f64] = &[0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 1.5, 1.8, 2.5, 5.0, 10.0];
+/// Upper bounds in seconds of the pause between events; 0.18 s is wanted.
+const GAP_BOUNDS: &[f64] = &[0.03, 0.05, 0.08, 0.12, 0.18, 0.3, 0.6, 1.0, 2.0];
+
+/// Metrics of one process.
+pub struct Telemetry {
+    registry: Registry,
+    /// Requests by kind and outcome.
+    pub requests: IntCounterVec,
+    /// Sends to a second server, by reason.
+    pub repeats: IntCounterVec,
+    /// Moves of generations by outcome.
+    pub moves: IntCounterVec,
+    /// Failures of exchanges with servers, by fault.
+    pub faults: IntCounterVec,
+    /// Calls to the store by outcome.
+    pub store_calls: IntCounterVec,
+    /// Datagrams dropped because they could not be read.
+    pub dropped_datagrams: IntCounter,
+    /// Requests in progress.
+    pub open_requests: IntGauge,
+    /// Version of the configuration in force.
+    pub config_version: IntGauge,
+    /// Time to an answer or its first event in seconds.
+    pub first_answer: Histogram,
+    /// Pause between events of a stream in seconds.
+    pub event_gap: Histogram,
+}
+
+impl Telemetry {
+    /// Creates and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a duplicate or malformed name, which is a defect.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| -> anyhow::Result<_> {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let gauge = |name: &str, help: &str| -> anyhow::Result<_> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let histogram = |name: &str, help: &str, bounds: &[f64]| -> anyhow::Result<_> {
+            let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        let dropped_datagrams =
+            IntCounter::new("forward_dropped_datagrams", "Unreadable datagrams of peers.")?;
+        registry.register(Box::new(dropped_datagrams.clone()))?;
+        Ok(Self {
+            requests: counters("forward_requests", "Requests.", &["kind", "outcome"])?,
+            repeats: counters("forward_repeats", "Sends to a second server.", &["reason"])?,
+            moves: counters("forward_moves", "Moves of generations.", &["outcome"])?,
+            faults: counters("forward_faults", "Failed exchanges with servers.", &["fault"])?,
+            store_calls: counters("forward_store_calls", "Calls to the store.", &["outcome"])?,
+            dropped_datagrams,
+            open_requests: gauge("forward_open_requests", "Requests in progress.")?,
+            config_version: gauge("forward_config_version", "Configuration in force.")?,
+            first_answer: histogram(
+                "forward_first_answer_seconds",
+                "Time to an answer or its first event.",
+                ANSWER_BOUNDS,
+            )?,
+            event_gap: histogram(
+                "forward_event_gap_seconds",
+                "Pause between events of a stream.",
+                GAP_BOUNDS,
+            )?,
+            registry,
+        })
+    }
+
+    /// Renders the text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded, which is a defect.
+    pub fn render(&self) -> anyhow::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- a/medlarlanding/src/lib.rs
+++ b/medlarlanding/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod commands;
 pub mod delivery;
+pub mod forwarding;
 pub mod gate;
 pub mod http;
 pub mod instance;
--- a/medlarlanding/src/logging.rs
+++ b/medlarlanding/src/logging.rs
@@ -33,13 +33,7 @@
 ///
 /// Fails if the file cannot be opened or a logger is installed already.
 pub fn install(options: &LogOptions, instance: &str) -> anyhow::Result<()> {
-    let instance = instance.to_owned();
-    let dispatch = fern::Dispatch::new()
-        .format(move |out, message, record| {
-            out.finish(format_args!("{} {} {instance} {message}", wall_millis(), record.level()))
-        })
-        .level(LevelFilter::Warn)
-        .level_for(EVENT_TARGET, options.level);
+    let dispatch = line_dispatch(options.level, instance);
     let dispatch = match &options.file {
         Some(file) => dispatch.chain(
             fern::log_file(Path::new(file)).with_context(|| format!("cannot open log {file}"))?,
@@ -49,6 +43,26 @@
     dispatch.apply().context("cannot install the logger")
 }
 
+/// Installs a logger that writes lines to `writer`.
+///
+/// # Errors
+///
+/// Fails if a logger is installed already.
+pub fn install_writer(writer: Box<dyn std::io::Write + Send>, instance: &str) -> anyhow::Result<()> {
+    let dispatch = line_dispatch(LogOptions::default().level, instance).chain(writer);
+    dispatch.apply().context("cannot install the logger")
+}
+
+fn line_dispatch(level: LevelFilter, instance: &str) -> fern::Dispatch {
+    let instance = instance.to_owned();
+    fern::Dispatch::new()
+        .format(move |out, message, record| {
+            out.finish(format_args!("{} {} {instance} {message}", wall_millis(), record.level()))
+        })
+        .level(LevelFilter::Warn)
+        .level_for(EVENT_TARGET, level)
+}
+
 /// Logs a numbered event. `values` follow the order of the event's fields.
 pub fn event(kind: EventKind, values: &[&dyn Display]) {
     write_event(kind, values.iter().copied());
--- a/medlarlanding/src/main.rs
+++ b/medlarlanding/src/main.rs
@@ -11,6 +11,7 @@
     let line: CommandLine = argh::from_env();
     let result = match line.command {
         Command::Serve(options) => commands::serve(&options),
+        Command::Forward(options) => commands::forward(&options),
         Command::Check(options) => commands::check(&options),
         Command::Dump(options) => commands::dump(&options),
         Command::Credential(_) => commands::credential(),
