--- a/medlarlanding-core/src/forwarding/moves.rs
+++ b/medlarlanding-core/src/forwarding/moves.rs
@@ -24,7 +24,7 @@
 impl Default for MoveParams {
     fn default() -> Self {
         Self {
-            final_delay: Duration::from_millis(1000),
+            final_delay: Duration::ZERO,
             attempts: 4,
             retry_pause: Duration::from_millis(60),
         }
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -35,6 +35,14 @@
     }
 }
 
+impl PlacementParams {
+    /// Weights for the destination of a move. Copies to another zone take twice as long on the
+    /// link of the engine that leaves, and several instances choose at the same moment.
+    pub fn for_moves() -> Self {
+        Self { foreign_zone: 0.6, jitter: 0.4, ..Self::default() }
+    }
+}
+
 /// A request to place.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -96,10 +96,25 @@
     NoRun,
     /// The engine refused; a run that was stopped can go on with the handle.
     Refused(Option<String>),
+    /// The engine answered with another status.
+    Rejected(StatusCode),
     /// No usable answer.
     Failed,
 }
 
+impl MoveAnswer {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Copied(_) => "copied",
+            Self::NoRun => "no_run",
+            Self::Refused(_) => "refused",
+            Self::Rejected(StatusCode::CONFLICT) => "conflict",
+            Self::Rejected(_) => "rejected",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// A call for a move that is in progress.
 struct MoveCall {
     is_last: bool,
@@ -139,6 +154,8 @@
     /// Largest pause between events.
     longest_gap: Duration,
     first_after: Option<Duration>,
+    /// Call that stopped the run and still copies its last part.
+    last_move: Option<MoveCall>,
 }
 
 impl GenerationRun {
@@ -156,6 +173,7 @@
             last_piece_at: now,
             longest_gap: Duration::ZERO,
             first_after: None,
+            last_move: None,
         }
     }
 
@@ -293,13 +311,34 @@
     }
 
     fn choose(&self, excluded: &[ServerKey]) -> Option<(ServerKey, ServerEntry)> {
-        let key = self.state.place(&PlacementRequest {
+        let zone = &self.state.settings.zone;
+        self.entry_of(self.state.place(&self.placement_request(excluded, zone))?)
+    }
+
+    fn choose_destination(
+        &self,
+        place: &RunPlace,
+        excluded: &[ServerKey],
+    ) -> Option<(ServerKey, ServerEntry)> {
+        let zone = &place.entry.zone;
+        self.entry_of(self.state.place_move(&self.placement_request(excluded, zone))?)
+    }
+
+    fn placement_request<'a>(
+        &'a self,
+        excluded: &'a [ServerKey],
+        zone: &'a str,
+    ) -> PlacementRequest<'a> {
+        PlacementRequest {
             service: &self.admitted.service,
             memory_tokens: self.admitted.engine.map(|engine| engine.memory_tokens),
             weight: self.admitted.weight,
             excluded,
-            zone: &self.state.settings.zone,
-        })?;
+            zone,
+        }
+    }
+
+    fn entry_of(&self, key: ServerKey) -> Option<(ServerKey, ServerEntry)> {
         let entry = self.state.directory.borrow().get(key)?.entry.clone();
         Some((key, entry))
     }
@@ -390,6 +429,10 @@
                         },
                         Some(Err(_)) => {
                             return match call.take() {
+                                Some(call) if call.is_last => {
+                                    self.last_move = Some(call);
+                                    StreamEnd::Stopped
+                                },
                                 Some(call) => self.await_move(call, destination).await,
                                 None => StreamEnd::Broken,
                             };
@@ -397,10 +440,8 @@
                         None => {
                             let rest = self.splitter.take_rest();
                             if let Some(call) = call.take_if(|call| call.is_last) {
-                                if !rest.is_empty() {
-                                    return StreamEnd::Broken;
-                                }
-                                return self.await_move(call, destination).await;
+                                self.last_move = Some(call);
+                                return StreamEnd::Stopped;
                             }
                             if !rest.is_empty() && sender.send(Ok(rest)).await.is_err() {
                                 return StreamEnd::CallerGone;
@@ -439,9 +480,11 @@
                         return self.drain_stopped(place, sender).await;
                     }
                 },
-                MoveAnswer::NoRun | MoveAnswer::Failed | MoveAnswer::Refused(None) => {
-                    let reason = if matches!(answered, MoveAnswer::NoRun) { "no_run" } else { "failed" };
-                    self.note_move(place, destination, reason);
+                MoveAnswer::NoRun
+                | MoveAnswer::Failed
+                | MoveAnswer::Rejected(_)
+                | MoveAnswer::Refused(None) => {
+                    self.note_move(place, destination, answered.name());
                     if let Some(target) = destination.take_if(|_| !is_last) {
                         refused.push(target.key);
                     }
@@ -483,7 +526,7 @@
         if !self.state.try_repeat(&self.admitted.service) {
             return None;
         }
-        let (key, entry) = self.choose(refused)?;
+        let (key, entry) = self.choose_destination(place, refused)?;
         let address = entry.address;
         event(EventKind::MoveBegun, &[
             &self.admitted.id,
@@ -627,7 +670,13 @@
                 Err(ExchangeFault::NotConnected) => {},
                 Err(_) => return None,
             }
-            tokio::time::sleep(RESUME_PAUSE).await;
+            match self.last_move.take() {
+                // The destination takes the run only once its last part has arrived.
+                Some(mut call) => {
+                    let _ = tokio::time::timeout(MOVE_TIMEOUT, &mut call.task).await;
+                },
+                None => tokio::time::sleep(RESUME_PAUSE).await,
+            }
         }
         None
     }
@@ -727,6 +776,6 @@
         (StatusCode::SERVICE_UNAVAILABLE, copy) => {
             MoveAnswer::Refused(copy.ok().map(|copy| copy.handle))
         },
-        _ => MoveAnswer::Failed,
+        (status, _) => MoveAnswer::Rejected(status),
     }
 }
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -12,7 +12,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     BudgetParams, DirectoryChange, ForwardConfig, LoadReport, MoveParams, PeerTable,
-    PlacementPolicy, PlacementRequest, RepeatBudget, RunWeight, ServerDirectory, ServerKey,
+    PlacementParams, PlacementPolicy, PlacementRequest, RepeatBudget, RunWeight, ServerDirectory, ServerKey,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::config::decode_config;
@@ -84,6 +84,7 @@
     config: RefCell<Option<ConfigInForce>>,
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
     placement: PlacementPolicy,
+    move_placement: PlacementPolicy,
     random: RefCell<SmallRng>,
     directory_changes: watch::Sender<u64>,
 }
@@ -115,6 +116,7 @@
             config: RefCell::default(),
             budgets: RefCell::default(),
             placement: PlacementPolicy::default(),
+            move_placement: PlacementPolicy { params: PlacementParams::for_moves() },
             random: RefCell::new(SmallRng::seed_from_u64(hasher.finish())),
             directory_changes: watch::Sender::new(0),
         }
@@ -215,9 +217,22 @@
 
     /// Chooses a server for a request.
     pub fn place(&self, request: &PlacementRequest<'_>) -> Option<ServerKey> {
+        self.place_with(&self.placement, request)
+    }
+
+    /// Chooses the destination for a run that leaves an engine in the request's zone.
+    pub fn place_move(&self, request: &PlacementRequest<'_>) -> Option<ServerKey> {
+        self.place_with(&self.move_placement, request)
+    }
+
+    fn place_with(
+        &self,
+        policy: &PlacementPolicy,
+        request: &PlacementRequest<'_>,
+    ) -> Option<ServerKey> {
         let now = self.now();
         let peers = self.peers.borrow();
-        self.placement.choose(
+        policy.choose(
             now,
             &self.directory.borrow(),
             request,
