--- a/medlarlanding-core/src/forwarding/budget.rs
+++ b/medlarlanding-core/src/forwarding/budget.rs
@@ -17,14 +17,31 @@
     pub window: Duration,
     /// Repeats allowed in a window beside the ratio, over all instances.
     pub slack: f64,
-    /// Part of the allowance that is used; the rest covers requests that the platform counts
-    /// in another window than this instance does.
-    pub margin: f64,
+}
+
+/// What a repeat is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatPurpose {
+    /// A failed request is sent once more.
+    Retry,
+    /// A running generation goes on at another engine; without it the generation is lost.
+    Move,
+}
+
+impl RepeatPurpose {
+    /// Part of the allowance that may be used. The rest is kept for moves, and for requests that
+    /// the platform counts in another window than this instance does.
+    fn margin(self) -> f64 {
+        match self {
+            Self::Retry => 0.5,
+            Self::Move => 0.9,
+        }
+    }
 }
 
 impl Default for BudgetParams {
     fn default() -> Self {
-        Self { ratio: 0.2, window: Duration::from_secs(10), slack: 0.0, margin: 0.7 }
+        Self { ratio: 0.2, window: Duration::from_secs(10), slack: 0.0 }
     }
 }
 
@@ -51,12 +68,18 @@
     /// Takes one repeat out of the budget if the share of this instance allows it.
     ///
     /// `instances` is the number of live instances, which divide the slack evenly.
-    pub fn try_repeat(&mut self, now: Timestamp, params: &BudgetParams, instances: usize) -> bool {
+    pub fn try_repeat(
+        &mut self,
+        now: Timestamp,
+        params: &BudgetParams,
+        purpose: RepeatPurpose,
+        instances: usize,
+    ) -> bool {
         self.bucket(now, params);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let share = params.slack / instances.max(1) as f64;
-        let allowed = params.margin * (params.ratio * f64::from(requests) + share);
+        let allowed = purpose.margin() * (params.ratio * f64::from(requests) + share);
         if f64::from(repeats) + 1.0 > allowed {
             return false;
         }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -10,7 +10,7 @@
 mod peers;
 mod placement;
 
-pub use budget::{BudgetParams, RepeatBudget};
+pub use budget::{BudgetParams, RepeatBudget, RepeatPurpose};
 pub use config::{
     CustomerRecord, EngineLimits, ForwardConfig, ForwardError, KeyCheck, RequestKind,
     RequestLimits, RouteRule, RouteTarget, ServicePolicy,
--- a/medlarlanding-core/src/forwarding/moves.rs
+++ b/medlarlanding-core/src/forwarding/moves.rs
@@ -12,22 +12,15 @@
 /// Figures of moves.
 #[derive(Clone, Copy, Debug)]
 pub struct MoveParams {
-    /// The last part is moved no earlier than this after the notice: by then the bulk of a
-    /// half-full engine has been copied over a link of 2.7 Gbit/s.
-    pub final_delay: Duration,
     /// Destinations that are tried before the run is left where it is.
     pub attempts: u32,
-    /// Pause before another destination is tried.
+    /// Pause before another destination is tried, or the last part once more.
     pub retry_pause: Duration,
 }
 
 impl Default for MoveParams {
     fn default() -> Self {
-        Self {
-            final_delay: Duration::ZERO,
-            attempts: 4,
-            retry_pause: Duration::from_millis(60),
-        }
+        Self { attempts: 6, retry_pause: Duration::from_millis(100) }
     }
 }
 
@@ -45,10 +38,12 @@
 }
 
 /// Plan for moving one run off one engine.
+///
+/// Once a copy is complete its destination is kept: should the engine end before the last part
+/// could be moved, the run goes on from the copy.
 #[derive(Clone, Copy, Debug)]
 pub struct MovePlan {
     params: MoveParams,
-    notice_at: Timestamp,
     /// Copies begun; never above `params.attempts`.
     attempts: u32,
     is_copied: bool,
@@ -58,19 +53,18 @@
 impl MovePlan {
     /// Begins a plan when the engine's leaving became known.
     pub fn new(params: MoveParams, notice_at: Timestamp) -> Self {
-        Self { params, notice_at, attempts: 0, is_copied: false, retry_at: notice_at }
+        Self { params, attempts: 0, is_copied: false, retry_at: notice_at }
     }
 
     /// Gets the next step.
     pub fn next(&self, now: Timestamp) -> MoveStep {
-        if self.is_copied {
-            let due = self.notice_at + self.params.final_delay;
-            return if now >= due { MoveStep::Finish } else { MoveStep::Wait(due) };
-        }
-        if self.attempts >= self.params.attempts {
+        if !self.is_copied && self.attempts >= self.params.attempts {
             return MoveStep::Stay;
         }
-        if now < self.retry_at { MoveStep::Wait(self.retry_at) } else { MoveStep::Copy }
+        if now < self.retry_at {
+            return MoveStep::Wait(self.retry_at);
+        }
+        if self.is_copied { MoveStep::Finish } else { MoveStep::Copy }
     }
 
     /// Records that a copy was begun.
@@ -83,9 +77,8 @@
         self.is_copied = true;
     }
 
-    /// Records that a copy was refused or its destination was lost.
-    pub fn copy_failed(&mut self, now: Timestamp) {
-        self.is_copied = false;
+    /// Records that a copy, or its last part, was refused.
+    pub fn refused(&mut self, now: Timestamp) {
         self.retry_at = now + self.params.retry_pause;
     }
 }
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -27,19 +27,26 @@
     pub foreign_zone: f64,
     /// Random part; keeps instances that see the same load from choosing alike.
     pub jitter: f64,
+    /// Part of an engine's memory above which it is avoided: a full one preempts runs.
+    pub fill_limit: f64,
+    /// Cost of an engine whose memory is full, rising from `fill_limit`.
+    pub full_memory: f64,
+    /// How much more often a move goes to an engine in the leaving one's zone: a copy to another
+    /// zone takes twice as long on both links.
+    pub near_move: f64,
 }
 
 impl Default for PlacementParams {
     fn default() -> Self {
-        Self { batch: 0.5, prefill: 0.6, foreign_zone: 0.03, jitter: 0.06 }
-    }
-}
-
-impl PlacementParams {
-    /// Weights for the destination of a move. Copies to another zone take twice as long on the
-    /// link of the engine that leaves, and several instances choose at the same moment.
-    pub fn for_moves() -> Self {
-        Self { foreign_zone: 0.6, jitter: 0.4, ..Self::default() }
+        Self {
+            batch: 0.5,
+            prefill: 0.6,
+            foreign_zone: 0.03,
+            jitter: 0.06,
+            fill_limit: 0.8,
+            full_memory: 2.0,
+            near_move: 3.0,
+        }
     }
 }
 
@@ -96,6 +103,42 @@
         best.map(|(_, _, key)| key)
     }
 
+    /// Chooses the engine that a run moves to, by a random draw in proportion to the square of
+    /// the memory that is left there.
+    ///
+    /// All instances with runs on a leaving engine choose at the same moment and from the same
+    /// reports; the draw spreads them without talk, so that neither the memory nor the link of
+    /// one engine has to take all runs. Returns `None` when no engine has room.
+    pub fn choose_destination(
+        &self,
+        now: Timestamp,
+        directory: &ServerDirectory,
+        request: &PlacementRequest<'_>,
+        remote: impl Fn(&ServerRecord) -> RemoteLoad,
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<ServerKey> {
+        let memory = f64::from(request.memory_tokens?.max(1));
+        let own = f64::from(request.weight.prompt + request.weight.output);
+        let mut best: Option<(f64, ServerKey)> = None;
+        for (key, record) in directory.candidates(request.service) {
+            if request.excluded.contains(&key) || record.is_avoided(now) {
+                continue;
+            }
+            let fill = (record.open_tokens as f64 + remote(record).tokens + own) / memory;
+            let room = (1.0 - fill).max(0.0);
+            let is_near = &*record.entry.zone == request.zone;
+            let weight = room * room * if is_near { self.params.near_move } else { 1.0 };
+            if weight <= 0.0 {
+                continue;
+            }
+            let delay = -draw().max(f64::MIN_POSITIVE).ln() / weight;
+            if best.is_none_or(|(least, _)| delay < least) {
+                best = Some((delay, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
     fn score(
         &self,
         request: &PlacementRequest<'_>,
@@ -108,7 +151,10 @@
         if let Some(memory) = request.memory_tokens {
             let own = f64::from(request.weight.prompt + request.weight.output);
             let tokens = record.open_tokens as f64 + remote.tokens + own;
-            score += tokens / f64::from(memory.max(1));
+            let fill = tokens / f64::from(memory.max(1));
+            score += fill;
+            let excess = (fill - params.fill_limit).max(0.0) / (1.0 - params.fill_limit);
+            score += params.full_memory * excess;
             let waiting = record.waiting_tokens as f64 + remote.waiting_tokens;
             score += params.prefill * waiting / PREFILL_TOKENS_PER_SECOND;
         }
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -14,7 +14,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    MovePlan, MoveStep, PlacementRequest, ServerEntry, ServerKey,
+    MovePlan, MoveStep, PlacementRequest, RepeatPurpose, RunWeight, ServerEntry, ServerKey,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::engines::{self, RunCopy};
@@ -87,6 +87,8 @@
     entry: ServerEntry,
     /// Handle of the newest complete copy.
     handle: Option<String>,
+    /// Memory that the copy takes there.
+    load: Option<LoadGuard>,
 }
 
 /// How a call for a move ended.
@@ -218,7 +220,8 @@
                     if tried.is_empty() { OwnAnswer::NoServer } else { OwnAnswer::ServersFull };
                 return Err(StartEnd::Own(refusal));
             };
-            if !tried.is_empty() && !self.state.try_repeat(&self.admitted.service) {
+            if !tried.is_empty() && !self.state.try_repeat(&self.admitted.service, RepeatPurpose::Retry)
+            {
                 return Err(StartEnd::Own(OwnAnswer::ServersFull));
             }
             tried.push(key);
@@ -332,7 +335,7 @@
         PlacementRequest {
             service: &self.admitted.service,
             memory_tokens: self.admitted.engine.map(|engine| engine.memory_tokens),
-            weight: self.admitted.weight,
+            weight: self.run_weight(),
             excluded,
             zone,
         }
@@ -400,13 +403,20 @@
                         call = self.begin_copy(place, destination, &refused);
                         plan.copy_begun();
                         if call.is_none() {
-                            plan.copy_failed(now);
+                            self.note_move(place, destination, "no_room");
+                            plan.refused(now);
                         }
                         continue;
                     },
                     MoveStep::Finish => {
                         if let Some(target) = &destination {
-                            call = Some(self.call_move(place, target.entry.address, true));
+                            if self.state.try_repeat(&self.admitted.service, RepeatPurpose::Move) {
+                                call = Some(self.call_move(place, target.entry.address, true));
+                            } else {
+                                self.note_move(place, destination, "no_budget");
+                                plan.refused(now);
+                                continue;
+                            }
                         }
                     },
                 }
@@ -488,7 +498,7 @@
                     if let Some(target) = destination.take_if(|_| !is_last) {
                         refused.push(target.key);
                     }
-                    plan.copy_failed(self.state.now());
+                    plan.refused(self.state.now());
                 },
                 MoveAnswer::Refused(Some(handle)) => {
                     self.note_move(place, destination, "refused");
@@ -498,13 +508,14 @@
                             key: place.key,
                             entry: place.entry.clone(),
                             handle: Some(handle),
+                            load: None,
                         });
                         return self.drain_stopped(place, sender).await;
                     }
                     if let Some(target) = destination.take() {
                         refused.push(target.key);
                     }
-                    plan.copy_failed(self.state.now());
+                    plan.refused(self.state.now());
                 },
             }
         }
@@ -523,9 +534,6 @@
         destination: &mut Option<RunDestination>,
         refused: &[ServerKey],
     ) -> Option<MoveCall> {
-        if !self.state.try_repeat(&self.admitted.service) {
-            return None;
-        }
         let (key, entry) = self.choose_destination(place, refused)?;
         let address = entry.address;
         event(EventKind::MoveBegun, &[
@@ -534,10 +542,19 @@
             &entry.id,
             &self.events,
         ]);
-        *destination = Some(RunDestination { key, entry, handle: None });
+        let mut load = LoadGuard::begin(&self.state, key, self.run_weight());
+        load.begun();
+        *destination = Some(RunDestination { key, entry, handle: None, load: Some(load) });
         Some(self.call_move(place, address, false))
     }
 
+    /// What the run takes at an engine by now.
+    fn run_weight(&self) -> RunWeight {
+        let made = (self.events * TOKENS_PER_EVENT) as u32;
+        let RunWeight { prompt, output } = self.admitted.weight;
+        RunWeight { prompt: prompt + made, output: output.saturating_sub(made) }
+    }
+
     fn call_move(
         &self,
         place: &RunPlace,
@@ -615,7 +632,8 @@
         let RunPlace { key: source_key, entry: source, load, .. } = place;
         drop(load);
         self.splitter = EventSplitter::default();
-        let RunDestination { key, entry, handle } = destination?;
+        let RunDestination { key, entry, handle, load: copy_load } = destination?;
+        drop(copy_load);
         let continuation = RunContinuation {
             source: source.address,
             handle: handle?,
@@ -632,7 +650,7 @@
             if time_left.is_zero() {
                 return None;
             }
-            let load = LoadGuard::begin(&self.state, *key, self.admitted.weight);
+            let load = LoadGuard::begin(&self.state, *key, self.run_weight());
             let request = server_request(
                 &self.admitted,
                 &entry.id,
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -8,7 +8,7 @@
 use super::shared::{LoadGuard, SharedState};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{PlacementRequest, RequestKind, ServerKey};
+use medlarlanding_core::forwarding::{PlacementRequest, RepeatPurpose, RequestKind, ServerKey};
 use medlarlanding_platform::headers::{
     self, AnswerProof, RunContinuation, SendHeaders, check_answer, promises_not_run,
 };
@@ -112,7 +112,7 @@
             break give_up(fallback, refusal);
         };
         let is_repeat = !tried.is_empty();
-        if is_repeat && !state.try_repeat(&admitted.service) {
+        if is_repeat && !state.try_repeat(&admitted.service, RepeatPurpose::Retry) {
             break give_up(fallback, unanswered(run_at));
         }
         tried.push(key);
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -12,7 +12,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     BudgetParams, DirectoryChange, ForwardConfig, LoadReport, MoveParams, PeerTable,
-    PlacementParams, PlacementPolicy, PlacementRequest, RepeatBudget, RunWeight, ServerDirectory, ServerKey,
+    PlacementPolicy, PlacementRequest, RepeatBudget, RepeatPurpose, RunWeight, ServerDirectory, ServerKey, ServerRecord,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::config::decode_config;
@@ -84,7 +84,6 @@
     config: RefCell<Option<ConfigInForce>>,
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
     placement: PlacementPolicy,
-    move_placement: PlacementPolicy,
     random: RefCell<SmallRng>,
     directory_changes: watch::Sender<u64>,
 }
@@ -116,7 +115,6 @@
             config: RefCell::default(),
             budgets: RefCell::default(),
             placement: PlacementPolicy::default(),
-            move_placement: PlacementPolicy { params: PlacementParams::for_moves() },
             random: RefCell::new(SmallRng::seed_from_u64(hasher.finish())),
             directory_changes: watch::Sender::new(0),
         }
@@ -217,28 +215,22 @@
 
     /// Chooses a server for a request.
     pub fn place(&self, request: &PlacementRequest<'_>) -> Option<ServerKey> {
-        self.place_with(&self.placement, request)
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let remote =
+            |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
+        let directory = self.directory.borrow();
+        self.placement.choose(now, &directory, request, remote, || self.draw())
     }
 
     /// Chooses the destination for a run that leaves an engine in the request's zone.
     pub fn place_move(&self, request: &PlacementRequest<'_>) -> Option<ServerKey> {
-        self.place_with(&self.move_placement, request)
-    }
-
-    fn place_with(
-        &self,
-        policy: &PlacementPolicy,
-        request: &PlacementRequest<'_>,
-    ) -> Option<ServerKey> {
         let now = self.now();
         let peers = self.peers.borrow();
-        policy.choose(
-            now,
-            &self.directory.borrow(),
-            request,
-            |record| peers.remote_load(now, server_hash(&record.entry.id)),
-            || self.draw(),
-        )
+        let remote =
+            |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
+        let directory = self.directory.borrow();
+        self.placement.choose_destination(now, &directory, request, remote, || self.draw())
     }
 
     /// Counts the first send of a request to a service.
@@ -249,11 +241,11 @@
     }
 
     /// Takes a repeat out of the budget of a service, if it allows one.
-    pub fn try_repeat(&self, service: &Arc<str>) -> bool {
+    pub fn try_repeat(&self, service: &Arc<str>, purpose: RepeatPurpose) -> bool {
         let instances = self.peers.borrow().instance_count();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(Arc::clone(service)).or_default();
-        budget.try_repeat(self.now(), &self.budget_params(), instances)
+        budget.try_repeat(self.now(), &self.budget_params(), purpose, instances)
     }
 
     fn budget_params(&self) -> BudgetParams {
