Count answers until they are written while an instance stops; refuse generations that cannot finish

Change: connections are counted until their last answer is written; generations whose expected time exceeds what is left of the grace period are refused at once as not run.

--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod config;
 mod directory;
+mod drain;
 mod moves;
 mod peers;
 mod placement;
@@ -18,6 +19,7 @@
 pub use directory::{
     DirectoryChange, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
 };
+pub use drain::DrainParams;
 pub use moves::{MoveParams, MovePlan, MoveStep};
 pub use peers::{LoadReport, PeerDigest, PeerTable, PeerTableParams, RemoteLoad};
 pub use placement::{PlacementParams, PlacementPolicy, PlacementRequest, RunWeight};
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -11,7 +11,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight,
+    DrainParams, EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::CallerHeaders;
@@ -103,7 +103,7 @@
         OwnAnswer::NotConfigured => RETRY_NOT_CONFIGURED,
         OwnAnswer::NoServer => RETRY_NO_SERVER,
         OwnAnswer::ServersFull | OwnAnswer::OutOfMemory => RETRY_FULL,
-        OwnAnswer::LateUnsent => Duration::ZERO,
+        OwnAnswer::Stopping | OwnAnswer::LateUnsent => Duration::ZERO,
         OwnAnswer::NoRoute
         | OwnAnswer::UnknownKey
         | OwnAnswer::BodyTooLarge
@@ -155,6 +155,12 @@
         KeyCheck::Unknown => return Err(OwnAnswer::UnknownKey),
     };
     let rule = Arc::clone(rule);
+    if let Some(left) = state.stop_time_left() {
+        let drain = DrainParams::default();
+        if !drain.can_finish(rule.kind, caller.weight, rule.objective, left) {
+            return Err(OwnAnswer::Stopping);
+        }
+    }
     let service = Arc::clone(rule.target(state.draw()));
     let engine = config.service(&service).and_then(|policy| policy.engine);
     let limit = config.limits.body_bytes;
--- a/medlarlanding/src/forwarding/answer.rs
+++ b/medlarlanding/src/forwarding/answer.rs
@@ -95,6 +95,8 @@
     NoServer,
     /// Every server that was asked refused; it has not run and never will.
     ServersFull,
+    /// The process stops before the request could finish; it has not run and never will.
+    Stopping,
     /// The process holds too many request bodies; it has not run and never will.
     OutOfMemory,
     /// The time ran out before the request was sent; it has not run and never will.
@@ -112,6 +114,7 @@
             Self::NotConfigured
             | Self::NoServer
             | Self::ServersFull
+            | Self::Stopping
             | Self::OutOfMemory
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -133,6 +136,7 @@
             Self::Malformed => "malformed",
             Self::NoServer => "no_server",
             Self::ServersFull => "servers_full",
+            Self::Stopping => "stopping",
             Self::OutOfMemory => "out_of_memory",
             Self::LateUnsent => "late_unsent",
             Self::LateSent => "late_sent",
--- a/medlarlanding/src/forwarding/listener.rs
+++ b/medlarlanding/src/forwarding/listener.rs
@@ -66,6 +66,7 @@
 
 async fn serve_caller(stream: TcpStream, state: SharedState, mut stop: watch::Receiver<bool>) {
     tune_socket(&stream);
+    let _open = state.open_connection();
     let config = state.config();
     let limits = config.as_ref().map(|in_force| in_force.config.limits);
     let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle) + IDLE_MARGIN;
@@ -92,7 +93,7 @@
 /// Answers the balancer.
 pub async fn serve_readiness(listener: TcpListener, state: SharedState) -> anyhow::Result<()> {
     serve_small(listener, move |path| {
-        let is_ready = state.config_version() > 0 && !state.is_draining.get();
+        let is_ready = state.config_version() > 0 && state.stop_time_left().is_none();
         if path != READINESS_PATH {
             return (StatusCode::NOT_FOUND, Vec::new());
         }
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -28,7 +28,7 @@
 const ROTATION_TIME: Duration = Duration::from_millis(2500);
 /// The process ends this long before it would be killed, so that its last log lines are written.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
-/// Period in which a stopping process looks for requests in progress.
+/// Period in which a stopping process looks for open connections.
 const DRAIN_PERIOD: Duration = Duration::from_millis(50);
 /// Time for the log thread to write the last lines.
 const LOG_FLUSH: Duration = Duration::from_millis(30);
@@ -134,13 +134,13 @@
 /// Lets requests in progress finish.
 async fn drain(state: &SharedState, stop: &watch::Sender<bool>, grace: Duration) {
     let started = Instant::now();
-    let open = state.telemetry.open_requests.get();
+    let open = state.connection_count();
     event(EventKind::DrainStarted, &[&open]);
-    state.is_draining.set(true);
-    stop.send_replace(true);
     let latest = grace.saturating_sub(KILL_MARGIN);
+    state.begin_stop(latest);
+    stop.send_replace(true);
     while started.elapsed() < latest {
-        let is_idle = state.telemetry.open_requests.get() == 0;
+        let is_idle = state.connection_count() == 0;
         if is_idle && started.elapsed() >= ROTATION_TIME.min(latest) {
             break;
         }
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -5,6 +5,7 @@
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::telemetry::Telemetry;
 use crate::clock::ProcessClock;
@@ -68,8 +69,11 @@
     pub boot: u64,
     /// Counters and histograms.
     pub telemetry: Telemetry,
-    /// SIGTERM was received.
-    pub is_draining: Cell<bool>,
+    /// When the process ends, once it has been told to stop.
+    stop_at: Cell<Option<Timestamp>>,
+    /// Connections of callers. While the process stops, each closes after its last answer has
+    /// been written.
+    open_connections: Rc<Cell<usize>>,
     /// Bytes of request bodies that are held.
     pub body_bytes: Cell<u64>,
     /// Servers known.
@@ -105,7 +109,8 @@
             settings,
             boot,
             telemetry,
-            is_draining: Cell::new(false),
+            stop_at: Cell::new(None),
+            open_connections: Rc::default(),
             body_bytes: Cell::new(0),
             directory: RefCell::default(),
             peers: RefCell::new(peers),
@@ -125,6 +130,27 @@
         self.clock.now()
     }
 
+    /// Records that the process ends after `left`.
+    pub fn begin_stop(&self, left: Duration) {
+        self.stop_at.set(Some(self.now() + left));
+    }
+
+    /// Gets the time until the process ends, if it has been told to stop.
+    pub fn stop_time_left(&self) -> Option<Duration> {
+        self.stop_at.get().map(|at| at.since(self.now()))
+    }
+
+    /// Counts a connection of a caller until the guard is dropped.
+    pub fn open_connection(&self) -> ConnectionGuard {
+        self.open_connections.set(self.open_connections.get() + 1);
+        ConnectionGuard(Rc::clone(&self.open_connections))
+    }
+
+    /// Number of connections of callers.
+    pub fn connection_count(&self) -> usize {
+        self.open_connections.get()
+    }
+
     /// Gets the configuration in force.
     pub fn config(&self) -> Option<ConfigInForce> {
         self.config.borrow().clone()
@@ -271,6 +297,15 @@
     }
 }
 
+/// Counts one connection of a caller.
+pub struct ConnectionGuard(Rc<Cell<usize>>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Hash of a server's id that all instances share.
 fn server_hash(id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
