--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -19,7 +19,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::HOST;
+use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Uri};
 
 /// Part of the process's memory that request bodies may take.
@@ -122,14 +122,17 @@
     let arrived_at = state.now();
     let caller = CallerHeaders::read(request.headers());
     let id = caller.request_id.clone();
-    let admitted = match admit(&state, request, caller, arrived_at).await {
-        Ok(admitted) => admitted,
-        Err(refusal) => return Ok(refuse(&state, &id, refusal)),
+    let mut answer = match admit(&state, request, caller, arrived_at).await {
+        Ok(admitted) => match admitted.rule.kind {
+            RequestKind::Safe | RequestKind::Unsafe => relay::serve(&state, admitted).await,
+            RequestKind::Stream => generation::serve(&state, admitted).await,
+        },
+        Err(refusal) => refuse(&state, &id, refusal),
     };
-    match admitted.rule.kind {
-        RequestKind::Safe | RequestKind::Unsafe => Ok(relay::serve(&state, admitted).await),
-        RequestKind::Stream => Ok(generation::serve(&state, admitted).await),
+    if state.stop_time_left().is_some() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    Ok(answer)
 }
 
 fn refuse(state: &SharedState, id: &str, refusal: OwnAnswer) -> CallerAnswer {
--- a/medlarlanding/src/forwarding/listener.rs
+++ b/medlarlanding/src/forwarding/listener.rs
@@ -70,8 +70,9 @@
     let config = state.config();
     let limits = config.as_ref().map(|in_force| in_force.config.limits);
     let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle) + IDLE_MARGIN;
+    let is_stopping = *stop.borrow();
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle);
+    builder.timer(TokioTimer::new()).header_read_timeout(idle).keep_alive(!is_stopping);
     if let Some(limits) = limits {
         builder.max_buf_size(limits.header_bytes.max(LEAST_HEAD_BUFFER));
     }
@@ -80,7 +81,7 @@
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _ = stop.wait_for(|stopping| *stopping) => {
+        _ = stop.wait_for(|stopping| *stopping), if !is_stopping => {
             connection.as_mut().graceful_shutdown();
             connection.await
         },
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -138,10 +138,11 @@
     event(EventKind::DrainStarted, &[&open]);
     let latest = grace.saturating_sub(KILL_MARGIN);
     state.begin_stop(latest);
+    // Until the balancer has taken the instance out, idle connections are still used.
+    tokio::time::sleep(ROTATION_TIME.min(latest)).await;
     stop.send_replace(true);
     while started.elapsed() < latest {
-        let is_idle = state.connection_count() == 0;
-        if is_idle && started.elapsed() >= ROTATION_TIME.min(latest) {
+        if state.connection_count() == 0 {
             break;
         }
         tokio::time::sleep(DRAIN_PERIOD).await;
