Let a few hubs watch the store and the best ranked one place generations

Ruled out: more fan-out (bytes grow with the square of the fleet); an owner for each engine (each instance would have to ask several owners to compare engines). Change: ranks by machine strength and address; the three best ranked live instances that reach the store watch it and push changes; all report loads to them; the best ranked one answers placement questions and counts grants that the loads do not contain yet. Whoever gets no answer in 30 ms decides from what it knows.

--- /dev/null
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -0,0 +1,71 @@
+//! Datagrams between instances of the forwarding role.
+
+use super::peers::PeerDigest;
+
+value_type! {
+    /// A message in one datagram.
+    pub enum PeerMessage {
+        /// State and load of the sender.
+        Digest(PeerDigest),
+        /// Changes of server entries.
+        Servers(ServerChanges),
+        /// Asks where to run a generation.
+        Question(PlaceQuestion),
+        /// Tells where to run a generation.
+        Answer(PlaceAnswer),
+    }
+}
+
+value_type! {
+    /// Changes of server entries between two revisions of the store.
+    pub struct ServerChanges {
+        /// Revision that a receiver must know to apply the changes.
+        pub after: u64,
+        /// Revision that a receiver knows when it has applied them.
+        pub revision: u64,
+        /// Ids with the value of the entry, or none for a removed one.
+        pub changes: Vec<(String, Option<Vec<u8>>)>,
+    }
+}
+
+value_type! { copy
+    /// What a generation is placed for.
+    pub enum PlacePurpose {
+        /// A new run.
+        Start,
+        /// A run that leaves an engine.
+        Move,
+    }
+}
+
+value_type! {
+    /// Asks the instance that places generations for a server.
+    pub struct PlaceQuestion {
+        /// Number that the answer repeats.
+        pub number: u64,
+        /// What the server is for.
+        pub purpose: PlacePurpose,
+        /// Service that the request goes to.
+        pub service: String,
+        /// Tokens in memory at the start.
+        pub prompt: u32,
+        /// Output tokens that are expected.
+        pub output: u32,
+        /// Hashes of servers that must not be chosen.
+        pub excluded: Vec<u64>,
+        /// Availability zone that is preferred.
+        pub zone: String,
+    }
+}
+
+value_type! { copy
+    /// Answers a `PlaceQuestion`.
+    pub struct PlaceAnswer {
+        /// Number of the question.
+        pub number: u64,
+        /// Hash of the server's id, or none if no server takes the run.
+        pub server: Option<u64>,
+        /// Number of the grant; the receiver reports it with its load.
+        pub grant: u64,
+    }
+}
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::answer::{AnswerResult, CallerAnswer, OwnAnswer};
+use super::peer_link::PeerLink;
 use super::shared::{ConfigInForce, ForwardState, SharedState};
 use super::{generation, relay};
 use crate::logging::event;
@@ -116,7 +117,11 @@
 }
 
 /// Serves one request of a caller.
-pub async fn serve(state: SharedState, request: Request<Incoming>) -> AnswerResult {
+pub async fn serve(
+    state: SharedState,
+    link: Rc<PeerLink>,
+    request: Request<Incoming>,
+) -> AnswerResult {
     state.telemetry.open_requests.inc();
     let _open = OpenRequest(Rc::clone(&state));
     let arrived_at = state.now();
@@ -125,7 +130,7 @@
     let mut answer = match admit(&state, request, caller, arrived_at).await {
         Ok(admitted) => match admitted.rule.kind {
             RequestKind::Safe | RequestKind::Unsafe => relay::serve(&state, admitted).await,
-            RequestKind::Stream => generation::serve(&state, admitted).await,
+            RequestKind::Stream => generation::serve(&state, link, admitted).await,
         },
         Err(refusal) => refuse(&state, &id, refusal),
     };
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -1,6 +1,7 @@
 //! Generations on model engines: one run per request, moved while its engine leaves.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::admit::{AdmittedRequest, retry_after};
@@ -8,13 +9,14 @@
     AnswerBody, CallerAnswer, OwnAnswer, StreamCut, TaskGuard, pass_on,
 };
 use super::exchange::{self, Exchange, ExchangeFault};
+use super::peer_link::PeerLink;
 use super::relay::server_request;
 use super::shared::{LoadGuard, SharedState};
 use super::stream_events::{EventSplitter, StreamPiece};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    MovePlan, MoveStep, PlacementRequest, RepeatPurpose, RunWeight, ServerEntry, ServerKey,
+    MovePlan, MoveStep, PlacePurpose, PlacementRequest, RepeatPurpose, RunWeight, ServerEntry, ServerKey,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::engines::{self, RunCopy};
@@ -47,10 +49,14 @@
 const STOP_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Serves a generation.
-pub async fn serve(state: &SharedState, admitted: AdmittedRequest) -> CallerAnswer {
+pub async fn serve(
+    state: &SharedState,
+    link: Rc<PeerLink>,
+    admitted: AdmittedRequest,
+) -> CallerAnswer {
     let (head_sender, head) = oneshot::channel();
     let id = admitted.id.clone();
-    let run = GenerationRun::new(Rc::clone(state), admitted);
+    let run = GenerationRun::new(Rc::clone(state), link, admitted);
     let guard = TaskGuard(tokio::task::spawn_local(run.drive(head_sender)));
     match head.await {
         Ok(RunHead::Answer(answer)) => answer,
@@ -145,6 +151,7 @@
 
 struct GenerationRun {
     state: SharedState,
+    link: Rc<PeerLink>,
     admitted: AdmittedRequest,
     changes: watch::Receiver<u64>,
     splitter: EventSplitter,
@@ -161,11 +168,12 @@
 }
 
 impl GenerationRun {
-    fn new(state: SharedState, admitted: AdmittedRequest) -> Self {
+    fn new(state: SharedState, link: Rc<PeerLink>, admitted: AdmittedRequest) -> Self {
         let changes = state.directory_changes();
         let now = state.now();
         Self {
             state,
+            link,
             admitted,
             changes,
             splitter: EventSplitter::default(),
@@ -215,7 +223,9 @@
             if time_left.is_zero() {
                 return Err(StartEnd::Own(OwnAnswer::LateUnsent));
             }
-            let Some((key, entry)) = self.choose(&tried) else {
+            let zone = Arc::from(self.state.settings.zone.as_str());
+            let placed = self.choose(PlacePurpose::Start, &tried, &zone).await;
+            let Some((key, entry)) = placed else {
                 let refusal =
                     if tried.is_empty() { OwnAnswer::NoServer } else { OwnAnswer::ServersFull };
                 return Err(StartEnd::Own(refusal));
@@ -313,35 +323,21 @@
         }
     }
 
-    fn choose(&self, excluded: &[ServerKey]) -> Option<(ServerKey, ServerEntry)> {
-        let zone = &self.state.settings.zone;
-        self.entry_of(self.state.place(&self.placement_request(excluded, zone))?)
-    }
-
-    fn choose_destination(
+    /// Asks the instance that places generations, or decides here when it does not answer.
+    async fn choose(
         &self,
-        place: &RunPlace,
+        purpose: PlacePurpose,
         excluded: &[ServerKey],
+        zone: &Arc<str>,
     ) -> Option<(ServerKey, ServerEntry)> {
-        let zone = &place.entry.zone;
-        self.entry_of(self.state.place_move(&self.placement_request(excluded, zone))?)
-    }
-
-    fn placement_request<'a>(
-        &'a self,
-        excluded: &'a [ServerKey],
-        zone: &'a str,
-    ) -> PlacementRequest<'a> {
-        PlacementRequest {
+        let request = PlacementRequest {
             service: &self.admitted.service,
             memory_tokens: self.admitted.engine.map(|engine| engine.memory_tokens),
             weight: self.run_weight(),
             excluded,
             zone,
-        }
-    }
-
-    fn entry_of(&self, key: ServerKey) -> Option<(ServerKey, ServerEntry)> {
+        };
+        let key = self.link.place(&self.state, purpose, &request).await?;
         let entry = self.state.directory.borrow().get(key)?.entry.clone();
         Some((key, entry))
     }
@@ -400,7 +396,7 @@
                     MoveStep::Stay => {},
                     MoveStep::Wait(until) => wake_at = wake_at.min(until),
                     MoveStep::Copy => {
-                        call = self.begin_copy(place, destination, &refused);
+                        call = self.begin_copy(place, destination, &refused).await;
                         plan.copy_begun();
                         if call.is_none() {
                             self.note_move(place, destination, "no_room");
@@ -528,13 +524,14 @@
         (can_move && self.events > 0).then(|| MovePlan::new(self.state.move_params, leaving))
     }
 
-    fn begin_copy(
+    async fn begin_copy(
         &self,
         place: &RunPlace,
         destination: &mut Option<RunDestination>,
         refused: &[ServerKey],
     ) -> Option<MoveCall> {
-        let (key, entry) = self.choose_destination(place, refused)?;
+        let zone = &place.entry.zone;
+        let (key, entry) = self.choose(PlacePurpose::Move, refused, zone).await?;
         let address = entry.address;
         event(EventKind::MoveBegun, &[
             &self.admitted.id,
--- a/medlarlanding/src/forwarding/listener.rs
+++ b/medlarlanding/src/forwarding/listener.rs
@@ -8,6 +8,7 @@
 use super::admit;
 use super::answer::AnswerBody;
 use super::exchange::tune_socket;
+use super::peer_link::PeerLink;
 use super::shared::SharedState;
 use medlarlanding_platform::engines::READINESS_PATH;
 
@@ -49,12 +50,14 @@
 pub async fn serve_callers(
     listener: TcpListener,
     state: SharedState,
+    link: Rc<PeerLink>,
     stop: watch::Receiver<bool>,
 ) -> anyhow::Result<()> {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_caller(stream, Rc::clone(&state), stop.clone()));
+                let (state, link) = (Rc::clone(&state), Rc::clone(&link));
+                tokio::task::spawn_local(serve_caller(stream, state, link, stop.clone()));
             },
             Err(error) => {
                 log::warn!("a connection was not accepted: {error}");
@@ -64,7 +67,12 @@
     }
 }
 
-async fn serve_caller(stream: TcpStream, state: SharedState, mut stop: watch::Receiver<bool>) {
+async fn serve_caller(
+    stream: TcpStream,
+    state: SharedState,
+    link: Rc<PeerLink>,
+    mut stop: watch::Receiver<bool>,
+) {
     tune_socket(&stream);
     let _open = state.open_connection();
     let config = state.config();
@@ -76,7 +84,9 @@
     if let Some(limits) = limits {
         builder.max_buf_size(limits.header_bytes.max(LEAST_HEAD_BUFFER));
     }
-    let service = service_fn(move |request| admit::serve(Rc::clone(&state), request));
+    let service = service_fn(move |request| {
+        admit::serve(Rc::clone(&state), Rc::clone(&link), request)
+    });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -1,14 +1,18 @@
 //! Traffic between instances: digests over UDP, texts that a peer lacks over TCP.
 
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::exchange::{connect, tune_socket};
-use super::shared::{ChangeSource, SharedState};
+use super::shared::{ChangeSource, ForwardState, SharedState};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{PeerDigest, PeerTableParams};
+use medlarlanding_core::forwarding::{
+    PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer, PlacePurpose, PlaceQuestion,
+    PlacementRequest, ServerChanges, ServerKey,
+};
 use medlarlanding_core::value_type;
 
 use anyhow::{Context, bail};
@@ -17,6 +21,7 @@
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::oneshot;
 
 /// Largest datagram; digests of an instance with 50 busy servers take about 900 bytes.
 const DATAGRAM_LIMIT: usize = 4096;
@@ -26,7 +31,7 @@
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// A peer may be ahead for this long before it is asked: the store's own answer is usually on
 /// its way.
-const FETCH_DELAY: Duration = Duration::from_millis(200);
+const FETCH_DELAY: Duration = Duration::from_millis(300);
 
 value_type! {
     /// Asks a peer for what is newer than what the sender knows.
@@ -48,62 +53,214 @@
     }
 }
 
-/// Sends digests periodically and reads those of peers.
-pub async fn run_digests(socket: Rc<UdpSocket>, state: SharedState) -> anyhow::Result<()> {
-    let params = PeerTableParams::default();
-    let mut sequence = 0u64;
-    let mut behind_since = None;
-    let mut interval = tokio::time::interval(params.interval);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut buffer = vec![0; DATAGRAM_LIMIT];
-    loop {
-        tokio::select! {
-            _ = interval.tick() => {
-                sequence += 1;
-                send_digests(&socket, &state, sequence).await;
-                fetch_if_behind(&state, &mut behind_since).await;
+/// Time for the answer to a question; a packet takes about a millisecond each way.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Bytes of changes in one datagram.
+const CHANGES_LIMIT: usize = 1100;
+/// Least pause between digests that are sent because something changed.
+const DIGEST_PAUSE: Duration = Duration::from_millis(20);
+
+/// The socket for datagrams with the questions that wait for an answer.
+pub struct PeerLink {
+    socket: UdpSocket,
+    questions: RefCell<IndexMap<u64, oneshot::Sender<PlaceAnswer>>>,
+    next_question: Cell<u64>,
+}
+
+impl PeerLink {
+    /// Wraps a bound socket.
+    pub fn new(socket: UdpSocket) -> Self {
+        Self { socket, questions: RefCell::default(), next_question: Cell::new(1) }
+    }
+
+    fn send(&self, state: &ForwardState, message: &PeerMessage, targets: &[SocketAddr]) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::warn!("a datagram was not sent: {error}");
+                return;
             },
-            received = socket.recv_from(&mut buffer) => {
-                // Errors report earlier datagrams that reached no listener.
-                let Ok((length, source)) = received else { continue };
-                match postcard::from_bytes::<PeerDigest>(&buffer[..length]) {
-                    Ok(digest) if digest.sender == source => {
-                        state.peers.borrow_mut().receive(state.now(), digest);
-                    },
-                    Ok(_) | Err(_) => state.telemetry.dropped_datagrams.inc(),
+        };
+        for target in targets {
+            // A datagram that is not sent is as good as lost; digests follow.
+            if self.socket.try_send_to(&bytes, *target).is_err() {
+                state.telemetry.unsent_datagrams.inc();
+            }
+        }
+    }
+
+    /// Tells all peers of changed server entries, each with the revision of its change.
+    ///
+    /// A datagram continues the one before it, so that a receiver notices one that was lost.
+    pub fn push_servers(
+        &self,
+        state: &ForwardState,
+        known: u64,
+        revision: u64,
+        changed: Vec<(String, u64)>,
+    ) {
+        let targets = state.peers.borrow().known();
+        let mut pending = ServerChanges { after: known, revision: known, changes: Vec::new() };
+        let mut size = 0;
+        for (id, changed_at) in changed {
+            let value = state.raw_servers.borrow().values.get(&id).cloned();
+            let length = id.len() + value.as_ref().map_or(0, Vec::len);
+            if size > 0 && size + length > CHANGES_LIMIT {
+                let after = pending.revision;
+                let next = ServerChanges { after, revision: after, changes: Vec::new() };
+                let full = std::mem::replace(&mut pending, next);
+                self.send(state, &PeerMessage::Servers(full), &targets);
+                size = 0;
+            }
+            size += length;
+            pending.revision = pending.revision.max(changed_at);
+            pending.changes.push((id, value));
+        }
+        pending.revision = pending.revision.max(revision);
+        self.send(state, &PeerMessage::Servers(pending), &targets);
+    }
+
+    /// Chooses a server for a generation: asks the instance that places them, or decides here
+    /// when that is this instance or it does not answer.
+    pub async fn place(
+        &self,
+        state: &SharedState,
+        purpose: PlacePurpose,
+        request: &PlacementRequest<'_>,
+    ) -> Option<ServerKey> {
+        let keeper = state.peers.borrow().keeper(state.now());
+        let Some(keeper) = keeper else { return state.place(purpose, request) };
+        let number = self.next_question.get();
+        self.next_question.set(number + 1);
+        let (sender, answer) = oneshot::channel();
+        self.questions.borrow_mut().insert(number, sender);
+        let question = PlaceQuestion {
+            number,
+            purpose,
+            service: request.service.to_owned(),
+            prompt: request.weight.prompt,
+            output: request.weight.output,
+            excluded: request.excluded.iter().filter_map(|key| state.hash_of(*key)).collect(),
+            zone: request.zone.to_owned(),
+        };
+        self.send(state, &PeerMessage::Question(question), &[keeper]);
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        self.questions.borrow_mut().swap_remove(&number);
+        match answer {
+            Ok(Ok(answer)) => {
+                state.granted.set(state.granted.get().max(answer.grant));
+                match answer.server.and_then(|hash| state.find_server(hash)) {
+                    Some(key) if !request.excluded.contains(&key) => Some(key),
+                    Some(_) | None => state.place(purpose, request),
                 }
             },
+            Ok(Err(_)) | Err(_) => {
+                state.telemetry.lost_questions.inc();
+                state.place(purpose, request)
+            },
+        }
+    }
+}
+
+/// Sends digests periodically, and at once when the configuration changed.
+pub async fn send_digests(link: Rc<PeerLink>, state: SharedState) -> anyhow::Result<()> {
+    let interval = PeerTableParams::default().interval;
+    let mut sequence = 0u64;
+    let mut behind_since = None;
+    let mut keeper = None;
+    loop {
+        sequence += 1;
+        let now = state.now();
+        let present = state.peers.borrow().keeper(now);
+        if present != keeper {
+            // Grants are numbered by the instance that gave them.
+            state.granted.set(0);
+            keeper = present;
         }
+        send_digest(&link, &state, sequence);
+        fetch_if_behind(&state, &mut behind_since).await;
+        let wanted = async {
+            tokio::time::sleep(DIGEST_PAUSE).await;
+            state.digest_wanted.notified().await;
+        };
+        // The period only paces the digests.
+        let _ = tokio::time::timeout(interval, wanted).await;
     }
 }
 
-async fn send_digests(socket: &UdpSocket, state: &SharedState, sequence: u64) {
+fn send_digest(link: &PeerLink, state: &SharedState, sequence: u64) {
     let now = state.now();
     let targets = state.peers.borrow_mut().targets(now);
-    let digest = PeerDigest {
+    let mut digest = PeerDigest {
         sender: state.settings.peers,
         boot: state.boot,
         sequence,
+        strength: state.peers.borrow().strength(),
+        reaches_store: state.reaches_store.get(),
         config_version: state.config_version(),
         servers_revision: state.raw_servers.borrow().revision,
         peers: state.peers.borrow().sample(now, sequence as usize),
-        loads: state.own_loads(),
+        granted: state.granted.get(),
+        loads: Vec::new(),
     };
-    let bytes = match postcard::to_stdvec(&digest) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            log::warn!("a digest was not sent: {error}");
-            return;
-        },
+    let addresses = |takes_loads: bool| -> Vec<SocketAddr> {
+        let fitting = targets.iter().filter(|(_, takes)| *takes == takes_loads);
+        fitting.map(|(address, _)| *address).collect()
     };
-    for target in targets {
-        // A peer that cannot be reached now may be reached at the next period.
-        if let Err(error) = socket.send_to(&bytes, target).await {
-            log::debug!("no digest to {target}: {error}");
+    link.send(state, &PeerMessage::Digest(digest.clone()), &addresses(false));
+    digest.loads = state.own_loads();
+    link.send(state, &PeerMessage::Digest(digest), &addresses(true));
+}
+
+/// Reads datagrams of peers.
+pub async fn read_datagrams(link: Rc<PeerLink>, state: SharedState) -> anyhow::Result<()> {
+    let mut buffer = vec![0; DATAGRAM_LIMIT];
+    loop {
+        // Errors report earlier datagrams that reached no listener.
+        let Ok((length, source)) = link.socket.recv_from(&mut buffer).await else { continue };
+        match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
+            Ok(message) => take_message(&link, &state, source, message),
+            Err(_) => state.telemetry.dropped_datagrams.inc(),
         }
     }
 }
 
+fn take_message(link: &PeerLink, state: &SharedState, source: SocketAddr, message: PeerMessage) {
+    match message {
+        PeerMessage::Digest(digest) if digest.sender != source => {
+            state.telemetry.dropped_datagrams.inc();
+        },
+        PeerMessage::Digest(digest) => {
+            let is_newer = digest.config_version > state.config_version();
+            if state.peers.borrow_mut().receive(state.now(), digest) && is_newer {
+                state.config_wanted.notify_one();
+            }
+        },
+        PeerMessage::Servers(changes) => {
+            let known = state.raw_servers.borrow().revision;
+            // Older changes are known; after a gap the digests lead to a fetch.
+            if changes.after > known || changes.revision < known || known == 0 {
+                return;
+            }
+            for (id, value) in changes.changes {
+                if state.raw_servers.borrow().values.get(&id) != value.as_ref() {
+                    state.change_server(&id, value, ChangeSource::Peer);
+                }
+            }
+            state.raw_servers.borrow_mut().revision = changes.revision;
+        },
+        PeerMessage::Question(question) => {
+            let answer = state.answer_place(source, &question);
+            link.send(state, &PeerMessage::Answer(answer), &[source]);
+        },
+        PeerMessage::Answer(answer) => {
+            let waiting = link.questions.borrow_mut().swap_remove(&answer.number);
+            // A late answer finds its question gone; its grant lapses.
+            let _ = waiting.map(|waiting| waiting.send(answer));
+        },
+    }
+}
+
 async fn fetch_if_behind(
     state: &SharedState,
     behind_since: &mut Option<medlarlanding_core::time::Timestamp>,
@@ -117,7 +274,7 @@
             .ahead_of_config(now, config_version)
             .or_else(|| peers.ahead_of_servers(now, servers_revision))
     };
-    let Some((peer, _)) = ahead else {
+    let Some(peer) = ahead else {
         *behind_since = None;
         return;
     };
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -8,7 +8,7 @@
 use super::shared::{LoadGuard, SharedState};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{PlacementRequest, RepeatPurpose, RequestKind, ServerKey};
+use medlarlanding_core::forwarding::{PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, ServerKey};
 use medlarlanding_platform::headers::{
     self, AnswerProof, RunContinuation, SendHeaders, check_answer, promises_not_run,
 };
@@ -96,7 +96,7 @@
         if time_left < LEAST_TIME {
             break give_up(fallback, if run_at > 0 { OwnAnswer::LateSent } else { OwnAnswer::LateUnsent });
         }
-        let placed = state.place(&PlacementRequest {
+        let placed = state.place(PlacePurpose::Start, &PlacementRequest {
             service: &admitted.service,
             memory_tokens: None,
             weight: admitted.weight,
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -6,7 +6,7 @@
 
 use super::listener;
 use super::log_output::LogWriter;
-use super::peer_link;
+use super::peer_link::{self, PeerLink};
 use super::shared::{ForwardState, SharedState};
 use super::store_watch::{self, WatchedPart};
 use super::telemetry::Telemetry;
@@ -77,12 +77,14 @@
         port => Some(listener::bind(SocketAddr::new(settings.peers.ip(), port))?),
     };
     let grace = settings.stop_grace;
-    let peers =
-        PeerTable::new(PeerTableParams::default(), settings.peers, settings.seeds.clone());
+    let strength = machine_strength(&settings);
+    let seeds = settings.seeds.clone();
+    let peers = PeerTable::new(PeerTableParams::default(), settings.peers, strength, seeds);
     let state = Rc::new(ForwardState::new(settings, boot, Telemetry::new()?, peers));
+    let link = Rc::new(PeerLink::new(digests));
     let (stop, stopping) = watch::channel(false);
     let tasks = RoleTasks::new();
-    tasks.spawn("callers", listener::serve_callers(callers, Rc::clone(&state), stopping));
+    tasks.spawn("callers", listener::serve_callers(callers, Rc::clone(&state), Rc::clone(&link), stopping));
     tasks.spawn("readiness", listener::serve_readiness(readiness, Rc::clone(&state)));
     if let Some(control) = control {
         tasks.spawn("control", listener::serve_readiness(control, Rc::clone(&state)));
@@ -90,10 +92,11 @@
     if let Some(metrics) = metrics {
         tasks.spawn("metrics", listener::serve_metrics(metrics, Rc::clone(&state)));
     }
-    tasks.spawn("digests", peer_link::run_digests(Rc::new(digests), Rc::clone(&state)));
+    tasks.spawn("digests", peer_link::send_digests(Rc::clone(&link), Rc::clone(&state)));
+    tasks.spawn("datagrams", peer_link::read_datagrams(Rc::clone(&link), Rc::clone(&state)));
     tasks.spawn("fetches", peer_link::serve_fetches(fetches, Rc::clone(&state)));
-    tasks.spawn("config", store_watch::run(Rc::clone(&state), WatchedPart::Config));
-    tasks.spawn("servers", store_watch::run(Rc::clone(&state), WatchedPart::Servers));
+    tasks.spawn("config", store_watch::run(Rc::clone(&state), Rc::clone(&link), WatchedPart::Config));
+    tasks.spawn("servers", store_watch::run(Rc::clone(&state), Rc::clone(&link), WatchedPart::Servers));
     tasks.spawn("settings", watch_settings(Rc::clone(&state)));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut failures = tasks.failures;
@@ -104,6 +107,14 @@
     Ok(())
 }
 
+/// Strength of a machine with a whole core.
+const CORE_STRENGTH: f64 = 400.0;
+
+/// Ranks machines by the weaker of processor and link; hubs send to all others.
+fn machine_strength(settings: &PlatformSettings) -> u16 {
+    (settings.cpu_share * CORE_STRENGTH).min(settings.link_mbps).clamp(0.0, 60_000.0) as u16
+}
+
 /// Tasks whose failure ends the process: the platform starts it again.
 struct RoleTasks {
     failed: mpsc::UnboundedSender<anyhow::Error>,
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -1,8 +1,7 @@
 //! State that the tasks of one process share, on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,8 +12,9 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     BudgetParams, DirectoryChange, ForwardConfig, LoadReport, MoveParams, PeerTable,
-    PlacementPolicy, PlacementRequest, RepeatBudget, RepeatPurpose, RunWeight, ServerDirectory, ServerKey, ServerRecord,
+    PlaceAnswer, PlacePurpose, PlaceQuestion, PlacementPolicy, PlacementRequest, RepeatBudget, RepeatPurpose, RunWeight, ServerDirectory, ServerKey, ServerRecord,
 };
+use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::config::decode_config;
 use medlarlanding_platform::servers::decode_entry;
@@ -23,7 +23,7 @@
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Where a change came from; written in the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,6 +87,14 @@
     clock: ProcessClock,
     config: RefCell<Option<ConfigInForce>>,
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
+    /// The last call to the store was answered.
+    pub reaches_store: Cell<bool>,
+    /// Highest number of a grant from the instance that places generations.
+    pub granted: Cell<u64>,
+    /// Wakes the reader of the configuration when a peer has a newer one.
+    pub config_wanted: Notify,
+    /// Wakes the task that sends digests when something changed that peers should know.
+    pub digest_wanted: Notify,
     placement: PlacementPolicy,
     random: RefCell<SmallRng>,
     directory_changes: watch::Sender<u64>,
@@ -103,8 +111,7 @@
         telemetry: Telemetry,
         peers: PeerTable,
     ) -> Self {
-        let mut hasher = DefaultHasher::new();
-        (&settings.instance, boot).hash(&mut hasher);
+        let seed = stable_hash(settings.instance.as_bytes()) ^ boot;
         Self {
             settings,
             boot,
@@ -119,8 +126,12 @@
             clock: ProcessClock::start(),
             config: RefCell::default(),
             budgets: RefCell::default(),
+            reaches_store: Cell::new(false),
+            granted: Cell::new(0),
+            config_wanted: Notify::new(),
+            digest_wanted: Notify::new(),
             placement: PlacementPolicy::default(),
-            random: RefCell::new(SmallRng::seed_from_u64(hasher.finish())),
+            random: RefCell::new(SmallRng::seed_from_u64(seed)),
             directory_changes: watch::Sender::new(0),
         }
     }
@@ -187,6 +198,7 @@
         let (version, routes) = (config.version, config.route_count());
         event(EventKind::ForwardConfigAccepted, &[&version, &source.name(), &routes]);
         self.telemetry.config_version.set(version as i64);
+        self.digest_wanted.notify_one();
         let in_force = ConfigInForce { config: Rc::new(config), text: Rc::new(text.to_vec()) };
         *self.config.borrow_mut() = Some(in_force);
     }
@@ -239,24 +251,65 @@
         raw.revision = raw.revision.max(revision);
     }
 
-    /// Chooses a server for a request.
-    pub fn place(&self, request: &PlacementRequest<'_>) -> Option<ServerKey> {
+    /// Chooses a server for a request from what this instance knows.
+    pub fn place(
+        &self,
+        purpose: PlacePurpose,
+        request: &PlacementRequest<'_>,
+    ) -> Option<ServerKey> {
         let now = self.now();
         let peers = self.peers.borrow();
         let remote =
             |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
         let directory = self.directory.borrow();
-        self.placement.choose(now, &directory, request, remote, || self.draw())
+        let draw = || self.draw();
+        match purpose {
+            PlacePurpose::Start => self.placement.choose(now, &directory, request, remote, draw),
+            PlacePurpose::Move => {
+                self.placement.choose_destination(now, &directory, request, remote, draw)
+            },
+        }
     }
 
-    /// Chooses the destination for a run that leaves an engine in the request's zone.
-    pub fn place_move(&self, request: &PlacementRequest<'_>) -> Option<ServerKey> {
-        let now = self.now();
-        let peers = self.peers.borrow();
-        let remote =
-            |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
+    /// Places a generation for a peer.
+    pub fn answer_place(&self, peer: SocketAddr, question: &PlaceQuestion) -> PlaceAnswer {
+        let excluded: Vec<ServerKey> =
+            question.excluded.iter().filter_map(|hash| self.find_server(*hash)).collect();
+        let config = self.config();
+        let policy = config.as_ref().and_then(|it| it.config.service(&question.service));
+        let memory = policy.and_then(|policy| policy.engine).map(|engine| engine.memory_tokens);
+        let key = self.place(question.purpose, &PlacementRequest {
+            service: &question.service,
+            memory_tokens: memory,
+            weight: RunWeight { prompt: question.prompt, output: question.output },
+            excluded: &excluded,
+            zone: &question.zone,
+        });
+        let server = key.and_then(|key| {
+            Some(server_hash(&self.directory.borrow().get(key)?.entry.id))
+        });
+        let waiting = match question.purpose {
+            PlacePurpose::Start => question.prompt,
+            PlacePurpose::Move => 0,
+        };
+        let grant = server.map_or(0, |server| {
+            self.peers.borrow_mut().grant(self.now(), peer, server, question.prompt, waiting)
+        });
+        PlaceAnswer { number: question.number, server, grant }
+    }
+
+    /// Finds the server with the hash of an id.
+    pub fn find_server(&self, hash: u64) -> Option<ServerKey> {
         let directory = self.directory.borrow();
-        self.placement.choose_destination(now, &directory, request, remote, || self.draw())
+        let found = directory.iter().find(|(_, record)| {
+            !record.is_gone && server_hash(&record.entry.id) == hash
+        });
+        found.map(|(key, _)| key)
+    }
+
+    /// Hash by which peers name a server.
+    pub fn hash_of(&self, key: ServerKey) -> Option<u64> {
+        Some(server_hash(&self.directory.borrow().get(key)?.entry.id))
     }
 
     /// Counts the first send of a request to a service.
@@ -308,9 +361,7 @@
 
 /// Hash of a server's id that all instances share.
 fn server_hash(id: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish()
+    stable_hash(id.as_bytes())
 }
 
 /// A request's share of a server's load; given back when it is dropped.
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::peer_link::PeerLink;
 use super::shared::{ChangeSource, SharedState};
 use super::store_client::{StoreClient, WatchAnswer};
 use crate::logging::event;
@@ -23,6 +24,12 @@
 /// one call.
 const BATCH_PAUSE: Duration = Duration::from_millis(30);
 
+/// Period in which an instance that does not watch looks whether it has to.
+const TURN_PERIOD: Duration = Duration::from_millis(200);
+/// Instances that learn of a newer configuration read it spread over this time, and no more
+/// often than this in a quick succession of versions.
+const READ_DELAY: Duration = Duration::from_millis(150);
+
 /// A part of the store that is watched.
 #[derive(Clone, Copy, Debug)]
 pub enum WatchedPart {
@@ -49,19 +56,26 @@
 }
 
 /// Reads a part and follows its changes until the process ends.
-pub async fn run(state: SharedState, part: WatchedPart) -> anyhow::Result<()> {
+pub async fn run(
+    state: SharedState,
+    link: Rc<PeerLink>,
+    part: WatchedPart,
+) -> anyhow::Result<()> {
     let mut watch = PartWatch {
         client: StoreClient::new(state.settings.store),
         state: Rc::clone(&state),
+        link,
         part,
         revision: None,
     };
     let mut is_lost = false;
     let mut pause = RETRY_MIN;
     loop {
+        watch.wait_for_turn().await;
         match watch.step().await {
             Ok(()) => {
                 state.telemetry.store_calls.with_label_values(&["ok"]).inc();
+                state.reaches_store.set(true);
                 if is_lost {
                     event(EventKind::PlatformReachable, &[&part.name()]);
                 }
@@ -70,6 +84,10 @@
             },
             Err(error) => {
                 state.telemetry.store_calls.with_label_values(&["failed"]).inc();
+                if state.reaches_store.replace(false) {
+                    // Another instance takes the watch over.
+                    state.digest_wanted.notify_one();
+                }
                 if !is_lost {
                     event(EventKind::PlatformUnreachable, &[&part.name(), &format!("{error:#}")]);
                 }
@@ -84,12 +102,38 @@
 struct PartWatch {
     client: StoreClient,
     state: SharedState,
+    link: Rc<PeerLink>,
     part: WatchedPart,
     /// Revision up to which changes are known; `None` before the part was read.
     revision: Option<u64>,
 }
 
 impl PartWatch {
+    /// Waits until this instance has to call the store: the part was never read, this instance
+    /// watches for others, or a peer has a newer configuration.
+    async fn wait_for_turn(&mut self) {
+        while self.revision.is_some() && !self.is_watching() {
+            match self.part {
+                WatchedPart::Servers => tokio::time::sleep(TURN_PERIOD).await,
+                WatchedPart::Config => {
+                    let wanted = self.state.config_wanted.notified();
+                    if tokio::time::timeout(TURN_PERIOD, wanted).await.is_ok() {
+                        self.revision = None;
+                        tokio::time::sleep(READ_DELAY.mul_f64(self.state.draw())).await;
+                    }
+                },
+            }
+        }
+        if let (WatchedPart::Servers, Some(revision)) = (self.part, self.revision) {
+            // Peers told of changes while another instance watched.
+            self.revision = Some(self.state.raw_servers.borrow().revision.max(revision));
+        }
+    }
+
+    fn is_watching(&self) -> bool {
+        self.state.peers.borrow().watches_store(self.state.now())
+    }
+
     async fn step(&mut self) -> anyhow::Result<()> {
         let Some(revision) = self.revision else {
             return self.read_all().await;
@@ -97,19 +141,32 @@
         match self.client.watch(self.part.prefix(), revision, WATCH_WAIT).await? {
             WatchAnswer::HistoryGone => self.revision = None,
             WatchAnswer::Changes(changes) => {
-                let has_changes = !changes.items.is_empty();
-                for item in changes.items {
-                    self.apply(item);
-                }
-                self.advance(changes.revision.max(revision));
-                if has_changes {
-                    tokio::time::sleep(BATCH_PAUSE).await;
-                }
+                let revision = changes.revision.max(revision);
+                self.take_changes(changes.items, revision).await;
             },
         }
         Ok(())
     }
 
+    async fn take_changes(&mut self, items: Vec<StoreItem>, revision: u64) {
+        let has_changes = !items.is_empty();
+        let known = self.state.raw_servers.borrow().revision;
+        let changed: Vec<(String, u64)> = items
+            .iter()
+            .filter_map(|item| Some((server_id(&item.key)?.to_owned(), item.revision)))
+            .collect();
+        for item in items {
+            self.apply(item);
+        }
+        self.advance(revision);
+        if has_changes {
+            if let WatchedPart::Servers = self.part {
+                self.link.push_servers(&self.state, known, revision, changed);
+            }
+            tokio::time::sleep(BATCH_PAUSE).await;
+        }
+    }
+
     /// Reads all pages. Later pages may be newer than the first, whose revision is the one from
     /// which the watch goes on.
     async fn read_all(&mut self) -> anyhow::Result<()> {
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -26,6 +26,10 @@
     pub store_calls: IntCounterVec,
     /// Datagrams dropped because they could not be read.
     pub dropped_datagrams: IntCounter,
+    /// Datagrams that the socket did not take.
+    pub unsent_datagrams: IntCounter,
+    /// Questions to the instance that places generations that got no answer.
+    pub lost_questions: IntCounter,
     /// Requests in progress.
     pub open_requests: IntGauge,
     /// Version of the configuration in force.
@@ -60,16 +64,29 @@
             registry.register(Box::new(histogram.clone()))?;
             Ok(histogram)
         };
-        let dropped_datagrams =
-            IntCounter::new("forward_dropped_datagrams", "Unreadable datagrams of peers.")?;
-        registry.register(Box::new(dropped_datagrams.clone()))?;
+        let counter = |name: &str, help: &str| -> anyhow::Result<_> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
         Ok(Self {
             requests: counters("forward_requests", "Requests.", &["kind", "outcome"])?,
             repeats: counters("forward_repeats", "Sends to a second server.", &["reason"])?,
             moves: counters("forward_moves", "Moves of generations.", &["outcome"])?,
             faults: counters("forward_faults", "Failed exchanges with servers.", &["fault"])?,
             store_calls: counters("forward_store_calls", "Calls to the store.", &["outcome"])?,
-            dropped_datagrams,
+            dropped_datagrams: counter(
+                "forward_dropped_datagrams",
+                "Unreadable datagrams of peers.",
+            )?,
+            unsent_datagrams: counter(
+                "forward_unsent_datagrams",
+                "Datagrams that the socket did not take.",
+            )?,
+            lost_questions: counter(
+                "forward_lost_questions",
+                "Questions for a placement without an answer.",
+            )?,
             open_requests: gauge("forward_open_requests", "Requests in progress.")?,
             config_version: gauge("forward_config_version", "Configuration in force.")?,
             first_answer: histogram(
