Let runs wait for room, hold back growth and budget moves where they are placed

Change: expected growth counts as load; a new run waits up to half of its objective for an engine with room; the instance that places generations holds the budget for moves.

--- a/medlarlanding-core/src/forwarding/budget.rs
+++ b/medlarlanding-core/src/forwarding/budget.rs
@@ -33,8 +33,8 @@
     /// the platform counts in another window than this instance does.
     fn margin(self) -> f64 {
         match self {
-            Self::Retry => 0.5,
-            Self::Move => 0.9,
+            Self::Retry => 0.35,
+            Self::Move => 0.55,
         }
     }
 }
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -76,6 +76,8 @@
     pub open_tokens: u64,
     /// Prompt tokens of requests of this instance whose answer has not begun.
     pub waiting_tokens: u64,
+    /// Tokens that the requests of this instance are expected to add.
+    pub open_growth: u64,
     /// Failures in a row, seen by this instance.
     failures: u32,
     avoid_until: Option<Timestamp>,
@@ -152,6 +154,7 @@
             open_requests: 0,
             open_tokens: 0,
             waiting_tokens: 0,
+            open_growth: 0,
             failures: 0,
             avoid_until: None,
             entry,
@@ -233,6 +236,13 @@
         }
     }
 
+    /// Changes the tokens that running requests are expected to add.
+    pub fn set_growth(&mut self, key: ServerKey, added: u64, removed: u64) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.open_growth = (record.open_growth + added).saturating_sub(removed);
+        }
+    }
+
     /// Ends what `begin` counted; `tokens` includes what `grow` added.
     pub fn finish(&mut self, key: ServerKey, tokens: u64) {
         if let Some(record) = self.records.get_mut(&key) {
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -31,10 +31,14 @@
 value_type! { copy
     /// What a generation is placed for.
     pub enum PlacePurpose {
-        /// A new run.
+        /// A new run that can wait until an engine has room.
         Start,
+        /// A new run that has waited as long as its objective allows.
+        StartNow,
         /// A run that leaves an engine.
         Move,
+        /// A run that leaves an engine and whose first destination refused it.
+        MoveAgain,
     }
 }
 
@@ -58,13 +62,25 @@
     }
 }
 
+value_type! { copy
+    /// Where a run may go.
+    pub enum PlaceVerdict {
+        /// To the server with this hash of its id.
+        Server(u64),
+        /// Every engine is full; room comes with the end of other runs.
+        Full,
+        /// No server takes work.
+        Nowhere,
+    }
+}
+
 value_type! { copy
     /// Answers a `PlaceQuestion`.
     pub struct PlaceAnswer {
         /// Number of the question.
         pub number: u64,
-        /// Hash of the server's id, or none if no server takes the run.
-        pub server: Option<u64>,
+        /// Where the run may go.
+        pub verdict: PlaceVerdict,
         /// Number of the grant; the receiver reports it with its load.
         pub grant: u64,
     }
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -8,6 +8,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use super::placement::RunWeight;
 use crate::ids::stable_hash;
 use crate::time::Timestamp;
 
@@ -24,6 +25,8 @@
         pub tokens: u32,
         /// Prompt tokens of requests whose answer has not begun.
         pub waiting_tokens: u32,
+        /// Tokens that the requests are expected to add.
+        pub growth: u32,
     }
 }
 
@@ -106,7 +109,7 @@
     number: u64,
     at: Timestamp,
     server: u64,
-    tokens: u32,
+    weight: RunWeight,
     waiting_tokens: u32,
 }
 
@@ -119,6 +122,8 @@
     pub tokens: f64,
     /// Prompt tokens that wait to be read.
     pub waiting_tokens: f64,
+    /// Tokens that the requests are expected to add.
+    pub growth: f64,
 }
 
 /// Place of an instance among the others; a higher one is better.
@@ -329,7 +334,7 @@
         now: Timestamp,
         peer: SocketAddr,
         server: u64,
-        tokens: u32,
+        weight: RunWeight,
         waiting_tokens: u32,
     ) -> u64 {
         let number = self.next_grant;
@@ -337,7 +342,7 @@
         let live = self.params.live;
         let record = self.peers.entry(peer).or_default();
         record.grants.retain(|grant| now.since(grant.at) < live);
-        record.grants.push(PeerGrant { number, at: now, server, tokens, waiting_tokens });
+        record.grants.push(PeerGrant { number, at: now, server, weight, waiting_tokens });
         number
     }
 
@@ -349,13 +354,15 @@
                 sum.requests += f64::from(load.requests);
                 sum.tokens += f64::from(load.tokens);
                 sum.waiting_tokens += f64::from(load.waiting_tokens);
+                sum.growth += f64::from(load.growth);
             }
             let fresh = |grant: &&PeerGrant| {
                 grant.server == server && now.since(grant.at) < self.params.live
             };
             for grant in record.grants.iter().filter(fresh) {
                 sum.requests += 1.0;
-                sum.tokens += f64::from(grant.tokens);
+                sum.tokens += f64::from(grant.weight.prompt);
+                sum.growth += f64::from(grant.weight.output);
                 sum.waiting_tokens += f64::from(grant.waiting_tokens);
             }
         }
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -27,8 +27,14 @@
     pub foreign_zone: f64,
     /// Random part; keeps instances that see the same load from choosing alike.
     pub jitter: f64,
-    /// Part of an engine's memory above which it is avoided: a full one preempts runs.
+    /// Part of an engine's memory above which it takes no run that can wait: memory that runs
+    /// out in the middle of decoding preempts a run, whose caller then sees a long pause.
     pub fill_limit: f64,
+    /// Part of the expected growth that is held back; runs do not all reach their full length
+    /// at the same moment.
+    pub growth_share: f64,
+    /// Seconds of prompts that may wait at an engine that takes a run that can wait.
+    pub prefill_limit: f64,
     /// Cost of an engine whose memory is full, rising from `fill_limit`.
     pub full_memory: f64,
     /// How much more often a move goes to an engine in the leaving one's zone: a copy to another
@@ -43,8 +49,10 @@
             prefill: 0.6,
             foreign_zone: 0.03,
             jitter: 0.06,
-            fill_limit: 0.8,
-            full_memory: 2.0,
+            fill_limit: 0.95,
+            growth_share: 0.6,
+            prefill_limit: 1.0,
+            full_memory: 20.0,
             near_move: 3.0,
         }
     }
@@ -117,14 +125,13 @@
         remote: impl Fn(&ServerRecord) -> RemoteLoad,
         mut draw: impl FnMut() -> f64,
     ) -> Option<ServerKey> {
-        let memory = f64::from(request.memory_tokens?.max(1));
-        let own = f64::from(request.weight.prompt + request.weight.output);
+        let memory = request.memory_tokens?;
         let mut best: Option<(f64, ServerKey)> = None;
         for (key, record) in directory.candidates(request.service) {
             if request.excluded.contains(&key) || record.is_avoided(now) {
                 continue;
             }
-            let fill = (record.open_tokens as f64 + remote(record).tokens + own) / memory;
+            let fill = self.fill(request, record, remote(record), memory);
             let room = (1.0 - fill).max(0.0);
             let is_near = &*record.entry.zone == request.zone;
             let weight = room * room * if is_near { self.params.near_move } else { 1.0 };
@@ -139,6 +146,36 @@
         best.map(|(_, key)| key)
     }
 
+    /// Tells whether a server has room for a run that can wait for it.
+    pub fn has_room(
+        &self,
+        request: &PlacementRequest<'_>,
+        record: &ServerRecord,
+        remote: RemoteLoad,
+    ) -> bool {
+        let Some(memory) = request.memory_tokens else { return true };
+        let waiting = record.waiting_tokens as f64 + remote.waiting_tokens;
+        let running = f64::from(record.open_requests) + remote.requests;
+        self.fill(request, record, remote, memory) <= self.params.fill_limit
+            && waiting / PREFILL_TOKENS_PER_SECOND <= self.params.prefill_limit
+            && running < f64::from(record.entry.slots)
+    }
+
+    /// Part of an engine's memory that is taken once the request runs there.
+    fn fill(
+        &self,
+        request: &PlacementRequest<'_>,
+        record: &ServerRecord,
+        remote: RemoteLoad,
+        memory: u32,
+    ) -> f64 {
+        let growth =
+            record.open_growth as f64 + remote.growth + f64::from(request.weight.output);
+        let tokens =
+            record.open_tokens as f64 + remote.tokens + f64::from(request.weight.prompt);
+        (tokens + self.params.growth_share * growth) / f64::from(memory.max(1))
+    }
+
     fn score(
         &self,
         request: &PlacementRequest<'_>,
@@ -149,11 +186,9 @@
         let running = f64::from(record.open_requests) + remote.requests;
         let mut score = params.batch * running / f64::from(record.entry.slots.max(1));
         if let Some(memory) = request.memory_tokens {
-            let own = f64::from(request.weight.prompt + request.weight.output);
-            let tokens = record.open_tokens as f64 + remote.tokens + own;
-            let fill = tokens / f64::from(memory.max(1));
+            let fill = self.fill(request, record, remote, memory);
             score += fill;
-            let excess = (fill - params.fill_limit).max(0.0) / (1.0 - params.fill_limit);
+            let excess = (fill - params.fill_limit).max(0.0);
             score += params.full_memory * excess;
             let waiting = record.waiting_tokens as f64 + remote.waiting_tokens;
             score += params.prefill * waiting / PREFILL_TOKENS_PER_SECOND;
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -11,7 +11,7 @@
 use super::exchange::{self, Exchange, ExchangeFault};
 use super::peer_link::PeerLink;
 use super::relay::server_request;
-use super::shared::{LoadGuard, SharedState};
+use super::shared::{LoadGuard, Placement, SharedState};
 use super::stream_events::{EventSplitter, StreamPiece};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -34,6 +34,11 @@
 
 /// Events that wait for a slow caller.
 const PIECE_BACKLOG: usize = 16;
+/// Part of the objective for the first event that a run may wait for room; the rest is for
+/// reading its prompt.
+const ROOM_WAIT_SHARE: f64 = 0.5;
+/// Period in which a run that waits asks for room.
+const ROOM_PERIOD: Duration = Duration::from_millis(40);
 /// Servers that refuse or cannot be reached before the request is given up.
 const UNSENT_LIMIT: u32 = 4;
 /// Sends of a moved run before it is given up.
@@ -224,8 +229,7 @@
                 return Err(StartEnd::Own(OwnAnswer::LateUnsent));
             }
             let zone = Arc::from(self.state.settings.zone.as_str());
-            let placed = self.choose(PlacePurpose::Start, &tried, &zone).await;
-            let Some((key, entry)) = placed else {
+            let Some((key, entry)) = self.choose_start(&tried, &zone).await else {
                 let refusal =
                     if tried.is_empty() { OwnAnswer::NoServer } else { OwnAnswer::ServersFull };
                 return Err(StartEnd::Own(refusal));
@@ -323,13 +327,42 @@
         }
     }
 
+    /// Chooses an engine for the start; waits for room as long as the objective allows.
+    async fn choose_start(
+        &self,
+        tried: &[ServerKey],
+        zone: &Arc<str>,
+    ) -> Option<(ServerKey, ServerEntry)> {
+        let wait = self.admitted.rule.objective.mul_f64(ROOM_WAIT_SHARE);
+        let latest = self.admitted.arrived_at + wait;
+        loop {
+            let purpose = if self.state.now() < latest {
+                PlacePurpose::Start
+            } else {
+                PlacePurpose::StartNow
+            };
+            match self.choose(purpose, tried, zone).await {
+                Placement::Server(key) => return self.entry_of(key),
+                Placement::Nowhere => return None,
+                Placement::Full => {
+                    let pause = ROOM_PERIOD.mul_f64(0.75 + self.state.draw() / 2.0);
+                    tokio::time::sleep(pause).await;
+                },
+            }
+        }
+    }
+
+    fn entry_of(&self, key: ServerKey) -> Option<(ServerKey, ServerEntry)> {
+        Some((key, self.state.directory.borrow().get(key)?.entry.clone()))
+    }
+
     /// Asks the instance that places generations, or decides here when it does not answer.
     async fn choose(
         &self,
         purpose: PlacePurpose,
         excluded: &[ServerKey],
         zone: &Arc<str>,
-    ) -> Option<(ServerKey, ServerEntry)> {
+    ) -> Placement {
         let request = PlacementRequest {
             service: &self.admitted.service,
             memory_tokens: self.admitted.engine.map(|engine| engine.memory_tokens),
@@ -337,9 +370,7 @@
             excluded,
             zone,
         };
-        let key = self.link.place(&self.state, purpose, &request).await?;
-        let entry = self.state.directory.borrow().get(key)?.entry.clone();
-        Some((key, entry))
+        self.link.place(&self.state, purpose, &self.admitted.service, &request).await
     }
 
     /// Passes the stream on, from one engine to the next, until it ends.
@@ -406,13 +437,7 @@
                     },
                     MoveStep::Finish => {
                         if let Some(target) = &destination {
-                            if self.state.try_repeat(&self.admitted.service, RepeatPurpose::Move) {
-                                call = Some(self.call_move(place, target.entry.address, true));
-                            } else {
-                                self.note_move(place, destination, "no_budget");
-                                plan.refused(now);
-                                continue;
-                            }
+                            call = Some(self.call_move(place, target.entry.address, true));
                         }
                     },
                 }
@@ -531,7 +556,12 @@
         refused: &[ServerKey],
     ) -> Option<MoveCall> {
         let zone = &place.entry.zone;
-        let (key, entry) = self.choose(PlacePurpose::Move, refused, zone).await?;
+        let purpose =
+            if refused.len() > 1 { PlacePurpose::MoveAgain } else { PlacePurpose::Move };
+        let Placement::Server(key) = self.choose(purpose, refused, zone).await else {
+            return None;
+        };
+        let (key, entry) = self.entry_of(key)?;
         let address = entry.address;
         event(EventKind::MoveBegun, &[
             &self.admitted.id,
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -3,15 +3,16 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::exchange::{connect, tune_socket};
-use super::shared::{ChangeSource, ForwardState, SharedState};
+use super::shared::{ChangeSource, ForwardState, Placement, SharedState};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer, PlacePurpose, PlaceQuestion,
-    PlacementRequest, ServerChanges, ServerKey,
+    PlaceVerdict, PlacementRequest, RepeatPurpose, ServerChanges,
 };
 use medlarlanding_core::value_type;
 
@@ -126,10 +127,13 @@
         &self,
         state: &SharedState,
         purpose: PlacePurpose,
+        service: &Arc<str>,
         request: &PlacementRequest<'_>,
-    ) -> Option<ServerKey> {
+    ) -> Placement {
         let keeper = state.peers.borrow().keeper(state.now());
-        let Some(keeper) = keeper else { return state.place(purpose, request) };
+        let Some(keeper) = keeper else {
+            return state.place_in_budget(purpose, service, request);
+        };
         let number = self.next_question.get();
         self.next_question.set(number + 1);
         let (sender, answer) = oneshot::channel();
@@ -149,14 +153,27 @@
         match answer {
             Ok(Ok(answer)) => {
                 state.granted.set(state.granted.get().max(answer.grant));
-                match answer.server.and_then(|hash| state.find_server(hash)) {
-                    Some(key) if !request.excluded.contains(&key) => Some(key),
-                    Some(_) | None => state.place(purpose, request),
+                match answer.verdict {
+                    PlaceVerdict::Server(hash) => match state.find_server(hash) {
+                        Some(key) if !request.excluded.contains(&key) => Placement::Server(key),
+                        // This instance knows another set of servers than the one it asked.
+                        Some(_) | None => state.place(purpose, request),
+                    },
+                    PlaceVerdict::Full => Placement::Full,
+                    PlaceVerdict::Nowhere => match purpose {
+                        PlacePurpose::Start | PlacePurpose::StartNow => {
+                            state.place(purpose, request)
+                        },
+                        // No engine has room, or the budget for moves is used up.
+                        PlacePurpose::Move | PlacePurpose::MoveAgain => Placement::Nowhere,
+                    },
                 }
             },
             Ok(Err(_)) | Err(_) => {
                 state.telemetry.lost_questions.inc();
-                state.place(purpose, request)
+                let may_move =
+                    purpose != PlacePurpose::Move || state.try_repeat(service, RepeatPurpose::Move);
+                if may_move { state.place(purpose, request) } else { Placement::Nowhere }
             },
         }
     }
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -5,7 +5,7 @@
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{AnswerBody, CallerAnswer, OwnAnswer, StreamCut, TaskGuard, pass_on};
 use super::exchange::{self, Exchange, ExchangeFault};
-use super::shared::{LoadGuard, SharedState};
+use super::shared::{LoadGuard, Placement, SharedState};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, ServerKey};
@@ -103,7 +103,7 @@
             excluded: &tried,
             zone: &state.settings.zone,
         });
-        let Some(key) = placed else {
+        let Placement::Server(key) = placed else {
             let refusal = match (run_at, unsent) {
                 (0, 0) => OwnAnswer::NoServer,
                 (0, _) => OwnAnswer::ServersFull,
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -12,7 +12,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     BudgetParams, DirectoryChange, ForwardConfig, LoadReport, MoveParams, PeerTable,
-    PlaceAnswer, PlacePurpose, PlaceQuestion, PlacementPolicy, PlacementRequest, RepeatBudget, RepeatPurpose, RunWeight, ServerDirectory, ServerKey, ServerRecord,
+    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementPolicy, PlacementRequest, RepeatBudget, RepeatPurpose, RunWeight, ServerDirectory, ServerKey, ServerRecord,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
@@ -52,6 +52,17 @@
     pub values: IndexMap<String, Vec<u8>>,
 }
 
+/// Where a request may go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// To this server.
+    Server(ServerKey),
+    /// Every engine is full.
+    Full,
+    /// No server takes work.
+    Nowhere,
+}
+
 /// Configuration in force, with its text for peers.
 #[derive(Clone)]
 pub struct ConfigInForce {
@@ -86,7 +97,10 @@
     pub move_params: MoveParams,
     clock: ProcessClock,
     config: RefCell<Option<ConfigInForce>>,
+    /// Repeats of this instance by service.
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
+    /// Moves of all instances by service; used while this instance places generations.
+    move_budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
     /// The last call to the store was answered.
     pub reaches_store: Cell<bool>,
     /// Highest number of a grant from the instance that places generations.
@@ -126,6 +140,7 @@
             clock: ProcessClock::start(),
             config: RefCell::default(),
             budgets: RefCell::default(),
+            move_budgets: RefCell::default(),
             reaches_store: Cell::new(false),
             granted: Cell::new(0),
             config_wanted: Notify::new(),
@@ -252,23 +267,27 @@
     }
 
     /// Chooses a server for a request from what this instance knows.
-    pub fn place(
-        &self,
-        purpose: PlacePurpose,
-        request: &PlacementRequest<'_>,
-    ) -> Option<ServerKey> {
+    pub fn place(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
         let now = self.now();
         let peers = self.peers.borrow();
         let remote =
             |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
         let directory = self.directory.borrow();
         let draw = || self.draw();
-        match purpose {
-            PlacePurpose::Start => self.placement.choose(now, &directory, request, remote, draw),
-            PlacePurpose::Move => {
+        let key = match purpose {
+            PlacePurpose::Start | PlacePurpose::StartNow => {
+                self.placement.choose(now, &directory, request, remote, draw)
+            },
+            PlacePurpose::Move | PlacePurpose::MoveAgain => {
                 self.placement.choose_destination(now, &directory, request, remote, draw)
             },
-        }
+        };
+        let Some(key) = key else { return Placement::Nowhere };
+        let can_wait = purpose == PlacePurpose::Start;
+        let has_room = directory
+            .get(key)
+            .is_some_and(|record| self.placement.has_room(request, record, remote(record)));
+        if can_wait && !has_room { Placement::Full } else { Placement::Server(key) }
     }
 
     /// Places a generation for a peer.
@@ -278,24 +297,59 @@
         let config = self.config();
         let policy = config.as_ref().and_then(|it| it.config.service(&question.service));
         let memory = policy.and_then(|policy| policy.engine).map(|engine| engine.memory_tokens);
-        let key = self.place(question.purpose, &PlacementRequest {
+        let weight = RunWeight { prompt: question.prompt, output: question.output };
+        let service: Arc<str> = Arc::from(question.service.as_str());
+        let placement = self.place_in_budget(question.purpose, &service, &PlacementRequest {
             service: &question.service,
             memory_tokens: memory,
-            weight: RunWeight { prompt: question.prompt, output: question.output },
+            weight,
             excluded: &excluded,
             zone: &question.zone,
         });
-        let server = key.and_then(|key| {
-            Some(server_hash(&self.directory.borrow().get(key)?.entry.id))
-        });
         let waiting = match question.purpose {
-            PlacePurpose::Start => question.prompt,
-            PlacePurpose::Move => 0,
+            PlacePurpose::Start | PlacePurpose::StartNow => question.prompt,
+            PlacePurpose::Move | PlacePurpose::MoveAgain => 0,
         };
-        let grant = server.map_or(0, |server| {
-            self.peers.borrow_mut().grant(self.now(), peer, server, question.prompt, waiting)
-        });
-        PlaceAnswer { number: question.number, server, grant }
+        let (verdict, grant) = match placement {
+            Placement::Server(key) => match self.hash_of(key) {
+                Some(server) => {
+                    let mut peers = self.peers.borrow_mut();
+                    let grant = peers.grant(self.now(), peer, server, weight, waiting);
+                    (PlaceVerdict::Server(server), grant)
+                },
+                None => (PlaceVerdict::Nowhere, 0),
+            },
+            Placement::Full => (PlaceVerdict::Full, 0),
+            Placement::Nowhere => (PlaceVerdict::Nowhere, 0),
+        };
+        PlaceAnswer { number: question.number, verdict, grant }
+    }
+
+    /// Chooses a server as the instance that places generations for all, which also holds the
+    /// budget for moves.
+    pub fn place_in_budget(
+        &self,
+        purpose: PlacePurpose,
+        service: &Arc<str>,
+        request: &PlacementRequest<'_>,
+    ) -> Placement {
+        let placement = self.place(purpose, request);
+        if !matches!(placement, Placement::Server(_)) {
+            return placement;
+        }
+        let (now, params) = (self.now(), self.budget_params());
+        let mut budgets = self.move_budgets.borrow_mut();
+        let budget = budgets.entry(Arc::clone(service)).or_default();
+        match purpose {
+            PlacePurpose::Start | PlacePurpose::StartNow => budget.record_request(now, &params),
+            PlacePurpose::Move => {
+                if !budget.try_repeat(now, &params, RepeatPurpose::Move, 1) {
+                    return Placement::Nowhere;
+                }
+            },
+            PlacePurpose::MoveAgain => {},
+        }
+        placement
     }
 
     /// Finds the server with the hash of an id.
@@ -345,6 +399,7 @@
             requests: record.open_requests.min(u32::from(u16::MAX)) as u16,
             tokens: record.open_tokens.min(u64::from(u32::MAX)) as u32,
             waiting_tokens: record.waiting_tokens.min(u64::from(u32::MAX)) as u32,
+            growth: record.open_growth.min(u64::from(u32::MAX)) as u32,
         })
         .collect()
     }
@@ -370,29 +425,48 @@
     key: ServerKey,
     tokens: u64,
     waiting: u64,
+    /// Output tokens that were made.
+    made: u64,
+    /// Output tokens that were expected at the start.
+    expected: u64,
+    /// Growth that is counted at the server.
+    growth: u64,
 }
 
+/// A run that outlived its estimate is expected to add this part of what it made.
+const OVERRUN_DIVISOR: u64 = 4;
+
 impl LoadGuard {
     /// Counts a request at a server.
     pub fn begin(state: &SharedState, key: ServerKey, weight: RunWeight) -> Self {
         let (tokens, waiting) = (u64::from(weight.prompt), u64::from(weight.prompt));
+        let expected = u64::from(weight.output);
         let mut directory = state.directory.borrow_mut();
         directory.begin(key, tokens);
         directory.set_waiting(key, waiting, 0);
+        directory.set_growth(key, expected, 0);
         drop(directory);
-        Self { state: Rc::clone(state), key, tokens, waiting }
+        let state = Rc::clone(state);
+        Self { state, key, tokens, waiting, made: 0, expected, growth: expected }
     }
 
     /// Records that the answer began, so that no prompt waits any more.
     pub fn begun(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
-        self.state.directory.borrow_mut().set_waiting(self.key, 0, waiting);
+        if waiting > 0 {
+            self.state.directory.borrow_mut().set_waiting(self.key, 0, waiting);
+        }
     }
 
     /// Adds tokens that were made.
     pub fn grow(&mut self, tokens: u64) {
         self.tokens += tokens;
-        self.state.directory.borrow_mut().grow(self.key, tokens);
+        self.made += tokens;
+        let left = self.expected.saturating_sub(self.made).max(self.made / OVERRUN_DIVISOR);
+        let before = std::mem::replace(&mut self.growth, left);
+        let mut directory = self.state.directory.borrow_mut();
+        directory.grow(self.key, tokens);
+        directory.set_growth(self.key, left, before);
     }
 }
 
@@ -400,6 +474,7 @@
     fn drop(&mut self) {
         let mut directory = self.state.directory.borrow_mut();
         directory.set_waiting(self.key, 0, self.waiting);
+        directory.set_growth(self.key, 0, self.growth);
         directory.finish(self.key, self.tokens);
     }
 }
