--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -122,6 +122,8 @@
     615 RunCopied Info "run_copied" ["request", "from", "to", "outcome", "events"];
     /// A generation was sent to the engine that holds a copy of its memory.
     616 RunResumed Info "run_resumed" ["request", "from", "to", "outcome", "took_ms", "last_event"];
+    /// Load of all engines of a service, from the instance that places generations.
+    617 FleetLoad Info "fleet_load" ["service", "engines", "runs", "tokens", "growth", "waiting_tokens", "memory"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/config.rs
+++ b/medlarlanding-core/src/forwarding/config.rs
@@ -206,6 +206,11 @@
         self.services.get(name)
     }
 
+    /// Iterates over the services whose servers are model engines.
+    pub fn engine_services(&self) -> impl Iterator<Item = (&ServicePolicy, EngineLimits)> {
+        self.services.values().filter_map(|policy| Some((policy, policy.engine?)))
+    }
+
     /// Checks the key of a request on a route.
     pub fn check_key(&self, rule: &RouteRule, key: Option<&str>) -> KeyCheck {
         if let Some(record) = key.and_then(|key| self.keys.get(key)) {
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -131,7 +131,10 @@
             if request.excluded.contains(&key) || record.is_avoided(now) {
                 continue;
             }
-            let fill = self.fill(request, record, remote(record), memory);
+            // Expected growth is left out: a copy takes only what the run has, and a run that
+            // finds no destination is lost.
+            let tokens = record.open_tokens as f64 + remote(record).tokens;
+            let fill = (tokens + f64::from(request.weight.prompt)) / f64::from(memory.max(1));
             let room = (1.0 - fill).max(0.0);
             let is_near = &*record.entry.zone == request.zone;
             let weight = room * room * if is_near { self.params.near_move } else { 1.0 };
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -58,6 +58,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 /// Bytes of changes in one datagram.
 const CHANGES_LIMIT: usize = 1100;
+/// Period in which the instance that places generations logs the load of the fleet.
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
 /// Least pause between digests that are sent because something changed.
 const DIGEST_PAUSE: Duration = Duration::from_millis(20);
 
@@ -185,6 +187,7 @@
     let mut sequence = 0u64;
     let mut behind_since = None;
     let mut keeper = None;
+    let mut logged_at = state.now();
     loop {
         sequence += 1;
         let now = state.now();
@@ -195,6 +198,10 @@
             keeper = present;
         }
         send_digest(&link, &state, sequence);
+        if present.is_none() && now.since(logged_at) >= LOAD_PERIOD {
+            logged_at = now;
+            state.log_fleet_load();
+        }
         fetch_if_behind(&state, &mut behind_since).await;
         let wanted = async {
             tokio::time::sleep(DIGEST_PAUSE).await;
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -11,7 +11,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BudgetParams, DirectoryChange, ForwardConfig, LoadReport, MoveParams, PeerTable,
+    BudgetParams, DirectoryChange, ForwardConfig, LoadReport, MoveParams, PeerTable, RemoteLoad,
     PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementPolicy, PlacementRequest, RepeatBudget, RepeatPurpose, RunWeight, ServerDirectory, ServerKey, ServerRecord,
 };
 use medlarlanding_core::ids::stable_hash;
@@ -390,6 +390,33 @@
         }
     }
 
+    /// Logs the load of all engines, as far as it is known here.
+    pub fn log_fleet_load(&self) {
+        let Some(ConfigInForce { config, .. }) = self.config() else { return };
+        let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
+        for (policy, engine) in config.engine_services() {
+            let mut engines = 0;
+            let mut load = RemoteLoad::default();
+            for (_, record) in directory.candidates(&policy.name) {
+                engines += 1;
+                let remote = peers.remote_load(now, server_hash(&record.entry.id));
+                load.requests += remote.requests + f64::from(record.open_requests);
+                load.tokens += remote.tokens + record.open_tokens as f64;
+                load.growth += remote.growth + record.open_growth as f64;
+                load.waiting_tokens += remote.waiting_tokens + record.waiting_tokens as f64;
+            }
+            event(EventKind::FleetLoad, &[
+                &policy.name,
+                &engines,
+                &load.requests,
+                &load.tokens,
+                &load.growth,
+                &load.waiting_tokens,
+                &(engines * engine.memory_tokens),
+            ]);
+        }
+    }
+
     /// Load that this instance puts on servers, for peers.
     pub fn own_loads(&self) -> Vec<LoadReport> {
         let directory = self.directory.borrow();
