Place runs that can be in time before runs that are late

Load: bursts on engines without spare memory. Before, a run that had waited half of its objective was sent anyway and made the others late or preempted them. Ruled out: a longer wait before the forced send (all runs late), refusing at once (callers that wait longer than their objective still want the whole answer). Change: a run goes to an engine with memory that can begin its answer before it is due; a run that is late takes only spare room, for up to three objectives, and is then refused as not run.

--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -31,10 +31,10 @@
 value_type! { copy
     /// What a generation is placed for.
     pub enum PlacePurpose {
-        /// A new run that can wait until an engine has room.
+        /// A new run whose first event can still come in time.
         Start,
-        /// A new run that has waited as long as its objective allows.
-        StartNow,
+        /// A new run that is late already; it takes what runs that can be in time leave.
+        StartLate,
         /// A run that leaves an engine.
         Move,
         /// A run that leaves an engine and whose first destination refused it.
@@ -55,6 +55,10 @@
         pub prompt: u32,
         /// Output tokens that are expected.
         pub output: u32,
+        /// Time until the first event is due in milliseconds; 0 if it is late.
+        pub due_ms: u32,
+        /// Rank, 0 first.
+        pub priority: u8,
         /// Hashes of servers that must not be chosen.
         pub excluded: Vec<u64>,
         /// Availability zone that is preferred.
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -3,6 +3,8 @@
 //! Load pattern: many instances place short and long requests on few engines. Reports of the
 //! engines are stale and shared, so each instance adds up what it and its peers have sent.
 
+use std::time::Duration;
+
 use super::directory::{ServerDirectory, ServerKey, ServerRecord};
 use super::peers::RemoteLoad;
 use crate::time::Timestamp;
@@ -33,8 +35,12 @@
     /// Part of the expected growth that is held back; runs do not all reach their full length
     /// at the same moment.
     pub growth_share: f64,
-    /// Seconds of prompts that may wait at an engine that takes a run that can wait.
-    pub prefill_limit: f64,
+    /// The same for requests of the most urgent rank, which are short.
+    pub urgent_fill_limit: f64,
+    /// The same for runs that are late already.
+    pub late_fill_limit: f64,
+    /// Seconds until the first event at an engine that takes a run that is late already.
+    pub late_prefill: f64,
     /// Cost of an engine whose memory is full, rising from `fill_limit`.
     pub full_memory: f64,
     /// How much more often a move goes to an engine in the leaving one's zone: a copy to another
@@ -51,7 +57,9 @@
             jitter: 0.06,
             fill_limit: 0.95,
             growth_share: 0.6,
-            prefill_limit: 1.0,
+            urgent_fill_limit: 1.0,
+            late_fill_limit: 0.85,
+            late_prefill: 0.8,
             full_memory: 20.0,
             near_move: 3.0,
         }
@@ -71,6 +79,10 @@
     pub excluded: &'a [ServerKey],
     /// The caller's availability zone.
     pub zone: &'a str,
+    /// Time until the first event is due; `None` for a run that is late already.
+    pub due: Option<Duration>,
+    /// The request has the most urgent rank.
+    pub is_urgent: bool,
 }
 
 /// Prompt tokens that an engine reads in a second while others run.
@@ -88,7 +100,7 @@
     /// server and `draw` returns random numbers from 0 to 1.
     ///
     /// Servers with recent failures are used only when there is no other. Returns `None` when
-    /// no server of the service takes work.
+    /// no server of the service takes work, else the best server and whether it has room.
     pub fn choose(
         &self,
         now: Timestamp,
@@ -96,19 +108,20 @@
         request: &PlacementRequest<'_>,
         remote: impl Fn(&ServerRecord) -> RemoteLoad,
         mut draw: impl FnMut() -> f64,
-    ) -> Option<ServerKey> {
-        let mut best: Option<(bool, f64, ServerKey)> = None;
+    ) -> Option<(ServerKey, bool)> {
+        let mut best: Option<((bool, bool, f64), ServerKey)> = None;
         for (key, record) in directory.candidates(request.service) {
             if request.excluded.contains(&key) {
                 continue;
             }
-            let score = self.score(request, record, remote(record)) + draw() * self.params.jitter;
-            let rank = (record.is_avoided(now), score, key);
-            if best.is_none_or(|best| (rank.0, rank.1) < (best.0, best.1)) {
-                best = Some(rank);
+            let load = remote(record);
+            let score = self.score(request, record, load) + draw() * self.params.jitter;
+            let rank = (record.is_avoided(now), !self.has_room(request, record, load), score);
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, key));
             }
         }
-        best.map(|(_, _, key)| key)
+        best.map(|((_, is_full, _), key)| (key, !is_full))
     }
 
     /// Chooses the engine that a run moves to, by a random draw in proportion to the square of
@@ -149,19 +162,27 @@
         best.map(|(_, key)| key)
     }
 
-    /// Tells whether a server has room for a run that can wait for it.
-    pub fn has_room(
+    /// Tells whether a server has memory for a run and can begin its answer in time.
+    fn has_room(
         &self,
         request: &PlacementRequest<'_>,
         record: &ServerRecord,
         remote: RemoteLoad,
     ) -> bool {
         let Some(memory) = request.memory_tokens else { return true };
+        let params = &self.params;
+        let fill = self.fill(request, record, remote, memory);
         let waiting = record.waiting_tokens as f64 + remote.waiting_tokens;
-        let running = f64::from(record.open_requests) + remote.requests;
-        self.fill(request, record, remote, memory) <= self.params.fill_limit
-            && waiting / PREFILL_TOKENS_PER_SECOND <= self.params.prefill_limit
-            && running < f64::from(record.entry.slots)
+        let prompts = waiting + f64::from(request.weight.prompt);
+        let first_event = prompts / PREFILL_TOKENS_PER_SECOND;
+        let running = f64::from(record.entry.slots) - f64::from(record.open_requests);
+        let is_in_time = match request.due {
+            Some(due) => first_event <= due.as_secs_f64(),
+            None => fill <= params.late_fill_limit && first_event <= params.late_prefill,
+        };
+        let limit =
+            if request.is_urgent { params.urgent_fill_limit } else { params.fill_limit };
+        running - remote.requests >= 1.0 && fill <= limit && is_in_time
     }
 
     /// Part of an engine's memory that is taken once the request runs there.
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -34,9 +34,14 @@
 
 /// Events that wait for a slow caller.
 const PIECE_BACKLOG: usize = 16;
-/// Part of the objective for the first event that a run may wait for room; the rest is for
-/// reading its prompt.
-const ROOM_WAIT_SHARE: f64 = 0.5;
+/// A run that is late waits for room up to this multiple of its objective; callers give up at
+/// four times the objective.
+const LATE_OBJECTIVES: u32 = 3;
+/// Part of the objective within which the first event is aimed for; the estimate of the time to
+/// read prompts is rough.
+const FIRST_EVENT_MARGIN: f64 = 0.85;
+/// Time in which a busy engine reads one prompt token.
+const PROMPT_TOKEN_TIME: Duration = Duration::from_micros(140);
 /// Period in which a run that waits asks for room.
 const ROOM_PERIOD: Duration = Duration::from_millis(40);
 /// Servers that refuse or cannot be reached before the request is given up.
@@ -229,11 +234,8 @@
                 return Err(StartEnd::Own(OwnAnswer::LateUnsent));
             }
             let zone = Arc::from(self.state.settings.zone.as_str());
-            let Some((key, entry)) = self.choose_start(&tried, &zone).await else {
-                let refusal =
-                    if tried.is_empty() { OwnAnswer::NoServer } else { OwnAnswer::ServersFull };
-                return Err(StartEnd::Own(refusal));
-            };
+            let (key, entry) =
+                self.choose_start(&tried, &zone).await.map_err(StartEnd::Own)?;
             if !tried.is_empty() && !self.state.try_repeat(&self.admitted.service, RepeatPurpose::Retry)
             {
                 return Err(StartEnd::Own(OwnAnswer::ServersFull));
@@ -327,23 +329,28 @@
         }
     }
 
-    /// Chooses an engine for the start; waits for room as long as the objective allows.
+    /// Chooses an engine for the start; waits for room as long as its caller does.
     async fn choose_start(
         &self,
         tried: &[ServerKey],
         zone: &Arc<str>,
-    ) -> Option<(ServerKey, ServerEntry)> {
-        let wait = self.admitted.rule.objective.mul_f64(ROOM_WAIT_SHARE);
-        let latest = self.admitted.arrived_at + wait;
+    ) -> Result<(ServerKey, ServerEntry), OwnAnswer> {
+        let arrived_at = self.admitted.arrived_at;
+        let objective = self.admitted.rule.objective;
+        let latest = arrived_at + (objective * LATE_OBJECTIVES).min(self.admitted.time_left(arrived_at) / 2);
         loop {
-            let purpose = if self.state.now() < latest {
-                PlacePurpose::Start
-            } else {
-                PlacePurpose::StartNow
-            };
-            match self.choose(purpose, tried, zone).await {
-                Placement::Server(key) => return self.entry_of(key),
-                Placement::Nowhere => return None,
+            let now = self.state.now();
+            let due = (arrived_at + objective.mul_f64(FIRST_EVENT_MARGIN)).since(now);
+            let prompt_time = PROMPT_TOKEN_TIME * self.admitted.weight.prompt;
+            let purpose =
+                if due > prompt_time { PlacePurpose::Start } else { PlacePurpose::StartLate };
+            match self.choose(purpose, tried, zone, due).await {
+                Placement::Server(key) => {
+                    return self.entry_of(key).ok_or(OwnAnswer::NoServer);
+                },
+                Placement::Nowhere if tried.is_empty() => return Err(OwnAnswer::NoServer),
+                Placement::Nowhere => return Err(OwnAnswer::ServersFull),
+                Placement::Full if now >= latest => return Err(OwnAnswer::ServersFull),
                 Placement::Full => {
                     let pause = ROOM_PERIOD.mul_f64(0.75 + self.state.draw() / 2.0);
                     tokio::time::sleep(pause).await;
@@ -362,6 +369,7 @@
         purpose: PlacePurpose,
         excluded: &[ServerKey],
         zone: &Arc<str>,
+        due: Duration,
     ) -> Placement {
         let request = PlacementRequest {
             service: &self.admitted.service,
@@ -369,6 +377,8 @@
             weight: self.run_weight(),
             excluded,
             zone,
+            due: (purpose == PlacePurpose::Start).then_some(due),
+            is_urgent: self.admitted.priority == 0,
         };
         self.link.place(&self.state, purpose, &self.admitted.service, &request).await
     }
@@ -558,7 +568,8 @@
         let zone = &place.entry.zone;
         let purpose =
             if refused.len() > 1 { PlacePurpose::MoveAgain } else { PlacePurpose::Move };
-        let Placement::Server(key) = self.choose(purpose, refused, zone).await else {
+        let Placement::Server(key) = self.choose(purpose, refused, zone, Duration::ZERO).await
+        else {
             return None;
         };
         let (key, entry) = self.entry_of(key)?;
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -146,6 +146,8 @@
             service: request.service.to_owned(),
             prompt: request.weight.prompt,
             output: request.weight.output,
+            due_ms: request.due.map_or(0, |due| due.as_millis().min(u32::MAX.into()) as u32),
+            priority: u8::from(!request.is_urgent),
             excluded: request.excluded.iter().filter_map(|key| state.hash_of(*key)).collect(),
             zone: request.zone.to_owned(),
         };
@@ -163,7 +165,7 @@
                     },
                     PlaceVerdict::Full => Placement::Full,
                     PlaceVerdict::Nowhere => match purpose {
-                        PlacePurpose::Start | PlacePurpose::StartNow => {
+                        PlacePurpose::Start | PlacePurpose::StartLate => {
                             state.place(purpose, request)
                         },
                         // No engine has room, or the budget for moves is used up.
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -102,6 +102,8 @@
             weight: admitted.weight,
             excluded: &tried,
             zone: &state.settings.zone,
+            due: None,
+            is_urgent: admitted.priority == 0,
         });
         let Placement::Server(key) = placed else {
             let refusal = match (run_at, unsent) {
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -274,20 +274,19 @@
             |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
         let directory = self.directory.borrow();
         let draw = || self.draw();
-        let key = match purpose {
-            PlacePurpose::Start | PlacePurpose::StartNow => {
-                self.placement.choose(now, &directory, request, remote, draw)
-            },
-            PlacePurpose::Move | PlacePurpose::MoveAgain => {
-                self.placement.choose_destination(now, &directory, request, remote, draw)
+        match purpose {
+            PlacePurpose::Start | PlacePurpose::StartLate => {
+                match self.placement.choose(now, &directory, request, remote, draw) {
+                    Some((key, true)) => Placement::Server(key),
+                    Some((_, false)) => Placement::Full,
+                    None => Placement::Nowhere,
+                }
             },
-        };
-        let Some(key) = key else { return Placement::Nowhere };
-        let can_wait = purpose == PlacePurpose::Start;
-        let has_room = directory
-            .get(key)
-            .is_some_and(|record| self.placement.has_room(request, record, remote(record)));
-        if can_wait && !has_room { Placement::Full } else { Placement::Server(key) }
+            PlacePurpose::Move | PlacePurpose::MoveAgain => self
+                .placement
+                .choose_destination(now, &directory, request, remote, draw)
+                .map_or(Placement::Nowhere, Placement::Server),
+        }
     }
 
     /// Places a generation for a peer.
@@ -305,9 +304,11 @@
             weight,
             excluded: &excluded,
             zone: &question.zone,
+            due: (question.due_ms > 0).then(|| Duration::from_millis(question.due_ms.into())),
+            is_urgent: question.priority == 0,
         });
         let waiting = match question.purpose {
-            PlacePurpose::Start | PlacePurpose::StartNow => question.prompt,
+            PlacePurpose::Start | PlacePurpose::StartLate => question.prompt,
             PlacePurpose::Move | PlacePurpose::MoveAgain => 0,
         };
         let (verdict, grant) = match placement {
@@ -341,7 +342,7 @@
         let mut budgets = self.move_budgets.borrow_mut();
         let budget = budgets.entry(Arc::clone(service)).or_default();
         match purpose {
-            PlacePurpose::Start | PlacePurpose::StartNow => budget.record_request(now, &params),
+            PlacePurpose::Start | PlacePurpose::StartLate => budget.record_request(now, &params),
             PlacePurpose::Move => {
                 if !budget.try_repeat(now, &params, RepeatPurpose::Move, 1) {
                     return Placement::Nowhere;
