Free unused copies, fetch configurations from peers, step in for the hubs in turn

Change: an instance steps in after the better ranked groups, and calls a store that is down less often the lower it is ranked; configurations come from peers; standby hubs call once in 0.9 s at most; copies that are not used are freed at both ends.

--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -252,6 +252,14 @@
         watching < self.params.hubs
     }
 
+    /// Gets how many groups of hubs are better ranked and alive: 0 for the hubs themselves.
+    ///
+    /// Instances that step in because the hubs do not reach the store wait in proportion, so
+    /// that a store that is down is not asked by the whole fleet.
+    pub fn standby_level(&self, now: Timestamp) -> u32 {
+        (self.better(now).len() / self.params.hubs.max(1)) as u32
+    }
+
     /// Gets the peer that places generations; `None` if it is this instance.
     pub fn keeper(&self, now: Timestamp) -> Option<SocketAddr> {
         self.better(now).first().map(|(address, _)| *address)
@@ -307,9 +315,19 @@
         self.peers.len() + 1
     }
 
-    /// Gets the live peer with the highest configuration version above `version`.
-    pub fn ahead_of_config(&self, now: Timestamp, version: u64) -> Option<SocketAddr> {
-        self.ahead(now, version, |record| record.config_version)
+    /// Gets one of the live peers with the highest configuration version above `version`.
+    /// `draw` from 0 to 1 chooses among them, which spreads the fetches over the fleet.
+    pub fn ahead_of_config(&self, now: Timestamp, version: u64, draw: f64) -> Option<SocketAddr> {
+        let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
+        let newest = live.clone().map(|(_, record)| record.config_version).max()?;
+        if newest <= version {
+            return None;
+        }
+        let holders: Vec<&SocketAddr> = live
+            .filter(|(_, record)| record.config_version == newest)
+            .map(|(address, _)| address)
+            .collect();
+        holders.get((draw * holders.len() as f64) as usize).map(|address| **address)
     }
 
     /// Gets the live peer that knows the servers up to the highest revision above `revision`.
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -1,5 +1,6 @@
 //! Generations on model engines: one run per request, moved while its engine leaves.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -97,14 +98,25 @@
     load: LoadGuard,
 }
 
-/// A copy of the run's memory at another engine.
+/// A copy of the run's memory at another engine. A complete copy that is not used is freed when
+/// this is dropped.
 struct RunDestination {
     key: ServerKey,
     entry: ServerEntry,
     /// Handle of the newest complete copy.
     handle: Option<String>,
     /// Memory that the copy takes there.
-    load: Option<LoadGuard>,
+    _load: LoadGuard,
+    /// Engine that the memory came from.
+    source: SocketAddr,
+}
+
+impl Drop for RunDestination {
+    fn drop(&mut self) {
+        if let Some(handle) = self.handle.take() {
+            tokio::task::spawn_local(release_copy(self.source, handle));
+        }
+    }
 }
 
 /// How a call for a move ended.
@@ -534,12 +546,18 @@
                 MoveAnswer::Refused(Some(handle)) => {
                     self.note_move(place, destination, "refused");
                     if is_last {
-                        // The run was stopped and its source keeps the memory.
+                        // The run was stopped and its source keeps the memory under the handle
+                        // of the copy, which must not be freed.
+                        if let Some(target) = destination {
+                            target.handle = None;
+                        }
+                        let load = LoadGuard::begin(&self.state, place.key, self.run_weight());
                         *destination = Some(RunDestination {
                             key: place.key,
                             entry: place.entry.clone(),
                             handle: Some(handle),
-                            load: None,
+                            _load: load,
+                            source: place.entry.address,
                         });
                         return self.drain_stopped(place, sender).await;
                     }
@@ -582,7 +600,13 @@
         ]);
         let mut load = LoadGuard::begin(&self.state, key, self.run_weight());
         load.begun();
-        *destination = Some(RunDestination { key, entry, handle: None, load: Some(load) });
+        *destination = Some(RunDestination {
+            key,
+            entry,
+            handle: None,
+            _load: load,
+            source: place.entry.address,
+        });
         Some(self.call_move(place, address, false))
     }
 
@@ -596,7 +620,7 @@
     fn call_move(
         &self,
         place: &RunPlace,
-        to: std::net::SocketAddr,
+        to: SocketAddr,
         is_last: bool,
     ) -> MoveCall {
         let source = place.entry.address;
@@ -670,11 +694,13 @@
         let RunPlace { key: source_key, entry: source, load, .. } = place;
         drop(load);
         self.splitter = EventSplitter::default();
-        let RunDestination { key, entry, handle, load: copy_load } = destination?;
-        drop(copy_load);
+        let mut destination = destination?;
+        let (key, entry) = (destination.key, destination.entry.clone());
+        let handle = destination.handle.take()?;
+        drop(destination);
         let continuation = RunContinuation {
             source: source.address,
-            handle: handle?,
+            handle,
             last_event: self.last_event.clone(),
         };
         let mut targets = vec![(key, entry)];
@@ -808,15 +834,35 @@
     tokio::time::sleep(until.since(state.now())).await;
 }
 
-async fn move_run(source: std::net::SocketAddr, body: Vec<u8>) -> MoveAnswer {
+/// Frees a copy at both ends, so that it does not take memory until it lapses.
+async fn release_copy(source: SocketAddr, handle: String) {
+    let mut request = Request::new(Full::default());
+    *request.method_mut() = Method::DELETE;
+    let Ok(path) = engines::release_path(&handle).parse() else {
+        log::warn!("handle {handle} of a copy fits in no path");
+        return;
+    };
+    *request.uri_mut() = path;
+    set_host(&mut request, source);
+    // A copy that cannot be freed lapses by itself.
+    if exchange::send(source, request, MOVE_TIMEOUT).await.is_err() {
+        log::debug!("copy {handle} at {source} was not freed");
+    }
+}
+
+fn set_host(request: &mut Request<Full<Bytes>>, address: SocketAddr) {
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+}
+
+async fn move_run(source: SocketAddr, body: Vec<u8>) -> MoveAnswer {
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = hyper::Uri::from_static(engines::MOVE_PATH);
     let request_headers = request.headers_mut();
     request_headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Ok(host) = HeaderValue::from_str(&source.to_string()) {
-        request_headers.insert(HOST, host);
-    }
+    set_host(&mut request, source);
     let Ok((response, _exchange)) = exchange::send(source, request, MOVE_TIMEOUT).await else {
         return MoveAnswer::Failed;
     };
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -58,6 +58,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 /// Bytes of changes in one datagram.
 const CHANGES_LIMIT: usize = 1100;
+/// The same for a configuration, which only hubs read from the store.
+const CONFIG_FETCH_DELAY: Duration = Duration::ZERO;
 /// Period in which the instance that places generations logs the load of the fleet.
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
 /// Least pause between digests that are sent because something changed.
@@ -257,10 +259,7 @@
             state.telemetry.dropped_datagrams.inc();
         },
         PeerMessage::Digest(digest) => {
-            let is_newer = digest.config_version > state.config_version();
-            if state.peers.borrow_mut().receive(state.now(), digest) && is_newer {
-                state.config_wanted.notify_one();
-            }
+            state.peers.borrow_mut().receive(state.now(), digest);
         },
         PeerMessage::Servers(changes) => {
             let known = state.raw_servers.borrow().revision;
@@ -294,17 +293,18 @@
     let now = state.now();
     let (config_version, servers_revision) =
         (state.config_version(), state.raw_servers.borrow().revision);
-    let ahead = {
+    let (ahead, delay) = {
         let peers = state.peers.borrow();
-        peers
-            .ahead_of_config(now, config_version)
-            .or_else(|| peers.ahead_of_servers(now, servers_revision))
+        match peers.ahead_of_config(now, config_version, state.draw()) {
+            Some(peer) => (Some(peer), CONFIG_FETCH_DELAY),
+            None => (peers.ahead_of_servers(now, servers_revision), FETCH_DELAY),
+        }
     };
     let Some(peer) = ahead else {
         *behind_since = None;
         return;
     };
-    if now.since(*behind_since.get_or_insert(now)) < FETCH_DELAY {
+    if now.since(*behind_since.get_or_insert(now)) < delay {
         return;
     }
     *behind_since = None;
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -105,8 +105,6 @@
     pub reaches_store: Cell<bool>,
     /// Highest number of a grant from the instance that places generations.
     pub granted: Cell<u64>,
-    /// Wakes the reader of the configuration when a peer has a newer one.
-    pub config_wanted: Notify,
     /// Wakes the task that sends digests when something changed that peers should know.
     pub digest_wanted: Notify,
     placement: PlacementPolicy,
@@ -143,7 +141,6 @@
             move_budgets: RefCell::default(),
             reaches_store: Cell::new(false),
             granted: Cell::new(0),
-            config_wanted: Notify::new(),
             digest_wanted: Notify::new(),
             placement: PlacementPolicy::default(),
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -21,14 +21,16 @@
 /// Longest pause after failed calls; a change must be in force 2 s after its confirmation.
 const RETRY_MAX: Duration = Duration::from_millis(800);
 /// Pause between two watches that returned changes, so that changes that come together need
-/// one call.
-const BATCH_PAUSE: Duration = Duration::from_millis(30);
+/// one call: an engine that leaves gives 1.5 s of notice.
+const BATCH_PAUSE: Duration = Duration::from_millis(50);
+/// The same at the hubs that stand by; the best ranked hub tells them of changes, and when it
+/// fails they are still in time for a configuration that must be in force after 2 s.
+const STANDBY_PAUSE: Duration = Duration::from_millis(900);
 
 /// Period in which an instance that does not watch looks whether it has to.
 const TURN_PERIOD: Duration = Duration::from_millis(200);
-/// Instances that learn of a newer configuration read it spread over this time, and no more
-/// often than this in a quick succession of versions.
-const READ_DELAY: Duration = Duration::from_millis(150);
+/// Time for which a group of instances waits for the group ranked before it to step in.
+const STEP_IN_DELAY: Duration = Duration::from_millis(150);
 
 /// A part of the store that is watched.
 #[derive(Clone, Copy, Debug)]
@@ -92,7 +94,9 @@
                     event(EventKind::PlatformUnreachable, &[&part.name(), &format!("{error:#}")]);
                 }
                 is_lost = true;
-                tokio::time::sleep(pause.mul_f64(0.75 + state.draw() / 2.0)).await;
+                let level = state.peers.borrow().standby_level(state.now());
+                let spread = 0.75 + state.draw() / 2.0;
+                tokio::time::sleep(pause.mul_f64(spread) * (level + 1)).await;
                 pause = (pause * 2).min(RETRY_MAX);
             },
         }
@@ -109,19 +113,22 @@
 }
 
 impl PartWatch {
-    /// Waits until this instance has to call the store: the part was never read, this instance
-    /// watches for others, or a peer has a newer configuration.
+    /// Waits until this instance has to call the store: the part was never read, or this
+    /// instance watches for others.
     async fn wait_for_turn(&mut self) {
-        while self.revision.is_some() && !self.is_watching() {
-            match self.part {
-                WatchedPart::Servers => tokio::time::sleep(TURN_PERIOD).await,
-                WatchedPart::Config => {
-                    let wanted = self.state.config_wanted.notified();
-                    if tokio::time::timeout(TURN_PERIOD, wanted).await.is_ok() {
-                        self.revision = None;
-                        tokio::time::sleep(READ_DELAY.mul_f64(self.state.draw())).await;
-                    }
-                },
+        while self.revision.is_some() {
+            let level = self.state.peers.borrow().standby_level(self.state.now());
+            if self.is_watching() && level == 0 {
+                break;
+            }
+            tokio::time::sleep(TURN_PERIOD).await;
+            if self.is_watching() {
+                // The hubs may only just have lost the store, and a better ranked instance may
+                // step in first.
+                tokio::time::sleep(STEP_IN_DELAY * level).await;
+                if self.is_watching() {
+                    break;
+                }
             }
         }
         if let (WatchedPart::Servers, Some(revision)) = (self.part, self.revision) {
@@ -163,7 +170,8 @@
             if let WatchedPart::Servers = self.part {
                 self.link.push_servers(&self.state, known, revision, changed);
             }
-            tokio::time::sleep(BATCH_PAUSE).await;
+            let is_first = self.state.peers.borrow().keeper(self.state.now()).is_none();
+            tokio::time::sleep(if is_first { BATCH_PAUSE } else { STANDBY_PAUSE }).await;
         }
     }
 
