--- /dev/null
+++ b/medlarlanding-core/tests/forwarding_decisions.rs
@@ -0,0 +1,229 @@
+//! Decisions of the forwarding role: routes, keys, servers, drain and moves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarlanding_core::cases;
+use medlarlanding_core::forwarding::{
+    CustomerRecord, DirectoryChange, DrainParams, ForwardConfig, KeyCheck, MoveParams, MovePlan,
+    MoveStep, RequestKind, RequestLimits, RouteRule, RouteTarget, RunWeight, ServerDirectory,
+    ServerEntry, ServerPhase, ServicePolicy,
+};
+use medlarlanding_core::time::Timestamp;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn rule(name: &str, prefix: &str, is_public: bool) -> RouteRule {
+    RouteRule {
+        name: Arc::from(name),
+        host: "desk.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RequestKind::Safe,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 1,
+        targets: vec![
+            RouteTarget { service: Arc::from("a"), weight: 90 },
+            RouteTarget { service: Arc::from("b"), weight: 10 },
+        ],
+        max_servers: 1,
+        is_public,
+    }
+}
+
+fn config() -> ForwardConfig {
+    let limits = RequestLimits { header_bytes: 1, body_bytes: 1, idle: Duration::ZERO };
+    let record = CustomerRecord { name: Arc::from("museum"), priority: Some(0) };
+    let policy = ServicePolicy { name: Arc::from("a"), max_connections: 1, engine: None };
+    let rules =
+        vec![rule("short", "/a/", false), rule("long", "/a/b/", false), rule("open", "/o/", true)];
+    let customers = Some(vec![(record, vec!["key".to_owned()])]);
+    ForwardConfig::new(7, limits, rules, vec![policy], customers).expect("a configuration")
+}
+
+/// Guards against a request that goes to another route than its host and path select.
+fn selects_route((host, path, expected): (&str, &str, Option<&str>)) {
+    let config = config();
+    assert_eq!(config.route(host, path).map(|rule| &*rule.name), expected);
+}
+
+cases! { selects_route;
+    longest_prefix_wins => ("desk.example", "/a/b/c", Some("long")),
+    shorter_prefix_serves_the_rest => ("desk.example", "/a/c", Some("short")),
+    host_is_compared_without_case_and_port => ("Desk.Example:80", "/a/c", Some("short")),
+    prefix_ends_at_a_slash => ("desk.example", "/a", None),
+    other_host_has_no_route => ("other.example", "/a/c", None),
+}
+
+/// Guards against customers that are mixed up and keys that are let through.
+fn checks_key((route, key, expected): (&str, Option<&str>, &str)) {
+    let config = config();
+    let rule = config.route("desk.example", route).expect("a route");
+    let found = match config.check_key(rule, key) {
+        KeyCheck::Open => "open".to_owned(),
+        KeyCheck::Customer(record) => record.name.to_string(),
+        KeyCheck::Unknown => "unknown".to_owned(),
+    };
+    assert_eq!(found, expected);
+}
+
+cases! { checks_key;
+    known_key_names_its_customer => ("/a/x", Some("key"), "museum"),
+    unknown_key_is_refused => ("/a/x", Some("other"), "unknown"),
+    missing_key_is_refused => ("/a/x", None, "unknown"),
+    public_route_needs_no_key => ("/o/x", None, "open"),
+    key_identifies_on_a_public_route_too => ("/o/x", Some("key"), "museum"),
+}
+
+/// Guards against a service that gets more or less than its share of a split route.
+#[test]
+fn split_follows_the_weights() {
+    let rule = rule("split", "/a/", false);
+    let count = |service: &str| {
+        (0..1000).filter(|step| &**rule.target(f64::from(*step) / 1000.0) == service).count()
+    };
+    assert_eq!((count("a"), count("b")), (900, 100));
+}
+
+fn entry(id: &str, phase: ServerPhase, born_millis: u64) -> ServerEntry {
+    ServerEntry {
+        id: Arc::from(id),
+        service: Arc::from("a"),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        zone: Arc::from("z"),
+        slots: 4,
+        phase,
+        born_millis,
+    }
+}
+
+fn candidates(directory: &ServerDirectory) -> Vec<String> {
+    directory.candidates("a").map(|(_, record)| record.entry.id.to_string()).collect()
+}
+
+/// Guards against new work for a server that is leaving or gone.
+fn stops_work(changes: Vec<DirectoryChange>) {
+    let mut directory = ServerDirectory::default();
+    directory.apply(at(0), DirectoryChange::Written(entry("s", ServerPhase::Ready, 1)));
+    assert_eq!(candidates(&directory), ["s"]);
+    for change in changes {
+        directory.apply(at(1), change);
+    }
+    assert!(candidates(&directory).is_empty());
+}
+
+cases! { stops_work;
+    draining_server_gets_no_work => vec![
+        DirectoryChange::Written(entry("s", ServerPhase::Draining, 1)),
+    ],
+    removed_server_gets_no_work => vec![DirectoryChange::Removed(Arc::from("s"))],
+    removal_of_another_server_changes_nothing_more => vec![
+        DirectoryChange::Removed(Arc::from("s")),
+        DirectoryChange::Removed(Arc::from("t")),
+    ],
+}
+
+/// Guards against a server that stays unused although its entry only lapsed while the store was
+/// away.
+#[test]
+fn lapsed_entry_comes_back() {
+    let mut directory = ServerDirectory::default();
+    let ready = || DirectoryChange::Written(entry("s", ServerPhase::Ready, 1));
+    let key = directory.apply(at(0), ready()).map(|(key, _)| key);
+    directory.apply(at(1), DirectoryChange::Removed(Arc::from("s")));
+    assert_eq!(directory.apply(at(2), ready()).map(|(key, _)| key), key);
+    assert_eq!(candidates(&directory), ["s"]);
+}
+
+/// Guards against load and failures of an earlier start that count for the next one.
+#[test]
+fn restarted_server_is_another_one() {
+    let mut directory = ServerDirectory::default();
+    let started = |born| DirectoryChange::Written(entry("s", ServerPhase::Ready, born));
+    let (first, _) = directory.apply(at(0), started(1)).expect("a key");
+    directory.begin(first, 100);
+    let (second, _) = directory.apply(at(1), started(2)).expect("a key");
+    assert_ne!(first, second);
+    assert_eq!(directory.get(second).map(|record| record.open_tokens), Some(0));
+    assert!(directory.get(first).is_some_and(|record| record.is_gone));
+    directory.finish(first, 100);
+    assert_eq!(candidates(&directory), ["s"]);
+}
+
+/// Guards against a server that is left out for good after some failures, or never.
+#[test]
+fn failing_server_is_avoided_for_a_while() {
+    let mut directory = ServerDirectory::default();
+    let written = DirectoryChange::Written(entry("s", ServerPhase::Ready, 1));
+    let (key, _) = directory.apply(at(0), written).expect("a key");
+    let is_avoided = |directory: &ServerDirectory, millis| {
+        directory.get(key).is_some_and(|record| record.is_avoided(at(millis)))
+    };
+    directory.record_failure(at(0), key);
+    directory.record_failure(at(0), key);
+    assert!(!is_avoided(&directory, 0));
+    directory.record_failure(at(0), key);
+    assert!(is_avoided(&directory, 100) && !is_avoided(&directory, 600));
+    directory.record_success(key);
+    assert!(!is_avoided(&directory, 100));
+}
+
+/// Guards against a snapshot that leaves servers behind which it does not contain.
+#[test]
+fn snapshot_replaces_all_servers() {
+    let mut directory = ServerDirectory::default();
+    let ready = |id| entry(id, ServerPhase::Ready, 1);
+    directory.replace(at(0), vec![ready("s"), ready("t")]);
+    let leaving = directory.replace(at(1), vec![ready("t"), ready("u")]);
+    assert_eq!(candidates(&directory), ["t", "u"]);
+    assert_eq!(leaving.len(), 1);
+}
+
+/// Guards against a stopping instance that takes an answer which it cannot finish, or refuses
+/// one that it can.
+fn takes_while_stopping((kind, output, left_millis, expected): (RequestKind, u32, u64, bool)) {
+    let weight = RunWeight { prompt: 2_000, output };
+    let objective = Duration::from_millis(100);
+    let left = Duration::from_millis(left_millis);
+    assert_eq!(DrainParams::default().can_finish(kind, weight, objective, left), expected);
+}
+
+cases! { takes_while_stopping;
+    short_generation_early => (RequestKind::Stream, 20, 7_000, true),
+    long_generation_early => (RequestKind::Stream, 1_000, 7_000, false),
+    short_generation_at_the_end => (RequestKind::Stream, 20, 1_000, false),
+    plain_request_late => (RequestKind::Unsafe, 0, 500, true),
+    plain_request_at_the_end => (RequestKind::Safe, 0, 300, false),
+}
+
+/// Guards against a last part before the bulk, against a copy that is given up although it is
+/// complete, and against endless tries.
+#[test]
+fn move_copies_first_and_keeps_its_copy() {
+    let params = MoveParams::default();
+    let mut plan = MovePlan::new(params, at(0));
+    assert_eq!(plan.next(at(0)), MoveStep::Copy);
+    plan.copy_begun();
+    plan.refused(at(10));
+    assert_eq!(plan.next(at(10)), MoveStep::Wait(at(10) + params.retry_pause));
+    assert_eq!(plan.next(at(500)), MoveStep::Copy);
+    plan.copy_begun();
+    plan.copy_done();
+    assert_eq!(plan.next(at(600)), MoveStep::Finish);
+    plan.refused(at(600));
+    assert_eq!(plan.next(at(900)), MoveStep::Finish);
+}
+
+/// Guards against copies that are begun for ever while no engine has room.
+#[test]
+fn move_gives_up_after_its_attempts() {
+    let params = MoveParams::default();
+    let mut plan = MovePlan::new(params, at(0));
+    for _ in 0..params.attempts {
+        assert_eq!(plan.next(at(10_000)), MoveStep::Copy);
+        plan.copy_begun();
+    }
+    assert_eq!(plan.next(at(10_000)), MoveStep::Stay);
+}
--- /dev/null
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -0,0 +1,387 @@
+//! Instances of the forwarding role together: hubs, grants, placement and the repeat budget.
+
+mod random_runs;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use medlarlanding_core::forwarding::{
+    BudgetParams, DirectoryChange, LoadReport, PeerDigest, PeerTable, PeerTableParams,
+    PlacementPolicy, PlacementRequest, RemoteLoad, RepeatBudget, RepeatPurpose, RunWeight,
+    ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
+};
+use medlarlanding_core::time::Timestamp;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Memory of one engine in tokens, as on the grown installations.
+const MEMORY: u32 = 21_805;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 1, (number >> 8) as u8, number as u8], 7200))
+}
+
+fn digest(number: u16, sequence: u64, strength: u16) -> PeerDigest {
+    PeerDigest {
+        sender: address(number),
+        boot: 1,
+        sequence,
+        strength,
+        reaches_store: true,
+        config_version: 3,
+        servers_revision: 9,
+        peers: Vec::new(),
+        granted: 0,
+        loads: Vec::new(),
+    }
+}
+
+/// Instances that exchange digests without loss.
+struct TestFleet {
+    tables: Vec<PeerTable>,
+    sequence: u64,
+    down: Vec<usize>,
+    without_store: Vec<usize>,
+}
+
+impl TestFleet {
+    fn new(count: u16) -> Self {
+        let params = PeerTableParams::default();
+        let seeds: Vec<SocketAddr> = (0..count.min(3)).map(address).collect();
+        let tables = (0..count)
+            .map(|number| PeerTable::new(params, address(number), 100, seeds.clone()))
+            .collect();
+        Self { tables, sequence: 0, down: Vec::new(), without_store: Vec::new() }
+    }
+
+    /// Plays one period. Returns the number of datagrams.
+    fn step(&mut self, millis: u64) -> usize {
+        self.sequence += 1;
+        let mut sent = 0;
+        for index in 0..self.tables.len() {
+            if self.down.contains(&index) {
+                continue;
+            }
+            let targets = self.tables[index].targets(at(millis));
+            let mut message = digest(index as u16, self.sequence, 100);
+            message.peers = self.tables[index].sample(at(millis), self.sequence as usize);
+            message.reaches_store = !self.without_store.contains(&index);
+            for (target, _) in targets {
+                sent += 1;
+                let target = usize::from(u16::from_be_bytes(match target {
+                    SocketAddr::V4(target) => [target.ip().octets()[2], target.ip().octets()[3]],
+                    SocketAddr::V6(_) => unreachable!("the fleet uses IPv4"),
+                }));
+                if !self.down.contains(&target) {
+                    self.tables[target].receive(at(millis), message.clone());
+                }
+            }
+        }
+        sent
+    }
+
+    fn hubs(&self, millis: u64) -> Vec<usize> {
+        let live = (0..self.tables.len()).filter(|index| !self.down.contains(index));
+        live.filter(|index| self.tables[*index].watches_store(at(millis))).collect()
+    }
+
+    fn keepers(&self, millis: u64) -> Vec<SocketAddr> {
+        let live = (0..self.tables.len()).filter(|index| !self.down.contains(index));
+        let mut keepers: Vec<SocketAddr> = live
+            .map(|index| {
+                self.tables[index].keeper(at(millis)).unwrap_or(address(index as u16))
+            })
+            .collect();
+        keepers.sort();
+        keepers.dedup();
+        keepers
+    }
+}
+
+/// Guards against a fleet in which everybody watches the store, nobody does, or instances ask
+/// different ones where to run.
+#[test]
+fn fleet_agrees_on_its_hubs() {
+    for count in [1, 2, 8, 88] {
+        let mut fleet = TestFleet::new(count);
+        let mut sent = 0;
+        for step in 0..40 {
+            sent = fleet.step(step * 250);
+        }
+        let hubs = fleet.hubs(39 * 250);
+        assert_eq!(hubs.len(), usize::from(count).min(3), "{count} instances");
+        assert_eq!(fleet.keepers(39 * 250).len(), 1, "{count} instances");
+        // Each hub tells all others; everyone tells the hubs and two more.
+        assert!(sent <= usize::from(count) * (3 + 3 + 2), "{count} instances: {sent} datagrams");
+    }
+}
+
+/// Guards against changes that nobody sees after the hubs have died.
+#[test]
+fn other_instances_follow_dead_hubs() {
+    let mut fleet = TestFleet::new(20);
+    (0..40).for_each(|step| {
+        fleet.step(step * 250);
+    });
+    fleet.down = fleet.hubs(39 * 250);
+    // Silence is noticed after 1.1 s, before a configuration has to be in force.
+    (40..46).for_each(|step| {
+        fleet.step(step * 250);
+    });
+    assert!(fleet.hubs(45 * 250).len() >= 3);
+    (46..60).for_each(|step| {
+        fleet.step(step * 250);
+    });
+    assert_eq!(fleet.hubs(59 * 250).len(), 3);
+    assert_eq!(fleet.keepers(59 * 250).len(), 1);
+}
+
+/// Guards against hubs that are turned away by the store while the others wait for them.
+#[test]
+fn others_step_in_for_hubs_without_the_store() {
+    let mut fleet = TestFleet::new(20);
+    (0..40).for_each(|step| {
+        fleet.step(step * 250);
+    });
+    fleet.without_store = fleet.hubs(39 * 250);
+    fleet.step(40 * 250);
+    fleet.step(41 * 250);
+    let watching = fleet.hubs(41 * 250);
+    let reaching = watching.iter().filter(|hub| !fleet.without_store.contains(hub)).count();
+    assert!(reaching >= 3, "{watching:?}");
+    let levels: Vec<u32> =
+        watching.iter().map(|hub| fleet.tables[*hub].standby_level(at(41 * 250))).collect();
+    // Only the next group steps in at once.
+    assert!(levels.iter().filter(|level| **level == 1).count() >= 3, "{levels:?}");
+}
+
+/// Guards against weak machines as hubs, which send to all others.
+#[test]
+fn stronger_machines_rank_first() {
+    let mut table = PeerTable::new(PeerTableParams::default(), address(0), 10, Vec::new());
+    for number in 1..=3 {
+        table.receive(at(0), digest(number, 1, 200));
+    }
+    assert!(!table.watches_store(at(0)));
+    let mut strong = PeerTable::new(PeerTableParams::default(), address(0), 400, Vec::new());
+    for number in 1..=3 {
+        strong.receive(at(0), digest(number, 1, 200));
+    }
+    assert!(strong.watches_store(at(0)) && strong.keeper(at(0)).is_none());
+}
+
+/// Guards against grants that are forgotten before the load reports contain them, counted twice
+/// afterwards, or kept for ever when they were lost.
+#[test]
+fn grants_count_until_they_are_reported() {
+    let params = PeerTableParams::default();
+    let mut table = PeerTable::new(params, address(0), 100, Vec::new());
+    table.receive(at(0), digest(1, 1, 100));
+    let weight = RunWeight { prompt: 3_000, output: 400 };
+    let grant = table.grant(at(0), address(1), 77, weight, 3_000);
+    let load = table.remote_load(at(0), 77);
+    assert_eq!((load.requests, load.tokens, load.growth), (1.0, 3_000.0, 400.0));
+    // A digest that was sent before the grant arrived.
+    table.receive(at(100), digest(1, 2, 100));
+    assert_eq!(table.remote_load(at(100), 77).requests, 1.0);
+    let mut reported = digest(1, 3, 100);
+    reported.granted = grant;
+    reported.loads = vec![LoadReport {
+        server: 77,
+        requests: 1,
+        tokens: 3_000,
+        waiting_tokens: 3_000,
+        growth: 400,
+    }];
+    table.receive(at(350), reported);
+    assert_eq!(table.remote_load(at(350), 77).requests, 1.0);
+    table.grant(at(400), address(1), 77, weight, 0);
+    table.receive(at(1_600), digest(1, 4, 100));
+    assert_eq!(table.remote_load(at(1_600), 77), RemoteLoad::default());
+}
+
+/// Guards against digests that arrive late or twice.
+#[test]
+fn older_digests_are_dropped() {
+    let mut table = PeerTable::new(PeerTableParams::default(), address(0), 100, Vec::new());
+    assert!(table.receive(at(0), digest(1, 5, 100)));
+    assert!(!table.receive(at(1), digest(1, 5, 100)));
+    assert!(!table.receive(at(1), digest(1, 4, 100)));
+    let mut restarted = digest(1, 1, 100);
+    restarted.boot = 2;
+    assert!(table.receive(at(2), restarted));
+    assert!(!table.receive(at(3), digest(0, 9, 100)), "own digests are dropped");
+}
+
+fn engines(count: usize) -> ServerDirectory {
+    let mut directory = ServerDirectory::default();
+    for index in 0..count {
+        directory.apply(at(0), DirectoryChange::Written(ServerEntry {
+            id: Arc::from(format!("e{index}")),
+            service: Arc::from("llm"),
+            address: SocketAddr::from(([10, 2, 0, index as u8], 8000)),
+            zone: Arc::from(["z0", "z1", "z2"][index % 3]),
+            slots: 24,
+            phase: ServerPhase::Ready,
+            born_millis: 1,
+        }));
+    }
+    directory
+}
+
+fn request(prompt: u32, due: Option<Duration>) -> PlacementRequest<'static> {
+    PlacementRequest {
+        service: "llm",
+        memory_tokens: Some(MEMORY),
+        weight: RunWeight { prompt, output: 400 },
+        excluded: &[],
+        zone: "z0",
+        due,
+        is_urgent: false,
+    }
+}
+
+fn nothing(_: &ServerRecord) -> RemoteLoad {
+    RemoteLoad::default()
+}
+
+/// Replays arrivals that fill the fleet: runs are spread so evenly that no engine's memory
+/// overflows while another has room.
+#[test]
+fn placement_fills_engines_evenly() {
+    let mut directory = engines(12);
+    let policy = PlacementPolicy::default();
+    let mut random = SmallRng::seed_from_u64(5);
+    let mut placed = 0;
+    loop {
+        let prompt = random.random_range(2_000..4_000);
+        let demand = request(prompt, Some(Duration::from_secs(30)));
+        let (key, has_room) = policy
+            .choose(at(0), &directory, &demand, nothing, || random.random())
+            .expect("an engine");
+        if !has_room {
+            break;
+        }
+        directory.begin(key, u64::from(prompt));
+        directory.set_growth(key, 400, 0);
+        placed += 1;
+    }
+    let loads: Vec<u64> = directory.iter().map(|(_, record)| record.open_tokens).collect();
+    assert!(loads.iter().all(|tokens| *tokens <= u64::from(MEMORY)), "{loads:?}");
+    assert!(placed >= 12 * 5, "{placed} runs");
+}
+
+/// Guards against runs that are sent where their answer cannot begin in time, and against late
+/// runs that take the room of runs that can be in time.
+#[test]
+fn room_follows_the_due_time() {
+    let mut directory = engines(1);
+    let policy = PlacementPolicy::default();
+    let (key, _) = directory.candidates("llm").next().expect("an engine");
+    let has_room = |directory: &ServerDirectory, due| {
+        let chosen = policy.choose(at(0), directory, &request(3_000, due), nothing, || 0.0);
+        chosen.expect("an engine").1
+    };
+    let (soon, later) = (Some(Duration::from_millis(500)), Some(Duration::from_millis(1_500)));
+    assert!(has_room(&directory, soon) && has_room(&directory, None));
+    directory.begin(key, 6_000);
+    directory.set_waiting(key, 6_000, 0);
+    assert!(!has_room(&directory, soon) && has_room(&directory, later));
+    assert!(!has_room(&directory, None), "a late run waits for runs that can be in time");
+    directory.set_waiting(key, 0, 6_000);
+    directory.begin(key, 9_600);
+    assert!(has_room(&directory, later) && !has_room(&directory, None));
+    directory.begin(key, 3_000);
+    assert!(!has_room(&directory, later));
+}
+
+/// Replays the notice of an engine with ten runs: all instances choose at the same moment from
+/// the same loads, and neither one link nor one memory takes them all.
+#[test]
+fn moves_spread_over_the_fleet() {
+    let policy = PlacementPolicy::default();
+    let mut random = SmallRng::seed_from_u64(9);
+    let mut near = 0;
+    for _ in 0..100 {
+        let mut directory = engines(12);
+        let keys: Vec<ServerKey> = directory.iter().map(|(key, _)| key).collect();
+        for key in &keys {
+            directory.begin(*key, 10_000);
+        }
+        let source = keys[0];
+        let excluded = [source];
+        let mut counts: BTreeMap<ServerKey, usize> = BTreeMap::new();
+        for _ in 0..10 {
+            let demand = PlacementRequest { excluded: &excluded, ..request(3_000, None) };
+            let chosen = policy
+                .choose_destination(at(0), &directory, &demand, nothing, || random.random())
+                .expect("a destination");
+            *counts.entry(chosen).or_default() += 1;
+            let zone = directory.get(chosen).map(|record| record.entry.zone.to_string());
+            near += usize::from(zone.as_deref() == Some("z0"));
+        }
+        assert!(counts.values().all(|count| *count <= 7), "{counts:?}");
+    }
+    // 3 of 11 destinations are near; they are preferred but do not take all.
+    assert!((450..800).contains(&near), "{near} of 1,000 moves stay in the zone");
+}
+
+/// Guards against a move to an engine without memory for the run, which would preempt others.
+#[test]
+fn full_engines_are_no_destinations() {
+    let mut directory = engines(2);
+    let policy = PlacementPolicy::default();
+    let keys: Vec<ServerKey> = directory.iter().map(|(key, _)| key).collect();
+    directory.begin(keys[1], 20_000);
+    let demand = PlacementRequest { excluded: &keys[..1], ..request(3_000, None) };
+    assert_eq!(policy.choose_destination(at(0), &directory, &demand, nothing, || 0.5), None);
+}
+
+/// The platform's rule: repeats in any window are at most a share of the requests of that window
+/// or the one before, and the slack, summed over all instances.
+fn repeats_stay_in_budget(seed: u64) -> bool {
+    const INSTANCES: usize = 8;
+    let params = BudgetParams { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0 };
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut budgets: Vec<RepeatBudget> = (0..INSTANCES).map(|_| RepeatBudget::default()).collect();
+    let mut keeper = RepeatBudget::default();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    let rate = random.random_range(1..20);
+    for millis in (0..40_000).step_by(10) {
+        let index = random.random_range(0..INSTANCES);
+        if random.random_range(0..20) < rate {
+            budgets[index].record_request(at(millis), &params);
+            keeper.record_request(at(millis), &params);
+            requests.push(millis);
+        }
+        if budgets[index].try_repeat(at(millis), &params, RepeatPurpose::Retry, INSTANCES) {
+            repeats.push(millis);
+        }
+        if keeper.try_repeat(at(millis), &params, RepeatPurpose::Move, 1) {
+            repeats.push(millis);
+        }
+    }
+    let count = |times: &[u64], from: u64, to: u64| {
+        times.iter().filter(|time| (from..to).contains(*time)).count() as f64
+    };
+    (0..30_000u64).step_by(500).all(|start| {
+        let end = start + 10_000;
+        let most = [0, 5_000, 10_000]
+            .map(|back| count(&requests, start.saturating_sub(back), end - back))
+            .into_iter()
+            .fold(0.0, f64::max);
+        count(&repeats, start, end) <= params.ratio * most + params.slack
+    })
+}
+
+#[test]
+fn repeats_of_all_instances_stay_in_budget() {
+    random_runs::check("repeats", &[1, 2, 3], 20, 10, repeats_stay_in_budget as fn(u64) -> bool);
+}
--- /dev/null
+++ b/medlarlanding/tests/stream_events.rs
@@ -0,0 +1,62 @@
+//! Splitting of event streams into whole events.
+
+use medlarlanding::forwarding::EventSplitter;
+use medlarlanding_core::cases;
+
+use quickcheck::{Gen, QuickCheck};
+
+fn pieces(text: &[u8], cuts: &[usize]) -> (Vec<(String, Option<String>)>, String) {
+    let mut splitter = EventSplitter::default();
+    let mut found = Vec::new();
+    let mut start = 0;
+    let ends = cuts.iter().copied().chain([text.len()]);
+    for end in ends {
+        assert!(splitter.push(&text[start..end]));
+        while let Some(piece) = splitter.next_piece() {
+            found.push((String::from_utf8_lossy(&piece.bytes).into_owned(), piece.id));
+        }
+        start = end;
+    }
+    (found, String::from_utf8_lossy(&splitter.take_rest()).into_owned())
+}
+
+fn splits((text, ids, rest): (&str, &[Option<&str>], &str)) {
+    let (found, left) = pieces(text.as_bytes(), &[]);
+    let found_ids: Vec<Option<&str>> = found.iter().map(|(_, id)| id.as_deref()).collect();
+    assert_eq!((found_ids.as_slice(), left.as_str()), (ids, rest));
+    let joined: String = found.iter().map(|(bytes, _)| bytes.as_str()).collect();
+    assert_eq!(joined + &left, text, "bytes are passed on unchanged");
+}
+
+cases! { splits;
+    two_events => ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", &[Some("1"), Some("2")], ""),
+    unfinished_event_stays => ("id: 1\ndata: a\n\nid: 2\ndata", &[Some("1")], "id: 2\ndata"),
+    carriage_returns => ("id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", &[Some("1"), Some("2")], ""),
+    event_without_id => ("data: a\n\n", &[None], ""),
+    line_before_the_id => ("x-weight-versions: 3\nid: 9\ndata: a\n\n", &[Some("9")], ""),
+    nothing => ("", &[], ""),
+}
+
+/// Guards against events that are lost, joined or changed when their bytes arrive in parts.
+fn parts_change_nothing(events: Vec<(u16, String)>, cuts: Vec<usize>) -> bool {
+    let text: String = events
+        .iter()
+        .map(|(id, data)| format!("id: {id}\ndata: {}\n\n", data.replace(['\n', '\r'], " ")))
+        .collect();
+    let text = text.as_bytes();
+    let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut % (text.len() + 1)).collect();
+    cuts.sort_unstable();
+    pieces(text, &cuts) == pieces(text, &[])
+        && pieces(text, &cuts).0.len() == events.len()
+}
+
+#[test]
+fn events_survive_any_cuts() {
+    for seed in [1, 2, 3] {
+        println!("seed {seed}");
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(20, seed))
+            .tests(300)
+            .quickcheck(parts_change_nothing as fn(Vec<(u16, String)>, Vec<usize>) -> bool);
+    }
+}
