Hold back less growth; use the whole repeat budget at plain services

Cause: with 0.6 of the expected growth held back engines stood at 86% of their memory while runs waited; a third of the look-ups that failed with a server error succeeds at a second server, but a share of the budget was kept for moves that plain services never make.

--- a/medlarlanding-core/src/forwarding/budget.rs
+++ b/medlarlanding-core/src/forwarding/budget.rs
@@ -22,18 +22,22 @@
 /// What a repeat is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RepeatPurpose {
-    /// A failed request is sent once more.
+    /// A failed request to a plain service is sent once more.
     Retry,
+    /// A generation that an engine refused is sent to another one.
+    Restart,
     /// A running generation goes on at another engine; without it the generation is lost.
     Move,
 }
 
 impl RepeatPurpose {
-    /// Part of the allowance that may be used. The rest is kept for moves, and for requests that
-    /// the platform counts in another window than this instance does.
+    /// Part of the allowance that may be used; engines share theirs between restarts and moves.
+    /// The rest is kept for requests that the platform counts in another window than this
+    /// instance does.
     fn margin(self) -> f64 {
         match self {
-            Self::Retry => 0.35,
+            Self::Retry => 0.85,
+            Self::Restart => 0.3,
             Self::Move => 0.55,
         }
     }
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -56,7 +56,7 @@
             foreign_zone: 0.03,
             jitter: 0.06,
             fill_limit: 0.95,
-            growth_share: 0.6,
+            growth_share: 0.4,
             urgent_fill_limit: 1.0,
             late_fill_limit: 0.85,
             late_prefill: 0.8,
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -248,7 +248,7 @@
             let zone = Arc::from(self.state.settings.zone.as_str());
             let (key, entry) =
                 self.choose_start(&tried, &zone).await.map_err(StartEnd::Own)?;
-            if !tried.is_empty() && !self.state.try_repeat(&self.admitted.service, RepeatPurpose::Retry)
+            if !tried.is_empty() && !self.state.try_repeat(&self.admitted.service, RepeatPurpose::Restart)
             {
                 return Err(StartEnd::Own(OwnAnswer::ServersFull));
             }
