Ask engines whether they leave while the store is down

Change: the instance that places generations asks all engines every 0.4 s, only while no live instance reaches the store, and tells the others. An engine that refuses connections is avoided at once.

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -108,6 +108,8 @@
     605 SettingsRead Info "settings_read" ["seeds"];
     /// The settings file could not be read; the last settings stay in force.
     606 SettingsRefused Warn "settings_refused" ["reason"];
+    /// A report of a backend server could not be read.
+    607 ReportRefused Warn "report_refused" ["server", "reason"];
     /// A request was refused before it was sent anywhere.
     610 ForwardRefused Info "forward_refused" ["request", "reason", "config"];
     /// A request was sent to a backend server.
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -162,6 +162,16 @@
         (key, is_leaving)
     }
 
+    /// Records that a server said itself that it leaves. Returns whether that was unknown.
+    pub fn mark_leaving(&mut self, now: Timestamp, key: ServerKey) -> bool {
+        let record = self.records.get_mut(&key).filter(|record| record.leaving_since.is_none());
+        if let Some(record) = record {
+            record.leaving_since = Some(now);
+            return true;
+        }
+        false
+    }
+
     /// Replaces the whole directory by a snapshot. Returns servers that began to leave.
     pub fn replace(&mut self, now: Timestamp, entries: Vec<ServerEntry>) -> Vec<ServerKey> {
         let removed: Vec<Arc<str>> = self
@@ -260,6 +270,14 @@
         }
     }
 
+    /// Records that a server cannot be reached, so that it is avoided at once.
+    pub fn record_unreachable(&mut self, now: Timestamp, key: ServerKey) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.failures = record.failures.max(FAILURE_LIMIT);
+            record.avoid_until = Some(now + AVOID_MIN * 2);
+        }
+    }
+
     /// Records a failure that speaks against the server. Returns whether it is avoided now.
     pub fn record_failure(&mut self, now: Timestamp, key: ServerKey) -> bool {
         let Some(record) = self.records.get_mut(&key) else { return false };
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -9,6 +9,8 @@
         Digest(PeerDigest),
         /// Changes of server entries.
         Servers(ServerChanges),
+        /// Hashes of the ids of servers that said they leave while the store was away.
+        Leaving(Vec<u64>),
         /// Asks where to run a generation.
         Question(PlaceQuestion),
         /// Tells where to run a generation.
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -260,6 +260,11 @@
         (self.better(now).len() / self.params.hubs.max(1)) as u32
     }
 
+    /// Tells whether a live peer reaches the store.
+    pub fn any_reaches_store(&self, now: Timestamp) -> bool {
+        self.peers.values().any(|record| self.is_live(now, record) && record.reaches_store)
+    }
+
     /// Gets the peer that places generations; `None` if it is this instance.
     pub fn keeper(&self, now: Timestamp) -> Option<SocketAddr> {
         self.better(now).first().map(|(address, _)| *address)
--- /dev/null
+++ b/medlarlanding/src/forwarding/engine_probe.rs
@@ -0,0 +1,107 @@
+//! Asks engines whether they leave while no instance reaches the store.
+//!
+//! Load pattern: engines are taken away with 1.5 s of notice also while the store is down, and
+//! the notice is then to be had only from the engines. Reports are charged, so only the instance
+//! that places generations asks, and only then.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::exchange;
+use super::peer_link::PeerLink;
+use super::shared::SharedState;
+use crate::logging::event;
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::forwarding::ServerKey;
+use medlarlanding_platform::engines::{self, REPORT_PATH};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode, Uri};
+
+/// Period in which each engine is asked; a move takes about a second of the notice.
+const PROBE_PERIOD: Duration = Duration::from_millis(400);
+/// Time limit of one question; engines answer in a few milliseconds.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest report in bytes.
+const REPORT_LIMIT: usize = 256 << 10;
+
+/// What an engine said.
+enum ProbeAnswer {
+    Stays,
+    Leaves,
+    /// No connection was established.
+    Unreachable,
+    /// The answer was late or could not be read, which proves nothing.
+    Unclear,
+}
+
+/// Asks engines until the process ends.
+pub async fn run(state: SharedState, link: Rc<PeerLink>) -> anyhow::Result<()> {
+    loop {
+        tokio::time::sleep(PROBE_PERIOD).await;
+        let now = state.now();
+        let is_needed = {
+            let peers = state.peers.borrow();
+            !state.reaches_store.get()
+                && peers.keeper(now).is_none()
+                && !peers.any_reaches_store(now)
+        };
+        if !is_needed {
+            continue;
+        }
+        for (key, address) in state.engines() {
+            let (state, link) = (Rc::clone(&state), Rc::clone(&link));
+            tokio::task::spawn_local(async move {
+                let answer = ask(address).await;
+                take_answer(&state, &link, key, &answer);
+            });
+        }
+    }
+}
+
+fn take_answer(state: &SharedState, link: &PeerLink, key: ServerKey, answer: &ProbeAnswer) {
+    match answer {
+        ProbeAnswer::Stays | ProbeAnswer::Unclear => {},
+        ProbeAnswer::Unreachable => {
+            state.directory.borrow_mut().record_unreachable(state.now(), key);
+        },
+        ProbeAnswer::Leaves => {
+            if let Some(hash) = state.hash_of(key)
+                && state.mark_leaving(key)
+            {
+                link.push_leaving(state, hash);
+            }
+        },
+    }
+}
+
+async fn ask(address: SocketAddr) -> ProbeAnswer {
+    let mut request = Request::new(Full::<Bytes>::default());
+    *request.uri_mut() = Uri::from_static(REPORT_PATH);
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    let (response, _exchange) = match exchange::send(address, request, PROBE_TIMEOUT).await {
+        Ok(sent) => sent,
+        Err(exchange::ExchangeFault::NotConnected) => return ProbeAnswer::Unreachable,
+        Err(_) => return ProbeAnswer::Unclear,
+    };
+    if response.status() != StatusCode::OK {
+        return ProbeAnswer::Unclear;
+    }
+    let reading = Limited::new(response.into_body(), REPORT_LIMIT).collect();
+    let Ok(Ok(body)) = tokio::time::timeout(PROBE_TIMEOUT, reading).await else {
+        return ProbeAnswer::Unclear;
+    };
+    match engines::decode_leaving(&body.to_bytes()) {
+        Ok(true) => ProbeAnswer::Leaves,
+        Ok(false) => ProbeAnswer::Stays,
+        Err(error) => {
+            event(EventKind::ReportRefused, &[&address, &format!("{error:#}")]);
+            ProbeAnswer::Unclear
+        },
+    }
+}
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod answer;
+mod engine_probe;
 mod exchange;
 mod generation;
 mod listener;
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -125,6 +125,12 @@
         self.send(state, &PeerMessage::Servers(pending), &targets);
     }
 
+    /// Tells all peers of a server that said it leaves.
+    pub fn push_leaving(&self, state: &ForwardState, server: u64) {
+        let targets = state.peers.borrow().known();
+        self.send(state, &PeerMessage::Leaving(vec![server]), &targets);
+    }
+
     /// Chooses a server for a generation: asks the instance that places them, or decides here
     /// when that is this instance or it does not answer.
     pub async fn place(
@@ -274,6 +280,11 @@
             }
             state.raw_servers.borrow_mut().revision = changes.revision;
         },
+        PeerMessage::Leaving(servers) => {
+            for key in servers.iter().filter_map(|hash| state.find_server(*hash)) {
+                state.mark_leaving(key);
+            }
+        },
         PeerMessage::Question(question) => {
             let answer = state.answer_place(source, &question);
             link.send(state, &PeerMessage::Answer(answer), &[source]);
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::engine_probe;
 use super::listener;
 use super::log_output::LogWriter;
 use super::peer_link::{self, PeerLink};
@@ -97,6 +98,7 @@
     tasks.spawn("fetches", peer_link::serve_fetches(fetches, Rc::clone(&state)));
     tasks.spawn("config", store_watch::run(Rc::clone(&state), Rc::clone(&link), WatchedPart::Config));
     tasks.spawn("servers", store_watch::run(Rc::clone(&state), Rc::clone(&link), WatchedPart::Servers));
+    tasks.spawn("probes", engine_probe::run(Rc::clone(&state), Rc::clone(&link)));
     tasks.spawn("settings", watch_settings(Rc::clone(&state)));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut failures = tasks.failures;
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -242,6 +242,30 @@
         self.directory_changes.send_modify(|count| *count += 1);
     }
 
+    /// Records that a server said itself that it leaves. Returns whether that was unknown.
+    pub fn mark_leaving(&self, key: ServerKey) -> bool {
+        let is_new = self.directory.borrow_mut().mark_leaving(self.now(), key);
+        if is_new {
+            if let Some(record) = self.directory.borrow().get(key) {
+                let (id, service) = (&record.entry.id, &record.entry.service);
+                event(EventKind::ServerChanged, &[id, service, &"leaving", &"server"]);
+            }
+            self.directory_changes.send_modify(|count| *count += 1);
+        }
+        is_new
+    }
+
+    /// Model engines that are not known to leave.
+    pub fn engines(&self) -> Vec<(ServerKey, SocketAddr)> {
+        let Some(ConfigInForce { config, .. }) = self.config() else { return Vec::new() };
+        let directory = self.directory.borrow();
+        let policies = config.engine_services();
+        policies
+            .flat_map(|(policy, _)| directory.candidates(&policy.name))
+            .map(|(key, record)| (key, record.entry.address))
+            .collect()
+    }
+
     /// Replaces all servers by a snapshot of the entries at a revision.
     pub fn replace_servers(
         &self,
