Notice a store that is down within the notice of an engine

Instances that do not watch said that they reach the store. Change: the best ranked hub waits 0.4 s a call and 0.4 s for a late answer; only instances that watch say that they reach the store; engines are asked as soon as a call fails.

--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -41,7 +41,7 @@
         pub sequence: u64,
         /// Processor and link of the sender's machine; stronger ones are better ranked.
         pub strength: u16,
-        /// The sender's last call to the store was answered.
+        /// The sender watches the store and its last call was answered.
         pub reaches_store: bool,
         /// Version of the configuration in force at the sender; 0 for none.
         pub config_version: u64,
@@ -260,11 +260,6 @@
         (self.better(now).len() / self.params.hubs.max(1)) as u32
     }
 
-    /// Tells whether a live peer reaches the store.
-    pub fn any_reaches_store(&self, now: Timestamp) -> bool {
-        self.peers.values().any(|record| self.is_live(now, record) && record.reaches_store)
-    }
-
     /// Gets the peer that places generations; `None` if it is this instance.
     pub fn keeper(&self, now: Timestamp) -> Option<SocketAddr> {
         self.better(now).first().map(|(address, _)| *address)
--- a/medlarlanding/src/forwarding/engine_probe.rs
+++ b/medlarlanding/src/forwarding/engine_probe.rs
@@ -1,4 +1,4 @@
-//! Asks engines whether they leave while no instance reaches the store.
+//! Asks engines whether they leave while the store cannot be reached.
 //!
 //! Load pattern: engines are taken away with 1.5 s of notice also while the store is down, and
 //! the notice is then to be had only from the engines. Reports are charged, so only the instance
@@ -23,6 +23,8 @@
 
 /// Period in which each engine is asked; a move takes about a second of the notice.
 const PROBE_PERIOD: Duration = Duration::from_millis(400);
+/// Least pause between questions.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// Time limit of one question; engines answer in a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest report in bytes.
@@ -41,14 +43,16 @@
 /// Asks engines until the process ends.
 pub async fn run(state: SharedState, link: Rc<PeerLink>) -> anyhow::Result<()> {
     loop {
-        tokio::time::sleep(PROBE_PERIOD).await;
-        let now = state.now();
-        let is_needed = {
-            let peers = state.peers.borrow();
-            !state.reaches_store.get()
-                && peers.keeper(now).is_none()
-                && !peers.any_reaches_store(now)
+        let lost = async {
+            tokio::time::sleep(PROBE_PAUSE).await;
+            state.store_lost.notified().await;
         };
+        // The period only paces the questions.
+        let _ = tokio::time::timeout(PROBE_PERIOD, lost).await;
+        // Other hubs may wait in a call that the store leaves unanswered, so that only the loss
+        // seen here counts.
+        let is_first = state.peers.borrow().keeper(state.now()).is_none();
+        let is_needed = is_first && state.config_version() > 0 && !state.reaches_store.get();
         if !is_needed {
             continue;
         }
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -101,12 +101,14 @@
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
     /// Moves of all instances by service; used while this instance places generations.
     move_budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
-    /// The last call to the store was answered.
+    /// This instance watches the store and its last call was answered.
     pub reaches_store: Cell<bool>,
     /// Highest number of a grant from the instance that places generations.
     pub granted: Cell<u64>,
     /// Wakes the task that sends digests when something changed that peers should know.
     pub digest_wanted: Notify,
+    /// Wakes the task that asks engines when the store no longer answers.
+    pub store_lost: Notify,
     placement: PlacementPolicy,
     random: RefCell<SmallRng>,
     directory_changes: watch::Sender<u64>,
@@ -142,6 +144,7 @@
             reaches_store: Cell::new(false),
             granted: Cell::new(0),
             digest_wanted: Notify::new(),
+            store_lost: Notify::new(),
             placement: PlacementPolicy::default(),
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             directory_changes: watch::Sender::new(0),
--- a/medlarlanding/src/forwarding/store_client.rs
+++ b/medlarlanding/src/forwarding/store_client.rs
@@ -21,6 +21,10 @@
 /// slower for a while.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Time for the answer to a watch after its waiting time; that of a store that is 90 times
+/// slower than usual.
+const WATCH_MARGIN: Duration = Duration::from_millis(400);
+
 /// Result of a watch.
 #[derive(Debug)]
 pub enum WatchAnswer {
@@ -82,7 +86,7 @@
         wait: Duration,
     ) -> anyhow::Result<WatchAnswer> {
         let path = store::watch_path(prefix, after, wait);
-        let (status, body) = self.call(&path, wait + CALL_TIMEOUT).await?;
+        let (status, body) = self.call(&path, wait + WATCH_MARGIN).await?;
         match status {
             StatusCode::OK => Ok(WatchAnswer::Changes(store::decode_changes(&body)?)),
             StatusCode::GONE => Ok(WatchAnswer::HistoryGone),
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -16,6 +16,9 @@
 
 /// Time that a watch waits at the store; silent connections are found by the kernel's probes.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The same at the best ranked hub for servers: a store that is down may leave a waiting call
+/// unanswered, and only the next call shows it. Engines give 1.5 s of notice.
+const FIRST_WAIT: Duration = Duration::from_millis(400);
 /// Pause after a failed call; doubles up to `RETRY_MAX`. Calls are charged, refused ones too.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls; a change must be in force 2 s after its confirmation.
@@ -89,6 +92,7 @@
                 if state.reaches_store.replace(false) {
                     // Another instance takes the watch over.
                     state.digest_wanted.notify_one();
+                    state.store_lost.notify_one();
                 }
                 if !is_lost {
                     event(EventKind::PlatformUnreachable, &[&part.name(), &format!("{error:#}")]);
@@ -121,6 +125,10 @@
             if self.is_watching() && level == 0 {
                 break;
             }
+            if !self.is_watching() {
+                // What the last call showed says nothing of the store now.
+                self.state.reaches_store.set(false);
+            }
             tokio::time::sleep(TURN_PERIOD).await;
             if self.is_watching() {
                 // The hubs may only just have lost the store, and a better ranked instance may
@@ -141,11 +149,19 @@
         self.state.peers.borrow().watches_store(self.state.now())
     }
 
+    fn is_first(&self) -> bool {
+        self.state.peers.borrow().keeper(self.state.now()).is_none()
+    }
+
     async fn step(&mut self) -> anyhow::Result<()> {
         let Some(revision) = self.revision else {
             return self.read_all().await;
         };
-        match self.client.watch(self.part.prefix(), revision, WATCH_WAIT).await? {
+        let wait = match self.part {
+            WatchedPart::Servers if self.is_first() => FIRST_WAIT,
+            WatchedPart::Servers | WatchedPart::Config => WATCH_WAIT,
+        };
+        match self.client.watch(self.part.prefix(), revision, wait).await? {
             WatchAnswer::HistoryGone => self.revision = None,
             WatchAnswer::Changes(changes) => {
                 let revision = changes.revision.max(revision);
@@ -170,8 +186,7 @@
             if let WatchedPart::Servers = self.part {
                 self.link.push_servers(&self.state, known, revision, changed);
             }
-            let is_first = self.state.peers.borrow().keeper(self.state.now()).is_none();
-            tokio::time::sleep(if is_first { BATCH_PAUSE } else { STANDBY_PAUSE }).await;
+            tokio::time::sleep(if self.is_first() { BATCH_PAUSE } else { STANDBY_PAUSE }).await;
         }
     }
 
