--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -14,8 +14,9 @@
 
 use indexmap::IndexMap;
 
-/// Time that a watch waits at the store; silent connections are found by the kernel's probes.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time that a watch waits at the store. A call whose answer is lost shows only then, and a
+/// configuration must be in force 2 s after the store has been sound for 3 s.
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// The same at the best ranked hub for servers: a store that is down may leave a waiting call
 /// unanswered, and only the next call shows it. Engines give 1.5 s of notice.
 const FIRST_WAIT: Duration = Duration::from_millis(400);
