Add a fault soak: real instances as processes, faults from outside, promises checked

Seeded faults overlap: kill, stop, pause and restart by signals, a store that refuses, servers that fail in seven ways or drain, links that delay, reset, go silent or pass one way. Checked: unsafe requests and generations run at most once, never on two servers at a time; refusals have not run; events are complete, in order and of one generation; answers belong to their request; every instance serves again after the faults.

--- a/medlarlanding-bench/src/lib.rs
+++ b/medlarlanding-bench/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod order_trials;
 pub mod report;
 pub mod site;
+pub mod soak;
 pub mod stand_ins;
 pub mod usage;
--- a/medlarlanding-bench/src/main.rs
+++ b/medlarlanding-bench/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use medlarlanding_bench::stand_ins::{engine, platform, service};
-use medlarlanding_bench::{cost, demo, drills, experiment, fleet_trials, load, order_trials};
+use medlarlanding_bench::{cost, demo, drills, experiment, fleet_trials, load, order_trials, soak};
 
 use argh::FromArgs;
 
@@ -27,6 +27,7 @@
     Cost(cost::CostOptions),
     Orders(order_trials::OrderTrialsOptions),
     Fleet(fleet_trials::FleetTrialsOptions),
+    Soak(soak::SoakOptions),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -42,5 +43,6 @@
         BenchCommand::Cost(options) => cost::run(options),
         BenchCommand::Orders(options) => order_trials::run(options),
         BenchCommand::Fleet(options) => fleet_trials::run(options),
+        BenchCommand::Soak(options) => soak::run(options),
     }
 }
--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -2,6 +2,7 @@
 //! instances of the forwarding role as processes.
 
 mod client;
+mod proxy;
 mod server;
 mod state;
 mod store;
@@ -21,6 +22,7 @@
 use serde_json::{Value, json};
 
 pub use client::{SiteAnswer, SiteCall};
+pub use proxy::{LinkMode, LinkSwitch};
 pub use state::{RunRecord, ServerMode, SiteState, StoreMode};
 
 /// Longest time for anything that a test waits for; debug builds share the machine.
@@ -68,6 +70,7 @@
     network: [u8; 2],
     store: SocketAddr,
     instances: Vec<SiteInstance>,
+    links: Vec<LinkSwitch>,
     version: u64,
 }
 
@@ -76,6 +79,7 @@
 const CONTROL_PORT: u16 = 18_748;
 const PEER_PORT: u16 = 18_720;
 const SERVER_PORT: u16 = 18_800;
+const LINK_PORT: u16 = 18_801;
 
 impl TestSite {
     /// Starts stand-ins and instances and waits until all are ready.
@@ -90,7 +94,8 @@
         let state = Arc::new(SiteState::default());
         let store = SocketAddr::new(host(network, 250), SERVER_PORT);
         store::start(TcpListener::bind(store)?, Arc::clone(&state))?;
-        let mut running = Self { state, network, store, instances: Vec::new(), version: 0 };
+        let mut running =
+            Self { state, network, store, instances: Vec::new(), links: Vec::new(), version: 0 };
         for index in 0..params.plain {
             running.add_server("orders", index)?;
         }
@@ -113,14 +118,29 @@
     ///
     /// Fails if the address is taken.
     pub fn add_server(&mut self, service: &str, index: usize) -> anyhow::Result<String> {
-        let offset = if service == "engines" { 150 } else { 100 };
-        let address = SocketAddr::new(host(self.network, offset + index as u8), SERVER_PORT);
+        let address = self.server_address(service, index as u8);
+        let link = SocketAddr::new(address.ip(), LINK_PORT);
         let id = format!("{service}-{index}");
         server::start(TcpListener::bind(address)?, id.clone(), Arc::clone(&self.state))?;
-        self.register(&id, service, address, "ready");
+        self.links.push(proxy::start(
+            TcpListener::bind(link)?,
+            address,
+            self.state.stopped.subscribe(),
+        )?);
+        self.register(&id, service, link, "ready");
         Ok(id)
     }
 
+    fn server_address(&self, service: &str, index: u8) -> SocketAddr {
+        let offset = if service == "engines" { 150 } else { 100 };
+        SocketAddr::new(host(self.network, offset + index), SERVER_PORT)
+    }
+
+    /// Links between the instances and the servers, plain services first.
+    pub fn links(&self) -> &[LinkSwitch] {
+        &self.links
+    }
+
     fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
         let entry = json!({
             "service": service, "address": address.to_string(), "zone": "z0", "slots": 24,
@@ -131,11 +151,19 @@
 
     /// Makes a server say in the store that it is draining.
     pub fn drain_server(&self, id: &str) {
+        self.set_server(id, "draining");
+    }
+
+    /// Makes a server say in the store that it takes work again.
+    pub fn return_server(&self, id: &str) {
+        self.set_server(id, "ready");
+    }
+
+    fn set_server(&self, id: &str, state: &str) {
         let (service, index) = id.split_once('-').expect("an id of this installation");
-        let offset = if service == "engines" { 150 } else { 100 };
         let number: u8 = index.parse().expect("an id of this installation");
-        let address = SocketAddr::new(host(self.network, offset + number), SERVER_PORT);
-        self.register(id, service, address, "draining");
+        let address = SocketAddr::new(self.server_address(service, number).ip(), LINK_PORT);
+        self.register(id, service, address, state);
     }
 
     /// Publishes the next configuration, changed by `change`. Returns its version.
@@ -280,6 +308,7 @@
 
 impl Drop for TestSite {
     fn drop(&mut self) {
+        self.state.stopped.send_replace(true);
         for instance in &mut self.instances {
             if let Some(mut child) = instance.child.take() {
                 // A process that has ended already cannot be killed.
--- a/medlarlanding-bench/src/site/server.rs
+++ b/medlarlanding-bench/src/site/server.rs
@@ -17,7 +17,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// A body that can break off.
 pub(super) enum StandInBody {
@@ -64,8 +64,12 @@
     }
 }
 
-/// Serves connections on a thread of its own until the process ends.
-pub(super) fn serve_connections<F, R, B>(listener: TcpListener, service: F) -> anyhow::Result<()>
+/// Serves connections on a thread of its own until the installation ends.
+pub(super) fn serve_connections<F, R, B>(
+    listener: TcpListener,
+    mut stopped: watch::Receiver<bool>,
+    service: F,
+) -> anyhow::Result<()>
 where
     F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
     R: Future<Output = Result<Response<B>, Infallible>> + 'static,
@@ -77,7 +81,12 @@
     std::thread::spawn(move || {
         tokio::task::LocalSet::new().block_on(&runtime, async move {
             let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = stopped.wait_for(|stopped| *stopped) => return,
+                };
+                let Ok((stream, _)) = accepted else { return };
                 let service = service.clone();
                 tokio::task::spawn_local(async move {
                     let service = service_fn(&service);
@@ -99,7 +108,10 @@
     state: Arc<SiteState>,
 ) -> anyhow::Result<()> {
     let id: Arc<str> = Arc::from(id);
-    serve_connections(listener, move |request| answer(Arc::clone(&state), Arc::clone(&id), request))
+    let stopped = state.stopped.subscribe();
+    serve_connections(listener, stopped, move |request| {
+        answer(Arc::clone(&state), Arc::clone(&id), request)
+    })
 }
 
 fn text(headers: &HeaderMap, name: &str) -> Option<String> {
@@ -160,7 +172,7 @@
         ServerMode::Sound if path.starts_with("/draft/") => {
             let after = text(&parts.headers, "last-event-id").filter(|_| continued.is_some());
             let after = after.and_then(|text| text.parse().ok()).unwrap_or(0);
-            stream_events(&state, &request, after, &stamp)
+            stream_events(&state, &id, &request, after, &stamp)
         },
         ServerMode::Sound | ServerMode::Refuses => {
             whole(200, &fields, format!("{} {path} {request} {}", parts.method, body.len()))
@@ -200,9 +212,26 @@
     whole(200, &[], json!({"handle": format!("h-{request}"), "created": *made}).to_string())
 }
 
+/// Counts a server that is at work on a generation.
+struct ActiveRun {
+    state: Arc<SiteState>,
+    request: String,
+    server: String,
+}
+
+impl Drop for ActiveRun {
+    fn drop(&mut self) {
+        let mut inner = self.state.lock();
+        if let Some(active) = inner.active.get_mut(&self.request) {
+            active.retain(|server| *server != self.server);
+        }
+    }
+}
+
 /// Streams the events of a generation; a run that is stopped ends without its end.
 fn stream_events(
     state: &Arc<SiteState>,
+    server: &Arc<str>,
     request: &str,
     after: u64,
     stamp: &str,
@@ -212,9 +241,17 @@
     let (events, pace) = {
         let mut inner = state.lock();
         inner.generations.insert(request.to_owned(), (after, false));
+        let active = inner.active.entry(request.to_owned()).or_default();
+        active.push(server.to_string());
+        if active.len() > 1 {
+            inner.doubled.push(request.to_owned());
+        }
         (inner.events, Duration::from_millis(inner.pace_ms))
     };
+    let work =
+        ActiveRun { state: Arc::clone(state), request: id.clone(), server: server.to_string() };
     tokio::task::spawn_local(async move {
+        let _work = work;
         for number in after + 1..=events {
             tokio::time::sleep(pace).await;
             let is_stopped = {
--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -69,6 +69,10 @@
     pub runs: Vec<RunRecord>,
     /// Generations by id: events made so far and whether the run was stopped for a move.
     pub generations: BTreeMap<String, (u64, bool)>,
+    /// Servers at work on each generation.
+    pub active: BTreeMap<String, Vec<String>>,
+    /// Generations on which two servers were at work.
+    pub doubled: Vec<String>,
     /// Events of each generation.
     pub events: u64,
     /// Time between events in milliseconds.
@@ -80,12 +84,18 @@
 pub struct SiteState {
     inner: Mutex<SiteInner>,
     pub(super) changes: watch::Sender<u64>,
+    /// Set when the installation ends.
+    pub(super) stopped: watch::Sender<bool>,
 }
 
 impl Default for SiteState {
     fn default() -> Self {
         let inner = SiteInner { revision: 10, events: 20, pace_ms: 20, ..SiteInner::default() };
-        Self { inner: Mutex::new(inner), changes: watch::Sender::new(0) }
+        Self {
+            inner: Mutex::new(inner),
+            changes: watch::Sender::new(0),
+            stopped: watch::Sender::new(false),
+        }
     }
 }
 
@@ -140,6 +150,11 @@
         self.lock().generations.get(request).map_or(0, |(made, _)| *made)
     }
 
+    /// Generations on which two servers were at work at the same time.
+    pub fn doubled(&self) -> Vec<String> {
+        self.lock().doubled.clone()
+    }
+
     /// Runs of a request, or of all requests if `request` is empty.
     pub fn runs(&self, request: &str) -> Vec<RunRecord> {
         let inner = self.lock();
--- a/medlarlanding-bench/src/site/store.rs
+++ b/medlarlanding-bench/src/site/store.rs
@@ -21,7 +21,8 @@
 
 /// Starts the store on a thread of its own.
 pub(super) fn start(listener: TcpListener, state: Arc<SiteState>) -> anyhow::Result<()> {
-    serve_connections(listener, move |request| answer(Arc::clone(&state), request))
+    let stopped = state.stopped.subscribe();
+    serve_connections(listener, stopped, move |request| answer(Arc::clone(&state), request))
 }
 
 fn query(request: &Request<Incoming>, name: &str) -> Option<String> {
--- /dev/null
+++ b/medlarlanding-bench/src/soak.rs
@@ -0,0 +1,334 @@
+//! Fault soak: real instances as processes, faults from outside, promises checked by what
+//! callers and servers see.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::site::{
+    LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode, TestSite,
+};
+
+use anyhow::Context;
+use argh::FromArgs;
+use hyper::Method;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rustix::process::Signal;
+
+/// Callers at the same time.
+const CALLERS: usize = 8;
+/// Events of a generation and the time between them in milliseconds.
+const EVENTS: u64 = 40;
+const PACE_MS: u64 = 15;
+/// Time for the installation to serve again after the last fault.
+const RECOVERY: Duration = Duration::from_secs(15);
+/// Milliseconds between two faults.
+const PAUSE: std::ops::Range<u64> = 50..400;
+
+/// Plays random faults against real instances and checks the promises.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "soak", example = "soak --first 1 --seeds 50 --seconds 10")]
+pub struct SoakOptions {
+    /// first seed
+    #[argh(option, default = "1")]
+    pub first: u64,
+    /// number of seeds
+    #[argh(option, default = "10")]
+    pub seeds: u64,
+    /// seconds of faults for each seed
+    #[argh(option, default = "10")]
+    pub seconds: u64,
+    /// instances
+    #[argh(option, default = "3")]
+    pub instances: usize,
+}
+
+/// Plays seeds one after another.
+///
+/// # Errors
+///
+/// Fails if a promise was broken with any seed.
+pub fn run(options: SoakOptions) -> anyhow::Result<()> {
+    let mut broken = Vec::new();
+    for seed in options.first..options.first + options.seeds {
+        let length = Duration::from_secs(options.seconds);
+        let report = play(SoakParams { seed, length, instances: options.instances })
+            .with_context(|| format!("seed {seed}"))?;
+        println!(
+            "seed {seed}: {} requests, {} served, {} faults, {} violations",
+            report.requests,
+            report.served,
+            report.faults,
+            report.violations.len()
+        );
+        report.violations.iter().for_each(|violation| println!("  {violation}"));
+        if !report.violations.is_empty() {
+            broken.push(seed);
+        }
+    }
+    anyhow::ensure!(broken.is_empty(), "promises were broken with the seeds {broken:?}");
+    Ok(())
+}
+
+/// What one seed plays.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakParams {
+    /// Seed of faults and requests.
+    pub seed: u64,
+    /// Length of the faults.
+    pub length: Duration,
+    /// Instances.
+    pub instances: usize,
+}
+
+/// What a run of the soak showed.
+#[derive(Debug, Default)]
+pub struct SoakReport {
+    /// Requests sent.
+    pub requests: usize,
+    /// Requests answered with success.
+    pub served: usize,
+    /// Faults injected.
+    pub faults: usize,
+    /// Broken promises.
+    pub violations: Vec<String>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallKind {
+    Lookup,
+    Order,
+    Draft,
+}
+
+struct CallRecord {
+    id: String,
+    kind: CallKind,
+    answer: Option<SiteAnswer>,
+}
+
+/// Plays one seed.
+///
+/// # Errors
+///
+/// Fails if the installation cannot be started or does not serve again after the faults.
+pub fn play(params: SoakParams) -> anyhow::Result<SoakReport> {
+    let mut site = TestSite::start(SiteParams {
+        instances: params.instances,
+        plain: 3,
+        engines: 4,
+        grace_s: 3,
+    })?;
+    site.state.set_generation(EVENTS, PACE_MS);
+    let records = Arc::new(Mutex::new(Vec::new()));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let number = Arc::new(AtomicU64::new(0));
+    let addresses: Vec<_> = (0..params.instances).map(|index| site.callers(index)).collect();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let (records, is_over) = (Arc::clone(&records), Arc::clone(&is_over));
+            let (number, addresses) = (Arc::clone(&number), addresses.clone());
+            let mut random = SmallRng::seed_from_u64(params.seed * 1_000 + caller as u64);
+            std::thread::spawn(move || {
+                while !is_over.load(Ordering::Relaxed) {
+                    let id = format!("id-{}", number.fetch_add(1, Ordering::Relaxed));
+                    let address = *addresses.choose(&mut random).expect("an instance");
+                    let record = call_once(&mut random, id, address);
+                    records.lock().unwrap_or_else(PoisonError::into_inner).push(record);
+                }
+            })
+        })
+        .collect();
+    let mut random = SmallRng::seed_from_u64(params.seed);
+    let mut faults = 0;
+    let started = Instant::now();
+    while started.elapsed() < params.length {
+        inject(&mut site, &mut random, params.instances)?;
+        faults += 1;
+        std::thread::sleep(Duration::from_millis(random.random_range(PAUSE)));
+    }
+    heal(&mut site, params.instances)?;
+    let recovery = wait_for_recovery(&site, params.instances);
+    is_over.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.join().map_err(|_| anyhow::anyhow!("a caller failed"))?;
+    }
+    let records = records.lock().unwrap_or_else(PoisonError::into_inner);
+    let is_served = |record: &&CallRecord| {
+        record.answer.as_ref().is_some_and(|answer| answer.status == 200 && answer.is_whole)
+    };
+    let mut report = SoakReport {
+        requests: records.len(),
+        served: records.iter().filter(is_served).count(),
+        faults,
+        violations: check(&site.state, &records),
+    };
+    report.violations.extend(recovery.err().map(|error| format!("{error:#}")));
+    Ok(report)
+}
+
+fn call_once(random: &mut SmallRng, id: String, address: std::net::SocketAddr) -> CallRecord {
+    let kinds = [CallKind::Lookup, CallKind::Order, CallKind::Draft];
+    let kind = *kinds.choose(random).expect("a kind");
+    let (method, path) = match kind {
+        CallKind::Lookup => (Method::GET, "/lookup/a"),
+        CallKind::Order => (Method::POST, "/order/a"),
+        CallKind::Draft => (Method::POST, "/draft/a"),
+    };
+    let call = SiteCall::new(method, path, &id).header("x-deadline-ms", "4000");
+    let call = match random.random_range(0..10) {
+        0 => call.leave_after(Duration::from_millis(random.random_range(5..400))),
+        _ => call,
+    };
+    // A refused connection is no answer; nothing was sent.
+    CallRecord { id, kind, answer: call.send(address).ok() }
+}
+
+fn inject(site: &mut TestSite, random: &mut SmallRng, instances: usize) -> anyhow::Result<()> {
+    let instance = random.random_range(0..instances);
+    let servers =
+        ["orders-0", "orders-1", "orders-2", "engines-0", "engines-1", "engines-2", "engines-3"];
+    let server = random.random_range(0..servers.len());
+    match random.random_range(0..12) {
+        0 => {
+            site.signal(instance, Signal::KILL)?;
+            site.wait_exit(instance)?;
+            site.spawn_instance(instance)?;
+        },
+        1 => {
+            site.signal(instance, Signal::TERM)?;
+            site.wait_exit(instance)?;
+            site.spawn_instance(instance)?;
+        },
+        2 => {
+            site.signal(instance, Signal::STOP)?;
+            std::thread::sleep(Duration::from_millis(random.random_range(100..1500)));
+            site.signal(instance, Signal::CONT)?;
+        },
+        3 => site.state.set_store(StoreMode::Refuses),
+        4 => site.state.set_store(StoreMode::Up),
+        5 => {
+            site.publish_config(|_| {});
+        },
+        6 => site.drain_server(servers[server]),
+        7 => site.return_server(servers[server]),
+        8 => {
+            let modes = [
+                ServerMode::Refuses,
+                ServerMode::Fails,
+                ServerMode::Resets,
+                ServerMode::Mute,
+                ServerMode::Truncates,
+                ServerMode::Foreign,
+                ServerMode::Busy,
+            ];
+            site.state.set_mode(servers[server], *modes.choose(random).expect("a mode"));
+        },
+        9 => site.state.set_mode(servers[server], ServerMode::Sound),
+        10 => {
+            let modes = [LinkMode::Slow, LinkMode::Silent, LinkMode::OneWay, LinkMode::Resets];
+            site.links()[server].set(*modes.choose(random).expect("a mode"));
+        },
+        _ => site.links()[server].set(LinkMode::Sound),
+    }
+    Ok(())
+}
+
+fn heal(site: &mut TestSite, instances: usize) -> anyhow::Result<()> {
+    site.state.set_store(StoreMode::Up);
+    site.links().iter().for_each(|link| link.set(LinkMode::Sound));
+    for (service, count) in [("orders", 3), ("engines", 4)] {
+        for index in 0..count {
+            let id = format!("{service}-{index}");
+            site.state.set_mode(&id, ServerMode::Sound);
+            site.return_server(&id);
+        }
+    }
+    for index in 0..instances {
+        site.signal(index, Signal::CONT).context("an instance that ended by itself")?;
+    }
+    Ok(())
+}
+
+fn wait_for_recovery(site: &TestSite, instances: usize) -> anyhow::Result<()> {
+    let started = Instant::now();
+    let mut number = 0;
+    for index in 0..instances {
+        for path in ["/order/a", "/draft/a"] {
+            loop {
+                number += 1;
+                let call = SiteCall::new(Method::POST, path, &format!("recovery-{number}"));
+                let answer = call.send(site.callers(index));
+                if answer.is_ok_and(|answer| answer.status == 200 && answer.is_whole) {
+                    break;
+                }
+                if started.elapsed() > RECOVERY {
+                    anyhow::bail!(
+                        "instance {index} does not serve {path} {RECOVERY:?} after the faults"
+                    );
+                }
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn check(state: &SiteState, records: &[CallRecord]) -> Vec<String> {
+    let mut violations = Vec::new();
+    let mut violated = |id: &str, what: &str| violations.push(format!("{id}: {what}"));
+    for record in records {
+        let id = record.id.as_str();
+        let runs = state.runs(id);
+        let starts = runs.iter().filter(|run| !run.is_continued).count();
+        if record.kind != CallKind::Lookup && starts > 1 {
+            violated(id, "ran more than once");
+        }
+        if runs.iter().any(|run| run.customer.as_deref() != Some("museum")) {
+            violated(id, "ran for another customer");
+        }
+        let Some(answer) = &record.answer else { continue };
+        let is_refused = matches!(answer.status, 408 | 421 | 429 | 503);
+        if is_refused && record.kind != CallKind::Lookup && !runs.is_empty() {
+            violated(id, "was answered as not run and has run");
+        }
+        if matches!(answer.status, 401 | 403 | 404) {
+            violated(id, "was denied");
+        }
+        if answer.status != 200 {
+            continue;
+        }
+        if answer.header("x-server-stamp").is_none() {
+            violated(id, "succeeded without a server's stamp");
+        }
+        match record.kind {
+            CallKind::Draft => {
+                let ids = answer.event_ids();
+                if !ids.iter().copied().eq(1..=ids.len() as u64) {
+                    violated(id, &format!("has the events {ids:?}"));
+                }
+                if answer.is_whole && ids.len() as u64 != EVENTS {
+                    violated(id, &format!("is whole with {} events", ids.len()));
+                }
+                let foreign = |line: &str| {
+                    line.strip_prefix("data: ")
+                        .is_some_and(|data| !data.starts_with(&format!("{id} ")))
+                };
+                if answer.body.lines().any(foreign) {
+                    violated(id, "has events of another generation");
+                }
+            },
+            CallKind::Lookup | CallKind::Order => {
+                if answer.is_whole && !answer.body.contains(&format!(" {id} ")) {
+                    violated(id, "has the answer of another request");
+                }
+            },
+        }
+    }
+    for id in state.doubled() {
+        violated(&id, "had two servers at work");
+    }
+    violations
+}
--- /dev/null
+++ b/medlarlanding-bench/tests/soak.rs
@@ -0,0 +1,22 @@
+//! Short fault soak of the forwarding role.
+
+use std::time::Duration;
+
+use medlarlanding_bench::soak::{SoakParams, play};
+use medlarlanding_core::cases;
+
+/// Guards against broken promises under faults that overlap: killed, stopped and paused
+/// processes, a store that refuses, servers that fail, and links that delay, reset or go silent.
+fn promises_hold(seed: u64) {
+    let length = Duration::from_secs(6);
+    let report = play(SoakParams { seed, length, instances: 3 }).expect("a soak");
+    println!("seed {seed}: {report:?}");
+    assert!(report.violations.is_empty(), "seed {seed}: {:?}", report.violations);
+    assert!(report.served > 0, "seed {seed}: nothing was served");
+}
+
+cases! { promises_hold;
+    seed_1 => 1,
+    seed_2 => 2,
+    seed_3 => 3,
+}
