--- a/medlarlanding-bench/src/site/server.rs
+++ b/medlarlanding-bench/src/site/server.rs
@@ -141,7 +141,13 @@
         return Ok(move_run(&state, &body));
     }
     if path.starts_with("/-/") {
-        return Ok(whole(200, &[], json!({"state": "ready"}).to_string()));
+        let is_leaving = state.lock().leaving.iter().any(|server| **server == *id);
+        let report = if is_leaving {
+            json!({"state": "leaving", "leaves_ms": 1500.0})
+        } else {
+            json!({"state": "ready"})
+        };
+        return Ok(whole(200, &[], report.to_string()));
     }
     let request = text(&parts.headers, "x-request-id").unwrap_or_default();
     if text(&parts.headers, "x-expect-instance").as_deref() != Some(&*id) {
--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -66,6 +66,8 @@
     pub store_mode: StoreMode,
     pub store_calls: u64,
     pub modes: BTreeMap<String, ServerMode>,
+    /// Servers that report that they leave.
+    pub leaving: Vec<String>,
     pub runs: Vec<RunRecord>,
     /// Generations by id: events made so far and whether the run was stopped for a move.
     pub generations: BTreeMap<String, (u64, bool)>,
@@ -139,6 +141,11 @@
         self.lock().modes.insert(server.to_owned(), mode);
     }
 
+    /// Makes a server report that it leaves, without a word to the store.
+    pub fn set_leaving(&self, server: &str) {
+        self.lock().leaving.push(server.to_owned());
+    }
+
     /// Sets length and pace of generations.
     pub fn set_generation(&self, events: u64, pace_ms: u64) {
         let mut inner = self.lock();
--- a/medlarlanding-bench/tests/forwarding.rs
+++ b/medlarlanding-bench/tests/forwarding.rs
@@ -132,22 +132,34 @@
 
 /// Guards against events that are lost, repeated or out of order when a generation moves, and
 /// against two engines at work on it.
-#[test]
-fn generation_moves_off_a_leaving_engine() {
-    let site = start(SiteParams { engines: 3, ..SiteParams::default() });
-    site.state.set_generation(60, 20);
+fn generation_moves(give_notice: fn(&TestSite, &str)) {
+    let site = start(SiteParams { engines: 3, instances: 2, ..SiteParams::default() });
+    site.state.set_generation(150, 20);
     let address = site.callers(0);
     let caller = std::thread::spawn(move || call("/draft/a", "id-1").send(address));
     let began = || site.log(0).contains("request_sent request=id-1");
     site.wait_until("a generation that runs", began).expect("a run");
     let first = site.state.runs("id-1")[0].server.clone();
-    site.drain_server(&first);
+    give_notice(&site, &first);
     let answer = caller.join().expect("a caller").expect("an answer");
     assert!(answer.is_whole, "{}", site.log(0));
-    assert_eq!(answer.event_ids(), (1..=60).collect::<Vec<u64>>());
+    assert_eq!(answer.event_ids(), (1..=150).collect::<Vec<u64>>());
     let runs = site.state.runs("id-1");
-    assert_eq!(runs.len(), 2);
+    assert_eq!(runs.len(), 2, "{}", site.log(0));
     assert!(runs[1].is_continued && runs[1].server != first);
+    assert!(site.state.doubled().is_empty());
+}
+
+cases! { generation_moves;
+    generation_moves_off_a_draining_engine => |site, server| site.drain_server(server),
+    generation_moves_off_a_removed_engine => |site, server| {
+        site.state.remove(&format!("servers/{server}"));
+    },
+    // gvic-landing-grown scale-1: 39 streams broke while the store was down.
+    generation_moves_while_the_store_is_down => |site, server| {
+        site.state.set_store(StoreMode::Refuses);
+        site.state.set_leaving(server);
+    },
 }
 
 /// Guards against a stopping process that ends while answers are still written (gvic-landing
