Split calls to engines from generations; create metrics in one place

The file of generations had the calls for moves as a second job, and probes wrote the same call once more; both registries of metrics repeated their constructors. No behaviour changes.

--- a/medlarlanding/src/forwarding/engine_probe.rs
+++ b/medlarlanding/src/forwarding/engine_probe.rs
@@ -8,18 +8,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::exchange;
+use super::engine_calls;
+use super::exchange::ExchangeFault;
 use super::peer_link::PeerLink;
 use super::shared::SharedState;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::ServerKey;
-use medlarlanding_platform::engines::{self, REPORT_PATH};
+use medlarlanding_platform::engines;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, StatusCode, Uri};
+use hyper::StatusCode;
 
 /// Period in which each engine is asked; a move takes about a second of the notice.
 const PROBE_PERIOD: Duration = Duration::from_millis(400);
@@ -27,8 +25,6 @@
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// Time limit of one question; engines answer in a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Largest report in bytes.
-const REPORT_LIMIT: usize = 256 << 10;
 
 /// What an engine said.
 enum ProbeAnswer {
@@ -83,24 +79,15 @@
 }
 
 async fn ask(address: SocketAddr) -> ProbeAnswer {
-    let mut request = Request::new(Full::<Bytes>::default());
-    *request.uri_mut() = Uri::from_static(REPORT_PATH);
-    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
-        request.headers_mut().insert(HOST, host);
-    }
-    let (response, _exchange) = match exchange::send(address, request, PROBE_TIMEOUT).await {
-        Ok(sent) => sent,
-        Err(exchange::ExchangeFault::NotConnected) => return ProbeAnswer::Unreachable,
+    let (status, body) = match engine_calls::read_report(address, PROBE_TIMEOUT).await {
+        Ok(answer) => answer,
+        Err(ExchangeFault::NotConnected) => return ProbeAnswer::Unreachable,
         Err(_) => return ProbeAnswer::Unclear,
     };
-    if response.status() != StatusCode::OK {
+    if status != StatusCode::OK {
         return ProbeAnswer::Unclear;
     }
-    let reading = Limited::new(response.into_body(), REPORT_LIMIT).collect();
-    let Ok(Ok(body)) = tokio::time::timeout(PROBE_TIMEOUT, reading).await else {
-        return ProbeAnswer::Unclear;
-    };
-    match engines::decode_leaving(&body.to_bytes()) {
+    match engines::decode_leaving(&body) {
         Ok(true) => ProbeAnswer::Leaves,
         Ok(false) => ProbeAnswer::Stays,
         Err(error) => {
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -7,6 +7,7 @@
 
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{AnswerBody, CallerAnswer, OwnAnswer, StreamCut, TaskGuard, pass_on};
+use super::engine_calls::{MOVE_TIMEOUT, MoveAnswer, MoveCall, release_copy};
 use super::exchange::{self, Exchange, ExchangeFault};
 use super::peer_link::PeerLink;
 use super::relay::server_request;
@@ -19,18 +20,15 @@
     ServerKey,
 };
 use medlarlanding_core::time::Timestamp;
-use medlarlanding_platform::engines::{self, RunCopy};
 use medlarlanding_platform::headers::{
     AnswerProof, RunContinuation, check_answer, promises_not_run,
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
+use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, StatusCode};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinHandle;
 
 /// Events that wait for a slow caller.
 const PIECE_BACKLOG: usize = 16;
@@ -50,11 +48,8 @@
 const RESUME_LIMIT: u32 = 4;
 /// Pause before a moved run is sent again.
 const RESUME_PAUSE: Duration = Duration::from_millis(20);
-/// Longest answer to a call for a move in bytes.
-const MOVE_ANSWER_LIMIT: usize = 64 << 10;
-/// A call for a move waits for the copies before it; an engine's whole memory takes about 4 s
-/// to another zone.
-const MOVE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest answer of an engine that is no stream in bytes.
+const WHOLE_ANSWER_LIMIT: usize = 64 << 10;
 /// After a run was stopped for a move its stream ends within this time.
 const STOP_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -118,44 +113,6 @@
     }
 }
 
-/// How a call for a move ended.
-enum MoveAnswer {
-    Copied(RunCopy),
-    /// The engine has no such run.
-    NoRun,
-    /// The engine refused; a run that was stopped can go on with the handle.
-    Refused(Option<String>),
-    /// The engine answered with another status.
-    Rejected(StatusCode),
-    /// No usable answer.
-    Failed,
-}
-
-impl MoveAnswer {
-    fn name(&self) -> &'static str {
-        match self {
-            Self::Copied(_) => "copied",
-            Self::NoRun => "no_run",
-            Self::Refused(_) => "refused",
-            Self::Rejected(StatusCode::CONFLICT) => "conflict",
-            Self::Rejected(_) => "rejected",
-            Self::Failed => "failed",
-        }
-    }
-}
-
-/// A call for a move that is in progress.
-struct MoveCall {
-    is_last: bool,
-    task: JoinHandle<MoveAnswer>,
-}
-
-impl Drop for MoveCall {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// What ended the reading of a stream.
 enum StreamEnd {
     /// The stream is complete.
@@ -340,7 +297,7 @@
         body: Incoming,
     ) -> Option<CallerAnswer> {
         let left = self.admitted.time_left(self.state.now());
-        let reading = Limited::new(body, MOVE_ANSWER_LIMIT).collect();
+        let reading = Limited::new(body, WHOLE_ANSWER_LIMIT).collect();
         let collected = tokio::time::timeout(left, reading).await.ok()?.ok()?;
         Some(pass_on(status, server_headers, AnswerBody::Whole(Some(collected.to_bytes()))))
     }
@@ -471,7 +428,7 @@
                     },
                     MoveStep::Finish => {
                         if let Some(target) = &destination {
-                            call = Some(self.call_move(place, target.entry.address, true));
+                            call = Some(self.move_call(place, target.entry.address, true));
                         }
                     },
                 }
@@ -616,7 +573,7 @@
             _load: load,
             source: place.entry.address,
         });
-        Some(self.call_move(place, address, false))
+        Some(self.move_call(place, address, false))
     }
 
     /// What the run takes at an engine by now.
@@ -626,11 +583,8 @@
         RunWeight { prompt: prompt + made, output: output.saturating_sub(made) }
     }
 
-    fn call_move(&self, place: &RunPlace, to: SocketAddr, is_last: bool) -> MoveCall {
-        let source = place.entry.address;
-        let body = engines::move_body(&self.admitted.id, to, is_last);
-        let task = tokio::task::spawn_local(async move { move_run(source, body).await });
-        MoveCall { is_last, task }
+    fn move_call(&self, place: &RunPlace, to: SocketAddr, is_last: bool) -> MoveCall {
+        MoveCall::begin(place.entry.address, &self.admitted.id, to, is_last)
     }
 
     fn note_move(
@@ -658,8 +612,8 @@
         mut call: MoveCall,
         destination: &mut Option<RunDestination>,
     ) -> StreamEnd {
-        let answer = tokio::time::timeout(MOVE_TIMEOUT, &mut call.task).await;
-        if let Ok(Ok(MoveAnswer::Copied(copy))) = answer
+        let answer = tokio::time::timeout(MOVE_TIMEOUT, call.answer()).await;
+        if let Ok(MoveAnswer::Copied(copy)) = answer
             && let Some(target) = destination
         {
             target.handle = Some(copy.handle);
@@ -768,7 +722,7 @@
             match self.last_move.take() {
                 // The destination takes the run only once its last part has arrived.
                 Some(mut call) => {
-                    let _ = tokio::time::timeout(MOVE_TIMEOUT, &mut call.task).await;
+                    let _ = tokio::time::timeout(MOVE_TIMEOUT, call.answer()).await;
                 },
                 None => tokio::time::sleep(RESUME_PAUSE).await,
             }
@@ -842,7 +796,7 @@
 
 async fn wait_for_move(call: &mut Option<MoveCall>) -> MoveAnswer {
     match call {
-        Some(call) => (&mut call.task).await.unwrap_or(MoveAnswer::Failed),
+        Some(call) => call.answer().await,
         None => std::future::pending().await,
     }
 }
@@ -850,51 +804,3 @@
 async fn sleep_until(state: &SharedState, until: Timestamp) {
     tokio::time::sleep(until.since(state.now())).await;
 }
-
-/// Frees a copy at both ends, so that it does not take memory until it lapses.
-async fn release_copy(source: SocketAddr, handle: String) {
-    let mut request = Request::new(Full::default());
-    *request.method_mut() = Method::DELETE;
-    let Ok(path) = engines::release_path(&handle).parse() else {
-        log::warn!("handle {handle} of a copy fits in no path");
-        return;
-    };
-    *request.uri_mut() = path;
-    set_host(&mut request, source);
-    // A copy that cannot be freed lapses by itself.
-    if exchange::send(source, request, MOVE_TIMEOUT).await.is_err() {
-        log::debug!("copy {handle} at {source} was not freed");
-    }
-}
-
-fn set_host(request: &mut Request<Full<Bytes>>, address: SocketAddr) {
-    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
-        request.headers_mut().insert(HOST, host);
-    }
-}
-
-async fn move_run(source: SocketAddr, body: Vec<u8>) -> MoveAnswer {
-    let mut request = Request::new(Full::new(Bytes::from(body)));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = hyper::Uri::from_static(engines::MOVE_PATH);
-    let request_headers = request.headers_mut();
-    request_headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    set_host(&mut request, source);
-    let Ok((response, _exchange)) = exchange::send(source, request, MOVE_TIMEOUT).await else {
-        return MoveAnswer::Failed;
-    };
-    let status = response.status();
-    let reading = Limited::new(response.into_body(), MOVE_ANSWER_LIMIT).collect();
-    let Ok(Ok(body)) = tokio::time::timeout(MOVE_TIMEOUT, reading).await else {
-        return MoveAnswer::Failed;
-    };
-    let copy = engines::decode_copy(&body.to_bytes());
-    match (status, copy) {
-        (StatusCode::OK, Ok(copy)) => MoveAnswer::Copied(copy),
-        (StatusCode::NOT_FOUND, _) => MoveAnswer::NoRun,
-        (StatusCode::SERVICE_UNAVAILABLE, copy) => {
-            MoveAnswer::Refused(copy.ok().map(|copy| copy.handle))
-        },
-        (status, _) => MoveAnswer::Rejected(status),
-    }
-}
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod answer;
+mod engine_calls;
 mod engine_probe;
 mod exchange;
 mod generation;
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -1,9 +1,8 @@
 //! Counters and histograms of the forwarding role.
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use crate::metric_registry::MetricRegistry;
+
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
 /// Upper bounds in seconds of the time to an answer or its first event; the installations'
 /// objectives lie between 0.1 and 1.8 s.
@@ -13,7 +12,7 @@
 
 /// Metrics of one process.
 pub struct Telemetry {
-    registry: Registry,
+    registry: MetricRegistry,
     /// Requests by kind and outcome.
     pub requests: IntCounterVec,
     /// Sends to a second server, by reason.
@@ -47,55 +46,28 @@
     ///
     /// Fails on a duplicate or malformed name, which is a defect.
     pub fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| -> anyhow::Result<_> {
-            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok(counters)
-        };
-        let gauge = |name: &str, help: &str| -> anyhow::Result<_> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
-        let histogram = |name: &str, help: &str, bounds: &[f64]| -> anyhow::Result<_> {
-            let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
-            let histogram = Histogram::with_opts(options)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok(histogram)
-        };
-        let counter = |name: &str, help: &str| -> anyhow::Result<_> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
+        let registry = MetricRegistry::new("forward")?;
         Ok(Self {
-            requests: counters("forward_requests", "Requests.", &["kind", "outcome"])?,
-            repeats: counters("forward_repeats", "Sends to a second server.", &["reason"])?,
-            moves: counters("forward_moves", "Moves of generations.", &["outcome"])?,
-            faults: counters("forward_faults", "Failed exchanges with servers.", &["fault"])?,
-            store_calls: counters("forward_store_calls", "Calls to the store.", &["outcome"])?,
-            dropped_datagrams: counter(
-                "forward_dropped_datagrams",
-                "Unreadable datagrams of peers.",
-            )?,
-            unsent_datagrams: counter(
-                "forward_unsent_datagrams",
-                "Datagrams that the socket did not take.",
-            )?,
-            lost_questions: counter(
-                "forward_lost_questions",
-                "Questions for a placement without an answer.",
-            )?,
-            open_requests: gauge("forward_open_requests", "Requests in progress.")?,
-            config_version: gauge("forward_config_version", "Configuration in force.")?,
-            first_answer: histogram(
-                "forward_first_answer_seconds",
+            requests: registry.counters("requests", "Requests.", &["kind", "outcome"])?,
+            repeats: registry.counters("repeats", "Sends to a second server.", &["reason"])?,
+            moves: registry.counters("moves", "Moves of generations.", &["outcome"])?,
+            faults: registry.counters("faults", "Failed exchanges with servers.", &["fault"])?,
+            store_calls: registry.counters("store_calls", "Calls to the store.", &["outcome"])?,
+            dropped_datagrams: registry
+                .counter("dropped_datagrams", "Unreadable datagrams of peers.")?,
+            unsent_datagrams: registry
+                .counter("unsent_datagrams", "Datagrams that the socket did not take.")?,
+            lost_questions: registry
+                .counter("lost_questions", "Questions for a placement without an answer.")?,
+            open_requests: registry.gauge("open_requests", "Requests in progress.")?,
+            config_version: registry.gauge("config_version", "Configuration in force.")?,
+            first_answer: registry.histogram(
+                "first_answer_seconds",
                 "Time to an answer or its first event.",
                 ANSWER_BOUNDS,
             )?,
-            event_gap: histogram(
-                "forward_event_gap_seconds",
+            event_gap: registry.histogram(
+                "event_gap_seconds",
                 "Pause between events of a stream.",
                 GAP_BOUNDS,
             )?,
@@ -109,8 +81,6 @@
     ///
     /// Fails if a metric cannot be encoded, which is a defect.
     pub fn render(&self) -> anyhow::Result<Vec<u8>> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(text)
+        self.registry.render()
     }
 }
--- a/medlarlanding/src/lib.rs
+++ b/medlarlanding/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod instance;
 pub mod logging;
+pub mod metric_registry;
 pub mod metrics;
 pub mod peers;
 pub mod platform;
--- a/medlarlanding/src/metrics.rs
+++ b/medlarlanding/src/metrics.rs
@@ -1,9 +1,8 @@
 //! Prometheus metrics of an instance.
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use crate::metric_registry::MetricRegistry;
+
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
 /// Upper bounds in seconds for the time to the first token; the target is 1.4 s.
 const FIRST_TOKEN_BOUNDS: &[f64] = &[0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 4.0, 8.0, 16.0, 60.0];
@@ -13,7 +12,7 @@
 
 /// All metrics of one process.
 pub struct MetricSet {
-    registry: Registry,
+    registry: MetricRegistry,
     /// Requests by endpoint and result (`whole`, `refused`, `cancelled`).
     pub requests: IntCounterVec,
     /// Refusals by error kind.
@@ -58,65 +57,46 @@
     ///
     /// Fails on a duplicate or malformed name, which is a defect.
     pub fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new_custom(Some("medlarlanding".to_owned()), None)?;
-        let counter = |name: &str, help: &str| -> anyhow::Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let counters = |name: &str, help: &str, labels: &[&str]| -> anyhow::Result<IntCounterVec> {
-            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok(counters)
-        };
-        let gauge = |name: &str, help: &str| -> anyhow::Result<IntGauge> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
-        let histogram = |name: &str, help: &str, bounds: &[f64]| -> anyhow::Result<Histogram> {
-            let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
-            let histogram = Histogram::with_opts(options)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok(histogram)
-        };
+        let registry = MetricRegistry::new("medlarlanding")?;
         Ok(Self {
-            requests: counters(
+            requests: registry.counters(
                 "requests_total",
                 "Requests by endpoint and result.",
                 &["endpoint", "result"],
             )?,
-            refusals: counters("refusals_total", "Refusals by error kind.", &["kind"])?,
-            tokens: counter("tokens_total", "Tokens delivered to callers.")?,
-            dropped_tokens: counter(
+            refusals: registry.counters("refusals_total", "Refusals by error kind.", &["kind"])?,
+            tokens: registry.counter("tokens_total", "Tokens delivered to callers.")?,
+            dropped_tokens: registry.counter(
                 "dropped_tokens_total",
                 "Repeated or foreign tokens from engines that were dropped.",
             )?,
-            resumes: counter("resumes_total", "Generations resumed on a new connection.")?,
-            retries: counter("retries_total", "Generations and look-ups tried again.")?,
-            lost: counter("generations_lost_total", "Generations lost after the first token.")?,
-            orders: counters("orders_total", "Orders by outcome.", &["outcome"])?,
-            peer_bytes: counters(
+            resumes: registry
+                .counter("resumes_total", "Generations resumed on a new connection.")?,
+            retries: registry.counter("retries_total", "Generations and look-ups tried again.")?,
+            lost: registry
+                .counter("generations_lost_total", "Generations lost after the first token.")?,
+            orders: registry.counters("orders_total", "Orders by outcome.", &["outcome"])?,
+            peer_bytes: registry.counters(
                 "peer_bytes_total",
                 "Bytes exchanged with peers.",
                 &["direction", "transport"],
             )?,
-            dropped_frames: counters(
+            dropped_frames: registry.counters(
                 "dropped_frames_total",
                 "Peer frames dropped by reason.",
                 &["reason"],
             )?,
-            open_requests: gauge("open_requests", "Requests in progress.")?,
-            config_version: gauge("config_version", "Configuration version in effect.")?,
-            list_version: gauge("list_version", "Instance list version in effect.")?,
-            live_instances: gauge("live_instances", "Live instances known.")?,
-            draining: gauge("draining", "1 while the process drains.")?,
-            first_token: histogram(
+            open_requests: registry.gauge("open_requests", "Requests in progress.")?,
+            config_version: registry.gauge("config_version", "Configuration version in effect.")?,
+            list_version: registry.gauge("list_version", "Instance list version in effect.")?,
+            live_instances: registry.gauge("live_instances", "Live instances known.")?,
+            draining: registry.gauge("draining", "1 while the process drains.")?,
+            first_token: registry.histogram(
                 "first_token_seconds",
                 "Time from request to first token.",
                 FIRST_TOKEN_BOUNDS,
             )?,
-            token_gap: histogram(
+            token_gap: registry.histogram(
                 "token_gap_seconds",
                 "Time between delivered tokens.",
                 TOKEN_GAP_BOUNDS,
@@ -131,8 +111,6 @@
     ///
     /// Fails if a metric cannot be encoded.
     pub fn render(&self) -> anyhow::Result<Vec<u8>> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(text)
+        self.registry.render()
     }
 }
