Tell peers only news of servers, and by revision

Change: a log of entries by revision answers with what a peer lacks; changes that say nothing new are neither pushed nor logged; a hub pauses longer between watches the more peers it tells.

--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -199,6 +199,11 @@
         self.current.retain(|_, key| self.records.contains_key(key));
     }
 
+    /// Gets the record of the current start of a server.
+    pub fn find(&self, id: &str) -> Option<&ServerRecord> {
+        self.records.get(self.current.get(id)?)
+    }
+
     /// Gets a record.
     pub fn get(&self, key: ServerKey) -> Option<&ServerRecord> {
         self.records.get(&key)
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -7,6 +7,7 @@
 mod config;
 mod directory;
 mod drain;
+mod entries;
 mod messages;
 mod moves;
 mod peers;
@@ -21,6 +22,7 @@
     DirectoryChange, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
 };
 pub use drain::DrainParams;
+pub use entries::{EntryDelta, EntryLog};
 pub use messages::{
     PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, ServerChanges,
 };
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -45,7 +45,8 @@
         pub reaches_store: bool,
         /// Version of the configuration in force at the sender; 0 for none.
         pub config_version: u64,
-        /// Revision of the store up to which the sender knows the servers; 0 for none.
+        /// Revision of the last change that told the sender anything new of the servers; 0 for
+        /// none.
         pub servers_revision: u64,
         /// Some of the peers that the sender hears.
         pub peers: Vec<SocketAddr>,
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -11,7 +11,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer, PlacePurpose, PlaceQuestion,
+    EntryDelta, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer, PlacePurpose, PlaceQuestion,
     PlaceVerdict, PlacementRequest, RepeatPurpose, ServerChanges,
 };
 use medlarlanding_core::value_type;
@@ -44,23 +44,13 @@
     }
 }
 
-value_type! {
-    /// All server entries at a revision of the store.
-    struct ServerSnapshot {
-        /// Revision up to which changes are contained.
-        revision: u64,
-        /// Ids with the entries as the servers wrote them.
-        entries: Vec<(String, Vec<u8>)>,
-    }
-}
-
 value_type! {
     /// Text of a configuration and entries of servers, each only if it is newer.
     struct FetchAnswer {
         /// The configuration as the operator wrote it.
         config: Option<Vec<u8>>,
-        /// All servers.
-        servers: Option<ServerSnapshot>,
+        /// Server entries.
+        servers: Option<EntryDelta>,
     }
 }
 
@@ -118,7 +108,7 @@
         let mut pending = ServerChanges { after: known, revision: known, changes: Vec::new() };
         let mut size = 0;
         for (id, changed_at) in changed {
-            let value = state.raw_servers.borrow().values.get(&id).cloned();
+            let value = state.entries.borrow().value(&id).cloned();
             let length = id.len() + value.as_ref().map_or(0, Vec::len);
             if size > 0 && size + length > CHANGES_LIMIT {
                 let after = pending.revision;
@@ -242,7 +232,7 @@
         strength: state.peers.borrow().strength(),
         reaches_store: state.reaches_store.get(),
         config_version: state.config_version(),
-        servers_revision: state.raw_servers.borrow().revision,
+        servers_revision: state.entries.borrow().news(),
         peers: state.peers.borrow().sample(now, sequence as usize),
         granted: state.granted.get(),
         loads: Vec::new(),
@@ -278,17 +268,15 @@
             state.peers.borrow_mut().receive(state.now(), digest);
         },
         PeerMessage::Servers(changes) => {
-            let known = state.raw_servers.borrow().revision;
+            let known = state.entries.borrow().revision();
             // Older changes are known; after a gap the digests lead to a fetch.
             if changes.after > known || changes.revision < known || known == 0 {
                 return;
             }
             for (id, value) in changes.changes {
-                if state.raw_servers.borrow().values.get(&id) != value.as_ref() {
-                    state.change_server(&id, value, ChangeSource::Peer);
-                }
+                state.change_server(&id, value, changes.revision, ChangeSource::Peer);
             }
-            state.raw_servers.borrow_mut().revision = changes.revision;
+            state.entries.borrow_mut().advance_news(changes.revision);
         },
         PeerMessage::Leaving(servers) => {
             for key in servers.iter().filter_map(|hash| state.find_server(*hash)) {
@@ -313,7 +301,7 @@
 ) {
     let now = state.now();
     let (config_version, servers_revision) =
-        (state.config_version(), state.raw_servers.borrow().revision);
+        (state.config_version(), state.entries.borrow().revision());
     let (ahead, delay) = {
         let peers = state.peers.borrow();
         match peers.ahead_of_config(now, config_version, state.draw()) {
@@ -348,17 +336,25 @@
         &[
             &peer,
             &answer.config.is_some(),
-            &answer.servers.as_ref().map_or(0, |snapshot| snapshot.revision),
+            &answer.servers.as_ref().map_or(0, |delta| delta.revision),
         ],
     );
     if let Some(text) = answer.config {
         state.offer_config(&text, ChangeSource::Peer);
     }
-    if let Some(snapshot) = answer.servers
-        && snapshot.revision > state.raw_servers.borrow().revision
-    {
-        let values: IndexMap<String, Vec<u8>> = snapshot.entries.into_iter().collect();
-        state.replace_servers(snapshot.revision, values, ChangeSource::Peer);
+    let Some(delta) = answer.servers else { return };
+    if delta.revision <= state.entries.borrow().revision() {
+        return;
+    }
+    if delta.is_whole {
+        let entries = delta.entries.into_iter();
+        let values = entries.filter_map(|(id, value)| Some((id, value?))).collect();
+        state.replace_servers(delta.revision, values, ChangeSource::Peer);
+    } else {
+        for (id, value) in delta.entries {
+            state.change_server(&id, value, delta.revision, ChangeSource::Peer);
+        }
+        state.entries.borrow_mut().advance_news(delta.revision);
     }
 }
 
@@ -392,11 +388,7 @@
 
 fn answer_fetch(state: &SharedState, request: &FetchRequest) -> FetchAnswer {
     let config = state.config().filter(|in_force| in_force.config.version > request.config_version);
-    let raw = state.raw_servers.borrow();
-    let servers = (raw.revision > request.servers_revision).then(|| {
-        let entries = raw.values.iter().map(|(id, value)| (id.clone(), value.clone()));
-        ServerSnapshot { revision: raw.revision, entries: entries.collect() }
-    });
+    let servers = state.entries.borrow().since(request.servers_revision);
     FetchAnswer { config: config.map(|in_force| in_force.text.to_vec()), servers }
 }
 
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -11,9 +11,10 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BudgetParams, DirectoryChange, ForwardConfig, LoadReport, MoveParams, PeerTable, PlaceAnswer,
-    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementPolicy, PlacementRequest, RemoteLoad,
-    RepeatBudget, RepeatPurpose, RunWeight, ServerDirectory, ServerKey, ServerRecord,
+    BudgetParams, DirectoryChange, EntryLog, ForwardConfig, LoadReport, MoveParams, PeerTable,
+    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementPolicy, PlacementRequest,
+    RemoteLoad, RepeatBudget, RepeatPurpose, RunWeight, ServerDirectory, ServerKey, ServerPhase,
+    ServerRecord,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
@@ -44,15 +45,6 @@
     }
 }
 
-/// Entries of servers as they lie in the store, to pass on to peers.
-#[derive(Debug, Default)]
-pub struct RawServers {
-    /// Revision of the store up to which changes are contained; 0 before the first reading.
-    pub revision: u64,
-    /// Value of each entry by server id.
-    pub values: IndexMap<String, Vec<u8>>,
-}
-
 /// Where a request may go.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placement {
@@ -92,8 +84,8 @@
     pub directory: RefCell<ServerDirectory>,
     /// Peers known.
     pub peers: RefCell<PeerTable>,
-    /// Values of server entries.
-    pub raw_servers: RefCell<RawServers>,
+    /// Server entries as they lie in the store.
+    pub entries: RefCell<EntryLog>,
     /// Figures of moves.
     pub move_params: MoveParams,
     clock: ProcessClock,
@@ -136,7 +128,7 @@
             body_bytes: Cell::new(0),
             directory: RefCell::default(),
             peers: RefCell::new(peers),
-            raw_servers: RefCell::default(),
+            entries: RefCell::default(),
             move_params: MoveParams::default(),
             clock: ProcessClock::start(),
             config: RefCell::default(),
@@ -219,20 +211,27 @@
         *self.config.borrow_mut() = Some(in_force);
     }
 
-    /// Applies one changed entry of a server; `value` is `None` for a removed one.
-    pub fn change_server(&self, id: &str, value: Option<Vec<u8>>, source: ChangeSource) {
+    /// Applies one changed entry of a server; `value` is `None` for a removed one. Returns
+    /// whether the change says anything new of the server.
+    pub fn change_server(
+        &self,
+        id: &str,
+        value: Option<Vec<u8>>,
+        changed_at: u64,
+        source: ChangeSource,
+    ) -> bool {
         let change = match &value {
             Some(value) => decode_entry(id, value),
             None => DirectoryChange::Removed(Arc::from(id)),
         };
-        match value {
-            Some(value) => self.raw_servers.borrow_mut().values.insert(id.to_owned(), value),
-            None => self.raw_servers.borrow_mut().values.swap_remove(id),
-        };
+        self.entries.borrow_mut().set(id, value, changed_at);
+        if !self.is_news(&change) {
+            return false;
+        }
         let written = match &change {
             DirectoryChange::Written(entry) => match entry.phase {
-                medlarlanding_core::forwarding::ServerPhase::Ready => "ready",
-                medlarlanding_core::forwarding::ServerPhase::Draining => "draining",
+                ServerPhase::Ready => "ready",
+                ServerPhase::Draining => "draining",
             },
             DirectoryChange::Removed(_) => "removed",
         };
@@ -244,6 +243,20 @@
             event(EventKind::ServerChanged, &[&id, &service, &written, &source.name()]);
         }
         self.directory_changes.send_modify(|count| *count += 1);
+        true
+    }
+
+    /// Servers also write their entries when only figures changed that are not used here.
+    fn is_news(&self, change: &DirectoryChange) -> bool {
+        let directory = self.directory.borrow();
+        match change {
+            DirectoryChange::Written(entry) => directory
+                .find(&entry.id)
+                .is_none_or(|record| record.is_gone || record.entry != *entry),
+            DirectoryChange::Removed(id) => {
+                directory.find(id).is_some_and(|record| !record.is_gone)
+            },
+        }
     }
 
     /// Records that a server said itself that it leaves. Returns whether that was unknown.
@@ -277,18 +290,17 @@
         values: IndexMap<String, Vec<u8>>,
         source: ChangeSource,
     ) {
-        let known: Vec<String> = self.raw_servers.borrow().values.keys().cloned().collect();
+        let known: Vec<String> = self.entries.borrow().ids().cloned().collect();
         for id in known.iter().filter(|id| !values.contains_key(*id)) {
-            self.change_server(id, None, source);
+            self.change_server(id, None, revision, source);
         }
         for (id, value) in values {
-            let is_known = self.raw_servers.borrow().values.get(&id) == Some(&value);
+            let is_known = self.entries.borrow().value(&id) == Some(&value);
             if !is_known {
-                self.change_server(&id, Some(value), source);
+                self.change_server(&id, Some(value), revision, source);
             }
         }
-        let mut raw = self.raw_servers.borrow_mut();
-        raw.revision = raw.revision.max(revision);
+        self.entries.borrow_mut().advance_news(revision);
     }
 
     /// Chooses a server for a request from what this instance knows.
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -27,6 +27,8 @@
 /// Pause between two watches that returned changes, so that changes that come together need
 /// one call: an engine that leaves gives 1.5 s of notice.
 const BATCH_PAUSE: Duration = Duration::from_millis(50);
+/// Longer pause for each peer that is told, which bounds the datagrams of a hub.
+const BATCH_PAUSE_PER_PEER: Duration = Duration::from_micros(500);
 /// The same at the hubs that stand by; the best ranked hub tells them of changes, and when it
 /// fails they are still in time for a configuration that must be in force after 2 s.
 const STANDBY_PAUSE: Duration = Duration::from_millis(900);
@@ -138,7 +140,7 @@
         }
         if let (WatchedPart::Servers, Some(revision)) = (self.part, self.revision) {
             // Peers told of changes while another instance watched.
-            self.revision = Some(self.state.raw_servers.borrow().revision.max(revision));
+            self.revision = Some(self.state.entries.borrow().revision().max(revision));
         }
     }
 
@@ -170,21 +172,30 @@
 
     async fn take_changes(&mut self, items: Vec<StoreItem>, revision: u64) {
         let has_changes = !items.is_empty();
-        let known = self.state.raw_servers.borrow().revision;
-        let changed: Vec<(String, u64)> = items
-            .iter()
-            .filter_map(|item| Some((server_id(&item.key)?.to_owned(), item.revision)))
-            .collect();
+        let mut changed = Vec::new();
         for item in items {
-            self.apply(item);
+            let changed_at = item.revision;
+            if let Some(id) = self.apply(item) {
+                changed.push((id, changed_at));
+            }
         }
         self.advance(revision);
+        if !changed.is_empty() {
+            let after = self.state.entries.borrow().news();
+            self.state.entries.borrow_mut().advance_news(revision);
+            self.link.push_servers(&self.state, after, revision, changed);
+        }
         if has_changes {
-            if let WatchedPart::Servers = self.part {
-                self.link.push_servers(&self.state, known, revision, changed);
-            }
-            tokio::time::sleep(if self.is_first() { BATCH_PAUSE } else { STANDBY_PAUSE }).await;
+            tokio::time::sleep(self.batch_pause()).await;
+        }
+    }
+
+    fn batch_pause(&self) -> Duration {
+        if !self.is_first() {
+            return STANDBY_PAUSE;
         }
+        let peers = self.state.peers.borrow().instance_count() as u32;
+        BATCH_PAUSE + BATCH_PAUSE_PER_PEER * peers
     }
 
     /// Reads all pages. Later pages may be newer than the first, whose revision is the one from
@@ -203,7 +214,9 @@
             }
         }
         match self.part {
-            WatchedPart::Config => items.into_iter().for_each(|item| self.apply(item)),
+            WatchedPart::Config => items.into_iter().for_each(|item| {
+                self.apply(item);
+            }),
             WatchedPart::Servers => {
                 let values: IndexMap<String, Vec<u8>> = items
                     .into_iter()
@@ -217,17 +230,22 @@
         Ok(())
     }
 
-    fn apply(&self, item: StoreItem) {
+    /// Applies a changed item. Returns the id of the server of which it says something new.
+    fn apply(&self, item: StoreItem) -> Option<String> {
         match self.part {
-            WatchedPart::Config if item.key == CONFIG_KEY => match item.value {
-                Some(text) => self.state.offer_config(&text, ChangeSource::Store),
-                None => log::warn!("the store holds no configuration that can be read"),
+            WatchedPart::Config if item.key == CONFIG_KEY => {
+                match item.value {
+                    Some(text) => self.state.offer_config(&text, ChangeSource::Store),
+                    None => log::warn!("the store holds no configuration that can be read"),
+                }
+                None
             },
-            WatchedPart::Config => {},
+            WatchedPart::Config => None,
             WatchedPart::Servers => {
-                if let Some(id) = server_id(&item.key) {
-                    self.state.change_server(id, item.value, ChangeSource::Store);
-                }
+                let id = server_id(&item.key)?;
+                let is_news =
+                    self.state.change_server(id, item.value, item.revision, ChangeSource::Store);
+                is_news.then(|| id.to_owned())
             },
         }
     }
@@ -235,8 +253,7 @@
     fn advance(&mut self, revision: u64) {
         self.revision = Some(revision);
         if let WatchedPart::Servers = self.part {
-            let mut raw = self.state.raw_servers.borrow_mut();
-            raw.revision = raw.revision.max(revision);
+            self.state.entries.borrow_mut().advance(revision);
         }
     }
 }
