--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -28,6 +28,9 @@
 const DATAGRAM_LIMIT: usize = 4096;
 /// Largest frame: a configuration has at most 1 MB, servers take about 250 bytes each.
 const FRAME_LIMIT: u32 = 8 << 20;
+/// Peers that are answered at the same time: a configuration of 1 MB takes 0.8 s on the weakest
+/// link of 10 Mbit/s.
+const SERVING_LIMIT: usize = 6;
 /// Time limit for fetching from a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// A peer may be ahead for this long before it is asked: the store's own answer is usually on
@@ -313,12 +316,14 @@
         *behind_since = None;
         return;
     };
-    if now.since(*behind_since.get_or_insert(now)) < delay {
+    if now.since(*behind_since.get_or_insert(now)) < delay || state.is_fetching.get() {
         return;
     }
     *behind_since = None;
     let request = FetchRequest { config_version, servers_revision };
     let state = Rc::clone(state);
+    // A second fetch beside a slow one would only slow both down.
+    state.is_fetching.set(true);
     tokio::task::spawn_local(async move {
         match tokio::time::timeout(FETCH_TIMEOUT, fetch(peer, &request)).await {
             Ok(Ok(answer)) => apply_answer(&state, peer, answer),
@@ -327,6 +332,7 @@
             },
             Err(_) => event(EventKind::PeerUnreachable, &[&peer, &"no answer in time"]),
         }
+        state.is_fetching.set(false);
     });
 }
 
@@ -367,9 +373,15 @@
 
 /// Answers peers that fetch.
 pub async fn serve_fetches(listener: TcpListener, state: SharedState) -> anyhow::Result<()> {
+    let serving = Rc::new(Cell::new(0));
     loop {
         let Ok((mut stream, peer)) = listener.accept().await else { continue };
-        let state = Rc::clone(&state);
+        if serving.get() >= SERVING_LIMIT {
+            // The peer asks another instance; more of them hold the newest state each time.
+            continue;
+        }
+        serving.set(serving.get() + 1);
+        let (state, count) = (Rc::clone(&state), Rc::clone(&serving));
         tokio::task::spawn_local(async move {
             tune_socket(&stream);
             let serving = async {
@@ -382,6 +394,7 @@
                 Ok(Err(error)) => log::debug!("fetch of {peer}: {error:#}"),
                 Err(_) => log::debug!("fetch of {peer}: too slow"),
             }
+            count.set(count.get() - 1);
         });
     }
 }
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -96,6 +96,8 @@
     move_budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
     /// This instance watches the store and its last call was answered.
     pub reaches_store: Cell<bool>,
+    /// A fetch from a peer is in progress.
+    pub is_fetching: Cell<bool>,
     /// Highest number of a grant from the instance that places generations.
     pub granted: Cell<u64>,
     /// Wakes the task that sends digests when something changed that peers should know.
@@ -135,6 +137,7 @@
             budgets: RefCell::default(),
             move_budgets: RefCell::default(),
             reaches_store: Cell::new(false),
+            is_fetching: Cell::new(false),
             granted: Cell::new(0),
             digest_wanted: Notify::new(),
             store_lost: Notify::new(),
