Take the end of a framed body for the end of the answer

Cause, found by reading: while a run was being stopped for a move, any end of its stream was taken for the stop. A run that ended by itself at that moment was sent to another engine and its caller's complete answer cut. Change: the end of a body with a length or chunks is the end of the answer; only an unframed one may be the stop. The test fails without the change and passes with it.

--- a/medlarlanding-bench/src/site/server.rs
+++ b/medlarlanding-bench/src/site/server.rs
@@ -19,6 +19,9 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
 
+/// Delay of the answer that a run is unknown.
+const LATE_ANSWER: Duration = Duration::from_millis(300);
+
 /// A body that can break off.
 pub(super) enum StandInBody {
     Whole(Full<Bytes>),
@@ -138,7 +141,12 @@
     let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
     let path = parts.uri.path().to_owned();
     if path == "/-/kv-move" {
-        return Ok(move_run(&state, &body));
+        let answer = move_run(&state, &body);
+        if answer.status() == StatusCode::NOT_FOUND {
+            // The end of the run reaches the caller before this answer.
+            tokio::time::sleep(LATE_ANSWER).await;
+        }
+        return Ok(answer);
     }
     if path.starts_with("/-/") {
         let is_leaving = state.lock().leaving.iter().any(|server| **server == *id);
@@ -211,10 +219,14 @@
     let request = call["id"].as_str().unwrap_or_default().to_owned();
     let is_last = call["last"].as_bool().unwrap_or(false);
     let mut inner = state.lock();
+    let ends_on_move = inner.ends_on_move;
     let Some((made, is_stopped)) = inner.generations.get_mut(&request) else {
         return whole(404, &[], String::new());
     };
     *is_stopped = *is_stopped || is_last;
+    if is_last && ends_on_move {
+        return whole(404, &[], String::new());
+    }
     whole(200, &[], json!({"handle": format!("h-{request}"), "created": *made}).to_string())
 }
 
@@ -268,6 +280,9 @@
                 }
                 run.1
             };
+            if is_stopped && shared.lock().ends_on_move {
+                return;
+            }
             if is_stopped {
                 let _ = sender.send(Err(Broken)).await;
                 return;
--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -66,6 +66,8 @@
     pub store_mode: StoreMode,
     pub store_calls: u64,
     pub modes: BTreeMap<String, ServerMode>,
+    /// Runs end by themselves when their last part is to be moved.
+    pub ends_on_move: bool,
     /// Servers that report that they leave.
     pub leaving: Vec<String>,
     pub runs: Vec<RunRecord>,
@@ -146,6 +148,11 @@
         self.lock().leaving.push(server.to_owned());
     }
 
+    /// Makes runs end by themselves at the moment at which they are stopped for a move.
+    pub fn end_on_move(&self) {
+        self.lock().ends_on_move = true;
+    }
+
     /// Sets length and pace of generations.
     pub fn set_generation(&self, events: u64, pace_ms: u64) {
         let mut inner = self.lock();
--- a/medlarlanding-bench/tests/forwarding.rs
+++ b/medlarlanding-bench/tests/forwarding.rs
@@ -162,6 +162,24 @@
     },
 }
 
+/// Guards against a generation that is sent to another engine although its answer is complete:
+/// it ended by itself at the moment at which it was to be stopped.
+#[test]
+fn generation_that_ends_during_its_move_is_whole() {
+    let site = start(SiteParams { engines: 3, ..SiteParams::default() });
+    site.state.set_generation(150, 20);
+    site.state.end_on_move();
+    let address = site.callers(0);
+    let caller = std::thread::spawn(move || call("/draft/a", "id-1").send(address));
+    let began = || site.log(0).contains("request_sent request=id-1");
+    site.wait_until("a generation that runs", began).expect("a run");
+    site.drain_server(&site.state.runs("id-1")[0].server);
+    let answer = caller.join().expect("a caller").expect("an answer");
+    assert!(answer.is_whole, "{}", site.log(0));
+    assert!(answer.event_ids().len() < 150);
+    assert_eq!(site.state.runs("id-1").len(), 1);
+}
+
 /// Guards against a stopping process that ends while answers are still written (gvic-landing
 /// mix, seed 1009911055453: 19 streams cut 2.5 s after SIGTERM).
 #[test]
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -28,6 +28,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// Events that wait for a slow caller.
@@ -88,6 +89,8 @@
     key: ServerKey,
     entry: ServerEntry,
     body: Incoming,
+    /// The body's end is marked, so that a cut one is told from a whole one.
+    is_framed: bool,
     _exchange: Exchange,
     load: LoadGuard,
 }
@@ -284,7 +287,8 @@
                 }));
             }
             self.state.directory.borrow_mut().record_success(key);
-            let place = RunPlace { key, entry, body, _exchange: exchange, load };
+            let is_framed = is_framed(&parts.headers);
+            let place = RunPlace { key, entry, body, is_framed, _exchange: exchange, load };
             return Ok((place, parts.status, parts.headers));
         }
     }
@@ -461,7 +465,10 @@
                         },
                         None => {
                             let rest = self.splitter.take_rest();
-                            if let Some(call) = call.take_if(|call| call.is_last) {
+                            // The end of a framed body is the end of the answer, also while
+                            // the run is being stopped.
+                            if let Some(call) = call.take_if(|call| call.is_last && !place.is_framed)
+                            {
                                 self.last_move = Some(call);
                                 return StreamEnd::Stopped;
                             }
@@ -708,6 +715,7 @@
                             key: *key,
                             entry,
                             body,
+                            is_framed: is_framed(&parts.headers),
                             _exchange: exchange,
                             load,
                         });
@@ -784,6 +792,11 @@
     }
 }
 
+/// Tells whether the end of a body is marked by its length or its last chunk.
+fn is_framed(headers: &hyper::HeaderMap) -> bool {
+    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
+}
+
 /// Tokens of one event where the configuration does not say; engines of today's installations
 /// put four into each.
 const TOKENS_PER_EVENT: u64 = 4;
