Serve waiting generations by worth for memory and time; refuse at once who cannot begin

Load: for seconds on end more generations arrive on the grown installations than the engines' memory holds (32 of 44 engines present, 0.88 of their memory taken, E617). Cause: room went to whoever asked next, so that late runs, long prompts and long answers displaced runs in time; callers were told late that they cannot be served.

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -126,6 +126,8 @@
     616 RunResumed Info "run_resumed" ["request", "from", "to", "outcome", "took_ms", "last_event"];
     /// Load of all engines of a service, from the instance that places generations.
     617 FleetLoad Info "fleet_load" ["service", "engines", "runs", "tokens", "growth", "waiting_tokens", "memory"];
+    /// A generation found no room on any engine and is refused as not run.
+    618 RunRefused Info "run_refused" ["request", "route", "reason", "ahead", "waited_ms", "keeper"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -49,6 +49,8 @@
     pub struct PlaceQuestion {
         /// Number that the answer repeats.
         pub number: u64,
+        /// Hash of the request's id; the same each time the request asks.
+        pub run: u64,
         /// What the server is for.
         pub purpose: PlacePurpose,
         /// Service that the request goes to.
@@ -73,8 +75,8 @@
     pub enum PlaceVerdict {
         /// To the server with this hash of its id.
         Server(u64),
-        /// Every engine is full; room comes with the end of other runs.
-        Full,
+        /// Every engine is full, and this many waiting runs are served before this one.
+        Full(u16),
         /// No server takes work.
         Nowhere,
     }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -10,8 +10,10 @@
 mod entries;
 mod messages;
 mod moves;
+mod patience;
 mod peers;
 mod placement;
+mod waiting;
 
 pub use budget::{BudgetParams, RepeatBudget, RepeatPurpose};
 pub use config::{
@@ -27,5 +29,9 @@
     PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, ServerChanges,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep};
+pub use patience::{PatienceParams, PatienceStep, RunPatience};
 pub use peers::{LoadReport, PeerDigest, PeerTable, PeerTableParams, RemoteLoad};
-pub use placement::{PlacementParams, PlacementPolicy, PlacementRequest, RunWeight};
+pub use placement::{
+    PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest, RunWeight,
+};
+pub use waiting::{RunTicket, WaitingClass, WaitingParams, WaitingRuns};
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -55,8 +55,8 @@
             prefill: 0.6,
             foreign_zone: 0.03,
             jitter: 0.06,
-            fill_limit: 0.95,
-            growth_share: 0.4,
+            fill_limit: 0.98,
+            growth_share: 0.3,
             urgent_fill_limit: 1.0,
             late_fill_limit: 0.85,
             late_prefill: 0.8,
@@ -85,6 +85,15 @@
     pub is_urgent: bool,
 }
 
+/// Server that was chosen for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlacementChoice {
+    /// The server with the least expected load; one with room goes before one without.
+    pub key: ServerKey,
+    /// Servers that have room for the request. If it is 0, `key` has none.
+    pub rooms: usize,
+}
+
 /// Prompt tokens that an engine reads in a second while others run.
 const PREFILL_TOKENS_PER_SECOND: f64 = 7_000.0;
 
@@ -100,7 +109,7 @@
     /// server and `draw` returns random numbers from 0 to 1.
     ///
     /// Servers with recent failures are used only when there is no other. Returns `None` when
-    /// no server of the service takes work, else the best server and whether it has room.
+    /// no server of the service takes work.
     pub fn choose(
         &self,
         now: Timestamp,
@@ -108,20 +117,26 @@
         request: &PlacementRequest<'_>,
         remote: impl Fn(&ServerRecord) -> RemoteLoad,
         mut draw: impl FnMut() -> f64,
-    ) -> Option<(ServerKey, bool)> {
+    ) -> Option<PlacementChoice> {
         let mut best: Option<((bool, bool, f64), ServerKey)> = None;
+        let mut rooms = 0;
         for (key, record) in directory.candidates(request.service) {
             if request.excluded.contains(&key) {
                 continue;
             }
             let load = remote(record);
             let score = self.score(request, record, load) + draw() * self.params.jitter;
-            let rank = (record.is_avoided(now), !self.has_room(request, record, load), score);
+            let has_room = self.has_room(request, record, load);
+            rooms += usize::from(has_room && !record.is_avoided(now));
+            let rank = (record.is_avoided(now), !has_room, score);
             if best.is_none_or(|(least, _)| rank < least) {
                 best = Some((rank, key));
             }
         }
-        best.map(|((_, is_full, _), key)| (key, !is_full))
+        best.map(|((_, is_full, _), key)| {
+            let rooms = if is_full { 0 } else { rooms.max(1) };
+            PlacementChoice { key, rooms }
+        })
     }
 
     /// Chooses the engine that a run moves to, by a random draw in proportion to the square of
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -264,12 +264,13 @@
     loop {
         let prompt = random.random_range(2_000..4_000);
         let demand = request(prompt, Some(Duration::from_secs(30)));
-        let (key, has_room) = policy
+        let choice = policy
             .choose(at(0), &directory, &demand, nothing, || random.random())
             .expect("an engine");
-        if !has_room {
+        if choice.rooms == 0 {
             break;
         }
+        let key = choice.key;
         directory.begin(key, u64::from(prompt));
         directory.set_growth(key, 400, 0);
         placed += 1;
@@ -288,7 +289,7 @@
     let (key, _) = directory.candidates("llm").next().expect("an engine");
     let has_room = |directory: &ServerDirectory, due| {
         let chosen = policy.choose(at(0), directory, &request(3_000, due), nothing, || 0.0);
-        chosen.expect("an engine").1
+        chosen.expect("an engine").rooms > 0
     };
     let (soon, later) = (Some(Duration::from_millis(500)), Some(Duration::from_millis(1_500)));
     assert!(has_room(&directory, soon) && has_room(&directory, None));
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -34,6 +34,9 @@
 /// When a caller comes back that all servers refused: early enough for the objectives of
 /// generations, 1.5 to 1.8 s.
 const RETRY_FULL: Duration = Duration::from_millis(250);
+/// When a caller comes back whose generation found no room: bursts last 3 to 10 s on the
+/// measured installations, and a generation that is refused again is lost.
+const RETRY_OVERLOADED: Duration = Duration::from_secs(10);
 /// Deadline of a caller that states none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -105,6 +108,7 @@
         OwnAnswer::NotConfigured => RETRY_NOT_CONFIGURED,
         OwnAnswer::NoServer => RETRY_NO_SERVER,
         OwnAnswer::ServersFull | OwnAnswer::OutOfMemory => RETRY_FULL,
+        OwnAnswer::Overloaded => RETRY_OVERLOADED,
         OwnAnswer::Stopping | OwnAnswer::LateUnsent => Duration::ZERO,
         OwnAnswer::NoRoute
         | OwnAnswer::UnknownKey
--- a/medlarlanding/src/forwarding/answer.rs
+++ b/medlarlanding/src/forwarding/answer.rs
@@ -95,6 +95,8 @@
     NoServer,
     /// Every server that was asked refused; it has not run and never will.
     ServersFull,
+    /// Engines are full and other runs go first; it has not run and never will.
+    Overloaded,
     /// The process stops before the request could finish; it has not run and never will.
     Stopping,
     /// The process holds too many request bodies; it has not run and never will.
@@ -114,6 +116,7 @@
             Self::NotConfigured
             | Self::NoServer
             | Self::ServersFull
+            | Self::Overloaded
             | Self::Stopping
             | Self::OutOfMemory
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -136,6 +139,7 @@
             Self::Malformed => "malformed",
             Self::NoServer => "no_server",
             Self::ServersFull => "servers_full",
+            Self::Overloaded => "overloaded",
             Self::Stopping => "stopping",
             Self::OutOfMemory => "out_of_memory",
             Self::LateUnsent => "late_unsent",
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -16,9 +16,10 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    MovePlan, MoveStep, PlacePurpose, PlacementRequest, RepeatPurpose, RunWeight, ServerEntry,
-    ServerKey,
+    MovePlan, MoveStep, PatienceParams, PatienceStep, PlacePurpose, PlacementRequest,
+    RepeatPurpose, RunPatience, RunWeight, ServerEntry, ServerKey,
 };
+use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{
     AnswerProof, RunContinuation, check_answer, promises_not_run,
@@ -33,14 +34,6 @@
 
 /// Events that wait for a slow caller.
 const PIECE_BACKLOG: usize = 16;
-/// A run that is late waits for room up to this multiple of its objective; callers give up at
-/// four times the objective.
-const LATE_OBJECTIVES: u32 = 3;
-/// Part of the objective within which the first event is aimed for; the estimate of the time to
-/// read prompts is rough.
-const FIRST_EVENT_MARGIN: f64 = 0.85;
-/// Time in which a busy engine reads one prompt token.
-const PROMPT_TOKEN_TIME: Duration = Duration::from_micros(140);
 /// Period in which a run that waits asks for room.
 const ROOM_PERIOD: Duration = Duration::from_millis(40);
 /// Servers that refuse or cannot be reached before the request is given up.
@@ -320,30 +313,55 @@
         zone: &Arc<str>,
     ) -> Result<(ServerKey, ServerEntry), OwnAnswer> {
         let arrived_at = self.admitted.arrived_at;
-        let objective = self.admitted.rule.objective;
-        let latest =
-            arrived_at + (objective * LATE_OBJECTIVES).min(self.admitted.time_left(arrived_at) / 2);
+        let patience = RunPatience::new(
+            PatienceParams::default(),
+            arrived_at,
+            self.admitted.rule.objective,
+            self.admitted.time_left(arrived_at),
+            self.admitted.weight.prompt,
+        );
         loop {
-            let now = self.state.now();
-            let due = (arrived_at + objective.mul_f64(FIRST_EVENT_MARGIN)).since(now);
-            let prompt_time = PROMPT_TOKEN_TIME * self.admitted.weight.prompt;
-            let purpose =
-                if due > prompt_time { PlacePurpose::Start } else { PlacePurpose::StartLate };
+            let (purpose, due) = patience.question(self.state.now());
             match self.choose(purpose, tried, zone, due).await {
                 Placement::Server(key) => {
                     return self.entry_of(key).ok_or(OwnAnswer::NoServer);
                 },
                 Placement::Nowhere if tried.is_empty() => return Err(OwnAnswer::NoServer),
                 Placement::Nowhere => return Err(OwnAnswer::ServersFull),
-                Placement::Full if now >= latest => return Err(OwnAnswer::ServersFull),
-                Placement::Full => {
-                    let pause = ROOM_PERIOD.mul_f64(0.75 + self.state.draw() / 2.0);
-                    tokio::time::sleep(pause).await;
+                Placement::Full(ahead) => match patience.after_full(self.state.now(), ahead) {
+                    PatienceStep::Wait => {
+                        let pause = ROOM_PERIOD.mul_f64(0.75 + self.state.draw() / 2.0);
+                        tokio::time::sleep(pause).await;
+                    },
+                    PatienceStep::RefuseEarly => {
+                        self.note_refusal("others_first", ahead);
+                        return Err(OwnAnswer::Overloaded);
+                    },
+                    PatienceStep::RefuseLate => {
+                        self.note_refusal("waited", ahead);
+                        return Err(OwnAnswer::Overloaded);
+                    },
                 },
             }
         }
     }
 
+    fn note_refusal(&self, reason: &'static str, ahead: u16) {
+        let now = self.state.now();
+        let keeper = self.state.peers.borrow().keeper(now).unwrap_or(self.state.settings.peers);
+        event(
+            EventKind::RunRefused,
+            &[
+                &self.admitted.id,
+                &self.admitted.rule.name,
+                &reason,
+                &ahead,
+                &now.since(self.admitted.arrived_at).as_millis(),
+                &keeper,
+            ],
+        );
+    }
+
     fn entry_of(&self, key: ServerKey) -> Option<(ServerKey, ServerEntry)> {
         Some((key, self.state.directory.borrow().get(key)?.entry.clone()))
     }
@@ -365,7 +383,8 @@
             due: (purpose == PlacePurpose::Start).then_some(due),
             is_urgent: self.admitted.priority == 0,
         };
-        self.link.place(&self.state, purpose, &self.admitted.service, &request).await
+        let run = stable_hash(self.admitted.id.as_bytes());
+        self.link.place(&self.state, purpose, run, &self.admitted.service, &request).await
     }
 
     /// Passes the stream on, from one engine to the next, until it ends.
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -12,7 +12,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     EntryDelta, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer, PlacePurpose, PlaceQuestion,
-    PlaceVerdict, PlacementRequest, RepeatPurpose, ServerChanges,
+    PlaceVerdict, PlacementRequest, RepeatPurpose, RunTicket, ServerChanges,
 };
 use medlarlanding_core::value_type;
 
@@ -140,12 +140,14 @@
         &self,
         state: &SharedState,
         purpose: PlacePurpose,
+        run: u64,
         service: &Arc<str>,
         request: &PlacementRequest<'_>,
     ) -> Placement {
         let keeper = state.peers.borrow().keeper(state.now());
         let Some(keeper) = keeper else {
-            return state.place_in_budget(purpose, service, request);
+            let ticket = RunTicket { instance: state.settings.peers, run };
+            return state.place_in_budget(purpose, ticket, service, request);
         };
         let number = self.next_question.get();
         self.next_question.set(number + 1);
@@ -153,6 +155,7 @@
         self.questions.borrow_mut().insert(number, sender);
         let question = PlaceQuestion {
             number,
+            run,
             purpose,
             service: request.service.to_owned(),
             prompt: request.weight.prompt,
@@ -174,7 +177,7 @@
                         // This instance knows another set of servers than the one it asked.
                         Some(_) | None => state.place(purpose, request),
                     },
-                    PlaceVerdict::Full => Placement::Full,
+                    PlaceVerdict::Full(ahead) => Placement::Full(ahead),
                     PlaceVerdict::Nowhere => match purpose {
                         PlacePurpose::Start | PlacePurpose::StartLate => {
                             state.place(purpose, request)
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -12,9 +12,9 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     BudgetParams, DirectoryChange, EntryLog, ForwardConfig, LoadReport, MoveParams, PeerTable,
-    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementPolicy, PlacementRequest,
-    RemoteLoad, RepeatBudget, RepeatPurpose, RunWeight, ServerDirectory, ServerKey, ServerPhase,
-    ServerRecord,
+    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementChoice, PlacementPolicy,
+    PlacementRequest, RemoteLoad, RepeatBudget, RepeatPurpose, RunTicket, RunWeight,
+    ServerDirectory, ServerKey, ServerPhase, ServerRecord, WaitingClass, WaitingRuns,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
@@ -50,8 +50,8 @@
 pub enum Placement {
     /// To this server.
     Server(ServerKey),
-    /// Every engine is full.
-    Full,
+    /// Every engine is full, and this many waiting runs are served before this one.
+    Full(u16),
     /// No server takes work.
     Nowhere,
 }
@@ -94,6 +94,8 @@
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
     /// Moves of all instances by service; used while this instance places generations.
     move_budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
+    /// Generations of all instances that wait for room; used while this instance places them.
+    waiting: RefCell<WaitingRuns>,
     /// This instance watches the store and its last call was answered.
     pub reaches_store: Cell<bool>,
     /// A fetch from a peer is in progress.
@@ -136,6 +138,7 @@
             config: RefCell::default(),
             budgets: RefCell::default(),
             move_budgets: RefCell::default(),
+            waiting: RefCell::default(),
             reaches_store: Cell::new(false),
             is_fetching: Cell::new(false),
             granted: Cell::new(0),
@@ -311,26 +314,30 @@
 
     /// Chooses a server for a request from what this instance knows.
     pub fn place(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
-        let now = self.now();
-        let peers = self.peers.borrow();
-        let remote = |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
-        let directory = self.directory.borrow();
-        let draw = || self.draw();
         match purpose {
-            PlacePurpose::Start | PlacePurpose::StartLate => {
-                match self.placement.choose(now, &directory, request, remote, draw) {
-                    Some((key, true)) => Placement::Server(key),
-                    Some((_, false)) => Placement::Full,
-                    None => Placement::Nowhere,
-                }
+            PlacePurpose::Start | PlacePurpose::StartLate => match self.choose(request) {
+                Some(PlacementChoice { rooms: 0, .. }) => Placement::Full(0),
+                Some(choice) => Placement::Server(choice.key),
+                None => Placement::Nowhere,
             },
-            PlacePurpose::Move | PlacePurpose::MoveAgain => self
-                .placement
-                .choose_destination(now, &directory, request, remote, draw)
-                .map_or(Placement::Nowhere, Placement::Server),
+            PlacePurpose::Move | PlacePurpose::MoveAgain => self.choose_destination(request),
         }
     }
 
+    fn choose(&self, request: &PlacementRequest<'_>) -> Option<PlacementChoice> {
+        let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
+        let remote = |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
+        self.placement.choose(now, &directory, request, remote, || self.draw())
+    }
+
+    fn choose_destination(&self, request: &PlacementRequest<'_>) -> Placement {
+        let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
+        let remote = |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
+        self.placement
+            .choose_destination(now, &directory, request, remote, || self.draw())
+            .map_or(Placement::Nowhere, Placement::Server)
+    }
+
     /// Places a generation for a peer.
     pub fn answer_place(&self, peer: SocketAddr, question: &PlaceQuestion) -> PlaceAnswer {
         let excluded: Vec<ServerKey> =
@@ -342,6 +349,7 @@
         let service: Arc<str> = Arc::from(question.service.as_str());
         let placement = self.place_in_budget(
             question.purpose,
+            RunTicket { instance: peer, run: question.run },
             &service,
             &PlacementRequest {
                 service: &question.service,
@@ -366,25 +374,29 @@
                 },
                 None => (PlaceVerdict::Nowhere, 0),
             },
-            Placement::Full => (PlaceVerdict::Full, 0),
+            Placement::Full(ahead) => (PlaceVerdict::Full(ahead), 0),
             Placement::Nowhere => (PlaceVerdict::Nowhere, 0),
         };
         PlaceAnswer { number: question.number, verdict, grant }
     }
 
     /// Chooses a server as the instance that places generations for all, which also holds the
-    /// budget for moves.
+    /// budget for moves and the order of the runs that wait.
     pub fn place_in_budget(
         &self,
         purpose: PlacePurpose,
+        ticket: RunTicket,
         service: &Arc<str>,
         request: &PlacementRequest<'_>,
     ) -> Placement {
-        let placement = self.place(purpose, request);
+        let (now, params) = (self.now(), self.budget_params());
+        let placement = match purpose {
+            PlacePurpose::Start | PlacePurpose::StartLate => self.place_in_turn(ticket, request),
+            PlacePurpose::Move | PlacePurpose::MoveAgain => self.choose_destination(request),
+        };
         if !matches!(placement, Placement::Server(_)) {
             return placement;
         }
-        let (now, params) = (self.now(), self.budget_params());
         let mut budgets = self.move_budgets.borrow_mut();
         let budget = budgets.entry(Arc::clone(service)).or_default();
         match purpose {
@@ -399,6 +411,27 @@
         placement
     }
 
+    /// Places a new run unless the room is due to runs that wait and go before it.
+    fn place_in_turn(&self, ticket: RunTicket, request: &PlacementRequest<'_>) -> Placement {
+        let now = self.now();
+        let Some(choice) = self.choose(request) else { return Placement::Nowhere };
+        let class = match request.due {
+            None => WaitingClass::Late,
+            Some(_) if request.is_urgent => WaitingClass::Urgent,
+            Some(_) => WaitingClass::InTime,
+        };
+        let mut waiting = self.waiting.borrow_mut();
+        let density = waiting.density(request.weight);
+        let ahead = waiting.count_better(now, ticket, class, density);
+        if choice.rooms > ahead {
+            waiting.leave(ticket);
+            waiting.learn(request.weight);
+            return Placement::Server(choice.key);
+        }
+        waiting.wait(now, ticket, class, density);
+        Placement::Full(ahead.min(usize::from(u16::MAX)) as u16)
+    }
+
     /// Finds the server with the hash of an id.
     pub fn find_server(&self, hash: u64) -> Option<ServerKey> {
         let directory = self.directory.borrow();
