--- a/medlarlanding-bench/src/client.rs
+++ b/medlarlanding-bench/src/client.rs
@@ -4,14 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use medlarlanding::backends::connection::ExchangeClient;
+use medlarlanding::backends::connection::{InboundAnswer, OutboundCall};
 use medlarlanding::backends::events::{EventDecoder, StreamEvent};
+use medlarlanding::exchange::ExchangeFault;
 
-use ntex::client::ClientResponse;
-use ntex::client::error::{ClientError, ConnectError};
-use ntex::http::{Method, Payload};
-use ntex::time::{Millis, timeout};
-use ntex::util::{Bytes, stream_recv};
+use bytes::Bytes;
+use hyper::Method;
+use tokio::time::timeout;
 
 /// Largest body in bytes that is read: 50,000 tokens of a whole response fit.
 const BODY_LIMIT: usize = 4 << 20;
@@ -98,7 +97,7 @@
 pub struct EventStream {
     /// Header names and values, sorted by name.
     pub headers: Vec<(String, String)>,
-    payload: Payload,
+    answer: InboundAnswer,
     decoder: EventDecoder,
     events: VecDeque<StreamEvent>,
 }
@@ -114,11 +113,11 @@
             if let Some(event) = self.events.pop_front() {
                 return Ok(Some(event));
             }
-            let chunk = match timeout(wait, stream_recv(&mut self.payload)).await {
+            let chunk = match timeout(wait, self.answer.next_chunk()).await {
                 Ok(Some(Ok(chunk))) => chunk,
-                Ok(Some(Err(error))) => return Err(error.to_string()),
+                Ok(Some(Err(fault))) => return Err(fault.name().to_owned()),
                 Ok(None) => return Ok(None),
-                Err(()) => return Err(format!("no event within {wait:?}")),
+                Err(_) => return Err(format!("no event within {wait:?}")),
             };
             let mut events = Vec::new();
             let pushed = self.decoder.push(&chunk, &mut events);
@@ -130,9 +129,7 @@
 
 /// Client for one thread. Every call uses a connection of its own.
 #[derive(Clone, Debug)]
-pub struct CallClient {
-    client: ExchangeClient,
-}
+pub struct CallClient;
 
 impl CallClient {
     /// Creates a client.
@@ -141,7 +138,7 @@
     ///
     /// Fails if the connector cannot be created.
     pub async fn build() -> anyhow::Result<Self> {
-        Ok(Self { client: ExchangeClient::default() })
+        Ok(Self)
     }
 
     /// Sends a call and reads the whole answer. `wait` limits the time to the headers and
@@ -181,7 +178,7 @@
         }
         Ok(Opened::Stream(EventStream {
             headers,
-            payload: response.take_payload(),
+            answer: response,
             decoder: EventDecoder::default(),
             events: VecDeque::new(),
         }))
@@ -192,30 +189,25 @@
         address: SocketAddr,
         call: &Call,
         wait: Duration,
-    ) -> Result<ClientResponse, CallFault> {
-        let mut sent = self.client.request(call.method.clone(), address, &call.path, wait).await;
+    ) -> Result<InboundAnswer, CallFault> {
+        let mut outbound = OutboundCall::new(call.method.clone(), &call.path);
+        if !call.body.is_empty() {
+            outbound = outbound.json(call.body.clone());
+        }
         for (name, value) in &call.headers {
-            sent = sent.header(*name, value.as_str());
+            outbound = outbound.header(name, value);
         }
-        let result = if call.body.is_empty() {
-            sent.send().await
-        } else {
-            sent.content_type("application/json").send_body(call.body.clone()).await
-        };
-        result.map_err(|error| match error {
-            // Also reported when the other end closes the connection after the request was
-            // sent; only a failed connect carries its cause.
-            ClientError::Connect(ConnectError::Disconnected(None)) => {
-                CallFault::Broken("closed without an answer".to_owned())
+        outbound.send(address, wait).await.map_err(|fault| match fault {
+            ExchangeFault::NotConnected => CallFault::NotSent(fault.name().to_owned()),
+            ExchangeFault::Broken | ExchangeFault::TimedOut => {
+                CallFault::Broken(fault.name().to_owned())
             },
-            ClientError::Connect(error) => CallFault::NotSent(error.to_string()),
-            error => CallFault::Broken(error.to_string()),
         })
     }
 }
 
-fn header_list(response: &ClientResponse) -> Vec<(String, String)> {
-    let headers = response.headers().iter();
+fn header_list(response: &InboundAnswer) -> Vec<(String, String)> {
+    let headers = response.headers.iter();
     let mut list: Vec<_> = headers
         .map(|(name, value)| {
             (name.as_str().to_owned(), value.to_str().unwrap_or_default().to_owned())
@@ -225,10 +217,10 @@
     list
 }
 
-async fn read_answer(response: ClientResponse, wait: Duration) -> Result<Answer, CallFault> {
-    let status = response.status().as_u16();
+async fn read_answer(response: InboundAnswer, wait: Duration) -> Result<Answer, CallFault> {
+    let status = response.status.as_u16();
     let headers = header_list(&response);
-    let body = response.body().limit(BODY_LIMIT).timeout(Millis::from(wait)).await;
-    let body = body.map_err(|error| CallFault::Broken(error.to_string()))?;
+    let body = response.collect(BODY_LIMIT, wait).await;
+    let body = body.map_err(|fault| CallFault::Broken(fault.name().to_owned()))?;
     Ok(Answer { status, headers, body })
 }
--- a/medlarlanding-bench/src/cluster.rs
+++ b/medlarlanding-bench/src/cluster.rs
@@ -14,7 +14,7 @@
 use medlarlanding_core::handles::hex_text;
 
 use anyhow::{Context, bail};
-use ntex::http::Method;
+use hyper::Method;
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::client::{Call, CallClient};
--- a/medlarlanding-bench/src/drills.rs
+++ b/medlarlanding-bench/src/drills.rs
@@ -15,7 +15,7 @@
 use anyhow::{Context, bail};
 use argh::FromArgs;
 use futures_util::future::{join, join_all};
-use ntex::http::Method;
+use hyper::Method;
 use ntex::time::{sleep, timeout};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
--- a/medlarlanding-bench/tests/golden.rs
+++ b/medlarlanding-bench/tests/golden.rs
@@ -18,7 +18,7 @@
 use medlarlanding_bench::stand_ins::tokens::parse_token;
 use medlarlanding_core::ids::RequestId;
 
-use ntex::http::Method;
+use hyper::Method;
 use rustix::process::Signal;
 use serde_json::json;
 
--- a/medlarlanding-bench/tests/process_support/mod.rs
+++ b/medlarlanding-bench/tests/process_support/mod.rs
@@ -10,7 +10,7 @@
 use medlarlanding_bench::cluster::{CUSTOMERS, Cluster, ClusterParams, credential};
 use medlarlanding_bench::stand_ins::tokens::TokenChecker;
 
-use ntex::http::Method;
+use hyper::Method;
 use serde_json::{Value, json};
 
 /// Limit of each wait. Generous, because debug builds share the machine with other work.
--- a/medlarlanding-bench/tests/processes.rs
+++ b/medlarlanding-bench/tests/processes.rs
@@ -12,7 +12,7 @@
 use medlarlanding_bench::stand_ins::platform::PlatformFaults;
 use medlarlanding_bench::stand_ins::service::ServiceFaults;
 
-use ntex::http::Method;
+use hyper::Method;
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
--- a/medlarlanding-bench/tests/stand_ins.rs
+++ b/medlarlanding-bench/tests/stand_ins.rs
@@ -9,7 +9,7 @@
 use medlarlanding_bench::stand_ins::service::{ServiceFaults, start_service};
 use medlarlanding_bench::stand_ins::tokens::{TokenChecker, TokenFaults};
 
-use ntex::http::Method;
+use hyper::Method;
 use serde_json::{Value, json};
 
 const WAIT: Duration = Duration::from_secs(10);
--- a/medlarlanding/src/backends/connection.rs
+++ b/medlarlanding/src/backends/connection.rs
@@ -1,103 +1,123 @@
-//! HTTP client for backend servers and the platform.
-//!
-//! Every exchange uses a connection of its own. A pooled connection may have gone silent
-//! without notice or may still carry the rest of an abandoned answer.
+//! Calls to backend servers and the platform, each on a connection of its own.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ntex::SharedCfg;
-use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{ClientBuilder, ClientRequest, Connector};
-use ntex::http::Method;
-use ntex::io::IoConfig;
-use ntex::time::Millis;
+use crate::exchange::{self, Exchange, ExchangeFault};
 
-/// Longest time to establish a connection.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 
-/// How an exchange with a backend server failed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ExchangeFault {
-    /// No connection was established: no byte of the request left.
-    NotSent(String),
-    /// The request may have reached the backend server.
-    MaybeSent(String),
+/// A request to one address.
+#[derive(Clone, Debug)]
+pub struct OutboundCall {
+    request: Request<Full<Bytes>>,
 }
 
-impl ExchangeFault {
-    /// Classifies an error of the HTTP client.
-    ///
-    /// Only errors that can arise before a connection exists count as `NotSent`. The client
-    /// also reports a connection that the other end closed after the request was sent as a
-    /// connect error, without a cause.
-    pub fn from_client(error: &ClientError) -> Self {
-        let connecting = match error {
-            ClientError::Connect(ConnectError::Disconnected(Some(cause))) => matches!(
-                cause.kind(),
-                ErrorKind::ConnectionRefused
-                    | ErrorKind::HostUnreachable
-                    | ErrorKind::NetworkUnreachable
-                    | ErrorKind::AddrNotAvailable
-                    | ErrorKind::TimedOut
-            ),
-            ClientError::Connect(ConnectError::Disconnected(None)) => false,
-            ClientError::Connect(_) => true,
-            _ => false,
-        };
-        if connecting {
-            Self::NotSent(error.to_string())
-        } else {
-            Self::MaybeSent(error.to_string())
+impl OutboundCall {
+    /// Creates a request without body. A path that is not valid becomes `/`.
+    pub fn new(method: Method, path: &str) -> Self {
+        let uri = path.parse().unwrap_or_else(|error| {
+            log::warn!("path {path:?} cannot be requested: {error}");
+            Uri::from_static("/")
+        });
+        let mut request = Request::new(Full::default());
+        *request.method_mut() = method;
+        *request.uri_mut() = uri;
+        request.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        Self { request }
+    }
+
+    /// Adds a header. One that cannot be sent is left out and logged.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        match (HeaderName::try_from(name), HeaderValue::from_str(value)) {
+            (Ok(name), Ok(value)) => {
+                self.request.headers_mut().insert(name, value);
+            },
+            _ => log::warn!("header {name} cannot be sent"),
         }
+        self
+    }
+
+    /// Sets a JSON body.
+    #[must_use]
+    pub fn json(mut self, body: Vec<u8>) -> Self {
+        *self.request.body_mut() = Full::new(Bytes::from(body));
+        self.request
+            .headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        self
     }
 
-    /// Gets the reason.
-    pub fn reason(&self) -> &str {
-        match self {
-            Self::NotSent(reason) | Self::MaybeSent(reason) => reason,
+    /// Sends the request. `timeout` limits the time to the headers of the answer.
+    ///
+    /// # Errors
+    ///
+    /// `NotConnected` only if no connection was established: no byte of the request left.
+    pub async fn send(
+        mut self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<InboundAnswer, ExchangeFault> {
+        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+            self.request.headers_mut().insert(HOST, host);
         }
+        let (response, exchange) = exchange::send(address, self.request, timeout).await?;
+        let (parts, body) = response.into_parts();
+        Ok(InboundAnswer { status: parts.status, headers: parts.headers, body, exchange })
     }
 }
 
-/// Sends each request on a connection of its own.
-///
-/// Every exchange builds an HTTP client with an empty pool. A shared pool connects to a host
-/// for one request at a time, so a host that does not answer would hold up the others, and
-/// without a limit on connections it never wakes the requests that wait for their turn.
-#[derive(Clone, Debug)]
-pub struct ExchangeClient {
-    config: SharedCfg,
+/// An answer whose body has not been read. Dropping it closes the connection.
+pub struct InboundAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+    exchange: Exchange,
 }
 
-impl Default for ExchangeClient {
-    fn default() -> Self {
-        let io = IoConfig::new().set_connect_timeout(Millis::from(CONNECT_TIMEOUT));
-        Self { config: SharedCfg::new("EXCHANGES").add(io).into() }
+impl InboundAnswer {
+    /// Gets a header as text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
     }
-}
 
-impl ExchangeClient {
-    /// Creates a request. `timeout` limits the time to the headers of its answer.
-    pub async fn request(
-        &self,
-        method: Method,
-        address: SocketAddr,
-        path: &str,
-        timeout: Duration,
-    ) -> ClientRequest {
-        ClientBuilder::new()
-            .connector::<()>(Connector::new().limit(1))
-            .disable_redirects()
-            .disable_timeout()
-            .build(self.config.clone())
-            .await
-            .expect("a connector without TLS has nothing that can fail")
-            .request(method, format!("http://{address}{path}"))
-            .address(address)
-            .timeout(Millis::from(timeout))
-            .force_close()
-            .no_decompress()
+    /// Gets the next part of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// `Broken` if the connection ends before the body does.
+    pub async fn next_chunk(&mut self) -> Option<Result<Bytes, ExchangeFault>> {
+        loop {
+            match self.body.frame().await? {
+                Ok(frame) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                },
+                Err(_) => return Some(Err(ExchangeFault::Broken)),
+            }
+        }
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// `TimedOut` after `timeout`, `Broken` if the body is longer than `limit` bytes or ends early.
+    pub async fn collect(self, limit: usize, timeout: Duration) -> Result<Bytes, ExchangeFault> {
+        let Self { body, exchange: _exchange, .. } = self;
+        let reading = Limited::new(body, limit).collect();
+        match tokio::time::timeout(timeout, reading).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(_)) => Err(ExchangeFault::Broken),
+            Err(_) => Err(ExchangeFault::TimedOut),
+        }
     }
 }
--- a/medlarlanding/src/backends/engine.rs
+++ b/medlarlanding/src/backends/engine.rs
@@ -4,16 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::connection::{ExchangeClient, ExchangeFault};
+use super::connection::{InboundAnswer, OutboundCall};
 use super::events::{EventDecoder, StreamEvent};
+use crate::exchange::ExchangeFault;
 use medlarlanding_core::commands::{CommandAction, CommandResult};
 use medlarlanding_core::config::ModelVersion;
 use medlarlanding_core::generations::ExchangeId;
 
-use ntex::client::ClientResponse;
-use ntex::client::error::ClientError;
-use ntex::http::{Method, Payload};
-use ntex::util::stream_recv;
+use hyper::Method;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -129,7 +127,7 @@
     pub echo: Option<ExchangeId>,
     /// Number of this attachment; a later attachment has a higher number.
     pub attachment: u64,
-    payload: Payload,
+    answer: InboundAnswer,
     decoder: EventDecoder,
     events: VecDeque<StreamEvent>,
 }
@@ -141,13 +139,13 @@
     ///
     /// Returns how the exchange failed.
     pub async fn start(
-        client: &ExchangeClient,
         address: SocketAddr,
         id: &ExchangeId,
         order: &GenerationOrder,
     ) -> Result<Self, OpenFault> {
-        let start = client.request(Method::POST, address, "/v1/generations", HEADERS_TIMEOUT).await;
-        Self::open(start.send_json(&NamedOrder { request: id.to_string(), order }).await)
+        let body = json_body(&NamedOrder { request: id.to_string(), order });
+        let start = OutboundCall::new(Method::POST, "/v1/generations").json(body);
+        Self::open(start.send(address, HEADERS_TIMEOUT).await)
     }
 
     /// Resumes a generation after token `after`.
@@ -156,37 +154,31 @@
     ///
     /// Returns how the exchange failed; `Gone` if the engine does not know the generation.
     pub async fn resume(
-        client: &ExchangeClient,
         address: SocketAddr,
         id: &ExchangeId,
         generation: &str,
         after: u64,
     ) -> Result<Self, OpenFault> {
         let path = format!("/v1/generations/{generation}?after={after}");
-        let resume = client
-            .request(Method::GET, address, &path, HEADERS_TIMEOUT)
-            .await
-            .header("x-request", id.to_string());
-        Self::open(resume.send().await)
+        let resume = OutboundCall::new(Method::GET, &path).header("x-request", &id.to_string());
+        Self::open(resume.send(address, HEADERS_TIMEOUT).await)
     }
 
-    fn open(answer: Result<ClientResponse, ClientError>) -> Result<Self, OpenFault> {
-        let answer =
-            answer.map_err(|error| OpenFault::Exchange(ExchangeFault::from_client(&error)))?;
-        match answer.status().as_u16() {
+    fn open(answer: Result<InboundAnswer, ExchangeFault>) -> Result<Self, OpenFault> {
+        let answer = answer.map_err(OpenFault::Exchange)?;
+        match answer.status.as_u16() {
             200 => {},
             404 | 410 => return Err(OpenFault::Gone),
             409 => return Err(OpenFault::Superseded),
             status => return Err(OpenFault::Refused(status)),
         }
-        let text = |name: &str| answer.headers().get(name).and_then(|value| value.to_str().ok());
-        let generation = text("x-generation").ok_or(OpenFault::Malformed)?.to_owned();
-        let attachment = text("x-attachment").and_then(|value| value.parse().ok());
+        let generation = answer.text("x-generation").ok_or(OpenFault::Malformed)?.to_owned();
+        let attachment = answer.text("x-attachment").and_then(|value| value.parse().ok());
         Ok(Self {
-            echo: text("x-request").and_then(ExchangeId::parse),
+            echo: answer.text("x-request").and_then(ExchangeId::parse),
             generation,
             attachment: attachment.ok_or(OpenFault::Malformed)?,
-            payload: answer.take_payload(),
+            answer,
             decoder: EventDecoder::default(),
             events: VecDeque::new(),
         })
@@ -204,7 +196,7 @@
                     return Ok(item);
                 }
             }
-            let Some(Ok(chunk)) = stream_recv(&mut self.payload).await else {
+            let Some(Ok(chunk)) = self.answer.next_chunk().await else {
                 return Err(StreamFault::Closed);
             };
             let mut events = Vec::new();
@@ -244,19 +236,17 @@
 ///
 /// Returns why the exchange failed. The engine drops unattached generations by itself.
 pub async fn cancel(
-    client: &ExchangeClient,
     address: SocketAddr,
     generation: &str,
     attachment: u64,
 ) -> Result<(), ExchangeFault> {
     let path = format!("/v1/generations/{generation}?attachment={attachment}");
-    client
-        .request(Method::DELETE, address, &path, CANCEL_TIMEOUT)
-        .await
-        .send()
-        .await
-        .map(drop)
-        .map_err(|error| ExchangeFault::from_client(&error))
+    OutboundCall::new(Method::DELETE, &path).send(address, CANCEL_TIMEOUT).await.map(drop)
+}
+
+/// Writes a body of this module's own types, whose serialization cannot fail.
+fn json_body(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("a structure without maps is JSON")
 }
 
 #[derive(Serialize)]
@@ -277,7 +267,6 @@
 
 /// Sends a command with a fencing number.
 pub async fn command(
-    client: &ExchangeClient,
     address: SocketAddr,
     fence: u64,
     action: CommandAction,
@@ -289,10 +278,15 @@
         model: &model.model,
         version: &model.version,
     };
-    let command = client.request(Method::POST, address, "/v1/admin/orders", COMMAND_TIMEOUT).await;
-    let Ok(answer) = command.send_json(&body).await else { return CommandResult::Failed };
-    let status = answer.status().as_u16();
-    let Ok(answer) = answer.json::<CommandAnswer>().limit(COMMAND_ANSWER_LIMIT).await else {
+    let command = OutboundCall::new(Method::POST, "/v1/admin/orders").json(json_body(&body));
+    let Ok(answer) = command.send(address, COMMAND_TIMEOUT).await else {
+        return CommandResult::Failed;
+    };
+    let status = answer.status.as_u16();
+    let Ok(body) = answer.collect(COMMAND_ANSWER_LIMIT, COMMAND_TIMEOUT).await else {
+        return CommandResult::Failed;
+    };
+    let Ok(answer) = serde_json::from_slice::<CommandAnswer>(&body) else {
         return CommandResult::Failed;
     };
     match status {
--- a/medlarlanding/src/backends/service.rs
+++ b/medlarlanding/src/backends/service.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::connection::{ExchangeClient, ExchangeFault};
+use super::connection::OutboundCall;
+use crate::exchange::ExchangeFault;
 
-use ntex::http::Method;
-use ntex::time::Millis;
+use hyper::Method;
 
 /// Largest answer of a plain service in bytes.
 pub const ANSWER_LIMIT: usize = 1 << 20;
@@ -26,21 +26,19 @@
 ///
 /// Returns how the exchange failed. The caller may repeat it elsewhere.
 pub async fn look_up(
-    client: &ExchangeClient,
     address: SocketAddr,
     body: &[u8],
     timeout: Duration,
 ) -> Result<ServiceAnswer, ExchangeFault> {
-    exchange(client, address, "/v1/lookups", &[], body, timeout).await
+    exchange(address, "/v1/lookups", &[], body, timeout).await
 }
 
 /// Sends a non-idempotent order. Must be called at most once per claim.
 ///
 /// # Errors
 ///
-/// `NotSent` only if no connection was established; after that the outcome is unknown.
+/// `NotConnected` only if no connection was established; after that the outcome is unknown.
 pub async fn send_order(
-    client: &ExchangeClient,
     address: SocketAddr,
     order: &str,
     fence: u64,
@@ -49,32 +47,22 @@
 ) -> Result<ServiceAnswer, ExchangeFault> {
     let fence = fence.to_string();
     let headers = [("x-order-id", order), ("x-fence", fence.as_str())];
-    exchange(client, address, "/v1/orders", &headers, body, timeout).await
+    exchange(address, "/v1/orders", &headers, body, timeout).await
 }
 
 async fn exchange(
-    client: &ExchangeClient,
     address: SocketAddr,
     path: &str,
     headers: &[(&str, &str)],
     body: &[u8],
     timeout: Duration,
 ) -> Result<ServiceAnswer, ExchangeFault> {
-    let mut request =
-        client.request(Method::POST, address, path, timeout).await.content_type("application/json");
+    let mut call = OutboundCall::new(Method::POST, path).json(body.to_vec());
     for &(name, value) in headers {
-        request = request.header(name, value);
+        call = call.header(name, value);
     }
-    let answer = request
-        .send_body(body.to_vec())
-        .await
-        .map_err(|error| ExchangeFault::from_client(&error))?;
-    let status = answer.status().as_u16();
-    let body = answer
-        .body()
-        .limit(ANSWER_LIMIT)
-        .timeout(Millis::from(timeout))
-        .await
-        .map_err(|error| ExchangeFault::MaybeSent(error.to_string()))?;
+    let answer = call.send(address, timeout).await?;
+    let status = answer.status.as_u16();
+    let body = answer.collect(ANSWER_LIMIT, timeout).await?;
     Ok(ServiceAnswer { status, body: body.to_vec() })
 }
--- a/medlarlanding/src/commands.rs
+++ b/medlarlanding/src/commands.rs
@@ -6,8 +6,9 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use crate::backends::connection::ExchangeClient;
+use crate::backends::connection::OutboundCall;
 use crate::cli::{CheckOptions, DumpOptions, ForwardOptions, ServeOptions};
+use crate::exchange::ExchangeFault;
 use crate::forwarding::{self, RoleOptions};
 use crate::logging;
 use crate::serve;
@@ -16,9 +17,10 @@
 use medlarlanding_core::handles::hex_text;
 
 use anyhow::{Context, bail};
-use ntex::http::Method;
+use hyper::Method;
 use rand::RngCore;
 use serde_json::Value;
+use tokio::task::LocalSet;
 
 /// Longest time for a dump.
 const DUMP_TIMEOUT: Duration = Duration::from_secs(10);
@@ -92,10 +94,8 @@
         Some(request) => format!("/dump?request={request}"),
         None => "/dump".to_owned(),
     };
-    let dump = ntex::rt::System::build()
-        .name("dump")
-        .build(ntex::rt::DefaultRuntime)
-        .block_on(fetch_dump(options.admin, path))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let dump = LocalSet::new().block_on(&runtime, fetch_dump(options.admin, path))?;
     match &options.request {
         Some(_) => print_time_line(&dump),
         None => println!("{}", serde_json::to_string_pretty(&dump)?),
@@ -129,18 +129,10 @@
 }
 
 async fn fetch_dump(admin: SocketAddr, path: String) -> anyhow::Result<Value> {
-    let client = ExchangeClient::default();
-    let answer = client
-        .request(Method::GET, admin, &path, DUMP_TIMEOUT)
-        .await
-        .send()
-        .await
-        .map_err(|error| anyhow::anyhow!("{admin}: {error}"))?;
-    let body = answer
-        .body()
-        .limit(DUMP_LIMIT)
-        .await
-        .map_err(|error| anyhow::anyhow!("{admin}: {error}"))?;
+    let failed = |fault: ExchangeFault| anyhow::anyhow!("{admin}: {}", fault.name());
+    let call = OutboundCall::new(Method::GET, &path);
+    let answer = call.send(admin, DUMP_TIMEOUT).await.map_err(failed)?;
+    let body = answer.collect(DUMP_LIMIT, DUMP_TIMEOUT).await.map_err(failed)?;
     serde_json::from_slice(&body).context("answer is not JSON")
 }
 
--- a/medlarlanding/src/delivery/exchanges.rs
+++ b/medlarlanding/src/delivery/exchanges.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::backends::connection::{ExchangeClient, ExchangeFault};
 use crate::backends::engine::{EngineItem, EngineStream, GenerationOrder, OpenFault, StreamFault};
+use crate::exchange::ExchangeFault;
 use medlarlanding_core::generations::{ExchangeId, FinishReason, LostReason, SessionInput};
 
 use indexmap::IndexMap;
-use ntex::rt::JoinHandle;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 /// Items that a reader may be ahead of its session; beyond it the connection is not read.
 const READ_AHEAD: usize = 32;
@@ -29,24 +29,23 @@
 
 /// Open exchanges of a session. Dropping it closes their connections.
 pub struct ExchangeSet {
-    client: ExchangeClient,
     readers: IndexMap<u32, JoinHandle<()>>,
     sender: mpsc::Sender<SessionInput>,
 }
 
 impl ExchangeSet {
     /// Creates an empty set and the queue of what its exchanges receive.
-    pub fn new(client: ExchangeClient) -> (Self, mpsc::Receiver<SessionInput>) {
+    pub fn new() -> (Self, mpsc::Receiver<SessionInput>) {
         let (sender, receiver) = mpsc::channel(READ_AHEAD);
-        (Self { client, readers: IndexMap::new(), sender }, receiver)
+        (Self { readers: IndexMap::new(), sender }, receiver)
     }
 
     /// Begins an exchange on a connection of its own.
     pub fn begin(&mut self, id: ExchangeId, address: SocketAddr, start: ExchangeStart) {
-        let (client, sender) = (self.client.clone(), self.sender.clone());
-        let reader = ntex::rt::spawn(async move {
+        let sender = self.sender.clone();
+        let reader = tokio::task::spawn_local(async move {
             let exchange = id.number;
-            let reason = match read(&client, id, address, start, &sender).await {
+            let reason = match read(id, address, start, &sender).await {
                 Ok(()) => return,
                 Err(reason) => reason,
             };
@@ -59,7 +58,7 @@
     /// Closes an exchange; its connection is not used again.
     pub fn close(&mut self, exchange: u32) {
         if let Some(reader) = self.readers.swap_remove(&exchange) {
-            reader.cancel();
+            reader.abort();
         }
     }
 }
@@ -67,13 +66,12 @@
 impl Drop for ExchangeSet {
     fn drop(&mut self) {
         for (_, reader) in self.readers.drain(..) {
-            reader.cancel();
+            reader.abort();
         }
     }
 }
 
 async fn read(
-    client: &ExchangeClient,
     id: ExchangeId,
     address: SocketAddr,
     start: ExchangeStart,
@@ -81,9 +79,9 @@
 ) -> Result<(), LostReason> {
     let exchange = id.number;
     let opened = match start {
-        ExchangeStart::Open(order) => EngineStream::start(client, address, &id, &order).await,
+        ExchangeStart::Open(order) => EngineStream::start(address, &id, &order).await,
         ExchangeStart::Resume { generation, after } => {
-            EngineStream::resume(client, address, &id, &generation, after).await
+            EngineStream::resume(address, &id, &generation, after).await
         },
     };
     let mut stream = opened.map_err(|fault| lost_reason(&fault))?;
@@ -123,8 +121,8 @@
 
 fn lost_reason(fault: &OpenFault) -> LostReason {
     match fault {
-        OpenFault::Exchange(ExchangeFault::NotSent(_)) => LostReason::Unreachable,
-        OpenFault::Exchange(ExchangeFault::MaybeSent(_)) => LostReason::Closed,
+        OpenFault::Exchange(ExchangeFault::NotConnected) => LostReason::Unreachable,
+        OpenFault::Exchange(ExchangeFault::Broken | ExchangeFault::TimedOut) => LostReason::Closed,
         OpenFault::Malformed => LostReason::Malformed,
         OpenFault::Gone => LostReason::NotFound,
         OpenFault::Superseded => LostReason::Superseded,
--- a/medlarlanding/src/delivery/sink.rs
+++ b/medlarlanding/src/delivery/sink.rs
@@ -7,7 +7,7 @@
 use medlarlanding_core::generations::FinishReason;
 use medlarlanding_core::ids::RequestId;
 
-use ntex::util::Bytes;
+use bytes::Bytes;
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -6,7 +6,6 @@
 use super::exchanges::{ExchangeSet, ExchangeStart};
 use super::permit::{PermitOutcome, RequestPermit};
 use super::sink::{CallerSink, WholeAnswer, token_event};
-use crate::backends::connection::ExchangeClient;
 use crate::backends::engine::{self, GenerationOrder};
 use crate::gate::OpenGuard;
 use crate::instance::InstanceShared;
@@ -47,7 +46,6 @@
 /// Serves one request until its answer has ended.
 pub struct DeliveryTask {
     shared: Arc<InstanceShared>,
-    client: ExchangeClient,
     plan: DeliveryPlan,
     session: GenerationSession,
     permit: RequestPermit,
@@ -65,18 +63,16 @@
     /// Creates the task.
     pub fn new(
         shared: Arc<InstanceShared>,
-        client: ExchangeClient,
         plan: DeliveryPlan,
         session: GenerationSession,
         permit: RequestPermit,
         sink: CallerSink,
         guard: OpenGuard,
     ) -> Self {
-        let (exchanges, inputs) = ExchangeSet::new(client.clone());
+        let (exchanges, inputs) = ExchangeSet::new();
         Self {
             arrived: shared.clock.now(),
             shared,
-            client,
             plan,
             session,
             permit,
@@ -276,12 +272,10 @@
 
     fn cancel(&self, server: ServerId, generation: String, attachment: u64) {
         let Some(address) = self.shared.server_address(server) else { return };
-        let client = self.client.clone();
-        ntex::rt::spawn(async move {
+        tokio::task::spawn_local(async move {
             // Best effort: an engine drops a generation without attachment by itself.
-            let _ = engine::cancel(&client, address, &generation, attachment).await;
-        })
-        .detach();
+            let _ = engine::cancel(address, &generation, attachment).await;
+        });
     }
 
     fn handle(&mut self) -> String {
--- a/medlarlanding/src/forwarding/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -38,6 +38,17 @@
     TimedOut,
 }
 
+impl ExchangeFault {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotConnected => "not_connected",
+            Self::Broken => "broken",
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
+
 /// A connection to a server. Closes when it is dropped, also in the middle of an answer.
 pub struct Exchange {
     driver: JoinHandle<()>,
--- a/medlarlanding/src/forwarding/answer.rs
+++ b/medlarlanding/src/forwarding/answer.rs
@@ -1,77 +1,13 @@
 //! Answers to callers and their bodies.
 
 use std::convert::Infallible;
-use std::pin::Pin;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
+use crate::answer_body::AnswerBody;
 use medlarlanding_platform::headers;
 
-use bytes::Bytes;
-use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Response, StatusCode};
-use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
-
-/// A stream that was cut: the caller must not take what it got for the whole answer.
-#[derive(Clone, Copy, Debug)]
-pub struct StreamCut;
-
-impl std::fmt::Display for StreamCut {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str("the answer was cut")
-    }
-}
-
-impl std::error::Error for StreamCut {}
-
-/// Ends the task that makes an answer when nobody waits for the answer any more.
-pub struct TaskGuard(pub JoinHandle<()>);
-
-impl Drop for TaskGuard {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-/// Body of an answer.
-pub enum AnswerBody {
-    /// All bytes are at hand.
-    Whole(Option<Bytes>),
-    /// Bytes arrive while the answer is sent.
-    Streamed { pieces: mpsc::Receiver<Result<Bytes, StreamCut>>, _task: TaskGuard },
-}
-
-impl Body for AnswerBody {
-    type Data = Bytes;
-    type Error = StreamCut;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
-        match self.get_mut() {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Streamed { pieces, .. } => {
-                pieces.poll_recv(context).map(|piece| Some(piece?.map(Frame::data)))
-            },
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            },
-            Self::Streamed { .. } => SizeHint::default(),
-        }
-    }
-}
 
 /// Answer to a caller.
 pub type CallerAnswer = Response<AnswerBody>;
@@ -152,7 +88,7 @@
     pub fn answer(self, request_id: &str, retry_after: Option<Duration>) -> CallerAnswer {
         let status = self.status();
         let body = format!("{{\"error\":\"{}\"}}\n", self.code());
-        let mut response = Response::new(AnswerBody::Whole(Some(Bytes::from(body))));
+        let mut response = Response::new(AnswerBody::whole(body));
         *response.status_mut() = status;
         let answer_headers = response.headers_mut();
         answer_headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/medlarlanding/src/forwarding/engine_calls.rs
+++ b/medlarlanding/src/forwarding/engine_calls.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::exchange::{self, ExchangeFault};
+use crate::exchange::{self, ExchangeFault};
 use medlarlanding_platform::engines::{self, RunCopy};
 
 use bytes::Bytes;
--- a/medlarlanding/src/forwarding/engine_probe.rs
+++ b/medlarlanding/src/forwarding/engine_probe.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use super::engine_calls;
-use super::exchange::ExchangeFault;
 use super::peer_link::PeerLink;
 use super::shared::SharedState;
+use crate::exchange::ExchangeFault;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::ServerKey;
--- a/medlarlanding/src/forwarding/generation.rs
+++ b/medlarlanding/src/forwarding/generation.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use super::admit::{AdmittedRequest, retry_after};
-use super::answer::{AnswerBody, CallerAnswer, OwnAnswer, StreamCut, TaskGuard, pass_on};
+use super::answer::{CallerAnswer, OwnAnswer, pass_on};
 use super::engine_calls::{MOVE_TIMEOUT, MoveAnswer, MoveCall, release_copy};
-use super::exchange::{self, Exchange, ExchangeFault};
 use super::peer_link::PeerLink;
 use super::relay::server_request;
 use super::shared::{LoadGuard, Placement, SharedState};
 use super::stream_events::{EventSplitter, StreamPiece};
+use crate::answer_body::{AnswerBody, StreamCut, TaskGuard};
+use crate::exchange::{self, Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
--- a/medlarlanding/src/forwarding/listener.rs
+++ b/medlarlanding/src/forwarding/listener.rs
@@ -1,29 +1,25 @@
 //! Listeners: callers, the balancer's readiness question and metrics.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::admit;
-use super::answer::AnswerBody;
-use super::exchange::tune_socket;
 use super::peer_link::PeerLink;
 use super::shared::SharedState;
+use crate::answer_body::AnswerBody;
+use crate::exchange::tune_socket;
+use crate::listener::ACCEPT_PAUSE;
 use medlarlanding_platform::engines::READINESS_PATH;
 
-use anyhow::Context;
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
 /// Time for a request's head, and idle time of a connection, before a configuration states it.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 /// Idle connections are kept a little longer than the limit, so that a request that was sent
@@ -31,20 +27,6 @@
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Smallest buffer that the HTTP library takes.
 const LEAST_HEAD_BUFFER: usize = 8192;
-/// Pause after a failed accept, for example when no descriptor is left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
-/// Binds a listener.
-///
-/// # Errors
-///
-/// Fails if the address cannot be bound.
-pub fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address).with_context(|| format!("cannot bind {address}"))?;
-    Ok(socket.listen(BACKLOG)?)
-}
 
 /// Accepts callers until the process ends.
 pub async fn serve_callers(
@@ -139,7 +121,7 @@
             tune_socket(&stream);
             let service = service_fn(|request: Request<Incoming>| {
                 let (status, body) = answer(request.uri().path());
-                let mut response = Response::new(AnswerBody::Whole(Some(Bytes::from(body))));
+                let mut response = Response::new(AnswerBody::whole(body));
                 *response.status_mut() = status;
                 std::future::ready(Ok::<_, Infallible>(response))
             });
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -1,14 +1,13 @@
 //! Forwarding role: serves callers of the platform and sends their requests to its servers.
 //!
 //! A request comes in at `listener`, is checked in `admit`, and is sent by `relay` (plain
-//! services) or `generation` (model engines) over an `exchange`. `store_watch` and `peer_link`
+//! services) or `generation` (model engines) over a `crate::exchange`. `store_watch` and `peer_link`
 //! keep the configuration and the servers current.
 
 mod admit;
 mod answer;
 mod engine_calls;
 mod engine_probe;
-mod exchange;
 mod generation;
 mod listener;
 mod log_output;
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::exchange::{connect, tune_socket};
 use super::shared::{ChangeSource, ForwardState, Placement, SharedState};
+use crate::exchange::{connect, tune_socket};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use super::admit::{AdmittedRequest, retry_after};
-use super::answer::{AnswerBody, CallerAnswer, OwnAnswer, StreamCut, TaskGuard, pass_on};
-use super::exchange::{self, Exchange, ExchangeFault};
+use super::answer::{CallerAnswer, OwnAnswer, pass_on};
 use super::shared::{LoadGuard, Placement, SharedState};
+use crate::answer_body::{AnswerBody, StreamCut, TaskGuard};
+use crate::exchange::{self, Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -12,6 +12,7 @@
 use super::store_watch::{self, WatchedPart};
 use super::telemetry::Telemetry;
 use crate::clock::wall_millis;
+use crate::listener::bind;
 use crate::logging::{self, event};
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{PeerTable, PeerTableParams};
@@ -64,16 +65,16 @@
         EventKind::ProcessStarted,
         &[&settings.instance, &settings.zone, &boot, &env!("CARGO_PKG_VERSION")],
     );
-    let callers = listener::bind(settings.callers)?;
-    let readiness = listener::bind(settings.readiness)?;
-    let control = settings.control.map(listener::bind).transpose()?;
-    let fetches = listener::bind(settings.peers)?;
+    let callers = bind(settings.callers)?;
+    let readiness = bind(settings.readiness)?;
+    let control = settings.control.map(bind).transpose()?;
+    let fetches = bind(settings.peers)?;
     let digests = UdpSocket::bind(settings.peers)
         .await
         .with_context(|| format!("cannot bind {} (UDP)", settings.peers))?;
     let metrics = match options.metrics_port {
         0 => None,
-        port => Some(listener::bind(SocketAddr::new(settings.peers.ip(), port))?),
+        port => Some(bind(SocketAddr::new(settings.peers.ip(), port))?),
     };
     let grace = settings.stop_grace;
     let strength = machine_strength(&settings);
--- a/medlarlanding/src/forwarding/store_client.rs
+++ b/medlarlanding/src/forwarding/store_client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::exchange;
+use crate::exchange;
 use medlarlanding_platform::store::{self, StoreChanges, StorePage};
 
 use anyhow::{Context, bail};
--- a/medlarlanding/src/http/admin.rs
+++ b/medlarlanding/src/http/admin.rs
@@ -1,43 +1,51 @@
 //! Listener for operators.
 
-use std::sync::Arc;
-
+use super::answers::{CallerResponse, answer, empty_answer, json_answer};
+use crate::answer_body::AnswerBody;
 use crate::instance::InstanceShared;
 
-use ntex::web::types::State;
-use ntex::web::{self, HttpRequest, HttpResponse};
-
-/// Adds the operators' routes to an application.
-pub fn configure(config: &mut web::ServiceConfig) {
-    config
-        .service(web::resource("/metrics").route(web::get().to(metrics)))
-        .service(web::resource("/dump").route(web::get().to(dump)))
-        .service(web::resource("/livez").route(web::get().to(live)))
-        .service(web::resource("/readyz").route(web::get().to(ready)));
-}
-
-async fn metrics(shared: State<Arc<InstanceShared>>) -> HttpResponse {
-    match shared.metrics.render() {
-        Ok(text) => HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(text),
-        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// Serves one request.
+pub fn serve(shared: &InstanceShared, request: &Request<Incoming>) -> CallerResponse {
+    let is_read = request.method() == Method::GET;
+    match request.uri().path() {
+        "/metrics" | "/dump" | "/livez" | "/readyz" if !is_read => {
+            empty_answer(StatusCode::METHOD_NOT_ALLOWED)
+        },
+        "/metrics" => metrics(shared),
+        "/dump" => {
+            let query = request.uri().query().unwrap_or_default();
+            json_answer(StatusCode::OK, &shared.dump(query.strip_prefix("request=")))
+        },
+        "/livez" => text(StatusCode::OK, "live\n"),
+        "/readyz" => ready(shared),
+        _ => empty_answer(StatusCode::NOT_FOUND),
     }
 }
 
-async fn dump(request: HttpRequest, shared: State<Arc<InstanceShared>>) -> HttpResponse {
-    let wanted = request.query_string().strip_prefix("request=");
-    HttpResponse::Ok().json(&shared.dump(wanted))
+fn text(status: StatusCode, body: impl Into<String>) -> CallerResponse {
+    let mut response = CallerResponse::new(AnswerBody::whole(body.into()));
+    *response.status_mut() = status;
+    response
 }
 
-async fn live() -> HttpResponse {
-    HttpResponse::Ok().body("live\n")
+fn metrics(shared: &InstanceShared) -> CallerResponse {
+    match shared.metrics.render() {
+        Ok(rendered) => answer(StatusCode::OK, METRICS_TYPE, AnswerBody::whole(rendered)),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
 }
 
-async fn ready(shared: State<Arc<InstanceShared>>) -> HttpResponse {
+fn ready(shared: &InstanceShared) -> CallerResponse {
     if shared.gate.draining() {
-        HttpResponse::ServiceUnavailable().body("draining\n")
+        text(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
     } else if !shared.is_ready() {
-        HttpResponse::ServiceUnavailable().body("no current configuration in effect\n")
+        text(StatusCode::SERVICE_UNAVAILABLE, "no current configuration in effect\n")
     } else {
-        HttpResponse::Ok().body("ready\n")
+        text(StatusCode::OK, "ready\n")
     }
 }
--- a/medlarlanding/src/http/callers.rs
+++ b/medlarlanding/src/http/callers.rs
@@ -2,26 +2,23 @@
 
 use std::sync::Arc;
 
-use super::answers::refusal;
+use super::answers::{CallerResponse, empty_answer, refusal};
+use super::routes::{CallerPath, CallerResource};
 use super::{generations, lookups, orders};
-use crate::backends::connection::ExchangeClient;
 use crate::gate::OpenGuard;
 use crate::instance::{DeskAccess, InstanceShared};
 use crate::trace::TraceStep;
 use medlarlanding_core::ids::RequestId;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
-use ntex::http::header::HeaderMap;
-use ntex::web::types::{Payload, State};
-use ntex::web::{self, HttpRequest, HttpResponse};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, StatusCode};
 
-/// What the handlers of one worker thread share.
+/// What the handlers share.
 #[derive(Clone)]
 pub struct CallerContext {
     /// State of the instance.
     pub shared: Arc<InstanceShared>,
-    /// HTTP client of the worker thread.
-    pub client: ExchangeClient,
 }
 
 /// A request that was authenticated.
@@ -32,26 +29,37 @@
     pub access: DeskAccess,
 }
 
-/// Adds the callers' routes to an application.
-pub fn configure(config: &mut web::ServiceConfig) {
-    config
-        .service(
-            web::resource("/v1/desks/{desk}/generations").route(web::post().to(generations::start)),
-        )
-        .service(
-            web::resource("/v1/desks/{desk}/generations/{handle}")
-                .route(web::get().to(generations::resume))
-                .route(web::delete().to(generations::cancel)),
-        )
-        .service(web::resource("/v1/desks/{desk}/lookups").route(web::post().to(lookups::look_up)))
-        .service(web::resource("/v1/desks/{desk}/orders").route(web::post().to(orders::submit)))
-        .service(web::resource("/v1/desks/{desk}/orders/{key}").route(web::get().to(orders::query)))
-        .service(web::resource("/v1/desks/{desk}/order-keys").route(web::post().to(orders::mint)));
+/// A request whose path names a resource.
+pub struct InboundRequest {
+    /// Name of the desk.
+    pub desk: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body; not read yet.
+    pub payload: Incoming,
 }
 
-/// Answers requests for resources that do not exist.
-pub async fn not_found() -> HttpResponse {
-    refusal(&ErrorKind::NotFound.into(), None)
+/// Serves one request.
+pub async fn serve(context: CallerContext, request: Request<Incoming>) -> CallerResponse {
+    let (parts, payload) = request.into_parts();
+    let Some(CallerPath { desk, resource }) = CallerPath::parse(parts.uri.path()) else {
+        return refusal(&ErrorKind::NotFound.into(), None);
+    };
+    let inbound = InboundRequest { desk, headers: parts.headers, payload };
+    match (parts.method, resource) {
+        (Method::POST, CallerResource::Generations) => generations::start(&context, inbound).await,
+        (Method::GET, CallerResource::Generation(handle)) => {
+            generations::resume(&context, inbound, &handle).await
+        },
+        (Method::DELETE, CallerResource::Generation(handle)) => {
+            generations::cancel(&context, inbound, &handle).await
+        },
+        (Method::POST, CallerResource::Lookups) => lookups::look_up(&context, inbound).await,
+        (Method::POST, CallerResource::Orders) => orders::submit(&context, inbound).await,
+        (Method::GET, CallerResource::Order(key)) => orders::query(&context, inbound, key).await,
+        (Method::POST, CallerResource::OrderKeys) => orders::mint(&context, inbound).await,
+        _ => empty_answer(StatusCode::METHOD_NOT_ALLOWED),
+    }
 }
 
 impl CallerContext {
@@ -60,9 +68,13 @@
     /// # Errors
     ///
     /// See [`InstanceShared::access`].
-    pub fn accept(&self, request: &HttpRequest, endpoint: &'static str) -> Result<CallerRequest> {
-        let desk = request.match_info().get("desk").unwrap_or_default();
-        let access = self.shared.access(bearer(request.headers()), desk)?;
+    pub fn accept(
+        &self,
+        headers: &HeaderMap,
+        desk: &str,
+        endpoint: &'static str,
+    ) -> Result<CallerRequest> {
+        let access = self.shared.access(bearer(headers), desk)?;
         let id = self.shared.next_request();
         let (desk, version) = (access.desk().name.clone(), access.version());
         self.shared.trace(id, TraceStep::Accepted { endpoint, desk, version });
@@ -74,7 +86,7 @@
     /// # Errors
     ///
     /// `Draining` or `Overloaded`, or see [`super::reading::read_body`].
-    pub async fn enter(&self, payload: Payload) -> Result<(OpenGuard, Vec<u8>)> {
+    pub async fn enter(&self, payload: Incoming) -> Result<(OpenGuard, Vec<u8>)> {
         match self.shared.gate.enter() {
             Ok(guard) => Ok((guard, self.read(payload).await?)),
             Err(error) => {
@@ -91,12 +103,12 @@
     /// Returns the answer of the refusal.
     pub async fn accept_body(
         &self,
-        request: &HttpRequest,
-        payload: Payload,
+        request: InboundRequest,
         endpoint: &'static str,
-    ) -> std::result::Result<(CallerRequest, Payload), HttpResponse> {
-        match self.accept(request, endpoint) {
-            Ok(accepted) => Ok((accepted, payload)),
+    ) -> std::result::Result<(CallerRequest, HeaderMap, Incoming), CallerResponse> {
+        let InboundRequest { desk, headers, payload } = request;
+        match self.accept(&headers, &desk, endpoint) {
+            Ok(accepted) => Ok((accepted, headers, payload)),
             Err(error) => {
                 self.discard(payload).await;
                 Err(self.refuse(endpoint, &error, None))
@@ -105,11 +117,11 @@
     }
 
     /// Reads and drops a body that is not needed.
-    pub async fn discard(&self, payload: Payload) {
+    pub async fn discard(&self, payload: Incoming) {
         super::reading::discard_body(payload, self.shared.settings.limits.body()).await;
     }
 
-    async fn read(&self, payload: Payload) -> Result<Vec<u8>> {
+    async fn read(&self, payload: Incoming) -> Result<Vec<u8>> {
         super::reading::read_body(payload, self.shared.settings.limits.body()).await
     }
 
@@ -119,7 +131,7 @@
     }
 
     /// Builds the answer to a refusal that its task has counted and logged.
-    pub fn refuse_uncounted(&self, error: &ServeError, request: RequestId) -> HttpResponse {
+    pub fn refuse_uncounted(&self, error: &ServeError, request: RequestId) -> CallerResponse {
         refusal(error, Some(request))
     }
 
@@ -129,7 +141,7 @@
         endpoint: &str,
         error: &ServeError,
         request: Option<RequestId>,
-    ) -> HttpResponse {
+    ) -> CallerResponse {
         self.shared.count_refusal(endpoint, error, request);
         refusal(error, request)
     }
@@ -140,6 +152,3 @@
     let (scheme, credential) = headers.get("authorization")?.to_str().ok()?.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then_some(credential.trim())
 }
-
-/// Extracts the context in handlers.
-pub type Context = State<CallerContext>;
--- a/medlarlanding/src/http/generations.rs
+++ b/medlarlanding/src/http/generations.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::answers::REQUEST_HEADER;
-use super::callers::{CallerContext, CallerRequest, Context};
+use super::answers::{CallerResponse, answer, json_answer, with_request};
+use super::callers::{CallerContext, CallerRequest, InboundRequest};
 use super::reading::parse_json;
+use crate::answer_body::AnswerBody;
 use crate::backends::engine::{self, GenerationOrder};
 use crate::delivery::permit::RequestPermit;
 use crate::delivery::sink::{CallerSink, EVENT_QUEUE, WholeAnswer};
@@ -19,9 +20,10 @@
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
-use ntex::util::Bytes;
-use ntex::web::types::Payload;
-use ntex::web::{HttpRequest, HttpResponse};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{CACHE_CONTROL, HeaderValue};
+use hyper::{HeaderMap, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
@@ -49,43 +51,50 @@
 }
 
 /// Handles `POST /v1/desks/{desk}/generations`, with `Last-Event-ID` as a resume.
-pub async fn start(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
-    let (accepted, payload) = match context.accept_body(&request, payload, ENDPOINT).await {
+pub async fn start(context: &CallerContext, request: InboundRequest) -> CallerResponse {
+    let (accepted, headers, payload) = match context.accept_body(request, ENDPOINT).await {
         Ok(accepted) => accepted,
         Err(refusal) => return refusal,
     };
     let id = accepted.id;
-    let served = match last_event_id(&request) {
+    let served = match last_event_id(&headers) {
         Some(text) => {
             context.discard(payload).await;
             let handle = text.rsplit_once('.').map_or(text, |(handle, _)| handle);
-            resume_stream(&context, accepted, handle, Some(text)).await
+            resume_stream(context, accepted, handle, Some(text)).await
         },
-        None => start_new(&context, accepted, payload).await,
+        None => start_new(context, accepted, payload).await,
     };
     served.unwrap_or_else(|error| context.refuse_uncounted(&error, id))
 }
 
 /// Handles `GET /v1/desks/{desk}/generations/{handle}`.
-pub async fn resume(request: HttpRequest, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request, ENDPOINT) {
+pub async fn resume(
+    context: &CallerContext,
+    request: InboundRequest,
+    handle: &str,
+) -> CallerResponse {
+    let accepted = match context.accept(&request.headers, &request.desk, ENDPOINT) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
     let id = accepted.id;
-    let handle = request.match_info().get("handle").unwrap_or_default();
-    let served = resume_stream(&context, accepted, handle, last_event_id(&request)).await;
+    let last_event = last_event_id(&request.headers);
+    let served = resume_stream(context, accepted, handle, last_event).await;
     served.unwrap_or_else(|error| context.refuse_uncounted(&error, id))
 }
 
 /// Handles `DELETE /v1/desks/{desk}/generations/{handle}`.
-pub async fn cancel(request: HttpRequest, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request, ENDPOINT) {
+pub async fn cancel(
+    context: &CallerContext,
+    request: InboundRequest,
+    handle: &str,
+) -> CallerResponse {
+    let accepted = match context.accept(&request.headers, &request.desk, ENDPOINT) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
-    let text = request.match_info().get("handle").unwrap_or_default();
-    let handle = match open_handle(&context, &accepted, text) {
+    let handle = match open_handle(context, &accepted, handle) {
         Ok(handle) => handle,
         Err(error) => return context.refuse(ENDPOINT, &error, Some(accepted.id)),
     };
@@ -93,14 +102,14 @@
     let cancelled = match address {
         Some(address) => {
             let generation = &handle.generation;
-            engine::cancel(&context.client, address, generation, engine::ANY_ATTACHMENT).await
+            engine::cancel(address, generation, engine::ANY_ATTACHMENT).await
         },
         None => Ok(()),
     };
     match cancelled {
         Ok(()) => {
             context.shared.count_result(ENDPOINT, "cancelled");
-            HttpResponse::Ok().json(&json!({"cancelled": true}))
+            json_answer(StatusCode::OK, &json!({"cancelled": true}))
         },
         Err(_) => {
             let error = ServeError::from(ErrorKind::BackendFailed);
@@ -109,8 +118,8 @@
     }
 }
 
-fn last_event_id(request: &HttpRequest) -> Option<&str> {
-    request.headers().get("last-event-id").and_then(|value| value.to_str().ok())
+fn last_event_id(headers: &HeaderMap) -> Option<&str> {
+    headers.get("last-event-id").and_then(|value| value.to_str().ok())
 }
 
 /// Reads a handle and checks that it belongs to the customer and the desk.
@@ -132,8 +141,8 @@
 async fn start_new(
     context: &CallerContext,
     accepted: CallerRequest,
-    payload: Payload,
-) -> Result<HttpResponse> {
+    payload: Incoming,
+) -> Result<CallerResponse> {
     let counted = async {
         let (guard, body) = context.enter(payload).await?;
         let body: GenerationBody = parse_json(&body)?;
@@ -156,7 +165,7 @@
     accepted: CallerRequest,
     handle: &str,
     last_event: Option<&str>,
-) -> Result<HttpResponse> {
+) -> Result<CallerResponse> {
     let point = resume_point(context, &accepted, handle, last_event);
     let guarded = point.and_then(|point| Ok((point, context.shared.gate.enter()?)));
     let (point, guard) =
@@ -290,12 +299,12 @@
     guard: OpenGuard,
     delivery: DeliveryMode,
     first: Option<SessionInput>,
-) -> Result<HttpResponse> {
-    let (shared, client) = (context.shared.clone(), context.client.clone());
+) -> Result<CallerResponse> {
+    let shared = context.shared.clone();
     let request = plan.request;
     let spawn = |sink| {
-        let task = DeliveryTask::new(shared, client, plan, session, permit, sink, guard);
-        ntex::rt::spawn(task.run(first)).detach();
+        let task = DeliveryTask::new(shared, plan, session, permit, sink, guard);
+        tokio::task::spawn_local(task.run(first));
     };
     match delivery {
         DeliveryMode::Whole => {
@@ -314,22 +323,19 @@
     }
 }
 
-fn whole_response(answer: &WholeAnswer, request: RequestId) -> HttpResponse {
-    HttpResponse::Ok().header(REQUEST_HEADER, request.to_string()).json(&json!({
-        "generation": answer.handle,
-        "text": answer.text,
-        "tokens": answer.tokens,
-        "finish": answer.finish.as_str(),
-    }))
+fn whole_response(whole: &WholeAnswer, request: RequestId) -> CallerResponse {
+    let document = json!({
+        "generation": whole.handle,
+        "text": whole.text,
+        "tokens": whole.tokens,
+        "finish": whole.finish.as_str(),
+    });
+    with_request(json_answer(StatusCode::OK, &document), request)
 }
 
-fn stream_response(mut events: mpsc::Receiver<Bytes>, request: RequestId) -> HttpResponse {
-    let body = futures_util::stream::poll_fn(move |cx| {
-        events.poll_recv(cx).map(|event| event.map(Ok::<_, std::io::Error>))
-    });
-    HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .header("cache-control", "no-store")
-        .header(REQUEST_HEADER, request.to_string())
-        .streaming(body)
+fn stream_response(events: mpsc::Receiver<Bytes>, request: RequestId) -> CallerResponse {
+    let body = AnswerBody::Events(events);
+    let mut response = with_request(answer(StatusCode::OK, "text/event-stream", body), request);
+    response.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    response
 }
--- a/medlarlanding/src/http/lookups.rs
+++ b/medlarlanding/src/http/lookups.rs
@@ -2,18 +2,18 @@
 
 use std::time::Duration;
 
-use super::answers::REQUEST_HEADER;
-use super::callers::{CallerContext, CallerRequest, Context};
+use super::answers::{CallerResponse, answer as build_answer, with_request};
+use super::callers::{CallerContext, CallerRequest, InboundRequest};
 use super::reading::parse_json;
+use crate::answer_body::AnswerBody;
 use crate::backends::service::{self, ServiceAnswer};
 use crate::trace::TraceStep;
 use medlarlanding_core::config::ServerState;
 use medlarlanding_core::ids::RequestId;
 use medlarlanding_core::{ErrorKind, Result};
 
-use ntex::http::StatusCode;
-use ntex::web::types::Payload;
-use ntex::web::{HttpRequest, HttpResponse};
+use hyper::StatusCode;
+use hyper::body::Incoming;
 use rand::seq::SliceRandom;
 use serde_json::Value;
 
@@ -23,12 +23,12 @@
 const ATTEMPT_FRACTION: u32 = 3;
 
 /// Handles `POST /v1/desks/{desk}/lookups`.
-pub async fn look_up(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
-    let (accepted, payload) = match context.accept_body(&request, payload, ENDPOINT).await {
+pub async fn look_up(context: &CallerContext, request: InboundRequest) -> CallerResponse {
+    let (accepted, _, payload) = match context.accept_body(request, ENDPOINT).await {
         Ok(accepted) => accepted,
         Err(refusal) => return refusal,
     };
-    match serve(&context, &accepted, payload).await {
+    match serve(context, &accepted, payload).await {
         Ok(answer) => {
             context.shared.count_result(ENDPOINT, "whole");
             pass_on(&answer, accepted.id)
@@ -38,18 +38,16 @@
 }
 
 /// Builds the caller's answer from a plain service's answer.
-pub fn pass_on(answer: &ServiceAnswer, request: RequestId) -> HttpResponse {
+pub fn pass_on(answer: &ServiceAnswer, request: RequestId) -> CallerResponse {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    HttpResponse::build(status)
-        .header(REQUEST_HEADER, request.to_string())
-        .content_type("application/json")
-        .body(answer.body.clone())
+    let body = AnswerBody::whole(answer.body.clone());
+    with_request(build_answer(status, "application/json", body), request)
 }
 
 async fn serve(
     context: &CallerContext,
     accepted: &CallerRequest,
-    payload: Payload,
+    payload: Incoming,
 ) -> Result<ServiceAnswer> {
     let (_guard, body) = context.enter(payload).await?;
     parse_json::<Value>(&body)?;
@@ -73,7 +71,7 @@
         }
         let timeout = remaining / ATTEMPT_FRACTION;
         context.shared.trace(accepted.id, TraceStep::Sent { server: server.name.clone() });
-        match service::look_up(&context.client, server.address, &body, timeout).await {
+        match service::look_up(server.address, &body, timeout).await {
             Ok(answer) if answer.status < 500 => {
                 context.shared.earn_retry();
                 return Ok(answer);
@@ -81,7 +79,7 @@
             // A look-up changes nothing, so it may run again on another server.
             Ok(_) => last = ErrorKind::BackendFailed,
             Err(fault) => {
-                context.shared.suspect_server(server.id, fault.reason());
+                context.shared.suspect_server(server.id, fault.name());
                 last = ErrorKind::BackendFailed;
             },
         }
--- a/medlarlanding/src/http/orders.rs
+++ b/medlarlanding/src/http/orders.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::answers::REQUEST_HEADER;
-use super::callers::{CallerContext, CallerRequest, Context};
+use super::answers::{CallerResponse, json_answer, with_request};
+use super::callers::{CallerContext, CallerRequest, InboundRequest};
 use super::lookups::pass_on;
 use super::reading::parse_json;
-use crate::backends::connection::{ExchangeClient, ExchangeFault};
 use crate::backends::service::{self, ServiceAnswer};
+use crate::exchange::ExchangeFault;
 use crate::gate::OpenGuard;
 use crate::instance::{DeskAccess, InstanceShared};
 use crate::logging::event;
@@ -24,8 +24,8 @@
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
-use ntex::web::types::Payload;
-use ntex::web::{HttpRequest, HttpResponse};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, StatusCode};
 use rand::seq::SliceRandom;
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
@@ -38,40 +38,43 @@
 const QUERY_TIME: Duration = Duration::from_secs(3);
 
 /// Handles `POST /v1/desks/{desk}/orders`.
-pub async fn submit(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
-    let (accepted, payload) = match context.accept_body(&request, payload, ENDPOINT).await {
+pub async fn submit(context: &CallerContext, request: InboundRequest) -> CallerResponse {
+    let (accepted, headers, payload) = match context.accept_body(request, ENDPOINT).await {
         Ok(accepted) => accepted,
         Err(refusal) => return refusal,
     };
-    let answer = match start(&context, &accepted, &request, payload).await {
+    let answer = match start(context, &accepted, &headers, payload).await {
         // The task goes on if the caller disconnects: its order may have been sent.
         Ok(answer) => answer.await.unwrap_or(OrderAnswer::Refused(ErrorKind::Internal)),
         Err(error) => return context.refuse(ENDPOINT, &error, Some(accepted.id)),
     };
-    respond(&context, &answer, accepted.id)
+    respond(context, &answer, accepted.id)
 }
 
 /// Handles `GET /v1/desks/{desk}/orders/{key}`.
-pub async fn query(request: HttpRequest, context: Context) -> HttpResponse {
-    let accepted = match context.accept(&request, ENDPOINT) {
+pub async fn query(
+    context: &CallerContext,
+    request: InboundRequest,
+    key: String,
+) -> CallerResponse {
+    let accepted = match context.accept(&request.headers, &request.desk, ENDPOINT) {
         Ok(accepted) => accepted,
         Err(error) => return context.refuse(ENDPOINT, &error, None),
     };
-    let key = request.match_info().get("key").unwrap_or_default().to_owned();
     let deadline = context.shared.clock.now() + QUERY_TIME;
     let (customer, desk) = (accepted.access.customer().id, accepted.access.desk().id);
     let result =
         ask(&context.shared, |query| OrderInput::Query { query, customer, desk, key, deadline })
             .await;
     match result {
-        Some(QueryResult::Outcome(answer)) => respond(&context, &answer, accepted.id),
+        Some(QueryResult::Outcome(answer)) => respond(context, &answer, accepted.id),
         _ => context.refuse(ENDPOINT, &ErrorKind::NoQuorum.into(), Some(accepted.id)),
     }
 }
 
 /// Handles `POST /v1/desks/{desk}/order-keys`.
-pub async fn mint(request: HttpRequest, payload: Payload, context: Context) -> HttpResponse {
-    let (accepted, payload) = match context.accept_body(&request, payload, ENDPOINT).await {
+pub async fn mint(context: &CallerContext, request: InboundRequest) -> CallerResponse {
+    let (accepted, _, payload) = match context.accept_body(request, ENDPOINT).await {
         Ok(accepted) => accepted,
         Err(refusal) => return refusal,
     };
@@ -83,9 +86,9 @@
     let (customer, desk) = (accepted.access.customer().id, accepted.access.desk().id);
     let result = ask(&context.shared, |query| OrderInput::Mint { query, customer, desk }).await;
     match result {
-        Some(QueryResult::Minted(Ok(key))) => HttpResponse::Ok()
-            .header(REQUEST_HEADER, accepted.id.to_string())
-            .json(&json!({ "key": key })),
+        Some(QueryResult::Minted(Ok(key))) => {
+            with_request(json_answer(StatusCode::OK, &json!({ "key": key })), accepted.id)
+        },
         Some(QueryResult::Minted(Err(kind))) => {
             context.refuse(ENDPOINT, &kind.into(), Some(accepted.id))
         },
@@ -107,11 +110,11 @@
 async fn start(
     context: &CallerContext,
     accepted: &CallerRequest,
-    request: &HttpRequest,
-    payload: Payload,
+    headers: &HeaderMap,
+    payload: Incoming,
 ) -> Result<oneshot::Receiver<OrderAnswer>> {
     let (guard, body) = context.enter(payload).await?;
-    let key = idempotency_key(request)?;
+    let key = idempotency_key(headers)?;
     parse_json::<Value>(&body)?;
     let access = accepted.access.clone();
     let route = access.desk().orders.ok_or(ErrorKind::NotFound)?;
@@ -132,7 +135,6 @@
     let (sender, receiver) = oneshot::channel();
     let task = OrderTask {
         shared: context.shared.clone(),
-        client: context.client.clone(),
         request: accepted.id,
         order,
         access,
@@ -140,16 +142,15 @@
         deadline,
         _guard: guard,
     };
-    ntex::rt::spawn(async move {
+    tokio::task::spawn_local(async move {
         let answer = task.run(submit).await;
         let _ = sender.send(answer);
-    })
-    .detach();
+    });
     Ok(receiver)
 }
 
-fn idempotency_key(request: &HttpRequest) -> Result<String> {
-    let key = request.headers().get(KEY_HEADER).ok_or(ErrorKind::MissingKey)?;
+fn idempotency_key(headers: &HeaderMap) -> Result<String> {
+    let key = headers.get(KEY_HEADER).ok_or(ErrorKind::MissingKey)?;
     let key = key.to_str().unwrap_or_default();
     if key.is_empty() || key.len() > KEY_LIMIT || !key.bytes().all(|byte| byte.is_ascii_graphic()) {
         let detail = format!("{KEY_HEADER}: 1 to {KEY_LIMIT} visible ASCII characters");
@@ -158,7 +159,7 @@
     Ok(key.to_owned())
 }
 
-fn respond(context: &CallerContext, answer: &OrderAnswer, request: RequestId) -> HttpResponse {
+fn respond(context: &CallerContext, answer: &OrderAnswer, request: RequestId) -> CallerResponse {
     let outcome = match answer {
         OrderAnswer::Answered { stored: false, .. } => "ran",
         OrderAnswer::Answered { .. } | OrderAnswer::AnswerLost { .. } => "stored",
@@ -173,7 +174,8 @@
         },
         OrderAnswer::AnswerLost { status } => {
             context.shared.count_result(ENDPOINT, "whole");
-            HttpResponse::Ok().json(&json!({"run": "ran", "status": status, "answer": null}))
+            let document = json!({"run": "ran", "status": status, "answer": null});
+            json_answer(StatusCode::OK, &document)
         },
         OrderAnswer::Refused(kind) => context.refuse(ENDPOINT, &(*kind).into(), Some(request)),
     }
@@ -182,7 +184,6 @@
 /// Serves one order until its answer is known.
 struct OrderTask {
     shared: Arc<InstanceShared>,
-    client: ExchangeClient,
     request: RequestId,
     order: OrderId,
     access: DeskAccess,
@@ -225,18 +226,18 @@
             self.shared.trace(self.request, step);
             event(EventKind::OrderSent, &[&self.request, &server.name, &key]);
             let timeout = self.deadline.since(now);
-            let (client, body) = (&self.client, &self.body);
             let key = key.to_string();
             let exchange =
-                service::send_order(client, server.address, &key, fence, body, timeout).await;
+                service::send_order(server.address, &key, fence, &self.body, timeout).await;
             match exchange {
                 Ok(ServiceAnswer { status, body }) => {
                     return OrderResult::Answered { status, body };
                 },
-                Err(ExchangeFault::NotSent(reason)) => {
-                    event(EventKind::ServerSuspected, &[&server.name, &reason]);
+                Err(fault @ ExchangeFault::NotConnected) => {
+                    event(EventKind::ServerSuspected, &[&server.name, &fault.name()]);
                 },
-                Err(ExchangeFault::MaybeSent(reason)) => {
+                Err(fault @ (ExchangeFault::Broken | ExchangeFault::TimedOut)) => {
+                    let reason = fault.name();
                     event(EventKind::OrderUnknown, &[&self.request, &server.name, &reason]);
                     return OrderResult::Unknown;
                 },
--- a/medlarlanding/src/http/reading.rs
+++ b/medlarlanding/src/http/reading.rs
@@ -4,10 +4,11 @@
 
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
-use ntex::time::timeout;
-use ntex::util::BytesMut;
-use ntex::web::types::Payload;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
 
 /// Longest time for which the rest of a refused body is read.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
@@ -26,7 +27,7 @@
 /// # Errors
 ///
 /// `BodyTooLarge` or `ReadTimeout` past a limit, `BadRequest` if the caller ends early.
-pub async fn read_body(mut payload: Payload, limits: BodyLimits) -> Result<Vec<u8>> {
+pub async fn read_body(mut payload: Incoming, limits: BodyLimits) -> Result<Vec<u8>> {
     let body = timeout(limits.time, collect(&mut payload, limits.bytes)).await;
     let body = body.unwrap_or(Err(ErrorKind::ReadTimeout.into()));
     if body.is_err() {
@@ -35,12 +36,13 @@
     body
 }
 
-async fn collect(payload: &mut Payload, limit: usize) -> Result<Vec<u8>> {
+async fn collect(payload: &mut Incoming, limit: usize) -> Result<Vec<u8>> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
-        let chunk = chunk.map_err(|error| {
+    while let Some(frame) = payload.frame().await {
+        let frame = frame.map_err(|error| {
             ServeError::with_detail(ErrorKind::BadRequest, format!("body: {error}"))
         })?;
+        let Ok(chunk) = frame.into_data() else { continue };
         if body.len() + chunk.len() > limit {
             return Err(ErrorKind::BodyTooLarge.into());
         }
@@ -53,11 +55,11 @@
 ///
 /// Closing a connection with bytes unread resets it, and the caller may then lose the answer.
 /// The limits bound what a caller can make the instance read for nothing.
-pub async fn discard_body(mut payload: Payload, limits: BodyLimits) {
+pub async fn discard_body(mut payload: Incoming, limits: BodyLimits) {
     let drain = async {
         let mut dropped = 0;
-        while let Some(Ok(chunk)) = payload.recv().await {
-            dropped += chunk.len();
+        while let Some(Ok(frame)) = payload.frame().await {
+            dropped += frame.data_ref().map_or(0, |chunk| chunk.len());
             if dropped > limits.bytes {
                 break;
             }
--- a/medlarlanding/src/lib.rs
+++ b/medlarlanding/src/lib.rs
@@ -2,15 +2,18 @@
 
 #![forbid(unsafe_code)]
 
+pub mod answer_body;
 pub mod backends;
 pub mod cli;
 pub mod clock;
 pub mod commands;
 pub mod delivery;
+pub mod exchange;
 pub mod forwarding;
 pub mod gate;
 pub mod http;
 pub mod instance;
+pub mod listener;
 pub mod logging;
 pub mod metric_registry;
 pub mod metrics;
--- /dev/null
+++ b/medlarlanding/src/listener.rs
@@ -0,0 +1,24 @@
+//! Binding of listeners.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::net::{TcpListener, TcpSocket};
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Pause after a failed accept, for example when no descriptor is left.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address).with_context(|| format!("cannot bind {address}"))?;
+    Ok(socket.listen(BACKLOG)?)
+}
--- a/medlarlanding/src/peers/tcp.rs
+++ b/medlarlanding/src/peers/tcp.rs
@@ -64,7 +64,7 @@
             continue;
         };
         let (codec, handler) = (codec.clone(), handler.clone());
-        ntex::rt::spawn(async move {
+        tokio::task::spawn_local(async move {
             let _guard = guard;
             let read = timeout(FRAME_TIMEOUT, read_frame(stream, &codec, &*handler, source)).await;
             match read {
@@ -72,8 +72,7 @@
                 Ok(Err(error)) => handler.drop_frame(&format!("{error:#}"), source),
                 Err(_) => handler.drop_frame("read_timeout", source),
             }
-        })
-        .detach();
+        });
     }
 }
 
@@ -117,7 +116,7 @@
             },
         };
         let handler = handler.clone();
-        ntex::rt::spawn(async move {
+        tokio::task::spawn_local(async move {
             let _guard = guard;
             for _ in 0..SEND_ATTEMPTS {
                 let sent = timeout(FRAME_TIMEOUT, write_frame(outbound.address, &bytes)).await;
@@ -128,8 +127,7 @@
             }
             handler.drop_frame("send_failed", outbound.address);
             handler.report_unreached(outbound.frame.to);
-        })
-        .detach();
+        });
     }
 }
 
--- a/medlarlanding/src/platform.rs
+++ b/medlarlanding/src/platform.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::backends::connection::ExchangeClient;
+use crate::backends::connection::OutboundCall;
 use medlarlanding_core::ids::{InstanceId, ZoneId};
 use medlarlanding_core::views::{InstanceEntry, InstanceList, InstanceState, ListVersion};
 
-use ntex::http::Method;
-use ntex::time::Millis;
+use hyper::Method;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -63,12 +62,11 @@
 ///
 /// Returns why no answer was received.
 pub async fn read_value(
-    client: &ExchangeClient,
     address: SocketAddr,
     name: &str,
     watch: Option<WatchParams>,
 ) -> Result<PlatformValue, String> {
-    get(client, address, &format!("/v1/values/{name}"), watch).await
+    get(address, &format!("/v1/values/{name}"), watch).await
 }
 
 /// Reads the instance list, or waits for a newer one.
@@ -77,11 +75,10 @@
 ///
 /// Returns why no answer was received.
 pub async fn read_instances(
-    client: &ExchangeClient,
     address: SocketAddr,
     watch: Option<WatchParams>,
 ) -> Result<InstanceList, String> {
-    let list: PublishedList = get(client, address, "/v1/instances", watch).await?;
+    let list: PublishedList = get(address, "/v1/instances", watch).await?;
     let entries = list
         .instances
         .into_iter()
@@ -101,7 +98,6 @@
 }
 
 async fn get<T: DeserializeOwned>(
-    client: &ExchangeClient,
     address: SocketAddr,
     path: &str,
     watch: Option<WatchParams>,
@@ -113,21 +109,15 @@
         ),
         None => (path.to_owned(), ANSWER_TIMEOUT),
     };
-    let answer = client
-        .request(Method::GET, address, &path, timeout)
-        .await
-        .send()
-        .await
-        .map_err(|error| error.to_string())?;
-    let status = answer.status();
+    let call = OutboundCall::new(Method::GET, &path);
+    let answer = call.send(address, timeout).await.map_err(|fault| fault.name().to_owned())?;
+    let status = answer.status;
     if !status.is_success() {
         return Err(format!("status {}", status.as_u16()));
     }
     let body = answer
-        .body()
-        .limit(ANSWER_LIMIT)
-        .timeout(Millis::from(ANSWER_TIMEOUT))
+        .collect(ANSWER_LIMIT, ANSWER_TIMEOUT)
         .await
-        .map_err(|error| error.to_string())?;
+        .map_err(|fault| fault.name().to_owned())?;
     serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
--- a/medlarlanding/src/runtime/commands.rs
+++ b/medlarlanding/src/runtime/commands.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use crate::backends::connection::ExchangeClient;
 use crate::backends::engine;
 use crate::instance::InstanceShared;
 use crate::logging::event;
@@ -16,18 +15,17 @@
 ///
 /// Fails if the HTTP client cannot be built.
 pub async fn run(shared: Arc<InstanceShared>) -> anyhow::Result<()> {
-    let client = ExchangeClient::default();
     let mut commands = shared.links.commands.receiver().await;
     while let Some(command) = commands.recv().await {
-        ntex::rt::spawn(send(shared.clone(), client.clone(), command)).detach();
+        tokio::task::spawn_local(send(shared.clone(), command));
     }
     Ok(())
 }
 
-async fn send(shared: Arc<InstanceShared>, client: ExchangeClient, command: CommandEffect) {
+async fn send(shared: Arc<InstanceShared>, command: CommandEffect) {
     let CommandEffect::Send { server, fence, action, model } = command;
     let result = match shared.server_address(server) {
-        Some(address) => engine::command(&client, address, fence, action, &model).await,
+        Some(address) => engine::command(address, fence, action, &model).await,
         None => CommandResult::Failed,
     };
     let outcome = match &result {
--- a/medlarlanding/src/runtime/platform.rs
+++ b/medlarlanding/src/runtime/platform.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use super::links::PlatformCommand;
-use crate::backends::connection::ExchangeClient;
 use crate::instance::InstanceShared;
 use crate::platform::{WatchParams, read_instances, read_value};
 use medlarlanding_core::distribution::{PlatformAnswer, Subject};
 use medlarlanding_core::node::NodeInput;
 
 use indexmap::IndexMap;
-use ntex::rt::JoinHandle;
+use tokio::task::JoinHandle;
 
 /// Name of the configuration tree at the configuration service.
 pub const TREE_NAME: &str = "tree";
@@ -23,7 +22,6 @@
 ///
 /// Fails if the HTTP client cannot be built.
 pub async fn run(shared: Arc<InstanceShared>) -> anyhow::Result<()> {
-    let client = ExchangeClient::default();
     let mut pending: IndexMap<Subject, JoinHandle<()>> = IndexMap::new();
     let mut commands = shared.links.platform.receiver().await;
     let mut turn = 0;
@@ -32,7 +30,7 @@
             PlatformCommand::Watch { subject, .. } | PlatformCommand::Stop(subject) => subject,
         };
         if let Some(task) = pending.swap_remove(&subject) {
-            task.cancel();
+            task.abort();
         }
         if let PlatformCommand::Watch { call, after, wait, .. } = command {
             let addresses = &shared.settings.platform;
@@ -40,9 +38,9 @@
             let address = addresses.get(turn % addresses.len().max(1)).copied();
             turn += 1;
             let watch = (after > 0).then_some(WatchParams { after, wait });
-            let (shared, client) = (shared.clone(), client.clone());
-            let task = ntex::rt::spawn(async move {
-                let answer = answer(&client, address, subject, watch).await;
+            let shared = shared.clone();
+            let task = tokio::task::spawn_local(async move {
+                let answer = answer(address, subject, watch).await;
                 let _ = shared.apply(NodeInput::Platform { subject, call, answer });
             });
             pending.insert(subject, task);
@@ -52,16 +50,15 @@
 }
 
 async fn answer(
-    client: &ExchangeClient,
     address: Option<SocketAddr>,
     subject: Subject,
     watch: Option<WatchParams>,
 ) -> PlatformAnswer {
     let answer = match address {
-        Some(address) => read(client, address, subject, watch).await,
+        Some(address) => read(address, subject, watch).await,
         None => {
             // Without a platform the node lives from its peers; the pause bounds its retries.
-            ntex::time::sleep(watch.map_or(Duration::from_secs(1), |watch| watch.wait)).await;
+            tokio::time::sleep(watch.map_or(Duration::from_secs(1), |watch| watch.wait)).await;
             Err("no platform address in the settings".to_owned())
         },
     };
@@ -69,18 +66,17 @@
 }
 
 async fn read(
-    client: &ExchangeClient,
     address: SocketAddr,
     subject: Subject,
     watch: Option<WatchParams>,
 ) -> Result<PlatformAnswer, String> {
     match subject {
         Subject::Config => {
-            let value = read_value(client, address, TREE_NAME, watch).await?;
+            let value = read_value(address, TREE_NAME, watch).await?;
             Ok(PlatformAnswer::Config { revision: value.revision, text: value.value.into() })
         },
         Subject::List => {
-            let list = read_instances(client, address, watch).await?;
+            let list = read_instances(address, watch).await?;
             Ok(PlatformAnswer::List(Arc::new(list)))
         },
     }
--- a/medlarlanding/src/serve.rs
+++ b/medlarlanding/src/serve.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::backends::connection::ExchangeClient;
-use crate::http::{admin, callers};
+use crate::http::admin;
+use crate::http::callers::{self, CallerContext};
+use crate::http::listener::{HttpListener, ListenerLimits};
 use crate::instance::InstanceShared;
+use crate::listener::bind;
 use crate::logging::event;
 use crate::runtime::{commands, links, node, platform};
 use crate::settings::InstanceSettings;
@@ -13,15 +15,12 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::node::NodeInput;
 
-use anyhow::Context;
-use ntex::SharedCfg;
-use ntex::http::HttpServiceConfig;
-use ntex::time::Seconds;
-use ntex::web::{self, App, HttpServer};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
 
-/// Worker threads of the callers' listener.
-const CALLER_WORKERS: usize = 2;
+/// Limits of the operators' listener: a few tools at a time.
+const ADMIN_LIMITS: ListenerLimits =
+    ListenerLimits { connections: 64, head: Duration::from_secs(5) };
 /// Time for the news of the leave to reach the peers and the platform's balancer.
 const LEAVE_TIME: Duration = Duration::from_millis(1500);
 /// Time for the last datagrams to leave.
@@ -29,7 +28,7 @@
 /// Interval at which a drain looks for orders that are not complete.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Time for connections to flush their last bytes after the drain.
-const FLUSH_TIMEOUT: Seconds = Seconds(5);
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Runs an instance until SIGTERM or SIGINT.
 ///
@@ -38,10 +37,8 @@
 /// Fails if a listener cannot be bound or a child of the supervisor is given up.
 pub fn run(settings: InstanceSettings) -> anyhow::Result<()> {
     let shared = InstanceShared::new(settings)?;
-    ntex::rt::System::build()
-        .name("medlarlanding")
-        .build(ntex::rt::DefaultRuntime)
-        .block_on(serve(shared))
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(shared))
 }
 
 async fn serve(shared: Arc<InstanceShared>) -> anyhow::Result<()> {
@@ -56,8 +53,8 @@
     );
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let callers = callers_server(shared.clone())?;
-    let admin = admin_server(shared.clone())?;
+    let callers = callers_listener(&shared)?;
+    let admin = admin_listener(&shared)?;
     let supervisor = ChildSupervisor::new(RestartParams::default());
     let mut given_up = supervisor.given_up();
     links::start(&shared, &supervisor).await?;
@@ -81,10 +78,10 @@
     let _ = shared.apply(NodeInput::Leave);
     let limit = Duration::from_millis(shared.settings.limits.drain_ms);
     let _ = tokio::time::timeout(limit, drained(&shared)).await;
-    callers.stop(true).await;
+    callers.stop(FLUSH_TIMEOUT).await;
     let _ = shared.apply(NodeInput::Depart);
-    ntex::time::sleep(DEPART_TIME).await;
-    admin.stop(false).await;
+    tokio::time::sleep(DEPART_TIME).await;
+    admin.stop(Duration::ZERO).await;
     let waited = shared.clock.now().since(started).as_millis();
     event(EventKind::DrainFinished, &[&waited]);
     Ok(())
@@ -93,47 +90,33 @@
 /// Waits until no request is in progress and the outcome of every order has reached its
 /// replicas, but at least until peers can have heard that this instance leaves.
 async fn drained(shared: &InstanceShared) {
-    ntex::time::sleep(LEAVE_TIME).await;
+    tokio::time::sleep(LEAVE_TIME).await;
     loop {
         shared.gate.drained().await;
         if shared.node().open_orders() == 0 {
             return;
         }
-        ntex::time::sleep(DRAIN_POLL).await;
+        tokio::time::sleep(DRAIN_POLL).await;
     }
 }
 
-fn callers_server(shared: Arc<InstanceShared>) -> anyhow::Result<ntex::server::Server> {
-    let address = shared.settings.callers;
-    let limits = shared.settings.limits.clone();
-    let http = HttpServiceConfig::new()
-        .set_headers_read_rate(Seconds(limits.header_s), Seconds(limits.header_s), 256)
-        .set_max_buf_size(32 << 10);
-    let server = HttpServer::new(async move || {
-        let client = ExchangeClient::default();
-        App::new()
-            .state(callers::CallerContext { shared: shared.clone(), client })
-            .configure(callers::configure)
-            .default_service(web::to(callers::not_found))
-    })
-    .workers(CALLER_WORKERS)
-    .maxconn(limits.connections)
-    .disable_signals()
-    .shutdown_timeout(FLUSH_TIMEOUT)
-    .config(SharedCfg::new("CALLERS").add(http))
-    .bind(address)
-    .with_context(|| format!("bind callers {address}"))?;
-    Ok(server.run())
+fn callers_listener(shared: &Arc<InstanceShared>) -> anyhow::Result<HttpListener> {
+    let listener = bind(shared.settings.callers)?;
+    let settings = &shared.settings.limits;
+    let limits = ListenerLimits {
+        connections: settings.connections,
+        head: Duration::from_secs(settings.header_s.into()),
+    };
+    let context = CallerContext { shared: shared.clone() };
+    Ok(HttpListener::start(listener, limits, move |request| {
+        callers::serve(context.clone(), request)
+    }))
 }
 
-fn admin_server(shared: Arc<InstanceShared>) -> anyhow::Result<ntex::server::Server> {
-    let address = shared.settings.admin;
-    let server =
-        HttpServer::new(async move || App::new().state(shared.clone()).configure(admin::configure))
-            .workers(1)
-            .maxconn(64)
-            .disable_signals()
-            .bind(address)
-            .with_context(|| format!("bind admin {address}"))?;
-    Ok(server.run())
+fn admin_listener(shared: &Arc<InstanceShared>) -> anyhow::Result<HttpListener> {
+    let listener = bind(shared.settings.admin)?;
+    let shared = shared.clone();
+    Ok(HttpListener::start(listener, ADMIN_LIMITS, move |request| {
+        std::future::ready(admin::serve(&shared, &request))
+    }))
 }
--- a/medlarlanding/src/supervisor.rs
+++ b/medlarlanding/src/supervisor.rs
@@ -53,7 +53,7 @@
     pub fn spawn(&self, name: &'static str, mut start: impl FnMut() -> ChildFuture + 'static) {
         let params = self.params;
         let given_up = self.given_up.clone();
-        ntex::rt::spawn(async move {
+        tokio::task::spawn_local(async move {
             let mut restarts: Vec<Instant> = Vec::new();
             while let Err(error) = start().await {
                 let now = Instant::now();
@@ -65,9 +65,8 @@
                 }
                 restarts.push(now);
                 event(EventKind::ChildRestarted, &[&name, &format!("{error:#}"), &restarts.len()]);
-                ntex::time::sleep(params.delay).await;
+                tokio::time::sleep(params.delay).await;
             }
-        })
-        .detach();
+        });
     }
 }
