Pass server entries on in a compact form; draw the peer that is asked and pause after failures

Change: EntryLog and the messages hold decoded entries (about 65 bytes instead of 350) and keep the revision of an entry that is written again unchanged; the peer for a fetch is drawn among those that are ahead; a failed fetch is followed by a pause of 0.1 to 0.3 s.

--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -22,41 +22,54 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerKey(u32);
 
-/// What a server says of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ServerPhase {
-    /// Takes work.
-    Ready,
-    /// Finishes its work and leaves.
-    Draining,
+value_type! { copy
+    /// What a server says of itself.
+    pub enum ServerPhase {
+        /// Takes work.
+        Ready,
+        /// Finishes its work and leaves.
+        Draining,
+    }
 }
 
-/// Entry of a server in the platform's store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerEntry {
-    /// Id of this start of the server.
-    pub id: Arc<str>,
-    /// Service that the server belongs to.
-    pub service: Arc<str>,
-    /// Address of the server.
-    pub address: SocketAddr,
-    /// Availability zone of the server.
-    pub zone: Arc<str>,
-    /// Requests that the server runs at once.
-    pub slots: u32,
-    /// State that the server reported.
-    pub phase: ServerPhase,
-    /// Time of the server's start in Unix milliseconds; 0 if it is not stated.
-    pub born_millis: u64,
+value_type! {
+    /// Entry of a server in the platform's store.
+    pub struct ServerEntry {
+        /// Id of this start of the server.
+        pub id: Arc<str>,
+        /// Service that the server belongs to.
+        pub service: Arc<str>,
+        /// Address of the server.
+        pub address: SocketAddr,
+        /// Availability zone of the server.
+        pub zone: Arc<str>,
+        /// Requests that the server runs at once.
+        pub slots: u32,
+        /// State that the server reported.
+        pub phase: ServerPhase,
+        /// Time of the server's start in Unix milliseconds; 0 if it is not stated.
+        pub born_millis: u64,
+    }
 }
 
-/// A change of the directory.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum DirectoryChange {
-    /// The entry was written.
-    Written(ServerEntry),
-    /// The entry was removed, or no longer names a usable server.
-    Removed(Arc<str>),
+value_type! {
+    /// A change of the directory.
+    pub enum DirectoryChange {
+        /// The entry was written.
+        Written(ServerEntry),
+        /// The entry was removed, or no longer names a usable server.
+        Removed(Arc<str>),
+    }
+}
+
+impl DirectoryChange {
+    /// Id of the server.
+    pub fn id(&self) -> &Arc<str> {
+        match self {
+            Self::Written(entry) => &entry.id,
+            Self::Removed(id) => id,
+        }
+    }
 }
 
 /// One server and this instance's view of it.
--- a/medlarlanding-core/src/forwarding/entries.rs
+++ b/medlarlanding-core/src/forwarding/entries.rs
@@ -1,4 +1,8 @@
-//! Server entries as they lie in the store, with the revisions of their changes, for peers.
+//! Entries of servers with the revisions of their changes, for peers.
+
+use std::sync::Arc;
+
+use super::directory::{DirectoryChange, ServerEntry};
 
 use indexmap::IndexMap;
 
@@ -12,16 +16,16 @@
         pub revision: u64,
         /// The entries are all there are; others that the receiver knows were removed.
         pub is_whole: bool,
-        /// Ids with the entry as the server wrote it, or none for a removed one.
-        pub entries: Vec<(String, Option<Vec<u8>>)>,
+        /// Entries that were written or removed.
+        pub changes: Vec<DirectoryChange>,
     }
 }
 
 #[derive(Clone, Debug)]
 struct LoggedEntry {
-    /// The entry as the server wrote it; `None` for a removed one.
-    value: Option<Vec<u8>>,
-    /// Revision of the change, or a later one.
+    /// The entry; `None` for a removed one.
+    entry: Option<ServerEntry>,
+    /// Revision of the last change that said anything new, or a later one.
     changed_at: u64,
 }
 
@@ -34,7 +38,7 @@
     news: u64,
     /// Changes at or before this revision may be missing among the removed entries.
     floor: u64,
-    entries: IndexMap<String, LoggedEntry>,
+    entries: IndexMap<Arc<str>, LoggedEntry>,
 }
 
 impl EntryLog {
@@ -62,44 +66,44 @@
         self.news
     }
 
-    /// Gets an entry that is present.
-    pub fn value(&self, id: &str) -> Option<&Vec<u8>> {
-        self.entries.get(id)?.value.as_ref()
+    /// Gets the last change of an entry.
+    pub fn change(&self, id: &str) -> Option<DirectoryChange> {
+        let (id, logged) = self.entries.get_key_value(id)?;
+        Some(logged.as_change(id))
     }
 
     /// Ids of the entries that are present.
-    pub fn ids(&self) -> impl Iterator<Item = &String> {
-        self.entries.iter().filter(|(_, entry)| entry.value.is_some()).map(|(id, _)| id)
+    pub fn ids(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.entries.iter().filter(|(_, logged)| logged.entry.is_some()).map(|(id, _)| id)
     }
 
-    /// Writes or removes an entry.
-    pub fn set(&mut self, id: &str, value: Option<Vec<u8>>, changed_at: u64) {
-        let is_removed = value.is_none();
-        self.entries.insert(id.to_owned(), LoggedEntry { value, changed_at });
+    /// Records a change. One that says nothing new keeps its revision: servers write their
+    /// entries every second or so, and peers need not be told.
+    pub fn set(&mut self, change: DirectoryChange, changed_at: u64) {
+        let id = Arc::clone(change.id());
+        let entry = match change {
+            DirectoryChange::Written(entry) => Some(entry),
+            DirectoryChange::Removed(_) => None,
+        };
+        let is_removed = entry.is_none();
+        if self.entries.get(&id).is_some_and(|logged| logged.entry == entry) {
+            return;
+        }
+        self.entries.insert(id, LoggedEntry { entry, changed_at });
         if is_removed {
             self.forget_removed();
         }
     }
 
-    /// Replaces the value of an entry that is present by one that says nothing new, which peers
-    /// need not be told.
-    pub fn refresh(&mut self, id: &str, value: Vec<u8>) {
-        if let Some(entry) = self.entries.get_mut(id)
-            && entry.value.is_some()
-        {
-            entry.value = Some(value);
-        }
-    }
-
     fn forget_removed(&mut self) {
-        let removed = self.entries.values().filter(|entry| entry.value.is_none());
-        let mut times: Vec<u64> = removed.map(|entry| entry.changed_at).collect();
+        let removed = self.entries.values().filter(|logged| logged.entry.is_none());
+        let mut times: Vec<u64> = removed.map(|logged| logged.changed_at).collect();
         if times.len() <= REMOVED_LIMIT {
             return;
         }
         times.sort_unstable();
         let limit = times[times.len() / 2];
-        self.entries.retain(|_, entry| entry.value.is_some() || entry.changed_at > limit);
+        self.entries.retain(|_, logged| logged.entry.is_some() || logged.changed_at > limit);
         self.floor = self.floor.max(limit);
     }
 
@@ -109,11 +113,20 @@
             return None;
         }
         let is_whole = known < self.floor;
-        let fits = |entry: &LoggedEntry| {
-            if is_whole { entry.value.is_some() } else { entry.changed_at > known }
+        let fits = |logged: &LoggedEntry| {
+            if is_whole { logged.entry.is_some() } else { logged.changed_at > known }
         };
-        let entries = self.entries.iter().filter(|(_, entry)| fits(entry));
-        let entries = entries.map(|(id, entry)| (id.clone(), entry.value.clone())).collect();
-        Some(EntryDelta { revision: self.revision, is_whole, entries })
+        let lacking = self.entries.iter().filter(|(_, logged)| fits(logged));
+        let changes = lacking.map(|(id, logged)| logged.as_change(id)).collect();
+        Some(EntryDelta { revision: self.revision, is_whole, changes })
+    }
+}
+
+impl LoggedEntry {
+    fn as_change(&self, id: &Arc<str>) -> DirectoryChange {
+        match &self.entry {
+            Some(entry) => DirectoryChange::Written(entry.clone()),
+            None => DirectoryChange::Removed(Arc::clone(id)),
+        }
     }
 }
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -1,5 +1,6 @@
 //! Datagrams between instances of the forwarding role.
 
+use super::directory::DirectoryChange;
 use super::peers::PeerDigest;
 
 value_type! {
@@ -25,8 +26,8 @@
         pub after: u64,
         /// Revision that a receiver knows when it has applied them.
         pub revision: u64,
-        /// Ids with the value of the entry, or none for a removed one.
-        pub changes: Vec<(String, Option<Vec<u8>>)>,
+        /// The changes.
+        pub changes: Vec<DirectoryChange>,
     }
 }
 
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -331,20 +331,20 @@
         holders.get((draw * holders.len() as f64) as usize).map(|address| **address)
     }
 
-    /// Gets the live peer that knows the servers up to the highest revision above `revision`.
-    pub fn ahead_of_servers(&self, now: Timestamp, revision: u64) -> Option<SocketAddr> {
-        self.ahead(now, revision, |record| record.servers_revision)
-    }
-
-    fn ahead(
+    /// Gets one of the live peers that know news of servers after `revision`. `draw` from 0 to 1
+    /// chooses among them: the one that is furthest ahead would be asked by the whole fleet.
+    pub fn ahead_of_servers(
         &self,
         now: Timestamp,
-        own: u64,
-        theirs: impl Fn(&PeerRecord) -> u64,
+        revision: u64,
+        draw: f64,
     ) -> Option<SocketAddr> {
         let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
-        let ahead = live.filter(|(_, record)| theirs(record) > own);
-        ahead.max_by_key(|(_, record)| theirs(record)).map(|(address, _)| *address)
+        let ahead: Vec<&SocketAddr> = live
+            .filter(|(_, record)| record.servers_revision > revision)
+            .map(|(address, _)| address)
+            .collect();
+        ahead.get((draw * ahead.len() as f64) as usize).map(|address| **address)
     }
 
     /// Counts a placement for a peer until its digests contain it. Returns its number.
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -11,7 +11,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EntryDelta, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer, PlacePurpose, PlaceQuestion,
+    DirectoryChange, EntryDelta, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer, PlacePurpose, PlaceQuestion,
     PlaceVerdict, PlacementRequest, RepeatPurpose, RunTicket, ServerChanges,
 };
 use medlarlanding_core::value_type;
@@ -33,6 +33,9 @@
 const SERVING_LIMIT: usize = 6;
 /// Time limit for fetching from a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a failed fetch, drawn between half of it and half as much again: a busy peer
+/// turns fetches away, and a configuration must be in force 2 s after its confirmation.
+const FETCH_RETRY: Duration = Duration::from_millis(200);
 /// A peer may be ahead for this long before it is asked: the store's own answer is usually on
 /// its way.
 const FETCH_DELAY: Duration = Duration::from_millis(300);
@@ -61,6 +64,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 /// Bytes of changes in one datagram.
 const CHANGES_LIMIT: usize = 1100;
+/// Bytes of an encoded entry beside its texts.
+const ENTRY_LENGTH: usize = 32;
 /// The same for a configuration, which only hubs read from the store.
 const CONFIG_FETCH_DELAY: Duration = Duration::ZERO;
 /// Period in which the instance that places generations logs the load of the fleet.
@@ -105,14 +110,19 @@
         state: &ForwardState,
         known: u64,
         revision: u64,
-        changed: Vec<(String, u64)>,
+        changed: Vec<(Arc<str>, u64)>,
     ) {
         let targets = state.peers.borrow().known();
         let mut pending = ServerChanges { after: known, revision: known, changes: Vec::new() };
         let mut size = 0;
         for (id, changed_at) in changed {
-            let value = state.entries.borrow().value(&id).cloned();
-            let length = id.len() + value.as_ref().map_or(0, Vec::len);
+            let Some(change) = state.entries.borrow().change(&id) else { continue };
+            let length = match &change {
+                DirectoryChange::Written(entry) => {
+                    ENTRY_LENGTH + id.len() + entry.service.len() + entry.zone.len()
+                },
+                DirectoryChange::Removed(_) => ENTRY_LENGTH + id.len(),
+            };
             if size > 0 && size + length > CHANGES_LIMIT {
                 let after = pending.revision;
                 let next = ServerChanges { after, revision: after, changes: Vec::new() };
@@ -122,7 +132,7 @@
             }
             size += length;
             pending.revision = pending.revision.max(changed_at);
-            pending.changes.push((id, value));
+            pending.changes.push(change);
         }
         pending.revision = pending.revision.max(revision);
         self.send(state, &PeerMessage::Servers(pending), &targets);
@@ -279,8 +289,8 @@
             if changes.after > known || changes.revision < known || known == 0 {
                 return;
             }
-            for (id, value) in changes.changes {
-                state.change_server(&id, value, changes.revision, ChangeSource::Peer);
+            for change in changes.changes {
+                state.change_server(change, changes.revision, ChangeSource::Peer);
             }
             state.entries.borrow_mut().advance_news(changes.revision);
         },
@@ -312,14 +322,17 @@
         let peers = state.peers.borrow();
         match peers.ahead_of_config(now, config_version, state.draw()) {
             Some(peer) => (Some(peer), CONFIG_FETCH_DELAY),
-            None => (peers.ahead_of_servers(now, servers_revision), FETCH_DELAY),
+            None => {
+                (peers.ahead_of_servers(now, servers_revision, state.draw()), FETCH_DELAY)
+            },
         }
     };
     let Some(peer) = ahead else {
         *behind_since = None;
         return;
     };
-    if now.since(*behind_since.get_or_insert(now)) < delay || state.is_fetching.get() {
+    let is_due = now.since(*behind_since.get_or_insert(now)) >= delay;
+    if !is_due || state.is_fetching.get() || now < state.fetch_after.get() {
         return;
     }
     *behind_since = None;
@@ -328,12 +341,18 @@
     // A second fetch beside a slow one would only slow both down.
     state.is_fetching.set(true);
     tokio::task::spawn_local(async move {
-        match tokio::time::timeout(FETCH_TIMEOUT, fetch(peer, &request)).await {
-            Ok(Ok(answer)) => apply_answer(&state, peer, answer),
-            Ok(Err(error)) => {
-                event(EventKind::PeerUnreachable, &[&peer, &format!("{error:#}")]);
+        let failure = match tokio::time::timeout(FETCH_TIMEOUT, fetch(peer, &request)).await {
+            Ok(Ok(answer)) => {
+                apply_answer(&state, peer, answer);
+                None
             },
-            Err(_) => event(EventKind::PeerUnreachable, &[&peer, &"no answer in time"]),
+            Ok(Err(error)) => Some(format!("{error:#}")),
+            Err(_) => Some("no answer in time".to_owned()),
+        };
+        if let Some(reason) = failure {
+            event(EventKind::PeerUnreachable, &[&peer, &reason]);
+            let pause = FETCH_RETRY.mul_f64(0.5 + state.draw());
+            state.fetch_after.set(state.now() + pause);
         }
         state.is_fetching.set(false);
     });
@@ -356,12 +375,10 @@
         return;
     }
     if delta.is_whole {
-        let entries = delta.entries.into_iter();
-        let values = entries.filter_map(|(id, value)| Some((id, value?))).collect();
-        state.replace_servers(delta.revision, values, ChangeSource::Peer);
+        state.replace_servers(delta.revision, delta.changes, ChangeSource::Peer);
     } else {
-        for (id, value) in delta.entries {
-            state.change_server(&id, value, delta.revision, ChangeSource::Peer);
+        for change in delta.changes {
+            state.change_server(change, delta.revision, ChangeSource::Peer);
         }
         state.entries.borrow_mut().advance_news(delta.revision);
     }
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -19,10 +19,9 @@
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::config::decode_config;
-use medlarlanding_platform::servers::decode_entry;
 use medlarlanding_platform::settings::PlatformSettings;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, watch};
@@ -100,6 +99,8 @@
     pub reaches_store: Cell<bool>,
     /// A fetch from a peer is in progress.
     pub is_fetching: Cell<bool>,
+    /// No fetch begins before this time.
+    pub fetch_after: Cell<Timestamp>,
     /// Highest number of a grant from the instance that places generations.
     pub granted: Cell<u64>,
     /// Wakes the task that sends digests when something changed that peers should know.
@@ -141,6 +142,7 @@
             waiting: RefCell::default(),
             reaches_store: Cell::new(false),
             is_fetching: Cell::new(false),
+            fetch_after: Cell::new(Timestamp::default()),
             granted: Cell::new(0),
             digest_wanted: Notify::new(),
             store_lost: Notify::new(),
@@ -217,26 +219,19 @@
         *self.config.borrow_mut() = Some(in_force);
     }
 
-    /// Applies one changed entry of a server; `value` is `None` for a removed one. Returns
-    /// whether the change says anything new of the server.
+    /// Applies one changed entry of a server. Returns whether the change says anything new of
+    /// the server.
     pub fn change_server(
         &self,
-        id: &str,
-        value: Option<Vec<u8>>,
+        change: DirectoryChange,
         changed_at: u64,
         source: ChangeSource,
     ) -> bool {
-        let change = match &value {
-            Some(value) => decode_entry(id, value),
-            None => DirectoryChange::Removed(Arc::from(id)),
-        };
+        self.entries.borrow_mut().set(change.clone(), changed_at);
         if !self.is_news(&change) {
-            if let Some(value) = value {
-                self.entries.borrow_mut().refresh(id, value);
-            }
             return false;
         }
-        self.entries.borrow_mut().set(id, value, changed_at);
+        let id = Arc::clone(change.id());
         let written = match &change {
             DirectoryChange::Written(entry) => match entry.phase {
                 ServerPhase::Ready => "ready",
@@ -296,18 +291,17 @@
     pub fn replace_servers(
         &self,
         revision: u64,
-        values: IndexMap<String, Vec<u8>>,
+        changes: Vec<DirectoryChange>,
         source: ChangeSource,
     ) {
-        let known: Vec<String> = self.entries.borrow().ids().cloned().collect();
-        for id in known.iter().filter(|id| !values.contains_key(*id)) {
-            self.change_server(id, None, revision, source);
+        let present: IndexSet<Arc<str>> =
+            changes.iter().map(|change| Arc::clone(change.id())).collect();
+        let known: Vec<Arc<str>> = self.entries.borrow().ids().cloned().collect();
+        for id in known.into_iter().filter(|id| !present.contains(id)) {
+            self.change_server(DirectoryChange::Removed(id), revision, source);
         }
-        for (id, value) in values {
-            let is_known = self.entries.borrow().value(&id) == Some(&value);
-            if !is_known {
-                self.change_server(&id, Some(value), revision, source);
-            }
+        for change in changes {
+            self.change_server(change, revision, source);
         }
         self.entries.borrow_mut().advance_news(revision);
     }
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -1,6 +1,7 @@
 //! Keeps configuration and servers current from the platform's store.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::peer_link::PeerLink;
@@ -9,10 +10,9 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_platform::config::CONFIG_KEY;
-use medlarlanding_platform::servers::{SERVERS_PREFIX, server_id};
+use medlarlanding_platform::servers::{SERVERS_PREFIX, decode_item};
 use medlarlanding_platform::store::StoreItem;
 
-use indexmap::IndexMap;
 
 /// Time that a watch waits at the store. A call whose answer is lost shows only then, and a
 /// configuration must be in force 2 s after the store has been sound for 3 s.
@@ -218,12 +218,9 @@
                 self.apply(item);
             }),
             WatchedPart::Servers => {
-                let values: IndexMap<String, Vec<u8>> = items
-                    .into_iter()
-                    .filter_map(|item| Some((server_id(&item.key)?.to_owned(), item.value?)))
-                    .collect();
+                let changes = items.iter().filter_map(decode_item).collect();
                 let revision = first_revision.unwrap_or(0);
-                self.state.replace_servers(revision, values, ChangeSource::Store);
+                self.state.replace_servers(revision, changes, ChangeSource::Store);
             },
         }
         self.advance(first_revision.unwrap_or(0));
@@ -231,7 +228,7 @@
     }
 
     /// Applies a changed item. Returns the id of the server of which it says something new.
-    fn apply(&self, item: StoreItem) -> Option<String> {
+    fn apply(&self, item: StoreItem) -> Option<Arc<str>> {
         match self.part {
             WatchedPart::Config if item.key == CONFIG_KEY => {
                 match item.value {
@@ -242,10 +239,10 @@
             },
             WatchedPart::Config => None,
             WatchedPart::Servers => {
-                let id = server_id(&item.key)?;
-                let is_news =
-                    self.state.change_server(id, item.value, item.revision, ChangeSource::Store);
-                is_news.then(|| id.to_owned())
+                let change = decode_item(&item)?;
+                let id = Arc::clone(change.id());
+                let is_news = self.state.change_server(change, item.revision, ChangeSource::Store);
+                is_news.then_some(id)
             },
         }
     }
