--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -333,12 +333,7 @@
 
     /// Gets one of the live peers that know news of servers after `revision`. `draw` from 0 to 1
     /// chooses among them: the one that is furthest ahead would be asked by the whole fleet.
-    pub fn ahead_of_servers(
-        &self,
-        now: Timestamp,
-        revision: u64,
-        draw: f64,
-    ) -> Option<SocketAddr> {
+    pub fn ahead_of_servers(&self, now: Timestamp, revision: u64, draw: f64) -> Option<SocketAddr> {
         let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
         let ahead: Vec<&SocketAddr> = live
             .filter(|(_, record)| record.servers_revision > revision)
--- /dev/null
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -0,0 +1,229 @@
+//! Start of a generation: waits for room, sends the request and reads the head of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{GenerationRun, RunPlace, is_framed};
+use crate::answer_body::AnswerBody;
+use crate::exchange::{self, ExchangeFault};
+use crate::forwarding::answer::{CallerAnswer, OwnAnswer, pass_on};
+use crate::forwarding::relay::server_request;
+use crate::forwarding::shared::{LoadGuard, Placement};
+use crate::logging::event;
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::forwarding::{
+    PatienceParams, PatienceStep, PlacePurpose, PlacementRequest, RepeatPurpose, RunPatience,
+    ServerEntry, ServerKey,
+};
+use medlarlanding_core::ids::stable_hash;
+use medlarlanding_platform::headers::{AnswerProof, check_answer, promises_not_run};
+
+use http_body_util::{BodyExt, Limited};
+use hyper::StatusCode;
+use hyper::body::Incoming;
+
+/// Period in which a run that waits asks for room.
+const ROOM_PERIOD: Duration = Duration::from_millis(40);
+/// Servers that refuse or cannot be reached before the request is given up.
+const UNSENT_LIMIT: u32 = 4;
+/// Longest answer of an engine that is no stream in bytes.
+const WHOLE_ANSWER_LIMIT: usize = 64 << 10;
+
+/// Why a run did not start.
+pub(super) enum StartEnd {
+    Own(OwnAnswer),
+    Server(CallerAnswer, String),
+}
+
+impl GenerationRun {
+    pub(super) async fn start(
+        &mut self,
+    ) -> Result<(RunPlace, StatusCode, hyper::HeaderMap), StartEnd> {
+        let mut tried: Vec<ServerKey> = Vec::new();
+        loop {
+            let now = self.state.now();
+            let time_left = self.admitted.time_left(now);
+            if time_left.is_zero() {
+                return Err(StartEnd::Own(OwnAnswer::LateUnsent));
+            }
+            let zone = Arc::from(self.state.settings.zone.as_str());
+            let (key, entry) = self.choose_start(&tried, &zone).await.map_err(StartEnd::Own)?;
+            if !tried.is_empty()
+                && !self.state.try_repeat(&self.admitted.service, RepeatPurpose::Restart)
+            {
+                return Err(StartEnd::Own(OwnAnswer::ServersFull));
+            }
+            tried.push(key);
+            let load = LoadGuard::begin(&self.state, key, self.admitted.weight);
+            let request = server_request(
+                &self.admitted,
+                &entry.id,
+                time_left,
+                Some(self.admitted.priority),
+                None,
+            );
+            let sent = exchange::send(entry.address, request, time_left).await;
+            let elapsed = self.state.now().since(now);
+            let outcome = match &sent {
+                Ok((response, _)) => response.status().as_str().to_owned(),
+                Err(fault) => format!("{fault:?}"),
+            };
+            event(
+                EventKind::RequestSent,
+                &[
+                    &self.admitted.id,
+                    &self.admitted.rule.name,
+                    &entry.id,
+                    &tried.len(),
+                    &time_left.as_millis(),
+                    &outcome,
+                    &elapsed.as_millis(),
+                    &self.admitted.config_version,
+                ],
+            );
+            let (response, exchange) = match sent {
+                Ok(sent) => sent,
+                Err(ExchangeFault::NotConnected) => {
+                    self.note_failure(key, &entry, "not_connected");
+                    if tried.len() as u32 >= UNSENT_LIMIT {
+                        return Err(StartEnd::Own(OwnAnswer::ServersFull));
+                    }
+                    continue;
+                },
+                Err(ExchangeFault::Broken) => {
+                    self.note_failure(key, &entry, "broken");
+                    return Err(StartEnd::Own(OwnAnswer::AnswerLost));
+                },
+                Err(ExchangeFault::TimedOut) => {
+                    self.note_failure(key, &entry, "timed_out");
+                    return Err(StartEnd::Own(OwnAnswer::LateSent));
+                },
+            };
+            let (parts, body) = response.into_parts();
+            match check_answer(parts.status, &parts.headers, &self.admitted.id) {
+                AnswerProof::NotRun => {
+                    if tried.len() as u32 >= UNSENT_LIMIT {
+                        return Err(StartEnd::Own(OwnAnswer::ServersFull));
+                    }
+                    continue;
+                },
+                AnswerProof::Foreign => return Err(StartEnd::Own(OwnAnswer::AnswerLost)),
+                AnswerProof::Stamped | AnswerProof::Unstamped => {},
+            }
+            if promises_not_run(parts.status) {
+                return Err(StartEnd::Own(OwnAnswer::AnswerLost));
+            }
+            if !parts.status.is_success() {
+                let answer = self.whole_answer(parts.status, &parts.headers, body).await;
+                return Err(answer.map_or(StartEnd::Own(OwnAnswer::AnswerLost), |answer| {
+                    StartEnd::Server(answer, entry.id.to_string())
+                }));
+            }
+            self.state.directory.borrow_mut().record_success(key);
+            let is_framed = is_framed(&parts.headers);
+            let place = RunPlace { key, entry, body, is_framed, _exchange: exchange, load };
+            return Ok((place, parts.status, parts.headers));
+        }
+    }
+
+    /// Reads a whole answer that is not a stream.
+    async fn whole_answer(
+        &self,
+        status: StatusCode,
+        server_headers: &hyper::HeaderMap,
+        body: Incoming,
+    ) -> Option<CallerAnswer> {
+        let left = self.admitted.time_left(self.state.now());
+        let reading = Limited::new(body, WHOLE_ANSWER_LIMIT).collect();
+        let collected = tokio::time::timeout(left, reading).await.ok()?.ok()?;
+        Some(pass_on(status, server_headers, AnswerBody::Whole(Some(collected.to_bytes()))))
+    }
+
+    fn note_failure(&self, key: ServerKey, entry: &ServerEntry, fault: &'static str) {
+        self.state.telemetry.faults.with_label_values(&[fault]).inc();
+        if self.state.directory.borrow_mut().record_failure(self.state.now(), key) {
+            event(EventKind::ServerSuspected, &[&entry.id, &fault]);
+        }
+    }
+
+    /// Chooses an engine for the start; waits for room as long as its caller does.
+    async fn choose_start(
+        &self,
+        tried: &[ServerKey],
+        zone: &Arc<str>,
+    ) -> Result<(ServerKey, ServerEntry), OwnAnswer> {
+        let arrived_at = self.admitted.arrived_at;
+        let patience = RunPatience::new(
+            PatienceParams::default(),
+            arrived_at,
+            self.admitted.rule.objective,
+            self.admitted.time_left(arrived_at),
+            self.admitted.weight.prompt,
+        );
+        loop {
+            let (purpose, due) = patience.question(self.state.now());
+            match self.choose(purpose, tried, zone, due).await {
+                Placement::Server(key) => {
+                    return self.entry_of(key).ok_or(OwnAnswer::NoServer);
+                },
+                Placement::Nowhere if tried.is_empty() => return Err(OwnAnswer::NoServer),
+                Placement::Nowhere => return Err(OwnAnswer::ServersFull),
+                Placement::Full(ahead) => match patience.after_full(self.state.now(), ahead) {
+                    PatienceStep::Wait => {
+                        let pause = ROOM_PERIOD.mul_f64(0.75 + self.state.draw() / 2.0);
+                        tokio::time::sleep(pause).await;
+                    },
+                    PatienceStep::RefuseEarly => {
+                        self.note_refusal("others_first", ahead);
+                        return Err(OwnAnswer::Overloaded);
+                    },
+                    PatienceStep::RefuseLate => {
+                        self.note_refusal("waited", ahead);
+                        return Err(OwnAnswer::Overloaded);
+                    },
+                },
+            }
+        }
+    }
+
+    fn note_refusal(&self, reason: &'static str, ahead: u16) {
+        let now = self.state.now();
+        let keeper = self.state.peers.borrow().keeper(now).unwrap_or(self.state.settings.peers);
+        event(
+            EventKind::RunRefused,
+            &[
+                &self.admitted.id,
+                &self.admitted.rule.name,
+                &reason,
+                &ahead,
+                &now.since(self.admitted.arrived_at).as_millis(),
+                &keeper,
+            ],
+        );
+    }
+
+    pub(super) fn entry_of(&self, key: ServerKey) -> Option<(ServerKey, ServerEntry)> {
+        Some((key, self.state.directory.borrow().get(key)?.entry.clone()))
+    }
+
+    /// Asks the instance that places generations, or decides here when it does not answer.
+    pub(super) async fn choose(
+        &self,
+        purpose: PlacePurpose,
+        excluded: &[ServerKey],
+        zone: &Arc<str>,
+        due: Duration,
+    ) -> Placement {
+        let request = PlacementRequest {
+            service: &self.admitted.service,
+            memory_tokens: self.admitted.engine.map(|engine| engine.memory_tokens),
+            weight: self.run_weight(),
+            excluded,
+            zone,
+            due: (purpose == PlacePurpose::Start).then_some(due),
+            is_urgent: self.admitted.priority == 0,
+        };
+        let run = stable_hash(self.admitted.id.as_bytes());
+        self.link.place(&self.state, purpose, run, &self.admitted.service, &request).await
+    }
+}
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -11,8 +11,9 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    DirectoryChange, EntryDelta, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer, PlacePurpose, PlaceQuestion,
-    PlaceVerdict, PlacementRequest, RepeatPurpose, RunTicket, ServerChanges,
+    DirectoryChange, EntryDelta, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer,
+    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RepeatPurpose, RunTicket,
+    ServerChanges,
 };
 use medlarlanding_core::value_type;
 
@@ -322,9 +323,7 @@
         let peers = state.peers.borrow();
         match peers.ahead_of_config(now, config_version, state.draw()) {
             Some(peer) => (Some(peer), CONFIG_FETCH_DELAY),
-            None => {
-                (peers.ahead_of_servers(now, servers_revision, state.draw()), FETCH_DELAY)
-            },
+            None => (peers.ahead_of_servers(now, servers_revision, state.draw()), FETCH_DELAY),
         }
     };
     let Some(peer) = ahead else {
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -13,7 +13,6 @@
 use medlarlanding_platform::servers::{SERVERS_PREFIX, decode_item};
 use medlarlanding_platform::store::StoreItem;
 
-
 /// Time that a watch waits at the store. A call whose answer is lost shows only then, and a
 /// configuration must be in force 2 s after the store has been sound for 3 s.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
