--- a/medlarlanding-bench/src/client.rs
+++ b/medlarlanding-bench/src/client.rs
@@ -88,7 +88,7 @@
 /// Answer to a call that may be a stream.
 pub enum Opened {
     /// An event stream.
-    Stream(EventStream),
+    Stream(Box<EventStream>),
     /// Anything else, usually a rejection.
     Answer(Answer),
 }
@@ -176,12 +176,12 @@
         if !streams {
             return read_answer(response, wait).await.map(Opened::Answer);
         }
-        Ok(Opened::Stream(EventStream {
+        Ok(Opened::Stream(Box::new(EventStream {
             headers,
             answer: response,
             decoder: EventDecoder::default(),
             events: VecDeque::new(),
-        }))
+        })))
     }
 
     async fn send(
--- a/medlarlanding-bench/tests/golden.rs
+++ b/medlarlanding-bench/tests/golden.rs
@@ -91,7 +91,7 @@
         match self.client.open(address, call, WAIT).await.expect("an answer") {
             Opened::Stream(stream) => {
                 self.write_head(200, &stream.headers);
-                stream
+                *stream
             },
             Opened::Answer(answer) => panic!("refused: {answer:?}"),
         }
@@ -269,7 +269,7 @@
     let mut streams = Vec::new();
     let refused = loop {
         match bed.client.open(bed.target(0), &call, WAIT).await.expect("an answer") {
-            Opened::Stream(stream) => streams.push(stream),
+            Opened::Stream(stream) => streams.push(*stream),
             Opened::Answer(answer) => break answer,
         }
         assert!(streams.len() <= 2 * SMALL_LIMIT, "the limit of open requests has no effect");
--- a/medlarlanding-bench/tests/process_support/mod.rs
+++ b/medlarlanding-bench/tests/process_support/mod.rs
@@ -77,7 +77,7 @@
 
     pub async fn open(&self, index: usize, call: &Call) -> EventStream {
         match self.client.open(self.target(index), call, WAIT).await {
-            Ok(Opened::Stream(stream)) => stream,
+            Ok(Opened::Stream(stream)) => *stream,
             Ok(Opened::Answer(answer)) => panic!("refused: {:?}", answer.json()),
             Err(fault) => panic!("no stream: {fault:?}"),
         }
--- a/medlarlanding-bench/tests/processes.rs
+++ b/medlarlanding-bench/tests/processes.rs
@@ -384,7 +384,7 @@
     let mut streams = Vec::new();
     for index in 0..2 * SMALL_LIMIT {
         match bed.client.open(bed.target(index % 3), &call, WAIT).await.expect("an answer") {
-            Opened::Stream(stream) => streams.push(stream),
+            Opened::Stream(stream) => streams.push(*stream),
             Opened::Answer(answer) => {
                 assert_eq!(answer.json()["error"]["kind"], "customer_limit");
             },
--- a/medlarlanding-bench/tests/stand_ins.rs
+++ b/medlarlanding-bench/tests/stand_ins.rs
@@ -29,7 +29,7 @@
 
 async fn open(client: &CallClient, address: SocketAddr, call: &Call) -> EventStream {
     match client.open(address, call, WAIT).await {
-        Ok(Opened::Stream(stream)) => stream,
+        Ok(Opened::Stream(stream)) => *stream,
         Ok(Opened::Answer(answer)) => panic!("refused: {answer:?}"),
         Err(fault) => panic!("no stream: {fault:?}"),
     }
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -298,6 +298,13 @@
         }
     }
 
+    /// Avoids a server until a time, or longer if it is avoided longer already.
+    pub fn avoid(&mut self, key: ServerKey, until: Timestamp) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.avoid_until = record.avoid_until.max(Some(until));
+        }
+    }
+
     /// Records a failure that speaks against the server. Returns whether it is avoided now.
     pub fn record_failure(&mut self, now: Timestamp, key: ServerKey) -> bool {
         let Some(record) = self.records.get_mut(&key) else { return false };
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -12,6 +12,9 @@
         Servers(ServerChanges),
         /// Hashes of the ids of servers that said they leave while the store was away.
         Leaving(Vec<u64>),
+        /// Hash of the id of an engine that failed a request, for the instance that places
+        /// generations.
+        Fault(u64),
         /// Asks where to run a generation.
         Question(PlaceQuestion),
         /// Tells where to run a generation.
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -13,6 +13,7 @@
 mod patience;
 mod peers;
 mod placement;
+mod suspicion;
 mod waiting;
 
 pub use budget::{BudgetParams, RepeatBudget, RepeatPurpose};
@@ -34,4 +35,5 @@
 pub use placement::{
     PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest, RunWeight,
 };
+pub use suspicion::{FaultLog, SuspicionParams};
 pub use waiting::{RunTicket, WaitingClass, WaitingParams, WaitingRuns};
--- a/medlarlanding/src/cli.rs
+++ b/medlarlanding/src/cli.rs
@@ -59,7 +59,7 @@
     subcommand,
     name = "check",
     example = "medlarlanding check instance.yaml tree.yaml",
-    note = "A file with the key `instance` is checked as settings, any other as a tree."
+    note = "A .toml file is checked as the platform's settings, a .json file as the platform's configuration, a file with the key `instance` as settings, any other as a tree."
 )]
 pub struct CheckOptions {
     /// files to check
--- a/medlarlanding/src/commands.rs
+++ b/medlarlanding/src/commands.rs
@@ -1,5 +1,6 @@
 //! Subcommands of the binary.
 
+use std::ffi::OsStr;
 use std::fmt::Write;
 use std::fs;
 use std::net::SocketAddr;
@@ -15,6 +16,8 @@
 use crate::settings::InstanceSettings;
 use medlarlanding_core::config::{ConfigTree, credential_digest};
 use medlarlanding_core::handles::hex_text;
+use medlarlanding_platform::config::decode_config;
+use medlarlanding_platform::settings::PlatformSettings;
 
 use anyhow::{Context, bail};
 use hyper::Method;
@@ -63,15 +66,16 @@
     for file in &options.files {
         let name = file.display();
         let text = fs::read_to_string(file).with_context(|| format!("cannot read {name}"))?;
-        let faults = if text.lines().any(|line| line.starts_with("instance:")) {
-            InstanceSettings::parse(&text).err().into_iter().collect()
-        } else {
-            ConfigTree::parse(&text)
-                .err()
-                .unwrap_or_default()
-                .iter()
-                .map(ToString::to_string)
-                .collect::<Vec<_>>()
+        let faults = match file.extension().and_then(OsStr::to_str) {
+            Some("toml") => faults_of(PlatformSettings::parse(&text)),
+            Some("json") => faults_of(decode_config(text.as_bytes())),
+            _ if text.lines().any(|line| line.starts_with("instance:")) => {
+                InstanceSettings::parse(&text).err().into_iter().collect()
+            },
+            _ => {
+                let faults = ConfigTree::parse(&text).err().unwrap_or_default();
+                faults.iter().map(ToString::to_string).collect()
+            },
         };
         for fault in &faults {
             println!("{name}:{fault}");
@@ -84,6 +88,10 @@
     Ok(if faulty { ExitCode::FAILURE } else { ExitCode::SUCCESS })
 }
 
+fn faults_of<T>(checked: anyhow::Result<T>) -> Vec<String> {
+    checked.err().map(|error| format!(" {error:#}")).into_iter().collect()
+}
+
 /// Prints the state of a running instance.
 ///
 /// # Errors
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -165,6 +165,9 @@
                 StreamEnd::CallerGone => "caller_gone",
                 StreamEnd::Late => "late",
                 StreamEnd::Broken | StreamEnd::Stopped => {
+                    if matches!(end, StreamEnd::Broken) && !self.is_leaving(place.key) {
+                        self.link.report_fault(&self.state, place.key);
+                    }
                     match self.resume(place, destination, matches!(end, StreamEnd::Stopped)).await {
                         Some(next) => {
                             place = next;
@@ -183,6 +186,11 @@
         }
     }
 
+    fn is_leaving(&self, key: ServerKey) -> bool {
+        let directory = self.state.directory.borrow();
+        directory.get(key).is_none_or(|record| record.leaving_since.is_some())
+    }
+
     /// What the run takes at an engine by now.
     fn run_weight(&self) -> RunWeight {
         let made = (self.events * TOKENS_PER_EVENT) as u32;
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -5,7 +5,7 @@
 
 use super::{GenerationRun, RunPlace, is_framed};
 use crate::answer_body::AnswerBody;
-use crate::exchange::{self, ExchangeFault};
+use crate::exchange::{self, Exchange, ExchangeFault};
 use crate::forwarding::answer::{CallerAnswer, OwnAnswer, pass_on};
 use crate::forwarding::relay::server_request;
 use crate::forwarding::shared::{LoadGuard, Placement};
@@ -18,14 +18,17 @@
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_platform::headers::{AnswerProof, check_answer, promises_not_run};
 
-use http_body_util::{BodyExt, Limited};
-use hyper::StatusCode;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
 
 /// Period in which a run that waits asks for room.
 const ROOM_PERIOD: Duration = Duration::from_millis(40);
 /// Servers that refuse or cannot be reached before the request is given up.
 const UNSENT_LIMIT: u32 = 4;
+/// An engine whose answer has not begun after this multiple of the objective is reported.
+const SILENT_OBJECTIVES: u32 = 2;
 /// Longest answer of an engine that is no stream in bytes.
 const WHOLE_ANSWER_LIMIT: usize = 64 << 10;
 
@@ -62,7 +65,7 @@
                 Some(self.admitted.priority),
                 None,
             );
-            let sent = exchange::send(entry.address, request, time_left).await;
+            let sent = self.send_watched(key, &entry, request, time_left).await;
             let elapsed = self.state.now().since(now);
             let outcome = match &sent {
                 Ok((response, _)) => response.status().as_str().to_owned(),
@@ -139,8 +142,29 @@
         Some(pass_on(status, server_headers, AnswerBody::Whole(Some(collected.to_bytes()))))
     }
 
+    /// Sends the request. An engine that stays silent long after the objective is reported while
+    /// the request goes on: it may have taken the request and never answer.
+    async fn send_watched(
+        &self,
+        key: ServerKey,
+        entry: &ServerEntry,
+        request: Request<Full<Bytes>>,
+        time_left: Duration,
+    ) -> Result<(Response<Incoming>, Exchange), ExchangeFault> {
+        let silence = self.admitted.rule.objective * SILENT_OBJECTIVES;
+        let mut sending = std::pin::pin!(exchange::send(entry.address, request, time_left));
+        match tokio::time::timeout(silence, sending.as_mut()).await {
+            Ok(sent) => sent,
+            Err(_) => {
+                self.link.report_fault(&self.state, key);
+                sending.await
+            },
+        }
+    }
+
     fn note_failure(&self, key: ServerKey, entry: &ServerEntry, fault: &'static str) {
         self.state.telemetry.faults.with_label_values(&[fault]).inc();
+        self.link.report_fault(&self.state, key);
         if self.state.directory.borrow_mut().record_failure(self.state.now(), key) {
             event(EventKind::ServerSuspected, &[&entry.id, &fault]);
         }
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -13,7 +13,7 @@
 use medlarlanding_core::forwarding::{
     DirectoryChange, EntryDelta, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer,
     PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RepeatPurpose, RunTicket,
-    ServerChanges,
+    ServerChanges, ServerKey,
 };
 use medlarlanding_core::value_type;
 
@@ -145,6 +145,16 @@
         self.send(state, &PeerMessage::Leaving(vec![server]), &targets);
     }
 
+    /// Tells the instance that places generations of an engine that failed a request.
+    pub fn report_fault(&self, state: &ForwardState, key: ServerKey) {
+        let Some(engine) = state.hash_of(key) else { return };
+        let keeper = state.peers.borrow().keeper(state.now());
+        match keeper {
+            Some(keeper) => self.send(state, &PeerMessage::Fault(engine), &[keeper]),
+            None => state.take_fault(engine),
+        }
+    }
+
     /// Chooses a server for a generation: asks the instance that places them, or decides here
     /// when that is this instance or it does not answer.
     pub async fn place(
@@ -300,6 +310,7 @@
                 state.mark_leaving(key);
             }
         },
+        PeerMessage::Fault(engine) => state.take_fault(engine),
         PeerMessage::Question(question) => {
             let answer = state.answer_place(source, &question);
             link.send(state, &PeerMessage::Answer(answer), &[source]);
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -11,10 +11,10 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BudgetParams, DirectoryChange, EntryLog, ForwardConfig, LoadReport, MoveParams, PeerTable,
-    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementChoice, PlacementPolicy,
-    PlacementRequest, RemoteLoad, RepeatBudget, RepeatPurpose, RunTicket, RunWeight,
-    ServerDirectory, ServerKey, ServerPhase, ServerRecord, WaitingClass, WaitingRuns,
+    BudgetParams, DirectoryChange, EntryLog, FaultLog, ForwardConfig, LoadReport, MoveParams,
+    PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementChoice,
+    PlacementPolicy, PlacementRequest, RemoteLoad, RepeatBudget, RepeatPurpose, RunTicket,
+    RunWeight, ServerDirectory, ServerKey, ServerPhase, ServerRecord, WaitingClass, WaitingRuns,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
@@ -95,6 +95,8 @@
     move_budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
     /// Generations of all instances that wait for room; used while this instance places them.
     waiting: RefCell<WaitingRuns>,
+    /// Faults of engines, from all instances; used while this instance places generations.
+    faults: RefCell<FaultLog>,
     /// This instance watches the store and its last call was answered.
     pub reaches_store: Cell<bool>,
     /// A fetch from a peer is in progress.
@@ -140,6 +142,7 @@
             budgets: RefCell::default(),
             move_budgets: RefCell::default(),
             waiting: RefCell::default(),
+            faults: RefCell::default(),
             reaches_store: Cell::new(false),
             is_fetching: Cell::new(false),
             fetch_after: Cell::new(Timestamp::default()),
@@ -332,6 +335,20 @@
             .map_or(Placement::Nowhere, Placement::Server)
     }
 
+    /// Counts a fault of an engine that any instance saw; used while this instance places
+    /// generations.
+    pub fn take_fault(&self, engine: u64) {
+        let now = self.now();
+        let Some(period) = self.faults.borrow_mut().record(now, engine) else { return };
+        let Some(key) = self.find_server(engine) else { return };
+        let mut directory = self.directory.borrow_mut();
+        directory.avoid(key, now + period);
+        if let Some(record) = directory.get(key) {
+            let reason = format!("reported, avoided for {} ms", period.as_millis());
+            event(EventKind::ServerSuspected, &[&record.entry.id, &reason]);
+        }
+    }
+
     /// Places a generation for a peer.
     pub fn answer_place(&self, peer: SocketAddr, question: &PlaceQuestion) -> PlaceAnswer {
         let excluded: Vec<ServerKey> =
