Count equal waiting runs in the order of arrival; scale the early refusal with the objective

Change: ties go to the run that asked first; a run may be refused for its place between a fifteenth and an eighth of its objective. Tests: equal_runs_are_served_in_the_order_of_arrival, and as processes generations_behind_many_others_are_refused_at_once; the latter failed first for the caller that waits its time, which the test now tells apart by its log line. Neither was run against the code before.

--- a/medlarlanding-bench/tests/forwarding.rs
+++ b/medlarlanding-bench/tests/forwarding.rs
@@ -316,6 +316,57 @@
     }
 }
 
+/// Guards against callers that are held although many others go first, against refusals of runs
+/// that were sent, and against callers that come back into the same burst.
+#[test]
+fn generations_behind_many_others_are_refused_at_once() {
+    let mut site = start(SiteParams { engines: 1, ..SiteParams::default() });
+    let version = site.publish_config(|config| config["routes"][2]["goalMs"] = 3_000.into());
+    let accepted = format!("version={version} ");
+    site.wait_until("a configuration", || site.log(0).contains(&accepted)).expect("a line");
+    site.state.set_generation(400, 20);
+    let address = site.callers(0);
+    let large = |id: String| call("/draft/a", &id).header("x-token-count", "14000,80");
+    let running: Vec<_> = (0..2)
+        .map(|run| std::thread::spawn(move || large(format!("run-{run}")).send(address)))
+        .collect();
+    let are_running = || site.state.runs("run-0").len() + site.state.runs("run-1").len() == 2;
+    site.wait_until("two generations that run", are_running).expect("runs");
+    let started = Instant::now();
+    let waiting: Vec<_> = (0..24)
+        .map(|run| {
+            std::thread::spawn(move || {
+                let id = format!("wait-{run}");
+                let answer = large(id.clone()).leave_after(Duration::from_secs(2)).send(address);
+                (id, answer, started.elapsed())
+            })
+        })
+        .collect();
+    let mut refused = 0;
+    for caller in waiting {
+        let (id, answer, elapsed) = caller.join().expect("a caller");
+        let Ok(answer) = answer else { continue };
+        if answer.status != 503 {
+            continue;
+        }
+        assert!(site.state.runs(&id).is_empty(), "{id} has run");
+        let line = format!("run_refused request={id} ");
+        let log = site.log(0);
+        let reason = log.lines().find(|entry| entry.contains(&line)).expect("a reason");
+        if reason.contains("reason=waited") {
+            continue;
+        }
+        refused += 1;
+        assert!(elapsed < Duration::from_secs(1), "{id} was held for {elapsed:?}");
+        let delay = answer.header("retry-after").and_then(|value| value.parse::<f64>().ok());
+        assert!(delay.is_some_and(|delay| delay >= 10.0), "{delay:?}");
+    }
+    assert!(refused >= 12, "{refused} of 24 were refused at once: {}", site.log(0));
+    for caller in running {
+        assert!(caller.join().expect("a caller").expect("an answer").is_whole);
+    }
+}
+
 /// Guards against waiting where it is known that nothing can be served.
 #[test]
 fn request_without_servers_is_refused_at_once() {
--- a/medlarlanding-core/src/forwarding/patience.rs
+++ b/medlarlanding-core/src/forwarding/patience.rs
@@ -12,9 +12,9 @@
 /// Figures of the wait.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PatienceParams {
-    /// A run asks for this long before its place in the order counts: three questions, so that
-    /// the runs before it have asked too.
-    pub settle: Duration,
+    /// Part of the objective for which a run asks before its place in the order counts: a few
+    /// questions, so that the runs before it have asked too.
+    pub settle_part: f64,
     /// Part of the objective within which a run is refused for its place. Afterwards it has
     /// waited so long that it goes on.
     pub early_part: f64,
@@ -34,7 +34,7 @@
 impl Default for PatienceParams {
     fn default() -> Self {
         Self {
-            settle: Duration::from_millis(120),
+            settle_part: 0.066,
             early_part: 0.125,
             ahead_limit: 5,
             first_event_part: 0.85,
@@ -95,10 +95,11 @@
     /// Decides for a run that found no room while `ahead` others go before it.
     pub fn after_full(&self, now: Timestamp, ahead: u16) -> PatienceStep {
         let held = now.since(self.arrived_at);
-        let is_early = held < self.objective.mul_f64(self.params.early_part);
+        let is_early = held >= self.objective.mul_f64(self.params.settle_part)
+            && held < self.objective.mul_f64(self.params.early_part);
         if now >= self.latest {
             PatienceStep::RefuseLate
-        } else if held >= self.params.settle && is_early && ahead >= self.params.ahead_limit {
+        } else if is_early && ahead >= self.params.ahead_limit {
             PatienceStep::RefuseEarly
         } else {
             PatienceStep::Wait
--- a/medlarlanding-core/src/forwarding/waiting.rs
+++ b/medlarlanding-core/src/forwarding/waiting.rs
@@ -74,6 +74,9 @@
 struct WaitingRun {
     class: WaitingClass,
     density: f64,
+    /// First question without room; earlier runs of the same worth go first.
+    first_at: Timestamp,
+    /// Last question; never before `first_at`.
     asked_at: Timestamp,
 }
 
@@ -125,10 +128,10 @@
         class: WaitingClass,
         density: f64,
     ) -> usize {
-        let is_better = |run: &WaitingRun| match run.class.cmp(&class) {
-            Ordering::Less => true,
-            Ordering::Equal => run.density > density,
-            Ordering::Greater => false,
+        let first_at = self.runs.get(&ticket).map_or(now, |run| run.first_at);
+        let is_better = |run: &WaitingRun| {
+            let order = run.class.cmp(&class).then(density.total_cmp(&run.density));
+            order.then(run.first_at.cmp(&first_at)) == Ordering::Less
         };
         let fresh = self.runs.iter().filter(|(other, run)| {
             **other != ticket && now.since(run.asked_at) < self.params.fresh
@@ -140,7 +143,9 @@
     pub fn wait(&mut self, now: Timestamp, ticket: RunTicket, class: WaitingClass, density: f64) {
         let fresh = self.params.fresh;
         self.runs.retain(|_, run| now.since(run.asked_at) < fresh);
-        self.runs.insert(ticket, WaitingRun { class, density, asked_at: now });
+        let run = WaitingRun { class, density, first_at: now, asked_at: now };
+        let waiting = self.runs.entry(ticket).or_insert(run);
+        *waiting = WaitingRun { first_at: waiting.first_at, ..run };
     }
 
     /// Records that a run was served.
--- a/medlarlanding-core/tests/forwarding_waiting.rs
+++ b/medlarlanding-core/tests/forwarding_waiting.rs
@@ -61,6 +61,23 @@
     ),
 }
 
+/// Guards against runs of the same worth that all go before one another, or none.
+#[test]
+fn equal_runs_are_served_in_the_order_of_arrival() {
+    let mut waiting = usual();
+    for run in 0..8 {
+        waiting.wait(at(run), ticket(run), WaitingClass::InTime, 1.0);
+    }
+    // Asking again does not cost a run its place.
+    waiting.wait(at(40), ticket(0), WaitingClass::InTime, 1.0);
+    for run in 0..8 {
+        let ahead = waiting.count_better(at(41), ticket(run), WaitingClass::InTime, 1.0);
+        assert_eq!(ahead, run as usize);
+    }
+    let new = waiting.count_better(at(41), ticket(9), WaitingClass::InTime, 1.0);
+    assert_eq!(new, 8);
+}
+
 /// Guards against room that is kept for runs whose callers have left.
 #[test]
 fn run_that_stops_asking_is_forgotten() {
