--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -11,20 +11,21 @@
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, OwnAnswer, pass_on};
 use super::engine_calls::MoveCall;
+use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
-use super::shared::{LoadGuard, SharedState};
+use super::shared::SharedState;
 use super::stream_events::{EventSplitter, StreamPiece};
 use crate::answer_body::{AnswerBody, StreamCut, TaskGuard};
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{RunWeight, ServerEntry, ServerKey};
 use medlarlanding_core::time::Timestamp;
 
 use bytes::Bytes;
-use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// Tokens of one event where the configuration does not say; engines of today's installations
@@ -252,6 +253,17 @@
     }
 }
 
+/// Outcome of sending a request to an engine.
+type SentRequest = Result<(Response<Incoming>, Exchange), ExchangeFault>;
+
+/// Name of an outcome in logs: the status, or the fault.
+fn outcome_name(sent: &SentRequest) -> String {
+    match sent {
+        Ok((response, _)) => response.status().as_str().to_owned(),
+        Err(fault) => fault.name().to_owned(),
+    }
+}
+
 /// Tells whether the end of a body is marked by its length or its last chunk.
 fn is_framed(headers: &hyper::HeaderMap) -> bool {
     headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{GenerationRun, RunPlace, is_framed};
+use super::{GenerationRun, RunPlace, is_framed, outcome_name};
 use crate::answer_body::StreamCut;
 use crate::exchange::{self, ExchangeFault};
 use crate::forwarding::engine_calls::{MOVE_TIMEOUT, MoveAnswer, MoveCall, release_copy};
+use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
-use crate::forwarding::shared::{LoadGuard, Placement, SharedState};
+use crate::forwarding::shared::{Placement, SharedState};
 use crate::forwarding::stream_events::EventSplitter;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -342,10 +343,7 @@
                 Some(&continuation),
             );
             let sent = exchange::send(entry.address, request, time_left).await;
-            let outcome = match &sent {
-                Ok((response, _)) => response.status().as_str().to_owned(),
-                Err(fault) => format!("{fault:?}"),
-            };
+            let outcome = outcome_name(&sent);
             event(
                 EventKind::RunResumed,
                 &[
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{GenerationRun, RunPlace, is_framed};
+use super::{GenerationRun, RunPlace, SentRequest, is_framed, outcome_name};
 use crate::answer_body::AnswerBody;
-use crate::exchange::{self, Exchange, ExchangeFault};
+use crate::exchange::{self, ExchangeFault};
 use crate::forwarding::answer::{CallerAnswer, OwnAnswer, pass_on};
+use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
-use crate::forwarding::shared::{LoadGuard, Placement};
+use crate::forwarding::shared::Placement;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
@@ -21,7 +22,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, StatusCode};
 
 /// Period in which a run that waits asks for room.
 const ROOM_PERIOD: Duration = Duration::from_millis(40);
@@ -67,10 +68,7 @@
             );
             let sent = self.send_watched(key, &entry, request, time_left).await;
             let elapsed = self.state.now().since(now);
-            let outcome = match &sent {
-                Ok((response, _)) => response.status().as_str().to_owned(),
-                Err(fault) => format!("{fault:?}"),
-            };
+            let outcome = outcome_name(&sent);
             event(
                 EventKind::RequestSent,
                 &[
@@ -150,7 +148,7 @@
         entry: &ServerEntry,
         request: Request<Full<Bytes>>,
         time_left: Duration,
-    ) -> Result<(Response<Incoming>, Exchange), ExchangeFault> {
+    ) -> SentRequest {
         let silence = self.admitted.rule.objective * SILENT_OBJECTIVES;
         let mut sending = std::pin::pin!(exchange::send(entry.address, request, time_left));
         match tokio::time::timeout(silence, sending.as_mut()).await {
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -1,8 +1,8 @@
 //! Forwarding role: serves callers of the platform and sends their requests to its servers.
 //!
 //! A request comes in at `listener`, is checked in `admit`, and is sent by `relay` (plain
-//! services) or `generation` (model engines) over a `crate::exchange`. `store_watch` and `peer_link`
-//! keep the configuration and the servers current.
+//! services) or `generation` (model engines) over a connection of `crate::exchange`.
+//! `store_watch` and `peer_link` keep the configuration and the servers current.
 
 mod admit;
 mod answer;
@@ -10,6 +10,7 @@
 mod engine_probe;
 mod generation;
 mod listener;
+mod load_guard;
 mod log_output;
 mod peer_link;
 mod relay;
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -4,7 +4,8 @@
 
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, OwnAnswer, pass_on};
-use super::shared::{LoadGuard, Placement, SharedState};
+use super::load_guard::LoadGuard;
+use super::shared::{Placement, SharedState};
 use crate::answer_body::{AnswerBody, StreamCut, TaskGuard};
 use crate::exchange::{self, Exchange, ExchangeFault};
 use crate::logging::event;
