Keep the order of waiting runs for each service

Cause, found by reading: runs that waited for one service's engines went before runs of another service that had room. Change: one queue and one running mean of sizes for each service. Test: full_service_does_not_hold_up_another.

--- a/medlarlanding-bench/tests/forwarding.rs
+++ b/medlarlanding-bench/tests/forwarding.rs
@@ -367,6 +367,44 @@
     }
 }
 
+/// Guards against generations that wait behind those of another service.
+#[test]
+fn full_service_does_not_hold_up_another() {
+    let mut site = start(SiteParams { engines: 1, ..SiteParams::default() });
+    site.add_server("scribes", 20).expect("a server");
+    let version = site.publish_config(|config| {
+        config["routes"][2]["goalMs"] = 3_000.into();
+        let mut route = config["routes"][2].clone();
+        route["name"] = "other".into();
+        route["prefix"] = "/draft/other/".into();
+        route["service"] = "scribes".into();
+        config["routes"].as_array_mut().expect("routes").push(route);
+        let mut service = config["services"][1].clone();
+        service["name"] = "scribes".into();
+        config["services"].as_array_mut().expect("services").push(service);
+    });
+    let accepted = format!("version={version} ");
+    site.wait_until("a configuration", || site.log(0).contains(&accepted)).expect("a line");
+    site.state.set_generation(200, 20);
+    let address = site.callers(0);
+    let large = |id: String| call("/draft/a", &id).header("x-token-count", "14000,80");
+    let full: Vec<_> = (0..6)
+        .map(|run| std::thread::spawn(move || large(format!("run-{run}")).send(address)))
+        .collect();
+    let are_running =
+        || (0..6).filter(|run| !site.state.runs(&format!("run-{run}")).is_empty()).count();
+    site.wait_until("two generations that run", || are_running() == 2).expect("runs");
+    // Worth less for its time than those that wait, which would all go before it in one queue.
+    let other = call("/draft/other/a", "other").header("x-token-count", "5000,20000");
+    let answer = send(&site, &other);
+    assert!(answer.status == 200 && answer.is_whole, "{}", site.log(0));
+    assert_eq!(site.state.runs("other")[0].server, "scribes-20");
+    for caller in full {
+        // Whether these are served or refused is not the point here.
+        let _ = caller.join().expect("a caller");
+    }
+}
+
 /// Guards against waiting where it is known that nothing can be served.
 #[test]
 fn request_without_servers_is_refused_at_once() {
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -93,8 +93,9 @@
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
     /// Moves of all instances by service; used while this instance places generations.
     move_budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
-    /// Generations of all instances that wait for room; used while this instance places them.
-    waiting: RefCell<WaitingRuns>,
+    /// Generations of all instances that wait for room, by service; used while this instance
+    /// places them.
+    waiting: RefCell<IndexMap<Arc<str>, WaitingRuns>>,
     /// Faults of engines, from all instances; used while this instance places generations.
     faults: RefCell<FaultLog>,
     /// This instance watches the store and its last call was answered.
@@ -402,7 +403,9 @@
     ) -> Placement {
         let (now, params) = (self.now(), self.budget_params());
         let placement = match purpose {
-            PlacePurpose::Start | PlacePurpose::StartLate => self.place_in_turn(ticket, request),
+            PlacePurpose::Start | PlacePurpose::StartLate => {
+                self.place_in_turn(ticket, service, request)
+            },
             PlacePurpose::Move | PlacePurpose::MoveAgain => self.choose_destination(request),
         };
         if !matches!(placement, Placement::Server(_)) {
@@ -423,7 +426,12 @@
     }
 
     /// Places a new run unless the room is due to runs that wait and go before it.
-    fn place_in_turn(&self, ticket: RunTicket, request: &PlacementRequest<'_>) -> Placement {
+    fn place_in_turn(
+        &self,
+        ticket: RunTicket,
+        service: &Arc<str>,
+        request: &PlacementRequest<'_>,
+    ) -> Placement {
         let now = self.now();
         let Some(choice) = self.choose(request) else { return Placement::Nowhere };
         let class = match request.due {
@@ -431,7 +439,8 @@
             Some(_) if request.is_urgent => WaitingClass::Urgent,
             Some(_) => WaitingClass::InTime,
         };
-        let mut waiting = self.waiting.borrow_mut();
+        let mut services = self.waiting.borrow_mut();
+        let waiting = services.entry(Arc::clone(service)).or_default();
         let density = waiting.density(request.weight);
         let ahead = waiting.count_better(now, ticket, class, density);
         if choice.rooms > ahead {
