--- a/medlarlanding-bench/tests/soak.rs
+++ b/medlarlanding-bench/tests/soak.rs
@@ -7,16 +7,19 @@
 
 /// Guards against broken promises under faults that overlap: killed, stopped and paused
 /// processes, a store that refuses, servers that fail, and links that delay, reset or go silent.
-fn promises_hold(seed: u64) {
+fn promises_hold((seed, instances): (u64, usize)) {
     let length = Duration::from_secs(6);
-    let report = play(SoakParams { seed, length, instances: 3 }).expect("a soak");
+    let report = play(SoakParams { seed, length, instances }).expect("a soak");
     println!("seed {seed}: {report:?}");
     assert!(report.violations.is_empty(), "seed {seed}: {:?}", report.violations);
     assert!(report.served > 0, "seed {seed}: nothing was served");
 }
 
 cases! { promises_hold;
-    seed_1 => 1,
-    seed_2 => 2,
-    seed_3 => 3,
+    seed_1 => (1, 3),
+    seed_2 => (2, 3),
+    seed_3 => (3, 3),
+    // An instance did not serve generations 15 s after the faults, once, beside a full machine;
+    // the cause is not known.
+    seed_53001_with_5_instances => (53_001, 5),
 }
