Do not refuse runs while an engine has room

A run that is refused stays in the order for 120 ms; with an objective of 1 s the runs behind it were refused within 125 ms for it, and stayed in turn, so that no run ever was the first. Change: the number of runs before one counts for a refusal only while no engine has room; the decision is WaitingRuns::admit.

--- a/medlarlanding-bench/tests/soak.rs
+++ b/medlarlanding-bench/tests/soak.rs
@@ -19,7 +19,6 @@
     seed_1 => (1, 3),
     seed_2 => (2, 3),
     seed_3 => (3, 3),
-    // An instance did not serve generations 15 s after the faults, once, beside a full machine;
-    // the cause is not known.
+    // Runs were refused for others that had been refused a moment before, for 15 s and longer.
     seed_53001_with_5_instances => (53_001, 5),
 }
--- a/medlarlanding-core/src/forwarding/waiting.rs
+++ b/medlarlanding-core/src/forwarding/waiting.rs
@@ -120,6 +120,32 @@
         1e6 * worth / (seconds.max(1e-3) * memory)
     }
 
+    /// Decides whether a run gets room while `rooms` engines have room for it.
+    ///
+    /// # Errors
+    ///
+    /// The run waits. The number is how many runs go before it, or 0 while any engine has room:
+    /// some of those before it may have been refused or left a moment ago, and a run must not be
+    /// refused for them.
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        ticket: RunTicket,
+        class: WaitingClass,
+        weight: RunWeight,
+        rooms: usize,
+    ) -> Result<(), usize> {
+        let density = self.density(weight);
+        let ahead = self.count_better(now, ticket, class, density);
+        if rooms > ahead {
+            self.leave(ticket);
+            self.learn(weight);
+            return Ok(());
+        }
+        self.wait(now, ticket, class, density);
+        Err(if rooms > 0 { 0 } else { ahead })
+    }
+
     /// Number of waiting runs that are served before a run; the run itself is left out.
     pub fn count_better(
         &self,
--- a/medlarlanding-core/tests/forwarding_waiting.rs
+++ b/medlarlanding-core/tests/forwarding_waiting.rs
@@ -155,6 +155,50 @@
     assert!(share > all_share / 2.0, "largest tenth {share}, all {all_share}");
 }
 
+/// Replays soak seed 53001: equal runs with an objective of 1 s arrive every 10 ms and ask every
+/// 40 ms while four engines are empty. Runs that were refused stay in the order for a moment;
+/// those behind them were refused for them in turn, and nobody was served any more.
+#[test]
+fn refused_runs_do_not_hold_up_empty_engines() {
+    let weight = RunWeight { prompt: 1_000, output: 80 };
+    let mut waiting = usual();
+    // Runs that were refused just before room came free.
+    for run in 0..12 {
+        let density = waiting.density(weight);
+        waiting.wait(at(run), ticket(run), WaitingClass::InTime, density);
+    }
+    let (mut served, mut refused) = (0, 0);
+    let mut asking: Vec<u64> = Vec::new();
+    for step in 2..100 {
+        let now = 10 * step;
+        asking.push(now);
+        asking.retain(|&arrived| {
+            if (now - arrived) % 40 != 0 {
+                return true;
+            }
+            let ticket = ticket(1_000 + arrived);
+            let admitted = waiting.admit(at(now), ticket, WaitingClass::InTime, weight, 4);
+            let objective = Duration::from_secs(1);
+            let patience = RunPatience::new(
+                PatienceParams::default(),
+                at(arrived),
+                objective,
+                Duration::from_secs(15),
+                weight.prompt,
+            );
+            match admitted {
+                Ok(()) => served += 1,
+                Err(ahead) if patience.after_full(at(now), ahead as u16) != PatienceStep::Wait => {
+                    refused += 1;
+                },
+                Err(_) => return true,
+            }
+            false
+        });
+    }
+    assert!(refused == 0 && served >= 80, "served {served}, refused {refused}");
+}
+
 /// Guards against a first run that is compared with nothing.
 #[test]
 fn density_is_finite_before_anything_is_learnt() {
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -441,15 +441,10 @@
         };
         let mut services = self.waiting.borrow_mut();
         let waiting = services.entry(Arc::clone(service)).or_default();
-        let density = waiting.density(request.weight);
-        let ahead = waiting.count_better(now, ticket, class, density);
-        if choice.rooms > ahead {
-            waiting.leave(ticket);
-            waiting.learn(request.weight);
-            return Placement::Server(choice.key);
+        match waiting.admit(now, ticket, class, request.weight, choice.rooms) {
+            Ok(()) => Placement::Server(choice.key),
+            Err(ahead) => Placement::Full(ahead.min(usize::from(u16::MAX)) as u16),
         }
-        waiting.wait(now, ticket, class, density);
-        Placement::Full(ahead.min(usize::from(u16::MAX)) as u16)
     }
 
     /// Finds the server with the hash of an id.
