Join what stood twice in the forwarding role; split fetches from datagrams

Change: crate::listener::accept, crate::exchange::open, PlacementRequest::candidates, PROMPT_TOKEN_TIME, peer_fetch.rs, a line for unreadable entries, sources beside the weights. No decision, bound or assertion changes.

--- a/medlarlanding-core/src/forwarding/patience.rs
+++ b/medlarlanding-core/src/forwarding/patience.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::messages::PlacePurpose;
+use super::placement::PROMPT_TOKEN_TIME;
 use crate::time::Timestamp;
 
 /// Figures of the wait.
@@ -27,7 +28,7 @@
     /// A run that is late waits up to this multiple of its objective; callers give up at four
     /// times the objective.
     pub late_objectives: u32,
-    /// Time in which a busy engine reads one prompt token.
+    /// Time for one prompt token on a busy engine.
     pub prompt_token_time: Duration,
 }
 
@@ -39,7 +40,7 @@
             ahead_limit: 5,
             first_event_part: 0.85,
             late_objectives: 3,
-            prompt_token_time: Duration::from_micros(140),
+            prompt_token_time: PROMPT_TOKEN_TIME,
         }
     }
 }
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -85,6 +85,17 @@
     pub is_urgent: bool,
 }
 
+impl<'a> PlacementRequest<'a> {
+    /// Servers that take work and are not excluded.
+    fn candidates(
+        &self,
+        directory: &'a ServerDirectory,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> {
+        let excluded = self.excluded;
+        directory.candidates(self.service).filter(move |(key, _)| !excluded.contains(key))
+    }
+}
+
 /// Server that was chosen for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlacementChoice {
@@ -94,8 +105,12 @@
     pub rooms: usize,
 }
 
-/// Prompt tokens that an engine reads in a second while others run.
+/// Prompt tokens that an engine reads in a second while others run: half of what it reads alone
+/// on the measured installations.
 const PREFILL_TOKENS_PER_SECOND: f64 = 7_000.0;
+/// Time in which a busy engine reads one prompt token, the inverse of
+/// `PREFILL_TOKENS_PER_SECOND`, rounded.
+pub(super) const PROMPT_TOKEN_TIME: Duration = Duration::from_micros(140);
 
 /// Chooses servers.
 #[derive(Clone, Copy, Debug, Default)]
@@ -120,10 +135,7 @@
     ) -> Option<PlacementChoice> {
         let mut best: Option<((bool, bool, f64), ServerKey)> = None;
         let mut rooms = 0;
-        for (key, record) in directory.candidates(request.service) {
-            if request.excluded.contains(&key) {
-                continue;
-            }
+        for (key, record) in request.candidates(directory) {
             let load = remote(record);
             let score = self.score(request, record, load) + draw() * self.params.jitter;
             let has_room = self.has_room(request, record, load);
@@ -155,10 +167,8 @@
     ) -> Option<ServerKey> {
         let memory = request.memory_tokens?;
         let mut best: Option<(f64, ServerKey)> = None;
-        for (key, record) in directory.candidates(request.service) {
-            if request.excluded.contains(&key) || record.is_avoided(now) {
-                continue;
-            }
+        let sound = request.candidates(directory).filter(|(_, record)| !record.is_avoided(now));
+        for (key, record) in sound {
             // Expected growth is left out: a copy takes only what the run has, and a run that
             // finds no destination is lost.
             let tokens = record.open_tokens as f64 + remote(record).tokens;
--- a/medlarlanding-core/src/forwarding/waiting.rs
+++ b/medlarlanding-core/src/forwarding/waiting.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::placement::RunWeight;
+use super::placement::{PROMPT_TOKEN_TIME, RunWeight};
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
@@ -20,19 +20,23 @@
     /// A run that has not asked for this long has left or was served elsewhere; waiting runs
     /// ask every 40 ms and a datagram may be lost.
     pub fresh: Duration,
-    /// Part of an answer's worth that does not depend on its size, as the users rate answers.
+    /// Part of an answer's worth that does not depend on its size, from the users' rating of
+    /// answers.
     pub fixed_worth: f64,
-    /// Weight of one output token in the size of a generation against one prompt token.
+    /// Weight of one output token in the size of a generation against one prompt token, from the
+    /// same rating.
     pub output_weight: f64,
     /// Weight of a caller's estimate of the output against the usual output, on a logarithmic
     /// scale. Estimates are right at the median and often off by a factor of three, about as
     /// much as lengths themselves differ.
     pub estimate_weight: f64,
-    /// Time for one output token on a busy engine.
+    /// Time for one output token on an engine that spends a third of its time on prompts: a step
+    /// of 7.7 ms, and as much again for a part of a prompt.
     pub token_time: Duration,
     /// Time for one prompt token on a busy engine.
     pub prompt_time: Duration,
-    /// Weight of one more run in the running means of sizes.
+    /// Weight of one more run in the running means of sizes, which follow the last 50 runs or so:
+    /// about a second of arrivals on the measured installations.
     pub mean_weight: f64,
 }
 
@@ -44,7 +48,7 @@
             output_weight: 10.0,
             estimate_weight: 0.45,
             token_time: Duration::from_millis(11),
-            prompt_time: Duration::from_micros(140),
+            prompt_time: PROMPT_TOKEN_TIME,
             mean_weight: 0.02,
         }
     }
--- a/medlarlanding/src/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -49,6 +49,9 @@
     }
 }
 
+/// Sends requests on a connection.
+pub type RequestSender = http1::SendRequest<Full<Bytes>>;
+
 /// A connection to a server. Closes when it is dropped, also in the middle of an answer.
 pub struct Exchange {
     driver: JoinHandle<()>,
@@ -93,18 +96,17 @@
     }
 }
 
-/// Sends a request and waits for the head of its answer, at most for `limit`.
+/// Opens a connection for one request or, where its owner sees to it, several in a row.
 ///
 /// # Errors
 ///
-/// Fails as `ExchangeFault` tells.
-pub async fn send(
+/// `NotConnected` if no connection is established within `CONNECT_TIMEOUT` or `limit`.
+pub async fn open(
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
     limit: Duration,
-) -> Result<(Response<Incoming>, Exchange), ExchangeFault> {
+) -> Result<(RequestSender, Exchange), ExchangeFault> {
     let stream = connect(address, limit).await?;
-    let (mut sender, connection) =
+    let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|_| ExchangeFault::NotConnected)?;
     let exchange = Exchange {
         driver: tokio::task::spawn_local(async move {
@@ -113,6 +115,20 @@
             }
         }),
     };
+    Ok((sender, exchange))
+}
+
+/// Sends a request and waits for the head of its answer, at most for `limit`.
+///
+/// # Errors
+///
+/// Fails as `ExchangeFault` tells.
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<(Response<Incoming>, Exchange), ExchangeFault> {
+    let (mut sender, exchange) = open(address, limit).await?;
     match tokio::time::timeout(limit, sender.send_request(request)).await {
         Ok(Ok(response)) => Ok((response, exchange)),
         Ok(Err(_)) => Err(ExchangeFault::Broken),
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -380,7 +380,8 @@
                 Err(_) => return None,
             }
             match self.last_move.take() {
-                // The destination takes the run only once its last part has arrived.
+                // The destination takes the run only once its last part has arrived. However the
+                // call ends, the next send shows whether it did.
                 Some(mut call) => {
                     let _ = tokio::time::timeout(MOVE_TIMEOUT, call.answer()).await;
                 },
--- a/medlarlanding/src/forwarding/listener.rs
+++ b/medlarlanding/src/forwarding/listener.rs
@@ -9,7 +9,7 @@
 use super::shared::SharedState;
 use crate::answer_body::AnswerBody;
 use crate::exchange::tune_socket;
-use crate::listener::ACCEPT_PAUSE;
+use crate::listener::accept;
 use medlarlanding_platform::engines::READINESS_PATH;
 
 use hyper::body::Incoming;
@@ -36,16 +36,9 @@
     stop: watch::Receiver<bool>,
 ) -> anyhow::Result<()> {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (state, link) = (Rc::clone(&state), Rc::clone(&link));
-                tokio::task::spawn_local(serve_caller(stream, state, link, stop.clone()));
-            },
-            Err(error) => {
-                log::warn!("a connection was not accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            },
-        }
+        let (stream, _) = accept(&listener).await;
+        let (state, link) = (Rc::clone(&state), Rc::clone(&link));
+        tokio::task::spawn_local(serve_caller(stream, state, link, stop.clone()));
     }
 }
 
@@ -112,10 +105,7 @@
     answer: impl Fn(&str) -> (StatusCode, Vec<u8>) + Clone + 'static,
 ) -> anyhow::Result<()> {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let (stream, _) = accept(&listener).await;
         let answer = answer.clone();
         tokio::task::spawn_local(async move {
             tune_socket(&stream);
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A request comes in at `listener`, is checked in `admit`, and is sent by `relay` (plain
 //! services) or `generation` (model engines) over a connection of `crate::exchange`.
-//! `store_watch` and `peer_link` keep the configuration and the servers current.
+//! `store_watch`, `peer_link` and `peer_fetch` keep the configuration and the servers current.
 
 mod admit;
 mod answer;
@@ -12,6 +12,7 @@
 mod listener;
 mod load_guard;
 mod log_output;
+mod peer_fetch;
 mod peer_link;
 mod relay;
 mod role;
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -7,6 +7,7 @@
 use super::engine_probe;
 use super::listener;
 use super::log_output::LogWriter;
+use super::peer_fetch;
 use super::peer_link::{self, PeerLink};
 use super::shared::{ForwardState, SharedState};
 use super::store_watch::{self, WatchedPart};
@@ -97,7 +98,7 @@
     }
     tasks.spawn("digests", peer_link::send_digests(Rc::clone(&link), Rc::clone(&state)));
     tasks.spawn("datagrams", peer_link::read_datagrams(Rc::clone(&link), Rc::clone(&state)));
-    tasks.spawn("fetches", peer_link::serve_fetches(fetches, Rc::clone(&state)));
+    tasks.spawn("fetches", peer_fetch::serve_fetches(fetches, Rc::clone(&state)));
     tasks.spawn(
         "config",
         store_watch::run(Rc::clone(&state), Rc::clone(&link), WatchedPart::Config),
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -324,13 +324,13 @@
 
     fn choose(&self, request: &PlacementRequest<'_>) -> Option<PlacementChoice> {
         let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
-        let remote = |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
+        let remote = |record: &ServerRecord| remote_load(&peers, now, record);
         self.placement.choose(now, &directory, request, remote, || self.draw())
     }
 
     fn choose_destination(&self, request: &PlacementRequest<'_>) -> Placement {
         let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
-        let remote = |record: &ServerRecord| peers.remote_load(now, server_hash(&record.entry.id));
+        let remote = |record: &ServerRecord| remote_load(&peers, now, record);
         self.placement
             .choose_destination(now, &directory, request, remote, || self.draw())
             .map_or(Placement::Nowhere, Placement::Server)
@@ -493,7 +493,7 @@
             let mut load = RemoteLoad::default();
             for (_, record) in directory.candidates(&policy.name) {
                 engines += 1;
-                let remote = peers.remote_load(now, server_hash(&record.entry.id));
+                let remote = remote_load(&peers, now, record);
                 load.requests += remote.requests + f64::from(record.open_requests);
                 load.tokens += remote.tokens + record.open_tokens as f64;
                 load.growth += remote.growth + record.open_growth as f64;
@@ -538,6 +538,11 @@
     }
 }
 
+/// Load that peers put on a server.
+fn remote_load(peers: &PeerTable, now: Timestamp, record: &ServerRecord) -> RemoteLoad {
+    peers.remote_load(now, server_hash(&record.entry.id))
+}
+
 /// Hash of a server's id that all instances share.
 fn server_hash(id: &str) -> u64 {
     stable_hash(id.as_bytes())
--- a/medlarlanding/src/forwarding/store_client.rs
+++ b/medlarlanding/src/forwarding/store_client.rs
@@ -3,17 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::exchange;
+use crate::exchange::{self, Exchange, RequestSender};
 use medlarlanding_platform::store::{self, StoreChanges, StorePage};
 
 use anyhow::{Context, bail};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
-use hyper_util::rt::TokioIo;
-use tokio::task::JoinHandle;
 
 /// Largest answer: pages hold about 1 MB of items, in base64.
 const ANSWER_LIMIT: usize = 8 << 20;
@@ -35,14 +32,8 @@
 }
 
 struct StoreConnection {
-    sender: SendRequest<Empty<Bytes>>,
-    driver: JoinHandle<()>,
-}
-
-impl Drop for StoreConnection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
+    sender: RequestSender,
+    _exchange: Exchange,
 }
 
 /// Makes calls one after another on a connection that is opened again after a failure.
@@ -105,7 +96,7 @@
             .method(Method::GET)
             .uri(path)
             .header(HOST, self.address.to_string())
-            .body(Empty::new())
+            .body(Full::default())
             .context("path of a call")?;
         let exchange = async {
             connection.sender.ready().await?;
@@ -121,15 +112,9 @@
     }
 
     async fn open(&self) -> anyhow::Result<StoreConnection> {
-        let stream = exchange::connect(self.address, CALL_TIMEOUT)
+        let (sender, exchange) = exchange::open(self.address, CALL_TIMEOUT)
             .await
-            .map_err(|_| anyhow::anyhow!("no connection to the store"))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let driver = tokio::task::spawn_local(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection to the store ended: {error}");
-            }
-        });
-        Ok(StoreConnection { sender, driver })
+            .map_err(|fault| anyhow::anyhow!("no connection to the store: {}", fault.name()))?;
+        Ok(StoreConnection { sender, _exchange: exchange })
     }
 }
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -9,6 +9,7 @@
 use super::store_client::{StoreClient, WatchAnswer};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
+use medlarlanding_core::forwarding::DirectoryChange;
 use medlarlanding_platform::config::CONFIG_KEY;
 use medlarlanding_platform::servers::{SERVERS_PREFIX, decode_item};
 use medlarlanding_platform::store::StoreItem;
@@ -217,7 +218,7 @@
                 self.apply(item);
             }),
             WatchedPart::Servers => {
-                let changes = items.iter().filter_map(decode_item).collect();
+                let changes = items.iter().filter_map(read_entry).collect();
                 let revision = first_revision.unwrap_or(0);
                 self.state.replace_servers(revision, changes, ChangeSource::Store);
             },
@@ -238,7 +239,7 @@
             },
             WatchedPart::Config => None,
             WatchedPart::Servers => {
-                let change = decode_item(&item)?;
+                let change = read_entry(&item)?;
                 let id = Arc::clone(change.id());
                 let is_news = self.state.change_server(change, item.revision, ChangeSource::Store);
                 is_news.then_some(id)
@@ -253,3 +254,12 @@
         }
     }
 }
+
+/// Reads the entry of a server. One that cannot be read names no server, which is logged.
+fn read_entry(item: &StoreItem) -> Option<DirectoryChange> {
+    let change = decode_item(item)?;
+    if let (Some(_), DirectoryChange::Removed(id)) = (&item.value, &change) {
+        log::warn!("entry of server {id} at revision {} cannot be read", item.revision);
+    }
+    Some(change)
+}
--- a/medlarlanding/src/http/listener.rs
+++ b/medlarlanding/src/http/listener.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::answers::CallerResponse;
-use crate::listener::ACCEPT_PAUSE;
+use crate::listener::accept;
 
 use hyper::Request;
 use hyper::body::Incoming;
@@ -43,7 +43,7 @@
     {
         let open = Rc::new(Semaphore::new(limits.connections));
         let (stop, stopping) = watch::channel(false);
-        let accepting = accept(listener, limits, Rc::clone(&open), stopping, serve);
+        let accepting = accept_all(listener, limits, Rc::clone(&open), stopping, serve);
         tokio::task::spawn_local(accepting);
         Self { stop, open, connections: limits.connections }
     }
@@ -58,7 +58,7 @@
     }
 }
 
-async fn accept<S, F>(
+async fn accept_all<S, F>(
     listener: TcpListener,
     limits: ListenerLimits,
     open: Rc<Semaphore>,
@@ -72,27 +72,18 @@
         // The permit goes back when its connection ends.
         let Ok(permit) = open.acquire().await else { return };
         permit.forget();
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, _) = tokio::select! {
+            accepted = accept(&listener) => accepted,
             _ = stopping.wait_for(|stopping| *stopping) => {
                 open.add_permits(1);
                 return;
             },
         };
-        match accepted {
-            Ok((stream, _)) => {
-                let (open, stopping, serve) = (Rc::clone(&open), stopping.clone(), serve.clone());
-                tokio::task::spawn_local(async move {
-                    serve_connection(stream, limits, stopping, serve).await;
-                    open.add_permits(1);
-                });
-            },
-            Err(error) => {
-                open.add_permits(1);
-                log::warn!("a connection was not accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            },
-        }
+        let (open, stopping, serve) = (Rc::clone(&open), stopping.clone(), serve.clone());
+        tokio::task::spawn_local(async move {
+            serve_connection(stream, limits, stopping, serve).await;
+            open.add_permits(1);
+        });
     }
 }
 
--- a/medlarlanding/src/listener.rs
+++ b/medlarlanding/src/listener.rs
@@ -1,15 +1,15 @@
-//! Binding of listeners.
+//! Binding of listeners and accepting of connections.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use anyhow::Context;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// Pause after a failed accept, for example when no descriptor is left.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Binds a listener.
 ///
@@ -22,3 +22,16 @@
     socket.bind(address).with_context(|| format!("cannot bind {address}"))?;
     Ok(socket.listen(BACKLOG)?)
 }
+
+/// Accepts the next connection; failures are logged and followed by a pause.
+pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(error) => {
+                log::warn!("a connection was not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            },
+        }
+    }
+}
