Report readiness once the servers are known

Cause: /-/readyz answered 200 with a configuration in force although the list of servers was unread, so the first requests were refused as no_server. An instance also used whatever configuration the first peer offered while the store was down.

Change: core::forwarding::Readiness. Tests wait for the log lines that they read, because a thread of its own writes them.

--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -35,6 +35,8 @@
     Available,
     /// Answers every call with 503.
     Unavailable,
+    /// Answers calls for server entries with 503 and all others as usual.
+    RefusesServers,
 }
 
 /// One request that a server ran.
--- a/medlarlanding-bench/src/site/store.rs
+++ b/medlarlanding-bench/src/site/store.rs
@@ -46,8 +46,9 @@
     let prefix = query_field(&request, "prefix").unwrap_or_default();
     let after = query_field(&request, "after");
     state.lock().store_calls += 1;
+    let is_refused = refuses(state.lock().store_mode, &prefix);
     let (status, body) = match request.uri().path() {
-        _ if state.lock().store_mode == StoreMode::Unavailable => (503, json!({})),
+        _ if is_refused => (503, json!({})),
         "/-/kv-range" => (200, range_page(&state, &prefix, after.as_deref())),
         "/-/kv-watch" => {
             let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -62,6 +63,14 @@
     Ok(response)
 }
 
+fn refuses(mode: StoreMode, prefix: &str) -> bool {
+    match mode {
+        StoreMode::Available => false,
+        StoreMode::Unavailable => true,
+        StoreMode::RefusesServers => prefix.starts_with("servers/"),
+    }
+}
+
 fn range_page(state: &SiteState, prefix: &str, after: Option<&str>) -> Value {
     let inner = state.lock();
     let present = |(key, stored): &(&String, &StoredItem)| {
@@ -81,7 +90,7 @@
     loop {
         {
             let inner = state.lock();
-            if inner.store_mode == StoreMode::Unavailable {
+            if refuses(inner.store_mode, prefix) {
                 return (503, json!({}));
             }
             let events: Vec<Value> = inner
--- a/medlarlanding-bench/tests/forwarding.rs
+++ b/medlarlanding-bench/tests/forwarding.rs
@@ -42,8 +42,8 @@
     let RunRecord { customer, headers, .. } = &runs[0];
     assert_eq!((runs.len(), customer.as_deref()), (1, Some("museum")));
     assert!(headers.iter().all(|(name, _)| name != "authorization" && name != "x-hold"));
-    let log = site.log(0);
-    assert!(log.contains("request_finished request=id-1"), "{log}");
+    let is_logged = || site.log(0).contains("request_finished request=id-1");
+    site.wait_until("the log line of the request", is_logged).expect("a line");
 }
 
 /// Guards against invalid requests that are forwarded or refused with the wrong status.
@@ -84,11 +84,12 @@
         let at = |server: &str| runs.iter().filter(|run| run.server == server).count();
         let (faulty, healthy) = (at("orders-0"), at("orders-1"));
         assert!(answer.status != 503 || faulty + healthy == 0, "{id}: {runs:?}");
+        let finished = format!("request_finished request={id} ");
+        site.wait_until("the log lines of the request", || site.log(0).contains(&finished))
+            .expect("lines");
         let log = site.log(0);
-        let reached_faulty = log.contains(&format!("request={id} ")) && {
-            let lines = log.lines().filter(|line| line.contains(&format!("request={id} ")));
-            lines.clone().any(|line| line.contains("server=orders-0 attempt=1"))
-        };
+        let mut lines = log.lines().filter(|line| line.contains(&format!("request={id} ")));
+        let reached_faulty = lines.any(|line| line.contains("server=orders-0 attempt=1"));
         if reached_faulty {
             assert_eq!((answer.status, (faulty, healthy)), (case.status, case.runs), "{id}");
             return;
@@ -303,6 +304,25 @@
     assert_eq!(answer.status, 200, "{}", site.log(2));
 }
 
+/// Guards against an instance that is ready with a configuration but without the list of servers: it
+/// refuses every request although servers are there.
+#[test]
+fn instance_is_not_ready_before_it_knows_the_servers() {
+    let mut site = start(SiteParams::default());
+    site.state.set_store(StoreMode::RefusesServers);
+    site.signal(0, Signal::KILL).expect("a signal");
+    site.wait_exit(0).expect("an exit");
+    site.spawn_instance(0).expect("a process");
+    let configurations = || site.log(0).matches("forward_config_accepted").count();
+    site.wait_until("the configuration of the new process", || configurations() == 2)
+        .expect("a line");
+    assert!(!site.is_ready(0), "{}", site.log(0));
+    site.state.set_store(StoreMode::Available);
+    site.wait_until("a ready instance", || site.is_ready(0)).expect("ready");
+    let answer = send(&site, &call("/order/a", "id-1"));
+    assert_eq!(answer.status, 200, "{}", site.log(0));
+}
+
 /// Guards against requests sent to a removed server by instances that do not watch the store.
 #[test]
 fn leaving_server_gets_no_requests() {
@@ -355,6 +375,8 @@
         }
         assert!(site.state.runs(&id).is_empty(), "{id} has run");
         let line = format!("run_refused request={id} ");
+        site.wait_until("the reason of the refusal", || site.log(0).contains(&line))
+            .expect("a line");
         let log = site.log(0);
         let reason = log.lines().find(|entry| entry.contains(&line)).expect("a reason");
         if reason.contains("reason=waited") {
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -12,6 +12,7 @@
 mod moves;
 mod peers;
 mod placement;
+mod readiness;
 mod suspicion;
 mod wait_limit;
 mod waiting;
@@ -34,6 +35,7 @@
 pub use placement::{
     PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest, RunWeight,
 };
+pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use suspicion::{FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
 pub use waiting::{RunKey, WaitingClass, WaitingParams, WaitingRuns};
--- a/medlarlanding/src/forwarding/listener.rs
+++ b/medlarlanding/src/forwarding/listener.rs
@@ -76,14 +76,14 @@
     }
 }
 
-/// Answers readiness checks: ready if a configuration is in force and the process is not stopping.
+/// Answers readiness checks.
 pub async fn serve_readiness(listener: TcpListener, state: SharedState) -> anyhow::Result<()> {
     serve_endpoint(listener, move |path| {
-        let is_ready = state.config_version() > 0 && state.stop_time_left().is_none();
         if path != READINESS_PATH {
             return (StatusCode::NOT_FOUND, Vec::new());
         }
-        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let status =
+            if state.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         (status, Vec::new())
     })
     .await
--- a/medlarlanding/src/forwarding/peer_fetch.rs
+++ b/medlarlanding/src/forwarding/peer_fetch.rs
@@ -5,12 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::shared::{ChangeSource, SharedState};
+use super::shared::SharedState;
 use crate::exchange::{connect, tune_socket};
 use crate::listener::accept;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::EntryDelta;
+use medlarlanding_core::forwarding::{ChangeSource, EntryDelta};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::value_type;
 
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use super::peer_fetch::fetch_if_behind;
-use super::shared::{ChangeSource, ForwardState, Placement, SharedState};
+use super::shared::{ForwardState, Placement, SharedState};
 use medlarlanding_core::forwarding::{
-    DirectoryChange, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer, PlacePurpose,
-    PlaceQuestion, PlaceVerdict, PlacementRequest, RepeatPurpose, RunKey, ServerChanges, ServerKey,
+    ChangeSource, DirectoryChange, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer,
+    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RepeatPurpose, RunKey,
+    ServerChanges, ServerKey,
 };
 
 use indexmap::IndexMap;
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -11,10 +11,11 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BudgetParams, DirectoryChange, EntryLog, FaultLog, ForwardConfig, LoadReport, MoveParams,
-    PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementChoice,
-    PlacementPolicy, PlacementRequest, RemoteLoad, RepeatBudget, RepeatPurpose, RunKey, RunWeight,
-    ServerDirectory, ServerKey, ServerPhase, ServerRecord, WaitingClass, WaitingRuns,
+    BudgetParams, ChangeSource, DirectoryChange, EntryLog, FaultLog, ForwardConfig, LoadReport,
+    MoveParams, PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementChoice,
+    PlacementPolicy, PlacementRequest, Readiness, RemoteLoad, RepeatBudget, RepeatPurpose,
+    RequiredPart, RunKey, RunWeight, ServerDirectory, ServerKey, ServerPhase, ServerRecord,
+    WaitingClass, WaitingRuns,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
@@ -26,24 +27,6 @@
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, watch};
 
-/// Where a change came from, for the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ChangeSource {
-    /// The platform's store.
-    Store,
-    /// Another instance.
-    Peer,
-}
-
-impl ChangeSource {
-    fn name(self) -> &'static str {
-        match self {
-            Self::Store => "store",
-            Self::Peer => "peer",
-        }
-    }
-}
-
 /// Result of placing a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placement {
@@ -89,6 +72,8 @@
     /// Parameters of moves.
     pub move_params: MoveParams,
     clock: ProcessClock,
+    /// What this process has received since its start.
+    readiness: RefCell<Readiness>,
     config: RefCell<Option<ConfigInForce>>,
     /// Budgets for the repeats of this instance, by service.
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
@@ -141,6 +126,7 @@
             entries: RefCell::default(),
             move_params: MoveParams::default(),
             clock: ProcessClock::start(),
+            readiness: RefCell::default(),
             config: RefCell::default(),
             budgets: RefCell::default(),
             move_budgets: RefCell::default(),
@@ -216,6 +202,7 @@
                 return;
             },
         };
+        self.readiness.borrow_mut().record(self.now(), RequiredPart::Config, source);
         if config.version <= self.config_version() {
             return;
         }
@@ -312,6 +299,18 @@
             self.change_server(change, revision, source);
         }
         self.entries.borrow_mut().advance_with_changes(revision);
+        self.readiness.borrow_mut().record(self.now(), RequiredPart::Servers, source);
+    }
+
+    /// Returns whether callers may be sent to this instance: it knows the configuration and the
+    /// servers, and it is not stopping.
+    pub fn is_ready(&self) -> bool {
+        let (now, draw) = (self.now(), self.draw());
+        let peers = self.peers.borrow();
+        let servers_revision = self.entries.borrow().revision();
+        let is_behind = peers.peer_with_newer_config(now, self.config_version(), draw).is_some()
+            || peers.peer_with_newer_servers(now, servers_revision, draw).is_some();
+        self.stop_time_left().is_none() && self.readiness.borrow_mut().is_ready(now, is_behind)
     }
 
     /// Chooses a server without asking the coordinator, and without counting the choice in a budget
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use super::peer_link::PeerLink;
-use super::shared::{ChangeSource, SharedState};
+use super::shared::SharedState;
 use super::store_client::{StoreClient, WatchAnswer};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::DirectoryChange;
+use medlarlanding_core::forwarding::{ChangeSource, DirectoryChange};
 use medlarlanding_platform::config::CONFIG_KEY;
 use medlarlanding_platform::servers::{SERVERS_PREFIX, decode_item};
 use medlarlanding_platform::store::StoreItem;
