Refuse long generations while stopping by their limit

Change: DrainParams::can_finish gets the highest output that the request allows; a generation without a limit is refused while the instance stops.

Result: stopping_instance_answers_new_connections with a low estimate failed before (200 where 503 is expected) and passes.

--- a/medlarlanding-bench/tests/forwarding.rs
+++ b/medlarlanding-bench/tests/forwarding.rs
@@ -200,7 +200,8 @@
 
 /// Guards against a stopping instance that closes new connections without an answer, or accepts
 /// generations that cannot finish in time. On the day of the failure above, 206 connections were
-/// closed and one stream was cut at the end.
+/// closed and one stream was cut at the end. With nfc-cast mix, seed 730846400502, a generation was
+/// accepted 4.1 s after SIGTERM because its caller had estimated it too short.
 #[test]
 fn stopping_instance_answers_new_connections() {
     let mut site = start(SiteParams { grace_s: 6, ..SiteParams::default() });
@@ -209,9 +210,11 @@
     let order = send(&site, &call("/order/a", "id-1"));
     assert_eq!((order.status, order.header("connection")), (200, Some("close")));
     let long = call("/draft/a", "id-2").header("x-token-count", "3000,2000");
-    let refused = send(&site, &long);
-    assert_eq!(refused.status, 503);
-    assert!(refused.header("retry-after").is_some() && site.state.runs("id-2").is_empty());
+    for long in [long.clone(), long.header("x-length-hint", "10")] {
+        let refused = send(&site, &long);
+        assert_eq!(refused.status, 503);
+        assert!(refused.header("retry-after").is_some() && site.state.runs("id-2").is_empty());
+    }
     assert!(site.wait_exit(0).expect("an exit").success());
 }
 
--- a/medlarlanding-core/src/forwarding/drain.rs
+++ b/medlarlanding-core/src/forwarding/drain.rs
@@ -16,9 +16,9 @@
     pub token_time: Duration,
     /// Time that a busy engine takes for one prompt token.
     pub prompt_time: Duration,
-    /// Factor applied to the expected time of a generation; estimated lengths are often only half
-    /// of the real ones.
-    pub length_factor: f64,
+    /// Factor applied to the time of a generation, for a wait for room and for an engine that is
+    /// slower than usual.
+    pub time_factor: f64,
     /// Longest time assumed for a plain request, as a multiple of its route's objective.
     pub objective_factor: u32,
 }
@@ -28,27 +28,29 @@
         Self {
             token_time: Duration::from_millis(12),
             prompt_time: Duration::from_micros(200),
-            length_factor: 2.0,
+            time_factor: 2.0,
             objective_factor: 4,
         }
     }
 }
 
 impl DrainParams {
-    /// Returns whether a request is expected to finish within `left`, the time until the instance
-    /// stops.
+    /// Returns whether a request finishes within `left`, the time until the instance stops.
+    ///
+    /// `longest` is the size of a generation with the highest output that it is allowed; callers'
+    /// estimates are often far too low.
     pub fn can_finish(
         &self,
         kind: RequestKind,
-        weight: RunWeight,
+        longest: RunWeight,
         objective: Duration,
         left: Duration,
     ) -> bool {
         match kind {
             RequestKind::Safe | RequestKind::Unsafe => objective * self.objective_factor <= left,
             RequestKind::Stream => {
-                let expected = self.token_time * weight.output + self.prompt_time * weight.prompt;
-                expected.mul_f64(self.length_factor) <= left
+                let expected = self.token_time * longest.output + self.prompt_time * longest.prompt;
+                expected.mul_f64(self.time_factor) <= left
             },
         }
     }
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -170,8 +170,10 @@
     };
     let rule = Arc::clone(rule);
     if let Some(left) = state.stop_time_left() {
-        let drain = DrainParams::default();
-        if !drain.can_finish(rule.kind, caller.weight, rule.objective, left) {
+        // A generation without a limit may take any time.
+        let output = caller.output_limit.unwrap_or(u32::MAX);
+        let longest = RunWeight { output, ..caller.weight };
+        if !DrainParams::default().can_finish(rule.kind, longest, rule.objective, left) {
             return Err(ErrorAnswer::Stopping);
         }
     }
