Limit every answer that is read

Cause: answers of plain services over 64 KiB were passed on without a time limit; the deadline of a stream was checked in a branch that a stream with bytes always ready never reached, and not while the caller does not read; interim answers were read without end; successes without the server's mark, with a content coding, and answers 101 were passed on; an unframed stream that ended within an event, and any streamed body whose task ended early, looked complete.

Change: HeadLimit (64 KiB for a head with its interim answers), deadline for long answers (E619 answer_cut) and for passing events on, StreamPiece::End marks a complete body, AnswerCheck::Unusable, 505 for HTTP/1.0, read buffers of 64 KiB. A stand-in that writes raw bytes plays 18 faulty answers.

--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -2,6 +2,7 @@
 //! of the test process, instances of the forwarding role as child processes.
 
 mod client;
+mod faulty_server;
 mod proxy;
 mod server;
 mod state;
@@ -12,7 +13,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::cluster::binary;
@@ -22,6 +23,7 @@
 use serde_json::{Value, json};
 
 pub use client::{SiteAnswer, SiteCall};
+pub use faulty_server::FaultyAnswer;
 pub use proxy::{LinkMode, LinkSwitch};
 pub use state::{RunRecord, ServerMode, SiteState, StoreMode};
 
@@ -131,6 +133,39 @@
         Ok(id)
     }
 
+    /// Starts a server that gives a faulty answer to every request, and registers it in the store.
+    /// `open` counts its open connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is taken.
+    pub fn add_faulty_server(
+        &mut self,
+        service: &str,
+        index: usize,
+        answer: FaultyAnswer,
+        open: &Arc<AtomicUsize>,
+    ) -> anyhow::Result<()> {
+        let address = self.server_address(service, index as u8);
+        let id = format!("{service}-{index}");
+        let state = Arc::clone(&self.state);
+        let listener = TcpListener::bind(address)?;
+        faulty_server::start(listener, id.clone(), answer, state, Arc::clone(open))?;
+        self.register(&id, service, address, "ready");
+        Ok(())
+    }
+
+    /// Returns the largest resident memory of an instance's process so far, in bytes; 0 if it is not
+    /// running.
+    pub fn peak_memory(&self, index: usize) -> u64 {
+        let Some(child) = &self.instances[index].child else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
+        kilobytes.unwrap_or(0u64) << 10
+    }
+
     fn server_address(&self, service: &str, index: u8) -> SocketAddr {
         let offset = if service == "engines" { 150 } else { 100 };
         SocketAddr::new(loopback_address(self.network, offset + index), SERVER_PORT)
--- /dev/null
+++ b/medlarlanding-bench/tests/forwarding_faulty_servers.rs
@@ -0,0 +1,195 @@
+//! Tests of the forwarding role against servers whose answers violate HTTP or never end.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use medlarlanding_bench::site::{FaultyAnswer, SiteAnswer, SiteCall, SiteParams, TestSite};
+use medlarlanding_core::cases;
+
+use hyper::Method;
+
+/// Time until the deadline of a request.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+/// Time after its deadline within which a request must have its final answer: the platform allows
+/// half a second, and debug builds share the machine.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Starts a deployment with one server of each service that gives this answer. Returns the number
+/// of connections that the servers have open.
+fn start(answer: FaultyAnswer) -> (TestSite, Arc<AtomicUsize>) {
+    let params = SiteParams { plain_servers: 0, engines: 0, ..SiteParams::default() };
+    let mut site = TestSite::start(params).expect("a deployment");
+    let open = Arc::new(AtomicUsize::new(0));
+    site.add_faulty_server("orders", 0, answer, &open).expect("a server");
+    site.add_faulty_server("engines", 0, answer, &open).expect("an engine");
+    site.wait_until("the servers", || site.log(0).matches("state=ready").count() == 2)
+        .expect("servers");
+    (site, open)
+}
+
+fn call(path: &str, id: &str) -> SiteCall {
+    let call = SiteCall::new(Method::POST, path, id);
+    call.header("x-deadline-ms", &DEADLINE.as_millis().to_string())
+}
+
+/// A kind of request, a faulty answer, and what the caller must receive.
+struct FaultCase {
+    path: &'static str,
+    answer: FaultyAnswer,
+    status: u16,
+    is_complete: bool,
+}
+
+/// Guards against callers that are kept after their deadline by a server whose answer never ends,
+/// against incomplete or foreign answers that look complete, and against requests that are called
+/// not run although a server ran them.
+fn ends_in_time(case: FaultCase) {
+    let (site, open) = start(case.answer);
+    let started = Instant::now();
+    let call = call(case.path, "id-1").disconnect_after(DEADLINE * 3);
+    let answer: SiteAnswer = call.send(site.caller_address(0)).expect("an answer");
+    let elapsed = started.elapsed();
+    assert_eq!(site.state.runs("id-1").len(), 1, "{}", site.log(0));
+    assert_eq!((answer.status, answer.is_complete), (case.status, case.is_complete), "{elapsed:?}");
+    assert!(elapsed < DEADLINE + ANSWER_LIMIT, "the answer ended after {elapsed:?}");
+    let is_closed = || open.load(Ordering::Relaxed) == 0;
+    site.wait_until("the end of the server's connection", is_closed).expect("a close");
+}
+
+cases! { ends_in_time;
+    order_with_an_endless_head => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::EndlessHead, status: 502, is_complete: true,
+    },
+    order_with_endless_interim_answers => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::EndlessInterim, status: 502, is_complete: true,
+    },
+    order_with_a_dripped_head => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::DrippedHead, status: 504, is_complete: true,
+    },
+    order_with_an_endless_body => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::EndlessBody, status: 200, is_complete: false,
+    },
+    order_with_endless_chunks => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::EndlessChunks, status: 200, is_complete: false,
+    },
+    order_with_an_endless_chunk_extension => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::EndlessChunkExtension, status: 502,
+        is_complete: true,
+    },
+    order_with_endless_trailers => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::EndlessTrailers, status: 502, is_complete: true,
+    },
+    order_with_a_dripped_body => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::DrippedBody, status: 200, is_complete: false,
+    },
+    order_with_a_slow_body_is_whole => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::SlowBody, status: 200, is_complete: true,
+    },
+    order_with_a_short_body => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::ShortBody, status: 200, is_complete: false,
+    },
+    order_with_an_unmarked_success => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::UnmarkedSuccess, status: 502, is_complete: true,
+    },
+    order_with_an_encoded_success => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::EncodedSuccess, status: 502, is_complete: true,
+    },
+    order_with_a_protocol_change => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::ProtocolChange, status: 502, is_complete: true,
+    },
+    order_with_a_second_answer => FaultCase {
+        path: "/order/a", answer: FaultyAnswer::SecondAnswer, status: 200, is_complete: true,
+    },
+    generation_with_an_endless_head => FaultCase {
+        path: "/draft/a", answer: FaultyAnswer::EndlessHead, status: 502, is_complete: true,
+    },
+    generation_with_endless_interim_answers => FaultCase {
+        path: "/draft/a", answer: FaultyAnswer::EndlessInterim, status: 502, is_complete: true,
+    },
+    generation_with_an_endless_event => FaultCase {
+        path: "/draft/a", answer: FaultyAnswer::EndlessEvent, status: 200, is_complete: false,
+    },
+    generation_with_a_repeated_event => FaultCase {
+        path: "/draft/a", answer: FaultyAnswer::RepeatedEvent, status: 200, is_complete: false,
+    },
+    generation_with_a_partial_event => FaultCase {
+        path: "/draft/a", answer: FaultyAnswer::PartialEvent, status: 200, is_complete: false,
+    },
+    generation_with_an_unmarked_success => FaultCase {
+        path: "/draft/a", answer: FaultyAnswer::UnmarkedSuccess, status: 502, is_complete: true,
+    },
+    generation_with_a_protocol_change => FaultCase {
+        path: "/draft/a", answer: FaultyAnswer::ProtocolChange, status: 502, is_complete: true,
+    },
+}
+
+/// Guards against a cut stream that looks complete: in HTTP/1.0, the end of the connection is the
+/// regular end of a body without a length.
+#[test]
+fn stream_of_an_old_caller_is_refused() {
+    let (site, _) = start(FaultyAnswer::RepeatedEvent);
+    let mut stream = TcpStream::connect(site.caller_address(0)).expect("a connection");
+    let request = "POST /draft/a HTTP/1.0\r\nHost: desk.example\r\nX-Request-Id: id-1\r\n\
+                   Authorization: Token key-1\r\nX-Deadline-Ms: 1500\r\n\r\n";
+    stream.write_all(request.as_bytes()).expect("a request");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.0 505 "), "{answer}");
+    assert!(site.state.runs("").is_empty());
+}
+
+/// Guards against a run that is kept after its deadline because its caller does not read.
+#[test]
+fn caller_that_does_not_read_ends_at_its_deadline() {
+    let (site, open) = start(FaultyAnswer::EndlessEvents);
+    let mut stream = TcpStream::connect(site.caller_address(0)).expect("a connection");
+    let request = "POST /draft/a HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: id-1\r\n\
+                   Authorization: Token key-1\r\nX-Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n";
+    stream.write_all(request.as_bytes()).expect("a request");
+    site.wait_until("a run", || open.load(Ordering::Relaxed) == 1).expect("a run");
+    let started = Instant::now();
+    let is_closed = || open.load(Ordering::Relaxed) == 0;
+    site.wait_until("the end of the run", is_closed).expect("a close");
+    let elapsed = started.elapsed();
+    assert!(elapsed < DEADLINE + ANSWER_LIMIT, "the run ended after {elapsed:?}");
+    let mut received = Vec::new();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a time limit");
+    // The connection may be reset after its buffered bytes were read.
+    let _ = stream.read_to_end(&mut received);
+    assert!(!received.ends_with(b"0\r\n\r\n"), "the cut stream looks complete");
+}
+
+/// Guards against memory that grows with the number of endless answers.
+#[test]
+fn memory_is_bounded_while_200_answers_never_end() {
+    const CALLS: usize = 200;
+    /// Memory of the smallest machine of the platform, in bytes, by which the process is killed.
+    const MEMORY_LIMIT: u64 = 88 << 20;
+    for answer in [
+        FaultyAnswer::EndlessHead,
+        FaultyAnswer::EndlessInterim,
+        FaultyAnswer::EndlessBody,
+        FaultyAnswer::EndlessTrailers,
+        FaultyAnswer::EndlessEvent,
+    ] {
+        let (site, _) = start(answer);
+        let address = site.caller_address(0);
+        let callers: Vec<_> = (0..CALLS)
+            .map(|number| {
+                let path = if number % 2 == 0 { "/order/a" } else { "/draft/a" };
+                let call = call(path, &format!("id-{number}")).disconnect_after(DEADLINE * 2);
+                std::thread::spawn(move || call.send(address))
+            })
+            .collect();
+        for caller in callers {
+            // Each may be refused or cut; other tests check the answers.
+            let _ = caller.join().expect("a caller");
+        }
+        let peak = site.peak_memory(0);
+        println!("{answer:?}: {} kB at the peak", peak >> 10);
+        assert!((1..MEMORY_LIMIT).contains(&peak), "{answer:?}: {peak} bytes at the peak");
+    }
+}
--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -129,6 +129,8 @@
     617 FleetLoad Info "fleet_load" ["service", "engines", "runs", "tokens", "growth", "waiting_tokens", "memory"];
     /// No engine had room for a generation, which was refused without being run.
     618 RunRefused Info "run_refused" ["request", "route", "reason", "ahead", "waited_ms", "keeper"];
+    /// A long answer of a plain service was cut before its end.
+    619 AnswerCut Warn "answer_cut" ["request", "server", "reason", "bytes"];
 }
 
 impl EventKind {
--- a/medlarlanding/src/answer_body.rs
+++ b/medlarlanding/src/answer_body.rs
@@ -30,6 +30,15 @@
     }
 }
 
+/// Part of a streamed body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamPiece {
+    /// The next bytes.
+    Data(Bytes),
+    /// The body is complete.
+    End,
+}
+
 /// Body of a response.
 pub enum AnswerBody {
     /// The complete body; `None` if it is empty or has been sent.
@@ -37,8 +46,8 @@
     /// Chunks that a task produces while the response is sent. The task is aborted when the body
     /// is dropped, for example because the caller disconnected.
     Streamed {
-        /// Chunks of the body, or the error that ends an incomplete one.
-        pieces: mpsc::Receiver<Result<Bytes, StreamCut>>,
+        /// Parts of the body. It is incomplete if the channel closes before `StreamPiece::End`.
+        pieces: mpsc::Receiver<StreamPiece>,
         /// Task that produces the chunks.
         _task: TaskGuard,
     },
@@ -63,9 +72,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Streamed { pieces, .. } => {
-                pieces.poll_recv(context).map(|piece| Some(piece?.map(Frame::data)))
-            },
+            Self::Streamed { pieces, .. } => pieces.poll_recv(context).map(|piece| match piece {
+                Some(StreamPiece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(StreamPiece::End) => None,
+                None => Some(Err(StreamCut)),
+            }),
             Self::Events(events) => {
                 events.poll_recv(context).map(|event| Some(Ok(Frame::data(event?))))
             },
--- a/medlarlanding/src/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::head_limit::{HEAD_LIMIT, HeadLimit, LimitedStream};
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -27,6 +29,10 @@
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Largest read buffer of a connection in bytes. 200 connections with full buffers fit into the
+/// memory of the smallest machine, 88 MB.
+const READ_BUFFER_LIMIT: usize = HEAD_LIMIT;
+
 /// Why an exchange failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExchangeFault {
@@ -56,6 +62,29 @@
 /// response.
 pub struct Exchange {
     driver: JoinHandle<()>,
+    head_limit: HeadLimit,
+}
+
+impl Exchange {
+    /// Sends a request on the connection and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// `Broken` if the connection breaks or the head exceeds `HEAD_LIMIT`.
+    pub async fn request(
+        &self,
+        sender: &mut RequestSender,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ExchangeFault> {
+        self.head_limit.arm();
+        let response = sender.send_request(request).await;
+        let response = response.map_err(|error| {
+            log::debug!("no usable head of a response: {error}");
+            ExchangeFault::Broken
+        })?;
+        self.head_limit.lift();
+        Ok(response)
+    }
 }
 
 impl Drop for Exchange {
@@ -109,9 +138,13 @@
     limit: Duration,
 ) -> Result<(RequestSender, Exchange), ExchangeFault> {
     let stream = connect(address, limit).await?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|_| ExchangeFault::NotConnected)?;
+    let head_limit = HeadLimit::default();
+    let stream = LimitedStream::new(stream, head_limit.clone());
+    let handshake =
+        http1::Builder::new().max_buf_size(READ_BUFFER_LIMIT).handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(|_| ExchangeFault::NotConnected)?;
     let exchange = Exchange {
+        head_limit,
         driver: tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {address} failed: {error}");
@@ -133,9 +166,9 @@
     limit: Duration,
 ) -> Result<(Response<Incoming>, Exchange), ExchangeFault> {
     let (mut sender, exchange) = open(address, limit).await?;
-    match tokio::time::timeout(limit, sender.send_request(request)).await {
+    match tokio::time::timeout(limit, exchange.request(&mut sender, request)).await {
         Ok(Ok(response)) => Ok((response, exchange)),
-        Ok(Err(_)) => Err(ExchangeFault::Broken),
+        Ok(Err(fault)) => Err(fault),
         Err(_) => Err(ExchangeFault::TimedOut),
     }
 }
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -21,7 +21,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Uri};
+use hyper::{HeaderMap, Method, Request, Uri, Version};
 
 /// All request bodies together may occupy the process's memory divided by this.
 const BODY_MEMORY_DIVISOR: u64 = 4;
@@ -115,6 +115,7 @@
         | ErrorAnswer::UnknownKey
         | ErrorAnswer::BodyTooLarge
         | ErrorAnswer::Malformed
+        | ErrorAnswer::OldVersion
         | ErrorAnswer::LateSent
         | ErrorAnswer::AnswerLost => return None,
     };
@@ -159,6 +160,9 @@
     caller: CallerHeaders,
     arrived_at: Timestamp,
 ) -> Result<AdmittedRequest, ErrorAnswer> {
+    if request.version() < Version::HTTP_11 {
+        return Err(ErrorAnswer::OldVersion);
+    }
     let ConfigInForce { config, .. } = state.config().ok_or(ErrorAnswer::NotConfigured)?;
     let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| request.uri().host()).ok_or(ErrorAnswer::Malformed)?;
--- a/medlarlanding/src/forwarding/answer.rs
+++ b/medlarlanding/src/forwarding/answer.rs
@@ -27,6 +27,8 @@
     BodyTooLarge,
     /// The request is invalid or its body could not be read.
     Malformed,
+    /// The request uses HTTP/1.0, in which a caller cannot tell a cut stream from a complete one.
+    OldVersion,
     /// No server accepts requests; the request has not run and never will.
     NoServer,
     /// Every server that was tried refused or could not be reached, or the budget for repeats is
@@ -62,6 +64,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::OldVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::LateSent => StatusCode::GATEWAY_TIMEOUT,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
         }
@@ -75,6 +78,7 @@
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "body_too_large",
             Self::Malformed => "malformed",
+            Self::OldVersion => "old_version",
             Self::NoServer => "no_server",
             Self::ServersFull => "servers_full",
             Self::Overloaded => "overloaded",
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -15,14 +15,13 @@
 use super::peer_link::PeerLink;
 use super::shared::SharedState;
 use super::stream_events::{EventSplitter, StreamEvent};
-use crate::answer_body::{AnswerBody, StreamCut, TaskGuard};
+use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
 use crate::exchange::{Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{RunWeight, ServerEntry, ServerKey};
 use medlarlanding_core::time::Timestamp;
 
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
@@ -57,11 +56,7 @@
 /// Complete answer to a caller, or the head of a streamed one.
 enum AnswerHead {
     Answer(CallerAnswer),
-    Stream {
-        status: StatusCode,
-        headers: hyper::HeaderMap,
-        pieces: mpsc::Receiver<Result<Bytes, StreamCut>>,
-    },
+    Stream { status: StatusCode, headers: hyper::HeaderMap, pieces: mpsc::Receiver<StreamPiece> },
 }
 
 /// Stream of events of a run from the engine that it runs on.
@@ -163,7 +158,7 @@
         mut self,
         mut stream: EngineStream,
         status: StatusCode,
-        sender: mpsc::Sender<Result<Bytes, StreamCut>>,
+        sender: mpsc::Sender<StreamPiece>,
     ) {
         loop {
             let mut destination = None;
@@ -187,11 +182,8 @@
                     }
                 },
             };
-            if matches!(outcome, "broken" | "late") {
-                // The connection is closed before the end of the body, which tells the caller that
-                // the answer is incomplete.
-                let _ = sender.send(Err(StreamCut)).await;
-            }
+            // Without `StreamPiece::End`, the connection is closed before the end of the body, which
+            // tells the caller that the answer is incomplete.
             self.finish(outcome, status.as_u16(), &server);
             return;
         }
@@ -210,19 +202,22 @@
         RunWeight { prompt: prompt + generated, output: output.saturating_sub(generated) }
     }
 
-    /// Forwards one event unless its id shows that it was forwarded before. Returns false if the
-    /// caller has disconnected.
+    /// Forwards one event unless its id shows that it was forwarded before.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the stream ends if the caller does not take the event.
     async fn forward_event(
         &mut self,
         stream: &mut EngineStream,
-        sender: &mpsc::Sender<Result<Bytes, StreamCut>>,
+        sender: &mpsc::Sender<StreamPiece>,
         event: StreamEvent,
-    ) -> bool {
+    ) -> Result<(), StreamEnd> {
         if let (Some(id), Some(last)) = (&event.id, &self.last_event)
             && let (Ok(id), Ok(last)) = (id.parse::<u64>(), last.parse::<u64>())
             && id <= last
         {
-            return true;
+            return Ok(());
         }
         let now = self.state.now();
         if self.events == 0 {
@@ -241,7 +236,21 @@
         if event.id.is_some() {
             self.last_event = event.id;
         }
-        sender.send(Ok(event.bytes)).await.is_ok()
+        self.send_piece(sender, StreamPiece::Data(event.bytes)).await
+    }
+
+    /// Passes a part of the body on to the caller, who may read slowly, until the deadline.
+    async fn send_piece(
+        &self,
+        sender: &mpsc::Sender<StreamPiece>,
+        piece: StreamPiece,
+    ) -> Result<(), StreamEnd> {
+        let left = self.admitted.time_left(self.state.now());
+        match tokio::time::timeout(left, sender.send(piece)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(StreamEnd::CallerGone),
+            Err(_) => Err(StreamEnd::Late),
+        }
     }
 
     fn finish(&mut self, outcome: &str, status: u16, server: &str) {
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{EngineStream, GenerationRun, is_framed, outcome_name};
-use crate::answer_body::StreamCut;
+use crate::answer_body::StreamPiece;
 use crate::exchange::{self, ExchangeFault};
 use crate::forwarding::engine_calls::{MOVE_TIMEOUT, MoveAnswer, MoveCall, release_copy};
 use crate::forwarding::load_guard::LoadGuard;
@@ -17,7 +17,6 @@
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{AnswerCheck, RunContinuation, check_answer};
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 
@@ -71,7 +70,7 @@
     pub(super) async fn read_until_end(
         &mut self,
         stream: &mut EngineStream,
-        sender: &mpsc::Sender<Result<Bytes, StreamCut>>,
+        sender: &mpsc::Sender<StreamPiece>,
         destination: &mut Option<RunDestination>,
     ) -> StreamEnd {
         let mut plan: Option<MovePlan> = None;
@@ -79,6 +78,10 @@
         let mut refused: Vec<ServerKey> = vec![stream.key];
         loop {
             let now = self.state.now();
+            // A stream that always has bytes ready never lets the branch below check this.
+            if now >= self.admitted.deadline {
+                return StreamEnd::Late;
+            }
             if plan.is_none() {
                 plan = self.plan_move(stream);
             }
@@ -113,8 +116,8 @@
                                 return StreamEnd::Broken;
                             }
                             while let Some(event) = self.splitter.next_event() {
-                                if !self.forward_event(stream, sender, event).await {
-                                    return StreamEnd::CallerGone;
+                                if let Err(end) = self.forward_event(stream, sender, event).await {
+                                    return end;
                                 }
                             }
                             continue;
@@ -138,22 +141,27 @@
                                 self.final_call = Some(call);
                                 return StreamEnd::Stopped;
                             }
-                            if !rest.is_empty() && sender.send(Ok(rest)).await.is_err() {
-                                return StreamEnd::CallerGone;
+                            // Without a delimiter, only a complete last event tells the end of the
+                            // answer from a connection that was closed in the middle of it.
+                            if !rest.is_empty() && !stream.is_framed {
+                                return StreamEnd::Broken;
+                            }
+                            if !rest.is_empty()
+                                && let Err(end) = self.send_piece(sender, StreamPiece::Data(rest)).await
+                            {
+                                return end;
                             }
-                            return StreamEnd::Complete;
+                            return match self.send_piece(sender, StreamPiece::End).await {
+                                Ok(()) => StreamEnd::Complete,
+                                Err(end) => end,
+                            };
                         },
                     }
                 },
                 answer = wait_for_move(&mut call), if call.is_some() => answer,
                 _ = self.directory_changes.changed(), if plan.is_none() => continue,
                 () = sender.closed() => return StreamEnd::CallerGone,
-                () = sleep_until(&self.state, wake_at) => {
-                    if self.state.now() >= self.admitted.deadline {
-                        return StreamEnd::Late;
-                    }
-                    continue;
-                },
+                () = sleep_until(&self.state, wake_at) => continue,
             };
             let is_final = call.take().is_some_and(|call| call.is_final);
             let Some(plan) = &mut plan else { continue };
@@ -296,7 +304,7 @@
     async fn drain_stopped(
         &mut self,
         stream: &mut EngineStream,
-        sender: &mpsc::Sender<Result<Bytes, StreamCut>>,
+        sender: &mpsc::Sender<StreamPiece>,
     ) -> StreamEnd {
         let draining = async {
             while let Some(Ok(frame)) = stream.body.frame().await {
@@ -305,8 +313,8 @@
                     break;
                 }
                 while let Some(event) = self.splitter.next_event() {
-                    if !self.forward_event(stream, sender, event).await {
-                        return StreamEnd::CallerGone;
+                    if let Err(end) = self.forward_event(stream, sender, event).await {
+                        return end;
                     }
                 }
             }
@@ -371,7 +379,7 @@
                 Ok((response, exchange)) => {
                     let (parts, body) = response.into_parts();
                     let check = check_answer(parts.status, &parts.headers, &self.admitted.id);
-                    if parts.status.is_success() && check != AnswerCheck::WrongRequest {
+                    if parts.status.is_success() && check == AnswerCheck::Stamped {
                         self.moves += 1;
                         self.state.telemetry.moves.with_label_values(&["resumed"]).inc();
                         let entry = entry.clone();
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -112,7 +112,8 @@
                     }
                     continue;
                 },
-                AnswerCheck::WrongRequest => {
+                AnswerCheck::WrongRequest | AnswerCheck::Unusable => {
+                    self.record_failure(key, &entry, "foreign_answer");
                     return Err(StartFailure::Error(ErrorAnswer::AnswerLost));
                 },
                 AnswerCheck::Stamped | AnswerCheck::Unstamped => {},
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -1,18 +1,21 @@
 //! Requests to plain services: repeated at another server if allowed, run at most once if unsafe.
 
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::load_guard::LoadGuard;
 use super::shared::{Placement, SharedState};
-use crate::answer_body::{AnswerBody, StreamCut, TaskGuard};
+use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
 use crate::exchange::{self, Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, ServerKey,
 };
+use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{
     self, AnswerCheck, RunContinuation, SendHeaders, check_answer, status_implies_not_run,
 };
@@ -265,14 +268,17 @@
 ) -> (String, SendOutcome) {
     let target = state.directory.borrow().get(key).map(|record| record.entry.clone());
     let Some(entry) = target else { return (String::new(), SendOutcome::NotConnected) };
-    let _load = LoadGuard::begin(state, key, admitted.weight);
+    let load = LoadGuard::begin(state, key, admitted.weight);
     let request = server_request(admitted, &entry.id, time_left, None, None);
     let started = state.now();
     let sent = exchange::send(entry.address, request, limit).await;
     let outcome = match sent {
         Ok((response, exchange)) => {
             let left = limit.saturating_sub(state.now().since(started));
-            read_answer(admitted, response, exchange, left).await
+            let server = Arc::clone(&entry.id);
+            let source =
+                AnswerSource { state: Rc::clone(state), server, _exchange: exchange, _load: load };
+            read_answer(admitted, response, source, left).await
         },
         Err(ExchangeFault::NotConnected) => SendOutcome::NotConnected,
         Err(fault) => SendOutcome::Lost(fault),
@@ -293,15 +299,26 @@
     (entry.id.to_string(), outcome)
 }
 
+/// Connection to the server that sends an answer.
+struct AnswerSource {
+    state: SharedState,
+    /// Id of the server.
+    server: Arc<str>,
+    _exchange: Exchange,
+    _load: LoadGuard,
+}
+
 async fn read_answer(
     admitted: &AdmittedRequest,
     response: Response<Incoming>,
-    exchange: Exchange,
+    source: AnswerSource,
     limit: Duration,
 ) -> SendOutcome {
     let (parts, body) = response.into_parts();
     match check_answer(parts.status, &parts.headers, &admitted.id) {
-        AnswerCheck::WrongRequest => return SendOutcome::Lost(ExchangeFault::Broken),
+        AnswerCheck::WrongRequest | AnswerCheck::Unusable => {
+            return SendOutcome::Lost(ExchangeFault::Broken);
+        },
         AnswerCheck::NotRun => return SendOutcome::NotRun,
         AnswerCheck::Stamped | AnswerCheck::Unstamped => {},
     }
@@ -310,51 +327,104 @@
     if status_implies_not_run(parts.status) && admitted.rule.kind != RequestKind::Safe {
         return SendOutcome::Lost(ExchangeFault::Broken);
     }
-    let collecting = collect(body, exchange);
+    let collecting = collect(body, source, admitted);
     match tokio::time::timeout(limit, collecting).await {
         Ok(Ok(body)) => SendOutcome::Answered(parts.status, parts.headers, body),
-        Ok(Err(StreamCut)) => SendOutcome::Lost(ExchangeFault::Broken),
+        Ok(Err(_)) => SendOutcome::Lost(ExchangeFault::Broken),
         Err(_) => SendOutcome::Lost(ExchangeFault::TimedOut),
     }
 }
 
 /// Receives a short body completely; forwards the rest of a long one as it arrives.
-async fn collect(mut body: Incoming, exchange: Exchange) -> Result<AnswerBody, StreamCut> {
+async fn collect(
+    mut body: Incoming,
+    source: AnswerSource,
+    admitted: &AdmittedRequest,
+) -> Result<AnswerBody, hyper::Error> {
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| StreamCut)?;
-        if let Ok(data) = frame.into_data() {
+        if let Ok(data) = frame?.into_data() {
             collected.extend_from_slice(&data);
         }
         if collected.len() > BUFFERED_ANSWER_LIMIT {
-            return Ok(stream_rest(collected.freeze(), body, exchange));
+            let (sender, pieces) = mpsc::channel(CHUNK_BACKLOG);
+            let rest = LongAnswer {
+                source,
+                request: admitted.id.clone(),
+                deadline: admitted.deadline,
+                bytes: 0,
+            };
+            let forwarding = rest.forward(collected.freeze(), body, sender);
+            let task = TaskGuard(tokio::task::spawn_local(forwarding));
+            return Ok(AnswerBody::Streamed { pieces, _task: task });
         }
     }
     Ok(AnswerBody::Whole(Some(collected.freeze())))
 }
 
-fn stream_rest(beginning: Bytes, mut body: Incoming, exchange: Exchange) -> AnswerBody {
-    let (sender, pieces) = mpsc::channel(CHUNK_BACKLOG);
-    let task = tokio::task::spawn_local(async move {
-        let _exchange = exchange;
-        let mut next = Some(Ok(beginning));
-        while let Some(piece) = next {
-            let is_cut = piece.is_err();
-            if sender.send(piece).await.is_err() || is_cut {
-                return;
+/// Answer that is forwarded while it arrives.
+struct LongAnswer {
+    source: AnswerSource,
+    /// Id of the request.
+    request: String,
+    /// Deadline of the request, after which the answer is cut. A server may send bytes, or one byte
+    /// now and then, without end.
+    deadline: Timestamp,
+    /// Bytes forwarded so far.
+    bytes: u64,
+}
+
+impl LongAnswer {
+    async fn forward(
+        mut self,
+        beginning: Bytes,
+        body: Incoming,
+        sender: mpsc::Sender<StreamPiece>,
+    ) {
+        let left = self.deadline.since(self.source.state.now());
+        let forwarding = self.forward_pieces(beginning, body, &sender);
+        let cut = match tokio::time::timeout(left, forwarding).await {
+            Ok(Ok(())) => return,
+            Ok(Err(reason)) => reason,
+            Err(_) => "late",
+        };
+        let AnswerSource { state, server, .. } = &self.source;
+        state.telemetry.faults.with_label_values(&["answer_cut"]).inc();
+        event(EventKind::AnswerCut, &[&self.request, server, &cut, &self.bytes]);
+    }
+
+    /// Forwards the body up to its end, or until the caller disconnects.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the server's connection breaks.
+    async fn forward_pieces(
+        &mut self,
+        beginning: Bytes,
+        mut body: Incoming,
+        sender: &mpsc::Sender<StreamPiece>,
+    ) -> Result<(), &'static str> {
+        let mut next = Some(beginning);
+        while let Some(data) = next {
+            let length = data.len() as u64;
+            if sender.send(StreamPiece::Data(data)).await.is_err() {
+                return Ok(());
             }
+            self.bytes += length;
             next = loop {
                 match body.frame().await {
                     Some(Ok(frame)) => {
                         if let Ok(data) = frame.into_data() {
-                            break Some(Ok(data));
+                            break Some(data);
                         }
                     },
-                    Some(Err(_)) => break Some(Err(StreamCut)),
+                    Some(Err(_)) => return Err("broken"),
                     None => break None,
                 }
             };
         }
-    });
-    AnswerBody::Streamed { pieces, _task: TaskGuard(task) }
+        // Sending fails if the caller has disconnected.
+        let _ = sender.send(StreamPiece::End).await;
+        Ok(())
+    }
 }
--- a/medlarlanding/src/forwarding/store_client.rs
+++ b/medlarlanding/src/forwarding/store_client.rs
@@ -33,7 +33,7 @@
 
 struct StoreConnection {
     sender: RequestSender,
-    _exchange: Exchange,
+    exchange: Exchange,
 }
 
 /// Client that makes one call at a time and opens a new connection after a failure.
@@ -101,7 +101,9 @@
             .with_context(|| format!("invalid path {path}"))?;
         let exchange = async {
             connection.sender.ready().await?;
-            let response = connection.sender.send_request(request).await?;
+            let response = connection.exchange.request(&mut connection.sender, request).await;
+            let response = response
+                .map_err(|fault| anyhow::anyhow!("no answer from the store: {}", fault.name()))?;
             let status = response.status();
             let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await;
             let body = body
@@ -121,6 +123,6 @@
             exchange::open(self.address, CALL_TIMEOUT).await.map_err(|fault| {
                 anyhow::anyhow!("cannot connect to the store at {}: {}", self.address, fault.name())
             })?;
-        Ok(StoreConnection { sender, _exchange: exchange })
+        Ok(StoreConnection { sender, exchange })
     }
 }
--- a/medlarlanding/src/lib.rs
+++ b/medlarlanding/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod exchange;
 pub mod forwarding;
 pub mod gate;
+pub mod head_limit;
 pub mod http;
 pub mod instance;
 pub mod listener;
