Answer requests that arrive at the end of a stop

Cause: 2.5 s after SIGTERM every connection on which the HTTP library had not read a whole head was closed, also if a request lay in the socket, and the process ended as soon as no connection was open, with accepted ones still in the queue.

Change: CallerStream knows whether bytes wait or were read without an answer; such a connection is given up to 0.5 s. The process ends after six checks in a row (0.3 s) without an open or a new connection.

--- a/medlarlanding/src/forwarding/listener.rs
+++ b/medlarlanding/src/forwarding/listener.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::admit;
+use super::caller_stream::{CallerActivity, CallerStream};
 use super::peer_link::PeerLink;
 use super::shared::SharedState;
 use crate::answer_body::AnswerBody;
@@ -26,6 +27,10 @@
 /// Time for which idle connections are kept beyond the configured limit, so that a request sent just
 /// before the limit is still read.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Interval at which a connection that is to be closed is checked for a request under way.
+const IDLE_CHECK_PERIOD: Duration = Duration::from_millis(10);
+/// Number of these checks; a request head that does not arrive completely meanwhile is given up.
+const IDLE_CHECKS: u32 = 50;
 /// Smallest buffer in bytes that the HTTP library accepts.
 const HEAD_BUFFER_MIN: usize = 8192;
 
@@ -62,11 +67,17 @@
     }
     let service =
         service_fn(move |request| admit::serve(Rc::clone(&state), Rc::clone(&link), request));
+    let (stream, activity) = CallerStream::new(stream);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let stopped = async {
+        // Waiting fails only when the process ends.
+        let _ = stop.wait_for(|stopping| *stopping).await;
+        wait_until_idle(&activity).await;
+    };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _ = stop.wait_for(|stopping| *stopping), if !is_stopping => {
+        () = stopped, if !is_stopping => {
             connection.as_mut().graceful_shutdown();
             connection.await
         },
@@ -76,6 +87,18 @@
     }
 }
 
+/// Waits until no request is under way on a connection: the library closes one on which it has not
+/// read a whole head, even if the request has arrived. A request that is served does not delay the
+/// close of its connection for long, because its answer says that the connection closes.
+async fn wait_until_idle(activity: &CallerActivity) {
+    for _ in 0..IDLE_CHECKS {
+        if activity.is_idle() {
+            return;
+        }
+        tokio::time::sleep(IDLE_CHECK_PERIOD).await;
+    }
+}
+
 /// Answers readiness checks.
 pub async fn serve_readiness(listener: TcpListener, state: SharedState) -> anyhow::Result<()> {
     serve_endpoint(listener, move |path| {
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -7,6 +7,7 @@
 
 mod admit;
 mod answer;
+mod caller_stream;
 mod engine_calls;
 mod engine_probe;
 mod generation;
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -34,6 +34,9 @@
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which a stopping process checks for open connections.
 const DRAIN_PERIOD: Duration = Duration::from_millis(50);
+/// Checks in a row without an open or a new connection after which a stopping process ends. The load
+/// balancer still sends connections to it while fewer than half of the instances of a zone are ready.
+const QUIET_CHECKS: u32 = 6;
 /// Pause before the process ends, in which the log thread writes the last lines.
 const LOG_FLUSH: Duration = Duration::from_millis(30);
 
@@ -161,11 +164,15 @@
     // Until the load balancer has removed the instance, idle connections are still used.
     tokio::time::sleep(BALANCER_REMOVAL_TIME.min(latest)).await;
     stop.send_replace(true);
-    while started.elapsed() < latest {
-        if state.connection_count() == 0 {
-            break;
-        }
+    // Counting checks instead of time gives connections that arrived while the process was paused
+    // the time to be accepted.
+    let mut quiet_checks = 0;
+    let mut accepted = state.accepted_count();
+    while started.elapsed() < latest && quiet_checks < QUIET_CHECKS {
         tokio::time::sleep(DRAIN_PERIOD).await;
+        let is_quiet = state.connection_count() == 0 && state.accepted_count() == accepted;
+        quiet_checks = if is_quiet { quiet_checks + 1 } else { 0 };
+        accepted = state.accepted_count();
     }
     event(EventKind::DrainFinished, &[&started.elapsed().as_millis()]);
 }
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -61,6 +61,8 @@
     /// Open connections of callers. While the process stops, each closes after its last answer has
     /// been written.
     open_connections: Rc<Cell<usize>>,
+    /// Connections of callers accepted so far.
+    accepted_connections: Cell<u64>,
     /// Bytes reserved for request bodies that are read or held.
     pub body_bytes: Cell<u64>,
     /// Servers with their load and health.
@@ -120,6 +122,7 @@
             telemetry,
             stop_at: Cell::new(None),
             open_connections: Rc::default(),
+            accepted_connections: Cell::new(0),
             body_bytes: Cell::new(0),
             directory: RefCell::default(),
             peers: RefCell::new(peers),
@@ -162,6 +165,7 @@
     /// Counts a connection of a caller until the guard is dropped.
     pub fn open_connection(&self) -> ConnectionGuard {
         self.open_connections.set(self.open_connections.get() + 1);
+        self.accepted_connections.set(self.accepted_connections.get() + 1);
         ConnectionGuard(Rc::clone(&self.open_connections))
     }
 
@@ -170,6 +174,11 @@
         self.open_connections.get()
     }
 
+    /// Returns the number of connections of callers accepted so far.
+    pub fn accepted_count(&self) -> u64 {
+        self.accepted_connections.get()
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<ConfigInForce> {
         self.config.borrow().clone()
