Repeat reports of leaving engines while the store is down

Cause: the coordinator told its peers once that an engine had reported its leaving. An instance that restarted, or lost the datagram, took the engine for ready: it placed runs there when it decided alone and moved none off it.

Change: each round of probes repeats the reports that the store's entries do not show.

Result: restarted_instances_do_not_use_a_server_that_is_leaving failed before and passes.

--- a/medlarlanding-bench/tests/forwarding.rs
+++ b/medlarlanding-bench/tests/forwarding.rs
@@ -326,6 +326,33 @@
     assert_eq!(answer.status, 200, "{}", site.log(0));
 }
 
+/// Guards against an engine in use again after a restart: it has reported that it is leaving, which
+/// the store that is down cannot show.
+#[test]
+fn restarted_instances_do_not_use_a_server_that_is_leaving() {
+    let mut site = start(SiteParams { instances: 3, ..SiteParams::default() });
+    site.state.set_store(StoreMode::Unavailable);
+    site.state.set_leaving("engines-0");
+    let notices = |site: &TestSite, index| site.log(index).matches("state=leaving").count();
+    site.wait_until("the notice at all instances", || (0..3).all(|it| notices(&site, it) == 1))
+        .expect("notices");
+    for restarted in 0..3 {
+        site.signal(restarted, Signal::KILL).expect("a signal");
+        site.wait_exit(restarted).expect("an exit");
+        site.spawn_instance(restarted).expect("a process");
+        site.wait_until("a ready instance", || site.is_ready(restarted)).expect("ready");
+        // Without it, the instance would not move a run off the engine.
+        site.wait_until("the notice at the new process", || notices(&site, restarted) == 2)
+            .expect("a notice");
+        for number in 0..6 {
+            let id = format!("id-{restarted}-{number}");
+            let draft = call("/draft/a", &id).send(site.caller_address(restarted));
+            assert_eq!(draft.expect("an answer").status, 200);
+            assert_eq!(site.state.runs(&id)[0].server, "engines-1", "{}", site.log(restarted));
+        }
+    }
+}
+
 /// Guards against requests sent to a removed server by instances that do not watch the store.
 #[test]
 fn leaving_server_gets_no_requests() {
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -238,6 +238,16 @@
             .map(|(key, record)| (*key, record))
     }
 
+    /// Iterates over the ids of the servers that have reported that they are leaving while their
+    /// entries still call them ready.
+    pub fn reported_leaving(&self) -> impl Iterator<Item = &str> {
+        let is_reported = |record: &&ServerRecord| {
+            let is_ready = record.entry.phase == ServerPhase::Ready && !record.is_removed;
+            record.leaving_since.is_some() && is_ready
+        };
+        self.records.values().filter(is_reported).map(|record| &*record.entry.id)
+    }
+
     /// Iterates over all records, including those of leaving and removed servers.
     pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &ServerRecord)> {
         self.records.iter().map(|(key, record)| (*key, record))
--- a/medlarlanding/src/forwarding/engine_probe.rs
+++ b/medlarlanding/src/forwarding/engine_probe.rs
@@ -10,7 +10,7 @@
 
 use super::engine_calls;
 use super::peer_link::PeerLink;
-use super::shared::SharedState;
+use super::shared::{SharedState, server_hash};
 use crate::exchange::ExchangeFault;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -52,6 +52,14 @@
         if !is_needed {
             continue;
         }
+        // Peers that have restarted or lost a datagram do not know of the earlier reports.
+        let reported: Vec<u64> = {
+            let directory = state.directory.borrow();
+            directory.reported_leaving().map(server_hash).collect()
+        };
+        if !reported.is_empty() {
+            link.send_leaving(&state, reported);
+        }
         for (key, address) in state.engines() {
             let (state, link) = (Rc::clone(&state), Rc::clone(&link));
             tokio::task::spawn_local(async move {
@@ -72,7 +80,7 @@
             if let Some(hash) = state.hash_of(key)
                 && state.mark_leaving(key)
             {
-                link.send_leaving(state, hash);
+                link.send_leaving(state, vec![hash]);
             }
         },
     }
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -98,10 +98,10 @@
         self.send(state, &PeerMessage::Servers(pending), &targets);
     }
 
-    /// Reports to all peers that a server is leaving. `server` is the hash of its id.
-    pub fn send_leaving(&self, state: &ForwardState, server: u64) {
+    /// Reports to all peers which servers are leaving. `servers` are the hashes of their ids.
+    pub fn send_leaving(&self, state: &ForwardState, servers: Vec<u64>) {
         let targets = state.peers.borrow().addresses();
-        self.send(state, &PeerMessage::Leaving(vec![server]), &targets);
+        self.send(state, &PeerMessage::Leaving(servers), &targets);
     }
 
     /// Reports to the coordinator that an engine failed a request.
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -558,6 +558,6 @@
 }
 
 /// Returns the hash of a server's id, which is the same on all instances.
-fn server_hash(id: &str) -> u64 {
+pub fn server_hash(id: &str) -> u64 {
     stable_hash(id.as_bytes())
 }
