Send changes of servers to large fleets through relays

Cause: the instance that reads the store sent every change to all others itself; at 300 machines with 3,002 servers the busiest one had 994 KB/s against 33 KB/s at the middle one.

Change: RelayParams divides the peers of a fleet of more than 24 into about as many groups as a group has members, by neighbouring addresses, each with its two strongest live members as relays; PeerMessage::Relayed carries the message and its targets. A change that arrives twice is dropped by its revision.

--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -1,5 +1,7 @@
 //! Messages that instances of the forwarding role send one another in datagrams.
 
+use std::net::SocketAddr;
+
 use super::directory::DirectoryChange;
 use super::peers::PeerDigest;
 
@@ -20,6 +22,18 @@
         Question(PlaceQuestion),
         /// The coordinator's answer to a question.
         Answer(PlaceAnswer),
+        /// A message for the receiver, which also passes it on.
+        Relayed(RelayedMessage),
+    }
+}
+
+value_type! {
+    /// A message that the receiver applies and passes on to others.
+    pub struct RelayedMessage {
+        /// Peers to which the receiver sends the message.
+        pub targets: Vec<SocketAddr>,
+        /// An encoded `PeerMessage::Servers` or `PeerMessage::Leaving`; others are dropped.
+        pub message: Vec<u8>,
     }
 }
 
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod placement;
 mod readiness;
+mod relays;
 mod suspicion;
 mod wait_limit;
 mod waiting;
@@ -28,7 +29,8 @@
 pub use drain::DrainParams;
 pub use entries::{EntryDelta, EntryLog};
 pub use messages::{
-    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, ServerChanges,
+    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, RelayedMessage,
+    ServerChanges,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep};
 pub use peers::{LoadReport, PeerDigest, PeerTable, PeerTableParams, RemoteLoad};
@@ -36,6 +38,7 @@
     PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest, RunWeight,
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
+pub use relays::{RelayGroup, RelayParams};
 pub use suspicion::{FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
 pub use waiting::{RunKey, WaitingClass, WaitingParams, WaitingRuns};
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -216,6 +216,16 @@
         }
     }
 
+    /// Returns whether a peer is live.
+    pub fn is_live_peer(&self, now: Timestamp, address: SocketAddr) -> bool {
+        self.peers.get(&address).is_some_and(|record| self.is_live(now, record))
+    }
+
+    /// Returns the strength of a peer's machine; 0 if it is unknown.
+    pub fn peer_strength(&self, address: SocketAddr) -> u16 {
+        self.peers.get(&address).map_or(0, |record| record.strength)
+    }
+
     fn is_live(&self, now: Timestamp, record: &PeerRecord) -> bool {
         record.heard_at.is_some_and(|at| now.since(at) < self.params.live_timeout)
     }
@@ -268,7 +278,10 @@
     /// Returns the coordinator, which places generations for all instances; `None` if it is this
     /// instance.
     pub fn coordinator(&self, now: Timestamp) -> Option<SocketAddr> {
-        self.higher_ranked(now).first().map(|(address, _)| *address)
+        let own = self.own_rank();
+        let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
+        let ranked = live.map(|(address, record)| (Self::rank(address, record.strength), *address));
+        ranked.filter(|(rank, _)| *rank > own).max().map(|(_, address)| address)
     }
 
     /// Returns the peers that get the next digest, each with whether it is sent the loads too.
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -10,8 +10,8 @@
 use super::shared::{ForwardState, Placement, SharedState};
 use medlarlanding_core::forwarding::{
     ChangeSource, DirectoryChange, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer,
-    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RepeatPurpose, RunKey,
-    ServerChanges, ServerKey,
+    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup, RelayParams,
+    RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
 };
 
 use indexmap::IndexMap;
@@ -46,16 +46,40 @@
     }
 
     fn send(&self, state: &ForwardState, message: &PeerMessage, targets: &[SocketAddr]) {
-        let bytes = match postcard::to_stdvec(message) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::warn!("cannot encode a datagram: {error}");
-                return;
-            },
-        };
+        if let Some(bytes) = encode(message) {
+            self.send_bytes(state, &bytes, targets);
+        }
+    }
+
+    /// Sends a message to the relays of each group, which pass it on to the members.
+    fn send_to_groups(&self, state: &ForwardState, message: &PeerMessage, groups: &[RelayGroup]) {
+        let Some(bytes) = encode(message) else { return };
+        for group in groups {
+            if group.relays.is_empty() {
+                self.send_bytes(state, &bytes, &group.members);
+                continue;
+            }
+            let relayed = RelayedMessage { targets: group.members.clone(), message: bytes.clone() };
+            self.send(state, &PeerMessage::Relayed(relayed), &group.relays);
+        }
+    }
+
+    /// Passes a message on. Returns the message if it may be relayed.
+    fn relay(&self, state: &ForwardState, relayed: &RelayedMessage) -> Option<PeerMessage> {
+        let message = postcard::from_bytes(&relayed.message)
+            .ok()
+            .filter(|message| matches!(message, PeerMessage::Servers(_) | PeerMessage::Leaving(_)));
+        match message {
+            Some(_) => self.send_bytes(state, &relayed.message, &relayed.targets),
+            None => state.telemetry.dropped_datagrams.inc(),
+        }
+        message
+    }
+
+    fn send_bytes(&self, state: &ForwardState, bytes: &[u8], targets: &[SocketAddr]) {
         for target in targets {
             // An unsent datagram has the same effect as a lost one; later digests make up for it.
-            if self.socket.try_send_to(&bytes, *target).is_err() {
+            if self.socket.try_send_to(bytes, *target).is_err() {
                 state.telemetry.unsent_datagrams.inc();
             }
         }
@@ -72,7 +96,7 @@
         revision: u64,
         changed: Vec<(Arc<str>, u64)>,
     ) {
-        let targets = state.peers.borrow().addresses();
+        let groups = relay_groups(state);
         let mut pending = ServerChanges { after, revision: after, changes: Vec::new() };
         let mut size = 0;
         for (id, changed_at) in changed {
@@ -87,7 +111,7 @@
                 let after = pending.revision;
                 let next = ServerChanges { after, revision: after, changes: Vec::new() };
                 let full = std::mem::replace(&mut pending, next);
-                self.send(state, &PeerMessage::Servers(full), &targets);
+                self.send_to_groups(state, &PeerMessage::Servers(full), &groups);
                 size = 0;
             }
             size += length;
@@ -95,13 +119,12 @@
             pending.changes.push(change);
         }
         pending.revision = pending.revision.max(revision);
-        self.send(state, &PeerMessage::Servers(pending), &targets);
+        self.send_to_groups(state, &PeerMessage::Servers(pending), &groups);
     }
 
     /// Reports to all peers which servers are leaving. `servers` are the hashes of their ids.
     pub fn send_leaving(&self, state: &ForwardState, servers: Vec<u64>) {
-        let targets = state.peers.borrow().addresses();
-        self.send(state, &PeerMessage::Leaving(servers), &targets);
+        self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_groups(state));
     }
 
     /// Reports to the coordinator that an engine failed a request.
@@ -178,6 +201,16 @@
     }
 }
 
+fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
+    postcard::to_stdvec(message)
+        .inspect_err(|error| log::warn!("cannot encode a datagram: {error}"))
+        .ok()
+}
+
+fn relay_groups(state: &ForwardState) -> Vec<RelayGroup> {
+    RelayParams::default().groups(state.now(), &state.peers.borrow())
+}
+
 /// Sends digests periodically, and without delay after `digest_wanted` is notified.
 pub async fn send_digests(link: Rc<PeerLink>, state: SharedState) -> anyhow::Result<()> {
     let interval = PeerTableParams::default().interval;
@@ -258,7 +291,7 @@
         PeerMessage::Servers(changes) => {
             let known = state.entries.borrow().revision();
             // Older changes are known already. After a gap, the peers' digests cause a fetch.
-            if changes.after > known || changes.revision < known || known == 0 {
+            if changes.after > known || changes.revision <= known || known == 0 {
                 return;
             }
             for change in changes.changes {
@@ -276,6 +309,11 @@
             let answer = state.answer_question(source, &question);
             link.send(state, &PeerMessage::Answer(answer), &[source]);
         },
+        PeerMessage::Relayed(relayed) => {
+            if let Some(message) = link.relay(state, &relayed) {
+                handle_message(link, state, source, message);
+            }
+        },
         PeerMessage::Answer(answer) => {
             let waiting = link.questions.borrow_mut().swap_remove(&answer.number);
             // The question of a late answer is no longer present; its grant expires.
