Avoid engines that do not admit moved runs

Ruled out: trying the source again, which has 0.2 to 0.4 s left by then.

Change: a moved run without a head after 0.5 s (usually 20 to 150 ms) is reported as EngineFault::Unresponsive, and the coordinator avoids the engine at once.

--- a/medlarlanding-bench/tests/forwarding.rs
+++ b/medlarlanding-bench/tests/forwarding.rs
@@ -163,6 +163,26 @@
     },
 }
 
+/// Guards against further runs that are moved to an engine which accepts copies but admits no run.
+#[test]
+fn engine_that_does_not_admit_a_moved_run_is_suspected() {
+    let site = start(SiteParams { engines: 2, ..SiteParams::default() });
+    site.state.set_generation(400, 20);
+    let address = site.caller_address(0);
+    let caller = std::thread::spawn(move || call("/draft/a", "id-1").send(address));
+    let began = || site.log(0).contains("request_sent request=id-1");
+    site.wait_until("a running generation", began).expect("a run");
+    let first = site.state.runs("id-1")[0].server.clone();
+    let other = if first == "engines-0" { "engines-1" } else { "engines-0" };
+    site.state.set_mode(other, ServerMode::NoAnswer);
+    site.drain_server(&first);
+    let suspected = format!("server_suspected server={other} ");
+    site.wait_until("the suspicion", || site.log(0).contains(&suspected)).expect("a line");
+    // The run is lost; its caller must not take it for complete.
+    let answer = caller.join().expect("a caller").expect("an answer");
+    assert!(!answer.is_complete);
+}
+
 /// Guards against resuming a complete generation on another engine. The generation ends on its own
 /// at the moment at which the move stops it.
 #[test]
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -24,6 +24,8 @@
         Answer(PlaceAnswer),
         /// A message for the receiver, which also passes it on.
         Relayed(RelayedMessage),
+        /// Hash of the id of an engine that does not admit a moved run; sent to the coordinator.
+        Unresponsive(u64),
     }
 }
 
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -41,6 +41,6 @@
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use relays::{RelayGroup, RelayParams};
-pub use suspicion::{FaultLog, SuspicionParams};
+pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
 pub use waiting::{RunKey, WaitingClass, WaitingParams, WaitingRuns};
--- a/medlarlanding-core/src/forwarding/suspicion.rs
+++ b/medlarlanding-core/src/forwarding/suspicion.rs
@@ -43,6 +43,16 @@
     }
 }
 
+/// Fault of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineFault {
+    /// A request failed. Several of them make an engine suspect.
+    Failed,
+    /// A moved run was not admitted although the engine has its memory. Engines admit such runs
+    /// before all others, so one that does not admits none.
+    Unresponsive,
+}
+
 #[derive(Debug, Default)]
 struct FaultRecord {
     /// Faults within the window since the engine was last avoided, oldest first.
@@ -66,7 +76,7 @@
 impl FaultLog {
     /// Counts a fault of the engine whose id has the hash `engine`. Returns how long to avoid the
     /// engine if its faults have reached the limit.
-    pub fn record(&mut self, now: Timestamp, engine: u64) -> Option<Duration> {
+    pub fn record(&mut self, now: Timestamp, engine: u64, fault: EngineFault) -> Option<Duration> {
         let params = self.params;
         self.engines.retain(|_, record| now.since(record.last_fault_at) < params.retention);
         let record = self.engines.entry(engine).or_default();
@@ -78,7 +88,10 @@
         while record.faults.front().is_some_and(|at| now.since(*at) >= params.window) {
             record.faults.pop_front();
         }
-        let limit = if record.avoided_count == 0 { params.fault_limit } else { 1 };
+        let limit = match fault {
+            EngineFault::Failed if record.avoided_count == 0 => params.fault_limit,
+            EngineFault::Failed | EngineFault::Unresponsive => 1,
+        };
         if record.faults.len() < limit {
             return None;
         }
--- a/medlarlanding-core/tests/forwarding_suspicion.rs
+++ b/medlarlanding-core/tests/forwarding_suspicion.rs
@@ -5,8 +5,8 @@
 
 use medlarlanding_core::cases;
 use medlarlanding_core::forwarding::{
-    DirectoryChange, FaultLog, PlacementPolicy, PlacementRequest, RemoteLoad, RunWeight,
-    ServerDirectory, ServerEntry, ServerPhase, SuspicionParams,
+    DirectoryChange, EngineFault, FaultLog, PlacementPolicy, PlacementRequest, RemoteLoad,
+    RunWeight, ServerDirectory, ServerEntry, ServerPhase, SuspicionParams,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -18,7 +18,10 @@
 /// because each instance alone sees too few faults, and against engines avoided after one fault.
 fn avoids_after((faults, expected): (Vec<u64>, Option<u64>)) {
     let mut log = FaultLog::default();
-    let found = faults.into_iter().filter_map(|millis| log.record(at(millis), 7)).last();
+    let found = faults
+        .into_iter()
+        .filter_map(|millis| log.record(at(millis), 7, EngineFault::Failed))
+        .last();
     assert_eq!(found, expected.map(Duration::from_millis));
 }
 
@@ -32,11 +35,22 @@
     history_ends_after_the_retention => (vec![0, 1, 2, 10_002, 10_003, 10_004], Some(1_000)),
 }
 
+/// Guards against further runs that are moved to an engine which admits none: on
+/// austral-cuenta-grown inc-1f56 four runs were lost at one engine, the last one 4.1 s after the first.
+#[test]
+fn unresponsive_engine_is_avoided_at_once() {
+    let mut log = FaultLog::default();
+    let period = log.record(at(0), 7, EngineFault::Unresponsive);
+    assert_eq!(period, Some(Duration::from_secs(1)));
+    let again = log.record(at(1_600), 7, EngineFault::Unresponsive);
+    assert_eq!(again, Some(Duration::from_secs(2)));
+}
+
 /// Guards against faults of one engine that count for another one.
 #[test]
 fn engines_are_counted_apart() {
     let mut log = FaultLog::default();
-    assert!((0..20).all(|engine| log.record(at(engine), engine).is_none()));
+    assert!((0..20).all(|engine| log.record(at(engine), engine, EngineFault::Failed).is_none()));
 }
 
 /// Guards against placing further runs on an engine that resets every request and therefore has
@@ -80,7 +94,7 @@
     let mut lost = 0;
     while chosen(&directory, lost) == failing {
         lost += 1;
-        if let Some(period) = log.record(at(lost), 1) {
+        if let Some(period) = log.record(at(lost), 1, EngineFault::Failed) {
             directory.avoid(failing, at(lost) + period);
         }
     }
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -19,7 +19,7 @@
 use crate::exchange::{Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{RunWeight, ServerEntry, ServerKey};
+use medlarlanding_core::forwarding::{EngineFault, RunWeight, ServerEntry, ServerKey};
 use medlarlanding_core::time::Timestamp;
 
 use hyper::body::Incoming;
@@ -170,7 +170,7 @@
                 StreamEnd::Late => "late",
                 StreamEnd::Broken | StreamEnd::Stopped => {
                     if matches!(end, StreamEnd::Broken) && !self.is_leaving(stream.key) {
-                        self.link.report_fault(&self.state, stream.key);
+                        self.link.report_fault(&self.state, stream.key, EngineFault::Failed);
                     }
                     match self.resume(stream, destination, matches!(end, StreamEnd::Stopped)).await
                     {
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -13,7 +13,9 @@
 use crate::forwarding::stream_events::EventSplitter;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{MovePlan, MoveStep, PlacePurpose, ServerEntry, ServerKey};
+use medlarlanding_core::forwarding::{
+    EngineFault, MovePlan, MoveStep, PlacePurpose, ServerEntry, ServerKey,
+};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{AnswerCheck, RunContinuation, check_answer};
 
@@ -24,6 +26,9 @@
 const RESUME_LIMIT: u32 = 4;
 /// Pause between two attempts to resume a moved run.
 const RESUME_PAUSE: Duration = Duration::from_millis(20);
+/// An engine that has not begun the answer to a moved run after this time admits no requests; usually
+/// it takes 20 to 150 ms.
+const RESUME_SILENCE: Duration = Duration::from_millis(500);
 /// Time limit for the stream to end after its run was stopped for a move.
 const STOP_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -362,7 +367,9 @@
                 Some(self.admitted.priority),
                 Some(&continuation),
             );
-            let sent = exchange::send(entry.address, request, time_left).await;
+            let sending = exchange::send(entry.address, request, time_left);
+            let fault = EngineFault::Unresponsive;
+            let sent = self.report_silence(*key, RESUME_SILENCE, fault, sending).await;
             let outcome = outcome_name(&sent);
             event(
                 EventKind::RunResumed,
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -14,16 +14,15 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    PlacePurpose, PlacementRequest, RepeatPurpose, ServerEntry, ServerKey, WaitDecision, WaitLimit,
-    WaitLimitParams,
+    EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, ServerEntry, ServerKey,
+    WaitDecision, WaitLimit, WaitLimitParams,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_platform::headers::{AnswerCheck, check_answer, status_implies_not_run};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
+use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::{Request, StatusCode};
 
 /// Mean interval at which a waiting run asks for room.
 const ASK_PERIOD: Duration = Duration::from_millis(40);
@@ -70,7 +69,9 @@
                 Some(self.admitted.priority),
                 None,
             );
-            let sent = self.send_and_report_silence(key, &entry, request, time_left).await;
+            let silence = self.admitted.rule.objective * SILENCE_FACTOR;
+            let sending = exchange::send(entry.address, request, time_left);
+            let sent = self.report_silence(key, silence, EngineFault::Failed, sending).await;
             let elapsed = self.state.now().since(now);
             let outcome = outcome_name(&sent);
             event(
@@ -148,22 +149,21 @@
         Some(forward_answer(status, server_headers, AnswerBody::Whole(Some(collected.to_bytes()))))
     }
 
-    /// Sends the request. If the engine's answer has not begun long after the objective, the engine
-    /// is reported as faulty while the request continues to wait: the engine may have accepted it
-    /// and never answer.
-    async fn send_and_report_silence(
+    /// Waits for the head of an answer. If it has not begun after `silence`, the engine is reported
+    /// as faulty while the request continues to wait: the engine may have accepted it and never
+    /// answer.
+    pub(super) async fn report_silence(
         &self,
         key: ServerKey,
-        entry: &ServerEntry,
-        request: Request<Full<Bytes>>,
-        time_left: Duration,
+        silence: Duration,
+        fault: EngineFault,
+        sending: impl Future<Output = SentRequest>,
     ) -> SentRequest {
-        let silence = self.admitted.rule.objective * SILENCE_FACTOR;
-        let mut sending = std::pin::pin!(exchange::send(entry.address, request, time_left));
+        let mut sending = std::pin::pin!(sending);
         match tokio::time::timeout(silence, sending.as_mut()).await {
             Ok(sent) => sent,
             Err(_) => {
-                self.link.report_fault(&self.state, key);
+                self.link.report_fault(&self.state, key, fault);
                 sending.await
             },
         }
@@ -171,7 +171,7 @@
 
     fn record_failure(&self, key: ServerKey, entry: &ServerEntry, fault: &'static str) {
         self.state.telemetry.faults.with_label_values(&[fault]).inc();
-        self.link.report_fault(&self.state, key);
+        self.link.report_fault(&self.state, key, EngineFault::Failed);
         if self.state.directory.borrow_mut().record_failure(self.state.now(), key) {
             event(EventKind::ServerSuspected, &[&entry.id, &fault]);
         }
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -9,9 +9,9 @@
 use super::peer_fetch::fetch_if_behind;
 use super::shared::{ForwardState, Placement, SharedState};
 use medlarlanding_core::forwarding::{
-    ChangeSource, DirectoryChange, PeerDigest, PeerMessage, PeerTableParams, PlaceAnswer,
-    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup, RelayParams,
-    RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
+    ChangeSource, DirectoryChange, EngineFault, PeerDigest, PeerMessage, PeerTableParams,
+    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup,
+    RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
 };
 
 use indexmap::IndexMap;
@@ -127,13 +127,19 @@
         self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_groups(state));
     }
 
-    /// Reports to the coordinator that an engine failed a request.
-    pub fn report_fault(&self, state: &ForwardState, key: ServerKey) {
+    /// Reports a fault of an engine to the coordinator.
+    pub fn report_fault(&self, state: &ForwardState, key: ServerKey, fault: EngineFault) {
         let Some(engine) = state.hash_of(key) else { return };
         let coordinator = state.peers.borrow().coordinator(state.now());
         match coordinator {
-            Some(coordinator) => self.send(state, &PeerMessage::Fault(engine), &[coordinator]),
-            None => state.record_fault(engine),
+            Some(coordinator) => {
+                let message = match fault {
+                    EngineFault::Failed => PeerMessage::Fault(engine),
+                    EngineFault::Unresponsive => PeerMessage::Unresponsive(engine),
+                };
+                self.send(state, &message, &[coordinator]);
+            },
+            None => state.record_fault(engine, fault),
         }
     }
 
@@ -308,7 +314,8 @@
                 state.mark_leaving(key);
             }
         },
-        PeerMessage::Fault(engine) => state.record_fault(engine),
+        PeerMessage::Fault(engine) => state.record_fault(engine, EngineFault::Failed),
+        PeerMessage::Unresponsive(engine) => state.record_fault(engine, EngineFault::Unresponsive),
         PeerMessage::Question(question) => {
             let answer = state.answer_question(source, &question);
             link.send(state, &PeerMessage::Answer(answer), &[source]);
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -11,11 +11,11 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BudgetParams, ChangeSource, DirectoryChange, EntryLog, FaultLog, ForwardConfig, LoadReport,
-    MoveParams, PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementChoice,
-    PlacementPolicy, PlacementRequest, Readiness, RemoteLoad, RepeatBudget, RepeatPurpose,
-    RequiredPart, RunKey, RunWeight, ServerDirectory, ServerKey, ServerPhase, ServerRecord,
-    WaitingClass, WaitingRuns,
+    BudgetParams, ChangeSource, DirectoryChange, EngineFault, EntryLog, FaultLog, ForwardConfig,
+    LoadReport, MoveParams, PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
+    PlacementChoice, PlacementPolicy, PlacementRequest, Readiness, RemoteLoad, RepeatBudget,
+    RepeatPurpose, RequiredPart, RunKey, RunWeight, ServerDirectory, ServerKey, ServerPhase,
+    ServerRecord, WaitingClass, WaitingRuns,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
@@ -356,9 +356,9 @@
     /// Counts a fault of an engine that any instance reported, and avoids the engine if its faults
     /// have reached the limit. `engine` is the hash of its id. Used while this instance is the
     /// coordinator.
-    pub fn record_fault(&self, engine: u64) {
+    pub fn record_fault(&self, engine: u64, fault: EngineFault) {
         let now = self.now();
-        let Some(period) = self.faults.borrow_mut().record(now, engine) else { return };
+        let Some(period) = self.faults.borrow_mut().record(now, engine, fault) else { return };
         let Some(key) = self.find_server(engine) else { return };
         let mut directory = self.directory.borrow_mut();
         directory.avoid(key, now + period);
