Scale digests with the fleet and send addresses in every fourth

Cause: each of three hubs sent a digest with twelve addresses to every instance four times a second, and every instance its loads to three hubs, so the traffic of a hub grew with the fleet and its loads with the square.

Change: above 100 instances the interval, the live timeout and the retention grow in proportion to the fleet; addresses, and digests to two drawn peers, are sent with every fourth digest (all of the first twenty); loads go to the coordinator and the hub that would replace it.

Fleet test: 100 and 300 instances send the same number of datagrams a second.

--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -61,19 +61,30 @@
 /// Parameters of the peer table.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerTableParams {
-    /// Interval between two digests of one instance.
+    /// Interval between two digests of one instance in a fleet of up to `full_rate_size`. This and
+    /// the two times below grow in proportion to a larger fleet, so that the traffic of a hub, which
+    /// sends to all instances, does not grow with its square.
     pub interval: Duration,
     /// How long a peer counts as live after its last digest; passes when four in a row are lost.
     pub live_timeout: Duration,
     /// How long a peer is kept after its address was last received; seeds are kept for ever.
     pub retention: Duration,
+    /// Number of instances up to which the times hold.
+    pub full_rate_size: usize,
     /// Number of hubs. With three, two may fail at the same time without delaying any change.
     pub hub_count: usize,
-    /// Peers besides the hubs that get each digest, so that the parts of a partitioned fleet find
+    /// Number of hubs that are sent the loads: the coordinator and the one that replaces it.
+    pub load_targets: usize,
+    /// Peers besides the hubs that get a digest with addresses, so that the parts of a partitioned fleet find
     /// one another again.
     pub extra_targets: usize,
     /// Most peer addresses in one digest; limits the size of the datagram.
     pub sample_size: usize,
+    /// One in so many digests contains addresses.
+    pub sample_period: u64,
+    /// Number of the first digests of a process that all contain addresses, so that a fleet that
+    /// starts finds itself quickly.
+    pub sampled_start: u64,
 }
 
 impl Default for PeerTableParams {
@@ -82,9 +93,13 @@
             interval: Duration::from_millis(250),
             live_timeout: Duration::from_millis(1100),
             retention: Duration::from_secs(30),
+            full_rate_size: 100,
             hub_count: 3,
+            load_targets: 2,
             extra_targets: 2,
             sample_size: 12,
+            sample_period: 4,
+            sampled_start: 20,
         }
     }
 }
@@ -236,8 +251,26 @@
         self.peers.get(&address).map_or(0, |record| record.strength)
     }
 
+    /// Returns the interval between two digests of this instance.
+    pub fn digest_interval(&self) -> Duration {
+        self.params.interval.mul_f64(self.size_factor())
+    }
+
+    fn live_timeout(&self) -> Duration {
+        self.params.live_timeout.mul_f64(self.size_factor())
+    }
+
+    fn size_factor(&self) -> f64 {
+        (self.instance_count() as f64 / self.params.full_rate_size as f64).max(1.0)
+    }
+
+    /// Returns whether the digest with this number contains addresses of peers.
+    fn is_sampled(&self, sequence: u64) -> bool {
+        sequence <= self.params.sampled_start || sequence.is_multiple_of(self.params.sample_period)
+    }
+
     fn is_live(&self, now: Timestamp, record: &PeerRecord) -> bool {
-        record.heard_at.is_some_and(|at| now.since(at) < self.params.live_timeout)
+        record.heard_at.is_some_and(|at| now.since(at) < self.live_timeout())
     }
 
     fn rank(address: &SocketAddr, strength: u16) -> PeerRank {
@@ -294,9 +327,11 @@
         ranked.filter(|(rank, _)| *rank > own).max().map(|(_, address)| address)
     }
 
-    /// Returns the peers that get the next digest, each with whether it is sent the loads too.
-    pub fn targets(&mut self, now: Timestamp) -> Vec<(SocketAddr, bool)> {
-        let (retention, seeds) = (self.params.retention, &self.seeds);
+    /// Returns the peers that get the digest with the number `sequence`, each with whether it is sent
+    /// the loads too.
+    pub fn targets(&mut self, now: Timestamp, sequence: u64) -> Vec<(SocketAddr, bool)> {
+        let retention = self.params.retention.mul_f64(self.size_factor());
+        let seeds = &self.seeds;
         self.peers.retain(|address, record| {
             seeds.contains(address) || record.known_at.is_some_and(|at| now.since(at) < retention)
         });
@@ -304,10 +339,15 @@
             self.higher_ranked(now).into_iter().map(|(address, _)| address).collect();
         let is_hub = higher.len() < self.params.hub_count || self.watches_store(now);
         let hubs = &higher[..higher.len().min(self.params.hub_count)];
-        let mut targets: Vec<(SocketAddr, bool)> =
-            hubs.iter().map(|address| (*address, true)).collect();
+        let mut targets: Vec<(SocketAddr, bool)> = hubs
+            .iter()
+            .enumerate()
+            .map(|(rank, hub)| (*hub, rank < self.params.load_targets))
+            .collect();
         let count = self.peers.len();
-        let others = if is_hub { count } else { self.params.extra_targets.min(count) };
+        let extra =
+            if self.is_sampled(sequence) { self.params.extra_targets.min(count) } else { 0 };
+        let others = if is_hub { count } else { extra };
         for step in 0..others {
             if let Some((address, _)) = self.peers.get_index((self.next_target + step) % count)
                 && !hubs.contains(address)
@@ -324,9 +364,17 @@
         self.peers.keys().copied().collect()
     }
 
-    /// Returns the live peers to list in a digest. Rising values of `offset` go through all of them
-    /// in turn.
-    pub fn sample(&self, now: Timestamp, offset: usize) -> Vec<SocketAddr> {
+    /// Returns the live peers to list in the digest with the number `sequence`. Successive samples go
+    /// through all of them in turn.
+    pub fn sample(&self, now: Timestamp, sequence: u64) -> Vec<SocketAddr> {
+        if !self.is_sampled(sequence) {
+            return Vec::new();
+        }
+        let offset = if sequence <= self.params.sampled_start {
+            sequence
+        } else {
+            sequence / self.params.sample_period
+        } as usize;
         let live: Vec<SocketAddr> = self
             .peers
             .iter()
@@ -395,7 +443,7 @@
     ) -> u64 {
         let number = self.next_grant;
         self.next_grant += 1;
-        let timeout = self.params.live_timeout;
+        let timeout = self.live_timeout();
         let record = self.peers.entry(peer).or_default();
         record.grants.retain(|grant| now.since(grant.at) < timeout);
         record.grants.push(PeerGrant { number, at: now, server, weight, waiting_tokens });
@@ -414,7 +462,7 @@
                 sum.growth += f64::from(load.growth);
             }
             let is_pending = |grant: &&PeerGrant| {
-                grant.server == server && now.since(grant.at) < self.params.live_timeout
+                grant.server == server && now.since(grant.at) < self.live_timeout()
             };
             for grant in record.grants.iter().filter(is_pending) {
                 sum.requests += 1.0;
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -69,9 +69,9 @@
             if self.down.contains(&index) {
                 continue;
             }
-            let targets = self.tables[index].targets(at(millis));
+            let targets = self.tables[index].targets(at(millis), self.sequence);
             let mut message = digest(index as u16, self.sequence, 100);
-            message.peers = self.tables[index].sample(at(millis), self.sequence as usize);
+            message.peers = self.tables[index].sample(at(millis), self.sequence);
             message.reaches_store = !self.without_store.contains(&index);
             for (target, _) in targets {
                 sent += 1;
@@ -123,6 +123,36 @@
     }
 }
 
+/// Guards against digests whose number grows with the square of the fleet: a hub of 300 instances must
+/// send no more datagrams a second than one of 100, and its failure must still be noticed.
+#[test]
+fn digests_of_a_large_fleet_are_bounded() {
+    const SENDS_PER_SECOND: f64 = 420.0;
+    for count in [100, 300] {
+        let mut fleet = TestFleet::new(count);
+        let mut millis = 0;
+        let mut step = |fleet: &mut TestFleet, rounds| {
+            for _ in 0..rounds {
+                millis += fleet.tables[0].digest_interval().as_millis() as u64;
+                fleet.step(millis);
+            }
+            millis
+        };
+        let now = step(&mut fleet, 60);
+        let hubs = fleet.hubs(now);
+        assert_eq!((hubs.len(), fleet.coordinators(now).len()), (3, 1), "{count} instances");
+        let sequence = fleet.sequence + 1;
+        let table = &mut fleet.tables[hubs[0]];
+        assert_eq!(table.instance_count(), usize::from(count));
+        let targets = table.targets(at(now), sequence).len();
+        let rate = targets as f64 / table.digest_interval().as_secs_f64();
+        assert!(rate <= SENDS_PER_SECOND, "{count} instances: {rate} datagrams a second");
+        fleet.down = hubs;
+        let later = step(&mut fleet, 6);
+        assert!(fleet.hubs(later).len() >= 3, "{count} instances");
+    }
+}
+
 /// Guards against changes of the store that no instance sees after the hubs have failed.
 #[test]
 fn other_instances_replace_failed_hubs() {
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -9,9 +9,9 @@
 use super::peer_fetch::fetch_if_behind;
 use super::shared::{ForwardState, Placement, SharedState};
 use medlarlanding_core::forwarding::{
-    ChangeSource, DirectoryChange, EngineFault, PeerDigest, PeerMessage, PeerTableParams,
-    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup,
-    RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
+    ChangeSource, DirectoryChange, EngineFault, PeerDigest, PeerMessage, PlaceAnswer, PlacePurpose,
+    PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup, RelayParams, RelayedMessage,
+    RepeatPurpose, RunKey, ServerChanges, ServerKey,
 };
 
 use indexmap::IndexMap;
@@ -219,7 +219,6 @@
 
 /// Sends digests periodically, and without delay after `digest_wanted` is notified.
 pub async fn send_digests(link: Rc<PeerLink>, state: SharedState) -> anyhow::Result<()> {
-    let interval = PeerTableParams::default().interval;
     let mut sequence = 0u64;
     let mut behind_since = None;
     let mut coordinator = None;
@@ -244,13 +243,14 @@
             state.digest_wanted.notified().await;
         };
         // The next digest is sent after a timeout too.
+        let interval = state.peers.borrow().digest_interval();
         let _ = tokio::time::timeout(interval, wanted).await;
     }
 }
 
 fn send_digest(link: &PeerLink, state: &SharedState, sequence: u64) {
     let now = state.now();
-    let targets = state.peers.borrow_mut().targets(now);
+    let targets = state.peers.borrow_mut().targets(now, sequence);
     let mut digest = PeerDigest {
         sender: state.settings.peers,
         boot: state.boot,
@@ -259,7 +259,7 @@
         reaches_store: state.reaches_store.get(),
         config_version: state.config_version(),
         servers_revision: state.entries.borrow().changed_revision(),
-        peers: state.peers.borrow().sample(now, sequence as usize),
+        peers: state.peers.borrow().sample(now, sequence),
         granted: state.granted.get(),
         loads: Vec::new(),
     };
