--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -11,6 +11,7 @@
 mod entries;
 mod messages;
 mod moves;
+mod peer_lag;
 mod peers;
 mod placement;
 mod readiness;
@@ -35,6 +36,7 @@
     ServerChanges,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep};
+pub use peer_lag::PeerLag;
 pub use peers::{LoadReport, PeerDigest, PeerTable, PeerTableParams, RemoteLoad};
 pub use placement::{
     PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest, RunWeight,
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -431,6 +431,12 @@
         ahead.get((draw * ahead.len() as f64) as usize).map(|address| **address)
     }
 
+    /// Returns the newest store revision of server entries among the live peers; 0 for none.
+    pub fn newest_servers_revision(&self, now: Timestamp) -> u64 {
+        let live = self.peers.values().filter(|record| self.is_live(now, record));
+        live.map(|record| record.servers_revision).max().unwrap_or(0)
+    }
+
     /// Counts a placement granted to a peer as load until the peer's digests include it or
     /// `live_timeout` has passed. Returns the number of the grant.
     pub fn grant(
--- a/medlarlanding/src/forwarding/peer_fetch.rs
+++ b/medlarlanding/src/forwarding/peer_fetch.rs
@@ -10,8 +10,7 @@
 use crate::listener::accept;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{ChangeSource, EntryDelta};
-use medlarlanding_core::time::Timestamp;
+use medlarlanding_core::forwarding::{ChangeSource, EntryDelta, PeerLag};
 use medlarlanding_core::value_type;
 
 use anyhow::{Context, bail};
@@ -30,11 +29,9 @@
 /// Mean pause after a failed fetch; the actual one is random, from 0.5 to 1.5 times this. A busy
 /// peer refuses fetches, and a configuration must be in force 2 s after its confirmation.
 const FETCH_RETRY: Duration = Duration::from_millis(200);
-/// How long a peer may have newer server entries before an instance that knows earlier ones fetches
-/// them: usually the change itself is already on its way.
+/// How long an instance that knows earlier server entries waits for a change that a peer has before it
+/// fetches it: usually the change is on its way.
 const FETCH_DELAY: Duration = Duration::from_millis(300);
-/// The same for a newer configuration, which is fetched at once: only hubs read it from the store.
-const CONFIG_FETCH_DELAY: Duration = Duration::ZERO;
 
 value_type! {
     /// Asks a peer for a newer configuration and newer server entries than the sender has.
@@ -56,33 +53,25 @@
     }
 }
 
-/// Starts a fetch from a peer if one has a newer configuration or newer server entries. At most one
-/// fetch runs at a time.
-///
-/// `behind_since` is kept between calls: the time since which a peer has been ahead.
-pub async fn fetch_if_behind(state: &SharedState, behind_since: &mut Option<Timestamp>) {
+/// Starts a fetch from a peer if one has a newer configuration, or server entries that this instance
+/// has lacked for a while. At most one fetch runs at a time. `lag` is kept between calls.
+pub fn fetch_if_behind(state: &SharedState, lag: &mut PeerLag) {
     let now = state.now();
     let (config_version, servers_revision) =
         (state.config_version(), state.entries.borrow().revision());
-    let (ahead, delay) = {
+    let ahead = {
         let peers = state.peers.borrow();
-        match peers.peer_with_newer_config(now, config_version, state.draw()) {
-            Some(peer) => (Some(peer), CONFIG_FETCH_DELAY),
-            None => {
-                let delay = if servers_revision == 0 { Duration::ZERO } else { FETCH_DELAY };
-                (peers.peer_with_newer_servers(now, servers_revision, state.draw()), delay)
-            },
-        }
-    };
-    let Some(peer) = ahead else {
-        *behind_since = None;
-        return;
+        let behind = lag.update(now, servers_revision, peers.newest_servers_revision(now));
+        let lacks_servers = servers_revision == 0 || behind >= FETCH_DELAY;
+        let with_config = peers.peer_with_newer_config(now, config_version, state.draw());
+        let with_servers = || peers.peer_with_newer_servers(now, servers_revision, state.draw());
+        with_config.or_else(|| lacks_servers.then(with_servers).flatten())
     };
-    let is_due = now.since(*behind_since.get_or_insert(now)) >= delay;
-    if !is_due || state.is_fetching.get() || now < state.fetch_after.get() {
+    let Some(peer) = ahead else { return };
+    if state.is_fetching.get() || now < state.fetch_after.get() {
         return;
     }
-    *behind_since = None;
+    lag.reset();
     let request = FetchRequest { config_version, servers_revision };
     let state = Rc::clone(state);
     // A second fetch at the same time would only slow both down.
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -9,9 +9,9 @@
 use super::peer_fetch::fetch_if_behind;
 use super::shared::{ForwardState, Placement, SharedState};
 use medlarlanding_core::forwarding::{
-    ChangeSource, DirectoryChange, EngineFault, PeerDigest, PeerMessage, PlaceAnswer, PlacePurpose,
-    PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup, RelayParams, RelayedMessage,
-    RepeatPurpose, RunKey, ServerChanges, ServerKey,
+    ChangeSource, DirectoryChange, EngineFault, PeerDigest, PeerLag, PeerMessage, PlaceAnswer,
+    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup, RelayParams,
+    RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
 };
 
 use indexmap::IndexMap;
@@ -220,7 +220,7 @@
 /// Sends digests periodically, and without delay after `digest_wanted` is notified.
 pub async fn send_digests(link: Rc<PeerLink>, state: SharedState) -> anyhow::Result<()> {
     let mut sequence = 0u64;
-    let mut behind_since = None;
+    let mut lag = PeerLag::default();
     let mut coordinator = None;
     let mut logged_at = state.now();
     loop {
@@ -237,7 +237,7 @@
             logged_at = now;
             state.log_fleet_load();
         }
-        fetch_if_behind(&state, &mut behind_since).await;
+        fetch_if_behind(&state, &mut lag);
         let wanted = async {
             tokio::time::sleep(DIGEST_PAUSE).await;
             state.digest_wanted.notified().await;
