--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -80,6 +80,7 @@
 const READY_PORT: u16 = 18_749;
 const CONTROL_PORT: u16 = 18_748;
 const PEER_PORT: u16 = 18_720;
+const METRICS_PORT: u16 = 18_750;
 const SERVER_PORT: u16 = 18_800;
 const LINK_PORT: u16 = 18_801;
 
@@ -271,7 +272,7 @@
         let instance = &mut self.instances[index];
         let log = File::options().create(true).append(true).open(&instance.log)?;
         let child = Command::new(binary()?)
-            .arg("forward")
+            .args(["forward", "--metrics-port", &METRICS_PORT.to_string()])
             .env("MEDLARLANDING_BOOT", &instance.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
@@ -293,6 +294,15 @@
         SiteCall::get("/-/readyz").send(address).is_ok_and(|answer| answer.status == 200)
     }
 
+    /// Returns the value of a metric of an instance, given with its labels as in the text format; `None`
+    /// if the instance does not serve it.
+    pub fn metric(&self, index: usize, name: &str) -> Option<f64> {
+        let address = SocketAddr::new(self.instances[index].address, METRICS_PORT);
+        let answer = SiteCall::get("/metrics").send(address).ok()?;
+        let mut values = answer.body.lines().filter_map(|line| line.strip_prefix(name));
+        values.next()?.trim().parse().ok()
+    }
+
     /// Sends a signal to the process of an instance.
     ///
     /// # Errors
--- a/medlarlanding-bench/tests/forwarding.rs
+++ b/medlarlanding-bench/tests/forwarding.rs
@@ -373,6 +373,25 @@
     }
 }
 
+/// Guards against control traffic that cannot be told from forwarded traffic.
+#[test]
+fn control_traffic_is_counted_by_kind() {
+    let site = start(SiteParams { instances: 3, ..SiteParams::default() });
+    let counted = |index, kind: &str, direction: &str| {
+        let labels = format!("{{direction=\"{direction}\",kind=\"{kind}\"}}");
+        let name = format!("forward_control_bytes{labels}");
+        site.metric(index, &name).unwrap_or(0.0)
+    };
+    for direction in ["sent", "received"] {
+        site.wait_until("digests", || (0..3).all(|it| counted(it, "digest", direction) > 0.0))
+            .expect("counted digests");
+    }
+    let before: f64 = (0..3).map(|index| counted(index, "servers", "received")).sum();
+    site.drain_server("orders-0");
+    let received = || (0..3).map(|index| counted(index, "servers", "received")).sum::<f64>();
+    site.wait_until("a counted change", || received() > before).expect("a counted change");
+}
+
 /// Guards against a store that is overloaded when a whole fleet starts: only the three seeds read
 /// the list of servers beyond its first page, the others get it from them. At 300 instances with
 /// 3,000 servers, all were served again only 8.5 s after all had been killed.
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -29,6 +29,21 @@
     }
 }
 
+impl PeerMessage {
+    /// Returns the kind of the message, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Digest(_) => "digest",
+            Self::Servers(_) => "servers",
+            Self::Leaving(_) => "leaving",
+            Self::Fault(_) | Self::Unresponsive(_) => "fault",
+            Self::Question(_) => "question",
+            Self::Answer(_) => "answer",
+            Self::Relayed(_) => "relayed",
+        }
+    }
+}
+
 value_type! {
     /// A message that the receiver applies and passes on to others.
     pub struct RelayedMessage {
--- a/medlarlanding/src/forwarding/peer_fetch.rs
+++ b/medlarlanding/src/forwarding/peer_fetch.rs
@@ -21,6 +21,8 @@
 
 /// Largest frame in bytes; a configuration has at most 1 MB, a server entry about 65 bytes.
 const FRAME_LIMIT: u32 = 8 << 20;
+/// Largest frame in bytes of a request, which consists of two numbers.
+const REQUEST_FRAME_LIMIT: u32 = 64;
 /// Number of peers that are served at the same time; a configuration of 1 MB takes 0.8 s on the
 /// slowest link, 10 Mbit/s.
 const SERVING_LIMIT: usize = 6;
@@ -77,7 +79,8 @@
     // A second fetch at the same time would only slow both down.
     state.is_fetching.set(true);
     tokio::task::spawn_local(async move {
-        let failure = match tokio::time::timeout(FETCH_TIMEOUT, fetch(peer, &request)).await {
+        let failure = match tokio::time::timeout(FETCH_TIMEOUT, fetch(&state, peer, &request)).await
+        {
             Ok(Ok(answer)) => {
                 apply_answer(&state, peer, answer);
                 None
@@ -120,11 +123,15 @@
     }
 }
 
-async fn fetch(peer: SocketAddr, request: &FetchRequest) -> anyhow::Result<FetchAnswer> {
+async fn fetch(
+    state: &SharedState,
+    peer: SocketAddr,
+    request: &FetchRequest,
+) -> anyhow::Result<FetchAnswer> {
     let mut stream =
         connect(peer, FETCH_TIMEOUT).await.map_err(|_| anyhow::anyhow!("cannot connect"))?;
-    write_frame(&mut stream, request).await?;
-    read_frame(&mut stream).await
+    write_frame(state, &mut stream, request).await?;
+    read_frame(state, &mut stream, FRAME_LIMIT).await
 }
 
 /// Serves fetches of peers.
@@ -142,9 +149,10 @@
         tokio::task::spawn_local(async move {
             tune_socket(&stream);
             let serving = async {
-                let request: FetchRequest = read_frame(&mut stream).await?;
+                let request: FetchRequest =
+                    read_frame(&state, &mut stream, REQUEST_FRAME_LIMIT).await?;
                 let answer = answer_fetch(&state, &request);
-                write_frame(&mut stream, &answer).await
+                write_frame(&state, &mut stream, &answer).await
             };
             match tokio::time::timeout(FETCH_TIMEOUT, serving).await {
                 Ok(Ok(())) => {},
@@ -165,23 +173,38 @@
     FetchAnswer { config: config.map(|in_force| in_force.text.to_vec()), servers }
 }
 
-async fn write_frame<T: Serialize>(stream: &mut TcpStream, value: &T) -> anyhow::Result<()> {
+async fn write_frame<T: Serialize>(
+    state: &SharedState,
+    stream: &mut TcpStream,
+    value: &T,
+) -> anyhow::Result<()> {
     let bytes = postcard::to_stdvec(value)?;
     let length = u32::try_from(bytes.len())
         .with_context(|| format!("frame of {} bytes is too long", bytes.len()))?;
     stream.write_all(&length.to_be_bytes()).await?;
     stream.write_all(&bytes).await?;
+    count_bytes(state, "sent", bytes.len());
     Ok(())
 }
 
-async fn read_frame<T: DeserializeOwned>(stream: &mut TcpStream) -> anyhow::Result<T> {
+async fn read_frame<T: DeserializeOwned>(
+    state: &SharedState,
+    stream: &mut TcpStream,
+    limit: u32,
+) -> anyhow::Result<T> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).await?;
     let length = u32::from_be_bytes(length);
-    if length > FRAME_LIMIT {
-        bail!("frame of {length} bytes exceeds the limit of {FRAME_LIMIT} bytes");
+    if length > limit {
+        bail!("frame of {length} bytes exceeds the limit of {limit} bytes");
     }
     let mut bytes = vec![0; length as usize];
     stream.read_exact(&mut bytes).await?;
+    count_bytes(state, "received", bytes.len());
     Ok(postcard::from_bytes(&bytes)?)
 }
+
+fn count_bytes(state: &SharedState, direction: &'static str, length: usize) {
+    let labels = ["fetch", direction];
+    state.telemetry.control_bytes.with_label_values(&labels).inc_by(length as u64);
+}
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -47,7 +47,7 @@
 
     fn send(&self, state: &ForwardState, message: &PeerMessage, targets: &[SocketAddr]) {
         if let Some(bytes) = encode(message) {
-            self.send_bytes(state, &bytes, targets);
+            self.send_bytes(state, message.kind(), &bytes, targets);
         }
     }
 
@@ -56,7 +56,7 @@
         let Some(bytes) = encode(message) else { return };
         for group in groups {
             if group.relays.is_empty() {
-                self.send_bytes(state, &bytes, &group.members);
+                self.send_bytes(state, message.kind(), &bytes, &group.members);
                 continue;
             }
             let relayed = RelayedMessage { targets: group.members.clone(), message: bytes.clone() };
@@ -70,13 +70,21 @@
             .ok()
             .filter(|message| matches!(message, PeerMessage::Servers(_) | PeerMessage::Leaving(_)));
         match message {
-            Some(_) => self.send_bytes(state, &relayed.message, &relayed.targets),
+            Some(_) => self.send_bytes(state, "passed_on", &relayed.message, &relayed.targets),
             None => state.telemetry.dropped_datagrams.inc(),
         }
         message
     }
 
-    fn send_bytes(&self, state: &ForwardState, bytes: &[u8], targets: &[SocketAddr]) {
+    fn send_bytes(
+        &self,
+        state: &ForwardState,
+        kind: &'static str,
+        bytes: &[u8],
+        targets: &[SocketAddr],
+    ) {
+        let sent = bytes.len() * targets.len();
+        state.telemetry.control_bytes.with_label_values(&[kind, "sent"]).inc_by(sent as u64);
         for target in targets {
             // An unsent datagram has the same effect as a lost one; later digests make up for it.
             if self.socket.try_send_to(bytes, *target).is_err() {
@@ -280,7 +288,12 @@
         // need no handling.
         let Ok((length, source)) = link.socket.recv_from(&mut buffer).await else { continue };
         match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
-            Ok(message) => handle_message(&link, &state, source, message),
+            Ok(message) => {
+                let received = &state.telemetry.control_bytes;
+                let labels = [message.kind(), "received"];
+                received.with_label_values(&labels).inc_by(length as u64);
+                handle_message(&link, &state, source, message);
+            },
             Err(_) => state.telemetry.dropped_datagrams.inc(),
         }
     }
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -25,6 +25,9 @@
     pub store_calls: IntCounterVec,
     /// Received datagrams dropped because they could not be decoded or named another sender.
     pub dropped_datagrams: IntCounter,
+    /// Bytes of messages between instances, by kind and direction, without the headers of lower
+    /// layers. Together they are the control traffic of the instance.
+    pub control_bytes: IntCounterVec,
     /// Datagrams that the socket did not accept for sending.
     pub unsent_datagrams: IntCounter,
     /// Questions to the coordinator that were not answered in time.
@@ -55,6 +58,11 @@
             store_calls: registry.counters("store_calls", "Calls to the store.", &["outcome"])?,
             dropped_datagrams: registry
                 .counter("dropped_datagrams", "Unreadable datagrams of peers.")?,
+            control_bytes: registry.counters(
+                "control_bytes",
+                "Bytes of messages between instances.",
+                &["kind", "direction"],
+            )?,
             unsent_datagrams: registry
                 .counter("unsent_datagrams", "Datagrams that the socket did not take.")?,
             lost_questions: registry
