--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -68,6 +68,7 @@
     pub store_mode: StoreMode,
     pub store_calls: u64,
     pub further_server_pages: u64,
+    pub watches: u64,
     pub modes: BTreeMap<String, ServerMode>,
     /// Whether runs complete on their own at the moment of the final copy of a move.
     pub ends_on_move: bool,
@@ -142,6 +143,11 @@
         self.lock().store_calls
     }
 
+    /// Returns the number of watches begun so far.
+    pub fn watches(&self) -> u64 {
+        self.lock().watches
+    }
+
     /// Returns the number of pages of server entries read so far, without first pages.
     pub fn further_server_pages(&self) -> u64 {
         self.lock().further_server_pages
--- a/medlarlanding-bench/src/site/store.rs
+++ b/medlarlanding-bench/src/site/store.rs
@@ -49,6 +49,9 @@
     if request.uri().path() == "/-/kv-range" && prefix.starts_with("servers/") && after.is_some() {
         state.lock().further_server_pages += 1;
     }
+    if request.uri().path() == "/-/kv-watch" {
+        state.lock().watches += 1;
+    }
     let is_refused = refuses(state.lock().store_mode, &prefix);
     let (status, body) = match request.uri().path() {
         _ if is_refused => (503, json!({})),
--- a/medlarlanding-bench/tests/forwarding.rs
+++ b/medlarlanding-bench/tests/forwarding.rs
@@ -393,14 +393,15 @@
 }
 
 /// Guards against a store that is overloaded when a whole fleet starts: only the three seeds read
-/// the list of servers beyond its first page, the others get it from them. At 300 instances with
-/// 3,000 servers, all were served again only 8.5 s after all had been killed.
+/// the list of servers beyond its first page, the others get it from them, and only hubs watch.
 #[test]
 fn fleet_that_starts_at_once_reads_the_list_of_servers_from_its_seeds() {
     const INSTANCES: usize = 8;
     const SERVERS: usize = 12;
     /// Pages of three entries without the first, read by three seeds.
     const PAGES: u64 = 3 * 3;
+    /// Two parts watched by three hubs, and again after the first wait.
+    const WATCHES: u64 = 3 * 2 * 2;
     let params =
         SiteParams { instances: INSTANCES, plain_servers: SERVERS, engines: 0, grace_s: 8 };
     let mut site = start(params);
@@ -408,7 +409,7 @@
         site.signal(index, Signal::KILL).expect("a signal");
         site.wait_exit(index).expect("an exit");
     }
-    let before = site.state.further_server_pages();
+    let before = (site.state.further_server_pages(), site.state.watches());
     for index in 0..INSTANCES {
         site.spawn_instance(index).expect("a process");
     }
@@ -417,8 +418,10 @@
         let answer = call("/order/a", &format!("id-{index}")).send(site.caller_address(index));
         assert_eq!(answer.expect("an answer").status, 200, "{}", site.log(index));
     }
-    let read = site.state.further_server_pages() - before;
+    let read = site.state.further_server_pages() - before.0;
     assert!(read <= PAGES, "{read} pages were read from the store");
+    let watches = site.state.watches() - before.1;
+    assert!(watches <= WATCHES, "{watches} watches were begun");
 }
 
 /// Guards against requests sent to a removed server by instances that do not watch the store.
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -10,6 +10,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{ChangeSource, ColdReadParams, DirectoryChange};
+use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::config::CONFIG_KEY;
 use medlarlanding_platform::servers::{SERVERS_PREFIX, decode_item};
 use medlarlanding_platform::store::StoreItem;
@@ -77,6 +78,7 @@
         link,
         part,
         revision: None,
+        started: state.now(),
         has_waited: false,
     };
     let mut is_unreachable = false;
@@ -120,6 +122,8 @@
     part: WatchedPart,
     /// Store revision up to which changes are known; `None` if the part has to be read completely.
     revision: Option<u64>,
+    /// When the process began to read the store.
+    started: Timestamp,
     /// This process has waited in vain for the list of a peer.
     has_waited: bool,
 }
@@ -129,6 +133,7 @@
     /// this instance watches the store for the others.
     async fn wait_until_needed(&mut self) {
         while self.revision.is_some() {
+            self.wait_for_first_watch().await;
             let level = self.state.peers.borrow().standby_level(self.state.now());
             if self.is_watching() && level == 0 {
                 break;
@@ -153,6 +158,16 @@
         }
     }
 
+    /// Waits until this instance has had the time to hear of its peers.
+    async fn wait_for_first_watch(&self) {
+        let is_seed = self.state.peers.borrow().is_seed();
+        let elapsed = self.state.now().since(self.started);
+        let left = ColdReadParams::default().first_watch(is_seed).saturating_sub(elapsed);
+        if !left.is_zero() {
+            tokio::time::sleep(left).await;
+        }
+    }
+
     fn is_watching(&self) -> bool {
         self.state.peers.borrow().watches_store(self.state.now())
     }
