--- a/medlarlanding-bench/src/site/faulty_server.rs
+++ b/medlarlanding-bench/src/site/faulty_server.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use super::server::accept_connections;
 use super::state::{RunRecord, SiteState};
 
 use anyhow::bail;
@@ -69,29 +70,16 @@
     state: Arc<SiteState>,
     open: Arc<AtomicUsize>,
 ) -> anyhow::Result<()> {
-    listener.set_nonblocking(true)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let mut stopped = state.stopped.subscribe();
-    std::thread::spawn(move || {
-        runtime.block_on(async move {
-            let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    _ = stopped.wait_for(|stopped| *stopped) => return,
-                };
-                let Ok((stream, _)) = accepted else { return };
-                let (state, open, id) = (Arc::clone(&state), Arc::clone(&open), id.clone());
-                tokio::spawn(async move {
-                    open.fetch_add(1, Ordering::Relaxed);
-                    // Serving fails when the instance closes the connection, which is expected.
-                    let _ = serve(stream, &id, answer, &state).await;
-                    open.fetch_sub(1, Ordering::Relaxed);
-                });
-            }
-        });
-    });
-    Ok(())
+    let stopped = state.stopped.subscribe();
+    accept_connections(listener, stopped, move |stream| {
+        let (state, open, id) = (Arc::clone(&state), Arc::clone(&open), id.clone());
+        async move {
+            open.fetch_add(1, Ordering::Relaxed);
+            // Serving fails when the instance closes the connection, which is expected.
+            let _ = serve(stream, &id, answer, &state).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        }
+    })
 }
 
 async fn serve(
--- a/medlarlanding-bench/src/site/server.rs
+++ b/medlarlanding-bench/src/site/server.rs
@@ -17,6 +17,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
 /// Delay of the 404 answer for an unknown run.
@@ -67,17 +68,16 @@
     }
 }
 
-/// Serves connections on its own thread until the deployment is dropped.
-pub(super) fn serve_connections<F, R, B>(
+/// Accepts connections on its own thread until the deployment is dropped, and serves each in a task of
+/// that thread.
+pub(super) fn accept_connections<F, R>(
     listener: TcpListener,
     mut stopped: watch::Receiver<bool>,
-    service: F,
+    serve: F,
 ) -> anyhow::Result<()>
 where
-    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
-    R: Future<Output = Result<Response<B>, Infallible>> + 'static,
-    B: Body<Data = Bytes> + 'static,
-    B::Error: std::error::Error + Send + Sync,
+    F: Fn(TcpStream) -> R + Send + 'static,
+    R: Future<Output = ()> + 'static,
 {
     listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -90,20 +90,36 @@
                     _ = stopped.wait_for(|stopped| *stopped) => return,
                 };
                 let Ok((stream, _)) = accepted else { return };
-                let service = service.clone();
-                tokio::task::spawn_local(async move {
-                    let service = service_fn(&service);
-                    let serving =
-                        http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                    // Serving fails when a caller disconnects, which is expected.
-                    let _ = serving.await;
-                });
+                tokio::task::spawn_local(serve(stream));
             }
         });
     });
     Ok(())
 }
 
+/// Serves HTTP connections on its own thread until the deployment is dropped.
+pub(super) fn serve_connections<F, R, B>(
+    listener: TcpListener,
+    stopped: watch::Receiver<bool>,
+    service: F,
+) -> anyhow::Result<()>
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: Future<Output = Result<Response<B>, Infallible>> + 'static,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: std::error::Error + Send + Sync,
+{
+    accept_connections(listener, stopped, move |stream| {
+        let service = service.clone();
+        async move {
+            let service = service_fn(&service);
+            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // Serving fails when a caller disconnects, which is expected.
+            let _ = serving.await;
+        }
+    })
+}
+
 /// Starts a server on its own thread.
 pub(super) fn start(
     listener: TcpListener,
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -75,8 +75,8 @@
     pub hub_count: usize,
     /// Number of hubs that are sent the loads: the coordinator and the one that replaces it.
     pub load_targets: usize,
-    /// Peers besides the hubs that get a digest with addresses, so that the parts of a partitioned fleet find
-    /// one another again.
+    /// Peers besides the hubs that get each digest with addresses, so that the parts of a partitioned
+    /// fleet find one another again.
     pub extra_targets: usize,
     /// Most peer addresses in one digest; limits the size of the datagram.
     pub sample_size: usize,
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -83,7 +83,7 @@
         let mut refused: Vec<ServerKey> = vec![stream.key];
         loop {
             let now = self.state.now();
-            // A stream that always has bytes ready never lets the branch below check this.
+            // While the stream always has bytes ready, the timer below is never polled.
             if now >= self.admitted.deadline {
                 return StreamEnd::Late;
             }
