Keep the cause of a broken call to the store in its log line

Cause: Exchange::request turned the library's error into ExchangeFault::Broken, so E202 said "broken" where it had said "Connection reset by peer"; the cause was only in a debug line.

Change: request returns the library's error; send maps it, with the address in its debug line. No decision, bound or assertion changes.

--- a/medlarlanding-core/src/orders/replica.rs
+++ b/medlarlanding-core/src/orders/replica.rs
@@ -709,6 +709,8 @@
     Yields,
 }
 
+/// Compares the lineages of two members of a view whose epochs differ. Records that never were in
+/// doubt go first, then what the members have agreed on.
 fn rank_lineages(own: &PartitionLineage, other: &PartitionLineage) -> LineageRank {
     let undoubted = |lineage: &PartitionLineage| lineage_rank(lineage.doubt_age_ms);
     if undoubted(own) != undoubted(other) {
--- a/medlarlanding/src/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -70,18 +70,14 @@
     ///
     /// # Errors
     ///
-    /// `Broken` if the connection breaks or the head exceeds `HEAD_LIMIT`.
+    /// Fails if the connection breaks or the head exceeds `HEAD_LIMIT`.
     pub async fn request(
         &self,
         sender: &mut RequestSender,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, ExchangeFault> {
+    ) -> hyper::Result<Response<Incoming>> {
         self.head_limit.arm();
-        let response = sender.send_request(request).await;
-        let response = response.map_err(|error| {
-            log::debug!("no usable head of a response: {error}");
-            ExchangeFault::Broken
-        })?;
+        let response = sender.send_request(request).await?;
         self.head_limit.lift();
         Ok(response)
     }
@@ -168,7 +164,10 @@
     let (mut sender, exchange) = open(address, limit).await?;
     match tokio::time::timeout(limit, exchange.request(&mut sender, request)).await {
         Ok(Ok(response)) => Ok((response, exchange)),
-        Ok(Err(fault)) => Err(fault),
+        Ok(Err(error)) => {
+            log::debug!("no usable head of a response from {address}: {error}");
+            Err(ExchangeFault::Broken)
+        },
         Err(_) => Err(ExchangeFault::TimedOut),
     }
 }
--- a/medlarlanding/src/forwarding/store_client.rs
+++ b/medlarlanding/src/forwarding/store_client.rs
@@ -101,9 +101,7 @@
             .with_context(|| format!("invalid path {path}"))?;
         let exchange = async {
             connection.sender.ready().await?;
-            let response = connection.exchange.request(&mut connection.sender, request).await;
-            let response = response
-                .map_err(|fault| anyhow::anyhow!("no answer from the store: {}", fault.name()))?;
+            let response = connection.exchange.request(&mut connection.sender, request).await?;
             let status = response.status();
             let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await;
             let body = body
