Log what an answer that broke off says about its server and prompt

When the answer to a request with a prompt breaks off, the instance connects to the server (and reads its report where the entry states the start time) and logs E620 with phase, writing time, state of the server and parts; forward_broken_answers{phase,state} counts them. No decision uses it yet.

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -131,6 +131,8 @@
     618 RunRefused Info "run_refused" ["request", "route", "reason", "ahead", "waited_ms", "keeper"];
     /// A long answer of a plain service was cut before its end.
     619 AnswerCut Warn "answer_cut" ["request", "server", "reason", "bytes"];
+    /// The answer to a request with a prompt broke off at its server.
+    620 AnswerBroken Warn "answer_broken" ["request", "route", "server", "phase", "writing_ms", "state", "parts"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 mod peer_lag;
 mod peers;
 mod placement;
+mod prompt;
 mod readiness;
 mod relays;
 mod suspicion;
@@ -41,6 +42,7 @@
 pub use placement::{
     PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest, RunWeight,
 };
+pub use prompt::{PartId, PromptParts, RunPhase};
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use relays::{RelayGroup, RelayParams};
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -12,7 +12,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    DrainParams, EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight,
+    DrainParams, EngineLimits, KeyCheck, PromptParts, RequestKind, RouteRule, RunWeight,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::CallerHeaders;
@@ -64,6 +64,8 @@
     pub priority: u8,
     /// Size of the generation.
     pub weight: RunWeight,
+    /// Parts of the prompt; empty for requests that no engine runs.
+    pub parts: PromptParts,
     /// When the request's head was read.
     pub arrived_at: Timestamp,
     /// When the caller stops waiting or the route's timeout passes, whichever is earlier.
@@ -203,6 +205,7 @@
         priority: customer.as_ref().and_then(|record| record.priority).unwrap_or(rule.priority),
         customer: customer.map(|record| record.name),
         weight: caller.weight,
+        parts: caller.parts,
         arrived_at,
         deadline,
         config_version: config.version,
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -13,13 +13,14 @@
 use super::engine_calls::MoveCall;
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
+use super::server_life::BrokenAnswer;
 use super::shared::SharedState;
 use super::stream_events::{EventSplitter, StreamEvent};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
 use crate::exchange::{Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{EngineFault, RunWeight, ServerEntry, ServerKey};
+use medlarlanding_core::forwarding::{EngineFault, RunPhase, RunWeight, ServerEntry, ServerKey};
 use medlarlanding_core::time::Timestamp;
 
 use hyper::body::Incoming;
@@ -68,6 +69,8 @@
     body: Incoming,
     /// The headers delimit the body, so that a truncated body can be told from a complete one.
     is_framed: bool,
+    /// When the head of the answer arrived, at which the engine began to write.
+    begun_at: Timestamp,
     _exchange: Exchange,
     load: LoadGuard,
 }
@@ -170,6 +173,8 @@
                 StreamEnd::Late => "late",
                 StreamEnd::Broken | StreamEnd::Stopped => {
                     if matches!(end, StreamEnd::Broken) && !self.is_leaving(stream.key) {
+                        let writing = self.state.now().since(stream.begun_at);
+                        self.examine_break(stream.key, RunPhase::Writing, writing);
                         self.link.report_fault(&self.state, stream.key, EngineFault::Failed);
                     }
                     match self.resume(stream, destination, matches!(end, StreamEnd::Stopped)).await
@@ -189,6 +194,14 @@
         }
     }
 
+    /// Examines the engine of an answer that broke off, without delaying the end of the answer.
+    fn examine_break(&self, key: ServerKey, phase: RunPhase, writing: Duration) {
+        let broken = BrokenAnswer::new(&self.state, &self.admitted, key, phase, writing);
+        let Some(broken) = broken else { return };
+        let state = Rc::clone(&self.state);
+        tokio::task::spawn_local(async move { broken.examine(&state).await });
+    }
+
     fn is_leaving(&self, key: ServerKey) -> bool {
         let directory = self.state.directory.borrow();
         directory.get(key).is_none_or(|record| record.leaving_since.is_some())
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -395,6 +395,7 @@
                             entry,
                             body,
                             is_framed: is_framed(&parts.headers),
+                            begun_at: self.state.now(),
                             _exchange: exchange,
                             load,
                         });
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -14,7 +14,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, ServerEntry, ServerKey,
+    EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, RunPhase, ServerEntry, ServerKey,
     WaitDecision, WaitLimit, WaitLimitParams,
 };
 use medlarlanding_core::ids::stable_hash;
@@ -97,6 +97,7 @@
                     continue;
                 },
                 Err(ExchangeFault::Broken) => {
+                    self.examine_break(key, RunPhase::Waiting, Duration::ZERO);
                     self.record_failure(key, &entry, "broken");
                     return Err(StartFailure::Error(ErrorAnswer::AnswerLost));
                 },
@@ -131,7 +132,9 @@
             }
             self.state.directory.borrow_mut().record_success(key);
             let is_framed = is_framed(&parts.headers);
-            let stream = EngineStream { key, entry, body, is_framed, _exchange: exchange, load };
+            let begun_at = self.state.now();
+            let stream =
+                EngineStream { key, entry, body, is_framed, begun_at, _exchange: exchange, load };
             return Ok((stream, parts.status, parts.headers));
         }
     }
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -18,6 +18,7 @@
 mod peer_link;
 mod relay;
 mod role;
+mod server_life;
 mod shared;
 mod store_client;
 mod store_watch;
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -7,13 +7,14 @@
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::load_guard::LoadGuard;
+use super::server_life::BrokenAnswer;
 use super::shared::{Placement, SharedState};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
 use crate::exchange::{self, Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, ServerKey,
+    PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, RunPhase, ServerKey,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{
@@ -173,6 +174,9 @@
                 }
             },
             SendOutcome::Lost(fault) => {
+                if fault == ExchangeFault::Broken {
+                    examine_break(state, &admitted, key).await;
+                }
                 run_count += 1;
                 if is_safe && run_count < admitted.rule.max_servers {
                     state.telemetry.repeats.with_label_values(&["lost"]).inc();
@@ -194,6 +198,14 @@
     answer
 }
 
+/// Examines the server of an answer that broke off, before the request is sent to another one.
+async fn examine_break(state: &SharedState, admitted: &AdmittedRequest, key: ServerKey) {
+    let phase = RunPhase::Hidden;
+    if let Some(broken) = BrokenAnswer::new(state, admitted, key, phase, Duration::ZERO) {
+        broken.examine(state).await;
+    }
+}
+
 /// Answer to the caller, by its origin.
 enum Answer {
     Server(CallerAnswer),
--- /dev/null
+++ b/medlarlanding/src/forwarding/server_life.rs
@@ -0,0 +1,127 @@
+//! Examines a server after one of its answers broke off: did the server end, or only the connection?
+
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::admit::AdmittedRequest;
+use super::engine_calls;
+use super::shared::SharedState;
+use crate::exchange::CONNECT_TIMEOUT;
+use crate::logging::event;
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::forwarding::{PromptParts, RouteRule, RunPhase, ServerEntry, ServerKey};
+use medlarlanding_platform::engines;
+
+use hyper::StatusCode;
+use tokio::net::TcpStream;
+
+/// Time limit for the report of a server that accepts connections.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// State of a server after an answer broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerLife {
+    /// The process that wrote the answer still runs.
+    Alive,
+    /// The process has ended: nothing listens at the address, or another process does.
+    Ended,
+    /// The server cannot be reached, which a network fault can cause as well.
+    Unknown,
+}
+
+impl ServerLife {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Ended => "ended",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Returns whether a process listens at the server's address.
+pub async fn probe_listener(entry: &ServerEntry) -> ServerLife {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(entry.address)).await {
+        Ok(Ok(_)) => ServerLife::Alive,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ServerLife::Ended,
+        Ok(Err(_)) | Err(_) => ServerLife::Unknown,
+    }
+}
+
+/// Finds out whether the process described by `entry` still runs.
+async fn probe_process(entry: &ServerEntry) -> ServerLife {
+    let life = probe_listener(entry).await;
+    if life != ServerLife::Alive || entry.born_millis == 0 {
+        return life;
+    }
+    let report = engine_calls::read_report(entry.address, REPORT_TIMEOUT).await;
+    let Ok((StatusCode::OK, body)) = report else { return ServerLife::Unknown };
+    match engines::decode_birth(&body) {
+        Ok(Some(born)) if born != entry.born_millis => ServerLife::Ended,
+        Ok(_) => ServerLife::Alive,
+        Err(error) => {
+            event(EventKind::ReportRefused, &[&entry.address, &format!("{error:#}")]);
+            ServerLife::Unknown
+        },
+    }
+}
+
+/// Answer to a request with a prompt that broke off at its server.
+pub struct BrokenAnswer {
+    /// Id of the request.
+    request: String,
+    rule: Arc<RouteRule>,
+    parts: PromptParts,
+    /// Entry of the server.
+    entry: ServerEntry,
+    phase: RunPhase,
+    /// Time since the server began to write; zero before.
+    writing: Duration,
+}
+
+impl BrokenAnswer {
+    /// Describes an answer that broke off. Returns `None` if the request has no prompt, or if the
+    /// server is leaving and was expected to end.
+    pub fn new(
+        state: &SharedState,
+        admitted: &AdmittedRequest,
+        key: ServerKey,
+        phase: RunPhase,
+        writing: Duration,
+    ) -> Option<Self> {
+        let directory = state.directory.borrow();
+        let record = directory.get(key).filter(|record| record.leaving_since.is_none())?;
+        if admitted.parts.is_empty() {
+            return None;
+        }
+        Some(Self {
+            request: admitted.id.clone(),
+            rule: Arc::clone(&admitted.rule),
+            parts: admitted.parts.clone(),
+            entry: record.entry.clone(),
+            phase,
+            writing,
+        })
+    }
+
+    /// Examines the server and logs what is found.
+    pub async fn examine(self, state: &SharedState) {
+        let life = probe_process(&self.entry).await;
+        let labels = [self.phase.name(), life.name()];
+        state.telemetry.broken_answers.with_label_values(&labels).inc();
+        event(
+            EventKind::AnswerBroken,
+            &[
+                &self.request,
+                &self.rule.name,
+                &self.entry.id,
+                &self.phase.name(),
+                &self.writing.as_millis(),
+                &life.name(),
+                &self.parts,
+            ],
+        );
+    }
+}
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -21,6 +21,8 @@
     pub moves: IntCounterVec,
     /// Failed exchanges with servers, by fault.
     pub faults: IntCounterVec,
+    /// Answers to requests with a prompt that broke off, by phase of the run and state of the server.
+    pub broken_answers: IntCounterVec,
     /// Calls to the store, by outcome.
     pub store_calls: IntCounterVec,
     /// Received datagrams dropped because they could not be decoded or named another sender.
@@ -55,6 +57,11 @@
             repeats: registry.counters("repeats", "Sends to a second server.", &["reason"])?,
             moves: registry.counters("moves", "Moves of generations.", &["outcome"])?,
             faults: registry.counters("faults", "Failed exchanges with servers.", &["fault"])?,
+            broken_answers: registry.counters(
+                "broken_answers",
+                "Answers to prompts that broke off.",
+                &["phase", "state"],
+            )?,
             store_calls: registry.counters("store_calls", "Calls to the store.", &["outcome"])?,
             dropped_datagrams: registry
                 .counter("dropped_datagrams", "Unreadable datagrams of peers.")?,
