Block parts of prompts on which engines end

Cause: an end was counted only as a fault of the engine, by which the next fatal request goes to another one. No instance related ends to what the runs had in common, and each saw only its own runs.

Change: when an answer to a prompt breaks off, the instance connects to the engine; only if nothing listens there, or another process does, it reports the run to the coordinator, which tells all. The ledger blames the parts of runs that had just begun, unless other runs survive them: two ends with a single suspect are enough, one never is. Requests with a blocked part are refused at once as not run, are not repeated, copied, moved or resumed, and are taken back while they wait at an engine. A block ends 10 min after the last end; one more end renews it. Answers without a length or chunks are complete only if the engine still listens.

Why it works: a part shared with sound requests is survived elsewhere within a second, while no run survives the fatal one; a rule requires all parts that the suspect runs have in common and nothing clears.

--- a/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
+++ b/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
@@ -133,6 +133,7 @@
 /// Fails if fatal requests reached engines too often.
 fn check_fatal_runs(site: &TestSite) {
     let crashes = site.state.crashes();
+    println!("{} engines ended", crashes.len());
     let Some(fifth) = crashes.get(CRASH_LIMIT - 1) else { return };
     let runs = site.state.runs("");
     let is_late = |run: &&medlarlanding_bench::site::RunRecord| {
@@ -174,6 +175,7 @@
     assert!(beside >= usual / 2.0, "{beside} of the sound requests began, {usual} before");
     let after = share(&sound_records, fatal_until, ended, is_begun);
     assert!(after >= usual / 2.0, "{after} of the sound requests began afterwards, {usual} before");
+    println!("sound requests that began: {usual} before, {beside} beside, {after} afterwards");
 
     fatal_records.extend(sound_records);
     for record in &fatal_records {
--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -133,6 +133,10 @@
     619 AnswerCut Warn "answer_cut" ["request", "server", "reason", "bytes"];
     /// The answer to a request with a prompt broke off at its server.
     620 AnswerBroken Warn "answer_broken" ["request", "route", "server", "phase", "writing_ms", "state", "parts"];
+    /// A part of prompts on which engines ended was blocked.
+    621 PartBlocked Warn "part_blocked" ["part", "ends", "held_s"];
+    /// A part of prompts is no longer blocked.
+    622 PartReleased Info "part_released" ["part"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::crash_ledger::LedgerNews;
 use super::directory::DirectoryChange;
 use super::peers::PeerDigest;
 
@@ -26,10 +27,22 @@
         Relayed(RelayedMessage),
         /// Hash of the id of an engine that does not admit a moved run; sent to the coordinator.
         Unresponsive(u64),
+        /// New entries of the ledger of broken runs: from an instance to the coordinator, and from it to
+        /// all others.
+        LedgerNews(LedgerNews),
+        /// Fingerprint of the sender's ledger, sent with digests unless the ledger is empty.
+        LedgerState(u64),
+        /// Entries of the sender's ledger, sent to a peer with another fingerprint.
+        LedgerSync(LedgerSync),
     }
 }
 
 impl PeerMessage {
+    /// Returns whether an instance passes the message on for another one.
+    pub fn may_be_relayed(&self) -> bool {
+        matches!(self, Self::Servers(_) | Self::Leaving(_) | Self::LedgerNews(_))
+    }
+
     /// Returns the kind of the message, for metrics.
     pub fn kind(&self) -> &'static str {
         match self {
@@ -40,16 +53,29 @@
             Self::Question(_) => "question",
             Self::Answer(_) => "answer",
             Self::Relayed(_) => "relayed",
+            Self::LedgerNews(_) | Self::LedgerState(_) | Self::LedgerSync(_) => "ledger",
         }
     }
 }
 
+value_type! {
+    /// Part of all entries of the sender's ledger.
+    pub struct LedgerSync {
+        /// Some of the entries.
+        pub news: LedgerNews,
+        /// Fingerprint of the sender's ledger if the receiver is to send its own entries in turn; `None`
+        /// in all but the last part, and in answers.
+        pub answer_unless: Option<u64>,
+    }
+}
+
 value_type! {
     /// A message that the receiver applies and passes on to others.
     pub struct RelayedMessage {
         /// Peers to which the receiver sends the message.
         pub targets: Vec<SocketAddr>,
-        /// An encoded `PeerMessage::Servers` or `PeerMessage::Leaving`; others are dropped.
+        /// An encoded `PeerMessage::Servers`, `PeerMessage::Leaving` or `PeerMessage::LedgerNews`;
+        /// others are dropped.
         pub message: Vec<u8>,
     }
 }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod cold_read;
 mod config;
+mod crash_ledger;
 mod directory;
 mod drain;
 mod entries;
@@ -27,14 +28,18 @@
     CustomerRecord, EngineLimits, ForwardConfig, ForwardConfigError, KeyCheck, RequestKind,
     RequestLimits, RouteRule, RouteTarget, ServicePolicy,
 };
+pub use crash_ledger::{
+    BlockedPart, ClearReason, ClearReport, CrashKey, CrashLedger, CrashReport, LedgerNews,
+    LedgerParams, MergedNews,
+};
 pub use directory::{
     DirectoryChange, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
 };
 pub use drain::DrainParams;
 pub use entries::{EntryDelta, EntryLog};
 pub use messages::{
-    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, RelayedMessage,
-    ServerChanges,
+    LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
+    RelayedMessage, ServerChanges,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep};
 pub use peer_lag::PeerLag;
--- /dev/null
+++ b/medlarlanding-core/tests/forwarding_crash_ledger.rs
@@ -0,0 +1,228 @@
+//! Tests of the ledger of runs that the ends of their engines broke off.
+
+use std::time::Duration;
+
+use medlarlanding_core::cases;
+use medlarlanding_core::forwarding::{
+    CrashKey, CrashLedger, LedgerNews, LedgerParams, PartId, PromptParts, RunPhase,
+};
+use medlarlanding_core::time::Timestamp;
+
+use quickcheck::{Gen, QuickCheck};
+
+/// Part that all prompts of a route share.
+const FIRST: u64 = 0xf;
+/// Another part that sound prompts share.
+const SOUND: u64 = 0x50;
+/// Part on which engines end.
+const FATAL: u64 = 0xfa;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn prompt(shared: &[u64], own: u64) -> PromptParts {
+    PromptParts::new(shared.iter().chain([&own]).map(|part| PartId(*part)))
+}
+
+/// A run that the end of an engine broke off: time, engine, phase and shared parts. Each has a part of
+/// its own.
+type BrokenRun<'a> = (u64, u64, RunPhase, &'a [u64]);
+
+fn ledger_of(runs: &[BrokenRun<'_>], familiar: &[u64]) -> CrashLedger {
+    let mut ledger = CrashLedger::default();
+    ledger.record_survival(at(0), at(0), &prompt(familiar, 0x9999));
+    for (number, (millis, server, phase, shared)) in runs.iter().enumerate() {
+        let key = CrashKey { server: *server, run: number as u64 };
+        let parts = prompt(shared, 0x1000 + number as u64);
+        ledger.record_crash(at(*millis), key, *phase, parts);
+    }
+    ledger
+}
+
+const WRITING: RunPhase = RunPhase::Writing;
+const WAITING: RunPhase = RunPhase::Waiting;
+const HIDDEN: RunPhase = RunPhase::Hidden;
+
+struct BlameCase<'a> {
+    runs: &'a [BrokenRun<'a>],
+    familiar: &'a [u64],
+    /// Whether a fatal prompt and a sound one are blocked afterwards.
+    blocked: (bool, bool),
+}
+
+/// Guards against engines that end one after the other on one part of prompts, and against refusing
+/// sound prompts that share the other parts, whichever other runs the same ends broke off.
+fn blames(case: BlameCase<'_>) {
+    let ledger = ledger_of(case.runs, case.familiar);
+    let now = at(100_000);
+    let fatal = ledger.check(now, &prompt(&[FIRST, FATAL], 0x77)).is_some();
+    let sound = ledger.check(now, &prompt(&[FIRST, SOUND], 0x78)).is_some();
+    assert_eq!((fatal, sound), case.blocked, "{:?}", ledger.blocked(now));
+}
+
+cases! { blames;
+    one_end_blocks_nothing => BlameCase {
+        runs: &[(100, 1, WRITING, &[FIRST, FATAL])], familiar: &[FIRST], blocked: (false, false),
+    },
+    two_ends_block_their_part => BlameCase {
+        runs: &[(100, 1, WRITING, &[FIRST, FATAL]), (200, 2, WRITING, &[FIRST, FATAL])],
+        familiar: &[FIRST, SOUND], blocked: (true, false),
+    },
+    two_runs_of_one_end_block_nothing => BlameCase {
+        runs: &[(100, 1, WRITING, &[FIRST, FATAL]), (100, 1, WRITING, &[FIRST, FATAL])],
+        familiar: &[FIRST], blocked: (false, false),
+    },
+    parts_that_no_run_survived_block_only_together => BlameCase {
+        runs: &[(100, 1, WRITING, &[FIRST, FATAL]), (200, 2, WRITING, &[FIRST, FATAL])],
+        familiar: &[], blocked: (true, false),
+    },
+    whole_answers_count_like_streams => BlameCase {
+        runs: &[(100, 1, HIDDEN, &[FIRST, FATAL]), (200, 2, HIDDEN, &[FIRST, FATAL])],
+        familiar: &[FIRST], blocked: (true, false),
+    },
+    sound_runs_beside_the_fatal_ones_are_not_blocked => BlameCase {
+        runs: &[
+            (100, 1, WRITING, &[FIRST, FATAL]), (100, 1, WRITING, &[FIRST, SOUND]),
+            (200, 2, WRITING, &[FIRST, FATAL]), (200, 2, WAITING, &[FIRST, SOUND]),
+            (300, 3, WRITING, &[FIRST, FATAL]), (300, 3, WAITING, &[FIRST, SOUND]),
+        ],
+        familiar: &[FIRST, SOUND], blocked: (true, false),
+    },
+    sound_runs_with_unfamiliar_parts_are_not_blocked => BlameCase {
+        runs: &[
+            (100, 1, WRITING, &[FIRST, FATAL]), (100, 1, WRITING, &[FIRST, SOUND]),
+            (200, 2, WRITING, &[FIRST, FATAL]), (200, 2, WAITING, &[FIRST, SOUND]),
+            (300, 3, WRITING, &[FIRST, FATAL]),
+        ],
+        familiar: &[FIRST], blocked: (true, false),
+    },
+    waiting_runs_need_more_ends => BlameCase {
+        runs: &[(100, 1, WAITING, &[FIRST, FATAL]), (200, 2, WAITING, &[FIRST, FATAL])],
+        familiar: &[FIRST], blocked: (false, false),
+    },
+    waiting_runs_are_blocked_after_three_ends => BlameCase {
+        runs: &[
+            (100, 1, WAITING, &[FIRST, FATAL]), (200, 2, WAITING, &[FIRST, FATAL]),
+            (300, 3, WAITING, &[FIRST, FATAL]),
+        ],
+        familiar: &[FIRST], blocked: (true, false),
+    },
+    part_that_was_sound_before_needs_three_ends => BlameCase {
+        runs: &[(100, 1, WRITING, &[FIRST, FATAL]), (200, 2, WRITING, &[FIRST, FATAL])],
+        familiar: &[FIRST, FATAL], blocked: (false, false),
+    },
+    part_that_was_sound_before_is_blocked => BlameCase {
+        runs: &[
+            (100, 1, WRITING, &[FIRST, FATAL]), (200, 2, WRITING, &[FIRST, FATAL]),
+            (300, 3, WRITING, &[FIRST, FATAL]),
+        ],
+        familiar: &[FIRST, SOUND, FATAL], blocked: (true, false),
+    },
+    ends_on_different_parts_block_nothing => BlameCase {
+        runs: &[(100, 1, WRITING, &[FIRST, 1]), (200, 2, WRITING, &[FIRST, 2]), (300, 3, WRITING, &[FIRST, 3])],
+        familiar: &[FIRST], blocked: (false, false),
+    },
+}
+
+/// Guards against a part that stays suspected although runs which began after the end survive it, and
+/// against clearing it by runs that began before.
+fn survival_clears((begun, is_blocked): (u64, bool)) {
+    let mut ledger = ledger_of(&[(100, 1, WRITING, &[FIRST, SOUND])], &[FIRST]);
+    ledger.record_survival(at(150), at(begun), &prompt(&[FIRST, SOUND], 0x42));
+    let key = CrashKey { server: 2, run: 9 };
+    ledger.record_crash(at(200), key, WRITING, prompt(&[FIRST, SOUND], 0x43));
+    assert_eq!(ledger.check(at(300), &prompt(&[FIRST, SOUND], 0x44)).is_some(), is_blocked);
+}
+
+cases! { survival_clears;
+    run_that_began_after_the_end_clears => (120, false),
+    run_that_began_before_the_end_does_not => (90, true),
+}
+
+/// Guards against a prompt that ends an engine each time the same caller repeats it.
+#[test]
+fn repeated_prompt_is_blocked_by_its_own_part() {
+    let mut ledger = ledger_of(&[], &[FIRST]);
+    for server in 1..=2 {
+        let key = CrashKey { server, run: server };
+        ledger.record_crash(at(100 * server), key, WRITING, prompt(&[FIRST], 0x42));
+    }
+    assert!(ledger.check(at(300), &prompt(&[FIRST], 0x42)).is_some());
+    assert!(ledger.check(at(300), &prompt(&[FIRST], 0x43)).is_none());
+}
+
+/// Guards against a part that is blocked for ever, or that ends two engines again after each trial.
+#[test]
+fn block_ends_and_one_more_end_renews_it() {
+    let mut ledger = ledger_of(
+        &[(100, 1, WRITING, &[FIRST, FATAL]), (200, 2, WRITING, &[FIRST, FATAL])],
+        &[FIRST],
+    );
+    let hold = LedgerParams::default().hold.as_millis() as u64;
+    let fatal = prompt(&[FIRST, FATAL], 0x42);
+    let remaining = ledger.check(at(1_200), &fatal).expect("a block").remaining;
+    assert_eq!(remaining, Duration::from_millis(hold - 1_000));
+    assert!(ledger.check(at(200 + hold), &fatal).is_none());
+    let key = CrashKey { server: 3, run: 9 };
+    ledger.record_crash(at(300 + hold), key, WRITING, prompt(&[FIRST, FATAL], 0x43));
+    assert!(ledger.check(at(301 + hold), &fatal).is_some());
+}
+
+/// Guards against instances that stay of different opinion: whatever order entries arrive in, and
+/// however often, all ledgers agree.
+#[test]
+fn ledgers_agree_whatever_the_order_of_entries() {
+    fn agree(entries: Vec<(u8, u8, u8, bool)>) -> bool {
+        let mut source = CrashLedger::default();
+        let mut all = LedgerNews::default();
+        for (number, (server, part, phase, survives)) in entries.iter().enumerate() {
+            let now = at(10 * number as u64 + 10);
+            let parts = prompt(&[FIRST, u64::from(part % 5)], 0x1000 + number as u64);
+            let key = CrashKey { server: u64::from(server % 7), run: number as u64 };
+            let phase = [WAITING, WRITING, HIDDEN][usize::from(phase % 3)];
+            let news = if *survives {
+                source.record_survival(now, now, &parts)
+            } else {
+                source.record_crash(now, key, phase, parts)
+            };
+            all.crashes.extend(news.crashes);
+            all.clears.extend(news.clears);
+        }
+        let now = at(100_000);
+        let (mut forward, mut backward) = (CrashLedger::default(), CrashLedger::default());
+        for _ in 0..2 {
+            for part in all.clone().split() {
+                forward.merge(now, part);
+            }
+            for part in all.clone().split().into_iter().rev() {
+                backward.merge(now, part);
+            }
+        }
+        let is_blocked = |ledger: &CrashLedger| {
+            (0..5).map(|part| ledger.check(now, &prompt(&[FIRST, part], 1)).is_some()).collect()
+        };
+        let blocked: Vec<bool> = is_blocked(&source);
+        let fingerprint = source.fingerprint();
+        [forward, backward]
+            .iter()
+            .all(|it| it.fingerprint() == fingerprint && is_blocked(it) == blocked)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 24))
+        .tests(500)
+        .quickcheck(agree as fn(Vec<(u8, u8, u8, bool)>) -> bool);
+}
+
+/// Guards against datagrams that are too long for the receiver's buffer.
+#[test]
+fn messages_fit_into_a_datagram() {
+    let long: Vec<u64> = (1..40).map(|part| u64::MAX - part).collect();
+    let runs: Vec<BrokenRun<'_>> =
+        (0..100).map(|run| (run, u64::MAX - run, WRITING, long.as_slice())).collect();
+    let ledger = ledger_of(&runs, &long);
+    for message in ledger.snapshot(at(200)).split() {
+        let bytes = postcard::to_stdvec(&message).expect("an encoded message");
+        assert!(bytes.len() < 3_500, "{} bytes", bytes.len());
+    }
+}
--- a/medlarlanding/src/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -13,7 +13,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::{Request, Response};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -171,3 +172,9 @@
         Err(_) => Err(ExchangeFault::TimedOut),
     }
 }
+
+/// Returns whether the headers of a response delimit its body, by a length or by chunked encoding.
+/// Without them the body ends with the connection.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
+}
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -37,6 +37,9 @@
 /// Retry delay sent if a generation found no room. Bursts last 3 to 10 s on the measured
 /// installations, and a generation that is refused again is lost.
 const RETRY_OVERLOADED: Duration = Duration::from_secs(10);
+/// Retry delay sent if engines ended on a part of the prompt, which stays blocked for this long after
+/// the last end.
+const RETRY_FATAL_PROMPT: Duration = Duration::from_secs(600);
 /// Time until the deadline for a caller that does not state one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -112,6 +115,7 @@
         ErrorAnswer::NoServer => RETRY_NO_SERVER,
         ErrorAnswer::ServersFull | ErrorAnswer::OutOfMemory => RETRY_FULL,
         ErrorAnswer::Overloaded => RETRY_OVERLOADED,
+        ErrorAnswer::FatalPrompt => RETRY_FATAL_PROMPT,
         ErrorAnswer::Stopping | ErrorAnswer::LateUnsent => Duration::ZERO,
         ErrorAnswer::NoRoute
         | ErrorAnswer::UnknownKey
@@ -175,6 +179,9 @@
         KeyCheck::Unknown => return Err(ErrorAnswer::UnknownKey),
     };
     let rule = Arc::clone(rule);
+    if state.check_prompt(&caller.parts).is_some() {
+        return Err(ErrorAnswer::FatalPrompt);
+    }
     if let Some(left) = state.stop_time_left() {
         // A generation without a limit may take any time.
         let output = caller.output_limit.unwrap_or(u32::MAX);
--- a/medlarlanding/src/forwarding/answer.rs
+++ b/medlarlanding/src/forwarding/answer.rs
@@ -37,6 +37,8 @@
     /// No engine had room, because other runs are served first or the wait became too long; the
     /// request has not run and never will.
     Overloaded,
+    /// Engines ended when they wrote on a part of the prompt; the request has not run and never will.
+    FatalPrompt,
     /// The process would stop before the request finishes; it has not run and never will.
     Stopping,
     /// The process holds too many bytes of request bodies; the request has not run and never will.
@@ -57,6 +59,7 @@
             | Self::NoServer
             | Self::ServersFull
             | Self::Overloaded
+            | Self::FatalPrompt
             | Self::Stopping
             | Self::OutOfMemory
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -82,6 +85,7 @@
             Self::NoServer => "no_server",
             Self::ServersFull => "servers_full",
             Self::Overloaded => "overloaded",
+            Self::FatalPrompt => "fatal_prompt",
             Self::Stopping => "stopping",
             Self::OutOfMemory => "out_of_memory",
             Self::LateUnsent => "late_unsent",
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -24,7 +24,6 @@
 use medlarlanding_core::time::Timestamp;
 
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -71,6 +70,8 @@
     is_framed: bool,
     /// When the head of the answer arrived, at which the engine began to write.
     begun_at: Timestamp,
+    /// The engine has written for long enough to show that it survives the prompt.
+    is_settled: bool,
     _exchange: Exchange,
     load: LoadGuard,
 }
@@ -168,7 +169,10 @@
             let end = self.read_until_end(&mut stream, &sender, &mut destination).await;
             let server = stream.entry.id.to_string();
             let outcome = match end {
-                StreamEnd::Complete => "complete",
+                StreamEnd::Complete => {
+                    self.state.record_survival(stream.begun_at, &self.admitted.parts);
+                    "complete"
+                },
                 StreamEnd::CallerGone => "caller_gone",
                 StreamEnd::Late => "late",
                 StreamEnd::Broken | StreamEnd::Stopped => {
@@ -202,6 +206,11 @@
         tokio::task::spawn_local(async move { broken.examine(&state).await });
     }
 
+    /// Returns whether engines end on the prompt of this run.
+    fn is_fatal(&self) -> bool {
+        self.state.check_prompt(&self.admitted.parts).is_some()
+    }
+
     fn is_leaving(&self, key: ServerKey) -> bool {
         let directory = self.state.directory.borrow();
         directory.get(key).is_none_or(|record| record.leaving_since.is_some())
@@ -246,6 +255,10 @@
         stream.load.add_output(TOKENS_PER_EVENT);
         self.last_event_at = now;
         self.events += 1;
+        if !stream.is_settled && now.since(stream.begun_at) >= self.state.settle_time() {
+            stream.is_settled = true;
+            self.state.record_survival(stream.begun_at, &self.admitted.parts);
+        }
         if event.id.is_some() {
             self.last_event = event.id;
         }
@@ -297,8 +310,3 @@
         Err(fault) => fault.name().to_owned(),
     }
 }
-
-/// Returns whether the headers delimit the body, by its length or by chunked encoding.
-fn is_framed(headers: &hyper::HeaderMap) -> bool {
-    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
-}
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{EngineStream, GenerationRun, is_framed, outcome_name};
+use super::{EngineStream, GenerationRun, outcome_name};
 use crate::answer_body::StreamPiece;
-use crate::exchange::{self, ExchangeFault};
+use crate::exchange::{self, ExchangeFault, is_framed};
 use crate::forwarding::engine_calls::{MOVE_TIMEOUT, MoveAnswer, MoveCall, release_copy};
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
+use crate::forwarding::server_life::has_ended_early;
 use crate::forwarding::shared::{Placement, SharedState};
 use crate::forwarding::stream_events::EventSplitter;
 use crate::logging::event;
@@ -93,6 +94,7 @@
             let mut wake_at = self.admitted.deadline;
             if let (Some(plan), None) = (&mut plan, &call) {
                 match plan.next(now) {
+                    MoveStep::Copy | MoveStep::Finish if self.is_fatal() => {},
                     MoveStep::Stay => {},
                     MoveStep::Wait(until) => wake_at = wake_at.min(until),
                     MoveStep::Copy => {
@@ -151,6 +153,10 @@
                             if !rest.is_empty() && !stream.is_framed {
                                 return StreamEnd::Broken;
                             }
+                            if !stream.is_framed && has_ended_early(&self.state, stream.key).await
+                            {
+                                return StreamEnd::Broken;
+                            }
                             if !rest.is_empty()
                                 && let Err(end) = self.send_piece(sender, StreamPiece::Data(rest)).await
                             {
@@ -228,12 +234,13 @@
         }
     }
 
-    /// Creates a plan if the engine is leaving, its runs can be moved, and the run has produced
-    /// events.
+    /// Creates a plan if the engine is leaving, its runs can be moved, the run has produced events,
+    /// and engines do not end on its prompt.
     fn plan_move(&self, stream: &EngineStream) -> Option<MovePlan> {
         let can_move = self.admitted.engine.is_some_and(|engine| engine.can_move);
         let leaving = self.state.directory.borrow().get(stream.key)?.leaving_since?;
-        (can_move && self.events > 0).then(|| MovePlan::new(self.state.move_params, leaving))
+        (can_move && self.events > 0 && !self.is_fatal())
+            .then(|| MovePlan::new(self.state.move_params, leaving))
     }
 
     async fn begin_copy(
@@ -356,7 +363,7 @@
             let (key, entry) = &targets[attempt as usize % targets.len()];
             let now = self.state.now();
             let time_left = self.admitted.time_left(now);
-            if time_left.is_zero() {
+            if time_left.is_zero() || self.is_fatal() {
                 return None;
             }
             let load = LoadGuard::begin(&self.state, *key, self.run_weight());
@@ -396,6 +403,7 @@
                             body,
                             is_framed: is_framed(&parts.headers),
                             begun_at: self.state.now(),
+                            is_settled: false,
                             _exchange: exchange,
                             load,
                         });
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{EngineStream, GenerationRun, SentRequest, is_framed, outcome_name};
+use super::{EngineStream, GenerationRun, SentRequest, outcome_name};
 use crate::answer_body::AnswerBody;
-use crate::exchange::{self, ExchangeFault};
+use crate::exchange::{self, ExchangeFault, is_framed};
 use crate::forwarding::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
@@ -55,6 +55,9 @@
             let zone = Arc::from(self.state.settings.zone.as_str());
             let (key, entry) =
                 self.choose_start(&tried, &zone).await.map_err(StartFailure::Error)?;
+            if self.is_fatal() {
+                return Err(StartFailure::Error(ErrorAnswer::FatalPrompt));
+            }
             if !tried.is_empty()
                 && !self.state.try_repeat(&self.admitted.service, RepeatPurpose::Restart)
             {
@@ -71,9 +74,15 @@
             );
             let silence = self.admitted.rule.objective * SILENCE_FACTOR;
             let sending = exchange::send(entry.address, request, time_left);
-            let sent = self.report_silence(key, silence, EngineFault::Failed, sending).await;
+            let sending = self.report_silence(key, silence, EngineFault::Failed, sending);
+            // Closing the connection keeps the engine from writing on a prompt that is blocked while
+            // it waits there.
+            let sent = tokio::select! {
+                sent = sending => Some(sent),
+                () = self.state.wait_for_block(&self.admitted.parts) => None,
+            };
             let elapsed = self.state.now().since(now);
-            let outcome = outcome_name(&sent);
+            let outcome = sent.as_ref().map_or_else(|| "blocked".to_owned(), outcome_name);
             event(
                 EventKind::RequestSent,
                 &[
@@ -87,6 +96,10 @@
                     &self.admitted.config_version,
                 ],
             );
+            // A request that the engine has accepted may have run.
+            let Some(sent) = sent else {
+                return Err(StartFailure::Error(ErrorAnswer::AnswerLost));
+            };
             let (response, exchange) = match sent {
                 Ok(sent) => sent,
                 Err(ExchangeFault::NotConnected) => {
@@ -133,8 +146,16 @@
             self.state.directory.borrow_mut().record_success(key);
             let is_framed = is_framed(&parts.headers);
             let begun_at = self.state.now();
-            let stream =
-                EngineStream { key, entry, body, is_framed, begun_at, _exchange: exchange, load };
+            let stream = EngineStream {
+                key,
+                entry,
+                body,
+                is_framed,
+                begun_at,
+                is_settled: false,
+                _exchange: exchange,
+                load,
+            };
             return Ok((stream, parts.status, parts.headers));
         }
     }
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -9,14 +9,14 @@
 use super::peer_fetch::fetch_if_behind;
 use super::shared::{ForwardState, Placement, SharedState};
 use medlarlanding_core::forwarding::{
-    ChangeSource, DirectoryChange, EngineFault, PeerDigest, PeerLag, PeerMessage, PlaceAnswer,
-    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup, RelayParams,
-    RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
+    ChangeSource, DirectoryChange, EngineFault, LedgerNews, LedgerSync, PeerDigest, PeerLag,
+    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest,
+    RelayGroup, RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
 };
 
 use indexmap::IndexMap;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 /// Largest datagram in bytes. A load report takes at most 30 bytes, so those of 100 busy servers
 /// fit.
@@ -29,6 +29,8 @@
 const ENTRY_LENGTH: usize = 32;
 /// Interval at which the coordinator logs the load of the fleet.
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
+/// One in so many digests is followed by the fingerprint of the ledger.
+const LEDGER_STATE_PERIOD: u64 = 2;
 /// Shortest pause between two digests when changes cause them.
 const DIGEST_PAUSE: Duration = Duration::from_millis(20);
 
@@ -66,9 +68,8 @@
 
     /// Passes a message on. Returns the message if it may be relayed.
     fn relay(&self, state: &ForwardState, relayed: &RelayedMessage) -> Option<PeerMessage> {
-        let message = postcard::from_bytes(&relayed.message)
-            .ok()
-            .filter(|message| matches!(message, PeerMessage::Servers(_) | PeerMessage::Leaving(_)));
+        let message =
+            postcard::from_bytes(&relayed.message).ok().filter(PeerMessage::may_be_relayed);
         match message {
             Some(_) => self.send_bytes(state, "passed_on", &relayed.message, &relayed.targets),
             None => state.telemetry.dropped_datagrams.inc(),
@@ -151,6 +152,34 @@
         }
     }
 
+    /// Sends new entries of the ledger to the coordinator, or as the coordinator to all peers.
+    fn send_ledger_news(&self, state: &ForwardState, news: LedgerNews) {
+        let coordinator = state.peers.borrow().coordinator(state.now());
+        for part in news.split() {
+            let message = PeerMessage::LedgerNews(part);
+            match coordinator {
+                Some(coordinator) => self.send(state, &message, &[coordinator]),
+                None => self.send_to_groups(state, &message, &relay_groups(state)),
+            }
+        }
+    }
+
+    /// Sends all entries of the ledger to a peer whose ledger differs. If `is_question` is set, the peer
+    /// sends its own in turn.
+    fn send_ledger(&self, state: &ForwardState, peer: SocketAddr, is_question: bool) {
+        let (entries, fingerprint) = state.ledger_snapshot();
+        let mut parts = entries.split();
+        if is_question && parts.is_empty() {
+            parts.push(LedgerNews::default());
+        }
+        let last = parts.len().saturating_sub(1);
+        for (index, news) in parts.into_iter().enumerate() {
+            let answer_unless = (is_question && index == last).then_some(fingerprint);
+            let sync = LedgerSync { news, answer_unless };
+            self.send(state, &PeerMessage::LedgerSync(sync), &[peer]);
+        }
+    }
+
     /// Chooses a server for a generation by asking the coordinator. Chooses it locally if this
     /// instance is the coordinator, or if the coordinator does not answer.
     pub async fn place(
@@ -256,6 +285,27 @@
     }
 }
 
+/// Tells peers the fingerprint of the ledger, so that those with another one exchange entries.
+fn send_ledger_state(link: &PeerLink, state: &SharedState, targets: &[(SocketAddr, bool)]) {
+    state.update_blocked_parts();
+    if let Some(fingerprint) = state.ledger_fingerprint() {
+        let targets: Vec<SocketAddr> = targets.iter().map(|(address, _)| *address).collect();
+        link.send(state, &PeerMessage::LedgerState(fingerprint), &targets);
+    }
+}
+
+/// Sends new entries of the ledger to peers until the process ends.
+pub async fn send_ledger_news(
+    link: Rc<PeerLink>,
+    state: SharedState,
+    mut news: mpsc::UnboundedReceiver<LedgerNews>,
+) -> anyhow::Result<()> {
+    while let Some(news) = news.recv().await {
+        link.send_ledger_news(&state, news);
+    }
+    Ok(())
+}
+
 fn send_digest(link: &PeerLink, state: &SharedState, sequence: u64) {
     let now = state.now();
     let targets = state.peers.borrow_mut().targets(now, sequence);
@@ -278,6 +328,9 @@
     link.send(state, &PeerMessage::Digest(digest.clone()), &addresses(false));
     digest.loads = state.own_loads();
     link.send(state, &PeerMessage::Digest(digest), &addresses(true));
+    if sequence.is_multiple_of(LEDGER_STATE_PERIOD) {
+        send_ledger_state(link, state, &targets);
+    }
 }
 
 /// Receives and handles datagrams of peers until the process ends.
@@ -329,6 +382,21 @@
         },
         PeerMessage::Fault(engine) => state.record_fault(engine, EngineFault::Failed),
         PeerMessage::Unresponsive(engine) => state.record_fault(engine, EngineFault::Unresponsive),
+        PeerMessage::LedgerNews(news) => state.merge_ledger(source, news),
+        PeerMessage::LedgerState(fingerprint) => {
+            if state.ledger_fingerprint() != Some(fingerprint) {
+                link.send_ledger(state, source, true);
+            }
+        },
+        PeerMessage::LedgerSync(sync) => {
+            state.merge_ledger(source, sync.news);
+            let is_answer_due = sync
+                .answer_unless
+                .is_some_and(|fingerprint| state.ledger_fingerprint().unwrap_or(0) != fingerprint);
+            if is_answer_due {
+                link.send_ledger(state, source, false);
+            }
+        },
         PeerMessage::Question(question) => {
             let answer = state.answer_question(source, &question);
             link.send(state, &PeerMessage::Answer(answer), &[source]);
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -7,10 +7,10 @@
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::load_guard::LoadGuard;
-use super::server_life::BrokenAnswer;
+use super::server_life::{BrokenAnswer, has_ended_early};
 use super::shared::{Placement, SharedState};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
-use crate::exchange::{self, Exchange, ExchangeFault};
+use crate::exchange::{self, Exchange, ExchangeFault, is_framed};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
@@ -52,6 +52,8 @@
     NotConnected,
     /// The request may have run.
     Lost(ExchangeFault),
+    /// The request may have run. Its prompt was blocked before the answer arrived.
+    Blocked,
 }
 
 impl SendOutcome {
@@ -62,6 +64,7 @@
             Self::NotConnected => "not_connected",
             Self::Lost(ExchangeFault::TimedOut) => "timed_out",
             Self::Lost(_) => "broken",
+            Self::Blocked => "blocked",
         }
     }
 }
@@ -133,6 +136,11 @@
         if is_repeat && !state.try_repeat(&admitted.service, RepeatPurpose::Retry) {
             break fallback_or_error(fallback, error_without_answer(run_count));
         }
+        if state.check_prompt(&admitted.parts).is_some() {
+            let error =
+                if run_count == 0 { ErrorAnswer::FatalPrompt } else { ErrorAnswer::AnswerLost };
+            break fallback_or_error(fallback, error);
+        }
         tried.push(key);
         let limit = if is_safe && admitted.rule.max_servers > run_count + 1 {
             let share = time_left / SAFE_TIME_DIVISOR;
@@ -173,6 +181,7 @@
                     break fallback_or_error(fallback, error_without_answer(run_count));
                 }
             },
+            SendOutcome::Blocked => break fallback_or_error(fallback, ErrorAnswer::AnswerLost),
             SendOutcome::Lost(fault) => {
                 if fault == ExchangeFault::Broken {
                     examine_break(state, &admitted, key).await;
@@ -283,24 +292,43 @@
     let load = LoadGuard::begin(state, key, admitted.weight);
     let request = server_request(admitted, &entry.id, time_left, None, None);
     let started = state.now();
-    let sent = exchange::send(entry.address, request, limit).await;
-    let outcome = match sent {
-        Ok((response, exchange)) => {
-            let left = limit.saturating_sub(state.now().since(started));
-            let server = Arc::clone(&entry.id);
-            let source =
-                AnswerSource { state: Rc::clone(state), server, _exchange: exchange, _load: load };
-            read_answer(admitted, response, source, left).await
-        },
-        Err(ExchangeFault::NotConnected) => SendOutcome::NotConnected,
-        Err(fault) => SendOutcome::Lost(fault),
+    let answering = async {
+        match exchange::send(entry.address, request, limit).await {
+            Ok((response, exchange)) => {
+                let left = limit.saturating_sub(state.now().since(started));
+                let is_framed = is_framed(response.headers());
+                let source = AnswerSource {
+                    state: Rc::clone(state),
+                    server: Arc::clone(&entry.id),
+                    broken: BrokenAnswer::new(
+                        state,
+                        admitted,
+                        key,
+                        RunPhase::Hidden,
+                        Duration::ZERO,
+                    ),
+                    _exchange: exchange,
+                    _load: load,
+                };
+                let outcome = read_answer(admitted, response, source, left).await;
+                check_end(state, admitted, key, is_framed, started, outcome).await
+            },
+            Err(ExchangeFault::NotConnected) => SendOutcome::NotConnected,
+            Err(fault) => SendOutcome::Lost(fault),
+        }
+    };
+    // Closing the connection keeps the engine from writing on a prompt that is blocked while it waits
+    // there.
+    let outcome = tokio::select! {
+        outcome = answering => outcome,
+        () = state.wait_for_block(&admitted.parts) => SendOutcome::Blocked,
     };
     let mut directory = state.directory.borrow_mut();
     match &outcome {
         SendOutcome::Answered(status, ..) if !status.is_server_error() => {
             directory.record_success(key);
         },
-        SendOutcome::Answered(..) | SendOutcome::NotRun => {},
+        SendOutcome::Answered(..) | SendOutcome::NotRun | SendOutcome::Blocked => {},
         SendOutcome::NotConnected | SendOutcome::Lost(_) => {
             state.telemetry.faults.with_label_values(&[outcome.name()]).inc();
             if directory.record_failure(state.now(), key) {
@@ -311,11 +339,37 @@
     (entry.id.to_string(), outcome)
 }
 
+/// Checks the end of a whole answer to a prompt. One that ends with its connection is complete only if
+/// the engine has not ended; a complete one shows that the engine survives the prompt.
+async fn check_end(
+    state: &SharedState,
+    admitted: &AdmittedRequest,
+    key: ServerKey,
+    is_framed: bool,
+    begun_at: Timestamp,
+    outcome: SendOutcome,
+) -> SendOutcome {
+    let is_whole = match &outcome {
+        SendOutcome::Answered(status, _, AnswerBody::Whole(_)) => status.is_success(),
+        _ => false,
+    };
+    if !is_whole || admitted.parts.is_empty() {
+        return outcome;
+    }
+    if !is_framed && has_ended_early(state, key).await {
+        return SendOutcome::Lost(ExchangeFault::Broken);
+    }
+    state.record_survival(begun_at, &admitted.parts);
+    outcome
+}
+
 /// Connection to the server that sends an answer.
 struct AnswerSource {
     state: SharedState,
     /// Id of the server.
     server: Arc<str>,
+    /// What to examine if the answer breaks off; `None` if the request has no prompt.
+    broken: Option<BrokenAnswer>,
     _exchange: Exchange,
     _load: LoadGuard,
 }
@@ -374,6 +428,9 @@
     Ok(AnswerBody::Whole(Some(collected.freeze())))
 }
 
+/// Reason in logs for an answer whose connection broke.
+const BROKEN: &str = "broken";
+
 /// Answer that is forwarded while it arrives.
 struct LongAnswer {
     source: AnswerSource,
@@ -400,9 +457,12 @@
             Ok(Err(reason)) => reason,
             Err(_) => "late",
         };
-        let AnswerSource { state, server, .. } = &self.source;
+        let AnswerSource { state, server, broken, .. } = &mut self.source;
         state.telemetry.faults.with_label_values(&["answer_cut"]).inc();
         event(EventKind::AnswerCut, &[&self.request, server, &cut, &self.bytes]);
+        if let Some(broken) = broken.take().filter(|_| cut == BROKEN) {
+            broken.examine(state).await;
+        }
     }
 
     /// Forwards the body up to its end, or until the caller disconnects.
@@ -430,7 +490,7 @@
                             break Some(data);
                         }
                     },
-                    Some(Err(_)) => return Err("broken"),
+                    Some(Err(_)) => return Err(BROKEN),
                     None => break None,
                 }
             };
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -85,7 +85,8 @@
     let strength = machine_strength(&settings);
     let seeds = settings.seeds.clone();
     let peers = PeerTable::new(PeerTableParams::default(), settings.peers, strength, seeds);
-    let state = Rc::new(ForwardState::new(settings, boot, Telemetry::new()?, peers));
+    let (ledger_sender, ledger_news) = mpsc::unbounded_channel();
+    let state = Rc::new(ForwardState::new(settings, boot, Telemetry::new()?, peers, ledger_sender));
     let link = Rc::new(PeerLink::new(digests));
     let (stop, stopping) = watch::channel(false);
     let tasks = RoleTasks::new();
@@ -102,6 +103,10 @@
     }
     tasks.spawn("digests", peer_link::send_digests(Rc::clone(&link), Rc::clone(&state)));
     tasks.spawn("datagrams", peer_link::read_datagrams(Rc::clone(&link), Rc::clone(&state)));
+    tasks.spawn(
+        "ledger",
+        peer_link::send_ledger_news(Rc::clone(&link), Rc::clone(&state), ledger_news),
+    );
     tasks.spawn("fetches", peer_fetch::serve_fetches(fetches, Rc::clone(&state)));
     tasks.spawn(
         "config",
--- a/medlarlanding/src/forwarding/server_life.rs
+++ b/medlarlanding/src/forwarding/server_life.rs
@@ -41,8 +41,22 @@
     }
 }
 
+/// Returns whether a server has ended though it was not to leave. An answer that ended with its
+/// connection may then be incomplete.
+pub async fn has_ended_early(state: &SharedState, key: ServerKey) -> bool {
+    let entry = {
+        let directory = state.directory.borrow();
+        let record = directory.get(key).filter(|record| record.leaving_since.is_none());
+        record.map(|record| record.entry.clone())
+    };
+    match entry {
+        Some(entry) => probe_listener(&entry).await == ServerLife::Ended,
+        None => false,
+    }
+}
+
 /// Returns whether a process listens at the server's address.
-pub async fn probe_listener(entry: &ServerEntry) -> ServerLife {
+async fn probe_listener(entry: &ServerEntry) -> ServerLife {
     match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(entry.address)).await {
         Ok(Ok(_)) => ServerLife::Alive,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ServerLife::Ended,
@@ -79,6 +93,8 @@
     phase: RunPhase,
     /// Time since the server began to write; zero before.
     writing: Duration,
+    /// The server has written for long enough to show that it survives the prompt.
+    is_settled: bool,
 }
 
 impl BrokenAnswer {
@@ -103,12 +119,16 @@
             entry: record.entry.clone(),
             phase,
             writing,
+            is_settled: writing >= state.settle_time(),
         })
     }
 
-    /// Examines the server and logs what is found.
+    /// Examines the server, logs what is found, and records the run if the server has ended.
     pub async fn examine(self, state: &SharedState) {
         let life = probe_process(&self.entry).await;
+        if life == ServerLife::Ended && !self.is_settled {
+            state.record_broken_run(&self.entry, &self.request, self.phase, &self.parts);
+        }
         let labels = [self.phase.name(), life.name()];
         state.telemetry.broken_answers.with_label_values(&labels).inc();
         event(
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -11,11 +11,12 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BudgetParams, ChangeSource, DirectoryChange, EngineFault, EntryLog, FaultLog, ForwardConfig,
-    LoadReport, MoveParams, PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
-    PlacementChoice, PlacementPolicy, PlacementRequest, Readiness, RemoteLoad, RepeatBudget,
-    RepeatPurpose, RequiredPart, RunKey, RunWeight, ServerDirectory, ServerKey, ServerPhase,
-    ServerRecord, WaitingClass, WaitingRuns,
+    BlockedPart, BudgetParams, ChangeSource, CrashKey, CrashLedger, DirectoryChange, EngineFault,
+    EntryLog, FaultLog, ForwardConfig, LedgerNews, LoadReport, MoveParams, PartId, PeerTable,
+    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementChoice, PlacementPolicy,
+    PlacementRequest, PromptParts, Readiness, RemoteLoad, RepeatBudget, RepeatPurpose,
+    RequiredPart, RunKey, RunPhase, RunWeight, ServerDirectory, ServerEntry, ServerKey,
+    ServerPhase, ServerRecord, WaitingClass, WaitingRuns,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
@@ -25,7 +26,7 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 /// Result of placing a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,6 +88,14 @@
     waiting: RefCell<IndexMap<Arc<str>, WaitingRuns>>,
     /// Engine faults that all instances reported; used while this instance is the coordinator.
     faults: RefCell<FaultLog>,
+    /// Runs that the ends of engines broke off, as all instances reported them.
+    ledger: RefCell<CrashLedger>,
+    /// Parts of prompts that were blocked when the ledger last changed.
+    blocked_parts: RefCell<IndexSet<PartId>>,
+    /// Notified when a part is blocked.
+    block_changes: watch::Sender<u64>,
+    /// Entries of the ledger that are to be sent to peers.
+    ledger_news: mpsc::UnboundedSender<LedgerNews>,
     /// This instance watches the store and its last call was answered.
     pub reaches_store: Cell<bool>,
     /// A fetch from a peer is in progress.
@@ -114,6 +123,7 @@
         boot: u64,
         telemetry: Telemetry,
         peers: PeerTable,
+        ledger_news: mpsc::UnboundedSender<LedgerNews>,
     ) -> Self {
         let seed = stable_hash(settings.instance.as_bytes()) ^ boot;
         Self {
@@ -135,6 +145,10 @@
             move_budgets: RefCell::default(),
             waiting: RefCell::default(),
             faults: RefCell::default(),
+            ledger: RefCell::default(),
+            blocked_parts: RefCell::default(),
+            block_changes: watch::Sender::new(0),
+            ledger_news,
             reaches_store: Cell::new(false),
             is_fetching: Cell::new(false),
             fetch_after: Cell::new(Timestamp::default()),
@@ -368,6 +382,94 @@
         }
     }
 
+    /// Returns the part of a prompt on which engines ended, if requests with it are refused.
+    pub fn check_prompt(&self, parts: &PromptParts) -> Option<BlockedPart> {
+        self.ledger.borrow().check(self.now(), parts)
+    }
+
+    /// Waits until requests with this prompt are refused.
+    pub async fn wait_for_block(&self, parts: &PromptParts) {
+        let mut changes = self.block_changes.subscribe();
+        // The sender lives as long as this state.
+        let _ = changes.wait_for(|_| self.check_prompt(parts).is_some()).await;
+    }
+
+    /// Returns the time for which a run must write before its parts count as survived.
+    pub fn settle_time(&self) -> Duration {
+        self.ledger.borrow().settle()
+    }
+
+    /// Records a run that the end of its engine broke off, and tells the peers.
+    pub fn record_broken_run(
+        &self,
+        entry: &ServerEntry,
+        request: &str,
+        phase: RunPhase,
+        parts: &PromptParts,
+    ) {
+        let start = format!("{}/{}", entry.id, entry.born_millis);
+        let (server, run) = (stable_hash(start.as_bytes()), stable_hash(request.as_bytes()));
+        let key = CrashKey { server, run };
+        let news = self.ledger.borrow_mut().record_crash(self.now(), key, phase, parts.clone());
+        self.apply_ledger_change(news);
+    }
+
+    /// Records that a run which began at `begun_at` survived the parts of its prompt, and tells the
+    /// peers if any of them is suspected.
+    pub fn record_survival(&self, begun_at: Timestamp, parts: &PromptParts) {
+        let news = self.ledger.borrow_mut().record_survival(self.now(), begun_at, parts);
+        self.apply_ledger_change(news);
+    }
+
+    /// Adds the entries of a peer's ledger. What the coordinator may not know is told to the peers.
+    pub fn merge_ledger(&self, source: SocketAddr, received: LedgerNews) {
+        let merged = self.ledger.borrow_mut().merge(self.now(), received);
+        if !merged.received.is_empty() {
+            self.update_blocked_parts();
+        }
+        let is_from_coordinator = self.peers.borrow().coordinator(self.now()) == Some(source);
+        let news = if is_from_coordinator { merged.own } else { merged.into_all() };
+        self.apply_ledger_change(news);
+    }
+
+    /// Returns all entries of the ledger and its fingerprint.
+    pub fn ledger_snapshot(&self) -> (LedgerNews, u64) {
+        let ledger = self.ledger.borrow();
+        (ledger.snapshot(self.now()), ledger.fingerprint())
+    }
+
+    /// Returns the fingerprint of the ledger; `None` if it is empty.
+    pub fn ledger_fingerprint(&self) -> Option<u64> {
+        let ledger = self.ledger.borrow();
+        (!ledger.is_empty()).then(|| ledger.fingerprint())
+    }
+
+    fn apply_ledger_change(&self, news: LedgerNews) {
+        if news.is_empty() {
+            return;
+        }
+        self.update_blocked_parts();
+        // Sending fails only while the process ends.
+        let _ = self.ledger_news.send(news);
+    }
+
+    /// Logs which parts were blocked or released since the last call.
+    pub fn update_blocked_parts(&self) {
+        let blocked = self.ledger.borrow().blocked(self.now());
+        let current: IndexSet<PartId> = blocked.iter().map(|rule| rule.part).collect();
+        let known = self.blocked_parts.replace(current.clone());
+        for rule in blocked.iter().filter(|rule| !known.contains(&rule.part)) {
+            event(EventKind::PartBlocked, &[&rule.part, &rule.ends, &rule.remaining.as_secs()]);
+        }
+        for part in known.difference(&current) {
+            event(EventKind::PartReleased, &[part]);
+        }
+        self.telemetry.blocked_parts.set(current.len() as i64);
+        if current.difference(&known).next().is_some() {
+            self.block_changes.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Answers a peer's question on which engine to run a generation.
     pub fn answer_question(&self, peer: SocketAddr, question: &PlaceQuestion) -> PlaceAnswer {
         let excluded: Vec<ServerKey> =
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -23,6 +23,8 @@
     pub faults: IntCounterVec,
     /// Answers to requests with a prompt that broke off, by phase of the run and state of the server.
     pub broken_answers: IntCounterVec,
+    /// Parts of prompts for which requests are refused.
+    pub blocked_parts: IntGauge,
     /// Calls to the store, by outcome.
     pub store_calls: IntCounterVec,
     /// Received datagrams dropped because they could not be decoded or named another sender.
@@ -62,6 +64,8 @@
                 "Answers to prompts that broke off.",
                 &["phase", "state"],
             )?,
+            blocked_parts: registry
+                .gauge("blocked_parts", "Parts of prompts for which requests are refused.")?,
             store_calls: registry.counters("store_calls", "Calls to the store.", &["outcome"])?,
             dropped_datagrams: registry
                 .counter("dropped_datagrams", "Unreadable datagrams of peers.")?,
