Avoid engines that have ended until their entries expire

Cause: an engine that has ended has no load, so it is chosen first. Its entry stays for 3.6 s, and it was avoided only after three reports, for 1 s and then 2 s; each try costs a repeat of the budget.

Change: an instance that finds nothing listening at an engine's address avoids it for 4 s and tells the coordinator, which does too. Such an end is no fault of the engine's next start, which has another record.

--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -34,6 +34,8 @@
         LedgerState(u64),
         /// Entries of the sender's ledger, sent to a peer with another fingerprint.
         LedgerSync(LedgerSync),
+        /// Hash of the id of an engine that has ended; sent to the coordinator.
+        Ended(u64),
     }
 }
 
@@ -49,7 +51,7 @@
             Self::Digest(_) => "digest",
             Self::Servers(_) => "servers",
             Self::Leaving(_) => "leaving",
-            Self::Fault(_) | Self::Unresponsive(_) => "fault",
+            Self::Fault(_) | Self::Unresponsive(_) | Self::Ended(_) => "fault",
             Self::Question(_) => "question",
             Self::Answer(_) => "answer",
             Self::Relayed(_) => "relayed",
--- a/medlarlanding-core/src/forwarding/suspicion.rs
+++ b/medlarlanding-core/src/forwarding/suspicion.rs
@@ -26,6 +26,8 @@
     /// Longest period for which an engine is avoided before runs try it again; servers that
     /// alternate between up and down are down for 1 to 2 s.
     pub avoid_max: Duration,
+    /// Period for which an engine that has ended is avoided: its entry expires after 3.6 s.
+    pub avoid_ended: Duration,
     /// Period without faults after which an engine's history is dropped, so that `fault_limit` and
     /// `avoid_min` apply again.
     pub retention: Duration,
@@ -38,6 +40,7 @@
             fault_limit: 3,
             avoid_min: Duration::from_secs(1),
             avoid_max: Duration::from_secs(2),
+            avoid_ended: Duration::from_secs(4),
             retention: Duration::from_secs(10),
         }
     }
@@ -51,6 +54,8 @@
     /// A moved run was not admitted although the engine has its memory. Engines admit such runs
     /// before all others, so one that does not admits none.
     Unresponsive,
+    /// Nothing listens at the engine's address. Its next start has another record.
+    Ended,
 }
 
 #[derive(Debug, Default)]
@@ -81,6 +86,11 @@
         self.engines.retain(|_, record| now.since(record.last_fault_at) < params.retention);
         let record = self.engines.entry(engine).or_default();
         record.last_fault_at = now;
+        if fault == EngineFault::Ended {
+            let is_known = now + params.avoid_ended / 2 < record.avoid_until;
+            record.avoid_until = record.avoid_until.max(now + params.avoid_ended);
+            return (!is_known).then_some(params.avoid_ended);
+        }
         if now < record.avoid_until {
             return None;
         }
@@ -90,7 +100,7 @@
         }
         let limit = match fault {
             EngineFault::Failed if record.avoided_count == 0 => params.fault_limit,
-            EngineFault::Failed | EngineFault::Unresponsive => 1,
+            EngineFault::Failed | EngineFault::Unresponsive | EngineFault::Ended => 1,
         };
         if record.faults.len() < limit {
             return None;
--- a/medlarlanding-core/tests/forwarding_suspicion.rs
+++ b/medlarlanding-core/tests/forwarding_suspicion.rs
@@ -101,3 +101,14 @@
     assert_eq!(lost, SuspicionParams::default().fault_limit as u64);
     assert_eq!(chosen(&directory, lost + 1_000), failing);
 }
+
+/// Guards against an engine that has ended and is tried again every second until its entry expires.
+#[test]
+fn ended_engine_is_avoided_until_its_entry_expires() {
+    let mut log = FaultLog::default();
+    let period = Duration::from_secs(4);
+    assert_eq!(log.record(at(0), 7, EngineFault::Ended), Some(period));
+    assert_eq!(log.record(at(5), 7, EngineFault::Ended), None);
+    assert_eq!(log.record(at(1_500), 7, EngineFault::Failed), None);
+    assert_eq!(log.record(at(4_100), 7, EngineFault::Ended), Some(period));
+}
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -142,7 +142,7 @@
     let id = caller.request_id.clone();
     let mut answer = match admit(&state, request, caller, arrived_at).await {
         Ok(admitted) => match admitted.rule.kind {
-            RequestKind::Safe | RequestKind::Unsafe => relay::serve(&state, admitted).await,
+            RequestKind::Safe | RequestKind::Unsafe => relay::serve(&state, link, admitted).await,
             RequestKind::Stream => generation::serve(&state, link, admitted).await,
         },
         Err(error) => refuse(&state, &id, error),
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -202,8 +202,8 @@
     fn examine_break(&self, key: ServerKey, phase: RunPhase, writing: Duration) {
         let broken = BrokenAnswer::new(&self.state, &self.admitted, key, phase, writing);
         let Some(broken) = broken else { return };
-        let state = Rc::clone(&self.state);
-        tokio::task::spawn_local(async move { broken.examine(&state).await });
+        let (state, link) = (Rc::clone(&self.state), Rc::clone(&self.link));
+        tokio::task::spawn_local(async move { broken.examine(&state, &link).await });
     }
 
     /// Returns whether engines end on the prompt of this run.
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -1,6 +1,7 @@
 //! Start of a generation: waits for room on an engine, sends the request and checks the head of the
 //! answer.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use crate::forwarding::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
+use crate::forwarding::server_life::examine_unreachable;
 use crate::forwarding::shared::Placement;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -104,6 +106,10 @@
                 Ok(sent) => sent,
                 Err(ExchangeFault::NotConnected) => {
                     self.record_failure(key, &entry, "not_connected");
+                    let (state, link) = (Rc::clone(&self.state), Rc::clone(&self.link));
+                    tokio::task::spawn_local(async move {
+                        examine_unreachable(&state, &link, key).await;
+                    });
                     if tried.len() as u32 >= NOT_RUN_LIMIT {
                         return Err(StartFailure::Error(ErrorAnswer::ServersFull));
                     }
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -12,6 +12,7 @@
     ChangeSource, DirectoryChange, EngineFault, LedgerNews, LedgerSync, PeerDigest, PeerLag,
     PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest,
     RelayGroup, RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
+    SuspicionParams,
 };
 
 use indexmap::IndexMap;
@@ -136,6 +137,13 @@
         self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_groups(state));
     }
 
+    /// Avoids an engine that has ended, here and at the coordinator.
+    pub fn report_end(&self, state: &ForwardState, key: ServerKey) {
+        let until = state.now() + SuspicionParams::default().avoid_ended;
+        state.directory.borrow_mut().avoid(key, until);
+        self.report_fault(state, key, EngineFault::Ended);
+    }
+
     /// Reports a fault of an engine to the coordinator.
     pub fn report_fault(&self, state: &ForwardState, key: ServerKey, fault: EngineFault) {
         let Some(engine) = state.hash_of(key) else { return };
@@ -145,6 +153,7 @@
                 let message = match fault {
                     EngineFault::Failed => PeerMessage::Fault(engine),
                     EngineFault::Unresponsive => PeerMessage::Unresponsive(engine),
+                    EngineFault::Ended => PeerMessage::Ended(engine),
                 };
                 self.send(state, &message, &[coordinator]);
             },
@@ -381,6 +390,7 @@
             }
         },
         PeerMessage::Fault(engine) => state.record_fault(engine, EngineFault::Failed),
+        PeerMessage::Ended(engine) => state.record_fault(engine, EngineFault::Ended),
         PeerMessage::Unresponsive(engine) => state.record_fault(engine, EngineFault::Unresponsive),
         PeerMessage::LedgerNews(news) => state.merge_ledger(source, news),
         PeerMessage::LedgerState(fingerprint) => {
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -7,6 +7,7 @@
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::load_guard::LoadGuard;
+use super::peer_link::PeerLink;
 use super::server_life::{BrokenAnswer, has_ended_early};
 use super::shared::{Placement, SharedState};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
@@ -92,7 +93,11 @@
 }
 
 /// Serves a request to a plain service.
-pub async fn serve(state: &SharedState, admitted: AdmittedRequest) -> CallerAnswer {
+pub async fn serve(
+    state: &SharedState,
+    link: Rc<PeerLink>,
+    admitted: AdmittedRequest,
+) -> CallerAnswer {
     let is_safe = admitted.rule.kind.is_repeatable();
     let mut record = RequestRecord { state, admitted: &admitted, is_finished: false };
     let mut tried: Vec<ServerKey> = Vec::new();
@@ -148,7 +153,8 @@
         } else {
             time_left
         };
-        let (server, outcome) = send_to_server(state, &admitted, key, time_left, limit).await;
+        let (server, outcome) =
+            send_to_server(state, &link, &admitted, key, time_left, limit).await;
         event(
             EventKind::RequestSent,
             &[
@@ -184,7 +190,7 @@
             SendOutcome::Blocked => break fallback_or_error(fallback, ErrorAnswer::AnswerLost),
             SendOutcome::Lost(fault) => {
                 if fault == ExchangeFault::Broken {
-                    examine_break(state, &admitted, key).await;
+                    examine_break(state, &link, &admitted, key).await;
                 }
                 run_count += 1;
                 if is_safe && run_count < admitted.rule.max_servers {
@@ -208,10 +214,15 @@
 }
 
 /// Examines the server of an answer that broke off, before the request is sent to another one.
-async fn examine_break(state: &SharedState, admitted: &AdmittedRequest, key: ServerKey) {
+async fn examine_break(
+    state: &SharedState,
+    link: &PeerLink,
+    admitted: &AdmittedRequest,
+    key: ServerKey,
+) {
     let phase = RunPhase::Hidden;
     if let Some(broken) = BrokenAnswer::new(state, admitted, key, phase, Duration::ZERO) {
-        broken.examine(state).await;
+        broken.examine(state, link).await;
     }
 }
 
@@ -282,6 +293,7 @@
 
 async fn send_to_server(
     state: &SharedState,
+    link: &Rc<PeerLink>,
     admitted: &AdmittedRequest,
     key: ServerKey,
     time_left: Duration,
@@ -299,6 +311,7 @@
                 let is_framed = is_framed(response.headers());
                 let source = AnswerSource {
                     state: Rc::clone(state),
+                    link: Rc::clone(link),
                     server: Arc::clone(&entry.id),
                     broken: BrokenAnswer::new(
                         state,
@@ -366,6 +379,7 @@
 /// Connection to the server that sends an answer.
 struct AnswerSource {
     state: SharedState,
+    link: Rc<PeerLink>,
     /// Id of the server.
     server: Arc<str>,
     /// What to examine if the answer breaks off; `None` if the request has no prompt.
@@ -457,11 +471,11 @@
             Ok(Err(reason)) => reason,
             Err(_) => "late",
         };
-        let AnswerSource { state, server, broken, .. } = &mut self.source;
+        let AnswerSource { state, link, server, broken, .. } = &mut self.source;
         state.telemetry.faults.with_label_values(&["answer_cut"]).inc();
         event(EventKind::AnswerCut, &[&self.request, server, &cut, &self.bytes]);
         if let Some(broken) = broken.take().filter(|_| cut == BROKEN) {
-            broken.examine(state).await;
+            broken.examine(state, link).await;
         }
     }
 
--- a/medlarlanding/src/forwarding/server_life.rs
+++ b/medlarlanding/src/forwarding/server_life.rs
@@ -6,6 +6,7 @@
 
 use super::admit::AdmittedRequest;
 use super::engine_calls;
+use super::peer_link::PeerLink;
 use super::shared::SharedState;
 use crate::exchange::CONNECT_TIMEOUT;
 use crate::logging::event;
@@ -55,6 +56,13 @@
     }
 }
 
+/// Examines an engine to which no connection could be established.
+pub async fn examine_unreachable(state: &SharedState, link: &PeerLink, key: ServerKey) {
+    if has_ended_early(state, key).await {
+        link.report_end(state, key);
+    }
+}
+
 /// Returns whether a process listens at the server's address.
 async fn probe_listener(entry: &ServerEntry) -> ServerLife {
     match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(entry.address)).await {
@@ -88,6 +96,8 @@
     request: String,
     rule: Arc<RouteRule>,
     parts: PromptParts,
+    /// Key of the server.
+    key: ServerKey,
     /// Entry of the server.
     entry: ServerEntry,
     phase: RunPhase,
@@ -116,6 +126,7 @@
             request: admitted.id.clone(),
             rule: Arc::clone(&admitted.rule),
             parts: admitted.parts.clone(),
+            key,
             entry: record.entry.clone(),
             phase,
             writing,
@@ -124,10 +135,13 @@
     }
 
     /// Examines the server, logs what is found, and records the run if the server has ended.
-    pub async fn examine(self, state: &SharedState) {
+    pub async fn examine(self, state: &SharedState, link: &PeerLink) {
         let life = probe_process(&self.entry).await;
-        if life == ServerLife::Ended && !self.is_settled {
-            state.record_broken_run(&self.entry, &self.request, self.phase, &self.parts);
+        if life == ServerLife::Ended {
+            link.report_end(state, self.key);
+            if !self.is_settled {
+                state.record_broken_run(&self.entry, &self.request, self.phase, &self.parts);
+            }
         }
         let labels = [self.phase.name(), life.name()];
         state.telemetry.broken_answers.with_label_values(&labels).inc();
