--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use super::crash_ledger::LedgerNews;
 use super::directory::DirectoryChange;
 use super::peers::PeerDigest;
+use crate::prompts::LedgerNews;
 
 value_type! {
     /// Content of one datagram.
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -6,7 +6,6 @@
 mod budget;
 mod cold_read;
 mod config;
-mod crash_ledger;
 mod directory;
 mod drain;
 mod entries;
@@ -15,7 +14,6 @@
 mod peer_lag;
 mod peers;
 mod placement;
-mod prompt;
 mod readiness;
 mod relays;
 mod suspicion;
@@ -28,10 +26,6 @@
     CustomerRecord, EngineLimits, ForwardConfig, ForwardConfigError, KeyCheck, RequestKind,
     RequestLimits, RouteRule, RouteTarget, ServicePolicy,
 };
-pub use crash_ledger::{
-    BlockedPart, ClearReason, ClearReport, CrashKey, CrashLedger, CrashReport, LedgerNews,
-    LedgerParams, MergedNews,
-};
 pub use directory::{
     DirectoryChange, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
 };
@@ -47,7 +41,6 @@
 pub use placement::{
     PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest, RunWeight,
 };
-pub use prompt::{PartId, PromptParts, RunPhase};
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use relays::{RelayGroup, RelayParams};
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
--- a/medlarlanding-core/src/forwarding/crash_ledger.rs
+++ b/medlarlanding-core/src/prompts/crash_ledger.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use super::prompt::{PartId, PromptParts, RunPhase};
+use super::parts::{PartId, PromptParts, RunPhase};
 use crate::ids::stable_hash;
 use crate::time::Timestamp;
 
--- a/medlarlanding-core/tests/forwarding_crash_ledger.rs
+++ b/medlarlanding-core/tests/prompts_crash_ledger.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use medlarlanding_core::cases;
-use medlarlanding_core::forwarding::{
+use medlarlanding_core::prompts::{
     CrashKey, CrashLedger, LedgerNews, LedgerParams, PartId, PromptParts, RunPhase,
 };
 use medlarlanding_core::time::Timestamp;
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -12,8 +12,9 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    DrainParams, EngineLimits, KeyCheck, PromptParts, RequestKind, RouteRule, RunWeight,
+    DrainParams, EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight,
 };
+use medlarlanding_core::prompts::PromptParts;
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::CallerHeaders;
 
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -20,7 +20,8 @@
 use crate::exchange::{Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{EngineFault, RunPhase, RunWeight, ServerEntry, ServerKey};
+use medlarlanding_core::forwarding::{EngineFault, RunWeight, ServerEntry, ServerKey};
+use medlarlanding_core::prompts::RunPhase;
 use medlarlanding_core::time::Timestamp;
 
 use hyper::body::Incoming;
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -16,10 +16,11 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, RunPhase, ServerEntry, ServerKey,
+    EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, ServerEntry, ServerKey,
     WaitDecision, WaitLimit, WaitLimitParams,
 };
 use medlarlanding_core::ids::stable_hash;
+use medlarlanding_core::prompts::RunPhase;
 use medlarlanding_platform::headers::{AnswerCheck, check_answer, status_implies_not_run};
 
 use http_body_util::{BodyExt, Limited};
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -9,11 +9,11 @@
 use super::peer_fetch::fetch_if_behind;
 use super::shared::{ForwardState, Placement, SharedState};
 use medlarlanding_core::forwarding::{
-    ChangeSource, DirectoryChange, EngineFault, LedgerNews, LedgerSync, PeerDigest, PeerLag,
-    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest,
-    RelayGroup, RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
-    SuspicionParams,
+    ChangeSource, DirectoryChange, EngineFault, LedgerSync, PeerDigest, PeerLag, PeerMessage,
+    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup,
+    RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey, SuspicionParams,
 };
+use medlarlanding_core::prompts::LedgerNews;
 
 use indexmap::IndexMap;
 use tokio::net::UdpSocket;
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -15,8 +15,9 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, RunPhase, ServerKey,
+    PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, ServerKey,
 };
+use medlarlanding_core::prompts::RunPhase;
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{
     self, AnswerCheck, RunContinuation, SendHeaders, check_answer, status_implies_not_run,
--- a/medlarlanding/src/forwarding/server_life.rs
+++ b/medlarlanding/src/forwarding/server_life.rs
@@ -11,7 +11,8 @@
 use crate::exchange::CONNECT_TIMEOUT;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{PromptParts, RouteRule, RunPhase, ServerEntry, ServerKey};
+use medlarlanding_core::forwarding::{RouteRule, ServerEntry, ServerKey};
+use medlarlanding_core::prompts::{PromptParts, RunPhase};
 use medlarlanding_platform::engines;
 
 use hyper::StatusCode;
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -11,14 +11,16 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BlockedPart, BudgetParams, ChangeSource, CrashKey, CrashLedger, DirectoryChange, EngineFault,
-    EntryLog, FaultLog, ForwardConfig, LedgerNews, LoadReport, MoveParams, PartId, PeerTable,
-    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementChoice, PlacementPolicy,
-    PlacementRequest, PromptParts, Readiness, RemoteLoad, RepeatBudget, RepeatPurpose,
-    RequiredPart, RunKey, RunPhase, RunWeight, ServerDirectory, ServerEntry, ServerKey,
+    BudgetParams, ChangeSource, DirectoryChange, EngineFault, EntryLog, FaultLog, ForwardConfig,
+    LoadReport, MoveParams, PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
+    PlacementChoice, PlacementPolicy, PlacementRequest, Readiness, RemoteLoad, RepeatBudget,
+    RepeatPurpose, RequiredPart, RunKey, RunWeight, ServerDirectory, ServerEntry, ServerKey,
     ServerPhase, ServerRecord, WaitingClass, WaitingRuns,
 };
 use medlarlanding_core::ids::stable_hash;
+use medlarlanding_core::prompts::{
+    BlockedPart, CrashKey, CrashLedger, LedgerNews, PartId, PromptParts, RunPhase,
+};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::config::decode_config;
 use medlarlanding_platform::settings::PlatformSettings;
