Block prompts on which engines end on the product's own interface too

Change: the prompt's parts are its pieces of 256 characters, hashed with the customer, and the prompt as a whole. Instances keep the same ledger; three of them pass entries on and tell instances that join. A blocked prompt is refused as fatal_prompt (503, not run), and a generation is not restarted with it. The ledger tells the ends of one server apart by their time, as this interface knows no start of a server.

A shared text that does not begin at a multiple of 256 characters is not recognised as a part; then only the same prompt again is refused.

--- a/medlarlanding-bench/src/stand_ins/engine.rs
+++ b/medlarlanding-bench/src/stand_ins/engine.rs
@@ -118,6 +118,8 @@
 pub struct EngineFaults {
     /// Stops the process's server as a crash would.
     pub die: Option<bool>,
+    /// Stops the process's server, as a crash would, when it gets a prompt that contains this text.
+    pub die_on: Option<String>,
     /// New generations are refused with 503 and not run.
     pub refuse: Option<bool>,
     /// Streams send no more after this many tokens of an attachment but stay open.
@@ -174,6 +176,8 @@
     loaded: HashSet<String>,
     /// Times of the load commands that were performed.
     loads: Vec<Instant>,
+    /// The fault `die_on` has stopped the engine.
+    has_died: bool,
     /// Generations refused by the fault `refuse`.
     refused: u64,
     stopped: bool,
@@ -305,6 +309,7 @@
     fn apply_faults(&self, faults: &EngineFaults) -> EngineFaults {
         let mut inner = self.lock();
         let current = &mut inner.faults;
+        current.die_on = faults.die_on.clone().or(current.die_on.take());
         current.refuse = faults.refuse.or(current.refuse);
         current.stall_after = faults.stall_after.or(current.stall_after);
         current.slow = faults.slow.or(current.slow);
@@ -337,6 +342,19 @@
         current
     }
 
+    /// Stops the server if the fault `die_on` applies to a prompt. Returns whether it does.
+    fn ends_on(&self, prompt: &str) -> bool {
+        let mut inner = self.lock();
+        let text = inner.faults.die_on.as_deref().filter(|text| !text.is_empty());
+        if !text.is_some_and(|text| prompt.contains(text)) {
+            return false;
+        }
+        inner.has_died = true;
+        drop(inner);
+        self.switch.stop();
+        true
+    }
+
     /// Advances the model in real time until the engine is stopped.
     fn drive(&self) {
         let mut inner = self.lock();
@@ -376,6 +394,11 @@
         self.state.lock().loads.clone()
     }
 
+    /// Returns whether the fault `die_on` has stopped the engine.
+    pub fn has_died(&self) -> bool {
+        self.state.lock().has_died
+    }
+
     /// Returns the number of generations refused by the fault `refuse`.
     pub fn refused(&self) -> u64 {
         self.state.lock().refused
@@ -431,6 +454,7 @@
             fence: 0,
             loaded: HashSet::new(),
             loads: Vec::new(),
+            has_died: false,
             refused: 0,
             stopped: false,
         }),
@@ -514,6 +538,10 @@
     let requested = header(&request, "x-test-tokens").or_else(|| requested_tokens(&body.prompt));
     let requested = requested.and_then(|tokens| tokens.parse().ok());
     let request_name = body.request;
+    if state.ends_on(&body.prompt) {
+        // The connection closes with the server.
+        return std::future::pending().await;
+    }
     let opened = {
         let mut guard = state.lock();
         let inner = &mut *guard;
--- /dev/null
+++ b/medlarlanding-bench/tests/fatal_prompts.rs
@@ -0,0 +1,82 @@
+//! Prompts of the product's own interface on which engines end.
+
+mod process_support;
+
+use std::time::Duration;
+
+use medlarlanding_bench::client::{Call, CallResponse};
+use medlarlanding_bench::cluster::ClusterParams;
+use medlarlanding_bench::stand_ins::engine::{EngineFaults, EngineSettings};
+
+use serde_json::json;
+
+use process_support::{ClusterFixture, TIMEOUT, default_credential, prompt};
+
+/// Text in prompts on which engines end.
+const FATAL_TEXT: &str = "#fatal";
+const ENGINES: usize = 9;
+/// Number of prompts with the text, each at another instance than the one before.
+const PROMPTS: usize = 8;
+/// Ends of engines after which prompts that share the text must be known.
+const CRASH_LIMIT: usize = 5;
+
+/// Returns a prompt that begins with a long text shared with others, and ends with `own`.
+fn long_prompt(beginning: &str, own: usize) -> String {
+    format!("{beginning} {} {} item {own}", "common terms of the desk ".repeat(20), prompt(20))
+}
+
+fn call(beginning: &str, own: usize, delivery: &str) -> Call {
+    let body = json!({"prompt": long_prompt(beginning, own), "delivery": delivery});
+    Call::post("/v1/desks/fitment/generations", &body).bearer(&default_credential())
+}
+
+async fn send(fixture: &ClusterFixture, instance: usize, call: &Call) -> Option<CallResponse> {
+    // An answer that breaks off is expected when an engine ends.
+    fixture.client.call(fixture.target(instance), call, TIMEOUT).await.ok()
+}
+
+/// Guards against prompts that end one engine after the other: with restarts on further engines, with
+/// new requests at any instance, and after an instance has restarted.
+async fn check_ended_engines(delivery: &str) {
+    let engines = vec![EngineSettings::default(); ENGINES];
+    let params = ClusterParams { engines, ..ClusterParams::default() };
+    let mut fixture = ClusterFixture::start(params).await;
+    let faults = EngineFaults { die_on: Some(FATAL_TEXT.to_owned()), ..EngineFaults::default() };
+    fixture.cluster.engines.iter().for_each(|engine| engine.set_faults(&faults));
+    let sound = send(&fixture, 0, &call("", 1, delivery)).await.expect("an answer");
+    assert_eq!(sound.status, 200);
+    let ended = |fixture: &ClusterFixture| {
+        fixture.cluster.engines.iter().filter(|engine| engine.has_died()).count()
+    };
+    let instances = fixture.cluster.instances.len();
+    for number in 0..PROMPTS {
+        let fatal = call(FATAL_TEXT, number, delivery);
+        send(&fixture, number % instances, &fatal).await;
+        // Instances hear of an end within the time that a configuration takes.
+        ntex::time::sleep(Duration::from_millis(300)).await;
+    }
+    let count = ended(&fixture);
+    assert!(count <= CRASH_LIMIT, "{count} of {ENGINES} engines ended");
+    fixture.cluster.instances[0].kill();
+    fixture.cluster.instances[0].start().expect("a start");
+    let client = fixture.client.clone();
+    fixture.cluster.wait_ready(&client).await.expect("readiness");
+    ntex::time::sleep(Duration::from_secs(3)).await;
+    send(&fixture, 0, &call(FATAL_TEXT, 100, delivery)).await;
+    assert_eq!(ended(&fixture), count, "the restarted instance ended an engine");
+    for instance in 0..instances {
+        let answer = send(&fixture, instance, &call("", 200 + instance, delivery)).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 200, "a sound prompt was refused: {answer:?}");
+    }
+}
+
+#[ntex::test]
+async fn fatal_prompts_of_whole_answers_end_few_engines() {
+    check_ended_engines("whole").await;
+}
+
+#[ntex::test]
+async fn fatal_prompts_of_streams_end_few_engines() {
+    check_ended_engines("stream").await;
+}
--- a/medlarlanding-core/src/errors.rs
+++ b/medlarlanding-core/src/errors.rs
@@ -100,6 +100,8 @@
     NotReady = "not_ready", 503, NotRun, SOON, "no configuration is in force yet";
     /// No backend server can take the request.
     NoBackend = "no_backend", 503, NotRun, SOON, "no backend server can take the request";
+    /// Engines ended when they ran prompts that share a part with this one.
+    FatalPrompt = "fatal_prompt", 503, NotRun, Some(Duration::from_secs(600)), "engines ended on a part of the prompt";
     /// Too few replicas of the order's partition could be reached.
     NoQuorum = "no_quorum", 503, NotRun, SOON, "too few replicas can be reached to accept the order";
     /// The store of order claims is full.
--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -22,6 +22,9 @@
     MembershipDump, MembershipEffect, MembershipInput, MembershipParams, MembershipTable,
 };
 use crate::orders::{OrderCoordinator, OrderDump, OrderEffect, OrderInput, OrderParams};
+use crate::prompts::{
+    BlockedPart, CrashLedger, LedgerNews, LedgerSharing, PartId, PromptInput, PromptParts,
+};
 use crate::time::Timestamp;
 use crate::views::InstanceEntry;
 use crate::wire::{PeerFrame, PeerMessage, PeerTransport};
@@ -94,6 +97,8 @@
     Admission(AdmissionInput),
     /// Input of the orders subsystem.
     Order(OrderInput),
+    /// What a run showed about its prompt.
+    Prompt(PromptInput),
     /// This process takes no new work from now on, but keeps running.
     Leave,
     /// This process exits now.
@@ -199,6 +204,10 @@
     orders: OrderCoordinator,
     admission: AdmissionController,
     engine_controller: EngineController,
+    ledger: CrashLedger,
+    ledger_sharing: LedgerSharing,
+    /// Parts of prompts that were blocked when the ledger last changed.
+    blocked_parts: Vec<PartId>,
     capacities: Vec<ServerCapacity>,
     /// Set by `Depart`. The node then ignores all inputs: if it answered a probe, its peers would
     /// consider it alive again.
@@ -239,6 +248,7 @@
         let orders = OrderCoordinator::new(params.orders, identity, signer, rng.random());
         let admission = AdmissionController::new(params.admission, identity, rng.random());
         let engine_controller = EngineController::new(params.commands, own.id);
+        let ledger_sharing = LedgerSharing::new(own.id);
         Self {
             own,
             identity,
@@ -247,6 +257,9 @@
             orders,
             admission,
             engine_controller,
+            ledger: CrashLedger::default(),
+            ledger_sharing,
+            blocked_parts: Vec::new(),
             capacities: Vec::new(),
             departed: false,
             stale_views: true,
@@ -313,6 +326,7 @@
             },
             NodeInput::Admission(input) => self.handle_admission(now, input, effects),
             NodeInput::Order(input) => self.handle_orders(now, input, effects),
+            NodeInput::Prompt(input) => self.handle_prompt(now, input, effects),
             NodeInput::Leave => {
                 self.handle_membership(now, MembershipInput::Leave, effects);
                 self.handle_orders(now, OrderInput::Drain, effects);
@@ -416,6 +430,7 @@
             PeerMessage::Admission(message) => {
                 self.handle_admission(now, AdmissionInput::Message { from, message }, effects);
             },
+            PeerMessage::Prompts(news) => self.merge_ledger(now, from.id, news, effects),
         }
         Ok(())
     }
@@ -586,6 +601,91 @@
         effects.push(NodeEffect::Send { address, transport, frame });
     }
 
+    /// Returns the part of a prompt on which engines ended, if requests with it are refused.
+    pub fn check_prompt(&self, now: Timestamp, parts: &PromptParts) -> Option<BlockedPart> {
+        self.ledger.check(now, parts)
+    }
+
+    /// Returns the number of blocked parts of prompts.
+    pub fn blocked_part_count(&self, now: Timestamp) -> usize {
+        self.ledger.blocked(now).len()
+    }
+
+    fn handle_prompt(&mut self, now: Timestamp, input: PromptInput, effects: &mut Vec<NodeEffect>) {
+        let news = match input {
+            PromptInput::Broken { key, phase, parts } => {
+                self.ledger.record_crash(now, key, phase, parts)
+            },
+            PromptInput::Survived { begun_at, parts } => {
+                self.ledger.record_survival(now, begun_at, &parts)
+            },
+        };
+        self.share_ledger(now, news, effects);
+    }
+
+    fn merge_ledger(
+        &mut self,
+        now: Timestamp,
+        from: InstanceId,
+        received: LedgerNews,
+        effects: &mut Vec<NodeEffect>,
+    ) {
+        let merged = self.ledger.merge(now, received);
+        let live = self.live_identities();
+        let is_from_keeper = self.ledger_sharing.is_keeper(&live, from);
+        // A keeper has told the others, unless it passed on to other keepers only.
+        let news = if is_from_keeper && !self.ledger_sharing.is_keeper(&live, self.own.id) {
+            self.log_blocked_parts(now, effects);
+            merged.own
+        } else {
+            merged.into_all()
+        };
+        self.share_ledger(now, news, effects);
+    }
+
+    fn live_identities(&self) -> Vec<InstanceIdentity> {
+        let live = self.membership.live().map(|member| member.identity);
+        live.filter(|identity| identity.id != self.own.id).collect()
+    }
+
+    fn share_ledger(&mut self, now: Timestamp, news: LedgerNews, effects: &mut Vec<NodeEffect>) {
+        if news.is_empty() {
+            return;
+        }
+        self.log_blocked_parts(now, effects);
+        let live = self.live_identities();
+        for target in self.ledger_sharing.targets(&live) {
+            self.send_ledger(target, news.clone(), effects);
+        }
+    }
+
+    fn send_ledger(&self, to: InstanceId, news: LedgerNews, effects: &mut Vec<NodeEffect>) {
+        for part in news.split() {
+            let message = PeerMessage::Prompts(part);
+            self.send(to, None, PeerTransport::Stream, message, effects);
+        }
+    }
+
+    fn log_blocked_parts(&mut self, now: Timestamp, effects: &mut Vec<NodeEffect>) {
+        let blocked = self.ledger.blocked(now);
+        for rule in blocked.iter().filter(|rule| !self.blocked_parts.contains(&rule.part)) {
+            effects.push(NodeEffect::Event {
+                kind: EventKind::PartBlocked,
+                fields: vec![
+                    rule.part.to_string(),
+                    rule.ends.to_string(),
+                    rule.remaining.as_secs().to_string(),
+                ],
+            });
+        }
+        let current: Vec<PartId> = blocked.iter().map(|rule| rule.part).collect();
+        for part in self.blocked_parts.iter().filter(|part| !current.contains(part)) {
+            let fields = vec![part.to_string()];
+            effects.push(NodeEffect::Event { kind: EventKind::PartReleased, fields });
+        }
+        self.blocked_parts = current;
+    }
+
     fn refresh_peers(&mut self, now: Timestamp, effects: &mut Vec<NodeEffect>) {
         let known = self.membership.peers().collect();
         let live = self.membership.live().map(|member| member.identity.id).collect();
@@ -603,6 +703,10 @@
         self.handle_commands(now, CommandInput::Live(ids), effects);
         self.handle_admission(now, AdmissionInput::Live(managers), effects);
         self.refresh_order_view(now, effects);
+        let others = self.live_identities();
+        for newcomer in self.ledger_sharing.take_newcomers(&others) {
+            self.send_ledger(newcomer, self.ledger.snapshot(now), effects);
+        }
     }
 
     fn refresh_order_view(&mut self, now: Timestamp, effects: &mut Vec<NodeEffect>) {
--- a/medlarlanding-core/src/prompts/crash_ledger.rs
+++ b/medlarlanding-core/src/prompts/crash_ledger.rs
@@ -38,6 +38,8 @@
     pub retention: Duration,
     /// Time for which a part counts as familiar after a run has survived it.
     pub familiarity: Duration,
+    /// Longest time between two broken runs of the same end. An engine takes longer to start again.
+    pub end_span: Duration,
     /// Most records of broken runs; the oldest are dropped.
     pub record_limit: usize,
     /// Most parts whose survival is remembered; the oldest are dropped.
@@ -55,6 +57,7 @@
             hold: Duration::from_secs(600),
             retention: Duration::from_secs(1800),
             familiarity: Duration::from_secs(300),
+            end_span: Duration::from_secs(1),
             record_limit: 128,
             survival_limit: 4096,
         }
@@ -64,7 +67,7 @@
 value_type! { copy
     /// Identifies a run that the end of its engine broke off.
     pub struct CrashKey {
-        /// Hash of the id and start time of the engine.
+        /// Identifies the engine, and its start where that is known.
         pub server: u64,
         /// Hash of the request's id.
         pub run: u64,
@@ -384,9 +387,30 @@
         BlockedPart { part, ends: self.ends_with(part), remaining: rule.until.since(now) }
     }
 
+    /// Groups the broken runs by the end that broke them off: those of one server at about the same
+    /// time.
+    fn ends(&self) -> Vec<Vec<(CrashKey, &CrashRecord)>> {
+        let mut runs: Vec<(CrashKey, &CrashRecord)> =
+            self.records.iter().map(|(key, record)| (*key, record)).collect();
+        runs.sort_by_key(|(key, record)| (key.server, record.at, key.run));
+        let mut ends: Vec<Vec<(CrashKey, &CrashRecord)>> = Vec::new();
+        for (key, record) in runs {
+            let is_same = |(last_key, last): &(CrashKey, &CrashRecord)| {
+                last_key.server == key.server && record.at.since(last.at) <= self.params.end_span
+            };
+            match ends.last_mut() {
+                Some(end) if end.last().is_some_and(is_same) => end.push((key, record)),
+                _ => ends.push(vec![(key, record)]),
+            }
+        }
+        ends
+    }
+
     fn ends_with(&self, part: PartId) -> usize {
-        let with_part = self.records.iter().filter(|(_, record)| record.parts.contains(part));
-        with_part.map(|(key, _)| key.server).collect::<IndexSet<u64>>().len()
+        let has_part = |end: &&Vec<(CrashKey, &CrashRecord)>| {
+            end.iter().any(|(_, record)| record.parts.contains(part))
+        };
+        self.ends().iter().filter(has_part).count()
     }
 
     fn evict(&mut self, now: Timestamp) {
@@ -405,15 +429,24 @@
     /// fewer broken runs contain is blocked, because a part that many prompts share is in the runs
     /// beside the fatal one too.
     fn derive_rules(&mut self, now: Timestamp) {
-        let mut ends: IndexMap<u64, Vec<SuspectRun>> = IndexMap::new();
-        for (key, record) in &self.records {
-            if let Some(suspect) = self.suspect_run(*key, record) {
-                ends.entry(key.server).or_default().push(suspect);
+        let mut own_ends: IndexMap<PartId, usize> = IndexMap::new();
+        let all_ends = self.ends();
+        for end in &all_ends {
+            let own = end.iter().filter_map(|(_, record)| record.parts.all().last());
+            for part in own.copied().collect::<IndexSet<PartId>>() {
+                *own_ends.entry(part).or_default() += 1;
             }
         }
+        let recurs = |part: &PartId| own_ends.get(part).is_some_and(|ends| *ends > 1);
+        let suspects = all_ends.iter().map(|end| {
+            let runs =
+                end.iter().filter_map(|(key, record)| self.suspect_run(*key, record, recurs));
+            runs.collect::<Vec<SuspectRun>>()
+        });
+        let mut ends: Vec<Vec<SuspectRun>> = suspects.filter(|runs| !runs.is_empty()).collect();
         let mut rules = IndexMap::new();
         while let Some(part) = self.most_blamed(&ends) {
-            let with_part = || ends.values().flatten().filter(|run| run.parts.contains(&part));
+            let with_part = || ends.iter().flatten().filter(|run| run.parts.contains(&part));
             let mut common: Option<Vec<PartId>> = None;
             for run in with_part() {
                 common = Some(match common {
@@ -427,20 +460,25 @@
                 with_part().filter_map(|run| self.records.get(&run.key)).map(|it| it.at).max();
             let until = last.unwrap_or(now) + self.params.hold;
             rules.insert(part, BlockRule { common: common.unwrap_or_default(), until });
-            ends.retain(|_, runs| runs.iter().all(|run| !run.parts.contains(&part)));
+            ends.retain(|runs| runs.iter().all(|run| !run.parts.contains(&part)));
         }
         self.rules = rules;
     }
 
     /// Returns the parts of a broken run that are suspected; `None` if there are none.
-    fn suspect_run(&self, key: CrashKey, record: &CrashRecord) -> Option<SuspectRun> {
+    fn suspect_run(
+        &self,
+        key: CrashKey,
+        record: &CrashRecord,
+        recurs: impl Fn(&PartId) -> bool,
+    ) -> Option<SuspectRun> {
         let open = record.parts.shared().iter().filter(|part| !record.survived.contains(*part));
         let unfamiliar: Vec<PartId> =
             open.clone().filter(|part| !record.familiar.contains(*part)).copied().collect();
         let is_familiar = unfamiliar.is_empty();
         let mut parts = if is_familiar { open.copied().collect() } else { unfamiliar };
         // The request's own part is suspected only if a further engine ended on it.
-        let own = record.parts.all().last().filter(|own| self.ends_with(**own) > 1);
+        let own = record.parts.all().last().filter(|own| recurs(own));
         parts.extend(own);
         if parts.is_empty() {
             return None;
@@ -461,9 +499,9 @@
     }
 
     /// Returns the part to block next; `None` if no blame reaches the limit.
-    fn most_blamed(&self, ends: &IndexMap<u64, Vec<SuspectRun>>) -> Option<PartId> {
+    fn most_blamed(&self, ends: &[Vec<SuspectRun>]) -> Option<PartId> {
         let mut blames: IndexMap<PartId, (f64, usize)> = IndexMap::new();
-        for runs in ends.values() {
+        for runs in ends {
             let total: f64 = runs.iter().map(|run| run.weight).sum();
             let mut of_end: IndexMap<PartId, f64> = IndexMap::new();
             for run in runs {
--- a/medlarlanding-core/src/prompts/mod.rs
+++ b/medlarlanding-core/src/prompts/mod.rs
@@ -2,9 +2,34 @@
 
 mod crash_ledger;
 mod parts;
+mod sharing;
 
 pub use crash_ledger::{
     BlockedPart, ClearReason, ClearReport, CrashKey, CrashLedger, CrashReport, LedgerNews,
     LedgerParams, MergedNews,
 };
 pub use parts::{PartId, PromptParts, RunPhase};
+pub use sharing::LedgerSharing;
+
+use crate::time::Timestamp;
+
+/// What a run showed about its prompt.
+#[derive(Clone, Debug)]
+pub enum PromptInput {
+    /// The end of its engine broke the run off.
+    Broken {
+        /// Identifies the run and the engine.
+        key: CrashKey,
+        /// Progress of the run.
+        phase: RunPhase,
+        /// Parts of its prompt.
+        parts: PromptParts,
+    },
+    /// The run survived its prompt.
+    Survived {
+        /// When the run began.
+        begun_at: Timestamp,
+        /// Parts of its prompt.
+        parts: PromptParts,
+    },
+}
--- a/medlarlanding-core/src/wire.rs
+++ b/medlarlanding-core/src/wire.rs
@@ -7,6 +7,7 @@
 use crate::ids::{InstanceId, InstanceIdentity};
 use crate::membership::MembershipMessage;
 use crate::orders::OrderMessage;
+use crate::prompts::LedgerNews;
 
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +43,8 @@
     Order(OrderMessage),
     /// Admission of work to backend servers.
     Admission(AdmissionMessage),
+    /// Entries of the ledger of runs that the ends of engines broke off.
+    Prompts(LedgerNews),
 }
 
 /// Message with its sender and its receiver.
--- a/medlarlanding-core/tests/prompts_crash_ledger.rs
+++ b/medlarlanding-core/tests/prompts_crash_ledger.rs
@@ -73,6 +73,10 @@
         runs: &[(100, 1, WRITING, &[FIRST, FATAL]), (100, 1, WRITING, &[FIRST, FATAL])],
         familiar: &[FIRST], blocked: (false, false),
     },
+    two_ends_of_one_engine_block_their_part => BlameCase {
+        runs: &[(100, 1, WRITING, &[FIRST, FATAL]), (2_200, 1, WRITING, &[FIRST, FATAL])],
+        familiar: &[FIRST, SOUND], blocked: (true, false),
+    },
     parts_that_no_run_survived_block_only_together => BlameCase {
         runs: &[(100, 1, WRITING, &[FIRST, FATAL]), (200, 2, WRITING, &[FIRST, FATAL])],
         familiar: &[], blocked: (true, false),
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -7,6 +7,7 @@
 use super::permit::{PermitOutcome, RequestPermit};
 use super::sink::{CallerSink, WholeResponse, token_event};
 use crate::backends::engine::{self, GenerationRequest};
+use crate::exchange::{self, ListenerState};
 use crate::gate::RequestGuard;
 use crate::instance::InstanceShared;
 use crate::logging::event;
@@ -16,7 +17,8 @@
     GenerationSession, SessionEffect, SessionInput, SessionPhase,
 };
 use medlarlanding_core::handles::ResumeHandle;
-use medlarlanding_core::ids::{CustomerId, DeskId, RequestId, ServerId};
+use medlarlanding_core::ids::{CustomerId, DeskId, RequestId, ServerId, stable_hash};
+use medlarlanding_core::prompts::{CrashKey, LedgerParams, PromptInput, PromptParts, RunPhase};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, ServeError};
 
@@ -42,6 +44,8 @@
     pub generation: Option<Arc<GenerationRequest>>,
     /// Last token that the caller already has; 0 for none.
     pub after: u64,
+    /// Parts of the prompt; empty when resuming.
+    pub parts: PromptParts,
 }
 
 /// Serves one request until its response has ended.
@@ -55,6 +59,12 @@
     inputs: mpsc::Receiver<SessionInput>,
     handle: String,
     caller_present: bool,
+    /// When the last generation was opened on an engine; `None` before.
+    opened_at: Option<Timestamp>,
+    /// When the first token of the response was received.
+    first_token_at: Option<Timestamp>,
+    /// The engine has written for long enough to show that it survives the prompt.
+    is_settled: bool,
     arrived: Timestamp,
     last_delivery: Option<Timestamp>,
     _guard: RequestGuard,
@@ -82,6 +92,9 @@
             inputs,
             handle: String::new(),
             caller_present: true,
+            opened_at: None,
+            first_token_at: None,
+            is_settled: false,
             last_delivery: None,
             _guard: guard,
         }
@@ -95,6 +108,9 @@
         }
         while self.session.phase() != SessionPhase::Finished {
             let input = self.next_input().await;
+            if matches!(input, SessionInput::Token { .. }) {
+                self.note_token();
+            }
             self.handle_input(input).await;
         }
         self.permit.release(false);
@@ -113,6 +129,14 @@
             biased;
             Some(input) = self.inputs.recv() => input,
             outcome = self.permit.decided() => match outcome {
+                // The part may have been blocked while the request waited.
+                PermitOutcome::Start(_) if self.shared.is_fatal(&self.plan.parts) => {
+                    let is_opened = self.opened_at.is_some();
+                    SessionInput::Refused(match is_opened {
+                        true => ErrorKind::BackendFailed,
+                        false => ErrorKind::FatalPrompt,
+                    })
+                },
                 PermitOutcome::Start(server) => {
                     let name = self.shared.server_name(server);
                     self.trace(TraceStep::PermitGranted { server: name });
@@ -149,6 +173,8 @@
             SessionEffect::Open { exchange, server } => {
                 let name = self.shared.server_name(server);
                 self.trace(TraceStep::Opened { exchange, server: name });
+                self.opened_at = Some(self.shared.clock.now());
+                (self.first_token_at, self.is_settled) = (None, false);
                 match self.plan.generation.clone() {
                     Some(request) => self.begin(exchange, server, ExchangeStart::Open(request)),
                     None => debug_assert!(false, "a resumed generation was started again"),
@@ -166,6 +192,7 @@
             SessionEffect::Complete { tokens, finish, text } => {
                 self.permit.progress(tokens);
                 self.permit.release(true);
+                self.record_survival();
                 self.shared.credit_retry_budget();
                 self.trace(TraceStep::Completed { tokens });
                 self.shared.count_result(ENDPOINT, "whole");
@@ -180,11 +207,13 @@
             SessionEffect::Suspect { server, reason } => {
                 let reason = format!("{reason:?}");
                 self.shared.suspect_server(server, &reason);
+                self.examine_engine(server).await;
                 let server = self.shared.server_name(server);
                 self.trace(TraceStep::ServerFailed { server, reason });
             },
             SessionEffect::RequestServer { .. } => {
-                if self.shared.spend_retry() {
+                let is_fatal = self.shared.is_fatal(&self.plan.parts);
+                if !is_fatal && self.shared.spend_retry() {
                     event(EventKind::GenerationRetried, &[&self.plan.request]);
                     self.trace(TraceStep::Retried);
                     self.permit.retry();
@@ -201,6 +230,46 @@
         }
     }
 
+    /// Records the run if its engine has ended before it survived the prompt.
+    async fn examine_engine(&self, server: ServerId) {
+        if self.opened_at.is_none() || self.is_settled || self.plan.parts.is_empty() {
+            return;
+        }
+        let Some(address) = self.shared.server_address(server) else { return };
+        let is_leaving = self.shared.server_leaving(server);
+        if is_leaving || exchange::probe_listener(address).await != ListenerState::Absent {
+            return;
+        }
+        let run = stable_hash(self.plan.request.to_string().as_bytes());
+        let key = CrashKey { server: server.0, run };
+        let phase = match self.first_token_at {
+            Some(_) => RunPhase::Writing,
+            None => RunPhase::Hidden,
+        };
+        let parts = self.plan.parts.clone();
+        self.shared.record_prompt(PromptInput::Broken { key, phase, parts });
+    }
+
+    /// Records that the engine survives the prompt.
+    fn record_survival(&mut self) {
+        let Some(begun_at) = self.opened_at.filter(|_| !self.plan.parts.is_empty()) else { return };
+        self.is_settled = true;
+        let parts = self.plan.parts.clone();
+        self.shared.record_prompt(PromptInput::Survived { begun_at, parts });
+    }
+
+    /// Records that the engine survives the prompt once it has written for long enough.
+    fn note_token(&mut self) {
+        if self.is_settled {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let first = *self.first_token_at.get_or_insert(now);
+        if now.since(first) >= LedgerParams::default().settle {
+            self.record_survival();
+        }
+    }
+
     fn trace(&self, step: TraceStep) {
         self.shared.trace(self.plan.request, step);
     }
--- a/medlarlanding/src/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -4,6 +4,7 @@
 //! request to the late response or the surplus bytes of an earlier one, to a connection that
 //! died unnoticed while idle, and to a server that closes an idle connection.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -124,6 +125,26 @@
     }
 }
 
+/// What an attempt to connect shows of an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerState {
+    /// A process accepts connections.
+    Listening,
+    /// The host refuses connections: nothing listens.
+    Absent,
+    /// The host did not answer, which a network fault can cause as well.
+    Unknown,
+}
+
+/// Finds out whether a process listens at an address.
+pub async fn probe_listener(address: SocketAddr) -> ListenerState {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => ListenerState::Listening,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ListenerState::Absent,
+        Ok(Err(_)) | Err(_) => ListenerState::Unknown,
+    }
+}
+
 /// Opens an HTTP connection for one request, or for several in sequence if the caller of this
 /// function manages its reuse.
 ///
--- a/medlarlanding/src/forwarding/server_life.rs
+++ b/medlarlanding/src/forwarding/server_life.rs
@@ -1,6 +1,5 @@
 //! Examines a server after one of its answers broke off: did the server end, or only the connection?
 
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +7,7 @@
 use super::engine_calls;
 use super::peer_link::PeerLink;
 use super::shared::SharedState;
-use crate::exchange::CONNECT_TIMEOUT;
+use crate::exchange::{self, ListenerState};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{RouteRule, ServerEntry, ServerKey};
@@ -16,7 +15,6 @@
 use medlarlanding_platform::engines;
 
 use hyper::StatusCode;
-use tokio::net::TcpStream;
 
 /// Time limit for the report of a server that accepts connections.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -52,7 +50,7 @@
         record.map(|record| record.entry.clone())
     };
     match entry {
-        Some(entry) => probe_listener(&entry).await == ServerLife::Ended,
+        Some(entry) => exchange::probe_listener(entry.address).await == ListenerState::Absent,
         None => false,
     }
 }
@@ -64,20 +62,13 @@
     }
 }
 
-/// Returns whether a process listens at the server's address.
-async fn probe_listener(entry: &ServerEntry) -> ServerLife {
-    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(entry.address)).await {
-        Ok(Ok(_)) => ServerLife::Alive,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ServerLife::Ended,
-        Ok(Err(_)) | Err(_) => ServerLife::Unknown,
-    }
-}
-
 /// Finds out whether the process described by `entry` still runs.
 async fn probe_process(entry: &ServerEntry) -> ServerLife {
-    let life = probe_listener(entry).await;
-    if life != ServerLife::Alive || entry.born_millis == 0 {
-        return life;
+    match exchange::probe_listener(entry.address).await {
+        ListenerState::Absent => return ServerLife::Ended,
+        ListenerState::Unknown => return ServerLife::Unknown,
+        ListenerState::Listening if entry.born_millis == 0 => return ServerLife::Alive,
+        ListenerState::Listening => {},
     }
     let report = engine_calls::read_report(entry.address, REPORT_TIMEOUT).await;
     let Ok((StatusCode::OK, body)) = report else { return ServerLife::Unknown };
--- a/medlarlanding/src/http/generations.rs
+++ b/medlarlanding/src/http/generations.rs
@@ -17,6 +17,7 @@
 use medlarlanding_core::generations::{GenerationSession, SessionInput, SessionParams};
 use medlarlanding_core::handles::ResumeHandle;
 use medlarlanding_core::ids::{RequestId, stable_hash};
+use medlarlanding_core::prompts::{PartId, PromptParts};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
@@ -150,16 +151,20 @@
         let (guard, body) = context.admit(payload).await?;
         let body: GenerationBody = parse_json(&body)?;
         let route = accepted.access.desk().generations.ok_or(ErrorKind::NotFound)?;
-        Ok((guard, body, route))
+        let parts = prompt_parts(&accepted, &body.prompt);
+        if context.shared.is_fatal(&parts) {
+            return Err(ErrorKind::FatalPrompt.into());
+        }
+        Ok((guard, body, route, parts))
     };
-    let (guard, body, route) =
+    let (guard, body, route, parts) =
         reading.await.inspect_err(|error| context.count_refusal(ENDPOINT, error, accepted.id))?;
     let delivery = body.delivery.unwrap_or(accepted.access.desk().delivery);
     let request = admission_request(context, &accepted, route, &body);
     let generation = generation_request(&accepted, route, &body, &request, context);
     let session = session(context, &accepted, delivery, request.deadline);
     let permit = RequestPermit::request(context.shared.clone(), request);
-    let plan = plan(&accepted, Some(Arc::new(generation)), 0);
+    let plan = plan(&accepted, Some(Arc::new(generation)), 0, parts);
     deliver(context, plan, session, permit, guard, delivery, None).await
 }
 
@@ -187,7 +192,7 @@
     let decoded = u32::try_from(point.after).unwrap_or(u32::MAX);
     let work = AdoptedWork { request, server, decoded };
     let permit = RequestPermit::adopt(context.shared.clone(), work);
-    let plan = plan(&accepted, None, point.after);
+    let plan = plan(&accepted, None, point.after, PromptParts::default());
     let adopt =
         SessionInput::Adopt { server, generation: point.handle.generation, after: point.after };
     deliver(context, plan, session, permit, guard, DeliveryMode::Stream, Some(adopt)).await
@@ -217,6 +222,7 @@
     accepted: &CallerRequest,
     generation: Option<Arc<GenerationRequest>>,
     after: u64,
+    parts: PromptParts,
 ) -> DeliveryPlan {
     DeliveryPlan {
         request: accepted.id,
@@ -224,6 +230,7 @@
         desk: accepted.access.desk().id,
         generation,
         after,
+        parts,
     }
 }
 
@@ -269,6 +276,28 @@
     }
 }
 
+/// Splits a prompt into parts of `PREFIX_CHARS` characters, which other prompts of the customer may
+/// share, and the prompt as a whole.
+fn prompt_parts(accepted: &CallerRequest, prompt: &str) -> PromptParts {
+    let customer = accepted.access.customer().id.0.to_le_bytes();
+    let part = |text: &str| {
+        let mut bytes = customer.to_vec();
+        bytes.extend_from_slice(text.as_bytes());
+        PartId(stable_hash(&bytes))
+    };
+    let mut parts = Vec::new();
+    let mut rest = prompt;
+    while let Some((end, _)) = rest.char_indices().nth(PREFIX_CHARS)
+        && parts.len() + 1 < PromptParts::LIMIT
+    {
+        let (beginning, others) = rest.split_at(end);
+        parts.push(part(beginning));
+        rest = others;
+    }
+    parts.push(part(prompt));
+    PromptParts::new(parts)
+}
+
 /// Hashes the prompt's prefix together with the customer id. Customers thus share no cache
 /// entries, so the time to the first token does not reveal the prompts of another customer.
 fn prefix_hash(accepted: &CallerRequest, prompt: &str) -> u64 {
--- a/medlarlanding/src/instance.rs
+++ b/medlarlanding/src/instance.rs
@@ -23,6 +23,7 @@
 use medlarlanding_core::handles::HandleSigner;
 use medlarlanding_core::ids::{Incarnation, InstanceId, InstanceIdentity, RequestId, ServerId};
 use medlarlanding_core::node::{EntryNode, NodeDump, NodeInput};
+use medlarlanding_core::prompts::{PromptInput, PromptParts};
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
 use rand::Rng;
@@ -277,6 +278,17 @@
         let _ = self.apply(NodeInput::Admission(AdmissionInput::ServerSuspect(server)));
     }
 
+    /// Returns whether requests with a prompt are refused because engines ended on a part of it.
+    pub fn is_fatal(&self, parts: &PromptParts) -> bool {
+        self.node().check_prompt(self.clock.now(), parts).is_some()
+    }
+
+    /// Records what a run showed about its prompt, and tells the peers.
+    pub fn record_prompt(&self, input: PromptInput) {
+        // Only frames can be rejected.
+        let _ = self.apply(NodeInput::Prompt(input));
+    }
+
     /// Returns whether the process accepts requests: it is not draining, and a current
     /// configuration is in effect.
     pub fn is_ready(&self) -> bool {
@@ -288,6 +300,8 @@
         let node = self.node();
         self.metrics.live_instances.set(node.live_count() as i64);
         self.metrics.list_version.set(node.list_version() as i64);
+        let blocked = node.blocked_part_count(self.clock.now());
+        self.metrics.blocked_parts.set(blocked as i64);
     }
 
     /// Returns the state of the process for operators. With `request`, returns only the steps of
--- a/medlarlanding/src/metrics.rs
+++ b/medlarlanding/src/metrics.rs
@@ -40,6 +40,8 @@
     pub config_version: IntGauge,
     /// Version of the instance list in effect.
     pub list_version: IntGauge,
+    /// Parts of prompts for which requests are refused.
+    pub blocked_parts: IntGauge,
     /// Live instances known, including this one.
     pub live_instances: IntGauge,
     /// 1 while the process drains.
@@ -89,6 +91,8 @@
             open_requests: registry.gauge("open_requests", "Requests in progress.")?,
             config_version: registry.gauge("config_version", "Configuration version in effect.")?,
             list_version: registry.gauge("list_version", "Instance list version in effect.")?,
+            blocked_parts: registry
+                .gauge("blocked_parts", "Parts of prompts for which requests are refused.")?,
             live_instances: registry.gauge("live_instances", "Live instances known.")?,
             draining: registry.gauge("draining", "1 while the process drains.")?,
             first_token: registry.histogram(
