Need three ends for a block, and count fatal runs that end an engine together as one

Cause: two ends within the first second of a run were enough, and a part with a request every four seconds can be hit twice before any run survives it. Besides, fatal runs that reached an engine together shared the blame as if they were alternatives, and an engine that ends may close its connections before its listener, so that it was taken for alive.

Change: only runs that had begun less than 0.3 s before count fully, three such ends are needed; waiting and longer ones count 0.4. Runs with the same suspected parts are one suspect. The listener is probed again after 0.1 s before an engine counts as alive.

--- a/medlarlanding-core/src/prompts/crash_ledger.rs
+++ b/medlarlanding-core/src/prompts/crash_ledger.rs
@@ -19,17 +19,18 @@
 /// Parameters of the ledger.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LedgerParams {
-    /// Blame from which a part is blocked. An end that has a single suspect gives it a blame of 1, so
-    /// that two such ends are enough and one never is.
+    /// Blame from which a part is blocked. An end whose only suspect had just begun gives it a blame of
+    /// 1, so that three such ends are enough. With two, ends for other reasons block parts that few
+    /// requests share.
     pub blame_limit: f64,
-    /// Blame of a run whose prompt the engine may not yet have read; that of a writing run is 1.
-    pub waiting_blame: f64,
-    /// Blame of a run all of whose parts were survived before: three ends are needed then.
+    /// Blame of a run that had not begun, or that had been writing for a while; that of a run which
+    /// had just begun is 1.
+    pub remote_blame: f64,
+    /// Factor of the blame of a run all of whose parts were survived before.
     pub familiar_blame: f64,
     /// Weight of such a run beside others that the same end broke off.
     pub familiar_weight: f64,
-    /// Time for which a run must write before its parts count as survived. Engines end about 0.1 s
-    /// after they begin to write on a fatal part.
+    /// Time for which a run must write before its parts count as survived.
     pub settle: Duration,
     /// Time since the last end for which a part stays blocked. Afterwards one more end blocks it
     /// again, as long as the earlier ones are retained.
@@ -49,9 +50,9 @@
 impl Default for LedgerParams {
     fn default() -> Self {
         Self {
-            blame_limit: 1.5,
-            waiting_blame: 0.5,
-            familiar_blame: 0.67,
+            blame_limit: 2.5,
+            remote_blame: 0.4,
+            familiar_blame: 0.85,
             familiar_weight: 0.25,
             settle: Duration::from_secs(1),
             hold: Duration::from_secs(600),
@@ -484,8 +485,8 @@
             return None;
         }
         let progress = match record.phase {
-            RunPhase::Waiting => self.params.waiting_blame,
-            RunPhase::Writing | RunPhase::Hidden => 1.0,
+            RunPhase::Waiting | RunPhase::Writing => self.params.remote_blame,
+            RunPhase::Beginning | RunPhase::Hidden => 1.0,
         };
         let is_familiar = is_familiar && own.is_none();
         let familiar_blame = if is_familiar { self.params.familiar_blame } else { 1.0 };
@@ -502,16 +503,25 @@
     fn most_blamed(&self, ends: &[Vec<SuspectRun>]) -> Option<PartId> {
         let mut blames: IndexMap<PartId, (f64, usize)> = IndexMap::new();
         for runs in ends {
-            let total: f64 = runs.iter().map(|run| run.weight).sum();
-            let mut of_end: IndexMap<PartId, f64> = IndexMap::new();
+            // Runs with the same suspected parts are one suspect, which fatal requests that reach an
+            // engine together would otherwise weaken.
+            let mut suspects: IndexMap<&[PartId], (f64, f64)> = IndexMap::new();
             for run in runs {
-                for part in &run.parts {
-                    let blame = run.blame * run.weight / total;
+                let (blame, weight) = suspects.entry(&run.parts).or_default();
+                *blame = blame.max(run.blame);
+                *weight = weight.max(run.weight);
+            }
+            let total: f64 = suspects.values().map(|(_, weight)| weight).sum();
+            let mut of_end: IndexMap<PartId, f64> = IndexMap::new();
+            for (parts, (blame, weight)) in suspects {
+                for part in parts {
                     let highest = of_end.entry(*part).or_default();
-                    *highest = highest.max(blame);
-                    blames.entry(*part).or_default().1 += 1;
+                    *highest = highest.max(blame * weight / total);
                 }
             }
+            for part in runs.iter().flat_map(|run| &run.parts) {
+                blames.entry(*part).or_default().1 += 1;
+            }
             for (part, blame) in of_end {
                 blames.entry(part).or_default().0 += blame;
             }
--- a/medlarlanding-core/src/prompts/parts.rs
+++ b/medlarlanding-core/src/prompts/parts.rs
@@ -1,6 +1,7 @@
 //! Parts of a prompt and the progress of a run that is computed from them.
 
 use std::fmt;
+use std::time::Duration;
 
 use crate::ids::stable_hash;
 
@@ -86,7 +87,9 @@
     pub enum RunPhase {
         /// The answer is a stream whose head has not arrived: the prompt is queued or read.
         Waiting,
-        /// The server writes the stream.
+        /// The server has just begun to write the stream.
+        Beginning,
+        /// The server has written the stream for a while.
         Writing,
         /// The answer arrives as a whole, so its progress is not visible.
         Hidden,
@@ -94,10 +97,20 @@
 }
 
 impl RunPhase {
+    /// Time for which a stream counts as just begun. Engines end about 0.1 s after they begin to write
+    /// on a fatal part.
+    const BEGINNING: Duration = Duration::from_millis(300);
+
+    /// Returns the phase of a stream that the server has written for this time.
+    pub fn of_stream(writing: Duration) -> Self {
+        if writing < Self::BEGINNING { Self::Beginning } else { Self::Writing }
+    }
+
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::Waiting => "waiting",
+            Self::Beginning => "beginning",
             Self::Writing => "writing",
             Self::Hidden => "hidden",
         }
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -237,13 +237,13 @@
         }
         let Some(address) = self.shared.server_address(server) else { return };
         let is_leaving = self.shared.server_leaving(server);
-        if is_leaving || exchange::probe_listener(address).await != ListenerState::Absent {
+        if is_leaving || exchange::probe_listener_again(address).await != ListenerState::Absent {
             return;
         }
         let run = stable_hash(self.plan.request.to_string().as_bytes());
         let key = CrashKey { server: server.0, run };
         let phase = match self.first_token_at {
-            Some(_) => RunPhase::Writing,
+            Some(first) => RunPhase::of_stream(self.shared.clock.now().since(first)),
             None => RunPhase::Hidden,
         };
         let parts = self.plan.parts.clone();
--- a/medlarlanding/src/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -31,6 +31,9 @@
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time within which a process that ends has closed its listener too.
+const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(100);
+
 /// Largest read buffer of a connection in bytes. 200 connections with full buffers fit into the
 /// memory of the smallest machine, 88 MB.
 const READ_BUFFER_LIMIT: usize = HEAD_LIMIT;
@@ -145,6 +148,17 @@
     }
 }
 
+/// Finds out whether a process still listens at an address after one of its connections broke. A
+/// process that ends may close its connections before its listener.
+pub async fn probe_listener_again(address: SocketAddr) -> ListenerState {
+    let state = probe_listener(address).await;
+    if state != ListenerState::Listening {
+        return state;
+    }
+    tokio::time::sleep(LISTENER_CLOSE_TIME).await;
+    probe_listener(address).await
+}
+
 /// Opens an HTTP connection for one request, or for several in sequence if the caller of this
 /// function manages its reuse.
 ///
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -179,7 +179,7 @@
                 StreamEnd::Broken | StreamEnd::Stopped => {
                     if matches!(end, StreamEnd::Broken) && !self.is_leaving(stream.key) {
                         let writing = self.state.now().since(stream.begun_at);
-                        self.examine_break(stream.key, RunPhase::Writing, writing);
+                        self.examine_break(stream.key, RunPhase::of_stream(writing), writing);
                         self.link.report_fault(&self.state, stream.key, EngineFault::Failed);
                     }
                     match self.resume(stream, destination, matches!(end, StreamEnd::Stopped)).await
--- a/medlarlanding/src/forwarding/server_life.rs
+++ b/medlarlanding/src/forwarding/server_life.rs
@@ -64,7 +64,7 @@
 
 /// Finds out whether the process described by `entry` still runs.
 async fn probe_process(entry: &ServerEntry) -> ServerLife {
-    match exchange::probe_listener(entry.address).await {
+    match exchange::probe_listener_again(entry.address).await {
         ListenerState::Absent => return ServerLife::Ended,
         ListenerState::Unknown => return ServerLife::Unknown,
         ListenerState::Listening if entry.born_millis == 0 => return ServerLife::Alive,
