Send the ledger of broken runs to instances that start

What callers would have seen: each restarted instance let engines end again for up to half a second.

Cause: a restarted instance takes requests as soon as it knows the servers, about 0.1 s after its start, and compared its ledger with a hub only at the next fingerprint. The logs of a failed run show it: parts are blocked 4 ms after the third end, but each of the four restarted instances let one to three engines end 0.1 to 0.4 s after its start.

Change: an instance that hears the first digest of a process sends it the ledger.

--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -246,6 +246,14 @@
         self.peers.get(&address).is_some_and(|record| self.is_live(now, record))
     }
 
+    /// Returns the number that identifies a peer's process; `None` if no digest of the peer is known.
+    pub fn boot(&self, address: SocketAddr) -> Option<u64> {
+        self.peers
+            .get(&address)
+            .filter(|record| record.known_at.is_some())
+            .map(|record| record.boot)
+    }
+
     /// Returns the strength of a peer's machine; 0 if it is unknown.
     pub fn peer_strength(&self, address: SocketAddr) -> u16 {
         self.peers.get(&address).map_or(0, |record| record.strength)
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -367,7 +367,12 @@
             state.telemetry.dropped_datagrams.inc();
         },
         PeerMessage::Digest(digest) => {
+            let has_started = state.peers.borrow().boot(source) != Some(digest.boot);
             state.peers.borrow_mut().receive(state.now(), digest);
+            if has_started && state.ledger_fingerprint().is_some() {
+                // The sender takes requests as soon as it knows the servers.
+                link.send_ledger(state, source, false);
+            }
             if state.entries.borrow().revision() == 0 {
                 // The sender may have the list of servers, which is then fetched without delay.
                 state.digest_wanted.notify_one();
