--- a/medlarlanding-core/src/errors.rs
+++ b/medlarlanding-core/src/errors.rs
@@ -72,6 +72,8 @@
 
 const SOON: Option<Duration> = Some(Duration::from_secs(1));
 const LATER: Option<Duration> = Some(Duration::from_secs(5));
+/// Time for which a part of prompts stays blocked.
+const UNBLOCKED: Option<Duration> = Some(Duration::from_secs(600));
 
 error_table! {
     /// The request is malformed.
@@ -101,7 +103,7 @@
     /// No backend server can take the request.
     NoBackend = "no_backend", 503, NotRun, SOON, "no backend server can take the request";
     /// Engines ended when they ran prompts that share a part with this one.
-    FatalPrompt = "fatal_prompt", 503, NotRun, Some(Duration::from_secs(600)), "engines ended on a part of the prompt";
+    FatalPrompt = "fatal_prompt", 503, NotRun, UNBLOCKED, "engines ended on a part of the prompt";
     /// Too few replicas of the order's partition could be reached.
     NoQuorum = "no_quorum", 503, NotRun, SOON, "too few replicas can be reached to accept the order";
     /// The store of order claims is full.
--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -632,9 +632,9 @@
     ) {
         let merged = self.ledger.merge(now, received);
         let live = self.live_identities();
-        let is_from_keeper = self.ledger_sharing.is_keeper(&live, from);
-        // A keeper has told the others, unless it passed on to other keepers only.
-        let news = if is_from_keeper && !self.ledger_sharing.is_keeper(&live, self.own.id) {
+        let is_from_relay = self.ledger_sharing.is_relay(&live, from);
+        // A relay has told all others.
+        let news = if is_from_relay && !self.ledger_sharing.is_relay(&live, self.own.id) {
             self.log_blocked_parts(now, effects);
             merged.own
         } else {
--- a/medlarlanding-core/src/prompts/sharing.rs
+++ b/medlarlanding-core/src/prompts/sharing.rs
@@ -8,45 +8,45 @@
 use indexmap::IndexSet;
 
 /// Number of instances that pass entries on to all others. With three, two may fail at the same time.
-const KEEPERS: usize = 3;
+const RELAY_COUNT: usize = 3;
 
 /// Receivers of an instance's entries.
 ///
-/// The live instances with the lowest ids are the keepers. The others send entries to them; keepers
+/// The live instances with the lowest ids are the relays. The others send entries to them; relays
 /// send what is new to all, and everything to instances that join.
 #[derive(Debug)]
 pub struct LedgerSharing {
     own: InstanceId,
     /// Processes that are known to this one.
-    greeted: IndexSet<InstanceIdentity>,
+    known: IndexSet<InstanceIdentity>,
 }
 
 impl LedgerSharing {
     /// Creates the state of an instance that knows no others.
     pub fn new(own: InstanceId) -> Self {
-        Self { own, greeted: IndexSet::new() }
+        Self { own, known: IndexSet::new() }
     }
 
-    fn keepers(&self, live: &[InstanceIdentity]) -> Vec<InstanceId> {
+    fn relays(&self, live: &[InstanceIdentity]) -> Vec<InstanceId> {
         let mut ids: Vec<InstanceId> = live.iter().map(|identity| identity.id).collect();
         ids.push(self.own);
         ids.sort_unstable();
         ids.dedup();
-        ids.truncate(KEEPERS);
+        ids.truncate(RELAY_COUNT);
         ids
     }
 
     /// Returns whether the instance passes entries on.
-    pub fn is_keeper(&self, live: &[InstanceIdentity], instance: InstanceId) -> bool {
-        self.keepers(live).contains(&instance)
+    pub fn is_relay(&self, live: &[InstanceIdentity], instance: InstanceId) -> bool {
+        self.relays(live).contains(&instance)
     }
 
     /// Returns the instances that are sent new entries. `live` are the other live instances.
     pub fn targets(&self, live: &[InstanceIdentity]) -> Vec<InstanceId> {
-        let ids = if self.is_keeper(live, self.own) {
+        let ids = if self.is_relay(live, self.own) {
             live.iter().map(|identity| identity.id).collect()
         } else {
-            self.keepers(live)
+            self.relays(live)
         };
         ids.into_iter().filter(|id| *id != self.own).collect()
     }
@@ -54,11 +54,11 @@
     /// Returns the instances that have joined or restarted since the last call, if this instance is to
     /// send them all entries.
     pub fn take_newcomers(&mut self, live: &[InstanceIdentity]) -> Vec<InstanceId> {
-        let known = std::mem::replace(&mut self.greeted, live.iter().copied().collect());
-        if !self.is_keeper(live, self.own) {
+        let earlier = std::mem::replace(&mut self.known, live.iter().copied().collect());
+        if !self.is_relay(live, self.own) {
             return Vec::new();
         }
-        let newcomers = self.greeted.iter().filter(|identity| !known.contains(*identity));
+        let newcomers = self.known.iter().filter(|identity| !earlier.contains(*identity));
         newcomers.map(|identity| identity.id).collect()
     }
 }
--- a/medlarlanding-core/tests/prompts_sharing.rs
+++ b/medlarlanding-core/tests/prompts_sharing.rs
@@ -28,10 +28,10 @@
 /// Guards against an instance that restarts and never hears of the parts that the others know.
 #[test]
 fn restarted_instances_are_told() {
-    let mut keeper = LedgerSharing::new(InstanceId(0));
-    assert_eq!(keeper.take_newcomers(&[identity(5, 1)]), vec![InstanceId(5)]);
-    assert!(keeper.take_newcomers(&[identity(5, 1)]).is_empty());
-    assert_eq!(keeper.take_newcomers(&[identity(5, 2)]), vec![InstanceId(5)]);
+    let mut relay = LedgerSharing::new(InstanceId(0));
+    assert_eq!(relay.take_newcomers(&[identity(5, 1)]), vec![InstanceId(5)]);
+    assert!(relay.take_newcomers(&[identity(5, 1)]).is_empty());
+    assert_eq!(relay.take_newcomers(&[identity(5, 2)]), vec![InstanceId(5)]);
     let mut other = LedgerSharing::new(InstanceId(9));
     let lower: Vec<_> = (0..3).map(|id| identity(id, 1)).collect();
     assert!(other.take_newcomers(&lower).is_empty());
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -14,7 +14,7 @@
 use medlarlanding_core::forwarding::{
     DrainParams, EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight,
 };
-use medlarlanding_core::prompts::PromptParts;
+use medlarlanding_core::prompts::{LedgerParams, PromptParts};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::CallerHeaders;
 
@@ -38,9 +38,6 @@
 /// Retry delay sent if a generation found no room. Bursts last 3 to 10 s on the measured
 /// installations, and a generation that is refused again is lost.
 const RETRY_OVERLOADED: Duration = Duration::from_secs(10);
-/// Retry delay sent if engines ended on a part of the prompt, which stays blocked for this long after
-/// the last end.
-const RETRY_FATAL_PROMPT: Duration = Duration::from_secs(600);
 /// Time until the deadline for a caller that does not state one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -116,7 +113,7 @@
         ErrorAnswer::NoServer => RETRY_NO_SERVER,
         ErrorAnswer::ServersFull | ErrorAnswer::OutOfMemory => RETRY_FULL,
         ErrorAnswer::Overloaded => RETRY_OVERLOADED,
-        ErrorAnswer::FatalPrompt => RETRY_FATAL_PROMPT,
+        ErrorAnswer::FatalPrompt => LedgerParams::default().hold,
         ErrorAnswer::Stopping | ErrorAnswer::LateUnsent => Duration::ZERO,
         ErrorAnswer::NoRoute
         | ErrorAnswer::UnknownKey
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -13,7 +13,7 @@
 use super::engine_calls::MoveCall;
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
-use super::server_life::BrokenAnswer;
+use super::server_liveness::BrokenAnswer;
 use super::shared::SharedState;
 use super::stream_events::{EventSplitter, StreamEvent};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -9,7 +9,7 @@
 use crate::forwarding::engine_calls::{MOVE_TIMEOUT, MoveAnswer, MoveCall, release_copy};
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
-use crate::forwarding::server_life::has_ended_early;
+use crate::forwarding::server_liveness::has_ended_early;
 use crate::forwarding::shared::{Placement, SharedState};
 use crate::forwarding::stream_events::EventSplitter;
 use crate::logging::event;
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -11,7 +11,7 @@
 use crate::forwarding::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
-use crate::forwarding::server_life::examine_unreachable;
+use crate::forwarding::server_liveness::examine_unreachable;
 use crate::forwarding::shared::Placement;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -18,7 +18,7 @@
 mod peer_link;
 mod relay;
 mod role;
-mod server_life;
+mod server_liveness;
 mod shared;
 mod store_client;
 mod store_watch;
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -8,7 +8,7 @@
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
-use super::server_life::{BrokenAnswer, has_ended_early};
+use super::server_liveness::{BrokenAnswer, has_ended_early};
 use super::shared::{Placement, SharedState};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
 use crate::exchange::{self, Exchange, ExchangeFault, is_framed};
--- a/medlarlanding/src/forwarding/server_life.rs
+++ b/medlarlanding/src/forwarding/server_liveness.rs
@@ -21,7 +21,7 @@
 
 /// State of a server after an answer broke off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ServerLife {
+pub enum ServerLiveness {
     /// The process that wrote the answer still runs.
     Alive,
     /// The process has ended: nothing listens at the address, or another process does.
@@ -30,7 +30,7 @@
     Unknown,
 }
 
-impl ServerLife {
+impl ServerLiveness {
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -63,21 +63,21 @@
 }
 
 /// Finds out whether the process described by `entry` still runs.
-async fn probe_process(entry: &ServerEntry) -> ServerLife {
+async fn probe_process(entry: &ServerEntry) -> ServerLiveness {
     match exchange::probe_listener_again(entry.address).await {
-        ListenerState::Absent => return ServerLife::Ended,
-        ListenerState::Unknown => return ServerLife::Unknown,
-        ListenerState::Listening if entry.born_millis == 0 => return ServerLife::Alive,
+        ListenerState::Absent => return ServerLiveness::Ended,
+        ListenerState::Unknown => return ServerLiveness::Unknown,
+        ListenerState::Listening if entry.born_millis == 0 => return ServerLiveness::Alive,
         ListenerState::Listening => {},
     }
     let report = engine_calls::read_report(entry.address, REPORT_TIMEOUT).await;
-    let Ok((StatusCode::OK, body)) = report else { return ServerLife::Unknown };
+    let Ok((StatusCode::OK, body)) = report else { return ServerLiveness::Unknown };
     match engines::decode_birth(&body) {
-        Ok(Some(born)) if born != entry.born_millis => ServerLife::Ended,
-        Ok(_) => ServerLife::Alive,
+        Ok(Some(born)) if born != entry.born_millis => ServerLiveness::Ended,
+        Ok(_) => ServerLiveness::Alive,
         Err(error) => {
             event(EventKind::ReportRefused, &[&entry.address, &format!("{error:#}")]);
-            ServerLife::Unknown
+            ServerLiveness::Unknown
         },
     }
 }
@@ -128,14 +128,14 @@
 
     /// Examines the server, logs what is found, and records the run if the server has ended.
     pub async fn examine(self, state: &SharedState, link: &PeerLink) {
-        let life = probe_process(&self.entry).await;
-        if life == ServerLife::Ended {
+        let liveness = probe_process(&self.entry).await;
+        if liveness == ServerLiveness::Ended {
             link.report_end(state, self.key);
             if !self.is_settled {
                 state.record_broken_run(&self.entry, &self.request, self.phase, &self.parts);
             }
         }
-        let labels = [self.phase.name(), life.name()];
+        let labels = [self.phase.name(), liveness.name()];
         state.telemetry.broken_answers.with_label_values(&labels).inc();
         event(
             EventKind::AnswerBroken,
@@ -145,7 +145,7 @@
                 &self.entry.id,
                 &self.phase.name(),
                 &self.writing.as_millis(),
-                &life.name(),
+                &liveness.name(),
                 &self.parts,
             ],
         );
