--- a/medlarlanding-bench/src/soak.rs
+++ b/medlarlanding-bench/src/soak.rs
@@ -1,12 +1,17 @@
 //! Fault soak test: injects random faults around real instance processes and checks the guarantees
 //! from the answers of callers and the run records of servers.
 
+mod fatal_prompts;
+
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use self::fatal_prompts::{FATAL_PART, SOUND_PART, ServiceGaps, find_late_runs, with_prompt};
 use crate::site::{
-    LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode, TestSite,
+    AnswerFraming, LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode,
+    TestSite,
 };
 
 use anyhow::Context;
@@ -27,6 +32,12 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time between two faults.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 50..400;
+/// Servers of the service without a model.
+const PLAIN_SERVERS: usize = 3;
+/// Engines that do not end on a part of a prompt.
+const ENGINES: usize = 4;
+/// Engines that do; some of them are starting again most of the time.
+const CRASHING_ENGINES: usize = 8;
 
 /// Injects random faults around real instances and checks the guarantees to callers.
 #[derive(FromArgs, Debug)]
@@ -44,6 +55,9 @@
     /// instances
     #[argh(option, default = "3")]
     pub instances: usize,
+    /// some generations have a part in their prompts on which engines end
+    #[argh(switch)]
+    pub fatal_prompts: bool,
 }
 
 /// Runs the seeds one after another.
@@ -55,13 +69,19 @@
     let mut failed_seeds = Vec::new();
     for seed in options.first..options.first + options.seeds {
         let length = Duration::from_secs(options.seconds);
-        let report = run_seed(SoakParams { seed, length, instances: options.instances })
-            .with_context(|| format!("seed {seed}"))?;
+        let params = SoakParams {
+            seed,
+            length,
+            instances: options.instances,
+            with_fatal_prompts: options.fatal_prompts,
+        };
+        let report = run_seed(params).with_context(|| format!("seed {seed}"))?;
         println!(
-            "seed {seed}: {} requests, {} served, {} faults, {} violations",
+            "seed {seed}: {} requests, {} served, {} faults, {} engines ended, {} violations",
             report.requests,
             report.served,
             report.faults,
+            report.ended_engines,
             report.violations.len()
         );
         report.violations.iter().for_each(|violation| println!("  {violation}"));
@@ -85,6 +105,8 @@
     pub length: Duration,
     /// Number of instances.
     pub instances: usize,
+    /// Whether some generations have a part in their prompts on which engines end.
+    pub with_fatal_prompts: bool,
 }
 
 /// Result of one run.
@@ -96,6 +118,8 @@
     pub served: usize,
     /// Faults injected.
     pub faults: usize,
+    /// Times that an engine ended on a part of a prompt.
+    pub ended_engines: usize,
     /// Violated guarantees.
     pub violations: Vec<String>,
 }
@@ -105,11 +129,14 @@
     Lookup,
     Order,
     Draft,
+    FatalDraft,
 }
 
 struct CallRecord {
     id: String,
     kind: CallKind,
+    /// Instance that was called.
+    instance: usize,
     answer: Option<SiteAnswer>,
 }
 
@@ -121,11 +148,18 @@
 pub fn run_seed(params: SoakParams) -> anyhow::Result<SoakReport> {
     let mut site = TestSite::start(SiteParams {
         instances: params.instances,
-        plain_servers: 3,
-        engines: 4,
+        plain_servers: PLAIN_SERVERS,
+        engines: if params.with_fatal_prompts { 0 } else { ENGINES },
         grace_s: 3,
     })?;
     site.state.set_generation(EVENTS, EVENT_INTERVAL_MS);
+    if params.with_fatal_prompts {
+        site.state.set_fatal_part(Some(FATAL_PART));
+        for engine in 0..CRASHING_ENGINES {
+            site.add_crashing_engine(engine, AnswerFraming::Delimited)?;
+        }
+        wait_for_service(&site, params.instances)?;
+    }
     let records = Arc::new(Mutex::new(Vec::new()));
     let is_over = Arc::new(AtomicBool::new(false));
     let number = Arc::new(AtomicU64::new(0));
@@ -138,8 +172,10 @@
             std::thread::spawn(move || {
                 while !is_over.load(Ordering::Relaxed) {
                     let id = format!("id-{}", number.fetch_add(1, Ordering::Relaxed));
-                    let address = *addresses.choose(&mut random).expect("an instance");
-                    let record = call_once(&mut random, id, address);
+                    let instance = random.random_range(0..addresses.len());
+                    let kind = draw_kind(&mut random, params.with_fatal_prompts);
+                    let answer = call_once(&mut random, kind, &id, addresses[instance]);
+                    let record = CallRecord { id, kind, instance, answer };
                     records.lock().unwrap_or_else(PoisonError::into_inner).push(record);
                 }
             })
@@ -147,14 +183,15 @@
         .collect();
     let mut random = SmallRng::seed_from_u64(params.seed);
     let mut faults = 0;
+    let mut gaps = ServiceGaps::default();
     let started = Instant::now();
     while started.elapsed() < params.length {
-        inject_fault(&mut site, &mut random, params.instances)?;
+        inject_fault(&mut site, &mut random, params.instances, &mut gaps)?;
         faults += 1;
         std::thread::sleep(Duration::from_millis(random.random_range(FAULT_INTERVAL_MS)));
     }
     clear_faults(&mut site, params.instances)?;
-    let recovery = wait_for_recovery(&site, params.instances);
+    let recovery = wait_for_service(&site, params.instances);
     is_over.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.join().map_err(|_| anyhow::anyhow!("a caller thread panicked"))?;
@@ -167,53 +204,75 @@
         requests: records.len(),
         served: records.iter().filter(is_served).count(),
         faults,
+        ended_engines: site.state.crashes().len(),
         violations: find_violations(&site.state, &records),
     };
+    report.violations.extend(find_late_runs(&site.state, &records, &gaps));
     report.violations.extend(recovery.err().map(|error| format!("{error:#}")));
     Ok(report)
 }
 
-fn call_once(random: &mut SmallRng, id: String, address: std::net::SocketAddr) -> CallRecord {
-    let kinds = [CallKind::Lookup, CallKind::Order, CallKind::Draft];
-    let kind = *kinds.choose(random).expect("a kind");
+fn draw_kind(random: &mut SmallRng, with_fatal_prompts: bool) -> CallKind {
+    let kinds = [CallKind::Lookup, CallKind::Order, CallKind::Draft, CallKind::FatalDraft];
+    let known = if with_fatal_prompts { &kinds[..] } else { &kinds[..3] };
+    *known.choose(random).expect("a kind")
+}
+
+/// Sends one request. A refused connection counts as no answer; nothing was sent.
+fn call_once(
+    random: &mut SmallRng,
+    kind: CallKind,
+    id: &str,
+    address: SocketAddr,
+) -> Option<SiteAnswer> {
     let (method, path) = match kind {
         CallKind::Lookup => (Method::GET, "/lookup/a"),
         CallKind::Order => (Method::POST, "/order/a"),
-        CallKind::Draft => (Method::POST, "/draft/a"),
+        CallKind::Draft | CallKind::FatalDraft => (Method::POST, "/draft/a"),
+    };
+    let call = SiteCall::new(method, path, id).header("x-deadline-ms", "4000");
+    let call = match kind {
+        CallKind::Lookup | CallKind::Order => call,
+        CallKind::Draft => with_prompt(call, id, SOUND_PART),
+        CallKind::FatalDraft => with_prompt(call, id, FATAL_PART),
     };
-    let call = SiteCall::new(method, path, &id).header("x-deadline-ms", "4000");
     let call = match random.random_range(0..10) {
         0 => call.disconnect_after(Duration::from_millis(random.random_range(5..400))),
         _ => call,
     };
-    // A refused connection counts as no answer; nothing was sent.
-    CallRecord { id, kind, answer: call.send(address).ok() }
+    call.send(address).ok()
 }
 
 fn inject_fault(
     site: &mut TestSite,
     random: &mut SmallRng,
     instances: usize,
+    gaps: &mut ServiceGaps,
 ) -> anyhow::Result<()> {
     let instance = random.random_range(0..instances);
     let servers =
         ["orders-0", "orders-1", "orders-2", "engines-0", "engines-1", "engines-2", "engines-3"];
-    let server = random.random_range(0..servers.len());
+    // Engines that end on a part of a prompt have no links.
+    let server = random.random_range(0..site.links().len());
+    let started = Instant::now();
     match random.random_range(0..12) {
         0 => {
             site.signal(instance, Signal::KILL)?;
             site.wait_exit(instance)?;
             site.spawn_instance(instance)?;
+            gaps.add(instance, started);
         },
         1 => {
             site.signal(instance, Signal::TERM)?;
             site.wait_exit(instance)?;
             site.spawn_instance(instance)?;
+            gaps.add(instance, started);
         },
         2 => {
             site.signal(instance, Signal::STOP)?;
             std::thread::sleep(Duration::from_millis(random.random_range(100..1500)));
             site.signal(instance, Signal::CONT)?;
+            gaps.add(instance, started);
         },
         3 => site.state.set_store(StoreMode::Unavailable),
         4 => site.state.set_store(StoreMode::Available),
@@ -247,7 +306,8 @@
 fn clear_faults(site: &mut TestSite, instances: usize) -> anyhow::Result<()> {
     site.state.set_store(StoreMode::Available);
     site.links().iter().for_each(|link| link.set(LinkMode::Healthy));
-    for (service, count) in [("orders", 3), ("engines", 4)] {
+    let engines = site.links().len() - PLAIN_SERVERS;
+    for (service, count) in [("orders", PLAIN_SERVERS), ("engines", engines)] {
         for index in 0..count {
             let id = format!("{service}-{index}");
             site.state.set_mode(&id, ServerMode::Healthy);
@@ -260,21 +320,23 @@
     Ok(())
 }
 
-fn wait_for_recovery(site: &TestSite, instances: usize) -> anyhow::Result<()> {
+/// Waits until every instance serves requests to both services.
+fn wait_for_service(site: &TestSite, instances: usize) -> anyhow::Result<()> {
     let started = Instant::now();
     let mut number = 0;
     for index in 0..instances {
         for path in ["/order/a", "/draft/a"] {
             loop {
                 number += 1;
-                let call = SiteCall::new(Method::POST, path, &format!("recovery-{number}"));
+                let id = format!("service-{number}");
+                let call = with_prompt(SiteCall::new(Method::POST, path, &id), &id, SOUND_PART);
                 let answer = call.send(site.caller_address(index));
                 if answer.is_ok_and(|answer| answer.status == 200 && answer.is_complete) {
                     break;
                 }
                 if started.elapsed() > RECOVERY_TIMEOUT {
                     anyhow::bail!(
-                        "instance {index} does not serve {path} within {RECOVERY_TIMEOUT:?} after the faults"
+                        "instance {index} does not serve {path} within {RECOVERY_TIMEOUT:?} without faults"
                     );
                 }
                 std::thread::sleep(Duration::from_millis(100));
@@ -312,7 +374,7 @@
             violated(id, "was answered with 200 but without the header x-server-stamp");
         }
         match record.kind {
-            CallKind::Draft => {
+            CallKind::Draft | CallKind::FatalDraft => {
                 let ids = answer.event_ids();
                 if !ids.iter().copied().eq(1..=ids.len() as u64) {
                     violated(id, &format!("has the events {ids:?}, not consecutive from 1"));
