Vary prompts and framing in the soak with fatal prompts

Cause: the soak's fatal part was always the second of three, behind one first part, and all answers were delimited.

Change: each seed draws the position of the part and whether answers have a length or chunks; the other parts have three variants each.

--- a/medlarlanding-bench/src/site/crashing_engine.rs
+++ b/medlarlanding-bench/src/site/crashing_engine.rs
@@ -149,11 +149,12 @@
         };
         stream.write_all(text.as_bytes()).await?;
         if is_fatal {
+            let event = format!("id: 1\ndata: {request} 1\n\n");
             let beginning = match (is_stream, self.framing) {
-                (false, _) => &WHOLE_BODY[..8],
-                (true, AnswerFraming::CutAfterEvent) => "id: 1\ndata: a\n\n",
-                (true, AnswerFraming::CutWithinEvent) => "id: 1\ndata: a\n\nid: 2\nda",
-                (true, AnswerFraming::Delimited) => "5\r\nid: 1\r\n",
+                (false, _) => WHOLE_BODY[..8].to_owned(),
+                (true, AnswerFraming::CutAfterEvent) => event,
+                (true, AnswerFraming::CutWithinEvent) => event + "id: 2\nda",
+                (true, AnswerFraming::Delimited) => "5\r\nid: 1\r\n".to_owned(),
             };
             stream.write_all(beginning.as_bytes()).await?;
             tokio::time::sleep(CRASH_DELAY).await;
--- a/medlarlanding-bench/src/soak.rs
+++ b/medlarlanding-bench/src/soak.rs
@@ -8,10 +8,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use self::fatal_prompts::{FATAL_PART, SOUND_PART, ServiceGaps, find_late_runs, with_prompt};
+use self::fatal_prompts::{FATAL_PART, PromptPlan, SOUND_PART, ServiceGaps, find_late_runs};
 use crate::site::{
-    AnswerFraming, LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode,
-    TestSite,
+    LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode, TestSite,
 };
 
 use anyhow::Context;
@@ -153,12 +152,13 @@
         grace_s: 3,
     })?;
     site.state.set_generation(EVENTS, EVENT_INTERVAL_MS);
+    let plan = PromptPlan::new(params.seed);
     if params.with_fatal_prompts {
         site.state.set_fatal_part(Some(FATAL_PART));
         for engine in 0..CRASHING_ENGINES {
-            site.add_crashing_engine(engine, AnswerFraming::Delimited)?;
+            site.add_crashing_engine(engine, plan.framing)?;
         }
-        wait_for_service(&site, params.instances)?;
+        wait_for_service(&site, params.instances, plan)?;
     }
     let records = Arc::new(Mutex::new(Vec::new()));
     let is_over = Arc::new(AtomicBool::new(false));
@@ -171,10 +171,12 @@
             let mut random = SmallRng::seed_from_u64(params.seed * 1_000 + caller as u64);
             std::thread::spawn(move || {
                 while !is_over.load(Ordering::Relaxed) {
-                    let id = format!("id-{}", number.fetch_add(1, Ordering::Relaxed));
+                    let number = number.fetch_add(1, Ordering::Relaxed);
+                    let id = format!("id-{number}");
                     let instance = random.random_range(0..addresses.len());
                     let kind = draw_kind(&mut random, params.with_fatal_prompts);
-                    let answer = call_once(&mut random, kind, &id, addresses[instance]);
+                    let call = make_call(kind, number, &id, plan);
+                    let answer = call_once(&mut random, call, addresses[instance]);
                     let record = CallRecord { id, kind, instance, answer };
                     records.lock().unwrap_or_else(PoisonError::into_inner).push(record);
                 }
@@ -191,7 +193,7 @@
         std::thread::sleep(Duration::from_millis(random.random_range(FAULT_INTERVAL_MS)));
     }
     clear_faults(&mut site, params.instances)?;
-    let recovery = wait_for_service(&site, params.instances);
+    let recovery = wait_for_service(&site, params.instances, plan);
     is_over.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.join().map_err(|_| anyhow::anyhow!("a caller thread panicked"))?;
@@ -218,24 +220,22 @@
     *known.choose(random).expect("a kind")
 }
 
-/// Sends one request. A refused connection counts as no answer; nothing was sent.
-fn call_once(
-    random: &mut SmallRng,
-    kind: CallKind,
-    id: &str,
-    address: SocketAddr,
-) -> Option<SiteAnswer> {
+fn make_call(kind: CallKind, number: u64, id: &str, plan: PromptPlan) -> SiteCall {
     let (method, path) = match kind {
         CallKind::Lookup => (Method::GET, "/lookup/a"),
         CallKind::Order => (Method::POST, "/order/a"),
         CallKind::Draft | CallKind::FatalDraft => (Method::POST, "/draft/a"),
     };
     let call = SiteCall::new(method, path, id).header("x-deadline-ms", "4000");
-    let call = match kind {
+    match kind {
         CallKind::Lookup | CallKind::Order => call,
-        CallKind::Draft => with_prompt(call, id, SOUND_PART),
-        CallKind::FatalDraft => with_prompt(call, id, FATAL_PART),
-    };
+        CallKind::Draft => plan.with_prompt(call, number, SOUND_PART),
+        CallKind::FatalDraft => plan.with_prompt(call, number, FATAL_PART),
+    }
+}
+
+/// Sends one request. A refused connection counts as no answer; nothing was sent.
+fn call_once(random: &mut SmallRng, call: SiteCall, address: SocketAddr) -> Option<SiteAnswer> {
     let call = match random.random_range(0..10) {
         0 => call.disconnect_after(Duration::from_millis(random.random_range(5..400))),
         _ => call,
@@ -321,7 +321,7 @@
 }
 
 /// Waits until every instance serves requests to both services.
-fn wait_for_service(site: &TestSite, instances: usize) -> anyhow::Result<()> {
+fn wait_for_service(site: &TestSite, instances: usize, plan: PromptPlan) -> anyhow::Result<()> {
     let started = Instant::now();
     let mut number = 0;
     for index in 0..instances {
@@ -329,7 +329,8 @@
             loop {
                 number += 1;
                 let id = format!("service-{number}");
-                let call = with_prompt(SiteCall::new(Method::POST, path, &id), &id, SOUND_PART);
+                let call = SiteCall::new(Method::POST, path, &id);
+                let call = plan.with_prompt(call, number, SOUND_PART);
                 let answer = call.send(site.caller_address(index));
                 if answer.is_ok_and(|answer| answer.status == 200 && answer.is_complete) {
                     break;
--- a/medlarlanding-bench/src/soak/fatal_prompts.rs
+++ b/medlarlanding-bench/src/soak/fatal_prompts.rs
@@ -4,14 +4,18 @@
 use std::time::{Duration, Instant};
 
 use super::{CallKind, CallRecord};
-use crate::site::{SiteCall, SiteState};
+use crate::site::{AnswerFraming, SiteCall, SiteState};
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
 
 /// Part of prompts on which engines end.
 pub(super) const FATAL_PART: &str = "fa7a1";
 /// Part of sound prompts in its place.
-pub(super) const SOUND_PART: &str = "b2";
-/// Part with which all prompts begin.
-const FIRST_PART: &str = "f1";
+pub(super) const SOUND_PART: &str = "50a1d";
+/// Number of variants of each other part.
+const PART_VARIANTS: u64 = 3;
 /// Time within which instances that are connected to the others learn of a change.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Ends of engines after which the part must be known.
@@ -19,10 +23,37 @@
 /// Generations with the part that may still reach engines `CONTACT` after the last of these ends.
 const LATE_LIMIT: usize = 3;
 
-/// Adds a prompt of three parts; the last one is the request's own.
-pub(super) fn with_prompt(call: SiteCall, id: &str, part: &str) -> SiteCall {
-    let number: u64 = id.bytes().fold(1, |hash, byte| hash * 31 % 0xffff_ffff + u64::from(byte));
-    call.header("x-prefix-hash", &format!("{FIRST_PART}:300,{part}:300,{number:x}:100"))
+/// How prompts are composed and engines delimit their answers with one seed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PromptPlan {
+    /// Number of parts before the one that is fatal or sound.
+    position: usize,
+    /// How engines delimit their answers.
+    pub framing: AnswerFraming,
+}
+
+impl PromptPlan {
+    /// Draws a plan.
+    pub(super) fn new(seed: u64) -> Self {
+        let framings =
+            [AnswerFraming::Delimited, AnswerFraming::CutWithinEvent, AnswerFraming::CutAfterEvent];
+        let mut random = SmallRng::seed_from_u64(seed);
+        Self {
+            position: random.random_range(0..3),
+            framing: *framings.choose(&mut random).expect("a framing"),
+        }
+    }
+
+    /// Adds a prompt with `part` to a request. Prompts share their parts except for the last one.
+    pub(super) fn with_prompt(self, call: SiteCall, number: u64, part: &str) -> SiteCall {
+        let mut parts = vec![
+            format!("f{}", number % PART_VARIANTS),
+            format!("b{}", number / PART_VARIANTS % PART_VARIANTS),
+        ];
+        parts.insert(self.position, part.to_owned());
+        let parts: Vec<String> = parts.iter().map(|part| format!("{part}:300")).collect();
+        call.header("x-prefix-hash", &format!("{},1{number:08x}:100", parts.join(",")))
+    }
 }
 
 /// Times in which instances were paused or not running.
