--- a/medlarlanding-core/src/forwarding/suspicion.rs
+++ b/medlarlanding-core/src/forwarding/suspicion.rs
@@ -86,11 +86,15 @@
         self.engines.retain(|_, record| now.since(record.last_fault_at) < params.retention);
         let record = self.engines.entry(engine).or_default();
         record.last_fault_at = now;
-        if fault == EngineFault::Ended {
-            let is_known = now + params.avoid_ended / 2 < record.avoid_until;
-            record.avoid_until = record.avoid_until.max(now + params.avoid_ended);
-            return (!is_known).then_some(params.avoid_ended);
-        }
+        let limit = match fault {
+            EngineFault::Ended => {
+                let is_known = now + params.avoid_ended / 2 < record.avoid_until;
+                record.avoid_until = record.avoid_until.max(now + params.avoid_ended);
+                return (!is_known).then_some(params.avoid_ended);
+            },
+            EngineFault::Failed if record.avoided_count == 0 => params.fault_limit,
+            EngineFault::Failed | EngineFault::Unresponsive => 1,
+        };
         if now < record.avoid_until {
             return None;
         }
@@ -98,10 +102,6 @@
         while record.faults.front().is_some_and(|at| now.since(*at) >= params.window) {
             record.faults.pop_front();
         }
-        let limit = match fault {
-            EngineFault::Failed if record.avoided_count == 0 => params.fault_limit,
-            EngineFault::Failed | EngineFault::Unresponsive | EngineFault::Ended => 1,
-        };
         if record.faults.len() < limit {
             return None;
         }
