Name the times of the ledger once

The time for which a run must write to survive its prompt was read from the ledger on one interface and from default parameters on the other, and the table of errors repeated the time of a block. Both are constants of the prompts module now; values and behaviour stay.

--- a/medlarlanding-core/src/errors.rs
+++ b/medlarlanding-core/src/errors.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::prompts::BLOCK_TIME;
+
 /// Result of an operation that can fail with an error for the caller.
 pub type Result<T, E = ServeError> = std::result::Result<T, E>;
 
@@ -72,8 +74,7 @@
 
 const SOON: Option<Duration> = Some(Duration::from_secs(1));
 const LATER: Option<Duration> = Some(Duration::from_secs(5));
-/// Time for which a part of prompts stays blocked.
-const UNBLOCKED: Option<Duration> = Some(Duration::from_secs(600));
+const UNBLOCKED: Option<Duration> = Some(BLOCK_TIME);
 
 error_table! {
     /// The request is malformed.
--- a/medlarlanding-core/src/prompts/crash_ledger.rs
+++ b/medlarlanding-core/src/prompts/crash_ledger.rs
@@ -16,6 +16,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+/// Time since the last end for which a part stays blocked.
+pub const BLOCK_TIME: Duration = Duration::from_secs(600);
+
 /// Parameters of the ledger.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LedgerParams {
@@ -30,8 +33,6 @@
     pub familiar_blame: f64,
     /// Weight of such a run beside others that the same end broke off.
     pub familiar_weight: f64,
-    /// Time for which a run must write before its parts count as survived.
-    pub settle: Duration,
     /// Time since the last end for which a part stays blocked. Afterwards one more end blocks it
     /// again, as long as the earlier ones are retained.
     pub hold: Duration,
@@ -54,8 +55,7 @@
             remote_blame: 0.4,
             familiar_blame: 0.85,
             familiar_weight: 0.25,
-            settle: Duration::from_secs(1),
-            hold: Duration::from_secs(600),
+            hold: BLOCK_TIME,
             retention: Duration::from_secs(1800),
             familiarity: Duration::from_secs(300),
             end_span: Duration::from_secs(1),
@@ -226,11 +226,6 @@
         Self { params, ..Self::default() }
     }
 
-    /// Returns the time for which a run must write before its parts count as survived.
-    pub fn settle(&self) -> Duration {
-        self.params.settle
-    }
-
     /// Returns whether no broken run is known.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
@@ -258,7 +253,7 @@
     }
 
     /// Records that a run which began at `begun_at` survived its parts: its answer is complete, or the
-    /// engine has written for the time `settle`. Returns what is new.
+    /// engine has written for `SURVIVAL_TIME`. Returns what is new.
     pub fn record_survival(
         &mut self,
         now: Timestamp,
--- a/medlarlanding-core/src/prompts/mod.rs
+++ b/medlarlanding-core/src/prompts/mod.rs
@@ -5,10 +5,10 @@
 mod sharing;
 
 pub use crash_ledger::{
-    BlockedPart, ClearReason, ClearReport, CrashKey, CrashLedger, CrashReport, LedgerNews,
-    LedgerParams, MergedNews,
+    BLOCK_TIME, BlockedPart, ClearReason, ClearReport, CrashKey, CrashLedger, CrashReport,
+    LedgerNews, LedgerParams, MergedNews,
 };
-pub use parts::{PartId, PromptParts, RunPhase};
+pub use parts::{PartId, PromptParts, RunPhase, SURVIVAL_TIME};
 pub use sharing::LedgerSharing;
 
 use crate::time::Timestamp;
--- a/medlarlanding-core/src/prompts/parts.rs
+++ b/medlarlanding-core/src/prompts/parts.rs
@@ -82,6 +82,9 @@
     }
 }
 
+/// Time for which a run must write before its parts count as survived.
+pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
+
 value_type! { copy
     /// Progress of a run at a server, as far as its answer shows it.
     pub enum RunPhase {
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -18,7 +18,7 @@
 };
 use medlarlanding_core::handles::ResumeHandle;
 use medlarlanding_core::ids::{CustomerId, DeskId, RequestId, ServerId, stable_hash};
-use medlarlanding_core::prompts::{CrashKey, LedgerParams, PromptInput, PromptParts, RunPhase};
+use medlarlanding_core::prompts::{CrashKey, PromptInput, PromptParts, RunPhase, SURVIVAL_TIME};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, ServeError};
 
@@ -265,7 +265,7 @@
         }
         let now = self.shared.clock.now();
         let first = *self.first_token_at.get_or_insert(now);
-        if now.since(first) >= LedgerParams::default().settle {
+        if now.since(first) >= SURVIVAL_TIME {
             self.record_survival();
         }
     }
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -14,7 +14,7 @@
 use medlarlanding_core::forwarding::{
     DrainParams, EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight,
 };
-use medlarlanding_core::prompts::{LedgerParams, PromptParts};
+use medlarlanding_core::prompts::{BLOCK_TIME, PromptParts};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::CallerHeaders;
 
@@ -113,7 +113,7 @@
         ErrorAnswer::NoServer => RETRY_NO_SERVER,
         ErrorAnswer::ServersFull | ErrorAnswer::OutOfMemory => RETRY_FULL,
         ErrorAnswer::Overloaded => RETRY_OVERLOADED,
-        ErrorAnswer::FatalPrompt => LedgerParams::default().hold,
+        ErrorAnswer::FatalPrompt => BLOCK_TIME,
         ErrorAnswer::Stopping | ErrorAnswer::LateUnsent => Duration::ZERO,
         ErrorAnswer::NoRoute
         | ErrorAnswer::UnknownKey
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -21,7 +21,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{EngineFault, RunWeight, ServerEntry, ServerKey};
-use medlarlanding_core::prompts::RunPhase;
+use medlarlanding_core::prompts::{RunPhase, SURVIVAL_TIME};
 use medlarlanding_core::time::Timestamp;
 
 use hyper::body::Incoming;
@@ -256,7 +256,7 @@
         stream.load.add_output(TOKENS_PER_EVENT);
         self.last_event_at = now;
         self.events += 1;
-        if !stream.is_settled && now.since(stream.begun_at) >= self.state.settle_time() {
+        if !stream.is_settled && now.since(stream.begun_at) >= SURVIVAL_TIME {
             stream.is_settled = true;
             self.state.record_survival(stream.begun_at, &self.admitted.parts);
         }
--- a/medlarlanding/src/forwarding/server_liveness.rs
+++ b/medlarlanding/src/forwarding/server_liveness.rs
@@ -11,7 +11,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{RouteRule, ServerEntry, ServerKey};
-use medlarlanding_core::prompts::{PromptParts, RunPhase};
+use medlarlanding_core::prompts::{PromptParts, RunPhase, SURVIVAL_TIME};
 use medlarlanding_platform::engines;
 
 use hyper::StatusCode;
@@ -122,7 +122,7 @@
             entry: record.entry.clone(),
             phase,
             writing,
-            is_settled: writing >= state.settle_time(),
+            is_settled: writing >= SURVIVAL_TIME,
         })
     }
 
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -396,11 +396,6 @@
         let _ = changes.wait_for(|_| self.check_prompt(parts).is_some()).await;
     }
 
-    /// Returns the time for which a run must write before its parts count as survived.
-    pub fn settle_time(&self) -> Duration {
-        self.ledger.borrow().settle()
-    }
-
     /// Records a run that the end of its engine broke off, and tells the peers.
     pub fn record_broken_run(
         &self,
