--- a/medlarlanding-bench/src/site/client.rs
+++ b/medlarlanding-bench/src/site/client.rs
@@ -33,7 +33,7 @@
     pub body: String,
     /// Whether the body was received up to its regular end.
     pub is_complete: bool,
-    /// Time from the begin of the connection to the end of the body.
+    /// Time from the start of the connection to the end of the body.
     pub elapsed: Duration,
 }
 
--- a/medlarlanding-bench/src/soak.rs
+++ b/medlarlanding-bench/src/soak.rs
@@ -33,9 +33,9 @@
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 50..400;
 /// Servers of the service without a model.
 const PLAIN_SERVERS: usize = 3;
-/// Engines that do not end on a part of a prompt.
+/// Engines of a soak without fatal prompts.
 const ENGINES: usize = 4;
-/// Engines that do; some of them are starting again most of the time.
+/// Engines of a soak with fatal prompts; more, because some of them are starting again.
 const CRASHING_ENGINES: usize = 8;
 
 /// Injects random faults around real instances and checks the guarantees to callers.
@@ -215,9 +215,11 @@
 }
 
 fn draw_kind(random: &mut SmallRng, with_fatal_prompts: bool) -> CallKind {
-    let kinds = [CallKind::Lookup, CallKind::Order, CallKind::Draft, CallKind::FatalDraft];
-    let known = if with_fatal_prompts { &kinds[..] } else { &kinds[..3] };
-    *known.choose(random).expect("a kind")
+    let mut kinds = vec![CallKind::Lookup, CallKind::Order, CallKind::Draft];
+    if with_fatal_prompts {
+        kinds.push(CallKind::FatalDraft);
+    }
+    *kinds.choose(random).expect("a kind")
 }
 
 fn make_call(kind: CallKind, number: u64, id: &str, plan: PromptPlan) -> SiteCall {
@@ -252,7 +254,7 @@
     let instance = random.random_range(0..instances);
     let servers =
         ["orders-0", "orders-1", "orders-2", "engines-0", "engines-1", "engines-2", "engines-3"];
-    // Engines that end on a part of a prompt have no links.
+    // Engines of a soak with fatal prompts have no links; faults concern only the other servers.
     let server = random.random_range(0..site.links().len());
     let started = Instant::now();
     match random.random_range(0..12) {
--- a/medlarlanding-bench/src/soak/fatal_prompts.rs
+++ b/medlarlanding-bench/src/soak/fatal_prompts.rs
@@ -56,22 +56,30 @@
     }
 }
 
+/// Time in which an instance was paused or not running.
+#[derive(Debug)]
+struct ServiceGap {
+    instance: usize,
+    from: Instant,
+    until: Instant,
+}
+
 /// Times in which instances were paused or not running.
 #[derive(Debug, Default)]
-pub(super) struct ServiceGaps(Vec<(usize, Instant, Instant)>);
+pub(super) struct ServiceGaps(Vec<ServiceGap>);
 
 impl ServiceGaps {
     /// Adds the time from `started` to now.
     pub(super) fn add(&mut self, instance: usize, started: Instant) {
-        self.0.push((instance, started, Instant::now()));
+        self.0.push(ServiceGap { instance, from: started, until: Instant::now() });
     }
 
     /// Returns whether an instance has been running for `CONTACT`.
     fn is_connected(&self, instance: usize, at: Instant) -> bool {
-        let is_inside = |gap: &&(usize, Instant, Instant)| {
-            gap.0 == instance && (gap.1..gap.2 + CONTACT).contains(&at)
+        let is_inside = |gap: &ServiceGap| {
+            gap.instance == instance && (gap.from..gap.until + CONTACT).contains(&at)
         };
-        !self.0.iter().any(|gap| is_inside(&gap))
+        !self.0.iter().any(is_inside)
     }
 }
 
--- a/medlarlanding-core/src/forwarding/suspicion.rs
+++ b/medlarlanding-core/src/forwarding/suspicion.rs
@@ -88,6 +88,7 @@
         record.last_fault_at = now;
         let limit = match fault {
             EngineFault::Ended => {
+                // Each instance that notices the end reports it.
                 let is_known = now + params.avoid_ended / 2 < record.avoid_until;
                 record.avoid_until = record.avoid_until.max(now + params.avoid_ended);
                 return (!is_known).then_some(params.avoid_ended);
