--- a/medlarlanding-bench/src/site/crashing_engine.rs
+++ b/medlarlanding-bench/src/site/crashing_engine.rs
@@ -14,6 +14,15 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+/// Time within which instances that are connected to the others learn of a change: `contactMs` of the
+/// platform's sites.
+pub const CONTACT: Duration = Duration::from_secs(3);
+/// Ends of engines after which requests with the part on which they ended must be known.
+pub const CRASH_LIMIT: usize = 5;
+/// Requests with such a part that may still reach engines `CONTACT` after the last of these ends.
+pub const LATE_LIMIT: usize = 3;
+/// Part of prompts on which engines end in tests.
+pub const FATAL_PART: &str = "fa7a1";
 /// Time that an engine reads a prompt before it begins to write.
 const PREFILL: Duration = Duration::from_millis(40);
 /// Time from the first byte written on the fatal part to the end of the engine.
--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -24,7 +24,7 @@
 use serde_json::{Value, json};
 
 pub use client::{SiteAnswer, SiteCall};
-pub use crashing_engine::AnswerFraming;
+pub use crashing_engine::{AnswerFraming, CONTACT, CRASH_LIMIT, FATAL_PART, LATE_LIMIT};
 pub use faulty_server::FaultyAnswer;
 pub use proxy::{LinkMode, LinkSwitch};
 pub use state::{RunRecord, ServerCrash, ServerMode, SiteState, StoreMode};
--- a/medlarlanding-bench/src/soak.rs
+++ b/medlarlanding-bench/src/soak.rs
@@ -8,9 +8,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use self::fatal_prompts::{FATAL_PART, PromptPlan, SOUND_PART, ServiceGaps, find_late_runs};
+use self::fatal_prompts::{PromptPlan, SOUND_PART, ServiceGaps, find_late_runs};
 use crate::site::{
-    LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode, TestSite,
+    FATAL_PART, LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode,
+    TestSite,
 };
 
 use anyhow::Context;
--- a/medlarlanding-bench/src/soak/fatal_prompts.rs
+++ b/medlarlanding-bench/src/soak/fatal_prompts.rs
@@ -1,27 +1,19 @@
 //! Generations with a part in their prompts on which engines end, and the check of how many of them
 //! reach engines.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::{CallKind, CallRecord};
-use crate::site::{AnswerFraming, SiteCall, SiteState};
+use crate::site::{AnswerFraming, CONTACT, CRASH_LIMIT, LATE_LIMIT, SiteCall, SiteState};
 
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-/// Part of prompts on which engines end.
-pub(super) const FATAL_PART: &str = "fa7a1";
 /// Part of sound prompts in its place.
 pub(super) const SOUND_PART: &str = "50a1d";
 /// Number of variants of each other part.
 const PART_VARIANTS: u64 = 3;
-/// Time within which instances that are connected to the others learn of a change.
-const CONTACT: Duration = Duration::from_secs(3);
-/// Ends of engines after which the part must be known.
-const CRASH_LIMIT: usize = 5;
-/// Generations with the part that may still reach engines `CONTACT` after the last of these ends.
-const LATE_LIMIT: usize = 3;
 
 /// How prompts are composed and engines delimit their answers with one seed.
 #[derive(Clone, Copy, Debug)]
--- a/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
+++ b/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
@@ -6,20 +6,15 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use medlarlanding_bench::site::{AnswerFraming, SiteAnswer, SiteCall, SiteParams, TestSite};
+use medlarlanding_bench::site::{
+    AnswerFraming, CONTACT, CRASH_LIMIT, FATAL_PART, LATE_LIMIT, SiteAnswer, SiteCall, SiteParams,
+    TestSite,
+};
 use medlarlanding_core::cases;
 
 use hyper::Method;
 use rustix::process::Signal;
 
-/// Time within which instances that are connected to the others learn of a change.
-const CONTACT: Duration = Duration::from_secs(3);
-/// Ends of engines after which requests with the part on which they ended must be known.
-const CRASH_LIMIT: usize = 5;
-/// Requests with such a part that may still reach engines `CONTACT` after the last of these ends.
-const LATE_LIMIT: usize = 3;
-/// Part of prompts on which engines end.
-const FATAL_PART: &str = "fa7a1";
 /// Parts that sound prompts and fatal ones share.
 const FIRST_PART: &str = "f1";
 const INSTANCES: usize = 4;
