Log how answers without a delimiter end

Nothing showed whether an answer had a length or chunks, what was known of its server when it ended, and whether the server was asked: a false success looked like any other. E623 and forward_undelimited_answers say so for each answer that ends with its connection, and the framing is decided in one place (BodyFraming).

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -137,6 +137,8 @@
     621 PartBlocked Warn "part_blocked" ["part", "ends", "held_s"];
     /// A part of prompts is no longer blocked.
     622 PartReleased Info "part_released" ["part"];
+    /// An answer ended with its connection, without a length or chunks.
+    623 AnswerEnd Info "answer_end" ["request", "route", "server", "framing", "known", "state", "took_ms", "verdict"];
 }
 
 impl EventKind {
--- a/medlarlanding/src/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -12,10 +12,10 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Request, Response};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -208,8 +208,42 @@
     }
 }
 
-/// Returns whether the headers of a response delimit its body, by a length or by chunked encoding.
-/// Without them the body ends with the connection.
-pub fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
+/// How the end of a response's body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By a length or by chunks, or there is no body. A truncated body is an error.
+    Delimited,
+    /// By the end of the connection, although the headers state a transfer coding.
+    UnchunkedCoding,
+    /// By the end of the connection.
+    Closed,
+}
+
+impl BodyFraming {
+    /// Returns the framing of a response whose body has not been read.
+    pub fn of_response(response: &Response<Incoming>) -> Self {
+        let headers = response.headers();
+        // The final coding decides (RFC 9112, section 6.3).
+        let coding = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        let is_chunked = coding.and_then(|value| value.to_str().ok()).is_some_and(|value| {
+            let last = value.rsplit(',').next().unwrap_or_default();
+            last.trim().eq_ignore_ascii_case("chunked")
+        });
+        match coding {
+            _ if response.body().is_end_stream() => Self::Delimited,
+            Some(_) if is_chunked => Self::Delimited,
+            Some(_) => Self::UnchunkedCoding,
+            None if headers.contains_key(CONTENT_LENGTH) => Self::Delimited,
+            None => Self::Closed,
+        }
+    }
+
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Delimited => "delimited",
+            Self::UnchunkedCoding => "unchunked_coding",
+            Self::Closed => "closed",
+        }
+    }
 }
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -4,12 +4,14 @@
 mod start;
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use self::moving::StreamEnd;
 use self::start::StartFailure;
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
+use super::answer_end::EndingAnswer;
 use super::engine_calls::MoveCall;
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
@@ -17,7 +19,7 @@
 use super::shared::SharedState;
 use super::stream_events::{EventSplitter, StreamEvent};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
-use crate::exchange::{Exchange, ExchangeFault};
+use crate::exchange::{BodyFraming, Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{EngineFault, RunWeight, ServerEntry, ServerKey};
@@ -67,8 +69,8 @@
     /// Entry of the engine.
     entry: ServerEntry,
     body: Incoming,
-    /// The headers delimit the body, so that a truncated body can be told from a complete one.
-    is_framed: bool,
+    /// How the end of the body is marked.
+    framing: BodyFraming,
     /// When the head of the answer arrived, at which the engine began to write.
     begun_at: Timestamp,
     /// The engine has written for long enough to show that it survives the prompt.
@@ -207,6 +209,17 @@
         tokio::task::spawn_local(async move { broken.examine(&state, &link).await });
     }
 
+    /// Describes the answer of an engine, for the check of its end.
+    fn ending(&self, key: ServerKey, framing: BodyFraming) -> EndingAnswer {
+        EndingAnswer {
+            request: self.admitted.id.clone(),
+            rule: Arc::clone(&self.admitted.rule),
+            server: key,
+            framing,
+            has_prompt: true,
+        }
+    }
+
     /// Returns whether engines end on the prompt of this run.
     fn is_fatal(&self) -> bool {
         self.state.check_prompt(&self.admitted.parts).is_some()
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -5,11 +5,10 @@
 
 use super::{EngineStream, GenerationRun, outcome_name};
 use crate::answer_body::StreamPiece;
-use crate::exchange::{self, ExchangeFault, is_framed};
+use crate::exchange::{self, BodyFraming, ExchangeFault};
 use crate::forwarding::engine_calls::{MOVE_TIMEOUT, MoveAnswer, MoveCall, release_copy};
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
-use crate::forwarding::server_liveness::has_ended_early;
 use crate::forwarding::shared::{Placement, SharedState};
 use crate::forwarding::stream_events::EventSplitter;
 use crate::logging::event;
@@ -141,20 +140,21 @@
                         },
                         None => {
                             let rest = self.splitter.take_rest();
+                            let is_delimited = stream.framing != BodyFraming::Closed;
                             // The end of a delimited body is the end of the answer, even while the
                             // run is being stopped.
-                            if let Some(call) = call.take_if(|call| call.is_final && !stream.is_framed)
+                            if let Some(call) = call.take_if(|call| call.is_final && !is_delimited)
                             {
                                 self.final_call = Some(call);
                                 return StreamEnd::Stopped;
                             }
                             // Without a delimiter, only a complete last event tells the end of the
                             // answer from a connection that was closed in the middle of it.
-                            if !rest.is_empty() && !stream.is_framed {
+                            if !rest.is_empty() && !is_delimited {
                                 return StreamEnd::Broken;
                             }
-                            if !stream.is_framed && has_ended_early(&self.state, stream.key).await
-                            {
+                            let ending = self.ending(stream.key, stream.framing);
+                            if !ending.is_complete(&self.state).await {
                                 return StreamEnd::Broken;
                             }
                             if !rest.is_empty()
@@ -391,6 +391,7 @@
             );
             match sent {
                 Ok((response, exchange)) => {
+                    let framing = BodyFraming::of_response(&response);
                     let (parts, body) = response.into_parts();
                     let check = check_answer(parts.status, &parts.headers, &self.admitted.id);
                     if parts.status.is_success() && check == AnswerCheck::Stamped {
@@ -401,7 +402,7 @@
                             key: *key,
                             entry,
                             body,
-                            is_framed: is_framed(&parts.headers),
+                            framing,
                             begun_at: self.state.now(),
                             is_settled: false,
                             _exchange: exchange,
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -7,7 +7,7 @@
 
 use super::{EngineStream, GenerationRun, SentRequest, outcome_name};
 use crate::answer_body::AnswerBody;
-use crate::exchange::{self, ExchangeFault, is_framed};
+use crate::exchange::{self, BodyFraming, ExchangeFault};
 use crate::forwarding::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
@@ -126,6 +126,7 @@
                     return Err(StartFailure::Error(ErrorAnswer::LateSent));
                 },
             };
+            let framing = BodyFraming::of_response(&response);
             let (parts, body) = response.into_parts();
             match check_answer(parts.status, &parts.headers, &self.admitted.id) {
                 AnswerCheck::NotRun => {
@@ -151,13 +152,12 @@
                     }));
             }
             self.state.directory.borrow_mut().record_success(key);
-            let is_framed = is_framed(&parts.headers);
             let begun_at = self.state.now();
             let stream = EngineStream {
                 key,
                 entry,
                 body,
-                is_framed,
+                framing,
                 begun_at,
                 is_settled: false,
                 _exchange: exchange,
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -7,6 +7,7 @@
 
 mod admit;
 mod answer;
+mod answer_end;
 mod caller_stream;
 mod engine_calls;
 mod engine_probe;
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -6,12 +6,13 @@
 
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
+use super::answer_end::EndingAnswer;
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
-use super::server_liveness::{BrokenAnswer, has_ended_early};
+use super::server_liveness::BrokenAnswer;
 use super::shared::{Placement, SharedState};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
-use crate::exchange::{self, Exchange, ExchangeFault, is_framed};
+use crate::exchange::{self, BodyFraming, Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
@@ -309,8 +310,15 @@
         match exchange::send(entry.address, request, limit).await {
             Ok((response, exchange)) => {
                 let left = limit.saturating_sub(state.now().since(started));
-                let is_framed = is_framed(response.headers());
+                let ending = EndingAnswer {
+                    request: admitted.id.clone(),
+                    rule: Arc::clone(&admitted.rule),
+                    server: key,
+                    framing: BodyFraming::of_response(&response),
+                    has_prompt: !admitted.parts.is_empty() && response.status().is_success(),
+                };
                 let source = AnswerSource {
+                    ending: ending.clone(),
                     state: Rc::clone(state),
                     link: Rc::clone(link),
                     server: Arc::clone(&entry.id),
@@ -325,7 +333,7 @@
                     _load: load,
                 };
                 let outcome = read_answer(admitted, response, source, left).await;
-                check_end(state, admitted, key, is_framed, started, outcome).await
+                check_end(state, admitted, &ending, started, outcome).await
             },
             Err(ExchangeFault::NotConnected) => SendOutcome::NotConnected,
             Err(fault) => SendOutcome::Lost(fault),
@@ -353,27 +361,21 @@
     (entry.id.to_string(), outcome)
 }
 
-/// Checks the end of a whole answer to a prompt. One that ends with its connection is complete only if
-/// the engine has not ended; a complete one shows that the engine survives the prompt.
+/// Checks the end of a whole answer. A complete one to a prompt shows that the engine survives it.
 async fn check_end(
     state: &SharedState,
     admitted: &AdmittedRequest,
-    key: ServerKey,
-    is_framed: bool,
+    ending: &EndingAnswer,
     begun_at: Timestamp,
     outcome: SendOutcome,
 ) -> SendOutcome {
-    let is_whole = match &outcome {
-        SendOutcome::Answered(status, _, AnswerBody::Whole(_)) => status.is_success(),
-        _ => false,
-    };
-    if !is_whole || admitted.parts.is_empty() {
-        return outcome;
-    }
-    if !is_framed && has_ended_early(state, key).await {
+    let SendOutcome::Answered(status, _, AnswerBody::Whole(_)) = &outcome else { return outcome };
+    if !ending.is_complete(state).await {
         return SendOutcome::Lost(ExchangeFault::Broken);
     }
-    state.record_survival(begun_at, &admitted.parts);
+    if status.is_success() && !admitted.parts.is_empty() {
+        state.record_survival(begun_at, &admitted.parts);
+    }
     outcome
 }
 
@@ -383,6 +385,7 @@
     link: Rc<PeerLink>,
     /// Id of the server.
     server: Arc<str>,
+    ending: EndingAnswer,
     /// What to examine if the answer breaks off; `None` if the request has no prompt.
     broken: Option<BrokenAnswer>,
     _exchange: Exchange,
@@ -510,6 +513,9 @@
                 }
             };
         }
+        if !self.source.ending.is_complete(&self.source.state).await {
+            return Err(BROKEN);
+        }
         // Sending fails if the caller has disconnected.
         let _ = sender.send(StreamPiece::End).await;
         Ok(())
--- a/medlarlanding/src/forwarding/server_liveness.rs
+++ b/medlarlanding/src/forwarding/server_liveness.rs
@@ -41,9 +41,8 @@
     }
 }
 
-/// Returns whether a server has ended though it was not to leave. An answer that ended with its
-/// connection may then be incomplete.
-pub async fn has_ended_early(state: &SharedState, key: ServerKey) -> bool {
+/// Returns whether a server has ended though it was not to leave.
+async fn has_ended_early(state: &SharedState, key: ServerKey) -> bool {
     let entry = {
         let directory = state.directory.borrow();
         let record = directory.get(key).filter(|record| record.leaving_since.is_none());
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -23,6 +23,9 @@
     pub faults: IntCounterVec,
     /// Answers to requests with a prompt that broke off, by phase of the run and state of the server.
     pub broken_answers: IntCounterVec,
+    /// Answers without a length or chunks that ended with their connection, by verdict and state of
+    /// the server.
+    pub undelimited_answers: IntCounterVec,
     /// Parts of prompts for which requests are refused.
     pub blocked_parts: IntGauge,
     /// Calls to the store, by outcome.
@@ -64,6 +67,11 @@
                 "Answers to prompts that broke off.",
                 &["phase", "state"],
             )?,
+            undelimited_answers: registry.counters(
+                "undelimited_answers",
+                "Answers that ended with their connection.",
+                &["verdict", "state"],
+            )?,
             blocked_parts: registry
                 .gauge("blocked_parts", "Parts of prompts for which requests are refused.")?,
             store_calls: registry.counters("store_calls", "Calls to the store.", &["outcome"])?,
