Reproduce answers that look complete although their servers broke them off; tests fail

A stand-in of its own delimits answers in five ways (length, chunks, connection, connection in HTTP/1.0, connection with a transfer coding that is not chunked) and ends in seven ways (it lives, ends, ends after its answers, closes its connections before its listener, freezes, restarts at once, resets), each after four words on it (ready, draining, entry removed, its own word).

--- /dev/null
+++ b/medlarlanding-bench/src/site/ending_server.rs
@@ -0,0 +1,395 @@
+//! Stand-in for servers that end, restart or fall silent in the middle of their answers, whose bodies
+//! are delimited in every way that HTTP allows. Writes raw bytes.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use super::faulty_server::{head_field, read_message};
+use super::state::{RunRecord, SiteState};
+
+use serde_json::{Value, json};
+use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Time for which the listener of an ended server stays open with `ServerFate::ListenerOutlives`.
+const LISTENER_TIME: Duration = Duration::from_millis(400);
+/// Parts of a moved run after which the fate of its new server strikes.
+const CONTINUED_PARTS: usize = 5;
+/// Header of a request: number of parts of the answer, 6 if it is missing.
+pub const PARTS_HEADER: &str = "x-test-parts";
+/// Header of a request: bytes of a part of a whole answer, 16 if it is missing.
+pub const PART_BYTES_HEADER: &str = "x-test-part-bytes";
+/// Header of a request: milliseconds between two parts, 0 if it is missing.
+pub const INTERVAL_HEADER: &str = "x-test-interval-ms";
+
+/// How an answer delimits its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyDelimiter {
+    /// By a length.
+    Length,
+    /// By chunks.
+    Chunks,
+    /// By the end of the connection.
+    Connection,
+    /// By the end of the connection, in HTTP/1.0.
+    OldConnection,
+    /// By the end of the connection, although the headers name a transfer coding.
+    CodedConnection,
+}
+
+impl BodyDelimiter {
+    /// All delimiters.
+    pub const ALL: [Self; 5] =
+        [Self::Length, Self::Chunks, Self::Connection, Self::OldConnection, Self::CodedConnection];
+
+    /// Returns whether a truncated body violates its delimiter.
+    pub fn is_declared(self) -> bool {
+        matches!(self, Self::Length | Self::Chunks)
+    }
+}
+
+/// What becomes of a server in the middle of its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerFate {
+    /// It completes its answers and continues to serve.
+    Lives,
+    /// It completes its answers and ends in the same moment.
+    EndsAfterAnswers,
+    /// It ends: its listener and its connections close.
+    Ends,
+    /// It ends: its connections close, and its listener 0.4 s later.
+    ListenerOutlives,
+    /// The connections of its answers close, and it answers nothing more.
+    Freezes,
+    /// It ends, and another start of it serves at the same address at once.
+    Restarts,
+    /// It ends and its connections are reset.
+    Resets,
+}
+
+impl ServerFate {
+    /// All fates.
+    pub const ALL: [Self; 7] = [
+        Self::Lives,
+        Self::EndsAfterAnswers,
+        Self::Ends,
+        Self::ListenerOutlives,
+        Self::Freezes,
+        Self::Restarts,
+        Self::Resets,
+    ];
+
+    /// Returns whether answers break off.
+    pub fn breaks_answers(self) -> bool {
+        !matches!(self, Self::Lives | Self::EndsAfterAnswers)
+    }
+}
+
+/// State of the process that the stand-in plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProcessState {
+    /// Serves; the number of its start.
+    Serving(u64),
+    /// Its connections are closed; the listener accepts and nothing is answered.
+    ListenerOnly,
+    /// Accepts and answers nothing.
+    Frozen,
+    Ended,
+}
+
+#[derive(Debug)]
+struct ServerShared {
+    id: String,
+    delimiter: BodyDelimiter,
+    fate: ServerFate,
+    process: watch::Sender<ProcessState>,
+    /// Answers wait in their middle until this is set.
+    released: watch::Sender<bool>,
+    paused: AtomicUsize,
+    connections: AtomicUsize,
+    says_leaving: AtomicBool,
+    /// Request whose run is to stop for a move.
+    stopped_run: watch::Sender<Option<String>>,
+    /// The run of a final copy completes on its own at that moment.
+    completes_on_move: AtomicBool,
+    /// When the first answer ended.
+    ended_at: Mutex<Option<Instant>>,
+    state: Arc<SiteState>,
+}
+
+/// Control of one stand-in.
+#[derive(Clone, Debug)]
+pub struct EndingServer {
+    /// Address of the server.
+    pub address: SocketAddr,
+    shared: Arc<ServerShared>,
+}
+
+impl EndingServer {
+    /// Starts a server on the current runtime.
+    pub(super) fn spawn(
+        listener: TcpListener,
+        id: String,
+        delimiter: BodyDelimiter,
+        fate: ServerFate,
+        state: Arc<SiteState>,
+    ) -> anyhow::Result<Self> {
+        let address = listener.local_addr()?;
+        let shared = Arc::new(ServerShared {
+            id,
+            delimiter,
+            fate,
+            process: watch::Sender::new(ProcessState::Serving(1)),
+            released: watch::Sender::new(false),
+            paused: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+            says_leaving: AtomicBool::new(false),
+            stopped_run: watch::Sender::new(None),
+            completes_on_move: AtomicBool::new(false),
+            ended_at: Mutex::new(None),
+            state,
+        });
+        tokio::spawn(run_listener(listener, Arc::clone(&shared)));
+        Ok(Self { address, shared })
+    }
+
+    /// Returns the id of the server.
+    pub fn id(&self) -> &str {
+        &self.shared.id
+    }
+
+    /// Returns the number of answers that have reached their middle.
+    pub fn paused(&self) -> usize {
+        self.shared.paused.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// Lets answers go on from their middle, where the fate of the server strikes.
+    pub fn release(&self) {
+        self.shared.released.send_replace(true);
+    }
+
+    /// Adds the header to all answers in which a server says that it leaves.
+    pub fn say_leaving(&self) {
+        self.shared.says_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Makes runs complete on their own at the moment at which a move stops them.
+    pub fn complete_on_move(&self) {
+        self.shared.completes_on_move.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns when the first answer ended.
+    pub fn ended_at(&self) -> Option<Instant> {
+        *self.shared.ended_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn run_listener(listener: TcpListener, shared: Arc<ServerShared>) {
+    let mut process = shared.process.subscribe();
+    let mut connections = JoinSet::new();
+    let mut ends_at = None;
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            changed = process.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                match *process.borrow_and_update() {
+                    ProcessState::Serving(_) => {},
+                    ProcessState::Frozen => continue,
+                    ProcessState::ListenerOnly => {
+                        ends_at = Some(tokio::time::Instant::now() + LISTENER_TIME);
+                    },
+                    ProcessState::Ended => return,
+                }
+                // The connections of the process that has ended.
+                connections.abort_all();
+                continue;
+            },
+            () = sleep_until(ends_at) => return,
+        };
+        let Ok((stream, _)) = accepted else { return };
+        shared.connections.fetch_add(1, Ordering::Relaxed);
+        let shared = Arc::clone(&shared);
+        connections.spawn(async move {
+            let process = *shared.process.borrow();
+            let start = match process {
+                ProcessState::Serving(start) => start,
+                ProcessState::ListenerOnly | ProcessState::Frozen | ProcessState::Ended => {
+                    // Keeps the connection open.
+                    let _stream = stream;
+                    return std::future::pending().await;
+                },
+            };
+            // Serving fails when the instance closes the connection, which is expected.
+            let _ = shared.serve(stream, start).await;
+        });
+    }
+}
+
+/// Waits until a time; without one, forever.
+async fn sleep_until(time: Option<tokio::time::Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
+impl ServerShared {
+    async fn serve(&self, mut stream: TcpStream, start: u64) -> anyhow::Result<()> {
+        let (head, body) = read_message(&mut stream).await?;
+        let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+        let leaving = match self.says_leaving.load(Ordering::Relaxed) {
+            true => "Server-Leaving: 1\r\n",
+            false => "",
+        };
+        if path.starts_with("/-/") {
+            let (status, body) = self.answer_call(&path, &body, start).await;
+            let answer = format!(
+                "HTTP/1.1 {status} Status\r\n{leaving}Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            return Ok(stream.write_all(answer.as_bytes()).await?);
+        }
+        let field = |name: &str| head_field(&head, name);
+        let number =
+            |name: &str, usual| field(name).and_then(|text| text.parse().ok()).unwrap_or(usual);
+        let request = field("x-request-id").unwrap_or_default();
+        if field("x-expect-instance").as_deref() != Some(&*self.id) {
+            let answer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+            return Ok(stream.write_all(answer.as_bytes()).await?);
+        }
+        let is_continued = field("kv-from").is_some();
+        self.state.lock().runs.push(RunRecord {
+            request: request.clone(),
+            server: self.id.clone(),
+            customer: None,
+            is_continued,
+            headers: Vec::new(),
+            at: Instant::now(),
+        });
+        let first = 1 + if is_continued { number("last-event-id", 0) } else { 0 };
+        let (count, part_bytes) = (number(PARTS_HEADER, 6), number(PART_BYTES_HEADER, 16));
+        let interval = Duration::from_millis(number(INTERVAL_HEADER, 0) as u64);
+        let is_stream = path.starts_with("/draft");
+        let parts: Vec<String> = (first..=count)
+            .map(|number| match is_stream {
+                true => format!("id: {number}\ndata: {request} {number}\n\n"),
+                false => format!("{number:0>part_bytes$}"),
+            })
+            .collect();
+        let length: usize = parts.iter().map(String::len).sum();
+        let version = if self.delimiter == BodyDelimiter::OldConnection { "1.0" } else { "1.1" };
+        let delimiter = match self.delimiter {
+            BodyDelimiter::Length => format!("Content-Length: {length}\r\n"),
+            BodyDelimiter::Chunks => "Transfer-Encoding: chunked\r\n".to_owned(),
+            BodyDelimiter::Connection | BodyDelimiter::OldConnection => String::new(),
+            BodyDelimiter::CodedConnection => "Transfer-Encoding: identity\r\n".to_owned(),
+        };
+        let kind = if is_stream { "text/event-stream" } else { "application/octet-stream" };
+        let answer_head = format!(
+            "HTTP/{version} 200 OK\r\nX-Request-Id: {request}\r\nX-Server-Stamp: stamp-{}\r\n\
+             Content-Type: {kind}\r\n{leaving}{delimiter}\r\n",
+            self.id
+        );
+        stream.write_all(answer_head.as_bytes()).await?;
+        let middle = match (interval.is_zero(), is_continued && self.fate.breaks_answers()) {
+            (true, _) => parts.len() / 2,
+            (false, true) => CONTINUED_PARTS,
+            // Runs that are to move do not wait in their middle.
+            (false, false) => usize::MAX,
+        };
+        for (index, part) in parts.iter().enumerate() {
+            if index == middle {
+                self.paused.fetch_add(1, Ordering::Relaxed);
+                // The sender lives as long as this server.
+                let _ = self.released.subscribe().wait_for(|released| *released).await;
+                if self.fate.breaks_answers() {
+                    return self.strike(stream).await;
+                }
+            }
+            if self.stopped_run.borrow().as_deref() == Some(&*request) {
+                if self.fate.breaks_answers() {
+                    return self.strike(stream).await;
+                }
+                if self.completes_on_move.load(Ordering::Relaxed) {
+                    // The run was at its last event.
+                    return self.write_end(&mut stream).await;
+                }
+                return Ok(stream.shutdown().await?);
+            }
+            let text = match self.delimiter {
+                BodyDelimiter::Chunks => format!("{:x}\r\n{part}\r\n", part.len()),
+                _ => part.clone(),
+            };
+            stream.write_all(text.as_bytes()).await?;
+            tokio::time::sleep(interval).await;
+        }
+        self.write_end(&mut stream).await?;
+        if self.fate == ServerFate::EndsAfterAnswers {
+            stream.shutdown().await?;
+            self.process.send_replace(ProcessState::Ended);
+        }
+        Ok(())
+    }
+
+    async fn write_end(&self, stream: &mut TcpStream) -> anyhow::Result<()> {
+        if self.delimiter == BodyDelimiter::Chunks {
+            stream.write_all(b"0\r\n\r\n").await?;
+        }
+        self.note_end();
+        Ok(stream.shutdown().await?)
+    }
+
+    fn note_end(&self) {
+        let mut ended_at = self.ended_at.lock().unwrap_or_else(PoisonError::into_inner);
+        ended_at.get_or_insert_with(Instant::now);
+    }
+
+    /// Ends the process as its fate says, in the middle of an answer.
+    async fn strike(&self, stream: TcpStream) -> anyhow::Result<()> {
+        self.note_end();
+        let next = match self.fate {
+            ServerFate::Ends | ServerFate::Resets => ProcessState::Ended,
+            ServerFate::ListenerOutlives => ProcessState::ListenerOnly,
+            ServerFate::Freezes => ProcessState::Frozen,
+            ServerFate::Restarts => ProcessState::Serving(2),
+            ServerFate::Lives | ServerFate::EndsAfterAnswers => return Ok(()),
+        };
+        if self.fate == ServerFate::Resets {
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+        }
+        self.process.send_replace(next);
+        drop(stream);
+        Ok(())
+    }
+
+    async fn answer_call(&self, path: &str, body: &str, start: u64) -> (u16, String) {
+        if path != "/-/kv-move" {
+            return (200, json!({"state": "ready", "born": start}).to_string());
+        }
+        let call: Value = serde_json::from_str(body).unwrap_or_default();
+        let request = call["id"].as_str().unwrap_or_default().to_owned();
+        if call["last"].as_bool().unwrap_or(false) {
+            self.stopped_run.send_replace(Some(request));
+            if self.completes_on_move.load(Ordering::Relaxed) {
+                // The end of the stream arrives first.
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                return (404, String::new());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        (200, json!({"handle": format!("h-{}", self.id), "created": 1}).to_string())
+    }
+}
--- a/medlarlanding-bench/src/site/faulty_server.rs
+++ b/medlarlanding-bench/src/site/faulty_server.rs
@@ -187,6 +187,11 @@
 
 /// Reads a request with its body. Returns its head.
 pub(super) async fn read_request(stream: &mut TcpStream) -> anyhow::Result<String> {
+    Ok(read_message(stream).await?.0)
+}
+
+/// Reads a request. Returns its head and its body.
+pub(super) async fn read_message(stream: &mut TcpStream) -> anyhow::Result<(String, String)> {
     let mut received = Vec::new();
     let mut buffer = [0; 4096];
     loop {
@@ -194,7 +199,7 @@
         if let Some((head, body)) = text.split_once("\r\n\r\n") {
             let length = head_field(head, "content-length");
             if body.len() >= length.and_then(|text| text.parse().ok()).unwrap_or(0) {
-                return Ok(head.to_owned());
+                return Ok((head.to_owned(), body.to_owned()));
             }
         }
         match stream.read(&mut buffer).await? {
--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod crashing_engine;
+mod ending_server;
 mod faulty_server;
 mod proxy;
 mod server;
@@ -25,6 +26,9 @@
 
 pub use client::{SiteAnswer, SiteCall};
 pub use crashing_engine::{AnswerFraming, CONTACT, CRASH_LIMIT, FATAL_PART, LATE_LIMIT};
+pub use ending_server::{
+    BodyDelimiter, EndingServer, INTERVAL_HEADER, PART_BYTES_HEADER, PARTS_HEADER, ServerFate,
+};
 pub use faulty_server::FaultyAnswer;
 pub use proxy::{LinkMode, LinkSwitch};
 pub use state::{RunRecord, ServerCrash, ServerMode, SiteState, StoreMode};
@@ -174,6 +178,49 @@
         )
     }
 
+    /// Starts servers that end as their fates say, each for a service `end-N` of its own, and registers
+    /// them in the store as ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken.
+    pub fn add_ending_servers(
+        &self,
+        servers: &[(BodyDelimiter, ServerFate)],
+    ) -> anyhow::Result<Vec<EndingServer>> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let spawned = runtime.block_on(async {
+            let spawn = |(index, &(delimiter, fate)): (usize, &(BodyDelimiter, ServerFate))| {
+                let address = SocketAddr::new(
+                    loopback_address(self.network, 200),
+                    SERVER_PORT + 10 + index as u16,
+                );
+                let listener = TcpListener::bind(address)?;
+                listener.set_nonblocking(true)?;
+                let listener = tokio::net::TcpListener::from_std(listener)?;
+                let state = Arc::clone(&self.state);
+                EndingServer::spawn(listener, format!("end-{index}"), delimiter, fate, state)
+            };
+            servers.iter().enumerate().map(spawn).collect::<anyhow::Result<Vec<_>>>()
+        })?;
+        let mut stopped = self.state.stopped.subscribe();
+        std::thread::spawn(move || {
+            runtime.block_on(async move {
+                // The sender lives as long as the deployment.
+                let _ = stopped.wait_for(|stopped| *stopped).await;
+            });
+        });
+        for server in &spawned {
+            self.register_ending_server(server, server.id(), "ready");
+        }
+        Ok(spawned)
+    }
+
+    /// Writes the entry of a server that ends as its fate says.
+    pub fn register_ending_server(&self, server: &EndingServer, service: &str, state: &str) {
+        self.register(server.id(), service, server.address, state);
+    }
+
     /// Marks a crashing engine as draining in the store. It continues to serve.
     ///
     /// # Errors
--- /dev/null
+++ b/medlarlanding-bench/tests/forwarding_answer_ends.rs
@@ -0,0 +1,388 @@
+//! Answers of servers that end, restart or fall silent in the middle of them, with each way to delimit a
+//! body, whatever was known of the server before.
+
+use std::time::{Duration, Instant};
+
+use medlarlanding_bench::site::{
+    BodyDelimiter, EndingServer, INTERVAL_HEADER, PART_BYTES_HEADER, PARTS_HEADER, ServerFate,
+    SiteAnswer, SiteCall, SiteParams, TestSite,
+};
+use medlarlanding_core::cases;
+
+use hyper::Method;
+use serde_json::{Value, json};
+
+const INSTANCES: usize = 3;
+/// Longest time from the end of an answer at its server to its end at the caller.
+const END_LIMIT: Duration = Duration::from_millis(500);
+/// Connections that a server may get for an answer without a declared end: the request, and two to
+/// learn whether the server still runs.
+const CONNECTION_LIMIT: usize = 3;
+
+/// What was said of a server before its answers ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServerWord {
+    Ready,
+    /// Its entry says that it drains.
+    Draining,
+    /// Its entry was removed.
+    Removed,
+    /// Its answers say that it leaves.
+    OwnWord,
+}
+
+const WORDS: [ServerWord; 4] =
+    [ServerWord::Ready, ServerWord::Draining, ServerWord::Removed, ServerWord::OwnWord];
+
+/// A kind of request and the size of its answer.
+#[derive(Clone, Copy)]
+struct KindCase {
+    /// Name of the routes.
+    route: &'static str,
+    /// Kind of the routes.
+    kind: &'static str,
+    /// The servers are engines.
+    is_engine: bool,
+    has_prompt: bool,
+    /// Parts of the answer; the server ends after half of them.
+    parts: usize,
+    /// Bytes of a part of an answer that is no stream.
+    part_bytes: usize,
+}
+
+fn start_site() -> TestSite {
+    let params = SiteParams { instances: INSTANCES, plain_servers: 0, engines: 0, grace_s: 8 };
+    TestSite::start(params).expect("a deployment")
+}
+
+/// Publishes a route for each service, with the path `/ROUTE/SERVICE/`.
+fn publish_services(site: &mut TestSite, services: &[String], case: KindCase, can_move: bool) {
+    let routes = services.iter().map(|service| {
+        json!({"name": format!("{}-{service}", case.route), "host": "desk.example",
+            "prefix": format!("/{}/{service}/", case.route), "routeType": case.kind,
+            "timeoutMs": 20_000, "goalMs": 1_000, "priority": 1, "service": service,
+            "maxAttempts": 2, "public": false})
+    });
+    let routes: Vec<Value> = routes.collect();
+    let service = |name: &String| match case.is_engine {
+        true => json!({"name": name, "maxConnections": 100, "engine": {"slots": 24,
+            "kvCapacity": 30_000, "kvBytes": 1, "linkMbps": 1_000, "moves": can_move}}),
+        false => json!({"name": name, "maxConnections": 100}),
+    };
+    let services: Vec<Value> = services.iter().map(service).collect();
+    let version = site.publish_config(|config| {
+        config["routes"] = Value::Array(routes);
+        config["services"] = Value::Array(services);
+    });
+    let is_accepted = |instance| {
+        let line = format!("forward_config_accepted version={version} ");
+        site.log(instance).contains(&line)
+    };
+    site.wait_until("the configuration", || (0..INSTANCES).all(is_accepted)).expect("a version");
+}
+
+/// Waits until instances know this number of entries in a state.
+fn wait_for_entries(site: &TestSite, instances: usize, state: &str, count: usize) {
+    let text = format!("state={state} ");
+    let is_known = |instance| site.log(instance).matches(&text).count() >= count;
+    site.wait_until("server entries", || (0..instances).all(is_known)).expect("entries");
+}
+
+/// Waits until all instances know that a server of a service is ready.
+fn wait_for_server(site: &TestSite, server: &EndingServer, service: &str) {
+    let text = format!("server={} service={service} state=ready", server.id());
+    let is_known = |instance| site.log(instance).contains(&text);
+    site.wait_until("a server", || (0..INSTANCES).all(is_known)).expect("an entry");
+}
+
+fn call(case: KindCase, service: &str, number: usize) -> SiteCall {
+    let path = format!("/{}/{service}/a", case.route);
+    let call = SiteCall::new(Method::POST, &path, &format!("id-{number}"))
+        .header(PARTS_HEADER, &case.parts.to_string())
+        .header(PART_BYTES_HEADER, &case.part_bytes.to_string());
+    match case.has_prompt {
+        true => call.header("x-prefix-hash", &format!("a{number:x}:300,b{number:x}:100")),
+        false => call,
+    }
+}
+
+/// Returns whether the caller received all parts of the answer and its end.
+fn is_whole(case: KindCase, answer: &SiteAnswer) -> bool {
+    let length = match case.kind {
+        "stream" => case.parts == answer.event_ids().len(),
+        _ => answer.body.len() == case.parts * case.part_bytes,
+    };
+    answer.status == 200 && answer.is_complete && length
+}
+
+/// Guards against an answer that its server broke off and that looks complete to the caller, as in
+/// incident inc2, and against a sound answer that is lost, delayed or costs connections because its
+/// end is checked.
+fn ends_truthfully(case: KindCase) {
+    let mut site = start_site();
+    let mut specs = Vec::new();
+    for delimiter in BodyDelimiter::ALL {
+        for fate in ServerFate::ALL {
+            specs.extend(WORDS.map(|word| (delimiter, fate, word)));
+        }
+    }
+    let servers: Vec<_> = specs.iter().map(|&(delimiter, fate, _)| (delimiter, fate)).collect();
+    let servers = site.add_ending_servers(&servers).expect("servers");
+    let services: Vec<String> = servers.iter().map(|server| server.id().to_owned()).collect();
+    publish_services(&mut site, &services, case, false);
+    wait_for_entries(&site, INSTANCES, "ready", servers.len());
+    let calls: Vec<_> = servers
+        .iter()
+        .zip(&specs)
+        .enumerate()
+        .map(|(number, (server, (_, _, word)))| {
+            if *word == ServerWord::OwnWord {
+                server.say_leaving();
+            }
+            let call = call(case, server.id(), number);
+            let address = site.caller_address(number % INSTANCES);
+            std::thread::spawn(move || (call.send(address).expect("an answer"), Instant::now()))
+        })
+        .collect();
+    let are_paused = || servers.iter().all(|server| server.paused() > 0);
+    site.wait_until("the middle of all answers", are_paused).expect("answers");
+    let (mut draining, mut removed) = (0, 0);
+    for (server, (_, _, word)) in servers.iter().zip(&specs) {
+        match word {
+            ServerWord::Ready | ServerWord::OwnWord => {},
+            ServerWord::Draining => {
+                site.register_ending_server(server, server.id(), "draining");
+                draining += 1;
+            },
+            ServerWord::Removed => {
+                site.state.remove(&format!("servers/{}", server.id()));
+                removed += 1;
+            },
+        }
+    }
+    wait_for_entries(&site, INSTANCES, "draining", draining);
+    wait_for_entries(&site, INSTANCES, "removed", removed);
+    servers.iter().for_each(EndingServer::release);
+
+    let mut faults = Vec::new();
+    let (mut ambiguous_lost, mut ambiguous) = (0, 0);
+    let mut longest = Duration::ZERO;
+    for ((caller, server), spec) in calls.into_iter().zip(&servers).zip(&specs) {
+        let (answer, received_at) = caller.join().expect("a caller");
+        let (delimiter, fate, _) = *spec;
+        let whole = is_whole(case, &answer);
+        let described = format!(
+            "{spec:?}: status {}, complete {}, {} bytes",
+            answer.status,
+            answer.is_complete,
+            answer.body.len()
+        );
+        if fate.breaks_answers() && answer.status == 200 && answer.is_complete {
+            faults.push(format!("broken off and complete: {described}"));
+        }
+        if !fate.breaks_answers()
+            && (fate == ServerFate::Lives || delimiter.is_declared())
+            && !whole
+        {
+            faults.push(format!("sound and lost: {described}"));
+        }
+        if fate == ServerFate::EndsAfterAnswers && !delimiter.is_declared() {
+            ambiguous += 1;
+            ambiguous_lost += usize::from(!whole);
+        }
+        let delay = server.ended_at().map_or(Duration::ZERO, |at| received_at.duration_since(at));
+        longest = longest.max(delay);
+        if delay > END_LIMIT {
+            faults.push(format!("ended {delay:?} later: {described}"));
+        }
+        let allowed = if delimiter.is_declared() { 1 } else { CONNECTION_LIMIT };
+        if fate == ServerFate::Lives && server.connections() > allowed {
+            faults.push(format!("{} connections: {described}", server.connections()));
+        }
+    }
+    println!(
+        "longest end {longest:?}; {ambiguous_lost} of {ambiguous} sound answers without a declared end \
+         lost whose server ended in the same moment"
+    );
+    assert!(faults.is_empty(), "{} faults:\n{}", faults.len(), faults.join("\n"));
+}
+
+cases! { ends_truthfully;
+    streams_with_a_prompt_end_truthfully => KindCase {
+        route: "draft", kind: "stream", is_engine: true, has_prompt: true, parts: 6, part_bytes: 16,
+    },
+    streams_without_a_prompt_end_truthfully => KindCase {
+        route: "draft", kind: "stream", is_engine: true, has_prompt: false, parts: 300,
+        part_bytes: 16,
+    },
+    repeatable_answers_to_a_prompt_end_truthfully => KindCase {
+        route: "assess", kind: "safe", is_engine: true, has_prompt: true, parts: 6, part_bytes: 16,
+    },
+    unrepeatable_answers_to_a_prompt_end_truthfully => KindCase {
+        route: "note", kind: "unsafe", is_engine: true, has_prompt: true, parts: 6, part_bytes: 16,
+    },
+    repeatable_answers_end_truthfully => KindCase {
+        route: "lookup", kind: "safe", is_engine: false, has_prompt: false, parts: 6, part_bytes: 16,
+    },
+    unrepeatable_answers_end_truthfully => KindCase {
+        route: "order", kind: "unsafe", is_engine: false, has_prompt: false, parts: 6,
+        part_bytes: 16,
+    },
+    long_answers_end_truthfully => KindCase {
+        route: "order", kind: "unsafe", is_engine: false, has_prompt: false, parts: 12,
+        part_bytes: 20_000,
+    },
+    long_answers_to_a_prompt_end_truthfully => KindCase {
+        route: "note", kind: "unsafe", is_engine: true, has_prompt: true, parts: 12,
+        part_bytes: 20_000,
+    },
+}
+
+/// Guards against server entries that an instance never learns: changes that the store lists in another
+/// order than that of their revisions were sent to peers in several datagrams, of which the peers
+/// dropped those after the one with the highest revision.
+#[test]
+fn servers_registered_at_once_are_known_to_all_instances() {
+    const SERVERS: usize = 140;
+    // Only some of the instances read the store; the others learn of changes from them.
+    const ALL_INSTANCES: usize = 6;
+    let params = SiteParams { instances: ALL_INSTANCES, plain_servers: 0, engines: 0, grace_s: 8 };
+    let site = TestSite::start(params).expect("a deployment");
+    let specs = [(BodyDelimiter::Length, ServerFate::Lives); SERVERS];
+    site.add_ending_servers(&specs).expect("servers");
+    wait_for_entries(&site, ALL_INSTANCES, "ready", SERVERS);
+}
+
+/// Guards against a repeatable request whose broken answer reaches the caller although another server
+/// would have completed it.
+#[test]
+fn broken_answer_is_replaced_by_that_of_another_server() {
+    let case = KindCase {
+        route: "lookup",
+        kind: "safe",
+        is_engine: false,
+        has_prompt: false,
+        parts: 6,
+        part_bytes: 16,
+    };
+    let mut site = start_site();
+    let fates = ServerFate::ALL.into_iter().filter(|fate| fate.breaks_answers());
+    let specs: Vec<_> = fates
+        .flat_map(|fate| [fate, fate, fate, fate])
+        .flat_map(|fate| {
+            [(BodyDelimiter::Connection, fate), (BodyDelimiter::Connection, ServerFate::Lives)]
+        })
+        .collect();
+    let servers = site.add_ending_servers(&specs).expect("servers");
+    let services: Vec<String> = (0..servers.len() / 2).map(|pair| format!("pair-{pair}")).collect();
+    for (pair, service) in servers.chunks(2).zip(&services) {
+        pair.iter().for_each(|server| site.register_ending_server(server, service, "ready"));
+        pair.iter().for_each(EndingServer::release);
+    }
+    publish_services(&mut site, &services, case, false);
+    for (pair, service) in servers.chunks(2).zip(&services) {
+        pair.iter().for_each(|server| wait_for_server(&site, server, service));
+    }
+    let mut repeated = 0;
+    for (number, (pair, service)) in servers.chunks(2).zip(&services).enumerate() {
+        let answer = call(case, service, number).send(site.caller_address(number % INSTANCES));
+        let answer = answer.expect("an answer");
+        assert!(is_whole(case, &answer), "{:?}: {answer:?}", specs[number * 2]);
+        repeated += usize::from(pair[0].ended_at().is_some());
+    }
+    println!("{repeated} of {} requests were repeated", services.len());
+    assert!(repeated > 0, "no request was repeated");
+}
+
+/// A generation that moves between two engines, and what the caller must receive.
+struct MoveCase {
+    source: ServerFate,
+    destination: ServerFate,
+    /// The run completes on its own when the move stops it.
+    completes_on_move: bool,
+    is_whole: bool,
+}
+
+/// Guards against a moved run whose stream has no declared end: it looks complete when its engine
+/// ends, or is lost although it was complete.
+fn moves_truthfully(expected: MoveCase) {
+    const EVENTS: usize = 60;
+    let case = KindCase {
+        route: "draft",
+        kind: "stream",
+        is_engine: true,
+        has_prompt: true,
+        parts: EVENTS,
+        part_bytes: 16,
+    };
+    let mut site = start_site();
+    let delimiters = [BodyDelimiter::Connection, BodyDelimiter::OldConnection];
+    let specs: Vec<_> = delimiters
+        .into_iter()
+        .flat_map(|delimiter| [(delimiter, expected.source), (delimiter, expected.destination)])
+        .collect();
+    let servers = site.add_ending_servers(&specs).expect("servers");
+    let services: Vec<String> = (0..servers.len() / 2).map(|pair| format!("pair-{pair}")).collect();
+    publish_services(&mut site, &services, case, true);
+    let mut callers = Vec::new();
+    for (number, (pair, service)) in servers.chunks(2).zip(&services).enumerate() {
+        site.register_ending_server(&pair[0], service, "ready");
+        site.state.remove(&format!("servers/{}", pair[1].id()));
+        wait_for_server(&site, &pair[0], service);
+        if expected.completes_on_move {
+            pair[0].complete_on_move();
+        }
+        pair[1].release();
+        let call = call(case, service, number).header(INTERVAL_HEADER, "30");
+        let address = site.caller_address(number % INSTANCES);
+        callers.push(std::thread::spawn(move || call.send(address).expect("an answer")));
+        let request = format!("id-{number}");
+        site.wait_until("the run", || !site.state.runs(&request).is_empty()).expect("a run");
+        site.register_ending_server(&pair[1], service, "ready");
+        wait_for_server(&site, &pair[1], service);
+        site.register_ending_server(&pair[0], service, "draining");
+    }
+    for (number, caller) in callers.into_iter().enumerate() {
+        let answer = caller.join().expect("a caller");
+        let ids = answer.event_ids();
+        let expected_ids: Vec<u64> = (1..=ids.len() as u64).collect();
+        assert_eq!(ids, expected_ids, "pieces are missing or come twice");
+        let is_moved = site.state.runs(&format!("id-{number}")).iter().any(|run| run.is_continued);
+        assert!(is_moved || expected.completes_on_move, "the run was not moved");
+        assert_eq!(
+            (answer.status, answer.is_complete),
+            (200, expected.is_whole),
+            "{} events\n{}",
+            ids.len(),
+            site.log(number % INSTANCES)
+        );
+        assert!(!expected.is_whole || expected.completes_on_move || ids.len() == EVENTS);
+    }
+}
+
+cases! { moves_truthfully;
+    moved_stream_is_whole => MoveCase {
+        source: ServerFate::Lives, destination: ServerFate::Lives, completes_on_move: false,
+        is_whole: true,
+    },
+    moved_stream_of_an_engine_that_ends_is_broken_off => MoveCase {
+        source: ServerFate::Lives, destination: ServerFate::Ends, completes_on_move: false,
+        is_whole: false,
+    },
+    moved_stream_of_an_engine_that_freezes_is_broken_off => MoveCase {
+        source: ServerFate::Lives, destination: ServerFate::Freezes, completes_on_move: false,
+        is_whole: false,
+    },
+    moved_stream_of_an_engine_that_restarts_is_broken_off => MoveCase {
+        source: ServerFate::Lives, destination: ServerFate::Restarts, completes_on_move: false,
+        is_whole: false,
+    },
+    stream_that_completes_during_its_move_is_whole => MoveCase {
+        source: ServerFate::Lives, destination: ServerFate::Lives, completes_on_move: true,
+        is_whole: true,
+    },
+    stream_whose_engine_ends_during_its_move_is_continued => MoveCase {
+        source: ServerFate::Ends, destination: ServerFate::Lives, completes_on_move: false,
+        is_whole: true,
+    },
+}
