Send changes of servers in the order of their revisions

Callers could get 503 no_server, or servers went unused, at instances that do not read the store themselves. Cause: a watch of the store may list changes in any order, a hub sent them on in that order in several datagrams, and a receiver drops a datagram whose revision it has already reached; digests then show no gap. Changes are now sorted by revision before they are applied and sent.

--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -194,7 +194,9 @@
         Ok(())
     }
 
-    async fn apply_changes(&mut self, items: Vec<StoreItem>, revision: u64) {
+    async fn apply_changes(&mut self, mut items: Vec<StoreItem>, revision: u64) {
+        // Peers take a datagram with older revisions than the one before for known.
+        items.sort_by_key(|item| item.revision);
         let has_changes = !items.is_empty();
         let mut changed = Vec::new();
         for item in items {
