Break off the body of a stream whose delivery ended early

On the product's own interface, callers saw a stream that ended as a complete body, without an end or error event, when its delivery task was lost or the caller's queue stayed full. The body now ends only after an explicit end, which follows the end or error event; otherwise the connection is cut.

--- a/medlarlanding/src/answer_body.rs
+++ b/medlarlanding/src/answer_body.rs
@@ -43,16 +43,14 @@
 pub enum AnswerBody {
     /// The complete body; `None` if it is empty or has been sent.
     Whole(Option<Bytes>),
-    /// Chunks that a task produces while the response is sent. The task is aborted when the body
-    /// is dropped, for example because the caller disconnected.
+    /// Chunks that a task produces while the response is sent.
     Streamed {
         /// Parts of the body. It is incomplete if the channel closes before `StreamPiece::End`.
         pieces: mpsc::Receiver<StreamPiece>,
-        /// Task that produces the chunks.
-        _task: TaskGuard,
+        /// Task that is aborted when the body is dropped, for example because the caller
+        /// disconnected; `None` if the task continues then.
+        _task: Option<TaskGuard>,
     },
-    /// Events of a task that continues when the caller disconnects.
-    Events(mpsc::Receiver<Bytes>),
 }
 
 impl AnswerBody {
@@ -77,9 +75,6 @@
                 Some(StreamPiece::End) => None,
                 None => Some(Err(StreamCut)),
             }),
-            Self::Events(events) => {
-                events.poll_recv(context).map(|event| Some(Ok(Frame::data(event?))))
-            },
         }
     }
 
@@ -92,7 +87,7 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             },
-            Self::Streamed { .. } | Self::Events(_) => SizeHint::default(),
+            Self::Streamed { .. } => SizeHint::default(),
         }
     }
 }
--- a/medlarlanding/src/delivery/sink.rs
+++ b/medlarlanding/src/delivery/sink.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::answer_body::StreamPiece;
 use crate::http::responses::refusal_json;
 use medlarlanding_core::ServeError;
 use medlarlanding_core::generations::FinishReason;
@@ -36,8 +37,8 @@
         /// Tells the handler which status to send: `Ok` with the first event, or the refusal if
         /// the request fails before it. `None` once sent.
         head: Option<oneshot::Sender<Result<(), ServeError>>>,
-        /// Events of the response body.
-        events: mpsc::Sender<Bytes>,
+        /// Events of the response body, and its end.
+        events: mpsc::Sender<StreamPiece>,
     },
     /// Response of one JSON document.
     Whole(Option<oneshot::Sender<Result<WholeResponse, ServeError>>>),
@@ -61,9 +62,10 @@
         if let Some(head) = head.take() {
             let _ = head.send(Ok(()));
         }
-        events.try_send(event).map_err(|error| match error {
-            mpsc::error::TrySendError::Full(event) => Some(event),
-            mpsc::error::TrySendError::Closed(_) => None,
+        events.try_send(StreamPiece::Data(event)).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(StreamPiece::Data(event)) => Some(event),
+            mpsc::error::TrySendError::Full(StreamPiece::End)
+            | mpsc::error::TrySendError::Closed(_) => None,
         })
     }
 
@@ -76,10 +78,22 @@
             Err(Some(event)) => event,
         };
         let Self::Stream { events, .. } = self else { return true };
-        let sent = tokio::time::timeout(SLOW_CALLER_TIMEOUT, events.send(event)).await;
+        let sent =
+            tokio::time::timeout(SLOW_CALLER_TIMEOUT, events.send(StreamPiece::Data(event))).await;
         matches!(sent, Ok(Ok(())))
     }
 
+    /// Sends the last event and the end of the body. Without that end, the connection is closed before
+    /// the body is complete.
+    async fn send_last(&mut self, event: Bytes) {
+        if !self.send(event).await {
+            return;
+        }
+        let Self::Stream { events, .. } = self else { return };
+        // Sending fails if the caller has disconnected or does not read.
+        let _ = tokio::time::timeout(SLOW_CALLER_TIMEOUT, events.send(StreamPiece::End)).await;
+    }
+
     /// Ends the response with an error: as its status if nothing was sent, otherwise as an
     /// `error` event.
     pub async fn fail(&mut self, error: ServeError, request: RequestId) {
@@ -91,7 +105,7 @@
             },
             Self::Stream { .. } => {
                 let data = refusal_json(&error, Some(request));
-                self.send(Bytes::from(format!("event: error\ndata: {data}\n\n"))).await;
+                self.send_last(Bytes::from(format!("event: error\ndata: {data}\n\n"))).await;
             },
             Self::Whole(response) => {
                 if let Some(response) = response.take() {
@@ -106,7 +120,7 @@
         match self {
             Self::Stream { .. } => {
                 let data = json!({"tokens": response.tokens, "finish": response.finish.as_str()});
-                self.send(Bytes::from(format!("event: end\ndata: {data}\n\n"))).await;
+                self.send_last(Bytes::from(format!("event: end\ndata: {data}\n\n"))).await;
             },
             Self::Whole(sender) => {
                 if let Some(sender) = sender.take() {
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -49,7 +49,7 @@
     match head.await {
         Ok(AnswerHead::Answer(answer)) => answer,
         Ok(AnswerHead::Stream { status, headers, pieces }) => {
-            forward_answer(status, &headers, AnswerBody::Streamed { pieces, _task: guard })
+            forward_answer(status, &headers, AnswerBody::Streamed { pieces, _task: Some(guard) })
         },
         // The task ended without an answer, which only a programming error can cause.
         Err(_) => ErrorAnswer::AnswerLost.to_answer(&id, None),
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -440,7 +440,7 @@
             };
             let forwarding = rest.forward(collected.freeze(), body, sender);
             let task = TaskGuard(tokio::task::spawn_local(forwarding));
-            return Ok(AnswerBody::Streamed { pieces, _task: task });
+            return Ok(AnswerBody::Streamed { pieces, _task: Some(task) });
         }
     }
     Ok(AnswerBody::Whole(Some(collected.freeze())))
--- a/medlarlanding/src/http/generations.rs
+++ b/medlarlanding/src/http/generations.rs
@@ -6,7 +6,7 @@
 use super::callers::{CallerContext, CallerRequest, InboundRequest};
 use super::request_body::parse_json;
 use super::responses::{CallerResponse, build_response, json_response, with_request_id};
-use crate::answer_body::AnswerBody;
+use crate::answer_body::{AnswerBody, StreamPiece};
 use crate::backends::engine::{self, GenerationRequest};
 use crate::delivery::permit::RequestPermit;
 use crate::delivery::sink::{CallerSink, EVENT_QUEUE, WholeResponse};
@@ -21,7 +21,6 @@
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CACHE_CONTROL, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
@@ -369,8 +368,8 @@
     with_request_id(json_response(StatusCode::OK, &document), request)
 }
 
-fn stream_response(events: mpsc::Receiver<Bytes>, request: RequestId) -> CallerResponse {
-    let body = AnswerBody::Events(events);
+fn stream_response(pieces: mpsc::Receiver<StreamPiece>, request: RequestId) -> CallerResponse {
+    let body = AnswerBody::Streamed { pieces, _task: None };
     let mut response =
         with_request_id(build_response(StatusCode::OK, "text/event-stream", body), request);
     response.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
