Accept answers of services without a delimiter only if they delimit themselves

On the product's own interface, callers of look-ups got an answer cut short as a whole one, and an order's cut answer was stored as its answer. Answers are JSON: a document other than a number has no beginning that is a document too, so it proves its own end without asking the server. Anything else without a length or chunks counts as broken: a look-up goes to another server, an order's outcome is unknown.

--- a/medlarlanding/src/backends/connection.rs
+++ b/medlarlanding/src/backends/connection.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::exchange::{self, Exchange, ExchangeFault};
+use crate::exchange::{self, BodyFraming, Exchange, ExchangeFault};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -67,8 +67,15 @@
             self.request.headers_mut().insert(HOST, host);
         }
         let (response, exchange) = exchange::send(address, self.request, timeout).await?;
+        let framing = BodyFraming::of_response(&response);
         let (parts, body) = response.into_parts();
-        Ok(InboundResponse { status: parts.status, headers: parts.headers, body, exchange })
+        Ok(InboundResponse {
+            status: parts.status,
+            headers: parts.headers,
+            framing,
+            body,
+            exchange,
+        })
     }
 }
 
@@ -78,6 +85,8 @@
     pub status: StatusCode,
     /// Headers.
     pub headers: HeaderMap,
+    /// How the end of the body is marked.
+    pub framing: BodyFraming,
     body: Incoming,
     exchange: Exchange,
 }
--- a/medlarlanding/src/backends/service.rs
+++ b/medlarlanding/src/backends/service.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use super::connection::OutboundCall;
-use crate::exchange::ExchangeFault;
+use crate::exchange::{BodyFraming, ExchangeFault};
 
 use hyper::Method;
+use serde::de::IgnoredAny;
 
 /// Maximum size of a service's response body in bytes.
 pub const RESPONSE_LIMIT: usize = 1 << 20;
@@ -64,7 +65,18 @@
         call = call.header(name, value);
     }
     let response = call.send(address, timeout).await?;
-    let status = response.status.as_u16();
+    let (status, framing) = (response.status.as_u16(), response.framing);
     let body = response.collect(RESPONSE_LIMIT, timeout).await?;
+    if framing != BodyFraming::Delimited && !is_self_delimited(&body) {
+        return Err(ExchangeFault::Broken);
+    }
     Ok(ServiceResponse { status, body: body.to_vec() })
 }
+
+/// Returns whether a body is a JSON document of which no beginning is one too. Such a body is complete
+/// even if only the end of its connection marks its end.
+fn is_self_delimited(body: &[u8]) -> bool {
+    let is_number =
+        body.trim_ascii_start().first().is_some_and(|it| matches!(it, b'-' | b'0'..=b'9'));
+    !is_number && serde_json::from_slice::<IgnoredAny>(body).is_ok()
+}
