Take an answer without a delimiter for complete only if its server lives on

Cause: an answer with neither a length nor chunks ends when its connection closes, and a crash closes it in order. The check for it asked only servers not known as leaving, only for requests with a prompt and short answers, only whether the listener was refused, and not at all if a transfer coding was named. Class: absence of evidence of a failure taken as evidence of success.

Now the end of a connection is the end of an answer only if the process that wrote it proves, after that end, that it still runs: by the start time or id in its report (engines, without a slot) or its health check (plain services). What the store or the server said before decides nothing; no proof within 250 ms, asked twice, counts as unproven and the caller is told that the answer broke off. A stream that ends within an event is broken off however it is delimited. A repeatable request goes to another server. A run that completed while a move stopped it is whole: before, its caller was told that it broke off. Callers no longer wait for the examination of a server unless a repeat depends on it.

--- a/medlarlanding-bench/src/site/ending_server.rs
+++ b/medlarlanding-bench/src/site/ending_server.rs
@@ -27,6 +27,9 @@
 /// Header of a request: milliseconds between two parts, 0 if it is missing.
 pub const INTERVAL_HEADER: &str = "x-test-interval-ms";
 
+/// Path of the servers' health check.
+pub const HEALTH_PATH: &str = "/healthz";
+
 /// How an answer delimits its body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyDelimiter {
@@ -254,10 +257,12 @@
             true => "Server-Leaving: 1\r\n",
             false => "",
         };
-        if path.starts_with("/-/") {
+        if path == HEALTH_PATH || path.starts_with("/-/") {
             let (status, body) = self.answer_call(&path, &body, start).await;
             let answer = format!(
-                "HTTP/1.1 {status} Status\r\n{leaving}Content-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} Status\r\n{leaving}X-Instance-Id: {}\r\nContent-Length: {}\r\n\r\n\
+                 {body}",
+                self.id,
                 body.len()
             );
             return Ok(stream.write_all(answer.as_bytes()).await?);
@@ -271,6 +276,11 @@
             return Ok(stream.write_all(answer.as_bytes()).await?);
         }
         let is_continued = field("kv-from").is_some();
+        if is_continued && self.completes_on_move.load(Ordering::Relaxed) {
+            // The remainder of a run that completed never arrives.
+            let answer = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            return Ok(stream.write_all(answer.as_bytes()).await?);
+        }
         self.state.lock().runs.push(RunRecord {
             request: request.clone(),
             server: self.id.clone(),
--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -27,7 +27,8 @@
 pub use client::{SiteAnswer, SiteCall};
 pub use crashing_engine::{AnswerFraming, CONTACT, CRASH_LIMIT, FATAL_PART, LATE_LIMIT};
 pub use ending_server::{
-    BodyDelimiter, EndingServer, INTERVAL_HEADER, PART_BYTES_HEADER, PARTS_HEADER, ServerFate,
+    BodyDelimiter, EndingServer, HEALTH_PATH, INTERVAL_HEADER, PART_BYTES_HEADER, PARTS_HEADER,
+    ServerFate,
 };
 pub use faulty_server::FaultyAnswer;
 pub use proxy::{LinkMode, LinkSwitch};
--- a/medlarlanding-bench/tests/forwarding_answer_ends.rs
+++ b/medlarlanding-bench/tests/forwarding_answer_ends.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use medlarlanding_bench::site::{
-    BodyDelimiter, EndingServer, INTERVAL_HEADER, PART_BYTES_HEADER, PARTS_HEADER, ServerFate,
-    SiteAnswer, SiteCall, SiteParams, TestSite,
+    BodyDelimiter, EndingServer, HEALTH_PATH, INTERVAL_HEADER, PART_BYTES_HEADER, PARTS_HEADER,
+    ServerFate, SiteAnswer, SiteCall, SiteParams, TestSite,
 };
 use medlarlanding_core::cases;
 
@@ -67,7 +67,7 @@
     let service = |name: &String| match case.is_engine {
         true => json!({"name": name, "maxConnections": 100, "engine": {"slots": 24,
             "kvCapacity": 30_000, "kvBytes": 1, "linkMbps": 1_000, "moves": can_move}}),
-        false => json!({"name": name, "maxConnections": 100}),
+        false => json!({"name": name, "maxConnections": 100, "healthPath": HEALTH_PATH}),
     };
     let services: Vec<Value> = services.iter().map(service).collect();
     let version = site.publish_config(|config| {
@@ -330,7 +330,7 @@
         site.state.remove(&format!("servers/{}", pair[1].id()));
         wait_for_server(&site, &pair[0], service);
         if expected.completes_on_move {
-            pair[0].complete_on_move();
+            pair.iter().for_each(EndingServer::complete_on_move);
         }
         pair[1].release();
         let call = call(case, service, number).header(INTERVAL_HEADER, "30");
--- a/medlarlanding-core/src/forwarding/config.rs
+++ b/medlarlanding-core/src/forwarding/config.rs
@@ -95,6 +95,8 @@
     pub name: Arc<str>,
     /// Connections that one server accepts from all callers together.
     pub max_connections: u32,
+    /// Path of the servers' health check; `None` if the configuration names none.
+    pub health_path: Option<Arc<str>>,
     /// Capacity of the model engines; `None` for a plain service.
     pub engine: Option<EngineLimits>,
 }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -3,6 +3,7 @@
 //! This module performs no input or output. The adapter crate `medlarlanding-platform` keeps the
 //! names of the platform's protocol to itself and decodes into the types defined here.
 
+mod answer_end;
 mod budget;
 mod cold_read;
 mod config;
@@ -20,6 +21,7 @@
 mod wait_limit;
 mod waiting;
 
+pub use answer_end::{BodyDelimiter, EndVerdict, ProcessIdentity, ServerLiveness};
 pub use budget::{BudgetParams, RepeatBudget, RepeatPurpose};
 pub use cold_read::ColdReadParams;
 pub use config::{
--- a/medlarlanding/src/forwarding/answer_end.rs
+++ b/medlarlanding/src/forwarding/answer_end.rs
@@ -1,12 +1,16 @@
-//! Decides whether an answer that ended with its connection is complete.
+//! Finds out whether an answer that ended with its connection is complete.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use super::server_liveness::prove_liveness;
 use super::shared::SharedState;
-use crate::exchange::{self, BodyFraming, ListenerState};
+use crate::exchange::BodyFraming;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{RouteRule, ServerKey};
+use medlarlanding_core::forwarding::{
+    BodyDelimiter, EndVerdict, RouteRule, ServerEntry, ServerKey, ServerLiveness,
+};
 
 /// Answer whose end is examined.
 #[derive(Clone, Debug)]
@@ -15,54 +19,57 @@
     pub request: String,
     /// Route of the request.
     pub rule: Arc<RouteRule>,
-    /// Server that sent the answer.
-    pub server: ServerKey,
+    /// Key of the server that sent the answer.
+    pub key: ServerKey,
+    /// Entry of that server when the request was sent.
+    pub entry: ServerEntry,
     /// How the end of the body is marked.
     pub framing: BodyFraming,
-    /// The request has a prompt.
-    pub has_prompt: bool,
 }
 
 impl EndingAnswer {
-    /// Returns whether an answer that has ended in order is complete.
-    pub async fn is_complete(&self, state: &SharedState) -> bool {
-        if self.framing == BodyFraming::Delimited {
-            return true;
-        }
-        let begun = state.now();
-        let (id, leaving, address) = {
-            let directory = state.directory.borrow();
-            let Some(record) = directory.get(self.server) else { return true };
-            let entry = &record.entry;
-            (Arc::clone(&entry.id), record.leaving_since.is_some(), entry.address)
+    /// Judges an answer that ended without an error. Takes at most `limit`.
+    pub async fn judge(
+        &self,
+        state: &SharedState,
+        is_within_event: bool,
+        limit: Duration,
+    ) -> EndVerdict {
+        let delimiter = match self.framing {
+            BodyFraming::Delimited => BodyDelimiter::Declared,
+            BodyFraming::UnchunkedCoding | BodyFraming::Closed => BodyDelimiter::Connection,
         };
-        let is_asked = self.has_prompt && self.framing == BodyFraming::Closed && !leaving;
-        let found = match is_asked {
-            true => Some(exchange::probe_listener(address).await),
-            false => None,
+        let (begun, unasked) = (state.now(), EndVerdict::without_proof(delimiter, is_within_event));
+        let (liveness, verdict) = match unasked {
+            Some(verdict) => (None, verdict),
+            None => {
+                let proving = tokio::time::timeout(limit, prove_liveness(state, &self.entry));
+                let liveness = proving.await.unwrap_or(ServerLiveness::Unknown);
+                (Some(liveness), EndVerdict::with_proof(liveness))
+            },
         };
-        let is_complete = found != Some(ListenerState::Absent);
-        let found = match found {
-            None => "unasked",
-            Some(ListenerState::Listening) => "listening",
-            Some(ListenerState::Absent) => "absent",
-            Some(ListenerState::Unknown) => "unknown",
+        if delimiter == BodyDelimiter::Declared && verdict == EndVerdict::Complete {
+            return verdict;
+        }
+        let found = liveness.map_or("unasked", ServerLiveness::name);
+        state.telemetry.undelimited_answers.with_label_values(&[verdict.name(), found]).inc();
+        let is_leaving = {
+            let directory = state.directory.borrow();
+            directory.get(self.key).is_none_or(|record| record.leaving_since.is_some())
         };
-        let verdict = if is_complete { "complete" } else { "broken" };
-        state.telemetry.undelimited_answers.with_label_values(&[verdict, found]).inc();
         event(
             EventKind::AnswerEnd,
             &[
                 &self.request,
                 &self.rule.name,
-                &id,
+                &self.entry.id,
                 &self.framing.name(),
-                &if leaving { "leaving" } else { "ready" },
+                &if is_leaving { "leaving" } else { "ready" },
                 &found,
                 &state.now().since(begun).as_millis(),
-                &verdict,
+                &verdict.name(),
             ],
         );
-        is_complete
+        verdict
     }
 }
--- a/medlarlanding/src/forwarding/engine_calls.rs
+++ b/medlarlanding/src/forwarding/engine_calls.rs
@@ -1,4 +1,4 @@
-//! Control calls to engines: moving runs, freeing copies and reading reports.
+//! Calls to servers: moving runs, freeing copies, reading reports and health.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, StatusCode, Uri};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use tokio::task::JoinHandle;
 
 /// Largest answer to a call, in bytes.
@@ -18,6 +18,16 @@
 /// an engine's whole memory to another zone takes about 4 s.
 pub const MOVE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Answer of a server to a call.
+pub struct CallAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body. One that its server broke off is no JSON document.
+    pub body: Bytes,
+}
+
 /// Result of a move call.
 pub enum MoveAnswer {
     Copied(RunCopy),
@@ -75,7 +85,9 @@
 
 async fn request_move(source: SocketAddr, body: Vec<u8>) -> MoveAnswer {
     let path = Uri::from_static(engines::MOVE_PATH);
-    let Ok((status, body)) = call(source, Method::POST, path, body, MOVE_TIMEOUT).await else {
+    let Ok(CallAnswer { status, body, .. }) =
+        call(source, Method::POST, path, body, MOVE_TIMEOUT).await
+    else {
         return MoveAnswer::Failed;
     };
     match (status, engines::decode_copy(&body)) {
@@ -109,17 +121,34 @@
 pub async fn read_report(
     address: SocketAddr,
     limit: Duration,
-) -> Result<(StatusCode, Bytes), ExchangeFault> {
+) -> Result<CallAnswer, ExchangeFault> {
     call(address, Method::GET, Uri::from_static(engines::REPORT_PATH), Vec::new(), limit).await
 }
 
+/// Asks a server for its health, for which it may wait for a slot.
+///
+/// # Errors
+///
+/// Fails as `read_report` does, or if the path is invalid.
+pub async fn read_health(
+    address: SocketAddr,
+    path: &str,
+    limit: Duration,
+) -> Result<CallAnswer, ExchangeFault> {
+    let Ok(path) = path.parse() else {
+        log::warn!("cannot ask {address} for its health: {path:?} is no path");
+        return Err(ExchangeFault::NotConnected);
+    };
+    call(address, Method::GET, path, Vec::new(), limit).await
+}
+
 async fn call(
     address: SocketAddr,
     method: Method,
     path: Uri,
     body: Vec<u8>,
     limit: Duration,
-) -> Result<(StatusCode, Bytes), ExchangeFault> {
+) -> Result<CallAnswer, ExchangeFault> {
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = method;
     *request.uri_mut() = path;
@@ -129,10 +158,13 @@
         headers.insert(HOST, host);
     }
     let (response, _exchange) = exchange::send(address, request, limit).await?;
-    let status = response.status();
-    let reading = Limited::new(response.into_body(), ANSWER_LIMIT).collect();
+    let (parts, body) = response.into_parts();
+    let reading = Limited::new(body, ANSWER_LIMIT).collect();
     match tokio::time::timeout(limit, reading).await {
-        Ok(Ok(body)) => Ok((status, body.to_bytes())),
+        Ok(Ok(body)) => {
+            let body = body.to_bytes();
+            Ok(CallAnswer { status: parts.status, headers: parts.headers, body })
+        },
         Ok(Err(_)) => Err(ExchangeFault::Broken),
         Err(_) => Err(ExchangeFault::TimedOut),
     }
--- a/medlarlanding/src/forwarding/engine_probe.rs
+++ b/medlarlanding/src/forwarding/engine_probe.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::engine_calls;
+use super::engine_calls::{self, CallAnswer};
 use super::peer_link::PeerLink;
 use super::shared::{SharedState, server_hash};
 use crate::exchange::ExchangeFault;
@@ -87,11 +87,12 @@
 }
 
 async fn probe_engine(address: SocketAddr) -> ProbeAnswer {
-    let (status, body) = match engine_calls::read_report(address, PROBE_TIMEOUT).await {
-        Ok(answer) => answer,
-        Err(ExchangeFault::NotConnected) => return ProbeAnswer::Unreachable,
-        Err(_) => return ProbeAnswer::Unknown,
-    };
+    let CallAnswer { status, body, .. } =
+        match engine_calls::read_report(address, PROBE_TIMEOUT).await {
+            Ok(answer) => answer,
+            Err(ExchangeFault::NotConnected) => return ProbeAnswer::Unreachable,
+            Err(_) => return ProbeAnswer::Unknown,
+        };
     if status != StatusCode::OK {
         return ProbeAnswer::Unknown;
     }
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use self::moving::StreamEnd;
+use self::moving::{ResumeOutcome, StreamEnd};
 use self::start::StartFailure;
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
@@ -22,7 +22,9 @@
 use crate::exchange::{BodyFraming, Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{EngineFault, RunWeight, ServerEntry, ServerKey};
+use medlarlanding_core::forwarding::{
+    EndVerdict, EngineFault, RunWeight, ServerEntry, ServerKey, ServerLiveness,
+};
 use medlarlanding_core::prompts::{RunPhase, SURVIVAL_TIME};
 use medlarlanding_core::time::Timestamp;
 
@@ -71,6 +73,8 @@
     body: Incoming,
     /// How the end of the body is marked.
     framing: BodyFraming,
+    /// The body consists of events, so that one which ends within an event is broken off.
+    has_events: bool,
     /// When the head of the answer arrived, at which the engine began to write.
     begun_at: Timestamp,
     /// The engine has written for long enough to show that it survives the prompt.
@@ -99,6 +103,8 @@
     first_event_after: Option<Duration>,
     /// Call that stopped the run and has not yet copied its remainder.
     final_call: Option<MoveCall>,
+    /// The stream that was stopped last ended within an event.
+    ended_within_event: bool,
     /// The end of the request was logged.
     is_finished: bool,
 }
@@ -129,6 +135,7 @@
             longest_gap: Duration::ZERO,
             first_event_after: None,
             final_call: None,
+            ended_within_event: false,
             is_finished: false,
         }
     }
@@ -178,19 +185,29 @@
                 },
                 StreamEnd::CallerGone => "caller_gone",
                 StreamEnd::Late => "late",
-                StreamEnd::Broken | StreamEnd::Stopped => {
-                    if matches!(end, StreamEnd::Broken) && !self.is_leaving(stream.key) {
+                StreamEnd::Broken(_) | StreamEnd::Stopped => {
+                    let source = self.ending(stream.key, &stream.entry, stream.framing);
+                    if let StreamEnd::Broken(known) = end
+                        && !self.is_leaving(stream.key)
+                    {
                         let writing = self.state.now().since(stream.begun_at);
-                        self.examine_break(stream.key, RunPhase::of_stream(writing), writing);
+                        let phase = RunPhase::of_stream(writing);
+                        self.examine_break(stream.key, phase, writing, known);
                         self.link.report_fault(&self.state, stream.key, EngineFault::Failed);
                     }
                     match self.resume(stream, destination, matches!(end, StreamEnd::Stopped)).await
                     {
-                        Some(next) => {
-                            stream = next;
+                        ResumeOutcome::Resumed(next) => {
+                            stream = *next;
                             continue;
                         },
-                        None => "broken",
+                        ResumeOutcome::NotStopped if self.is_complete_at(&source).await => {
+                            match self.send_piece(&sender, StreamPiece::End).await {
+                                Ok(()) => "complete",
+                                Err(_) => "caller_gone",
+                            }
+                        },
+                        ResumeOutcome::NotStopped | ResumeOutcome::Failed => "broken",
                     }
                 },
             };
@@ -201,22 +218,35 @@
         }
     }
 
+    /// Returns whether a stream that ended while its run was being stopped is complete because the run
+    /// had completed before.
+    async fn is_complete_at(&self, source: &EndingAnswer) -> bool {
+        let left = self.admitted.time_left(self.state.now());
+        source.judge(&self.state, self.ended_within_event, left).await == EndVerdict::Complete
+    }
+
     /// Examines the engine of an answer that broke off, without delaying the end of the answer.
-    fn examine_break(&self, key: ServerKey, phase: RunPhase, writing: Duration) {
+    fn examine_break(
+        &self,
+        key: ServerKey,
+        phase: RunPhase,
+        writing: Duration,
+        known: Option<ServerLiveness>,
+    ) {
         let broken = BrokenAnswer::new(&self.state, &self.admitted, key, phase, writing);
         let Some(broken) = broken else { return };
         let (state, link) = (Rc::clone(&self.state), Rc::clone(&self.link));
-        tokio::task::spawn_local(async move { broken.examine(&state, &link).await });
+        tokio::task::spawn_local(async move { broken.examine(&state, &link, known).await });
     }
 
     /// Describes the answer of an engine, for the check of its end.
-    fn ending(&self, key: ServerKey, framing: BodyFraming) -> EndingAnswer {
+    fn ending(&self, key: ServerKey, entry: &ServerEntry, framing: BodyFraming) -> EndingAnswer {
         EndingAnswer {
             request: self.admitted.id.clone(),
             rule: Arc::clone(&self.admitted.rule),
-            server: key,
+            key,
+            entry: entry.clone(),
             framing,
-            has_prompt: true,
         }
     }
 
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -10,11 +10,12 @@
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
 use crate::forwarding::shared::{Placement, SharedState};
-use crate::forwarding::stream_events::EventSplitter;
+use crate::forwarding::stream_events::{EventSplitter, has_events};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EngineFault, MovePlan, MoveStep, PlacePurpose, ServerEntry, ServerKey,
+    EndVerdict, EngineFault, MovePlan, MoveStep, PlacePurpose, ServerEntry, ServerKey,
+    ServerLiveness,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{AnswerCheck, RunContinuation, check_answer};
@@ -53,12 +54,24 @@
     }
 }
 
+/// Result of resuming a run.
+pub(super) enum ResumeOutcome {
+    /// The run continues with this stream.
+    Resumed(Box<EngineStream>),
+    /// The run cannot be resumed. Its engine did not know it any more when it was to be stopped, so it
+    /// may have completed before.
+    NotStopped,
+    /// The run cannot be resumed.
+    Failed,
+}
+
 /// Reason why a stream is no longer read.
 pub(super) enum StreamEnd {
     /// The stream is complete.
     Complete,
-    /// The connection broke, or an event exceeded the limit.
-    Broken,
+    /// The answer broke off or an event exceeded the limit. Contains the state of the engine if it is
+    /// known.
+    Broken(Option<ServerLiveness>),
     /// The run was stopped and continues on another engine, or on the same one if the move was
     /// refused.
     Stopped,
@@ -119,7 +132,7 @@
                         Some(Ok(frame)) => {
                             let Ok(data) = frame.into_data() else { continue };
                             if !self.splitter.push(&data) {
-                                return StreamEnd::Broken;
+                                return StreamEnd::Broken(None);
                             }
                             while let Some(event) = self.splitter.next_event() {
                                 if let Err(end) = self.forward_event(stream, sender, event).await {
@@ -135,27 +148,30 @@
                                     StreamEnd::Stopped
                                 },
                                 Some(call) => self.await_move(call, destination).await,
-                                None => StreamEnd::Broken,
+                                None => StreamEnd::Broken(None),
                             };
                         },
                         None => {
+                            let is_within_event =
+                                stream.has_events && self.splitter.is_within_event();
                             let rest = self.splitter.take_rest();
-                            let is_delimited = stream.framing != BodyFraming::Closed;
+                            let is_delimited = stream.framing == BodyFraming::Delimited;
                             // The end of a delimited body is the end of the answer, even while the
                             // run is being stopped.
                             if let Some(call) = call.take_if(|call| call.is_final && !is_delimited)
                             {
                                 self.final_call = Some(call);
+                                self.ended_within_event = is_within_event;
                                 return StreamEnd::Stopped;
                             }
-                            // Without a delimiter, only a complete last event tells the end of the
-                            // answer from a connection that was closed in the middle of it.
-                            if !rest.is_empty() && !is_delimited {
-                                return StreamEnd::Broken;
-                            }
-                            let ending = self.ending(stream.key, stream.framing);
-                            if !ending.is_complete(&self.state).await {
-                                return StreamEnd::Broken;
+                            let ending = self.ending(stream.key, &stream.entry, stream.framing);
+                            let left = self.admitted.time_left(self.state.now());
+                            let verdict = ending.judge(&self.state, is_within_event, left).await;
+                            if verdict != EndVerdict::Complete {
+                                return match call.take() {
+                                    Some(call) => self.await_move(call, destination).await,
+                                    None => StreamEnd::Broken(verdict.liveness()),
+                                };
                             }
                             if !rest.is_empty()
                                 && let Err(end) = self.send_piece(sender, StreamPiece::Data(rest)).await
@@ -309,7 +325,7 @@
             target.handle = Some(copy.handle);
             return StreamEnd::Stopped;
         }
-        StreamEnd::Broken
+        StreamEnd::Broken(None)
     }
 
     /// Forwards the remaining events of a stopped run.
@@ -335,7 +351,7 @@
         tokio::time::timeout(STOP_TIMEOUT, draining).await.unwrap_or(StreamEnd::Stopped)
     }
 
-    /// Resumes a run from the copy of its memory at the destination. Returns `None` if there is no
+    /// Resumes a run from the copy of its memory at the destination. Fails if there is no
     /// copy or the run cannot be resumed.
     ///
     /// If `is_stopped` is set, the run is no longer active at its source, which is then tried as
@@ -345,13 +361,13 @@
         stream: EngineStream,
         destination: Option<RunDestination>,
         is_stopped: bool,
-    ) -> Option<EngineStream> {
+    ) -> ResumeOutcome {
         let EngineStream { key: source_key, entry: source, load, .. } = stream;
         drop(load);
         self.splitter = EventSplitter::default();
-        let mut destination = destination?;
+        let Some(mut destination) = destination else { return ResumeOutcome::Failed };
         let (key, entry) = (destination.key, destination.entry.clone());
-        let handle = destination.handle.take()?;
+        let Some(handle) = destination.handle.take() else { return ResumeOutcome::Failed };
         drop(destination);
         let continuation =
             RunContinuation { source: source.address, handle, last_event: self.last_event.clone() };
@@ -364,7 +380,7 @@
             let now = self.state.now();
             let time_left = self.admitted.time_left(now);
             if time_left.is_zero() || self.is_fatal() {
-                return None;
+                return ResumeOutcome::Failed;
             }
             let load = LoadGuard::begin(&self.state, *key, self.run_weight());
             let request = server_request(
@@ -398,34 +414,38 @@
                         self.moves += 1;
                         self.state.telemetry.moves.with_label_values(&["resumed"]).inc();
                         let entry = entry.clone();
-                        return Some(EngineStream {
+                        return ResumeOutcome::Resumed(Box::new(EngineStream {
                             key: *key,
                             entry,
                             body,
                             framing,
+                            has_events: has_events(&parts.headers),
                             begun_at: self.state.now(),
                             is_settled: false,
                             _exchange: exchange,
                             load,
-                        });
+                        }));
                     }
                     if check != AnswerCheck::NotRun {
-                        return None;
+                        return ResumeOutcome::Failed;
                     }
                 },
                 Err(ExchangeFault::NotConnected) => {},
-                Err(_) => return None,
+                Err(_) => return ResumeOutcome::Failed,
             }
             match self.final_call.take() {
                 // The destination accepts the run only after its remainder has arrived. The next
                 // attempt shows whether it has, however the call ends.
                 Some(mut call) => {
-                    let _ = tokio::time::timeout(MOVE_TIMEOUT, call.answer()).await;
+                    let answer = tokio::time::timeout(MOVE_TIMEOUT, call.answer()).await;
+                    if matches!(answer, Ok(MoveAnswer::NoRun)) {
+                        return ResumeOutcome::NotStopped;
+                    }
                 },
                 None => tokio::time::sleep(RESUME_PAUSE).await,
             }
         }
-        None
+        ResumeOutcome::Failed
     }
 }
 
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -9,14 +9,16 @@
 use crate::answer_body::AnswerBody;
 use crate::exchange::{self, BodyFraming, ExchangeFault};
 use crate::forwarding::answer::{CallerAnswer, ErrorAnswer, forward_answer};
+use crate::forwarding::answer_end::EndingAnswer;
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::relay::server_request;
 use crate::forwarding::server_liveness::examine_unreachable;
 use crate::forwarding::shared::Placement;
+use crate::forwarding::stream_events::has_events;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, ServerEntry, ServerKey,
+    EndVerdict, EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, ServerEntry, ServerKey,
     WaitDecision, WaitLimit, WaitLimitParams,
 };
 use medlarlanding_core::ids::stable_hash;
@@ -117,7 +119,7 @@
                     continue;
                 },
                 Err(ExchangeFault::Broken) => {
-                    self.examine_break(key, RunPhase::Waiting, Duration::ZERO);
+                    self.examine_break(key, RunPhase::Waiting, Duration::ZERO, None);
                     self.record_failure(key, &entry, "broken");
                     return Err(StartFailure::Error(ErrorAnswer::AnswerLost));
                 },
@@ -145,7 +147,9 @@
                 return Err(StartFailure::Error(ErrorAnswer::AnswerLost));
             }
             if !parts.status.is_success() {
-                let answer = self.read_whole_answer(parts.status, &parts.headers, body).await;
+                let ending = self.ending(key, &entry, framing);
+                let answer =
+                    self.read_whole_answer(parts.status, &parts.headers, body, &ending).await;
                 return Err(answer
                     .map_or(StartFailure::Error(ErrorAnswer::AnswerLost), |answer| {
                         StartFailure::Server(answer, entry.id.to_string())
@@ -158,6 +162,7 @@
                 entry,
                 body,
                 framing,
+                has_events: has_events(&parts.headers),
                 begun_at,
                 is_settled: false,
                 _exchange: exchange,
@@ -173,10 +178,15 @@
         status: StatusCode,
         server_headers: &hyper::HeaderMap,
         body: Incoming,
+        ending: &EndingAnswer,
     ) -> Option<CallerAnswer> {
         let left = self.admitted.time_left(self.state.now());
         let reading = Limited::new(body, WHOLE_ANSWER_LIMIT).collect();
         let collected = tokio::time::timeout(left, reading).await.ok()?.ok()?;
+        let left = self.admitted.time_left(self.state.now());
+        if ending.judge(&self.state, false, left).await != EndVerdict::Complete {
+            return None;
+        }
         Some(forward_answer(status, server_headers, AnswerBody::Whole(Some(collected.to_bytes()))))
     }
 
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -16,7 +16,8 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, ServerKey,
+    EndVerdict, PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, ServerKey,
+    ServerLiveness,
 };
 use medlarlanding_core::prompts::RunPhase;
 use medlarlanding_core::time::Timestamp;
@@ -55,6 +56,8 @@
     NotConnected,
     /// The request may have run.
     Lost(ExchangeFault),
+    /// The request has run. Its answer has ended and cannot be taken for complete.
+    Incomplete(EndVerdict),
     /// The request may have run. Its prompt was blocked before the answer arrived.
     Blocked,
 }
@@ -67,6 +70,7 @@
             Self::NotConnected => "not_connected",
             Self::Lost(ExchangeFault::TimedOut) => "timed_out",
             Self::Lost(_) => "broken",
+            Self::Incomplete(verdict) => verdict.name(),
             Self::Blocked => "blocked",
         }
     }
@@ -190,18 +194,24 @@
                 }
             },
             SendOutcome::Blocked => break fallback_or_error(fallback, ErrorAnswer::AnswerLost),
-            SendOutcome::Lost(fault) => {
-                if fault == ExchangeFault::Broken {
-                    examine_break(state, &link, &admitted, key).await;
-                }
+            SendOutcome::Lost(_) | SendOutcome::Incomplete(_) => {
                 run_count += 1;
-                if is_safe && run_count < admitted.rule.max_servers {
+                let may_repeat = is_safe && run_count < admitted.rule.max_servers;
+                let (is_broken, known) = match outcome {
+                    SendOutcome::Incomplete(verdict) => (true, verdict.liveness()),
+                    SendOutcome::Lost(fault) => (fault == ExchangeFault::Broken, None),
+                    _ => (false, None),
+                };
+                if is_broken {
+                    examine_break(state, &link, &admitted, key, known, may_repeat).await;
+                }
+                if may_repeat {
                     state.telemetry.repeats.with_label_values(&["lost"]).inc();
                     continue;
                 }
-                let error = match fault {
-                    ExchangeFault::TimedOut => ErrorAnswer::LateSent,
-                    ExchangeFault::NotConnected | ExchangeFault::Broken => ErrorAnswer::AnswerLost,
+                let error = match outcome {
+                    SendOutcome::Lost(ExchangeFault::TimedOut) => ErrorAnswer::LateSent,
+                    _ => ErrorAnswer::AnswerLost,
                 };
                 break fallback_or_error(fallback, error);
             },
@@ -215,16 +225,24 @@
     answer
 }
 
-/// Examines the server of an answer that broke off, before the request is sent to another one.
+/// Examines the server of an answer that broke off, unless its state is `known`. Waits for the result only if the request may be
+/// sent to another server, which it might end as well.
 async fn examine_break(
     state: &SharedState,
-    link: &PeerLink,
+    link: &Rc<PeerLink>,
     admitted: &AdmittedRequest,
     key: ServerKey,
+    known: Option<ServerLiveness>,
+    may_repeat: bool,
 ) {
     let phase = RunPhase::Hidden;
-    if let Some(broken) = BrokenAnswer::new(state, admitted, key, phase, Duration::ZERO) {
-        broken.examine(state, link).await;
+    let broken = BrokenAnswer::new(state, admitted, key, phase, Duration::ZERO);
+    let Some(broken) = broken else { return };
+    if may_repeat {
+        broken.examine(state, link, known).await;
+    } else {
+        let (state, link) = (Rc::clone(state), Rc::clone(link));
+        tokio::task::spawn_local(async move { broken.examine(&state, &link, known).await });
     }
 }
 
@@ -313,9 +331,9 @@
                 let ending = EndingAnswer {
                     request: admitted.id.clone(),
                     rule: Arc::clone(&admitted.rule),
-                    server: key,
+                    key,
+                    entry: entry.clone(),
                     framing: BodyFraming::of_response(&response),
-                    has_prompt: !admitted.parts.is_empty() && response.status().is_success(),
                 };
                 let source = AnswerSource {
                     ending: ending.clone(),
@@ -351,7 +369,7 @@
             directory.record_success(key);
         },
         SendOutcome::Answered(..) | SendOutcome::NotRun | SendOutcome::Blocked => {},
-        SendOutcome::NotConnected | SendOutcome::Lost(_) => {
+        SendOutcome::NotConnected | SendOutcome::Lost(_) | SendOutcome::Incomplete(_) => {
             state.telemetry.faults.with_label_values(&[outcome.name()]).inc();
             if directory.record_failure(state.now(), key) {
                 event(EventKind::ServerSuspected, &[&entry.id, &outcome.name()]);
@@ -370,8 +388,10 @@
     outcome: SendOutcome,
 ) -> SendOutcome {
     let SendOutcome::Answered(status, _, AnswerBody::Whole(_)) = &outcome else { return outcome };
-    if !ending.is_complete(state).await {
-        return SendOutcome::Lost(ExchangeFault::Broken);
+    let left = admitted.time_left(state.now());
+    let verdict = ending.judge(state, false, left).await;
+    if verdict != EndVerdict::Complete {
+        return SendOutcome::Incomplete(verdict);
     }
     if status.is_success() && !admitted.parts.is_empty() {
         state.record_survival(begun_at, &admitted.parts);
@@ -479,7 +499,7 @@
         state.telemetry.faults.with_label_values(&["answer_cut"]).inc();
         event(EventKind::AnswerCut, &[&self.request, server, &cut, &self.bytes]);
         if let Some(broken) = broken.take().filter(|_| cut == BROKEN) {
-            broken.examine(state, link).await;
+            broken.examine(state, link, None).await;
         }
     }
 
@@ -513,8 +533,10 @@
                 }
             };
         }
-        if !self.source.ending.is_complete(&self.source.state).await {
-            return Err(BROKEN);
+        let left = self.deadline.since(self.source.state.now());
+        let verdict = self.source.ending.judge(&self.source.state, false, left).await;
+        if verdict != EndVerdict::Complete {
+            return Err(verdict.name());
         }
         // Sending fails if the caller has disconnected.
         let _ = sender.send(StreamPiece::End).await;
--- a/medlarlanding/src/forwarding/server_liveness.rs
+++ b/medlarlanding/src/forwarding/server_liveness.rs
@@ -7,39 +7,24 @@
 use super::engine_calls;
 use super::peer_link::PeerLink;
 use super::shared::SharedState;
-use crate::exchange::{self, ListenerState};
+use crate::exchange::{self, ExchangeFault, ListenerState};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{RouteRule, ServerEntry, ServerKey};
+use medlarlanding_core::forwarding::{
+    ProcessIdentity, RouteRule, ServerEntry, ServerKey, ServerLiveness,
+};
 use medlarlanding_core::prompts::{PromptParts, RunPhase, SURVIVAL_TIME};
 use medlarlanding_platform::engines;
+use medlarlanding_platform::headers::stated_server_id;
 
 use hyper::StatusCode;
 
 /// Time limit for the report of a server that accepts connections.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// State of a server after an answer broke off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ServerLiveness {
-    /// The process that wrote the answer still runs.
-    Alive,
-    /// The process has ended: nothing listens at the address, or another process does.
-    Ended,
-    /// The server cannot be reached, which a network fault can cause as well.
-    Unknown,
-}
-
-impl ServerLiveness {
-    /// Name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Alive => "alive",
-            Self::Ended => "ended",
-            Self::Unknown => "unknown",
-        }
-    }
-}
+/// Time after which a process that has not answered is asked once more.
+const PROOF_PAUSE: Duration = Duration::from_millis(80);
+/// Longest time for which the end of an answer is held back to find out whether its server lives.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Returns whether a server has ended though it was not to leave.
 async fn has_ended_early(state: &SharedState, key: ServerKey) -> bool {
@@ -61,23 +46,97 @@
     }
 }
 
-/// Finds out whether the process described by `entry` still runs.
-async fn probe_process(entry: &ServerEntry) -> ServerLiveness {
-    match exchange::probe_listener_again(entry.address).await {
-        ListenerState::Absent => return ServerLiveness::Ended,
-        ListenerState::Unknown => return ServerLiveness::Unknown,
-        ListenerState::Listening if entry.born_millis == 0 => return ServerLiveness::Alive,
-        ListenerState::Listening => {},
+/// What a process is asked to learn which one it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum IdentityQuestion {
+    /// The report of an engine, for which it needs no slot.
+    Report,
+    /// A health check with this path.
+    Health(Arc<str>),
+}
+
+/// Returns the question that servers of a service answer best, and one to ask if it is not answered.
+fn identity_questions(state: &SharedState, service: &str) -> [IdentityQuestion; 2] {
+    let config = state.config();
+    let policy = config.as_ref().and_then(|in_force| in_force.config.service(service));
+    let health = policy.and_then(|policy| policy.health_path.clone());
+    let health = health.map_or(IdentityQuestion::Report, IdentityQuestion::Health);
+    match policy.and_then(|policy| policy.engine) {
+        Some(_) => [IdentityQuestion::Report, health],
+        None => [health, IdentityQuestion::Report],
     }
-    let report = engine_calls::read_report(entry.address, REPORT_TIMEOUT).await;
-    let Ok((StatusCode::OK, body)) = report else { return ServerLiveness::Unknown };
-    match engines::decode_birth(&body) {
-        Ok(Some(born)) if born != entry.born_millis => ServerLiveness::Ended,
-        Ok(_) => ServerLiveness::Alive,
-        Err(error) => {
-            event(EventKind::ReportRefused, &[&entry.address, &format!("{error:#}")]);
-            ServerLiveness::Unknown
+}
+
+/// Finds out whether the process that wrote an answer still runs after the end of that answer. Asks
+/// once more if the first question is not answered, and takes at most `PROOF_TIMEOUT`.
+pub async fn prove_liveness(state: &SharedState, entry: &ServerEntry) -> ServerLiveness {
+    let [first, second] = identity_questions(state, &entry.service);
+    let asking = async {
+        let mut first = std::pin::pin!(ask_process(entry, &first));
+        match tokio::time::timeout(PROOF_PAUSE, &mut first).await {
+            Ok(ServerLiveness::Unknown) => return ask_process(entry, &second).await,
+            Ok(liveness) => return liveness,
+            Err(_) => {},
+        }
+        let mut second = std::pin::pin!(ask_process(entry, &second));
+        tokio::select! {
+            liveness = &mut first => match liveness {
+                ServerLiveness::Unknown => second.await,
+                ServerLiveness::Alive | ServerLiveness::Ended => liveness,
+            },
+            liveness = &mut second => match liveness {
+                ServerLiveness::Unknown => first.await,
+                ServerLiveness::Alive | ServerLiveness::Ended => liveness,
+            },
+        }
+    };
+    tokio::time::timeout(PROOF_TIMEOUT, asking).await.unwrap_or(ServerLiveness::Unknown)
+}
+
+/// Asks the process at a server's address which one it is.
+async fn ask_process(entry: &ServerEntry, question: &IdentityQuestion) -> ServerLiveness {
+    let address = entry.address;
+    let answer = match question {
+        IdentityQuestion::Report => engine_calls::read_report(address, REPORT_TIMEOUT).await,
+        IdentityQuestion::Health(path) => {
+            engine_calls::read_health(address, path, REPORT_TIMEOUT).await
+        },
+    };
+    let answer = match answer {
+        Ok(answer) => answer,
+        // A refused connection is told from one that was not established in time.
+        Err(ExchangeFault::NotConnected) => {
+            return match exchange::probe_listener(address).await {
+                ListenerState::Absent => ServerLiveness::Ended,
+                ListenerState::Listening | ListenerState::Unknown => ServerLiveness::Unknown,
+            };
+        },
+        Err(_) => return ServerLiveness::Unknown,
+    };
+    let born_millis = match (question, engines::decode_birth(&answer.body)) {
+        (_, Ok(born_millis)) => born_millis,
+        (IdentityQuestion::Report, Err(error)) if answer.status == StatusCode::OK => {
+            event(EventKind::ReportRefused, &[&address, &format!("{error:#}")]);
+            None
         },
+        // Other servers have no report, and a health check may answer with any text.
+        (IdentityQuestion::Report | IdentityQuestion::Health(_), Err(_)) => None,
+    };
+    let found = ProcessIdentity { born_millis, id: stated_server_id(&answer.headers) };
+    let expected = ProcessIdentity {
+        born_millis: (entry.born_millis > 0).then_some(entry.born_millis),
+        id: Some(&entry.id),
+    };
+    ServerLiveness::of_process(expected, found)
+}
+
+/// Finds out whether the process described by `entry` still runs after a connection to it broke.
+async fn probe_process(entry: &ServerEntry) -> ServerLiveness {
+    match exchange::probe_listener_again(entry.address).await {
+        ListenerState::Absent => ServerLiveness::Ended,
+        ListenerState::Unknown => ServerLiveness::Unknown,
+        ListenerState::Listening if entry.born_millis == 0 => ServerLiveness::Alive,
+        ListenerState::Listening => ask_process(entry, &IdentityQuestion::Report).await,
     }
 }
 
@@ -125,9 +184,18 @@
         })
     }
 
-    /// Examines the server, logs what is found, and records the run if the server has ended.
-    pub async fn examine(self, state: &SharedState, link: &PeerLink) {
-        let liveness = probe_process(&self.entry).await;
+    /// Examines the server unless its state is `known`, logs what is found, and records the run if the
+    /// server has ended.
+    pub async fn examine(
+        self,
+        state: &SharedState,
+        link: &PeerLink,
+        known: Option<ServerLiveness>,
+    ) {
+        let liveness = match known {
+            Some(liveness) => liveness,
+            None => probe_process(&self.entry).await,
+        };
         if liveness == ServerLiveness::Ended {
             link.report_end(state, self.key);
             if !self.is_settled {
--- a/medlarlanding/src/forwarding/stream_events.rs
+++ b/medlarlanding/src/forwarding/stream_events.rs
@@ -1,11 +1,16 @@
 //! Splits the bytes of an event stream into complete events without changing them.
 
 use bytes::{Bytes, BytesMut};
+use hyper::HeaderMap;
+use hyper::header::CONTENT_TYPE;
 
 /// Most bytes that are buffered for one event; events of the measured installations have at most
 /// 2,000 bytes.
 const EVENT_LIMIT: usize = 256 << 10;
 
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -23,6 +28,15 @@
     scanned: usize,
 }
 
+/// Returns whether the body of an answer consists of events. One without a type does on routes of
+/// generations.
+pub fn has_events(headers: &HeaderMap) -> bool {
+    headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).is_none_or(|value| {
+        let media_type = value.split(';').next().unwrap_or_default();
+        media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
+    })
+}
+
 impl EventSplitter {
     /// Appends the next bytes of the stream. Returns false if the buffer exceeds the limit for one
     /// event.
@@ -43,6 +57,15 @@
         Some(StreamEvent { bytes, id })
     }
 
+    /// Returns whether the bytes after the last complete event begin another one. Empty lines and complete
+    /// comments do not.
+    pub fn is_within_event(&self) -> bool {
+        self.buffer.split_inclusive(|byte| *byte == b'\n').any(|line| {
+            let text = line.strip_suffix(b"\n").map(|it| it.strip_suffix(b"\r").unwrap_or(it));
+            text.is_none_or(|text| !text.is_empty() && !text.starts_with(b":"))
+        })
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn take_rest(&mut self) -> Bytes {
         self.scanned = 0;
--- a/medlarlanding/tests/stream_events.rs
+++ b/medlarlanding/tests/stream_events.rs
@@ -61,3 +61,22 @@
             .quickcheck(parts_give_same_events as fn(Vec<(u16, String)>, Vec<usize>) -> bool);
     }
 }
+
+/// Guards against a stream that is cut within an event and looks complete, and against one that is called
+/// cut although only empty lines or comments follow its last event.
+fn ends_within_event((text, expected): (&str, bool)) {
+    let mut splitter = EventSplitter::default();
+    assert!(splitter.push(text.as_bytes()));
+    while splitter.next_event().is_some() {}
+    assert_eq!(splitter.is_within_event(), expected);
+}
+
+cases! { ends_within_event;
+    whole_events_end_outside => ("id: 1\ndata: a\n\n", false),
+    first_bytes_of_an_event_are_within => ("id: 1\ndata: a\n\ni", true),
+    event_without_its_empty_line_is_within => ("id: 1\ndata: a\n\nid: 2\ndata: b\n", true),
+    further_empty_lines_are_outside => ("id: 1\r\ndata: a\r\n\r\n\r\n", false),
+    comment_is_outside => ("id: 1\ndata: a\n\n: end\n", false),
+    cut_comment_is_within => ("id: 1\ndata: a\n\n: en", true),
+    empty_stream_is_outside => ("", false),
+}
