Ignore server entries that are older than the known one

An instance could go on with an old entry of a server: with its old address or service, or as ready although it drains, until the server's entry changed again. Cause: an answer of the store that was under way replaced what a peer had told meanwhile, since changes were applied in the order of arrival. Seen once as a test that timed out: instance 0 applied end-0 service=all from a peer and then service=end-0 from the store, 1 ms later, and kept it for 20 s.

--- a/medlarlanding-core/src/forwarding/entries.rs
+++ b/medlarlanding-core/src/forwarding/entries.rs
@@ -29,6 +29,9 @@
     entry: Option<ServerEntry>,
     /// Store revision at which the entry last changed, or a later one.
     changed_at: u64,
+    /// Latest store revision at which the entry is known to have had this content; never below
+    /// `changed_at`.
+    confirmed_at: u64,
 }
 
 /// Server entries with the store revisions at which they last changed.
@@ -83,20 +86,30 @@
 
     /// Records a change, unless the entry already has the same content: it then keeps its revision,
     /// because servers rewrite their entries about every second and peers need not be told.
-    pub fn record(&mut self, change: DirectoryChange, changed_at: u64) {
+    ///
+    /// Returns false for a change that is older than the entry, which then stays as it is: answers of
+    /// the store and messages of peers overtake one another.
+    pub fn record(&mut self, change: DirectoryChange, changed_at: u64) -> bool {
         let id = Arc::clone(change.id());
         let entry = match change {
             DirectoryChange::Written(entry) => Some(entry),
             DirectoryChange::Removed(_) => None,
         };
         let is_removed = entry.is_none();
-        if self.entries.get(&id).is_some_and(|logged| logged.entry == entry) {
-            return;
+        if let Some(logged) = self.entries.get_mut(&id) {
+            if changed_at < logged.confirmed_at {
+                return logged.entry == entry;
+            }
+            logged.confirmed_at = changed_at;
+            if logged.entry == entry {
+                return true;
+            }
         }
-        self.entries.insert(id, LoggedEntry { entry, changed_at });
+        self.entries.insert(id, LoggedEntry { entry, changed_at, confirmed_at: changed_at });
         if is_removed {
             self.evict_removed();
         }
+        true
     }
 
     fn evict_removed(&mut self) {
--- a/medlarlanding-core/tests/forwarding_entries.rs
+++ b/medlarlanding-core/tests/forwarding_entries.rs
@@ -81,7 +81,7 @@
 #[test]
 fn peer_that_lacks_one_change_gets_one() {
     let mut log = EntryLog::default();
-    (0..3_000).for_each(|index| log.record(written(&format!("s{index}"), 1), 10));
+    (0..3_000).for_each(|index| assert!(log.record(written(&format!("s{index}"), 1), 10)));
     log.advance(10);
     log.record(removed("s7"), 11);
     log.advance(11);
@@ -98,7 +98,7 @@
 #[test]
 fn heartbeats_are_not_sent_to_peers() {
     let mut log = EntryLog::default();
-    (0..3_000).for_each(|index| log.record(written(&format!("s{index}"), 1), 10));
+    (0..3_000).for_each(|index| assert!(log.record(written(&format!("s{index}"), 1), 10)));
     log.advance_with_changes(10);
     for index in 0..3_000u64 {
         log.record(written(&format!("s{index}"), 1), 11 + index);
@@ -136,9 +136,29 @@
 #[test]
 fn snapshot_is_small() {
     let mut log = EntryLog::default();
-    (0..3_000).for_each(|index| log.record(written(&format!("i-9c41d07{index:04}"), 24), 10));
+    (0..3_000)
+        .for_each(|index| assert!(log.record(written(&format!("i-9c41d07{index:04}"), 24), 10)));
     log.advance_with_changes(10);
     let delta = log.delta_since(0).expect("all entries");
     let bytes = postcard::to_stdvec(&delta).expect("a message");
     assert!(delta.is_snapshot && bytes.len() < 250_000, "{} bytes", bytes.len());
 }
+
+/// Guards against an older entry that replaces a newer one: an answer of the store that was under way when
+/// a peer told of the next change made an instance send requests to a server which was draining.
+#[test]
+fn late_change_does_not_replace_a_newer_one() {
+    let mut log = EntryLog::default();
+    assert!(log.record(written("a", 1), 10));
+    assert!(log.record(written("a", 2), 12));
+    assert!(!log.record(written("a", 1), 11), "a late change");
+    assert!(!log.record(removed("a"), 11), "a late removal");
+    assert_eq!(log.change("a"), Some(written("a", 2)));
+    // The entry is written again unchanged; what lies between is late as well.
+    assert!(log.record(written("a", 2), 15));
+    assert!(!log.record(written("a", 3), 14));
+    assert_eq!(log.delta_since(0).map(|delta| delta.changes), None, "no revision is complete yet");
+    assert!(log.record(removed("a"), 16));
+    assert!(!log.record(written("a", 2), 15), "a late change of a removed entry");
+    assert_eq!(log.change("a"), Some(removed("a")));
+}
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -246,8 +246,8 @@
         changed_at: u64,
         source: ChangeSource,
     ) -> bool {
-        self.entries.borrow_mut().record(change.clone(), changed_at);
-        if !self.has_new_content(&change) {
+        let is_current = self.entries.borrow_mut().record(change.clone(), changed_at);
+        if !is_current || !self.has_new_content(&change) {
             return false;
         }
         let id = Arc::clone(change.id());
