Heed servers that leave or want a pause

Callers' requests reached servers that had said in an answer that they leave, and servers that had asked for a pause with Retry-After: neither header was read.

Every answer is now read for both. A server's own word is kept until its next start and outlasts a removed, late or old entry; peers learn it through the coordinator, by the hash of the start instead of the id. A pause binds this instance alone: for new requests, repeats, copies and resumes; the question to the coordinator names the servers that want none. If all servers of a service leave, they get requests that they can finish for half of the drain limit; if all want a pause, requests are refused at once and callers told when it ends. E624 and forward_server_holds say so.

--- a/medlarlanding-bench/src/site/ending_server.rs
+++ b/medlarlanding-bench/src/site/ending_server.rs
@@ -2,7 +2,7 @@
 //! are delimited in every way that HTTP allows. Writes raw bytes.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -73,11 +73,13 @@
     Restarts,
     /// It ends and its connections are reset.
     Resets,
+    /// The connections of its answers stay open, and it writes nothing more.
+    FallsSilent,
 }
 
 impl ServerFate {
     /// All fates.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Lives,
         Self::EndsAfterAnswers,
         Self::Ends,
@@ -85,6 +87,7 @@
         Self::Freezes,
         Self::Restarts,
         Self::Resets,
+        Self::FallsSilent,
     ];
 
     /// Returns whether answers break off.
@@ -116,6 +119,11 @@
     paused: AtomicUsize,
     connections: AtomicUsize,
     says_leaving: AtomicBool,
+    /// Milliseconds for which the server wants no requests from an instance that it refuses; 0 if it
+    /// refuses none.
+    hold_ms: AtomicU64,
+    /// Requests that reached the server, with the times at which they did.
+    arrivals: Mutex<Vec<(String, Instant)>>,
     /// Request whose run is to stop for a move.
     stopped_run: watch::Sender<Option<String>>,
     /// The run of a final copy completes on its own at that moment.
@@ -152,6 +160,8 @@
             paused: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             says_leaving: AtomicBool::new(false),
+            hold_ms: AtomicU64::new(0),
+            arrivals: Mutex::default(),
             stopped_run: watch::Sender::new(None),
             completes_on_move: AtomicBool::new(false),
             ended_at: Mutex::new(None),
@@ -186,6 +196,16 @@
         self.shared.says_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Refuses requests and wants no further ones from the instance for this time; zero refuses none.
+    pub fn set_hold(&self, hold: Duration) {
+        self.shared.hold_ms.store(hold.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Returns the ids of the requests that reached the server, with the times at which they did.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        self.shared.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Makes runs complete on their own at the moment at which a move stops them.
     pub fn complete_on_move(&self) {
         self.shared.completes_on_move.store(true, Ordering::Relaxed);
@@ -275,6 +295,17 @@
             let answer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
             return Ok(stream.write_all(answer.as_bytes()).await?);
         }
+        let arrival = (request.clone(), Instant::now());
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(arrival);
+        let hold = self.hold_ms.load(Ordering::Relaxed);
+        if hold > 0 {
+            let answer = format!(
+                "HTTP/1.1 503 Service Unavailable\r\n{leaving}X-Not-Executed: 1\r\n\
+                 Retry-After: {}\r\nContent-Length: 0\r\n\r\n",
+                hold as f64 / 1e3
+            );
+            return Ok(stream.write_all(answer.as_bytes()).await?);
+        }
         let is_continued = field("kv-from").is_some();
         if is_continued && self.completes_on_move.load(Ordering::Relaxed) {
             // The remainder of a run that completed never arrives.
@@ -374,6 +405,7 @@
             ServerFate::Ends | ServerFate::Resets => ProcessState::Ended,
             ServerFate::ListenerOutlives => ProcessState::ListenerOnly,
             ServerFate::Freezes => ProcessState::Frozen,
+            ServerFate::FallsSilent => return std::future::pending().await,
             ServerFate::Restarts => ProcessState::Serving(2),
             ServerFate::Lives | ServerFate::EndsAfterAnswers => return Ok(()),
         };
--- a/medlarlanding-bench/tests/forwarding_answer_ends.rs
+++ b/medlarlanding-bench/tests/forwarding_answer_ends.rs
@@ -15,6 +15,8 @@
 const INSTANCES: usize = 3;
 /// Longest time from the end of an answer at its server to its end at the caller.
 const END_LIMIT: Duration = Duration::from_millis(500);
+/// Time until the deadline of a request to a server that falls silent.
+const SILENT_DEADLINE: Duration = Duration::from_secs(4);
 /// Connections that a server may get for an answer without a declared end: the request, and two to
 /// learn whether the server still runs.
 const CONNECTION_LIMIT: usize = 3;
@@ -135,11 +137,14 @@
         .iter()
         .zip(&specs)
         .enumerate()
-        .map(|(number, (server, (_, _, word)))| {
+        .map(|(number, (server, (_, fate, word)))| {
             if *word == ServerWord::OwnWord {
                 server.say_leaving();
             }
-            let call = call(case, server.id(), number);
+            let mut call = call(case, server.id(), number);
+            if *fate == ServerFate::FallsSilent {
+                call = call.header("x-deadline-ms", &SILENT_DEADLINE.as_millis().to_string());
+            }
             let address = site.caller_address(number % INSTANCES);
             std::thread::spawn(move || (call.send(address).expect("an answer"), Instant::now()))
         })
@@ -191,6 +196,13 @@
             ambiguous_lost += usize::from(!whole);
         }
         let delay = server.ended_at().map_or(Duration::ZERO, |at| received_at.duration_since(at));
+        if fate == ServerFate::FallsSilent {
+            // Nothing ends such an answer but its deadline.
+            if answer.elapsed > SILENT_DEADLINE + END_LIMIT {
+                faults.push(format!("ended after {:?}: {described}", answer.elapsed));
+            }
+            continue;
+        }
         longest = longest.max(delay);
         if delay > END_LIMIT {
             faults.push(format!("ended {delay:?} later: {described}"));
--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -139,6 +139,8 @@
     622 PartReleased Info "part_released" ["part"];
     /// An answer ended with its connection, without a length or chunks.
     623 AnswerEnd Info "answer_end" ["request", "route", "server", "framing", "known", "state", "took_ms", "verdict"];
+    /// A server refused a request and wants no further ones from this instance for a while.
+    624 ServerHold Info "server_hold" ["request", "server", "hold_ms"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -11,6 +11,9 @@
 /// How long the record of a removed server is kept for requests that still run there. Longer than
 /// any request runs (39 s on the measured installations).
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
+/// How long the record of a server that said itself that it leaves is kept after its entry was removed,
+/// in case an old entry comes back.
+const LEAVER_RETENTION: Duration = Duration::from_secs(300);
 /// Consecutive failures after which a server is avoided.
 const FAILURE_LIMIT: u32 = 3;
 /// First period for which a failing server is avoided; doubles with each further failure up to
@@ -81,6 +84,11 @@
     /// When this instance learned that the server is draining or removed; `None` while it accepts
     /// requests.
     pub leaving_since: Option<Timestamp>,
+    /// When the server itself first said that it leaves. Kept until its next start: an entry that calls
+    /// it ready is late or old. `leaving_since` is set if this is.
+    own_word_at: Option<Timestamp>,
+    /// Until when the server wants no requests from this instance.
+    hold_until: Option<Timestamp>,
     /// The entry was removed, or the server has restarted since.
     pub is_removed: bool,
     /// When this instance first saw the server.
@@ -99,11 +107,26 @@
 }
 
 impl ServerRecord {
+    /// Returns how long the record is kept after the server was removed.
+    fn retention(&self) -> Duration {
+        if self.own_word_at.is_some() { LEAVER_RETENTION } else { REMOVED_RETENTION }
+    }
+
     /// Returns whether new requests may be sent to the server.
     pub fn accepts_work(&self) -> bool {
         self.leaving_since.is_none()
     }
 
+    /// Returns how long the server wants no requests from this instance; zero if it takes them.
+    pub fn hold_left(&self, now: Timestamp) -> Duration {
+        self.hold_until.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
+    /// Returns whether the server is leaving, for less than `limit`, and still has its entry.
+    pub fn is_draining_within(&self, now: Timestamp, limit: Duration) -> bool {
+        !self.is_removed && self.leaving_since.is_some_and(|since| now.since(since) < limit)
+    }
+
     /// Returns whether the server is avoided because of recent failures.
     pub fn is_avoided(&self, now: Timestamp) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
@@ -138,6 +161,7 @@
     }
 
     fn write(&mut self, now: Timestamp, entry: ServerEntry) -> (ServerKey, bool) {
+        let mut own_word_at = None;
         if let Some(&key) = self.current.get(&entry.id) {
             let record = &mut self.records[&key];
             let is_same_start = record.entry.born_millis == entry.born_millis
@@ -151,7 +175,7 @@
                 } else {
                     // The entry expired while the store was unreachable and is now written again;
                     // the server did not restart.
-                    record.leaving_since = None;
+                    record.leaving_since = record.own_word_at;
                 }
                 record.is_removed = false;
                 record.entry = entry;
@@ -159,15 +183,20 @@
             }
             record.is_removed = true;
             record.leaving_since.get_or_insert(now);
+            let is_later_start = entry.born_millis > record.entry.born_millis;
+            own_word_at = record.own_word_at.filter(|_| !is_later_start);
         }
         let key = ServerKey(self.next_key);
         self.next_key += 1;
-        let is_leaving = entry.phase == ServerPhase::Draining;
+        let draining_since = (entry.phase == ServerPhase::Draining).then_some(now);
+        let leaving_since = own_word_at.or(draining_since);
         self.current.insert(Arc::clone(&entry.id), key);
         self.records.insert(
             key,
             ServerRecord {
-                leaving_since: is_leaving.then_some(now),
+                leaving_since,
+                own_word_at,
+                hold_until: None,
                 is_removed: false,
                 seen_at: now,
                 open_requests: 0,
@@ -179,17 +208,41 @@
                 entry,
             },
         );
-        (key, is_leaving)
+        (key, leaving_since.is_some())
     }
 
-    /// Records that a server reported that it is leaving. Returns false if this was known.
+    /// Records that a server said itself that it is leaving. Returns false if it was known as leaving.
     pub fn mark_leaving(&mut self, now: Timestamp, key: ServerKey) -> bool {
-        let record = self.records.get_mut(&key).filter(|record| record.leaving_since.is_none());
-        if let Some(record) = record {
-            record.leaving_since = Some(now);
-            return true;
+        let Some(record) = self.records.get_mut(&key) else { return false };
+        record.own_word_at.get_or_insert(now);
+        let is_new = record.leaving_since.is_none();
+        record.leaving_since.get_or_insert(now);
+        is_new
+    }
+
+    /// Records that a server wants no requests from this instance until the given time; never shortens
+    /// the period in force.
+    pub fn hold(&mut self, key: ServerKey, until: Timestamp) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.hold_until = record.hold_until.max(Some(until));
         }
-        false
+    }
+
+    /// Iterates over the servers of a service that want no requests from this instance.
+    pub fn held<'a>(
+        &'a self,
+        now: Timestamp,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
+        let held = self.iter().filter(move |(_, record)| !record.hold_left(now).is_zero());
+        held.filter(move |(_, record)| &*record.entry.service == service)
+    }
+
+    /// Returns the time until a server of a service takes requests again, if all that are not leaving
+    /// want none.
+    pub fn shortest_hold(&self, now: Timestamp, service: &str) -> Option<Duration> {
+        let left = self.candidates(service).map(|(_, record)| record.hold_left(now)).min();
+        left.filter(|left| !left.is_zero())
     }
 
     /// Replaces all entries by a snapshot. Returns the servers that start to leave with it.
@@ -212,7 +265,7 @@
         self.records.retain(|_, record| {
             !record.is_removed
                 || record.open_requests > 0
-                || record.leaving_since.is_none_or(|at| now.since(at) < REMOVED_RETENTION)
+                || record.leaving_since.is_none_or(|at| now.since(at) < record.retention())
         });
         self.current.retain(|_, key| self.records.contains_key(key));
     }
@@ -238,14 +291,14 @@
             .map(|(key, record)| (*key, record))
     }
 
-    /// Iterates over the ids of the servers that have reported that they are leaving while their
+    /// Iterates over the entries of the servers that have reported that they are leaving while their
     /// entries still call them ready.
-    pub fn reported_leaving(&self) -> impl Iterator<Item = &str> {
+    pub fn reported_leaving(&self) -> impl Iterator<Item = &ServerEntry> {
         let is_reported = |record: &&ServerRecord| {
             let is_ready = record.entry.phase == ServerPhase::Ready && !record.is_removed;
             record.leaving_since.is_some() && is_ready
         };
-        self.records.values().filter(is_reported).map(|record| &*record.entry.id)
+        self.records.values().filter(is_reported).map(|record| &record.entry)
     }
 
     /// Iterates over all records, including those of leaving and removed servers.
--- a/medlarlanding-core/src/forwarding/drain.rs
+++ b/medlarlanding-core/src/forwarding/drain.rs
@@ -48,10 +48,13 @@
     ) -> bool {
         match kind {
             RequestKind::Safe | RequestKind::Unsafe => objective * self.objective_factor <= left,
-            RequestKind::Stream => {
-                let expected = self.token_time * longest.output + self.prompt_time * longest.prompt;
-                expected.mul_f64(self.time_factor) <= left
-            },
+            RequestKind::Stream => self.expected_time(longest) <= left,
         }
     }
+
+    /// Returns the time within which a generation of this size ends.
+    pub fn expected_time(&self, size: RunWeight) -> Duration {
+        let expected = self.token_time.saturating_mul(size.output) + self.prompt_time * size.prompt;
+        expected.mul_f64(self.time_factor)
+    }
 }
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -13,8 +13,8 @@
         Digest(PeerDigest),
         /// Changes of server entries.
         Servers(ServerChanges),
-        /// Hashes of the ids of servers that reported, while the store was unreachable, that they
-        /// are leaving.
+        /// Hashes of the starts of servers that said themselves that they are leaving: from an instance
+        /// to the coordinator, and from it to all others.
         Leaving(Vec<u64>),
         /// Hash of the id of an engine that failed a request; sent to the coordinator, which
         /// places generations for all instances.
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::directory::{ServerDirectory, ServerKey, ServerRecord};
+use super::drain::DrainParams;
 use super::peers::RemoteLoad;
 use crate::time::Timestamp;
 
@@ -86,6 +87,8 @@
     pub due: Option<Duration>,
     /// Whether the request has the most urgent priority.
     pub is_urgent: bool,
+    /// Time for which a leaving server still runs requests, if there is no other server.
+    pub drain_limit: Duration,
 }
 
 impl<'a> PlacementRequest<'a> {
@@ -97,6 +100,30 @@
         let excluded = self.excluded;
         directory.candidates(self.service).filter(move |(key, _)| !excluded.contains(key))
     }
+
+    /// Iterates over the draining servers that may get a new request because no other server of the
+    /// service exists. A run must be expected to end before the server does.
+    fn last_resorts(
+        &self,
+        now: Timestamp,
+        directory: &'a ServerDirectory,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> {
+        let Self { service, excluded, drain_limit, .. } = *self;
+        let duration = match self.memory_tokens {
+            Some(_) => DrainParams::default().expected_time(self.weight),
+            None => Duration::ZERO,
+        };
+        // Peers and the store may have known for longer that the server leaves.
+        let limit = drain_limit / 2;
+        let is_needed = directory.candidates(service).next().is_none();
+        directory.iter().filter(move |(key, record)| {
+            is_needed
+                && &*record.entry.service == service
+                && !excluded.contains(key)
+                && record.is_draining_within(now, limit)
+                && record.leaving_since.is_some_and(|at| now.since(at) + duration < drain_limit)
+        })
+    }
 }
 
 /// Server that was chosen for a request.
@@ -126,8 +153,9 @@
     /// Chooses the server with the lowest cost. `remote` returns the load that peers put on a
     /// server, and `draw` returns random numbers from 0 to 1.
     ///
-    /// A server that is avoided after failures is chosen only when there is no other. Returns
-    /// `None` if no server of the service accepts new requests.
+    /// A server that is avoided after failures is chosen only when there is no other, and one that
+    /// begins to leave only when all do. Returns `None` if no server of the service accepts new
+    /// requests.
     pub fn choose(
         &self,
         now: Timestamp,
@@ -138,7 +166,8 @@
     ) -> Option<PlacementChoice> {
         let mut best: Option<((bool, bool, f64), ServerKey)> = None;
         let mut servers_with_room = 0;
-        for (key, record) in request.candidates(directory) {
+        let last_resorts = request.last_resorts(now, directory);
+        for (key, record) in request.candidates(directory).chain(last_resorts) {
             let load = remote(record);
             let cost = self.cost(request, record, load) + draw() * self.params.jitter;
             let has_room = self.has_room(request, record, load);
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -279,6 +279,7 @@
         zone: "z0",
         due,
         is_urgent: false,
+        drain_limit: Duration::ZERO,
     }
 }
 
--- a/medlarlanding-core/tests/forwarding_suspicion.rs
+++ b/medlarlanding-core/tests/forwarding_suspicion.rs
@@ -83,6 +83,7 @@
             zone: "z",
             due: Some(Duration::from_secs(1)),
             is_urgent: false,
+            drain_limit: Duration::ZERO,
         };
         let policy = PlacementPolicy::default();
         let no_remote_load = |_: &_| RemoteLoad::default();
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -106,12 +106,19 @@
 }
 
 /// Returns the delay after which the caller should retry; `None` for errors that a retry does not
-/// resolve and for requests that may have run.
-pub fn retry_after(error: ErrorAnswer, state: &ForwardState) -> Option<Duration> {
+/// resolve and for requests that may have run. A request for a `service` all of whose servers want
+/// none for a while comes back after the shortest of these periods.
+pub fn retry_after(
+    error: ErrorAnswer,
+    state: &ForwardState,
+    service: Option<&str>,
+) -> Option<Duration> {
+    let hold = service.and_then(|service| state.shortest_hold(service)).unwrap_or_default();
     let delay = match error {
         ErrorAnswer::NotConfigured => RETRY_NOT_CONFIGURED,
-        ErrorAnswer::NoServer => RETRY_NO_SERVER,
-        ErrorAnswer::ServersFull | ErrorAnswer::OutOfMemory => RETRY_FULL,
+        ErrorAnswer::NoServer => hold.max(RETRY_NO_SERVER),
+        ErrorAnswer::ServersFull => hold.max(RETRY_FULL),
+        ErrorAnswer::OutOfMemory => RETRY_FULL,
         ErrorAnswer::Overloaded => RETRY_OVERLOADED,
         ErrorAnswer::FatalPrompt => BLOCK_TIME,
         ErrorAnswer::Stopping | ErrorAnswer::LateUnsent => Duration::ZERO,
@@ -155,7 +162,7 @@
     let version = state.config_version();
     event(EventKind::ForwardRefused, &[&id, &error.code(), &version]);
     state.telemetry.requests.with_label_values(&["unadmitted", error.code()]).inc();
-    error.to_answer(id, retry_after(error, state))
+    error.to_answer(id, retry_after(error, state, None))
 }
 
 async fn admit(
--- a/medlarlanding/src/forwarding/engine_probe.rs
+++ b/medlarlanding/src/forwarding/engine_probe.rs
@@ -10,12 +10,13 @@
 
 use super::engine_calls::{self, CallAnswer};
 use super::peer_link::PeerLink;
-use super::shared::{SharedState, server_hash};
+use super::shared::{SharedState, start_hash};
 use crate::exchange::ExchangeFault;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::ServerKey;
 use medlarlanding_platform::engines;
+use medlarlanding_platform::headers::announces_leaving;
 
 use hyper::StatusCode;
 
@@ -55,7 +56,7 @@
         // Peers that have restarted or lost a datagram do not know of the earlier reports.
         let reported: Vec<u64> = {
             let directory = state.directory.borrow();
-            directory.reported_leaving().map(server_hash).collect()
+            directory.reported_leaving().map(start_hash).collect()
         };
         if !reported.is_empty() {
             link.send_leaving(&state, reported);
@@ -77,22 +78,23 @@
             state.directory.borrow_mut().record_unreachable(state.now(), key);
         },
         ProbeAnswer::Leaves => {
-            if let Some(hash) = state.hash_of(key)
-                && state.mark_leaving(key)
-            {
-                link.send_leaving(state, vec![hash]);
+            if state.mark_leaving(key) {
+                link.report_leaving(state, key);
             }
         },
     }
 }
 
 async fn probe_engine(address: SocketAddr) -> ProbeAnswer {
-    let CallAnswer { status, body, .. } =
+    let CallAnswer { status, headers, body } =
         match engine_calls::read_report(address, PROBE_TIMEOUT).await {
             Ok(answer) => answer,
             Err(ExchangeFault::NotConnected) => return ProbeAnswer::Unreachable,
             Err(_) => return ProbeAnswer::Unknown,
         };
+    if announces_leaving(&headers) {
+        return ProbeAnswer::Leaves;
+    }
     if status != StatusCode::OK {
         return ProbeAnswer::Unknown;
     }
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -146,7 +146,8 @@
         let (stream, status, server_headers) = match self.start().await {
             Ok(started) => started,
             Err(StartFailure::Error(error)) => {
-                let answer = error.to_answer(&self.admitted.id, retry_after(error, &self.state));
+                let delay = retry_after(error, &self.state, Some(&self.admitted.service));
+                let answer = error.to_answer(&self.admitted.id, delay);
                 self.finish(error.code(), answer.status().as_u16(), "");
                 // Sending fails if the caller has disconnected; it then needs no answer.
                 let _ = head.send(AnswerHead::Answer(answer));
@@ -250,6 +251,14 @@
         }
     }
 
+    /// Records what an engine says of itself in the head of an answer.
+    fn note_answer(&self, key: ServerKey, answer: &Response<Incoming>) {
+        let (status, headers) = (answer.status(), answer.headers());
+        if self.state.note_answer(key, &self.admitted.id, status, headers) {
+            self.link.report_leaving(&self.state, key);
+        }
+    }
+
     /// Returns whether engines end on the prompt of this run.
     fn is_fatal(&self) -> bool {
         self.state.check_prompt(&self.admitted.parts).is_some()
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -27,6 +27,9 @@
 const RESUME_LIMIT: u32 = 4;
 /// Pause between two attempts to resume a moved run.
 const RESUME_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time for which a moved run waits for an engine that wants no requests. Callers give a stream up
+/// after a pause of two seconds.
+const RESUME_DELAY_LIMIT: Duration = Duration::from_secs(1);
 /// An engine that has not begun the answer to a moved run after this time admits no requests; usually
 /// it takes 20 to 150 ms.
 const RESUME_SILENCE: Duration = Duration::from_millis(500);
@@ -382,6 +385,14 @@
             if time_left.is_zero() || self.is_fatal() {
                 return ResumeOutcome::Failed;
             }
+            let delay = self.state.send_delay(*key, self.admitted.arrived_at);
+            if delay > RESUME_DELAY_LIMIT.min(time_left) {
+                continue;
+            }
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+            }
+            let (now, time_left) = (now + delay, time_left - delay);
             let load = LoadGuard::begin(&self.state, *key, self.run_weight());
             let request = server_request(
                 &self.admitted,
@@ -407,6 +418,7 @@
             );
             match sent {
                 Ok((response, exchange)) => {
+                    self.note_answer(*key, &response);
                     let framing = BodyFraming::of_response(&response);
                     let (parts, body) = response.into_parts();
                     let check = check_answer(parts.status, &parts.headers, &self.admitted.id);
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -128,6 +128,7 @@
                     return Err(StartFailure::Error(ErrorAnswer::LateSent));
                 },
             };
+            self.note_answer(key, &response);
             let framing = BodyFraming::of_response(&response);
             let (parts, body) = response.into_parts();
             match check_answer(parts.status, &parts.headers, &self.admitted.id) {
@@ -287,14 +288,16 @@
         zone: &Arc<str>,
         due: Duration,
     ) -> Placement {
+        let excluded = self.state.with_held(&self.admitted.service, excluded);
         let request = PlacementRequest {
             service: &self.admitted.service,
             memory_tokens: self.admitted.engine.map(|engine| engine.memory_tokens),
             weight: self.run_weight(),
-            excluded,
+            excluded: &excluded,
             zone,
             due: (purpose == PlacePurpose::Start).then_some(due),
             is_urgent: self.admitted.priority == 0,
+            drain_limit: self.state.settings.drain_limit,
         };
         let run = stable_hash(self.admitted.id.as_bytes());
         self.link.place(&self.state, purpose, run, &self.admitted.service, &request).await
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::peer_fetch::fetch_if_behind;
-use super::shared::{ForwardState, Placement, SharedState};
+use super::shared::{ForwardState, Placement, SharedState, start_hash};
 use medlarlanding_core::forwarding::{
     ChangeSource, DirectoryChange, EngineFault, LedgerSync, PeerDigest, PeerLag, PeerMessage,
     PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup,
@@ -26,6 +26,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 /// Most bytes of changes in one datagram.
 const CHANGES_LIMIT: usize = 1100;
+/// Most servers that a question excludes, so that it fits into a datagram. The answer may name another
+/// excluded one, which the asking instance replaces.
+const EXCLUDED_LIMIT: usize = 200;
 /// Size in bytes of an encoded entry without its strings.
 const ENTRY_LENGTH: usize = 32;
 /// Interval at which the coordinator logs the load of the fleet.
@@ -132,7 +135,20 @@
         self.send_to_groups(state, &PeerMessage::Servers(pending), &groups);
     }
 
-    /// Reports to all peers which servers are leaving. `servers` are the hashes of their ids.
+    /// Reports that a server said itself that it is leaving: to the coordinator, which tells all peers.
+    pub fn report_leaving(&self, state: &ForwardState, key: ServerKey) {
+        let Some(server) = state.directory.borrow().get(key).map(|it| start_hash(&it.entry)) else {
+            return;
+        };
+        match state.peers.borrow().coordinator(state.now()) {
+            Some(coordinator) => {
+                self.send(state, &PeerMessage::Leaving(vec![server]), &[coordinator]);
+            },
+            None => self.send_leaving(state, vec![server]),
+        }
+    }
+
+    /// Reports to all peers which servers are leaving. `servers` are the hashes of their starts.
     pub fn send_leaving(&self, state: &ForwardState, servers: Vec<u64>) {
         self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_groups(state));
     }
@@ -217,7 +233,12 @@
             output: request.weight.output,
             due_ms: request.due.map_or(0, |due| due.as_millis().min(u32::MAX.into()) as u32),
             priority: u8::from(!request.is_urgent),
-            excluded: request.excluded.iter().filter_map(|key| state.hash_of(*key)).collect(),
+            excluded: request
+                .excluded
+                .iter()
+                .filter_map(|key| state.hash_of(*key))
+                .take(EXCLUDED_LIMIT)
+                .collect(),
             zone: request.zone.to_owned(),
         };
         self.send(state, &PeerMessage::Question(question), &[coordinator]);
@@ -228,7 +249,12 @@
                 state.granted.set(state.granted.get().max(answer.grant));
                 match answer.verdict {
                     PlaceVerdict::Server(hash) => match state.find_server(hash) {
-                        Some(key) if !request.excluded.contains(&key) => Placement::Server(key),
+                        Some(key)
+                            if !request.excluded.contains(&key)
+                                && state.send_delay(key, state.now()).is_zero() =>
+                        {
+                            Placement::Server(key)
+                        },
                         // This instance and the coordinator know different servers at the moment.
                         Some(_) | None => state.place(purpose, request),
                     },
@@ -390,8 +416,12 @@
             state.entries.borrow_mut().advance_with_changes(changes.revision);
         },
         PeerMessage::Leaving(servers) => {
-            for key in servers.iter().filter_map(|hash| state.find_server(*hash)) {
-                state.mark_leaving(key);
+            let is_news =
+                |hash: &u64| state.find_start(*hash).is_some_and(|key| state.mark_leaving(key));
+            let news: Vec<u64> = servers.into_iter().filter(is_news).collect();
+            let is_coordinator = state.peers.borrow().coordinator(state.now()).is_none();
+            if is_coordinator && !news.is_empty() {
+                link.send_leaving(state, news);
             }
         },
         PeerMessage::Fault(engine) => state.record_fault(engine, EngineFault::Failed),
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -123,16 +123,18 @@
                 if run_count > 0 { ErrorAnswer::LateSent } else { ErrorAnswer::LateUnsent },
             );
         }
+        let excluded = state.with_held(&admitted.service, &tried);
         let placed = state.place(
             PlacePurpose::Start,
             &PlacementRequest {
                 service: &admitted.service,
                 memory_tokens: None,
                 weight: admitted.weight,
-                excluded: &tried,
+                excluded: &excluded,
                 zone: &state.settings.zone,
                 due: None,
                 is_urgent: admitted.priority == 0,
+                drain_limit: state.settings.drain_limit,
             },
         );
         let Placement::Server(key) = placed else {
@@ -197,36 +199,35 @@
             SendOutcome::Lost(_) | SendOutcome::Incomplete(_) => {
                 run_count += 1;
                 let may_repeat = is_safe && run_count < admitted.rule.max_servers;
-                let (is_broken, known) = match outcome {
-                    SendOutcome::Incomplete(verdict) => (true, verdict.liveness()),
-                    SendOutcome::Lost(fault) => (fault == ExchangeFault::Broken, None),
-                    _ => (false, None),
-                };
-                if is_broken {
+                let is_late = matches!(outcome, SendOutcome::Lost(ExchangeFault::TimedOut));
+                if !is_late {
+                    let known = match outcome {
+                        SendOutcome::Incomplete(verdict) => verdict.liveness(),
+                        _ => None,
+                    };
                     examine_break(state, &link, &admitted, key, known, may_repeat).await;
                 }
                 if may_repeat {
                     state.telemetry.repeats.with_label_values(&["lost"]).inc();
                     continue;
                 }
-                let error = match outcome {
-                    SendOutcome::Lost(ExchangeFault::TimedOut) => ErrorAnswer::LateSent,
-                    _ => ErrorAnswer::AnswerLost,
-                };
+                let error = if is_late { ErrorAnswer::LateSent } else { ErrorAnswer::AnswerLost };
                 break fallback_or_error(fallback, error);
             },
         }
     };
     let answer = match answer {
         Answer::Server(answer) => answer,
-        Answer::Error(error) => error.to_answer(&admitted.id, retry_after(error, state)),
+        Answer::Error(error) => {
+            error.to_answer(&admitted.id, retry_after(error, state, Some(&admitted.service)))
+        },
     };
     record.finish(outcome, answer.status().as_u16(), &last_server);
     answer
 }
 
-/// Examines the server of an answer that broke off, unless its state is `known`. Waits for the result only if the request may be
-/// sent to another server, which it might end as well.
+/// Examines the server of an answer that broke off, unless its state is `known`. Waits for the result
+/// only if the request may be sent to another server, which it might end as well.
 async fn examine_break(
     state: &SharedState,
     link: &Rc<PeerLink>,
@@ -327,6 +328,9 @@
     let answering = async {
         match exchange::send(entry.address, request, limit).await {
             Ok((response, exchange)) => {
+                if state.note_answer(key, &admitted.id, response.status(), response.headers()) {
+                    link.report_leaving(state, key);
+                }
                 let left = limit.saturating_sub(state.now().since(started));
                 let ending = EndingAnswer {
                     request: admitted.id.clone(),
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -23,8 +23,10 @@
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::config::decode_config;
+use medlarlanding_platform::headers::{announces_leaving, requested_hold};
 use medlarlanding_platform::settings::PlatformSettings;
 
+use hyper::{HeaderMap, StatusCode};
 use indexmap::{IndexMap, IndexSet};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -296,6 +298,50 @@
         is_new
     }
 
+    /// Records what a server says of itself in the head of an answer to a request: that it leaves, or
+    /// that it wants no requests from this instance for a while. Returns whether it is news that the
+    /// server leaves.
+    pub fn note_answer(
+        &self,
+        key: ServerKey,
+        request: &str,
+        status: StatusCode,
+        answer: &HeaderMap,
+    ) -> bool {
+        if let Some(hold) = requested_hold(status, answer) {
+            self.directory.borrow_mut().hold(key, self.now() + hold);
+            self.telemetry.server_holds.inc();
+            if let Some(record) = self.directory.borrow().get(key) {
+                event(EventKind::ServerHold, &[&request, &record.entry.id, &hold.as_millis()]);
+            }
+        }
+        announces_leaving(answer) && self.mark_leaving(key)
+    }
+
+    /// Returns the time until a request may be sent to a server that was chosen for it; zero if it may
+    /// be sent now, and `Duration::MAX` if the server leaves for too long.
+    pub fn send_delay(&self, key: ServerKey, arrived_at: Timestamp) -> Duration {
+        let directory = self.directory.borrow();
+        let Some(record) = directory.get(key) else { return Duration::MAX };
+        let limit = self.settings.drain_limit / 2;
+        let is_late = record.leaving_since.is_some_and(|since| arrived_at > since + limit);
+        if is_late { Duration::MAX } else { record.hold_left(self.now()) }
+    }
+
+    /// Adds the servers of a service that want no requests from this instance to those that a request
+    /// must not be sent to.
+    pub fn with_held(&self, service: &str, excluded: &[ServerKey]) -> Vec<ServerKey> {
+        let directory = self.directory.borrow();
+        let held = directory.held(self.now(), service).map(|(key, _)| key);
+        excluded.iter().copied().chain(held.filter(|key| !excluded.contains(key))).collect()
+    }
+
+    /// Returns the time until a server of a service takes requests from this instance again, if all of
+    /// them want none.
+    pub fn shortest_hold(&self, service: &str) -> Option<Duration> {
+        self.directory.borrow().shortest_hold(self.now(), service)
+    }
+
     /// Returns the model engines that are not known to be leaving.
     pub fn engines(&self) -> Vec<(ServerKey, SocketAddr)> {
         let Some(ConfigInForce { config, .. }) = self.config() else { return Vec::new() };
@@ -404,8 +450,7 @@
         phase: RunPhase,
         parts: &PromptParts,
     ) {
-        let start = format!("{}/{}", entry.id, entry.born_millis);
-        let (server, run) = (stable_hash(start.as_bytes()), stable_hash(request.as_bytes()));
+        let (server, run) = (start_hash(entry), stable_hash(request.as_bytes()));
         let key = CrashKey { server, run };
         let news = self.ledger.borrow_mut().record_crash(self.now(), key, phase, parts.clone());
         self.apply_ledger_change(news);
@@ -488,6 +533,7 @@
                 zone: &question.zone,
                 due: (question.due_ms > 0).then(|| Duration::from_millis(question.due_ms.into())),
                 is_urgent: question.priority == 0,
+                drain_limit: self.settings.drain_limit,
             },
         );
         let waiting = match question.purpose {
@@ -573,6 +619,12 @@
         found.map(|(key, _)| key)
     }
 
+    /// Returns the key of the server of whose current start this is the hash.
+    pub fn find_start(&self, hash: u64) -> Option<ServerKey> {
+        let directory = self.directory.borrow();
+        directory.iter().find(|(_, record)| start_hash(&record.entry) == hash).map(|(key, _)| key)
+    }
+
     /// Returns the hash of a server's id, which identifies the server in messages between instances.
     pub fn hash_of(&self, key: ServerKey) -> Option<u64> {
         Some(server_hash(&self.directory.borrow().get(key)?.entry.id))
@@ -660,6 +712,11 @@
     peers.remote_load(now, server_hash(&record.entry.id))
 }
 
+/// Returns the hash of one start of a server, which is the same on all instances.
+pub fn start_hash(entry: &ServerEntry) -> u64 {
+    stable_hash(format!("{}/{}", entry.id, entry.born_millis).as_bytes())
+}
+
 /// Returns the hash of a server's id, which is the same on all instances.
 pub fn server_hash(id: &str) -> u64 {
     stable_hash(id.as_bytes())
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -26,6 +26,8 @@
     /// Answers without a length or chunks that ended with their connection, by verdict and state of
     /// the server.
     pub undelimited_answers: IntCounterVec,
+    /// Refusals with which servers asked for no further requests for a while.
+    pub server_holds: IntCounter,
     /// Parts of prompts for which requests are refused.
     pub blocked_parts: IntGauge,
     /// Calls to the store, by outcome.
@@ -72,6 +74,8 @@
                 "Answers that ended with their connection.",
                 &["verdict", "state"],
             )?,
+            server_holds: registry
+                .counter("server_holds", "Refusals that ask for no further requests.")?,
             blocked_parts: registry
                 .gauge("blocked_parts", "Parts of prompts for which requests are refused.")?,
             store_calls: registry.counters("store_calls", "Calls to the store.", &["outcome"])?,
