Name notices of servers and modes of their ends in the terms of the field

own_word_at becomes announced_at, last_resorts draining_fallbacks, ServerFate EndMode and forwarding_server_word forwarding_server_notices; no behaviour, bound or assertion changes.

--- a/medlarlanding-bench/src/site/ending_server.rs
+++ b/medlarlanding-bench/src/site/ending_server.rs
@@ -16,9 +16,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// Time for which the listener of an ended server stays open with `ServerFate::ListenerOutlives`.
+/// Time for which the listener of an ended server stays open with `EndMode::ListenerOutlives`.
 const LISTENER_TIME: Duration = Duration::from_millis(400);
-/// Parts of a moved run after which the fate of its new server strikes.
+/// Parts of a moved run after which its new server ends.
 const CONTINUED_PARTS: usize = 5;
 /// Header of a request: number of parts of the answer, 6 if it is missing.
 pub const PARTS_HEADER: &str = "x-test-parts";
@@ -56,9 +56,9 @@
     }
 }
 
-/// What becomes of a server in the middle of its answers.
+/// How a server ends or falls silent in the middle of its answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ServerFate {
+pub enum EndMode {
     /// It completes its answers and continues to serve.
     Lives,
     /// It completes its answers and ends in the same moment.
@@ -77,8 +77,8 @@
     FallsSilent,
 }
 
-impl ServerFate {
-    /// All fates.
+impl EndMode {
+    /// All modes.
     pub const ALL: [Self; 8] = [
         Self::Lives,
         Self::EndsAfterAnswers,
@@ -112,7 +112,7 @@
 struct ServerShared {
     id: String,
     delimiter: BodyDelimiter,
-    fate: ServerFate,
+    end_mode: EndMode,
     process: watch::Sender<ProcessState>,
     /// Answers wait in their middle until this is set.
     released: watch::Sender<bool>,
@@ -147,14 +147,14 @@
         listener: TcpListener,
         id: String,
         delimiter: BodyDelimiter,
-        fate: ServerFate,
+        end_mode: EndMode,
         state: Arc<SiteState>,
     ) -> anyhow::Result<Self> {
         let address = listener.local_addr()?;
         let shared = Arc::new(ServerShared {
             id,
             delimiter,
-            fate,
+            end_mode,
             process: watch::Sender::new(ProcessState::Serving(1)),
             released: watch::Sender::new(false),
             paused: AtomicUsize::new(0),
@@ -186,7 +186,7 @@
         self.shared.connections.load(Ordering::Relaxed)
     }
 
-    /// Lets answers go on from their middle, where the fate of the server strikes.
+    /// Lets answers go on from their middle, where the server ends as its mode says.
     pub fn release(&self) {
         self.shared.released.send_replace(true);
     }
@@ -345,7 +345,7 @@
             self.id
         );
         stream.write_all(answer_head.as_bytes()).await?;
-        let middle = match (interval.is_zero(), is_continued && self.fate.breaks_answers()) {
+        let middle = match (interval.is_zero(), is_continued && self.end_mode.breaks_answers()) {
             (true, _) => parts.len() / 2,
             (false, true) => CONTINUED_PARTS,
             // Runs that are to move do not wait in their middle.
@@ -356,13 +356,13 @@
                 self.paused.fetch_add(1, Ordering::Relaxed);
                 // The sender lives as long as this server.
                 let _ = self.released.subscribe().wait_for(|released| *released).await;
-                if self.fate.breaks_answers() {
-                    return self.strike(stream).await;
+                if self.end_mode.breaks_answers() {
+                    return self.end_process(stream).await;
                 }
             }
             if self.stopped_run.borrow().as_deref() == Some(&*request) {
-                if self.fate.breaks_answers() {
-                    return self.strike(stream).await;
+                if self.end_mode.breaks_answers() {
+                    return self.end_process(stream).await;
                 }
                 if self.completes_on_move.load(Ordering::Relaxed) {
                     // The run was at its last event.
@@ -378,7 +378,7 @@
             tokio::time::sleep(interval).await;
         }
         self.write_end(&mut stream).await?;
-        if self.fate == ServerFate::EndsAfterAnswers {
+        if self.end_mode == EndMode::EndsAfterAnswers {
             stream.shutdown().await?;
             self.process.send_replace(ProcessState::Ended);
         }
@@ -398,18 +398,18 @@
         ended_at.get_or_insert_with(Instant::now);
     }
 
-    /// Ends the process as its fate says, in the middle of an answer.
-    async fn strike(&self, stream: TcpStream) -> anyhow::Result<()> {
+    /// Ends the process as its mode says, in the middle of an answer.
+    async fn end_process(&self, stream: TcpStream) -> anyhow::Result<()> {
         self.note_end();
-        let next = match self.fate {
-            ServerFate::Ends | ServerFate::Resets => ProcessState::Ended,
-            ServerFate::ListenerOutlives => ProcessState::ListenerOnly,
-            ServerFate::Freezes => ProcessState::Frozen,
-            ServerFate::FallsSilent => return std::future::pending().await,
-            ServerFate::Restarts => ProcessState::Serving(2),
-            ServerFate::Lives | ServerFate::EndsAfterAnswers => return Ok(()),
+        let next = match self.end_mode {
+            EndMode::Ends | EndMode::Resets => ProcessState::Ended,
+            EndMode::ListenerOutlives => ProcessState::ListenerOnly,
+            EndMode::Freezes => ProcessState::Frozen,
+            EndMode::FallsSilent => return std::future::pending().await,
+            EndMode::Restarts => ProcessState::Serving(2),
+            EndMode::Lives | EndMode::EndsAfterAnswers => return Ok(()),
         };
-        if self.fate == ServerFate::Resets {
+        if self.end_mode == EndMode::Resets {
             SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
         }
         self.process.send_replace(next);
--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -27,8 +27,8 @@
 pub use client::{SiteAnswer, SiteCall};
 pub use crashing_engine::{AnswerFraming, CONTACT, CRASH_LIMIT, FATAL_PART, LATE_LIMIT};
 pub use ending_server::{
-    BodyDelimiter, EndingServer, HEALTH_PATH, INTERVAL_HEADER, PART_BYTES_HEADER, PARTS_HEADER,
-    ServerFate,
+    BodyDelimiter, EndMode, EndingServer, HEALTH_PATH, INTERVAL_HEADER, PART_BYTES_HEADER,
+    PARTS_HEADER,
 };
 pub use faulty_server::FaultyAnswer;
 pub use proxy::{LinkMode, LinkSwitch};
@@ -179,7 +179,7 @@
         )
     }
 
-    /// Starts servers that end as their fates say, each for a service `end-N` of its own, and registers
+    /// Starts servers that end as their modes say, each for a service `end-N` of its own, and registers
     /// them in the store as ready.
     ///
     /// # Errors
@@ -187,11 +187,11 @@
     /// Fails if an address is taken.
     pub fn add_ending_servers(
         &self,
-        servers: &[(BodyDelimiter, ServerFate)],
+        servers: &[(BodyDelimiter, EndMode)],
     ) -> anyhow::Result<Vec<EndingServer>> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let spawned = runtime.block_on(async {
-            let spawn = |(index, &(delimiter, fate)): (usize, &(BodyDelimiter, ServerFate))| {
+            let spawn = |(index, &(delimiter, end_mode)): (usize, &(BodyDelimiter, EndMode))| {
                 let address = SocketAddr::new(
                     loopback_address(self.network, 200),
                     SERVER_PORT + 10 + index as u16,
@@ -200,7 +200,7 @@
                 listener.set_nonblocking(true)?;
                 let listener = tokio::net::TcpListener::from_std(listener)?;
                 let state = Arc::clone(&self.state);
-                EndingServer::spawn(listener, format!("end-{index}"), delimiter, fate, state)
+                EndingServer::spawn(listener, format!("end-{index}"), delimiter, end_mode, state)
             };
             servers.iter().enumerate().map(spawn).collect::<anyhow::Result<Vec<_>>>()
         })?;
@@ -217,7 +217,7 @@
         Ok(spawned)
     }
 
-    /// Writes the entry of a server that ends as its fate says.
+    /// Writes the entry of a server that ends as its mode says.
     pub fn register_ending_server(&self, server: &EndingServer, service: &str, state: &str) {
         self.register(server.id(), service, server.address, state);
     }
--- a/medlarlanding-bench/tests/forwarding_answer_ends.rs
+++ b/medlarlanding-bench/tests/forwarding_answer_ends.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use medlarlanding_bench::site::{
-    BodyDelimiter, EndingServer, HEALTH_PATH, INTERVAL_HEADER, PART_BYTES_HEADER, PARTS_HEADER,
-    ServerFate, SiteAnswer, SiteCall, SiteParams, TestSite,
+    BodyDelimiter, EndMode, EndingServer, HEALTH_PATH, INTERVAL_HEADER, PART_BYTES_HEADER,
+    PARTS_HEADER, SiteAnswer, SiteCall, SiteParams, TestSite,
 };
 use medlarlanding_core::cases;
 
@@ -23,18 +23,18 @@
 
 /// What was said of a server before its answers ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ServerWord {
+enum PriorStatus {
     Ready,
     /// Its entry says that it drains.
     Draining,
     /// Its entry was removed.
     Removed,
     /// Its answers say that it leaves.
-    OwnWord,
+    Announced,
 }
 
-const WORDS: [ServerWord; 4] =
-    [ServerWord::Ready, ServerWord::Draining, ServerWord::Removed, ServerWord::OwnWord];
+const STATUSES: [PriorStatus; 4] =
+    [PriorStatus::Ready, PriorStatus::Draining, PriorStatus::Removed, PriorStatus::Announced];
 
 /// A kind of request and the size of its answer.
 #[derive(Clone, Copy)]
@@ -124,11 +124,12 @@
     let mut site = start_site();
     let mut specs = Vec::new();
     for delimiter in BodyDelimiter::ALL {
-        for fate in ServerFate::ALL {
-            specs.extend(WORDS.map(|word| (delimiter, fate, word)));
+        for end_mode in EndMode::ALL {
+            specs.extend(STATUSES.map(|status| (delimiter, end_mode, status)));
         }
     }
-    let servers: Vec<_> = specs.iter().map(|&(delimiter, fate, _)| (delimiter, fate)).collect();
+    let servers: Vec<_> =
+        specs.iter().map(|&(delimiter, end_mode, _)| (delimiter, end_mode)).collect();
     let servers = site.add_ending_servers(&servers).expect("servers");
     let services: Vec<String> = servers.iter().map(|server| server.id().to_owned()).collect();
     publish_services(&mut site, &services, case, false);
@@ -137,12 +138,12 @@
         .iter()
         .zip(&specs)
         .enumerate()
-        .map(|(number, (server, (_, fate, word)))| {
-            if *word == ServerWord::OwnWord {
+        .map(|(number, (server, (_, end_mode, status)))| {
+            if *status == PriorStatus::Announced {
                 server.say_leaving();
             }
             let mut call = call(case, server.id(), number);
-            if *fate == ServerFate::FallsSilent {
+            if *end_mode == EndMode::FallsSilent {
                 call = call.header("x-deadline-ms", &SILENT_DEADLINE.as_millis().to_string());
             }
             let address = site.caller_address(number % INSTANCES);
@@ -152,14 +153,14 @@
     let are_paused = || servers.iter().all(|server| server.paused() > 0);
     site.wait_until("the middle of all answers", are_paused).expect("answers");
     let (mut draining, mut removed) = (0, 0);
-    for (server, (_, _, word)) in servers.iter().zip(&specs) {
-        match word {
-            ServerWord::Ready | ServerWord::OwnWord => {},
-            ServerWord::Draining => {
+    for (server, (_, _, status)) in servers.iter().zip(&specs) {
+        match status {
+            PriorStatus::Ready | PriorStatus::Announced => {},
+            PriorStatus::Draining => {
                 site.register_ending_server(server, server.id(), "draining");
                 draining += 1;
             },
-            ServerWord::Removed => {
+            PriorStatus::Removed => {
                 site.state.remove(&format!("servers/{}", server.id()));
                 removed += 1;
             },
@@ -174,7 +175,7 @@
     let mut longest = Duration::ZERO;
     for ((caller, server), spec) in calls.into_iter().zip(&servers).zip(&specs) {
         let (answer, received_at) = caller.join().expect("a caller");
-        let (delimiter, fate, _) = *spec;
+        let (delimiter, end_mode, _) = *spec;
         let whole = is_whole(case, &answer);
         let described = format!(
             "{spec:?}: status {}, complete {}, {} bytes",
@@ -182,21 +183,21 @@
             answer.is_complete,
             answer.body.len()
         );
-        if fate.breaks_answers() && answer.status == 200 && answer.is_complete {
+        if end_mode.breaks_answers() && answer.status == 200 && answer.is_complete {
             faults.push(format!("broken off and complete: {described}"));
         }
-        if !fate.breaks_answers()
-            && (fate == ServerFate::Lives || delimiter.is_declared())
+        if !end_mode.breaks_answers()
+            && (end_mode == EndMode::Lives || delimiter.is_declared())
             && !whole
         {
             faults.push(format!("sound and lost: {described}"));
         }
-        if fate == ServerFate::EndsAfterAnswers && !delimiter.is_declared() {
+        if end_mode == EndMode::EndsAfterAnswers && !delimiter.is_declared() {
             ambiguous += 1;
             ambiguous_lost += usize::from(!whole);
         }
         let delay = server.ended_at().map_or(Duration::ZERO, |at| received_at.duration_since(at));
-        if fate == ServerFate::FallsSilent {
+        if end_mode == EndMode::FallsSilent {
             // Nothing ends such an answer but its deadline.
             if answer.elapsed > SILENT_DEADLINE + END_LIMIT {
                 faults.push(format!("ended after {:?}: {described}", answer.elapsed));
@@ -208,7 +209,7 @@
             faults.push(format!("ended {delay:?} later: {described}"));
         }
         let allowed = if delimiter.is_declared() { 1 } else { CONNECTION_LIMIT };
-        if fate == ServerFate::Lives && server.connections() > allowed {
+        if end_mode == EndMode::Lives && server.connections() > allowed {
             faults.push(format!("{} connections: {described}", server.connections()));
         }
     }
@@ -260,7 +261,7 @@
     const ALL_INSTANCES: usize = 6;
     let params = SiteParams { instances: ALL_INSTANCES, plain_servers: 0, engines: 0, grace_s: 8 };
     let site = TestSite::start(params).expect("a deployment");
-    let specs = [(BodyDelimiter::Length, ServerFate::Lives); SERVERS];
+    let specs = [(BodyDelimiter::Length, EndMode::Lives); SERVERS];
     site.add_ending_servers(&specs).expect("servers");
     wait_for_entries(&site, ALL_INSTANCES, "ready", SERVERS);
 }
@@ -278,11 +279,11 @@
         part_bytes: 16,
     };
     let mut site = start_site();
-    let fates = ServerFate::ALL.into_iter().filter(|fate| fate.breaks_answers());
-    let specs: Vec<_> = fates
-        .flat_map(|fate| [fate, fate, fate, fate])
-        .flat_map(|fate| {
-            [(BodyDelimiter::Connection, fate), (BodyDelimiter::Connection, ServerFate::Lives)]
+    let end_modes = EndMode::ALL.into_iter().filter(|end_mode| end_mode.breaks_answers());
+    let specs: Vec<_> = end_modes
+        .flat_map(|end_mode| [end_mode, end_mode, end_mode, end_mode])
+        .flat_map(|end_mode| {
+            [(BodyDelimiter::Connection, end_mode), (BodyDelimiter::Connection, EndMode::Lives)]
         })
         .collect();
     let servers = site.add_ending_servers(&specs).expect("servers");
@@ -308,8 +309,8 @@
 
 /// A generation that moves between two engines, and what the caller must receive.
 struct MoveCase {
-    source: ServerFate,
-    destination: ServerFate,
+    source: EndMode,
+    destination: EndMode,
     /// The run completes on its own when the move stops it.
     completes_on_move: bool,
     is_whole: bool,
@@ -374,27 +375,27 @@
 
 cases! { moves_truthfully;
     moved_stream_is_whole => MoveCase {
-        source: ServerFate::Lives, destination: ServerFate::Lives, completes_on_move: false,
+        source: EndMode::Lives, destination: EndMode::Lives, completes_on_move: false,
         is_whole: true,
     },
     moved_stream_of_an_engine_that_ends_is_broken_off => MoveCase {
-        source: ServerFate::Lives, destination: ServerFate::Ends, completes_on_move: false,
+        source: EndMode::Lives, destination: EndMode::Ends, completes_on_move: false,
         is_whole: false,
     },
     moved_stream_of_an_engine_that_freezes_is_broken_off => MoveCase {
-        source: ServerFate::Lives, destination: ServerFate::Freezes, completes_on_move: false,
+        source: EndMode::Lives, destination: EndMode::Freezes, completes_on_move: false,
         is_whole: false,
     },
     moved_stream_of_an_engine_that_restarts_is_broken_off => MoveCase {
-        source: ServerFate::Lives, destination: ServerFate::Restarts, completes_on_move: false,
+        source: EndMode::Lives, destination: EndMode::Restarts, completes_on_move: false,
         is_whole: false,
     },
     stream_that_completes_during_its_move_is_whole => MoveCase {
-        source: ServerFate::Lives, destination: ServerFate::Lives, completes_on_move: true,
+        source: EndMode::Lives, destination: EndMode::Lives, completes_on_move: true,
         is_whole: true,
     },
     stream_whose_engine_ends_during_its_move_is_continued => MoveCase {
-        source: ServerFate::Ends, destination: ServerFate::Lives, completes_on_move: false,
+        source: EndMode::Ends, destination: EndMode::Lives, completes_on_move: false,
         is_whole: true,
     },
 }
--- a/medlarlanding-bench/tests/forwarding_server_word.rs
+++ b/medlarlanding-bench/tests/forwarding_server_notices.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use medlarlanding_bench::site::{
-    BodyDelimiter, EndingServer, INTERVAL_HEADER, PARTS_HEADER, ServerFate, SiteAnswer, SiteCall,
+    BodyDelimiter, EndMode, EndingServer, INTERVAL_HEADER, PARTS_HEADER, SiteAnswer, SiteCall,
     SiteParams, TestSite,
 };
 use medlarlanding_core::cases;
@@ -15,7 +15,7 @@
 use serde_json::json;
 
 const INSTANCES: usize = 5;
-/// Time after its word for which a server may still get requests: `drainMs`, which the settings of the
+/// Time after its notice for which a server may still get requests: `drainMs`, which the settings of the
 /// instances leave at its default.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Requests that an instance may send to a server between `HOLD_GRACE` after it was told to pause and
@@ -55,7 +55,7 @@
 fn start(case: KindCase, servers: usize) -> (TestSite, Vec<EndingServer>) {
     let params = SiteParams { instances: INSTANCES, plain_servers: 0, engines: 0, grace_s: 8 };
     let mut site = TestSite::start(params).expect("a deployment");
-    let specs = vec![(BodyDelimiter::Length, ServerFate::Lives); servers];
+    let specs = vec![(BodyDelimiter::Length, EndMode::Lives); servers];
     let servers = site.add_ending_servers(&specs).expect("servers");
     let version = site.publish_config(|config| {
         config["routes"] = json!([{"name": case.route, "host": "desk.example",
@@ -124,7 +124,7 @@
 }
 
 /// Fails if a request reached a server that its caller sent later than `DRAIN_LIMIT` after the
-/// instance had passed on the word that the server leaves.
+/// instance had passed on the notice that the server leaves.
 fn check_leaving(servers: &[EndingServer], records: &[CallRecord]) {
     let mut late = 0;
     for server in servers {
@@ -165,7 +165,7 @@
     let (site, servers) = start(case, 3);
     let records = send_calls(&site, case, || {
         servers[0].say_leaving();
-        // Its entry is lost for a moment and written again as it was before its word.
+        // Its entry is lost for a moment and written again as it was before its notice.
         std::thread::sleep(Duration::from_millis(500));
         site.state.remove(&format!("servers/{}", servers[0].id()));
         std::thread::sleep(Duration::from_millis(500));
@@ -173,7 +173,7 @@
     });
     check_leaving(&servers, &records);
     let told = records.iter().filter(|it| it.answer.header("server-leaving").is_some()).count();
-    assert!(told > 0, "the word was not passed on");
+    assert!(told > 0, "the notice was not passed on");
     let failed: Vec<_> = records.iter().filter(|record| record.answer.status != 200).collect();
     println!("{} requests, {told} told, {} failed", records.len(), failed.len());
     let described: Vec<String> = failed
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -13,7 +13,7 @@
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 /// How long the record of a server that said itself that it leaves is kept after its entry was removed,
 /// in case an old entry comes back.
-const LEAVER_RETENTION: Duration = Duration::from_secs(300);
+const ANNOUNCED_RETENTION: Duration = Duration::from_secs(300);
 /// Consecutive failures after which a server is avoided.
 const FAILURE_LIMIT: u32 = 3;
 /// First period for which a failing server is avoided; doubles with each further failure up to
@@ -86,7 +86,7 @@
     pub leaving_since: Option<Timestamp>,
     /// When the server itself first said that it leaves. Kept until its next start: an entry that calls
     /// it ready is late or old. `leaving_since` is set if this is.
-    own_word_at: Option<Timestamp>,
+    announced_at: Option<Timestamp>,
     /// Until when the server wants no requests from this instance.
     hold_until: Option<Timestamp>,
     /// The entry was removed, or the server has restarted since.
@@ -109,7 +109,7 @@
 impl ServerRecord {
     /// Returns how long the record is kept after the server was removed.
     fn retention(&self) -> Duration {
-        if self.own_word_at.is_some() { LEAVER_RETENTION } else { REMOVED_RETENTION }
+        if self.announced_at.is_some() { ANNOUNCED_RETENTION } else { REMOVED_RETENTION }
     }
 
     /// Returns whether new requests may be sent to the server.
@@ -161,7 +161,7 @@
     }
 
     fn write(&mut self, now: Timestamp, entry: ServerEntry) -> (ServerKey, bool) {
-        let mut own_word_at = None;
+        let mut announced_at = None;
         if let Some(&key) = self.current.get(&entry.id) {
             let record = &mut self.records[&key];
             let is_same_start = record.entry.born_millis == entry.born_millis
@@ -175,7 +175,7 @@
                 } else {
                     // The entry expired while the store was unreachable and is now written again;
                     // the server did not restart.
-                    record.leaving_since = record.own_word_at;
+                    record.leaving_since = record.announced_at;
                 }
                 record.is_removed = false;
                 record.entry = entry;
@@ -184,18 +184,18 @@
             record.is_removed = true;
             record.leaving_since.get_or_insert(now);
             let is_later_start = entry.born_millis > record.entry.born_millis;
-            own_word_at = record.own_word_at.filter(|_| !is_later_start);
+            announced_at = record.announced_at.filter(|_| !is_later_start);
         }
         let key = ServerKey(self.next_key);
         self.next_key += 1;
         let draining_since = (entry.phase == ServerPhase::Draining).then_some(now);
-        let leaving_since = own_word_at.or(draining_since);
+        let leaving_since = announced_at.or(draining_since);
         self.current.insert(Arc::clone(&entry.id), key);
         self.records.insert(
             key,
             ServerRecord {
                 leaving_since,
-                own_word_at,
+                announced_at,
                 hold_until: None,
                 is_removed: false,
                 seen_at: now,
@@ -214,7 +214,7 @@
     /// Records that a server said itself that it is leaving. Returns false if it was known as leaving.
     pub fn mark_leaving(&mut self, now: Timestamp, key: ServerKey) -> bool {
         let Some(record) = self.records.get_mut(&key) else { return false };
-        record.own_word_at.get_or_insert(now);
+        record.announced_at.get_or_insert(now);
         let is_new = record.leaving_since.is_none();
         record.leaving_since.get_or_insert(now);
         is_new
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -103,7 +103,7 @@
 
     /// Iterates over the draining servers that may get a new request because no other server of the
     /// service exists. A run must be expected to end before the server does.
-    fn last_resorts(
+    fn draining_fallbacks(
         &self,
         now: Timestamp,
         directory: &'a ServerDirectory,
@@ -166,8 +166,8 @@
     ) -> Option<PlacementChoice> {
         let mut best: Option<((bool, bool, f64), ServerKey)> = None;
         let mut servers_with_room = 0;
-        let last_resorts = request.last_resorts(now, directory);
-        for (key, record) in request.candidates(directory).chain(last_resorts) {
+        let draining_fallbacks = request.draining_fallbacks(now, directory);
+        for (key, record) in request.candidates(directory).chain(draining_fallbacks) {
             let load = remote(record);
             let cost = self.cost(request, record, load) + draw() * self.params.jitter;
             let has_room = self.has_room(request, record, load);
--- a/medlarlanding/src/forwarding/server_liveness.rs
+++ b/medlarlanding/src/forwarding/server_liveness.rs
@@ -48,7 +48,7 @@
 
 /// What a process is asked to learn which one it is.
 #[derive(Clone, Debug, PartialEq, Eq)]
-enum IdentityQuestion {
+enum IdentityQuery {
     /// The report of an engine, for which it needs no slot.
     Report,
     /// A health check with this path.
@@ -56,21 +56,21 @@
 }
 
 /// Returns the question that servers of a service answer best, and one to ask if it is not answered.
-fn identity_questions(state: &SharedState, service: &str) -> [IdentityQuestion; 2] {
+fn identity_queries(state: &SharedState, service: &str) -> [IdentityQuery; 2] {
     let config = state.config();
     let policy = config.as_ref().and_then(|in_force| in_force.config.service(service));
     let health = policy.and_then(|policy| policy.health_path.clone());
-    let health = health.map_or(IdentityQuestion::Report, IdentityQuestion::Health);
+    let health = health.map_or(IdentityQuery::Report, IdentityQuery::Health);
     match policy.and_then(|policy| policy.engine) {
-        Some(_) => [IdentityQuestion::Report, health],
-        None => [health, IdentityQuestion::Report],
+        Some(_) => [IdentityQuery::Report, health],
+        None => [health, IdentityQuery::Report],
     }
 }
 
 /// Finds out whether the process that wrote an answer still runs after the end of that answer. Asks
 /// once more if the first question is not answered, and takes at most `PROOF_TIMEOUT`.
 pub async fn prove_liveness(state: &SharedState, entry: &ServerEntry) -> ServerLiveness {
-    let [first, second] = identity_questions(state, &entry.service);
+    let [first, second] = identity_queries(state, &entry.service);
     let asking = async {
         let mut first = std::pin::pin!(ask_process(entry, &first));
         match tokio::time::timeout(PROOF_PAUSE, &mut first).await {
@@ -94,11 +94,11 @@
 }
 
 /// Asks the process at a server's address which one it is.
-async fn ask_process(entry: &ServerEntry, question: &IdentityQuestion) -> ServerLiveness {
+async fn ask_process(entry: &ServerEntry, question: &IdentityQuery) -> ServerLiveness {
     let address = entry.address;
     let answer = match question {
-        IdentityQuestion::Report => engine_calls::read_report(address, REPORT_TIMEOUT).await,
-        IdentityQuestion::Health(path) => {
+        IdentityQuery::Report => engine_calls::read_report(address, REPORT_TIMEOUT).await,
+        IdentityQuery::Health(path) => {
             engine_calls::read_health(address, path, REPORT_TIMEOUT).await
         },
     };
@@ -115,12 +115,12 @@
     };
     let born_millis = match (question, engines::decode_birth(&answer.body)) {
         (_, Ok(born_millis)) => born_millis,
-        (IdentityQuestion::Report, Err(error)) if answer.status == StatusCode::OK => {
+        (IdentityQuery::Report, Err(error)) if answer.status == StatusCode::OK => {
             event(EventKind::ReportRefused, &[&address, &format!("{error:#}")]);
             None
         },
         // Other servers have no report, and a health check may answer with any text.
-        (IdentityQuestion::Report | IdentityQuestion::Health(_), Err(_)) => None,
+        (IdentityQuery::Report | IdentityQuery::Health(_), Err(_)) => None,
     };
     let found = ProcessIdentity { born_millis, id: stated_server_id(&answer.headers) };
     let expected = ProcessIdentity {
@@ -136,7 +136,7 @@
         ListenerState::Absent => ServerLiveness::Ended,
         ListenerState::Unknown => ServerLiveness::Unknown,
         ListenerState::Listening if entry.born_millis == 0 => ServerLiveness::Alive,
-        ListenerState::Listening => ask_process(entry, &IdentityQuestion::Report).await,
+        ListenerState::Listening => ask_process(entry, &IdentityQuery::Report).await,
     }
 }
 
