Keep the pause of a server until its next start

A late or old entry of a server, one of an earlier start or one that came back a minute after its removal, ended the pause that the server had asked for with Retry-After, so requests would have reached it within the pause (not seen by callers: found by reading the change again). Cause: the pause was kept in a record that such an entry replaces or that was dropped. A record that is not of a later start takes over the pause and the notice that the server leaves, and a record is kept while its pause lasts.

hold_lasts_as_long_as_the_server_says, extended, failed before and passes.

--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -87,7 +87,7 @@
     /// When the server itself first said that it leaves. Kept until its next start: an entry that calls
     /// it ready is late or old. `leaving_since` is set if this is.
     announced_at: Option<Timestamp>,
-    /// Until when the server wants no requests from this instance.
+    /// Until when the server wants no requests from this instance. Kept until its next start.
     hold_until: Option<Timestamp>,
     /// The entry was removed, or the server has restarted since.
     pub is_removed: bool,
@@ -161,7 +161,7 @@
     }
 
     fn write(&mut self, now: Timestamp, entry: ServerEntry) -> (ServerKey, bool) {
-        let mut announced_at = None;
+        let (mut announced_at, mut hold_until) = (None, None);
         if let Some(&key) = self.current.get(&entry.id) {
             let record = &mut self.records[&key];
             let is_same_start = record.entry.born_millis == entry.born_millis
@@ -183,8 +183,10 @@
             }
             record.is_removed = true;
             record.leaving_since.get_or_insert(now);
-            let is_later_start = entry.born_millis > record.entry.born_millis;
-            announced_at = record.announced_at.filter(|_| !is_later_start);
+            // An entry that is not of a later start does not undo what the server has said.
+            if entry.born_millis <= record.entry.born_millis {
+                (announced_at, hold_until) = (record.announced_at, record.hold_until);
+            }
         }
         let key = ServerKey(self.next_key);
         self.next_key += 1;
@@ -196,7 +198,7 @@
             ServerRecord {
                 leaving_since,
                 announced_at,
-                hold_until: None,
+                hold_until,
                 is_removed: false,
                 seen_at: now,
                 open_requests: 0,
@@ -265,6 +267,7 @@
         self.records.retain(|_, record| {
             !record.is_removed
                 || record.open_requests > 0
+                || !record.hold_left(now).is_zero()
                 || record.leaving_since.is_none_or(|at| now.since(at) < record.retention())
         });
         self.current.retain(|_, key| self.records.contains_key(key));
--- a/medlarlanding-core/tests/forwarding_server_notices.rs
+++ b/medlarlanding-core/tests/forwarding_server_notices.rs
@@ -150,6 +150,12 @@
     let left = directory.shortest_hold(at(1_000), "orders");
     assert_eq!(left, Some(Duration::from_secs(1)));
     assert_eq!(directory.held(at(2_500), "orders").count(), 1);
+    // Neither an old entry nor one that comes back ends a pause.
+    write(&mut directory, 1_000, entry("b", 40, ServerPhase::Ready));
+    assert_eq!(directory.shortest_hold(at(1_000), "orders"), Some(Duration::from_secs(1)));
+    directory.apply(at(1_000), DirectoryChange::Removed(Arc::from("a")));
+    write(&mut directory, 1_000, entry("a", 50, ServerPhase::Ready));
+    assert_eq!(directory.shortest_hold(at(1_000), "orders"), Some(Duration::from_secs(1)));
     // The next start has said nothing.
     write(&mut directory, 1_000, entry("a", 60, ServerPhase::Ready));
     assert_eq!(directory.shortest_hold(at(1_000), "orders"), None);
