--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -41,7 +41,8 @@
 pub use peer_lag::PeerLag;
 pub use peers::{LoadReport, PeerDigest, PeerTable, PeerTableParams, RemoteLoad};
 pub use placement::{
-    PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest, RunWeight,
+    DRAIN_FALLBACK_DIVISOR, PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest,
+    RunWeight,
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use relays::{RelayGroup, RelayParams};
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -113,8 +113,7 @@
             Some(_) => DrainParams::default().expected_time(self.weight),
             None => Duration::ZERO,
         };
-        // Peers and the store may have known for longer that the server leaves.
-        let limit = drain_limit / 2;
+        let limit = drain_limit / DRAIN_FALLBACK_DIVISOR;
         let is_needed = directory.candidates(service).next().is_none();
         directory.iter().filter(move |(key, record)| {
             is_needed
@@ -126,6 +125,10 @@
     }
 }
 
+/// A leaving server is a fallback for the drain limit divided by this: peers and the store may have
+/// known for longer that it leaves.
+pub const DRAIN_FALLBACK_DIVISOR: u32 = 2;
+
 /// Server that was chosen for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlacementChoice {
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -11,11 +11,11 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BudgetParams, ChangeSource, DirectoryChange, EngineFault, EntryLog, FaultLog, ForwardConfig,
-    LoadReport, MoveParams, PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
-    PlacementChoice, PlacementPolicy, PlacementRequest, Readiness, RemoteLoad, RepeatBudget,
-    RepeatPurpose, RequiredPart, RunKey, RunWeight, ServerDirectory, ServerEntry, ServerKey,
-    ServerPhase, ServerRecord, WaitingClass, WaitingRuns,
+    BudgetParams, ChangeSource, DRAIN_FALLBACK_DIVISOR, DirectoryChange, EngineFault, EntryLog,
+    FaultLog, ForwardConfig, LoadReport, MoveParams, PeerTable, PlaceAnswer, PlacePurpose,
+    PlaceQuestion, PlaceVerdict, PlacementChoice, PlacementPolicy, PlacementRequest, Readiness,
+    RemoteLoad, RepeatBudget, RepeatPurpose, RequiredPart, RunKey, RunWeight, ServerDirectory,
+    ServerEntry, ServerKey, ServerPhase, ServerRecord, WaitingClass, WaitingRuns,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::prompts::{
@@ -323,7 +323,7 @@
     pub fn send_delay(&self, key: ServerKey, arrived_at: Timestamp) -> Duration {
         let directory = self.directory.borrow();
         let Some(record) = directory.get(key) else { return Duration::MAX };
-        let limit = self.settings.drain_limit / 2;
+        let limit = self.settings.drain_limit / DRAIN_FALLBACK_DIVISOR;
         let is_late = record.leaving_since.is_some_and(|since| arrived_at > since + limit);
         if is_late { Duration::MAX } else { record.hold_left(self.now()) }
     }
