--- a/review/standins.rs
+++ b/review/standins.rs
@@ -476,14 +476,21 @@
 
     /// Writes the entry of a server.
     fn register(&self, server: &ServerEntry, state: &str) {
+        self.store.register(&self.record, server, state);
+    }
+}
+
+impl Store {
+    /// Writes the entry of a server.
+    fn register(&self, record: &Record, server: &ServerEntry, state: &str) {
         let ServerEntry { id, service, address, slots, born } = server;
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"cairo-giza\",\
              \"version\":1,\"slots\":{slots},\"state\":\"{state}\",\"coldRemainingMs\":0,\
              \"sequence\":1,\"born\":{born}}}"
         );
-        self.record.line(&format!("store accepts servers/{id}: {service} {address} {state}"));
-        self.store.put(&format!("servers/{id}"), Some(&entry));
+        record.line(&format!("store accepts servers/{id}: {service} {address} {state}"));
+        self.put(&format!("servers/{id}"), Some(&entry));
     }
 }
 
@@ -879,6 +886,23 @@
         result
     }
 
+    /// Ends a draining engine, which starts again under another id. It serves for some seconds more
+    /// and until its runs have ended.
+    fn restart(&self, entry: ServerEntry, number: usize, store: &Store, record: &Record) {
+        pause(3_000);
+        while !lock(&self.runs).values().all(|run| run.is_stopped) {
+            pause(50);
+        }
+        lock(&self.runs).clear();
+        store.put(&format!("servers/{}", entry.id), None);
+        let name = entry.id.rsplit_once('-').map_or("i-engine", |(name, _)| name);
+        let id = format!("{name}-{}", number + 1);
+        let entry = ServerEntry { id, born: unix_millis(), ..entry };
+        *lock(&self.entry) = entry.clone();
+        self.is_leaving.store(false, Ordering::Relaxed);
+        store.register(record, &entry, "ready");
+    }
+
     /// Answers a call that copies the memory of a run to another engine.
     fn move_run(&self, body: &str) -> (&'static str, String) {
         let id = body.split("\"id\":\"").nth(1).and_then(|rest| rest.split('"').next());
@@ -1305,7 +1329,7 @@
 
 /// Engines leave while half of the connections of a machine are reset now and then.
 fn stop_of_a_moved_run(record: &Record, has_trouble: bool) -> std::io::Result<Breach> {
-    const ENGINES: u8 = 4;
+    const ENGINES: u8 = 6;
     let seed = std::env::var("SEED").ok().and_then(|text| text.parse().ok());
     let seed = seed.unwrap_or_else(unix_millis);
     record.line(&format!("seed {seed}"));
@@ -1343,7 +1367,7 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let broken = Arc::new(Mutex::new(Vec::<String>::new()));
     let whole = Arc::new(AtomicU64::new(0));
-    for number in 0..60 {
+    for number in 0..84 {
         let (is_over, broken, whole) =
             (Arc::clone(&is_over), Arc::clone(&broken), Arc::clone(&whole));
         let record = record.clone();
@@ -1391,37 +1415,30 @@
     let begun = Instant::now();
     let mut next = 0;
     while begun.elapsed() < Duration::from_secs(85) && lock(&broken).is_empty() {
-        let engine = &engines[next % engines.len()];
         next += 1;
+        let serving = engines.iter().filter(|engine| !engine.is_leaving.load(Ordering::Relaxed));
+        let busiest = serving.max_by_key(|engine| lock(&engine.runs).len());
+        let Some(engine) = busiest.map(Arc::clone) else {
+            pause(100);
+            continue;
+        };
         let entry = lock(&engine.entry).clone();
         engine.is_leaving.store(true, Ordering::Relaxed);
         platform.register(&entry, "draining");
-        let mut waited = 0;
-        for _ in 0..3 {
-            let gap = random.range(100, 500);
+        let (store, record) = (Arc::clone(&platform.store), record.clone());
+        let gaps = [random.range(50, 450), random.range(150, 550)];
+        let left = 2_200 - gaps[0] - gaps[1];
+        std::thread::spawn(move || engine.restart(entry, next, &store, &record));
+        for gap in gaps {
             pause(gap);
-            waited += gap;
             if has_trouble {
                 let count = link.reset_half(&mut random);
-                record.line(&format!("{count} connections of edge-0 to servers are reset"));
+                platform
+                    .record
+                    .line(&format!("{count} connections of edge-0 to servers are reset"));
             }
         }
-        pause(4_000 - waited);
-        // The engine exits and starts again under another id once it has no runs.
-        while !lock(&engine.runs).values().all(|run| run.is_stopped) {
-            pause(50);
-        }
-        lock(&engine.runs).clear();
-        platform.store.put(&format!("servers/{}", entry.id), None);
-        let entry = ServerEntry {
-            id: format!("i-engine{}-{}", (next - 1) % engines.len(), next + 1),
-            born: unix_millis(),
-            ..entry
-        };
-        *lock(&engine.entry) = entry.clone();
-        engine.is_leaving.store(false, Ordering::Relaxed);
-        platform.register(&entry, "ready");
-        pause(300);
+        pause(left);
     }
     is_over.store(true, Ordering::Relaxed);
     record.line(&format!("{} streams were whole", whole.load(Ordering::Relaxed)));
