--- a/review/standins.rs
+++ b/review/standins.rs
@@ -731,9 +731,54 @@
 
 #[derive(Default)]
 struct RunState {
+    prompt: u32,
     events: u32,
     is_stopped: bool,
     is_moving: bool,
+    /// When the engine, which is faulty, breaks off the answer.
+    break_at: Option<Instant>,
+}
+
+/// Engines that work on each run.
+#[derive(Clone, Default)]
+struct Working {
+    engines: Arc<Mutex<HashMap<String, Vec<String>>>>,
+    /// Runs that went on at another engine while one before still worked on them 400 ms later.
+    overlaps: Arc<Mutex<Vec<String>>>,
+}
+
+impl Working {
+    fn begin(&self, id: &str, engine: &str) {
+        lock(&self.engines).entry(id.to_owned()).or_default().push(engine.to_owned());
+    }
+
+    fn end(&self, id: &str, engine: &str) {
+        if let Some(engines) = lock(&self.engines).get_mut(id) {
+            engines.retain(|working| working != engine);
+        }
+    }
+
+    /// Looks 400 ms after a run has gone on at `engine` whether another one still works on it.
+    fn watch(&self, id: &str, engine: &str, record: &Record) {
+        let others = |engines: &HashMap<String, Vec<String>>| -> Vec<String> {
+            let working = engines.get(id).cloned().unwrap_or_default();
+            working.into_iter().filter(|other| other != engine).collect()
+        };
+        let before = others(&lock(&self.engines));
+        if before.is_empty() {
+            return;
+        }
+        let (working, id, engine) = (self.clone(), id.to_owned(), engine.to_owned());
+        let record = record.clone();
+        std::thread::spawn(move || {
+            pause(400);
+            let now = lock(&working.engines).get(&id).cloned().unwrap_or_default();
+            if let Some(other) = before.iter().find(|other| now.contains(other)) {
+                record.line(&format!("{other} still works on {id}, which went on at {engine}"));
+                lock(&working.overlaps).push(id);
+            }
+        });
+    }
 }
 
 /// Copies of the memory of runs, by their handle.
@@ -751,6 +796,7 @@
     runs: Mutex<HashMap<String, RunState>>,
     /// Copies are sent one after another.
     link: Mutex<()>,
+    working: Working,
     record: Record,
 }
 
@@ -835,10 +881,14 @@
             arrival.ran += 1;
         }
         self.record.line(&format!("engine {} runs {id} from event {}", entry.id, first + 1));
-        if !is_continued {
+        self.working.begin(&id, &entry.id);
+        if is_continued {
+            self.working.watch(&id, &entry.id, &self.record);
+        } else {
             pause(u64::from(prompt / PREFILL_RATE));
         }
-        lock(&self.runs).insert(id.clone(), RunState { events: first, ..RunState::default() });
+        let state = RunState { prompt, events: first, ..RunState::default() };
+        lock(&self.runs).insert(id.clone(), state);
         let framing =
             if self.is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
         let text = format!(
@@ -847,7 +897,7 @@
             entry.id
         );
         let mut result = stream.write_all(text.as_bytes());
-        let mut is_stopped = false;
+        let (mut is_stopped, mut is_broken) = (false, false);
         'events: for number in first + 1..=events {
             for _ in 0..EVENT_TOKENS {
                 std::thread::sleep(TOKEN_TIME);
@@ -856,8 +906,16 @@
                     break 'events;
                 }
             }
+            let break_at = lock(&self.runs).get(&id).and_then(|run| run.break_at);
+            if !is_broken && break_at.is_some_and(|at| Instant::now() >= at) {
+                self.record.line(&format!("{} breaks off the answer to {id}", entry.id));
+                is_broken = true;
+                // Fails if the peer has closed the channel.
+                let _ = stream.shutdown(Shutdown::Both);
+            }
             let event = format!("id: {number}\ndata: {id} {number} of {events}\n\n");
             result = match self.is_unframed {
+                _ if is_broken => Ok(()),
                 true => stream.write_all(event.as_bytes()),
                 false => stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()),
             };
@@ -872,8 +930,9 @@
             (Ok(()), false) => "is complete",
         };
         self.record.line(&format!("run {id} at {} {outcome}, {made} of {events} events", entry.id));
+        self.working.end(&id, &entry.id);
         if result.is_ok() && !is_stopped {
-            if !self.is_unframed {
+            if !self.is_unframed && !is_broken {
                 result = stream.write_all(b"0\r\n\r\n");
             }
             lock(&self.arrivals).entry(id.clone()).or_default().is_done = true;
@@ -926,7 +985,11 @@
         }
         let events = {
             let _link = lock(&self.link);
-            let tokens = if is_last { 40 } else { 1_000 };
+            let tokens = match lock(&self.runs).get(&id) {
+                Some(run) if !is_last => u64::from(run.prompt + run.events * EVENT_TOKENS),
+                // What is new since the first copy.
+                Some(_) | None => 40,
+            };
             std::thread::sleep(Duration::from_micros(tokens * COPY_TOKEN_MICROS));
             let mut runs = lock(&self.runs);
             let events = runs.get(&id).map_or(0, |run| run.events);
@@ -966,6 +1029,7 @@
         copies: Copies::default(),
         runs: Mutex::default(),
         link: Mutex::default(),
+        working: Working::default(),
         record: platform.record.clone(),
     });
     engine.start(entry.address)?;
@@ -1327,6 +1391,108 @@
     kilobytes.unwrap_or(0u64) << 10
 }
 
+/// Engines that leave break off a few of their answers and work on.
+fn answer_broken_off(record: &Record, has_trouble: bool) -> std::io::Result<Breach> {
+    const ENGINES: u8 = 9;
+    /// Answers in a thousand that a leaving engine breaks off.
+    const BROKEN_SHARE: u64 = 20;
+    let seed = std::env::var("SEED").ok().and_then(|text| text.parse().ok());
+    let seed = seed.unwrap_or_else(unix_millis);
+    record.line(&format!("seed {seed}"));
+    let mut random = Random::new(seed);
+    let mut platform = Platform::start(record, &config())?;
+    let (arrivals, copies) = (Arrivals::default(), Copies::default());
+    let working = Working::default();
+    let mut engines = Vec::new();
+    for index in 0..ENGINES {
+        let entry = ServerEntry {
+            id: format!("i-engine{index}-1"),
+            service: "scribe-pool",
+            address: platform.address(100 + index, SERVER_PORT),
+            slots: 24,
+            born: unix_millis(),
+        };
+        let engine = Arc::new(Engine {
+            entry: Mutex::new(entry.clone()),
+            is_leaving: AtomicBool::new(false),
+            is_unframed: false,
+            arrivals: Arc::clone(&arrivals),
+            copies: Arc::clone(&copies),
+            runs: Mutex::default(),
+            link: Mutex::default(),
+            working: working.clone(),
+            record: record.clone(),
+        });
+        engine.start(entry.address)?;
+        platform.register(&entry, "ready");
+        engines.push(engine);
+    }
+    platform.start_instances(2)?;
+    let is_over = Arc::new(AtomicBool::new(false));
+    for number in 0..56 {
+        let (is_over, record) = (Arc::clone(&is_over), record.clone());
+        let address = platform.caller_address(number as usize % 2);
+        std::thread::spawn(move || {
+            let mut count = 0;
+            while !is_over.load(Ordering::Relaxed) {
+                count += 1;
+                let id = format!("draft-{number}-{count}");
+                let parts = format!("a1:79,{id}:2921");
+                let output = 160 + 8 * (number % 10);
+                let request =
+                    generation("/catalogue-draft/a", &id, 39_000, (3_000, output), &parts);
+                let Ok(mut channel) = Channel::open(address) else {
+                    pause(200);
+                    continue;
+                };
+                if channel.send(request.as_bytes()).is_err() {
+                    continue;
+                }
+                let answer = channel.receive(Duration::from_secs(45));
+                if answer.end != AttemptEnd::Answered(200) {
+                    record.line(&format!("requester of {id}: {:?}", answer.end));
+                    pause((answer.retry_after * 1e3) as u64 + 50);
+                }
+            }
+        });
+        pause(30);
+    }
+    pause(2_000);
+    let begun = Instant::now();
+    let mut next = 0;
+    while begun.elapsed() < Duration::from_secs(85) && lock(&working.overlaps).is_empty() {
+        next += 1;
+        let serving = engines.iter().filter(|engine| !engine.is_leaving.load(Ordering::Relaxed));
+        let busiest = serving.max_by_key(|engine| lock(&engine.runs).len());
+        let Some(engine) = busiest.map(Arc::clone) else {
+            pause(100);
+            continue;
+        };
+        let entry = lock(&engine.entry).clone();
+        engine.is_leaving.store(true, Ordering::Relaxed);
+        platform.register(&entry, "draining");
+        if has_trouble {
+            for run in lock(&engine.runs).values_mut() {
+                if random.range(0, 1_000) < BROKEN_SHARE {
+                    let delay = Duration::from_millis(random.range(50, 900));
+                    run.break_at = Some(Instant::now() + delay);
+                }
+            }
+        }
+        let (store, record) = (Arc::clone(&platform.store), record.clone());
+        std::thread::spawn(move || engine.restart(entry, next, &store, &record));
+        pause(1_650);
+    }
+    is_over.store(true, Ordering::Relaxed);
+    let overlaps = lock(&working.overlaps).clone();
+    Ok((!overlaps.is_empty()).then(|| {
+        format!(
+            "TWICE: went on while the engine before still worked on it: {}",
+            overlaps.join(", ")
+        )
+    }))
+}
+
 /// Engines leave while half of the connections of a machine are reset now and then.
 fn stop_of_a_moved_run(record: &Record, has_trouble: bool) -> std::io::Result<Breach> {
     const ENGINES: u8 = 6;
@@ -1354,6 +1520,7 @@
             copies: Arc::clone(&copies),
             runs: Mutex::default(),
             link: Mutex::default(),
+            working: Working::default(),
             record: record.clone(),
         });
         let listen = SocketAddr::new(entry.address.ip(), SERVER_PORT);
@@ -1426,8 +1593,8 @@
         engine.is_leaving.store(true, Ordering::Relaxed);
         platform.register(&entry, "draining");
         let (store, record) = (Arc::clone(&platform.store), record.clone());
-        let gaps = [random.range(50, 450), random.range(150, 550)];
-        let left = 2_200 - gaps[0] - gaps[1];
+        let gaps = [random.range(50, 350), random.range(100, 350), random.range(100, 350)];
+        let left = 1_900 - gaps.iter().sum::<u64>();
         std::thread::spawn(move || engine.restart(entry, next, &store, &record));
         for gap in gaps {
             pause(gap);
@@ -1764,6 +1931,7 @@
         "foreign-entry" => foreign_entry(&record, has_trouble),
         "small-chunks" => small_chunks(&record, has_trouble),
         "stop-of-a-moved-run" => stop_of_a_moved_run(&record, has_trouble),
+        "answer-broken-off" => answer_broken_off(&record, has_trouble),
         "long-prompts" => fatal_part(&record, has_trouble, FatalShape::LongPrompts),
         "silent-ends" => fatal_part(&record, has_trouble, FatalShape::SilentEnds),
         _ => Err(std::io::Error::other("unknown scenario")),
