Do not take the end of a run that may be stopped for the end of its answer

Cause: an engine that was told to stop a run for a move closes its stream and lives on. If the answer to that call was lost, or said nothing of the run, the call was recorded as if it had not been made, and the end of a stream without a length or chunks was judged by the life of the engine alone. The same cause: a 404 to the call proved completeness even after the stream had broken with an error; a call left over from an earlier move could answer for a later one.

Change: RunStop keeps for each stream whether a call has stopped its run, or may have; a call that was never sent is told from one without an answer. An end in doubt is not complete: the run is stopped again, waited for and continued from its copy, or told as broken off. Calls made while a run resumes are logged.

Why it works: what ends a stream without its end is known or in doubt for each stream separately, and doubt never turns into proof.

--- a/medlarlanding-bench/src/site/ending_server.rs
+++ b/medlarlanding-bench/src/site/ending_server.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::faulty_server::{head_field, read_message};
+use super::move_script::{COPY_TIME, MoveScript, ResumeMode, StopFault, StreamClose};
 use super::state::{RunRecord, SiteState};
 
 use serde_json::{Value, json};
@@ -128,6 +129,15 @@
     stopped_run: watch::Sender<Option<String>>,
     /// The run of a final copy completes on its own at that moment.
     completes_on_move: AtomicBool,
+    move_script: Mutex<MoveScript>,
+    /// Calls to stop a run so far.
+    stop_calls: AtomicUsize,
+    /// When the first run that goes on here arrived.
+    continued_at: Mutex<Option<Instant>>,
+    /// The stream of the run that is copied breaks off.
+    breaks_stream: AtomicBool,
+    /// When the server stopped working on a run.
+    worked_until: Mutex<Option<Instant>>,
     /// When the first answer ended.
     ended_at: Mutex<Option<Instant>>,
     state: Arc<SiteState>,
@@ -164,6 +174,11 @@
             arrivals: Mutex::default(),
             stopped_run: watch::Sender::new(None),
             completes_on_move: AtomicBool::new(false),
+            move_script: Mutex::default(),
+            stop_calls: AtomicUsize::new(0),
+            continued_at: Mutex::default(),
+            breaks_stream: AtomicBool::new(false),
+            worked_until: Mutex::default(),
             ended_at: Mutex::new(None),
             state,
         });
@@ -211,6 +226,16 @@
         self.shared.completes_on_move.store(true, Ordering::Relaxed);
     }
 
+    /// Sets what the server does when runs move.
+    pub fn set_move_script(&self, script: MoveScript) {
+        *self.shared.move_script.lock().unwrap_or_else(PoisonError::into_inner) = script;
+    }
+
+    /// Returns when the server stopped working on its run; `None` while it works.
+    pub fn worked_until(&self) -> Option<Instant> {
+        *self.shared.worked_until.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns when the first answer ended.
     pub fn ended_at(&self) -> Option<Instant> {
         *self.shared.ended_at.lock().unwrap_or_else(PoisonError::into_inner)
@@ -278,7 +303,9 @@
             false => "",
         };
         if path == HEALTH_PATH || path.starts_with("/-/") {
-            let (status, body) = self.answer_call(&path, &body, start).await;
+            let Some((status, body)) = self.answer_call(&path, &body, start).await else {
+                return Ok(SockRef::from(&stream).set_linger(Some(Duration::ZERO))?);
+            };
             let answer = format!(
                 "HTTP/1.1 {status} Status\r\n{leaving}X-Instance-Id: {}\r\nContent-Length: {}\r\n\r\n\
                  {body}",
@@ -307,8 +334,8 @@
             return Ok(stream.write_all(answer.as_bytes()).await?);
         }
         let is_continued = field("kv-from").is_some();
-        if is_continued && self.completes_on_move.load(Ordering::Relaxed) {
-            // The remainder of a run that completed never arrives.
+        if is_continued && (self.completes_on_move.load(Ordering::Relaxed) || self.refuses_run()) {
+            // The remainder of the run has not arrived; that of a run that completed never does.
             let answer = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             return Ok(stream.write_all(answer.as_bytes()).await?);
         }
@@ -361,14 +388,23 @@
                 }
             }
             if self.stopped_run.borrow().as_deref() == Some(&*request) {
+                self.note_stop();
                 if self.end_mode.breaks_answers() {
                     return self.end_process(stream).await;
                 }
-                if self.completes_on_move.load(Ordering::Relaxed) {
+                let fault = self.script().stop_fault;
+                if self.completes_on_move.load(Ordering::Relaxed)
+                    || fault == StopFault::CompletesUnanswered
+                {
                     // The run was at its last event.
                     return self.write_end(&mut stream).await;
                 }
-                return Ok(stream.shutdown().await?);
+                return self.close_stream(&mut stream).await;
+            }
+            if self.breaks_stream.load(Ordering::Relaxed) {
+                self.close_stream(&mut stream).await?;
+                drop(stream);
+                return self.work_on(&request, interval, parts.len() - index).await;
             }
             let text = match self.delimiter {
                 BodyDelimiter::Chunks => format!("{:x}\r\n{part}\r\n", part.len()),
@@ -385,6 +421,46 @@
         Ok(())
     }
 
+    fn script(&self) -> MoveScript {
+        *self.move_script.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether a run that is to go on here is refused.
+    fn refuses_run(&self) -> bool {
+        let mut continued_at = self.continued_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = continued_at.get_or_insert_with(Instant::now).elapsed();
+        match self.script().resume_mode {
+            ResumeMode::Accepts => false,
+            ResumeMode::AcceptsLate => waited < ResumeMode::REFUSAL_TIME,
+            ResumeMode::Refuses => true,
+        }
+    }
+
+    /// Closes the connection of a stream that is not complete.
+    async fn close_stream(&self, stream: &mut TcpStream) -> anyhow::Result<()> {
+        if self.script().stream_close == StreamClose::Reset {
+            return Ok(SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?);
+        }
+        Ok(stream.shutdown().await?)
+    }
+
+    /// Works on a run without a connection until it completes or is stopped.
+    async fn work_on(&self, request: &str, interval: Duration, parts: usize) -> anyhow::Result<()> {
+        for _ in 0..parts {
+            tokio::time::sleep(interval).await;
+            if self.stopped_run.borrow().as_deref() == Some(request) {
+                break;
+            }
+        }
+        self.note_stop();
+        Ok(())
+    }
+
+    fn note_stop(&self) {
+        let mut worked_until = self.worked_until.lock().unwrap_or_else(PoisonError::into_inner);
+        worked_until.get_or_insert_with(Instant::now);
+    }
+
     async fn write_end(&self, stream: &mut TcpStream) -> anyhow::Result<()> {
         if self.delimiter == BodyDelimiter::Chunks {
             stream.write_all(b"0\r\n\r\n").await?;
@@ -417,21 +493,50 @@
         Ok(())
     }
 
-    async fn answer_call(&self, path: &str, body: &str, start: u64) -> (u16, String) {
+    /// Answers a call with a status and a body; `None` resets its connection.
+    async fn answer_call(&self, path: &str, body: &str, start: u64) -> Option<(u16, String)> {
         if path != "/-/kv-move" {
-            return (200, json!({"state": "ready", "born": start}).to_string());
+            return Some((200, json!({"state": "ready", "born": start}).to_string()));
         }
+        let copied = json!({"handle": format!("h-{}", self.id), "created": 1}).to_string();
         let call: Value = serde_json::from_str(body).unwrap_or_default();
         let request = call["id"].as_str().unwrap_or_default().to_owned();
-        if call["last"].as_bool().unwrap_or(false) {
-            self.stopped_run.send_replace(Some(request));
-            if self.completes_on_move.load(Ordering::Relaxed) {
-                // The end of the stream arrives first.
-                tokio::time::sleep(Duration::from_millis(200)).await;
-                return (404, String::new());
+        let script = self.script();
+        if !call["last"].as_bool().unwrap_or(false) {
+            if script.breaks_in_copy {
+                self.breaks_stream.store(true, Ordering::Relaxed);
+                tokio::time::sleep(COPY_TIME).await;
             }
+            return Some((200, copied));
+        }
+        let is_first = self.stop_calls.fetch_add(1, Ordering::Relaxed) == 0;
+        if !is_first && script.stop_fault.ends_run() {
+            let is_copying = script.resume_mode == ResumeMode::AcceptsLate
+                && self
+                    .worked_until
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .is_some_and(|at| at.elapsed() < ResumeMode::REFUSAL_TIME);
+            // The run is forgotten once its remainder is copied.
+            return Some((if is_copying { 409 } else { 404 }, String::new()));
+        }
+        if !is_first || script.stop_fault.ends_run() {
+            self.stopped_run.send_replace(Some(request));
+        }
+        if self.completes_on_move.load(Ordering::Relaxed) {
+            // The end of the stream arrives first.
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            return Some((404, String::new()));
+        }
+        if !is_first {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            return Some((200, copied));
+        }
+        let (delay, answer) = script.stop_fault.answer(copied);
+        tokio::time::sleep(delay).await;
+        if script.stop_fault == StopFault::None {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        (200, json!({"handle": format!("h-{}", self.id), "created": 1}).to_string())
+        answer
     }
 }
--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -5,6 +5,7 @@
 mod crashing_engine;
 mod ending_server;
 mod faulty_server;
+mod move_script;
 mod proxy;
 mod server;
 mod state;
@@ -31,6 +32,7 @@
     PARTS_HEADER,
 };
 pub use faulty_server::FaultyAnswer;
+pub use move_script::{MoveScript, ResumeMode, StopFault, StreamClose};
 pub use proxy::{LinkMode, LinkSwitch};
 pub use state::{RunRecord, ServerCrash, ServerMode, SiteState, StoreMode};
 
--- a/medlarlanding-bench/tests/forwarding_answer_ends.rs
+++ b/medlarlanding-bench/tests/forwarding_answer_ends.rs
@@ -1,18 +1,18 @@
 //! Answers of servers that end, restart or fall silent in the middle of them, with each way to delimit a
 //! body, whatever was known of the server before.
 
+mod answer_support;
+
 use std::time::{Duration, Instant};
 
+use self::answer_support::{
+    INSTANCES, KindCase, call, is_whole, publish_services, start_site, wait_for_entries,
+};
 use medlarlanding_bench::site::{
-    BodyDelimiter, EndMode, EndingServer, HEALTH_PATH, INTERVAL_HEADER, PART_BYTES_HEADER,
-    PARTS_HEADER, SiteAnswer, SiteCall, SiteParams, TestSite,
+    BodyDelimiter, EndMode, EndingServer, INTERVAL_HEADER, SiteParams, TestSite,
 };
 use medlarlanding_core::cases;
 
-use hyper::Method;
-use serde_json::{Value, json};
-
-const INSTANCES: usize = 3;
 /// Longest time from the end of an answer at its server to its end at the caller.
 const END_LIMIT: Duration = Duration::from_millis(500);
 /// Time until the deadline of a request to a server that falls silent.
@@ -36,60 +36,6 @@
 const STATUSES: [PriorStatus; 4] =
     [PriorStatus::Ready, PriorStatus::Draining, PriorStatus::Removed, PriorStatus::Announced];
 
-/// A kind of request and the size of its answer.
-#[derive(Clone, Copy)]
-struct KindCase {
-    /// Name of the routes.
-    route: &'static str,
-    /// Kind of the routes.
-    kind: &'static str,
-    /// The servers are engines.
-    is_engine: bool,
-    has_prompt: bool,
-    /// Parts of the answer; the server ends after half of them.
-    parts: usize,
-    /// Bytes of a part of an answer that is no stream.
-    part_bytes: usize,
-}
-
-fn start_site() -> TestSite {
-    let params = SiteParams { instances: INSTANCES, plain_servers: 0, engines: 0, grace_s: 8 };
-    TestSite::start(params).expect("a deployment")
-}
-
-/// Publishes a route for each service, with the path `/ROUTE/SERVICE/`.
-fn publish_services(site: &mut TestSite, services: &[String], case: KindCase, can_move: bool) {
-    let routes = services.iter().map(|service| {
-        json!({"name": format!("{}-{service}", case.route), "host": "desk.example",
-            "prefix": format!("/{}/{service}/", case.route), "routeType": case.kind,
-            "timeoutMs": 20_000, "goalMs": 1_000, "priority": 1, "service": service,
-            "maxAttempts": 2, "public": false})
-    });
-    let routes: Vec<Value> = routes.collect();
-    let service = |name: &String| match case.is_engine {
-        true => json!({"name": name, "maxConnections": 100, "engine": {"slots": 24,
-            "kvCapacity": 30_000, "kvBytes": 1, "linkMbps": 1_000, "moves": can_move}}),
-        false => json!({"name": name, "maxConnections": 100, "healthPath": HEALTH_PATH}),
-    };
-    let services: Vec<Value> = services.iter().map(service).collect();
-    let version = site.publish_config(|config| {
-        config["routes"] = Value::Array(routes);
-        config["services"] = Value::Array(services);
-    });
-    let is_accepted = |instance| {
-        let line = format!("forward_config_accepted version={version} ");
-        site.log(instance).contains(&line)
-    };
-    site.wait_until("the configuration", || (0..INSTANCES).all(is_accepted)).expect("a version");
-}
-
-/// Waits until instances know this number of entries in a state.
-fn wait_for_entries(site: &TestSite, instances: usize, state: &str, count: usize) {
-    let text = format!("state={state} ");
-    let is_known = |instance| site.log(instance).matches(&text).count() >= count;
-    site.wait_until("server entries", || (0..instances).all(is_known)).expect("entries");
-}
-
 /// Waits until all instances know that a server of a service is ready.
 fn wait_for_server(site: &TestSite, server: &EndingServer, service: &str) {
     let text = format!("server={} service={service} state=ready", server.id());
@@ -97,26 +43,6 @@
     site.wait_until("a server", || (0..INSTANCES).all(is_known)).expect("an entry");
 }
 
-fn call(case: KindCase, service: &str, number: usize) -> SiteCall {
-    let path = format!("/{}/{service}/a", case.route);
-    let call = SiteCall::new(Method::POST, &path, &format!("id-{number}"))
-        .header(PARTS_HEADER, &case.parts.to_string())
-        .header(PART_BYTES_HEADER, &case.part_bytes.to_string());
-    match case.has_prompt {
-        true => call.header("x-prefix-hash", &format!("a{number:x}:300,b{number:x}:100")),
-        false => call,
-    }
-}
-
-/// Returns whether the caller received all parts of the answer and its end.
-fn is_whole(case: KindCase, answer: &SiteAnswer) -> bool {
-    let length = match case.kind {
-        "stream" => case.parts == answer.event_ids().len(),
-        _ => answer.body.len() == case.parts * case.part_bytes,
-    };
-    answer.status == 200 && answer.is_complete && length
-}
-
 /// Guards against an answer that its server broke off and that looks complete to the caller, as in
 /// incident inc2, and against a sound answer that is lost, delayed or costs connections because its
 /// end is checked.
--- a/medlarlanding-core/src/forwarding/answer_end.rs
+++ b/medlarlanding-core/src/forwarding/answer_end.rs
@@ -3,7 +3,10 @@
 //! Load pattern: engines crash, are taken away or fall silent with dozens of answers in progress. Their
 //! hosts close the connections in order, so an answer without a length or chunks ends just as a
 //! complete one does. Only the process that wrote the answer can prove, after its end, that it still
-//! runs; what the store or the server said before proves nothing.
+//! runs; what the store or the server said before proves nothing. An engine that was told to stop a run
+//! for a move lives on too, so after such a call its proof is worthless.
+
+use super::moves::RunStop;
 
 value_type! { copy
     /// State of the process that wrote an answer, found out after the answer ended.
@@ -67,6 +70,8 @@
         Complete,
         /// It ended within an event.
         CutEvent,
+        /// The connection alone marked its end, and a call may have stopped its run.
+        RunStopped,
         /// The connection alone marked its end, and its server has ended.
         ServerEnded,
         /// The connection alone marked its end, and its server could not be shown to live on. The
@@ -76,12 +81,20 @@
 }
 
 impl EndVerdict {
-    /// Judges an end without asking the server; `None` if the server must be asked.
-    pub fn without_proof(delimiter: BodyDelimiter, is_within_event: bool) -> Option<Self> {
-        match (delimiter, is_within_event) {
-            (_, true) => Some(Self::CutEvent),
-            (BodyDelimiter::Declared, false) => Some(Self::Complete),
-            (BodyDelimiter::Connection, false) => None,
+    /// Judges an end without asking the server; `None` if the server must be asked. `run_stop` tells
+    /// whether a call may have stopped the run before that end.
+    pub fn without_proof(
+        delimiter: BodyDelimiter,
+        is_within_event: bool,
+        run_stop: RunStop,
+    ) -> Option<Self> {
+        match (delimiter, is_within_event, run_stop) {
+            (_, true, _) => Some(Self::CutEvent),
+            (BodyDelimiter::Declared, false, _) => Some(Self::Complete),
+            (BodyDelimiter::Connection, false, RunStop::NotStopped) => None,
+            (BodyDelimiter::Connection, false, RunStop::Possible | RunStop::Stopped) => {
+                Some(Self::RunStopped)
+            },
         }
     }
 
@@ -98,7 +111,7 @@
     /// Returns what was found out about the server of an answer that is not complete.
     pub fn liveness(self) -> Option<ServerLiveness> {
         match self {
-            Self::Complete | Self::CutEvent => None,
+            Self::Complete | Self::CutEvent | Self::RunStopped => None,
             Self::ServerEnded => Some(ServerLiveness::Ended),
             Self::Unproven => Some(ServerLiveness::Unknown),
         }
@@ -109,6 +122,7 @@
         match self {
             Self::Complete => "complete",
             Self::CutEvent => "cut_event",
+            Self::RunStopped => "run_stopped",
             Self::ServerEnded => "server_ended",
             Self::Unproven => "unproven",
         }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -37,7 +37,7 @@
     LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
     RelayedMessage, ServerChanges,
 };
-pub use moves::{MoveParams, MovePlan, MoveStep};
+pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use peer_lag::PeerLag;
 pub use peers::{LoadReport, PeerDigest, PeerTable, PeerTableParams, RemoteLoad};
 pub use placement::{
--- a/medlarlanding-core/src/forwarding/moves.rs
+++ b/medlarlanding-core/src/forwarding/moves.rs
@@ -9,6 +9,46 @@
 
 use crate::time::Timestamp;
 
+value_type! { copy
+    /// What the end of a call that was to stop a run shows.
+    pub enum StopOutcome {
+        /// The engine has stopped the run.
+        Stopped,
+        /// The call stopped nothing: it was not sent, the engine does not know the run, or it refused
+        /// the call because of another one.
+        NotStopped,
+        /// The engine may have stopped the run: the call may have reached it, and its answer is missing
+        /// or says nothing of the run.
+        Unknown,
+    }
+}
+
+value_type! { copy
+    /// Whether a call has stopped a run, as far as this instance knows.
+    #[derive(Default)]
+    pub enum RunStop {
+        /// No call has stopped the run, so its stream ends only with its answer or its engine.
+        #[default]
+        NotStopped,
+        /// A call may have stopped the run. Whatever later calls show, the end of the stream does not
+        /// prove that the answer is complete.
+        Possible,
+        /// A call has stopped the run.
+        Stopped,
+    }
+}
+
+impl RunStop {
+    /// Returns what is known after one more call has ended.
+    pub fn after(self, outcome: StopOutcome) -> Self {
+        match (self, outcome) {
+            (Self::Stopped, _) | (_, StopOutcome::Stopped) => Self::Stopped,
+            (Self::Possible, _) | (_, StopOutcome::Unknown) => Self::Possible,
+            (Self::NotStopped, StopOutcome::NotStopped) => Self::NotStopped,
+        }
+    }
+}
+
 /// Parameters of moves.
 #[derive(Clone, Copy, Debug)]
 pub struct MoveParams {
--- a/medlarlanding-core/tests/forwarding_answer_end.rs
+++ b/medlarlanding-core/tests/forwarding_answer_end.rs
@@ -1,15 +1,17 @@
 //! Whether an answer that ended is complete.
 
 use medlarlanding_core::cases;
-use medlarlanding_core::forwarding::{BodyDelimiter, EndVerdict, ProcessIdentity, ServerLiveness};
+use medlarlanding_core::forwarding::{
+    BodyDelimiter, EndVerdict, ProcessIdentity, RunStop, ServerLiveness, StopOutcome,
+};
 
-use EndVerdict::{Complete, CutEvent, ServerEnded, Unproven};
+use EndVerdict::{Complete, CutEvent, RunStopped, ServerEnded, Unproven};
 
 /// Guards against an answer that looks complete without proof that its server lived on, and against
 /// questions to servers whose answers prove their end themselves.
 fn judges_end(case: (BodyDelimiter, bool, ServerLiveness, bool, EndVerdict)) {
     let (delimiter, is_within_event, liveness, is_asked, expected) = case;
-    let unasked = EndVerdict::without_proof(delimiter, is_within_event);
+    let unasked = EndVerdict::without_proof(delimiter, is_within_event, RunStop::NotStopped);
     assert_eq!(unasked.is_none(), is_asked);
     assert_eq!(unasked.unwrap_or_else(|| EndVerdict::with_proof(liveness)), expected);
 }
@@ -35,6 +37,38 @@
     ),
 }
 
+/// Guards against a stream without a declared end that looks complete because its engine lives on after
+/// it has stopped the run, and against distrust of a declared end.
+fn judges_end_after_calls(case: (BodyDelimiter, &[StopOutcome], Option<EndVerdict>)) {
+    let (delimiter, outcomes, expected) = case;
+    let run_stop = outcomes.iter().fold(RunStop::default(), |stop, outcome| stop.after(*outcome));
+    assert_eq!(EndVerdict::without_proof(delimiter, false, run_stop), expected);
+}
+
+cases! { judges_end_after_calls;
+    end_without_calls_needs_proof => (BodyDelimiter::Connection, &[], None),
+    end_after_a_call_that_stopped_nothing_needs_proof => (
+        BodyDelimiter::Connection, &[StopOutcome::NotStopped, StopOutcome::NotStopped], None,
+    ),
+    end_after_a_lost_answer_is_broken_off => (
+        BodyDelimiter::Connection, &[StopOutcome::Unknown], Some(RunStopped),
+    ),
+    end_after_a_stop_is_broken_off => (
+        BodyDelimiter::Connection, &[StopOutcome::Stopped], Some(RunStopped),
+    ),
+    later_calls_do_not_prove_that_a_lost_one_stopped_nothing => (
+        BodyDelimiter::Connection,
+        &[StopOutcome::NotStopped, StopOutcome::Unknown, StopOutcome::NotStopped],
+        Some(RunStopped),
+    ),
+    declared_end_after_a_lost_answer_is_complete => (
+        BodyDelimiter::Declared, &[StopOutcome::Unknown], Some(Complete),
+    ),
+    declared_end_after_a_stop_is_complete => (
+        BodyDelimiter::Declared, &[StopOutcome::Stopped], Some(Complete),
+    ),
+}
+
 /// Guards against taking another process at the address for the one that wrote the answer.
 fn tells_processes_apart(case: ((u64, &'static str), (u64, &'static str), ServerLiveness)) {
     let (expected, found, liveness) = case;
--- a/medlarlanding/src/forwarding/answer_end.rs
+++ b/medlarlanding/src/forwarding/answer_end.rs
@@ -9,7 +9,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BodyDelimiter, EndVerdict, RouteRule, ServerEntry, ServerKey, ServerLiveness,
+    BodyDelimiter, EndVerdict, RouteRule, RunStop, ServerEntry, ServerKey, ServerLiveness,
 };
 
 /// Answer whose end is examined.
@@ -25,6 +25,8 @@
     pub entry: ServerEntry,
     /// How the end of the body is marked.
     pub framing: BodyFraming,
+    /// Whether a call may have stopped the run of the answer.
+    pub run_stop: RunStop,
 }
 
 impl EndingAnswer {
@@ -39,7 +41,8 @@
             BodyFraming::Delimited => BodyDelimiter::Declared,
             BodyFraming::UnchunkedCoding | BodyFraming::Closed => BodyDelimiter::Connection,
         };
-        let (begun, unasked) = (state.now(), EndVerdict::without_proof(delimiter, is_within_event));
+        let begun = state.now();
+        let unasked = EndVerdict::without_proof(delimiter, is_within_event, self.run_stop);
         let (liveness, verdict) = match unasked {
             Some(verdict) => (None, verdict),
             None => {
--- a/medlarlanding/src/forwarding/engine_calls.rs
+++ b/medlarlanding/src/forwarding/engine_calls.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::exchange::{self, ExchangeFault};
+use medlarlanding_core::forwarding::StopOutcome;
 use medlarlanding_platform::engines::{self, RunCopy};
 
 use bytes::Bytes;
@@ -38,7 +39,9 @@
     Refused(Option<String>),
     /// The engine answered with another status.
     Rejected(StatusCode),
-    /// The call failed or timed out.
+    /// No connection was established, so the call was not sent.
+    NotSent,
+    /// The call failed or timed out after it may have been sent.
     Failed,
 }
 
@@ -51,21 +54,37 @@
             Self::Refused(_) => "refused",
             Self::Rejected(StatusCode::CONFLICT) => "conflict",
             Self::Rejected(_) => "rejected",
+            Self::NotSent => "not_sent",
             Self::Failed => "failed",
         }
     }
+
+    /// Returns what the answer to a call that was to stop a run shows.
+    pub fn stop_outcome(&self) -> StopOutcome {
+        match self {
+            Self::Copied(_) | Self::Refused(Some(_)) => StopOutcome::Stopped,
+            Self::NoRun | Self::NotSent | Self::Rejected(StatusCode::CONFLICT) => {
+                StopOutcome::NotStopped
+            },
+            // An engine that stops a run and has no copy for it states its handle.
+            Self::Refused(None) | Self::Rejected(_) | Self::Failed => StopOutcome::Unknown,
+        }
+    }
 }
 
-/// A move call in progress; dropping it cancels the call.
+/// A move call in progress; dropping it cancels the call unless it is detached.
 pub struct MoveCall {
     /// The call stops the run and copies its remainder.
     pub is_final: bool,
     task: JoinHandle<MoveAnswer>,
+    is_detached: bool,
 }
 
 impl Drop for MoveCall {
     fn drop(&mut self) {
-        self.task.abort();
+        if !self.is_detached {
+            self.task.abort();
+        }
     }
 }
 
@@ -74,22 +93,29 @@
     /// set, to stop the run.
     pub fn begin(source: SocketAddr, request_id: &str, to: SocketAddr, is_final: bool) -> Self {
         let body = engines::move_body(request_id, to, is_final);
-        Self { is_final, task: tokio::task::spawn_local(request_move(source, body)) }
+        let task = tokio::task::spawn_local(request_move(source, body));
+        Self { is_final, task, is_detached: false }
     }
 
     /// Waits for the answer.
     pub async fn answer(&mut self) -> MoveAnswer {
         (&mut self.task).await.unwrap_or(MoveAnswer::Failed)
     }
+
+    /// Lets the call end by itself, so that a run which it is to stop does not go on.
+    pub fn detach(mut self) {
+        self.is_detached = true;
+    }
 }
 
 async fn request_move(source: SocketAddr, body: Vec<u8>) -> MoveAnswer {
     let path = Uri::from_static(engines::MOVE_PATH);
-    let Ok(CallAnswer { status, body, .. }) =
-        call(source, Method::POST, path, body, MOVE_TIMEOUT).await
-    else {
-        return MoveAnswer::Failed;
-    };
+    let CallAnswer { status, body, .. } =
+        match call(source, Method::POST, path, body, MOVE_TIMEOUT).await {
+            Ok(answer) => answer,
+            Err(ExchangeFault::NotConnected) => return MoveAnswer::NotSent,
+            Err(ExchangeFault::Broken | ExchangeFault::TimedOut) => return MoveAnswer::Failed,
+        };
     match (status, engines::decode_copy(&body)) {
         (StatusCode::OK, Ok(copy)) => MoveAnswer::Copied(copy),
         (StatusCode::NOT_FOUND, _) => MoveAnswer::NoRun,
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -23,7 +23,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, EngineFault, RunWeight, ServerEntry, ServerKey, ServerLiveness,
+    EndVerdict, EngineFault, RunStop, RunWeight, ServerEntry, ServerKey, ServerLiveness,
 };
 use medlarlanding_core::prompts::{RunPhase, SURVIVAL_TIME};
 use medlarlanding_core::time::Timestamp;
@@ -79,6 +79,8 @@
     begun_at: Timestamp,
     /// The engine has written for long enough to show that it survives the prompt.
     is_settled: bool,
+    /// Whether a call has stopped the run at this engine.
+    run_stop: RunStop,
     _exchange: Exchange,
     load: LoadGuard,
 }
@@ -101,10 +103,8 @@
     longest_gap: Duration,
     /// Time from the request's arrival to its first event.
     first_event_after: Option<Duration>,
-    /// Call that stopped the run and has not yet copied its remainder.
+    /// Call that is to stop the run and has not yet copied its remainder.
     final_call: Option<MoveCall>,
-    /// The stream that was stopped last ended within an event.
-    ended_within_event: bool,
     /// The end of the request was logged.
     is_finished: bool,
 }
@@ -135,7 +135,6 @@
             longest_gap: Duration::ZERO,
             first_event_after: None,
             final_call: None,
-            ended_within_event: false,
             is_finished: false,
         }
     }
@@ -186,8 +185,8 @@
                 },
                 StreamEnd::CallerGone => "caller_gone",
                 StreamEnd::Late => "late",
-                StreamEnd::Broken(_) | StreamEnd::Stopped => {
-                    let source = self.ending(stream.key, &stream.entry, stream.framing);
+                StreamEnd::Broken(_) | StreamEnd::Stopped { .. } => {
+                    let source = self.ending(&stream);
                     if let StreamEnd::Broken(known) = end
                         && !self.is_leaving(stream.key)
                     {
@@ -196,8 +195,12 @@
                         self.examine_break(stream.key, phase, writing, known);
                         self.link.report_fault(&self.state, stream.key, EngineFault::Failed);
                     }
-                    match self.resume(stream, destination, matches!(end, StreamEnd::Stopped)).await
+                    if matches!(end, StreamEnd::Stopped { .. })
+                        || stream.run_stop == RunStop::Possible
                     {
+                        self.stop_source(&stream, &destination);
+                    }
+                    match self.resume(stream, destination, end).await {
                         ResumeOutcome::Resumed(next) => {
                             stream = *next;
                             continue;
@@ -223,7 +226,7 @@
     /// had completed before.
     async fn is_complete_at(&self, source: &EndingAnswer) -> bool {
         let left = self.admitted.time_left(self.state.now());
-        source.judge(&self.state, self.ended_within_event, left).await == EndVerdict::Complete
+        source.judge(&self.state, false, left).await == EndVerdict::Complete
     }
 
     /// Examines the engine of an answer that broke off, without delaying the end of the answer.
@@ -240,14 +243,28 @@
         tokio::task::spawn_local(async move { broken.examine(&state, &link, known).await });
     }
 
-    /// Describes the answer of an engine, for the check of its end.
-    fn ending(&self, key: ServerKey, entry: &ServerEntry, framing: BodyFraming) -> EndingAnswer {
+    /// Describes the stream of an engine, for the check of its end.
+    fn ending(&self, stream: &EngineStream) -> EndingAnswer {
+        EndingAnswer {
+            run_stop: stream.run_stop,
+            ..self.whole_ending(stream.key, &stream.entry, stream.framing)
+        }
+    }
+
+    /// Describes an answer of an engine that is not a stream, for the check of its end.
+    fn whole_ending(
+        &self,
+        key: ServerKey,
+        entry: &ServerEntry,
+        framing: BodyFraming,
+    ) -> EndingAnswer {
         EndingAnswer {
             request: self.admitted.id.clone(),
             rule: Arc::clone(&self.admitted.rule),
             key,
             entry: entry.clone(),
             framing,
+            run_stop: RunStop::NotStopped,
         }
     }
 
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -14,19 +14,25 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, EngineFault, MovePlan, MoveStep, PlacePurpose, ServerEntry, ServerKey,
-    ServerLiveness,
+    EndVerdict, EngineFault, MovePlan, MoveStep, PlacePurpose, RunStop, ServerEntry, ServerKey,
+    ServerLiveness, StopOutcome,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{AnswerCheck, RunContinuation, check_answer};
 
 use http_body_util::BodyExt;
+use hyper::StatusCode;
 use tokio::sync::mpsc;
 
 /// Number of attempts to resume a moved run.
 const RESUME_LIMIT: u32 = 4;
 /// Pause between two attempts to resume a moved run.
 const RESUME_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time for which a run waits for the remainder of its memory. Callers give a stream up after a
+/// pause of two seconds.
+const COPY_WAIT: Duration = Duration::from_millis(1500);
+/// Pause before an engine is asked again to stop a run.
+const STOP_PAUSE: Duration = Duration::from_millis(60);
 /// Longest time for which a moved run waits for an engine that wants no requests. Callers give a stream up
 /// after a pause of two seconds.
 const RESUME_DELAY_LIMIT: Duration = Duration::from_secs(1);
@@ -75,9 +81,13 @@
     /// The answer broke off or an event exceeded the limit. Contains the state of the engine if it is
     /// known.
     Broken(Option<ServerLiveness>),
-    /// The run was stopped and continues on another engine, or on the same one if the move was
-    /// refused.
-    Stopped,
+    /// The run was stopped, or may have been, and continues on another engine, or on the same one if
+    /// the move was refused.
+    Stopped {
+        /// The stream ended as that of a complete run does, while the call that was to stop the run
+        /// was not answered. An engine that does not know the run had completed it.
+        may_be_complete: bool,
+    },
     /// The deadline has passed.
     Late,
     /// The caller has disconnected.
@@ -145,14 +155,7 @@
                             continue;
                         },
                         Some(Err(_)) => {
-                            return match call.take() {
-                                Some(call) if call.is_final => {
-                                    self.final_call = Some(call);
-                                    StreamEnd::Stopped
-                                },
-                                Some(call) => self.await_move(call, destination).await,
-                                None => StreamEnd::Broken(None),
-                            };
+                            return self.await_copy(call.take(), destination, None).await;
                         },
                         None => {
                             let is_within_event =
@@ -164,17 +167,17 @@
                             if let Some(call) = call.take_if(|call| call.is_final && !is_delimited)
                             {
                                 self.final_call = Some(call);
-                                self.ended_within_event = is_within_event;
-                                return StreamEnd::Stopped;
+                                return StreamEnd::Stopped { may_be_complete: !is_within_event };
                             }
-                            let ending = self.ending(stream.key, &stream.entry, stream.framing);
+                            let ending = self.ending(stream);
                             let left = self.admitted.time_left(self.state.now());
                             let verdict = ending.judge(&self.state, is_within_event, left).await;
+                            if verdict == EndVerdict::RunStopped {
+                                return StreamEnd::Stopped { may_be_complete: false };
+                            }
                             if verdict != EndVerdict::Complete {
-                                return match call.take() {
-                                    Some(call) => self.await_move(call, destination).await,
-                                    None => StreamEnd::Broken(verdict.liveness()),
-                                };
+                                let known = verdict.liveness();
+                                return self.await_copy(call.take(), destination, known).await;
                             }
                             if !rest.is_empty()
                                 && let Err(end) = self.send_piece(sender, StreamPiece::Data(rest)).await
@@ -194,6 +197,9 @@
                 () = sleep_until(&self.state, wake_at) => continue,
             };
             let is_final = call.take().is_some_and(|call| call.is_final);
+            if is_final {
+                stream.run_stop = stream.run_stop.after(answer.stop_outcome());
+            }
             let Some(plan) = &mut plan else { continue };
             match answer {
                 MoveAnswer::Copied(copy) => {
@@ -217,6 +223,7 @@
                     }
                 },
                 MoveAnswer::NoRun
+                | MoveAnswer::NotSent
                 | MoveAnswer::Failed
                 | MoveAnswer::Rejected(_)
                 | MoveAnswer::Refused(None) => {
@@ -315,20 +322,43 @@
         );
     }
 
-    /// Waits for the first copy after the run's connection broke; the run can resume from it.
-    async fn await_move(
+    /// Keeps what the move of a run needs after its stream broke off: a call that is to stop the run, or
+    /// the first copy, for which it waits. The run can resume from it. `known` is the state of the
+    /// engine.
+    async fn await_copy(
         &mut self,
-        mut call: MoveCall,
+        call: Option<MoveCall>,
         destination: &mut Option<RunDestination>,
+        known: Option<ServerLiveness>,
     ) -> StreamEnd {
-        let answer = tokio::time::timeout(MOVE_TIMEOUT, call.answer()).await;
-        if let Ok(MoveAnswer::Copied(copy)) = answer
-            && let Some(target) = destination
-        {
-            target.handle = Some(copy.handle);
-            return StreamEnd::Stopped;
+        match call {
+            Some(call) if call.is_final => {
+                self.final_call = Some(call);
+                StreamEnd::Stopped { may_be_complete: false }
+            },
+            Some(mut call) => {
+                let answer = tokio::time::timeout(MOVE_TIMEOUT, call.answer()).await;
+                if let (Ok(MoveAnswer::Copied(copy)), Some(target)) = (answer, destination) {
+                    target.handle = Some(copy.handle);
+                }
+                StreamEnd::Broken(known)
+            },
+            None => StreamEnd::Broken(known),
+        }
+    }
+
+    /// Stops a run whose stream has ended before it resumes elsewhere: its engine may still work on it,
+    /// because the break of a connection does not end every run.
+    pub(super) fn stop_source(
+        &mut self,
+        stream: &EngineStream,
+        destination: &Option<RunDestination>,
+    ) {
+        let copied = destination.as_ref().filter(|target| target.handle.is_some());
+        let is_open = self.final_call.is_none() && stream.run_stop != RunStop::Stopped;
+        if let Some(target) = copied.filter(|_| is_open && !self.is_fatal()) {
+            self.final_call = Some(self.move_call(stream, target.entry.address, true));
         }
-        StreamEnd::Broken(None)
     }
 
     /// Forwards the remaining events of a stopped run.
@@ -349,37 +379,44 @@
                     }
                 }
             }
-            StreamEnd::Stopped
+            StreamEnd::Stopped { may_be_complete: false }
         };
-        tokio::time::timeout(STOP_TIMEOUT, draining).await.unwrap_or(StreamEnd::Stopped)
+        let stopped = StreamEnd::Stopped { may_be_complete: false };
+        tokio::time::timeout(STOP_TIMEOUT, draining).await.unwrap_or(stopped)
     }
 
     /// Resumes a run from the copy of its memory at the destination. Fails if there is no
     /// copy or the run cannot be resumed.
     ///
-    /// If `is_stopped` is set, the run is no longer active at its source, which is then tried as
-    /// well.
+    /// If the source may have stopped the run, it is tried as well.
     pub(super) async fn resume(
         &mut self,
         stream: EngineStream,
         destination: Option<RunDestination>,
-        is_stopped: bool,
+        end: StreamEnd,
     ) -> ResumeOutcome {
-        let EngineStream { key: source_key, entry: source, load, .. } = stream;
+        let (is_stopped, may_be_complete) = match end {
+            StreamEnd::Stopped { may_be_complete } => (true, may_be_complete),
+            _ => (false, false),
+        };
+        let EngineStream { key: source_key, entry: source, load, mut run_stop, .. } = stream;
         drop(load);
         self.splitter = EventSplitter::default();
         let Some(mut destination) = destination else { return ResumeOutcome::Failed };
         let (key, entry) = (destination.key, destination.entry.clone());
         let Some(handle) = destination.handle.take() else { return ResumeOutcome::Failed };
         drop(destination);
-        let continuation =
+        let copied_to = entry.clone();
+        let mut continuation =
             RunContinuation { source: source.address, handle, last_event: self.last_event.clone() };
         let mut targets = vec![(key, entry)];
         if is_stopped && key != source_key {
             targets.push((source_key, source.clone()));
         }
-        for attempt in 0..RESUME_LIMIT {
-            let (key, entry) = &targets[attempt as usize % targets.len()];
+        let mut next_target = 0;
+        for _ in 0..RESUME_LIMIT {
+            let (key, entry) = &targets[next_target % targets.len()];
+            next_target += 1;
             let now = self.state.now();
             let time_left = self.admitted.time_left(now);
             if time_left.is_zero() || self.is_fatal() {
@@ -425,6 +462,9 @@
                     if parts.status.is_success() && check == AnswerCheck::Stamped {
                         self.moves += 1;
                         self.state.telemetry.moves.with_label_values(&["resumed"]).inc();
+                        if let Some(call) = self.final_call.take() {
+                            call.detach();
+                        }
                         let entry = entry.clone();
                         return ResumeOutcome::Resumed(Box::new(EngineStream {
                             key: *key,
@@ -434,6 +474,11 @@
                             has_events: has_events(&parts.headers),
                             begun_at: self.state.now(),
                             is_settled: false,
+                            // A call without an answer may still reach the source.
+                            run_stop: match run_stop {
+                                RunStop::Possible if *key == source_key => RunStop::Possible,
+                                _ => RunStop::NotStopped,
+                            },
                             _exchange: exchange,
                             load,
                         }));
@@ -445,20 +490,62 @@
                 Err(ExchangeFault::NotConnected) => {},
                 Err(_) => return ResumeOutcome::Failed,
             }
-            match self.final_call.take() {
-                // The destination accepts the run only after its remainder has arrived. The next
-                // attempt shows whether it has, however the call ends.
-                Some(mut call) => {
-                    let answer = tokio::time::timeout(MOVE_TIMEOUT, call.answer()).await;
-                    if matches!(answer, Ok(MoveAnswer::NoRun)) {
-                        return ResumeOutcome::NotStopped;
-                    }
+            // The destination accepts the run only after its remainder has arrived. The next attempt
+            // shows whether it has, however the call ends.
+            let Some(call) = self.final_call.take() else {
+                tokio::time::sleep(RESUME_PAUSE).await;
+                continue;
+            };
+            let answer = self.await_remainder(call, &source, &copied_to, &mut run_stop).await;
+            match answer {
+                MoveAnswer::NoRun if may_be_complete && run_stop == RunStop::NotStopped => {
+                    return ResumeOutcome::NotStopped;
+                },
+                MoveAnswer::Copied(copy) => {
+                    continuation.handle = copy.handle;
+                    // The destination has the remainder now.
+                    next_target = 0;
                 },
-                None => tokio::time::sleep(RESUME_PAUSE).await,
+                MoveAnswer::Refused(Some(handle)) => {
+                    continuation.handle = handle;
+                    targets = vec![(source_key, source.clone())];
+                },
+                _ => {},
             }
         }
         ResumeOutcome::Failed
     }
+
+    /// Waits for the answer to a call that is to stop a run, and records in `run_stop` what the answers
+    /// show. A call whose answer is lost or says nothing of the run is repeated once. While an earlier call still copies the
+    /// remainder, the engine refuses further ones and is asked again.
+    async fn await_remainder(
+        &self,
+        mut call: MoveCall,
+        source: &ServerEntry,
+        destination: &ServerEntry,
+        run_stop: &mut RunStop,
+    ) -> MoveAnswer {
+        let until = self.state.now() + COPY_WAIT;
+        let mut may_repeat = true;
+        loop {
+            let answer = tokio::time::timeout(MOVE_TIMEOUT, call.answer()).await;
+            let answer = answer.unwrap_or(MoveAnswer::Failed);
+            *run_stop = run_stop.after(answer.stop_outcome());
+            event(
+                EventKind::RunCopied,
+                &[&self.admitted.id, &source.id, &destination.id, &answer.name(), &self.events],
+            );
+            let is_busy = matches!(answer, MoveAnswer::Rejected(StatusCode::CONFLICT));
+            let is_unknown = answer.stop_outcome() == StopOutcome::Unknown;
+            if !(is_busy && self.state.now() < until || is_unknown && may_repeat) {
+                return answer;
+            }
+            may_repeat &= !is_unknown;
+            tokio::time::sleep(STOP_PAUSE).await;
+            call = MoveCall::begin(source.address, &self.admitted.id, destination.address, true);
+        }
+    }
 }
 
 async fn wait_for_move(call: &mut Option<MoveCall>) -> MoveAnswer {
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -18,8 +18,8 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, ServerEntry, ServerKey,
-    WaitDecision, WaitLimit, WaitLimitParams,
+    EndVerdict, EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, RunStop, ServerEntry,
+    ServerKey, WaitDecision, WaitLimit, WaitLimitParams,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::prompts::RunPhase;
@@ -148,7 +148,7 @@
                 return Err(StartFailure::Error(ErrorAnswer::AnswerLost));
             }
             if !parts.status.is_success() {
-                let ending = self.ending(key, &entry, framing);
+                let ending = self.whole_ending(key, &entry, framing);
                 let answer =
                     self.read_whole_answer(parts.status, &parts.headers, body, &ending).await;
                 return Err(answer
@@ -166,6 +166,7 @@
                 has_events: has_events(&parts.headers),
                 begun_at,
                 is_settled: false,
+                run_stop: RunStop::NotStopped,
                 _exchange: exchange,
                 load,
             };
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -16,7 +16,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, ServerKey,
+    EndVerdict, PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, RunStop, ServerKey,
     ServerLiveness,
 };
 use medlarlanding_core::prompts::RunPhase;
@@ -338,6 +338,7 @@
                     key,
                     entry: entry.clone(),
                     framing: BodyFraming::of_response(&response),
+                    run_stop: RunStop::NotStopped,
                 };
                 let source = AnswerSource {
                     ending: ending.clone(),
