Stop a run whose stream broke off before it goes on elsewhere

Callers saw a sound stream, but the work ran twice.

Cause: the end of the connection was taken for the end of the run.

Change: before a run goes on from a copy, a call stops it at its engine, beside the first attempt to resume it, unless the engine is known to have ended.

It works because the engine stops a run first and copies then, whatever becomes of its stream.

--- a/medlarlanding-bench/tests/forwarding_run_stops.rs
+++ b/medlarlanding-bench/tests/forwarding_run_stops.rs
@@ -1,14 +1,16 @@
 //! Runs that are stopped for a move: whatever becomes of the call that stops them, their streams do not
-//! look complete before they are.
+//! look complete before they are, and no two engines work on them.
 
 mod answer_support;
 
+use std::time::Duration;
+
 use self::answer_support::{
     INSTANCES, KindCase, call, is_whole, publish_services, start_site, wait_for_entries,
 };
 use medlarlanding_bench::site::{
-    BodyDelimiter, EndMode, INTERVAL_HEADER, MoveScript, ResumeMode, SiteAnswer, StopFault,
-    StreamClose, TestSite,
+    BodyDelimiter, EndMode, EndingServer, INTERVAL_HEADER, MoveScript, ResumeMode, SiteAnswer,
+    StopFault, StreamClose, TestSite,
 };
 use medlarlanding_core::cases;
 
@@ -16,6 +18,8 @@
 const EVENTS: usize = 100;
 /// Time between two events in milliseconds.
 const EVENT_INTERVAL_MS: &str = "30";
+/// Longest time for which an engine may work on a run that goes on elsewhere.
+const OVERLAP_LIMIT: Duration = Duration::from_millis(400);
 
 const DRAFT: KindCase = KindCase {
     route: "draft",
@@ -26,10 +30,11 @@
     part_bytes: 16,
 };
 
-/// One run whose engine leaves.
+/// One run, the engine that it leaves and the one that it may move to.
 struct MovedRun {
     delimiter: BodyDelimiter,
     script: MoveScript,
+    source: EndingServer,
     answer: SiteAnswer,
     request: String,
 }
@@ -64,11 +69,12 @@
     for (pair, service) in servers.chunks(2).zip(&services) {
         site.register_ending_server(&pair[0], service, "draining");
     }
-    let moved = callers.into_iter().zip(specs).enumerate();
+    let moved = callers.into_iter().zip(servers.chunks(2)).zip(specs).enumerate();
     moved
-        .map(|(number, (caller, (delimiter, script)))| MovedRun {
+        .map(|(number, ((caller, pair), (delimiter, script)))| MovedRun {
             delimiter,
             script,
+            source: pair[0].clone(),
             answer: caller.join().expect("a caller"),
             request: format!("id-{number}"),
         })
@@ -156,3 +162,34 @@
     stop_beside_another_call_is_told_truthfully => StopFault::Conflict,
     completion_during_a_lost_stop_is_told_truthfully => StopFault::CompletesUnanswered,
 }
+
+/// Guards against a run that goes on at another engine while the one before, whose stream broke off
+/// during the copy, still works on it.
+#[test]
+fn run_whose_stream_breaks_off_is_stopped_before_it_goes_on() {
+    let breaks =
+        |stream_close| MoveScript { stream_close, breaks_in_copy: true, ..MoveScript::default() };
+    let mut specs = Vec::new();
+    for delimiter in BodyDelimiter::ALL {
+        specs.push((delimiter, breaks(StreamClose::Reset)));
+        // The close of a connection that alone marks the end cannot be told from a complete answer.
+        if delimiter.is_declared() {
+            specs.push((delimiter, breaks(StreamClose::Closed)));
+        }
+    }
+    let mut site = start_site();
+    let runs = move_runs(&mut site, specs);
+    check(&site, &runs, |run| {
+        let all = site.state.runs(&run.request);
+        let continued = all.iter().find(|record| record.is_continued);
+        let overlaps = continued.is_some_and(|record| {
+            run.source.worked_until().is_none_or(|until| until > record.at + OVERLAP_LIMIT)
+        });
+        match (overlaps, is_whole(DRAFT, &run.answer)) {
+            (true, _) => Some("two engines worked on the run"),
+            (false, false) => Some("lost although the run can go on"),
+            (false, true) if has_gaps(&run.answer) => Some("wrong pieces"),
+            (false, true) => None,
+        }
+    });
+}
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -187,6 +187,7 @@
                 StreamEnd::Late => "late",
                 StreamEnd::Broken(_) | StreamEnd::Stopped { .. } => {
                     let source = self.ending(&stream);
+                    let has_ended = matches!(end, StreamEnd::Broken(Some(ServerLiveness::Ended)));
                     if let StreamEnd::Broken(known) = end
                         && !self.is_leaving(stream.key)
                     {
@@ -195,9 +196,7 @@
                         self.examine_break(stream.key, phase, writing, known);
                         self.link.report_fault(&self.state, stream.key, EngineFault::Failed);
                     }
-                    if matches!(end, StreamEnd::Stopped { .. })
-                        || stream.run_stop == RunStop::Possible
-                    {
+                    if !has_ended {
                         self.stop_source(&stream, &destination);
                     }
                     match self.resume(stream, destination, end).await {
