Answer what waits before a stopping process ends

Cause: the end of the process was compared with a request once, when its head had been read, as if the request were sent at once. A body that still arrives, a wait for room on a full engine and a server that takes longer did not know of the stop, and nobody was answered at the end.

Change: a request is compared with the end whenever it has waited and before each send. The time that its answer may take is that of its size, also for requests that are no streams, or 20 objectives for plain services, at most the time to its deadline. It is refused as not run as soon as it does not fit; a wait or a body that a stop makes hopeless ends at once. Whatever has no answer 0.3 s before the process ends is answered: 502 if it may have run.

It works because no wait is left that does not end with the stop.

forwarding_decisions plain_request_late asserted the fault (a request with an objective of 100 ms is accepted 500 ms before the end, though a sound server may need more); rows with deadlines replace it.

--- a/medlarlanding-bench/tests/forwarding_stops.rs
+++ b/medlarlanding-bench/tests/forwarding_stops.rs
@@ -2,11 +2,17 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use medlarlanding_bench::site::{SiteParams, TestSite};
+use medlarlanding_bench::site::{
+    BodyDelimiter, EndMode, INTERVAL_HEADER, PARTS_HEADER, ServerMode, SiteAnswer, SiteCall,
+    SiteParams, TestSite,
+};
+use medlarlanding_core::cases;
 
+use hyper::Method;
 use rustix::process::Signal;
+use serde_json::Value;
 
 /// Connections of each kind.
 const CONNECTIONS: usize = 12;
@@ -84,3 +90,265 @@
     }
     assert!(site.wait_exit(0).expect("an exit").success());
 }
+
+/// Publishes the default configuration with other routes and waits until all instances have it.
+fn publish_routes(site: &mut TestSite, instances: usize, change: impl Fn(&mut Value)) {
+    let version = site.publish_config(|config| {
+        config["routes"].as_array_mut().expect("routes").iter_mut().for_each(&change);
+    });
+    let accepted = format!("version={version} ");
+    let is_accepted = |index| site.log(index).contains(&accepted);
+    site.wait_until("a configuration", || (0..instances).all(is_accepted)).expect("a line");
+}
+
+/// Fails unless the caller got a whole answer, or a refusal of a request that has not run.
+fn check_answer(site: &TestSite, id: &str, answer: &anyhow::Result<SiteAnswer>) {
+    let runs = site.state.runs(id).len();
+    match answer {
+        Ok(answer) if answer.status == 200 && answer.is_complete => assert_eq!(runs, 1, "{id}"),
+        Ok(answer) if answer.status == 503 && answer.is_complete => {
+            assert_eq!(runs, 0, "{id} was refused as not run and has run");
+            assert!(answer.header("retry-after").is_some(), "{id}: {answer:?}");
+        },
+        other => panic!("{id}, {runs} runs: {other:?}\n{}", site.log(0)),
+    }
+}
+
+/// Guards against generations that a stopping instance lets wait for room until it ends, so that their
+/// callers get no answer (review case 3). They begin to wait before the stop or during it.
+#[test]
+fn generations_that_wait_for_room_are_answered_in_a_stop() {
+    const MOMENTS_MS: [u64; 6] = [0, 1_500, 2_700, 4_000, 5_500, 7_200];
+    // The last one would take too long from the beginning.
+    const SIZES: [&str; 3] = ["8000,4", "8000,40", "8000,4000"];
+    let params = SiteParams { instances: 2, engines: 1, ..SiteParams::default() };
+    let mut site = TestSite::start(params).expect("a deployment");
+    publish_routes(&mut site, 2, |route| {
+        (route["goalMs"], route["timeoutMs"]) = (6_000.into(), 39_000.into());
+    });
+    site.state.set_generation(10_000, 20);
+    let other = site.caller_address(1);
+    let call = |id: &str, size: &str| {
+        SiteCall::new(Method::POST, "/draft/a", id)
+            .header("x-token-count", size)
+            .header("x-deadline-ms", "39000")
+    };
+    for run in 0..2 {
+        let long =
+            call(&format!("run-{run}"), "14000,80").disconnect_after(Duration::from_secs(20));
+        std::thread::spawn(move || long.send(other));
+    }
+    let are_running = || site.state.runs("run-0").len() + site.state.runs("run-1").len() == 2;
+    site.wait_until("two running generations", are_running).expect("runs");
+    let address = site.caller_address(0);
+    // A request that is not answered keeps the process running to the end of its time.
+    ["orders-0", "orders-1"].iter().for_each(|it| site.state.set_mode(it, ServerMode::NoAnswer));
+    let order = SiteCall::new(Method::POST, "/order/a", "order").header("x-deadline-ms", "39000");
+    let order = std::thread::spawn(move || order.send(address));
+    site.wait_until("the order", || !site.state.runs("order").is_empty()).expect("a run");
+    let started = Instant::now();
+    let mut waiting = Vec::new();
+    for millis in MOMENTS_MS {
+        for size in SIZES {
+            let id = format!("wait-{millis}-{}", size.replace(',', "-"));
+            let call = call(&id, size);
+            waiting.push(std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(millis).saturating_sub(started.elapsed()));
+                (id, call.send(address), started.elapsed())
+            }));
+        }
+    }
+    std::thread::sleep(Duration::from_millis(600));
+    site.signal(0, Signal::TERM).expect("a signal");
+    for caller in waiting {
+        let (id, answer, ended_at) = caller.join().expect("a caller");
+        check_answer(&site, &id, &answer);
+        // The first ones wait for room until the stop shows that they cannot finish.
+        let is_hopeless = id.ends_with("-4000");
+        assert!(
+            !is_hopeless || ended_at < Duration::from_secs(8),
+            "{id} waited until {ended_at:?}"
+        );
+    }
+    assert_eq!(order.join().expect("a caller").expect("an answer").status, 502);
+    let refused = site.log(0).matches("reason=stopping").count();
+    assert!(refused > 0, "no generation waited when the stop came");
+    assert!(site.wait_exit(0).expect("an exit").success());
+}
+
+/// Reads whatever the instance sends until it closes the connection or the answer is whole.
+fn read_status(stream: &mut TcpStream) -> Result<u16, String> {
+    let (first, _) = read_answer(stream)?;
+    first.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(first)
+}
+
+/// A request whose body arrives while an instance stops.
+#[derive(Clone, Copy, Debug)]
+struct BodyCase {
+    path: &'static str,
+    is_chunked: bool,
+    /// Milliseconds from SIGTERM to the last byte; `None` if it is never sent.
+    complete_at: Option<u64>,
+    /// The answer must be that of a server.
+    is_served: bool,
+}
+
+fn write_beginning(stream: &mut TcpStream, case: BodyCase, id: &str) {
+    let framing = if case.is_chunked { "Transfer-Encoding: chunked" } else { "Content-Length: 10" };
+    let beginning = if case.is_chunked { "5\r\n12345\r\n" } else { "12345" };
+    let request = format!(
+        "POST {} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\n\
+         Authorization: Token key-1\r\nX-Deadline-Ms: 20000\r\nX-Token-Count: 100,8\r\n\
+         {framing}\r\n\r\n{beginning}",
+        case.path
+    );
+    stream.write_all(request.as_bytes()).expect("a request");
+}
+
+/// Guards against requests that are closed without an answer, or sent to a server too late, because
+/// their bodies arrive while the instance stops; and against refusing those that can be served.
+#[test]
+fn bodies_that_arrive_during_a_stop_are_answered() {
+    let mut site = TestSite::start(SiteParams::default()).expect("a deployment");
+    publish_routes(&mut site, 1, |route| {
+        (route["goalMs"], route["timeoutMs"]) = (100.into(), 20_000.into());
+    });
+    let mut cases = Vec::new();
+    for path in ["/lookup/a", "/order/a", "/assess/a", "/note/a", "/draft/a"] {
+        for is_chunked in [false, true] {
+            for (complete_at, is_served) in
+                [(Some(1_000), true), (Some(3_000), true), (Some(7_250), false), (None, false)]
+            {
+                cases.push(BodyCase { path, is_chunked, complete_at, is_served });
+            }
+        }
+    }
+    let address = site.caller_address(0);
+    let mut streams: Vec<TcpStream> = cases.iter().map(|_| connect(address)).collect();
+    for (number, (stream, case)) in streams.iter_mut().zip(&cases).enumerate() {
+        write_beginning(stream, *case, &format!("id-{number}"));
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    let started = Instant::now();
+    site.signal(0, Signal::TERM).expect("a signal");
+    let callers: Vec<_> = streams
+        .into_iter()
+        .zip(cases)
+        .map(|(mut stream, case)| {
+            std::thread::spawn(move || {
+                if let Some(millis) = case.complete_at {
+                    let at = Duration::from_millis(millis);
+                    std::thread::sleep(at.saturating_sub(started.elapsed()));
+                    let end = if case.is_chunked { "5\r\n67890\r\n0\r\n\r\n" } else { "67890" };
+                    // Fails if the request has been refused and the connection closed.
+                    let _ = stream.write_all(end.as_bytes());
+                }
+                let status = match case.path {
+                    "/draft/a" => read_head(&mut stream),
+                    _ => read_status(&mut stream),
+                };
+                (case, status)
+            })
+        })
+        .collect();
+    for (number, caller) in callers.into_iter().enumerate() {
+        let (case, status) = caller.join().expect("a caller");
+        let runs = site.state.runs(&format!("id-{number}")).len();
+        let expected = if case.is_served { (Ok(200), 1) } else { (Ok(503), 0) };
+        assert_eq!((status, runs), expected, "{case:?}\n{}", site.log(0));
+    }
+    assert!(site.wait_exit(0).expect("an exit").success());
+}
+
+/// Reads the head of an answer.
+fn read_head(stream: &mut TcpStream) -> Result<u16, String> {
+    let mut received = Vec::new();
+    let mut buffer = [0; 1024];
+    while !received.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+        match stream.read(&mut buffer) {
+            Ok(length @ 1..) => received.extend_from_slice(&buffer[..length]),
+            end => return Err(format!("{end:?}")),
+        }
+    }
+    let text = String::from_utf8_lossy(&received).into_owned();
+    text.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(text)
+}
+
+/// Guards against requests that are closed without an answer when the instance ends before their servers
+/// answer: the caller must learn that the answer is lost.
+fn unanswered_requests_get_an_answer(path: &'static str) {
+    let mut site = TestSite::start(SiteParams::default()).expect("a deployment");
+    publish_routes(&mut site, 1, |route| {
+        (route["goalMs"], route["timeoutMs"]) = (100.into(), 39_000.into());
+    });
+    for server in ["orders-0", "orders-1", "engines-0", "engines-1"] {
+        site.state.set_mode(server, ServerMode::NoAnswer);
+    }
+    let address = site.caller_address(0);
+    let callers: Vec<_> = (0..4)
+        .map(|number| {
+            let call = SiteCall::new(Method::POST, path, &format!("id-{number}"))
+                .header("x-token-count", "100,8")
+                .header("x-deadline-ms", "39000");
+            std::thread::spawn(move || call.send(address))
+        })
+        .collect();
+    let have_begun = || site.state.runs("").len() >= 4;
+    site.wait_until("the requests at their servers", have_begun).expect("runs");
+    site.signal(0, Signal::TERM).expect("a signal");
+    for caller in callers {
+        let answer = caller.join().expect("a caller").expect("an answer");
+        assert_eq!((answer.status, answer.is_complete), (502, true), "{}", site.log(0));
+    }
+    assert!(site.wait_exit(0).expect("an exit").success());
+}
+
+cases! { unanswered_requests_get_an_answer;
+    unanswered_lookups_get_an_answer_in_a_stop => "/lookup/a",
+    unanswered_orders_get_an_answer_in_a_stop => "/order/a",
+    unanswered_assessments_get_an_answer_in_a_stop => "/assess/a",
+    unanswered_notes_get_an_answer_in_a_stop => "/note/a",
+    unanswered_drafts_get_an_answer_in_a_stop => "/draft/a",
+}
+
+/// Guards against requests to a sound but slow server that are accepted near the end of a stop and cut
+/// off by it, and against refusing those that can be answered.
+#[test]
+fn slow_answers_are_whole_or_not_begun_in_a_stop() {
+    const ANSWER_TIME: Duration = Duration::from_millis(1_500);
+    let params = SiteParams { plain_servers: 0, engines: 0, ..SiteParams::default() };
+    let mut site = TestSite::start(params).expect("a deployment");
+    let servers = site.add_ending_servers(&[(BodyDelimiter::Length, EndMode::Lives)]);
+    let server = servers.expect("a server").remove(0);
+    server.release();
+    publish_routes(&mut site, 1, |route| {
+        (route["goalMs"], route["timeoutMs"]) = (100.into(), 20_000.into());
+    });
+    site.register_ending_server(&server, "orders", "ready");
+    let known = format!("server={} service=orders ", server.id());
+    site.wait_until("the server", || site.log(0).contains(&known)).expect("an entry");
+    let address = site.caller_address(0);
+    site.signal(0, Signal::TERM).expect("a signal");
+    let started = Instant::now();
+    let mut callers = Vec::new();
+    while started.elapsed() < Duration::from_millis(7_000) {
+        let id = format!("id-{}", callers.len());
+        let call = SiteCall::new(Method::POST, "/order/a", &id)
+            .header(PARTS_HEADER, "15")
+            .header(INTERVAL_HEADER, &(ANSWER_TIME.as_millis() / 15).to_string());
+        callers.push(std::thread::spawn(move || (id, call.send(address))));
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    let (mut served, mut refused) = (0, 0);
+    for caller in callers {
+        let (id, answer) = caller.join().expect("a caller");
+        check_answer(&site, &id, &answer);
+        match answer.expect("an answer").status {
+            200 => served += 1,
+            _ => refused += 1,
+        }
+    }
+    println!("{served} served, {refused} refused");
+    assert!(served >= 20 && refused > 0, "{served} served, {refused} refused");
+    assert!(site.wait_exit(0).expect("an exit").success());
+}
--- a/medlarlanding-core/src/forwarding/drain.rs
+++ b/medlarlanding-core/src/forwarding/drain.rs
@@ -1,8 +1,10 @@
-//! Decides which new requests an instance still accepts while it is stopping.
+//! Decides which requests an instance still sends to servers while it is stopping.
 //!
 //! Load pattern: new connections arrive for two seconds or longer after an instance begins to
 //! stop, and most generations take longer than the time left until it is killed. A caller that is
-//! refused at once is served by another instance; a caller whose answer is cut off loses it.
+//! refused at once is served by another instance; a caller whose answer is cut off loses it. Requests
+//! whose bodies are still read, or that wait for room on a full engine, have less time left at each
+//! moment, so the decision is made again whenever one has waited.
 
 use std::time::Duration;
 
@@ -16,10 +18,10 @@
     pub token_time: Duration,
     /// Time that a busy engine takes for one prompt token.
     pub prompt_time: Duration,
-    /// Factor applied to the time of a generation, for a wait for room and for an engine that is
-    /// slower than usual.
+    /// Factor applied to the time of a generation, for an engine that is slower than usual.
     pub time_factor: f64,
-    /// Longest time assumed for a plain request, as a multiple of its route's objective.
+    /// Longest time assumed for the answer of a plain service, as a multiple of its route's objective.
+    /// Servers that are slow after their start or nearly full take several objectives.
     pub objective_factor: u32,
 }
 
@@ -29,26 +31,28 @@
             token_time: Duration::from_millis(12),
             prompt_time: Duration::from_micros(200),
             time_factor: 2.0,
-            objective_factor: 4,
+            objective_factor: 20,
         }
     }
 }
 
 impl DrainParams {
-    /// Returns whether a request finishes within `left`, the time until the instance stops.
+    /// Returns the time within which a server that is sound answers a request completely.
     ///
-    /// `longest` is the size of a generation with the highest output that it is allowed; callers'
-    /// estimates are often far too low.
-    pub fn can_finish(
+    /// `longest` is the size of a generation with the highest output that it is allowed, because
+    /// callers' estimates are often far too low; `None` for plain services.
+    pub fn longest_time(
         &self,
         kind: RequestKind,
-        longest: RunWeight,
+        longest: Option<RunWeight>,
         objective: Duration,
-        left: Duration,
-    ) -> bool {
+    ) -> Duration {
+        let generating = longest.map_or(Duration::ZERO, |size| self.expected_time(size));
         match kind {
-            RequestKind::Safe | RequestKind::Unsafe => objective * self.objective_factor <= left,
-            RequestKind::Stream => self.expected_time(longest) <= left,
+            RequestKind::Safe | RequestKind::Unsafe => {
+                generating.max(objective * self.objective_factor)
+            },
+            RequestKind::Stream => generating,
         }
     }
 
@@ -58,3 +62,10 @@
         expected.mul_f64(self.time_factor)
     }
 }
+
+/// Returns whether a request that is sent now is answered before the instance ends, or its caller has
+/// given up until then. `longest` is the time that its answer may take, `time_left` that until its
+/// deadline, and `stop_left` that until the instance ends.
+pub fn can_finish(longest: Duration, time_left: Duration, stop_left: Duration) -> bool {
+    longest.min(time_left) <= stop_left
+}
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -31,7 +31,7 @@
 pub use directory::{
     DirectoryChange, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
 };
-pub use drain::DrainParams;
+pub use drain::{DrainParams, can_finish};
 pub use entries::{EntryDelta, EntryLog};
 pub use messages::{
     LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
--- a/medlarlanding-core/tests/forwarding_decisions.rs
+++ b/medlarlanding-core/tests/forwarding_decisions.rs
@@ -7,7 +7,7 @@
 use medlarlanding_core::forwarding::{
     CustomerRecord, DirectoryChange, DrainParams, ForwardConfig, KeyCheck, MoveParams, MovePlan,
     MoveStep, RequestKind, RequestLimits, RouteRule, RouteTarget, RunWeight, ServerDirectory,
-    ServerEntry, ServerPhase, ServicePolicy,
+    ServerEntry, ServerPhase, ServicePolicy, can_finish,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -184,21 +184,67 @@
     assert_eq!(leaving.len(), 1);
 }
 
+/// A request to a stopping instance. Times are in milliseconds.
+struct StopCase {
+    kind: RequestKind,
+    /// Highest output in tokens; `None` for plain services.
+    output: Option<u32>,
+    /// Time until the deadline of the request.
+    time_left: u64,
+    /// Time until the instance ends.
+    stop_left: u64,
+    is_accepted: bool,
+}
+
 /// Guards against a stopping instance that accepts a request which it cannot finish, or refuses
 /// one that it can.
-fn accepts_while_stopping((kind, output, left_millis, expected): (RequestKind, u32, u64, bool)) {
-    let weight = RunWeight { prompt: 2_000, output };
+fn accepts_while_stopping(case: StopCase) {
+    let longest = case.output.map(|output| RunWeight { prompt: 2_000, output });
     let objective = Duration::from_millis(100);
-    let left = Duration::from_millis(left_millis);
-    assert_eq!(DrainParams::default().can_finish(kind, weight, objective, left), expected);
+    let longest = DrainParams::default().longest_time(case.kind, longest, objective);
+    let time_left = Duration::from_millis(case.time_left);
+    let stop_left = Duration::from_millis(case.stop_left);
+    assert_eq!(can_finish(longest, time_left, stop_left), case.is_accepted);
 }
 
 cases! { accepts_while_stopping;
-    short_generation_early => (RequestKind::Stream, 20, 7_000, true),
-    long_generation_early => (RequestKind::Stream, 1_000, 7_000, false),
-    short_generation_at_the_end => (RequestKind::Stream, 20, 1_000, false),
-    plain_request_late => (RequestKind::Unsafe, 0, 500, true),
-    plain_request_at_the_end => (RequestKind::Safe, 0, 300, false),
+    short_generation_early => StopCase {
+        kind: RequestKind::Stream, output: Some(20), time_left: 39_000, stop_left: 7_000,
+        is_accepted: true,
+    },
+    long_generation_early => StopCase {
+        kind: RequestKind::Stream, output: Some(1_000), time_left: 39_000, stop_left: 7_000,
+        is_accepted: false,
+    },
+    long_generation_with_an_early_deadline => StopCase {
+        kind: RequestKind::Stream, output: Some(1_000), time_left: 6_000, stop_left: 7_000,
+        is_accepted: true,
+    },
+    short_generation_at_the_end => StopCase {
+        kind: RequestKind::Stream, output: Some(20), time_left: 39_000, stop_left: 1_000,
+        is_accepted: false,
+    },
+    unsafe_generation_at_the_end => StopCase {
+        kind: RequestKind::Unsafe, output: Some(300), time_left: 39_000, stop_left: 5_000,
+        is_accepted: false,
+    },
+    // A sound server may need more than four objectives.
+    slow_plain_answer_late => StopCase {
+        kind: RequestKind::Unsafe, output: None, time_left: 2_500, stop_left: 500,
+        is_accepted: false,
+    },
+    plain_request_with_an_early_deadline_late => StopCase {
+        kind: RequestKind::Unsafe, output: None, time_left: 450, stop_left: 500,
+        is_accepted: true,
+    },
+    plain_request_with_a_late_deadline_early => StopCase {
+        kind: RequestKind::Safe, output: None, time_left: 39_000, stop_left: 4_000,
+        is_accepted: true,
+    },
+    plain_request_at_the_end => StopCase {
+        kind: RequestKind::Safe, output: None, time_left: 39_000, stop_left: 300,
+        is_accepted: false,
+    },
 }
 
 /// Guards against a final copy before the first one is complete, against retries without a pause,
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -12,7 +12,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    DrainParams, EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight,
+    DrainParams, EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight, can_finish,
 };
 use medlarlanding_core::prompts::{BLOCK_TIME, PromptParts};
 use medlarlanding_core::time::Timestamp;
@@ -73,6 +73,8 @@
     pub deadline: Timestamp,
     /// Version of the configuration that the request was checked against.
     pub config_version: u64,
+    /// Time within which a sound server answers the request completely.
+    longest_time: Duration,
     _memory: BodyMemory,
 }
 
@@ -81,6 +83,17 @@
     pub fn time_left(&self, now: Timestamp) -> Duration {
         self.deadline.since(now)
     }
+
+    /// Returns whether a server that is sent the request now answers before this process ends.
+    pub fn fits_stop(&self, state: &ForwardState) -> bool {
+        fits_stop(state, self.longest_time, self.time_left(state.now()))
+    }
+}
+
+/// Returns whether an answer that may take `longest` is complete before this process ends, or its caller
+/// gives up until then, in `time_left`.
+fn fits_stop(state: &ForwardState, longest: Duration, time_left: Duration) -> bool {
+    state.stop_time_left().is_none_or(|stop_left| can_finish(longest, time_left, stop_left))
 }
 
 /// Counts the bytes of one request body in `body_bytes` until it is dropped.
@@ -187,24 +200,27 @@
     if state.check_prompt(&caller.parts).is_some() {
         return Err(ErrorAnswer::FatalPrompt);
     }
-    if let Some(left) = state.stop_time_left() {
-        // A generation without a limit may take any time.
-        let output = caller.output_limit.unwrap_or(u32::MAX);
-        let longest = RunWeight { output, ..caller.weight };
-        if !DrainParams::default().can_finish(rule.kind, longest, rule.objective, left) {
-            return Err(ErrorAnswer::Stopping);
-        }
-    }
     let service = Arc::clone(rule.target(state.draw()));
     let engine = config.service(&service).and_then(|policy| policy.engine);
+    let wait = caller.time_left.unwrap_or(DEFAULT_DEADLINE).min(rule.timeout);
+    let deadline = arrived_at + wait;
+    // A generation without a limit may take any time.
+    let output = caller.output_limit.unwrap_or(u32::MAX);
+    let longest = engine.map(|_| RunWeight { output, ..caller.weight });
+    let longest_time = DrainParams::default().longest_time(rule.kind, longest, rule.objective);
+    if !fits_stop(state, longest_time, wait) {
+        return Err(ErrorAnswer::Stopping);
+    }
     let limit = config.limits.body_bytes;
     let (parts, body) = request.into_parts();
     if body.size_hint().lower() > limit {
         return Err(ErrorAnswer::BodyTooLarge);
     }
-    let wait = caller.time_left.unwrap_or(DEFAULT_DEADLINE).min(rule.timeout);
-    let deadline = arrived_at + wait;
-    let (body, memory) = read_body(state, body, limit, wait).await?;
+    let (body, memory) = tokio::select! {
+        biased;
+        read = read_body(state, body, limit, wait) => read?,
+        () = state.stop_within(longest_time.min(wait)) => return Err(ErrorAnswer::Stopping),
+    };
     let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     Ok(AdmittedRequest {
         id: caller.request_id,
@@ -221,6 +237,7 @@
         arrived_at,
         deadline,
         config_version: config.version,
+        longest_time,
         rule,
         _memory: memory,
     })
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -83,11 +83,15 @@
             // Closing the connection keeps the engine from writing on a prompt that is blocked while
             // it waits there.
             let sent = tokio::select! {
-                sent = sending => Some(sent),
-                () = self.state.wait_for_block(&self.admitted.parts) => None,
+                sent = sending => Ok(sent),
+                () = self.state.wait_for_block(&self.admitted.parts) => Err("blocked"),
+                () = self.state.stop_within(Duration::ZERO) => Err("stopping"),
             };
             let elapsed = self.state.now().since(now);
-            let outcome = sent.as_ref().map_or_else(|| "blocked".to_owned(), outcome_name);
+            let outcome = match &sent {
+                Ok(sent) => outcome_name(sent),
+                Err(reason) => (*reason).to_owned(),
+            };
             event(
                 EventKind::RequestSent,
                 &[
@@ -102,7 +106,7 @@
                 ],
             );
             // A request that the engine has accepted may have run.
-            let Some(sent) = sent else {
+            let Ok(sent) = sent else {
                 return Err(StartFailure::Error(ErrorAnswer::AnswerLost));
             };
             let (response, exchange) = match sent {
@@ -184,7 +188,10 @@
     ) -> Option<CallerAnswer> {
         let left = self.admitted.time_left(self.state.now());
         let reading = Limited::new(body, WHOLE_ANSWER_LIMIT).collect();
-        let collected = tokio::time::timeout(left, reading).await.ok()?.ok()?;
+        let collected = tokio::select! {
+            read = tokio::time::timeout(left, reading) => read.ok()?.ok()?,
+            () = self.state.stop_within(Duration::ZERO) => return None,
+        };
         let left = self.admitted.time_left(self.state.now());
         if ending.judge(&self.state, false, left).await != EndVerdict::Complete {
             return None;
@@ -235,6 +242,10 @@
             self.admitted.weight.prompt,
         );
         loop {
+            if !self.admitted.fits_stop(&self.state) {
+                self.log_refusal("stopping", 0);
+                return Err(ErrorAnswer::Stopping);
+            }
             let (purpose, due) = limit.purpose_and_due(self.state.now());
             match self.choose(purpose, tried, zone, due).await {
                 Placement::Server(key) => {
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -60,6 +60,8 @@
     Incomplete(EndVerdict),
     /// The request may have run. Its prompt was blocked before the answer arrived.
     Blocked,
+    /// The request may have run. This process ends before the answer arrives.
+    Stopping,
 }
 
 impl SendOutcome {
@@ -72,6 +74,7 @@
             Self::Lost(_) => "broken",
             Self::Incomplete(verdict) => verdict.name(),
             Self::Blocked => "blocked",
+            Self::Stopping => "stopping",
         }
     }
 }
@@ -123,6 +126,10 @@
                 if run_count > 0 { ErrorAnswer::LateSent } else { ErrorAnswer::LateUnsent },
             );
         }
+        if !admitted.fits_stop(state) {
+            let error = if run_count > 0 { ErrorAnswer::AnswerLost } else { ErrorAnswer::Stopping };
+            break fallback_or_error(fallback, error);
+        }
         let excluded = state.with_held(&admitted.service, &tried);
         let placed = state.place(
             PlacePurpose::Start,
@@ -195,7 +202,9 @@
                     break fallback_or_error(fallback, error_without_answer(run_count));
                 }
             },
-            SendOutcome::Blocked => break fallback_or_error(fallback, ErrorAnswer::AnswerLost),
+            SendOutcome::Blocked | SendOutcome::Stopping => {
+                break fallback_or_error(fallback, ErrorAnswer::AnswerLost);
+            },
             SendOutcome::Lost(_) | SendOutcome::Incomplete(_) => {
                 run_count += 1;
                 let may_repeat = is_safe && run_count < admitted.rule.max_servers;
@@ -367,13 +376,17 @@
     let outcome = tokio::select! {
         outcome = answering => outcome,
         () = state.wait_for_block(&admitted.parts) => SendOutcome::Blocked,
+        () = state.stop_within(Duration::ZERO) => SendOutcome::Stopping,
     };
     let mut directory = state.directory.borrow_mut();
     match &outcome {
         SendOutcome::Answered(status, ..) if !status.is_server_error() => {
             directory.record_success(key);
         },
-        SendOutcome::Answered(..) | SendOutcome::NotRun | SendOutcome::Blocked => {},
+        SendOutcome::Answered(..)
+        | SendOutcome::NotRun
+        | SendOutcome::Blocked
+        | SendOutcome::Stopping => {},
         SendOutcome::NotConnected | SendOutcome::Lost(_) | SendOutcome::Incomplete(_) => {
             state.telemetry.faults.with_label_values(&[outcome.name()]).inc();
             if directory.record_failure(state.now(), key) {
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -32,6 +32,9 @@
 const BALANCER_REMOVAL_TIME: Duration = Duration::from_millis(2500);
 /// The process stops this long before it would be killed, so that its last log lines are written.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// Requests that still have no answer are answered this long before the process ends, so that the
+/// answers are written.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which a stopping process checks for open connections.
 const DRAIN_PERIOD: Duration = Duration::from_millis(50);
 /// Checks in a row without an open or a new connection after which a stopping process ends. The load
@@ -159,13 +162,14 @@
     }
 }
 
-/// Lets requests in progress finish, for as long as `grace` allows.
+/// Lets requests in progress finish, for as long as `grace` allows. Those that then have no answer are
+/// answered before the process ends.
 async fn drain(state: &SharedState, stop: &watch::Sender<bool>, grace: Duration) {
     let started = Instant::now();
     let open = state.connection_count();
     event(EventKind::DrainStarted, &[&open]);
     let latest = grace.saturating_sub(KILL_MARGIN);
-    state.begin_stop(latest);
+    state.begin_stop(latest.saturating_sub(ANSWER_MARGIN));
     // Until the load balancer has removed the instance, idle connections are still used.
     tokio::time::sleep(BALANCER_REMOVAL_TIME.min(latest)).await;
     stop.send_replace(true);
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -61,8 +61,9 @@
     pub boot: u64,
     /// Counters and histograms.
     pub telemetry: Telemetry,
-    /// When the process ends; `None` until it is told to stop.
-    stop_at: Cell<Option<Timestamp>>,
+    /// When requests that still have no answer are answered because the process ends; `None` until it
+    /// is told to stop.
+    stop_at: watch::Sender<Option<Timestamp>>,
     /// Open connections of callers. While the process stops, each closes after its last answer has
     /// been written.
     open_connections: Rc<Cell<usize>>,
@@ -134,7 +135,7 @@
             settings,
             boot,
             telemetry,
-            stop_at: Cell::new(None),
+            stop_at: watch::Sender::new(None),
             open_connections: Rc::default(),
             accepted_connections: Cell::new(0),
             body_bytes: Cell::new(0),
@@ -170,14 +171,24 @@
         self.clock.now()
     }
 
-    /// Records that the process was told to stop and ends after `left`.
+    /// Records that the process was told to stop and answers after `left` what has no answer yet.
     pub fn begin_stop(&self, left: Duration) {
-        self.stop_at.set(Some(self.now() + left));
+        self.stop_at.send_replace(Some(self.now() + left));
     }
 
-    /// Returns the time until the process ends; `None` if it was not told to stop.
+    /// Returns the time until requests without an answer are answered because the process ends; `None`
+    /// if it was not told to stop.
     pub fn stop_time_left(&self) -> Option<Duration> {
-        self.stop_at.get().map(|at| at.since(self.now()))
+        self.stop_at.borrow().map(|at| at.since(self.now()))
+    }
+
+    /// Waits until the process was told to stop and `stop_time_left` is less than `needed`.
+    pub async fn stop_within(&self, needed: Duration) {
+        let mut stop_at = self.stop_at.subscribe();
+        // The sender lives as long as this state.
+        let _ = stop_at.wait_for(Option::is_some).await;
+        let left = self.stop_time_left().unwrap_or_default();
+        tokio::time::sleep(left.saturating_sub(needed)).await;
     }
 
     /// Counts a connection of a caller until the guard is dropped.
