Keep all parts of a prompt

Cause: the first 31 parts and the last one were kept, so that entries fit into a datagram; on the own interface the first 7,936 characters.

Change: a prompt keeps all distinct parts, 8 bytes each, bounded by the limit of a request's head. The ledger bounds the parts of all records (65,536, about 2 MB) instead of those of a prompt, and drops the records of runs that had just begun last. Entries of long prompts are split into several datagrams and taken in any order.

It works because whichever part is fatal is in the records of its ends.

--- a/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
+++ b/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use medlarlanding_bench::site::{
-    AnswerFraming, CONTACT, CRASH_LIMIT, FATAL_PART, LATE_LIMIT, SiteAnswer, SiteCall, SiteParams,
-    TestSite,
+    AnswerFraming, CONTACT, CRASH_LIMIT, FATAL_PART, LATE_LIMIT, ServerMode, SiteAnswer, SiteCall,
+    SiteParams, TestSite,
 };
 use medlarlanding_core::cases;
 
@@ -43,15 +43,44 @@
 
 static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
 
-fn call(path: &str, request: &str, parts: &[&str], own: u64) -> SiteCall {
-    let shared: Vec<String> = parts.iter().map(|part| format!("{part}:300")).collect();
+/// Prompts of a deployment.
+#[derive(Clone, Copy)]
+struct PromptShape {
+    /// Parts that a prompt shares with others.
+    length: usize,
+    /// Position of the fatal part among them, and of the sound one in its place.
+    position: usize,
+}
+
+const SHORT: PromptShape = PromptShape { length: 2, position: 1 };
+
+impl PromptShape {
+    fn parts(self, is_fatal: bool) -> Vec<String> {
+        let mut parts: Vec<String> = (0..self.length).map(|part| format!("c{part:x}")).collect();
+        parts[0] = FIRST_PART.to_owned();
+        parts[self.position] = match is_fatal {
+            true => FATAL_PART.to_owned(),
+            false => "b2".to_owned(),
+        };
+        parts
+    }
+}
+
+fn call<S: AsRef<str>>(path: &str, request: &str, parts: &[S], own: u64) -> SiteCall {
+    let shared: Vec<String> = parts.iter().map(|part| format!("{}:300", part.as_ref())).collect();
     SiteCall::new(Method::POST, path, request)
         .header("x-deadline-ms", "3000")
         .header("x-prefix-hash", &format!("{},{own:x}:100", shared.join(",")))
 }
 
 impl CallerGroup {
-    fn start(count: usize, path: &'static str, is_fatal: bool, targets: &[SocketAddr]) -> Self {
+    fn start(
+        count: usize,
+        path: &'static str,
+        shape: PromptShape,
+        is_fatal: bool,
+        targets: &[SocketAddr],
+    ) -> Self {
         let mut group =
             Self { records: Arc::default(), is_over: Arc::default(), threads: Vec::new() };
         for caller in 0..count {
@@ -64,8 +93,8 @@
                     }
                     let own = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
                     let request = format!("id-{own}");
-                    let middle = if is_fatal { FATAL_PART } else { "b2" };
-                    let call = call(path, &request, &[FIRST_PART, middle], 0x1000_0000 + own);
+                    let parts = shape.parts(is_fatal);
+                    let call = call(path, &request, &parts, 0x1000_0000 + own);
                     let sent_at = Instant::now();
                     let answer = call.send(*target).ok();
                     records.lock().unwrap_or_else(PoisonError::into_inner).push(CallRecord {
@@ -156,15 +185,15 @@
 
 /// Guards against requests that end one engine after the other although they share a part of their
 /// prompts, and against refusing the sound requests beside them.
-fn contains_fatal_part((framing, path): (AnswerFraming, &'static str)) {
+fn contains_fatal_part((framing, path, shape): (AnswerFraming, &'static str, PromptShape)) {
     let site = start_site(framing);
     let targets: Vec<SocketAddr> = (0..INSTANCES).map(|it| site.caller_address(it)).collect();
     site.state.set_fatal_part(Some(FATAL_PART));
     let started = Instant::now();
-    let sound = CallerGroup::start(4, "/draft/a", false, &targets);
+    let sound = CallerGroup::start(4, "/draft/a", shape, false, &targets);
     std::thread::sleep(SOUND_TIME);
     let fatal_from = Instant::now();
-    let fatal = CallerGroup::start(6, path, true, &targets);
+    let fatal = CallerGroup::start(6, path, shape, true, &targets);
     std::thread::sleep(FATAL_TIME);
     let mut fatal_records = fatal.stop();
     let fatal_until = Instant::now();
@@ -198,14 +227,34 @@
 }
 
 cases! { contains_fatal_part;
-    fatal_part_in_streams_ends_few_engines => (AnswerFraming::Delimited, "/draft/a"),
-    fatal_part_in_unframed_streams_ends_few_engines => (AnswerFraming::CutWithinEvent, "/draft/a"),
+    fatal_part_in_streams_ends_few_engines => (AnswerFraming::Delimited, "/draft/a", SHORT),
+    fatal_part_in_unframed_streams_ends_few_engines => (
+        AnswerFraming::CutWithinEvent, "/draft/a", SHORT,
+    ),
     fatal_part_in_streams_cut_after_an_event_ends_few_engines => (
-        AnswerFraming::CutAfterEvent, "/draft/a",
+        AnswerFraming::CutAfterEvent, "/draft/a", SHORT,
+    ),
+    fatal_part_in_repeatable_requests_ends_few_engines => (
+        AnswerFraming::Delimited, "/assess/a", SHORT,
+    ),
+    fatal_part_in_unframed_answers_ends_few_engines => (
+        AnswerFraming::CutAfterEvent, "/assess/a", SHORT,
+    ),
+    fatal_part_in_unrepeatable_requests_ends_few_engines => (
+        AnswerFraming::Delimited, "/note/a", SHORT,
+    ),
+    // Parts behind the 31st were ignored (review case 5).
+    fatal_part_35_of_40_ends_few_engines => (
+        AnswerFraming::Delimited, "/draft/a", PromptShape { length: 39, position: 34 },
+    ),
+    fatal_part_35_of_40_in_whole_answers_ends_few_engines => (
+        AnswerFraming::CutAfterEvent, "/assess/a", PromptShape { length: 39, position: 34 },
+    ),
+    // Fills the head of a request.
+    fatal_part_1650_of_1700_ends_few_engines => (
+        AnswerFraming::Delimited, "/draft/a",
+        PromptShape { length: 1_700, position: 1_650 },
     ),
-    fatal_part_in_repeatable_requests_ends_few_engines => (AnswerFraming::Delimited, "/assess/a"),
-    fatal_part_in_unframed_answers_ends_few_engines => (AnswerFraming::CutAfterEvent, "/assess/a"),
-    fatal_part_in_unrepeatable_requests_ends_few_engines => (AnswerFraming::Delimited, "/note/a"),
 }
 
 /// Guards against an instance that forgets a fatal part when it restarts.
@@ -214,7 +263,7 @@
     let mut site = start_site(AnswerFraming::Delimited);
     let targets: Vec<SocketAddr> = (0..INSTANCES).map(|it| site.caller_address(it)).collect();
     site.state.set_fatal_part(Some(FATAL_PART));
-    let fatal = CallerGroup::start(4, "/draft/a", true, &targets);
+    let fatal = CallerGroup::start(4, "/draft/a", SHORT, true, &targets);
     std::thread::sleep(Duration::from_secs(6));
     for instance in 0..INSTANCES {
         site.signal(instance, Signal::KILL).expect("a process");
@@ -271,3 +320,37 @@
     drop(site);
     callers.into_iter().for_each(|caller| drop(caller.join().expect("a caller")));
 }
+
+/// Guards against an instance that exceeds its memory because of prompts that fill the heads of many
+/// requests at the same time.
+#[test]
+fn prompts_that_fill_heads_take_bounded_memory() {
+    const REQUESTS: u64 = 200;
+    /// Memory limit of the smallest machines.
+    const MEMORY_LIMIT: u64 = 110 << 20;
+    let params = SiteParams { plain_servers: 1, engines: 2, ..SiteParams::default() };
+    let site = TestSite::start(params).expect("a deployment");
+    ["engines-0", "engines-1"].iter().for_each(|it| site.state.set_mode(it, ServerMode::NoAnswer));
+    let address = site.caller_address(0);
+    let callers: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            // Each names other parts.
+            let parts: Vec<String> = (0..3_000)
+                .map(|part| format!("{:x}", 0x1000 + (number * 3_000 + part) % 0xf000))
+                .collect();
+            let call = SiteCall::new(Method::POST, "/note/a", &format!("id-{number}"))
+                .header("x-prefix-hash", &parts.join(","))
+                .header("x-token-count", "100,8")
+                .header("x-deadline-ms", "2500");
+            std::thread::spawn(move || call.send(address).expect("an answer").status)
+        })
+        .collect();
+    for caller in callers {
+        let status = caller.join().expect("a caller");
+        assert!(matches!(status, 503 | 504), "status {status}");
+    }
+    assert!(site.state.runs("").len() > 50, "{} requests were sent", site.state.runs("").len());
+    let peak = site.peak_memory(0);
+    println!("{} KiB at the peak", peak >> 10);
+    assert!(peak < MEMORY_LIMIT, "{peak} bytes");
+}
--- a/medlarlanding-core/src/prompts/crash_ledger.rs
+++ b/medlarlanding-core/src/prompts/crash_ledger.rs
@@ -7,6 +7,8 @@
 //!
 //! An end says nothing about the engine's health or the customer. It counts against the runs that it
 //! broke off soon after they had begun, and of their parts against those that no run survives.
+//!
+//! Prompts name as many parts as the limit of a request's head allows, and each may be the fatal one.
 
 use std::time::Duration;
 
@@ -44,6 +46,11 @@
     pub end_span: Duration,
     /// Most records of broken runs; the oldest are dropped.
     pub record_limit: usize,
+    /// Most shared parts in all records, each about 32 bytes; enough for 16 prompts that fill a head of
+    /// 16 KiB. The records of runs that had just begun are dropped last.
+    pub part_limit: usize,
+    /// Records that are kept whatever the length of their prompts.
+    pub record_minimum: usize,
     /// Most parts whose survival is remembered; the oldest are dropped.
     pub survival_limit: usize,
 }
@@ -59,8 +66,10 @@
             retention: Duration::from_secs(1800),
             familiarity: Duration::from_secs(300),
             end_span: Duration::from_secs(1),
-            record_limit: 128,
-            survival_limit: 4096,
+            record_limit: 256,
+            part_limit: 65_536,
+            record_minimum: 8,
+            survival_limit: 16_384,
         }
     }
 }
@@ -82,8 +91,11 @@
         pub key: CrashKey,
         /// Progress of the run.
         pub phase: RunPhase,
-        /// Parts of the run's prompt.
-        pub parts: PromptParts,
+        /// Parts that the run's prompt shares with others, or some of them: the parts of a long prompt
+        /// come in several reports.
+        pub shared: Vec<PartId>,
+        /// The prompt's own part.
+        pub own: Option<PartId>,
         /// Milliseconds since the end.
         pub age_ms: u32,
     }
@@ -99,14 +111,14 @@
     }
 }
 
-value_type! { copy
-    /// A part of a broken run that is not suspected.
+value_type! {
+    /// Parts of a broken run that are not suspected.
     pub struct ClearReport {
         /// The broken run.
         pub key: CrashKey,
-        /// The part.
-        pub part: PartId,
-        /// Why it is not suspected.
+        /// The parts.
+        pub parts: Vec<PartId>,
+        /// Why they are not suspected.
         pub reason: ClearReason,
     }
 }
@@ -123,24 +135,65 @@
 }
 
 impl LedgerNews {
-    /// Most broken runs in one message, so that the longest prompts fit into a datagram.
-    const CRASHES_PER_MESSAGE: usize = 8;
-    /// Most cleared parts in one message.
-    const CLEARS_PER_MESSAGE: usize = 64;
+    /// Most bytes of the entries of one message, so that it fits into a datagram.
+    const MESSAGE_BYTES: usize = 2800;
+    /// Most bytes of an encoded entry without its shared parts.
+    const ENTRY_BYTES: usize = 45;
+    /// Most bytes of an encoded part.
+    const PART_BYTES: usize = 10;
+    /// Most parts in one entry of a message.
+    const PARTS_PER_ENTRY: usize = (Self::MESSAGE_BYTES - Self::ENTRY_BYTES) / Self::PART_BYTES;
 
     /// Returns whether there are no entries.
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.clears.is_empty()
     }
 
-    /// Splits the entries into messages that fit into a datagram. Broken runs come before their
-    /// clears.
+    /// Splits the entries into messages that fit into a datagram; the parts of a long prompt are spread
+    /// over several. Broken runs come before their clears.
     pub fn split(self) -> Vec<Self> {
-        let crashes = self.crashes.chunks(Self::CRASHES_PER_MESSAGE);
-        let clears = self.clears.chunks(Self::CLEARS_PER_MESSAGE);
-        let crashes = crashes.map(|some| Self { crashes: some.to_vec(), clears: Vec::new() });
-        let clears = clears.map(|some| Self { crashes: Vec::new(), clears: some.to_vec() });
-        crashes.chain(clears).collect()
+        let mut messages = MessageQueue::default();
+        for crash in &self.crashes {
+            for shared in chunks_of(&crash.shared) {
+                let news = messages.open(shared.len());
+                news.crashes.push(CrashReport { shared: shared.to_vec(), ..crash.clone() });
+            }
+        }
+        for clear in &self.clears {
+            for parts in chunks_of(&clear.parts) {
+                let news = messages.open(parts.len());
+                news.clears.push(ClearReport { parts: parts.to_vec(), ..clear.clone() });
+            }
+        }
+        messages.all
+    }
+}
+
+/// Splits the parts of an entry. There is at least one chunk, which may be empty.
+fn chunks_of(parts: &[PartId]) -> impl Iterator<Item = &[PartId]> {
+    let empty = parts.is_empty().then_some(parts);
+    empty.into_iter().chain(parts.chunks(LedgerNews::PARTS_PER_ENTRY))
+}
+
+/// Messages that are filled one after the other.
+#[derive(Debug, Default)]
+struct MessageQueue {
+    all: Vec<LedgerNews>,
+    /// Bytes in the last message; at most `LedgerNews::MESSAGE_BYTES`.
+    bytes: usize,
+}
+
+impl MessageQueue {
+    /// Returns a message with room for an entry with this number of parts.
+    fn open(&mut self, parts: usize) -> &mut LedgerNews {
+        let bytes = LedgerNews::ENTRY_BYTES + parts * LedgerNews::PART_BYTES;
+        if self.all.is_empty() || self.bytes + bytes > LedgerNews::MESSAGE_BYTES {
+            self.all.push(LedgerNews::default());
+            self.bytes = 0;
+        }
+        self.bytes += bytes;
+        let last = self.all.len() - 1;
+        &mut self.all[last]
     }
 }
 
@@ -163,25 +216,32 @@
     }
 }
 
+/// What is known of a part of a broken run.
+#[derive(Clone, Copy, Debug, Default)]
+struct PartMarks {
+    /// A later run survived the part.
+    is_survived: bool,
+    /// An earlier run survived the part.
+    is_familiar: bool,
+}
+
 #[derive(Debug)]
 struct CrashRecord {
     phase: RunPhase,
-    parts: PromptParts,
+    /// Parts that the run's prompt shares with others, as far as they have arrived.
+    shared: IndexMap<PartId, PartMarks>,
+    own: Option<PartId>,
     /// When the engine ended.
     at: Timestamp,
     /// When this instance learned of it.
     learned_at: Timestamp,
-    /// Parts that a later run survived.
-    survived: IndexSet<PartId>,
-    /// Parts that an earlier run survived.
-    familiar: IndexSet<PartId>,
 }
 
 /// Suspected parts of one broken run.
 #[derive(Debug)]
 struct SuspectRun {
     key: CrashKey,
-    /// Never empty.
+    /// In ascending order; never empty.
     parts: Vec<PartId>,
     /// Blame of the parts if the end has no other suspect.
     blame: f64,
@@ -233,6 +293,9 @@
 
     /// Returns the part for which a request is blocked, if any.
     pub fn check(&self, now: Timestamp, parts: &PromptParts) -> Option<BlockedPart> {
+        if self.rules.is_empty() {
+            return None;
+        }
         parts.all().iter().find_map(|part| {
             let rule = self.rules.get(part).filter(|rule| now < rule.until)?;
             let is_blocked = rule.common.iter().all(|common| parts.contains(*common));
@@ -248,7 +311,8 @@
         phase: RunPhase,
         parts: PromptParts,
     ) -> LedgerNews {
-        let crash = CrashReport { key, phase, parts, age_ms: 0 };
+        let (shared, own) = (parts.shared().to_vec(), parts.own());
+        let crash = CrashReport { key, phase, shared, own, age_ms: 0 };
         self.merge(now, LedgerNews { crashes: vec![crash], clears: Vec::new() }).into_all()
     }
 
@@ -272,12 +336,18 @@
             if begun_at <= record.learned_at {
                 continue;
             }
-            for part in record.parts.all().iter().filter(|part| parts.contains(**part)) {
-                if record.survived.insert(*part) {
-                    let reason = ClearReason::Survived;
-                    news.clears.push(ClearReport { key: *key, part: *part, reason });
+            let mut cleared = Vec::new();
+            for part in parts.all() {
+                let marks = record.shared.get_mut(part).filter(|marks| !marks.is_survived);
+                if let Some(marks) = marks {
+                    marks.is_survived = true;
+                    cleared.push(*part);
                 }
             }
+            if !cleared.is_empty() {
+                let reason = ClearReason::Survived;
+                news.clears.push(ClearReport { key: *key, parts: cleared, reason });
+            }
         }
         if !news.is_empty() {
             self.derive_rules(now);
@@ -292,55 +362,88 @@
         let mut own = LedgerNews::default();
         for crash in received.crashes {
             let age = Duration::from_millis(crash.age_ms.into());
-            if age >= self.params.retention || self.records.contains_key(&crash.key) {
+            if age >= self.params.retention {
                 continue;
             }
-            let survived_at = |part: &PartId| self.survivals.get(part);
-            let is_familiar = |part: &&PartId| {
-                survived_at(part).is_some_and(|at| now.since(*at) < self.params.familiarity)
-            };
-            let familiar: IndexSet<PartId> =
-                crash.parts.shared().iter().filter(is_familiar).copied().collect();
-            let clears = familiar.iter().map(|part| ClearReport {
-                key: crash.key,
-                part: *part,
-                reason: ClearReason::Familiar,
+            let is_new = !self.records.contains_key(&crash.key);
+            let record = self.records.entry(crash.key).or_insert_with(|| CrashRecord {
+                phase: crash.phase,
+                shared: IndexMap::new(),
+                own: crash.own,
+                at: now - age,
+                learned_at: now,
             });
-            own.clears.extend(clears);
-            self.records.insert(
-                crash.key,
-                CrashRecord {
-                    phase: crash.phase,
-                    parts: crash.parts.clone(),
-                    at: now - age,
-                    learned_at: now,
-                    survived: IndexSet::new(),
-                    familiar,
-                },
-            );
-            news.crashes.push(crash);
+            let (mut added, mut familiar) = (Vec::new(), Vec::new());
+            for part in crash.shared {
+                let indexmap::map::Entry::Vacant(entry) = record.shared.entry(part) else {
+                    continue;
+                };
+                let survived_at = self.survivals.get(&part);
+                let is_familiar =
+                    survived_at.is_some_and(|at| now.since(*at) < self.params.familiarity);
+                entry.insert(PartMarks { is_survived: false, is_familiar });
+                added.push(part);
+                if is_familiar {
+                    familiar.push(part);
+                }
+            }
+            if !familiar.is_empty() {
+                let reason = ClearReason::Familiar;
+                own.clears.push(ClearReport { key: crash.key, parts: familiar, reason });
+            }
+            if is_new || !added.is_empty() {
+                news.crashes.push(CrashReport { shared: added, ..crash });
+            }
         }
-        for clear in received.clears {
+        for mut clear in received.clears {
             let Some(record) = self.records.get_mut(&clear.key) else { continue };
-            if !record.parts.contains(clear.part) {
-                continue;
-            }
-            let is_new = match clear.reason {
-                ClearReason::Familiar => record.familiar.insert(clear.part),
-                ClearReason::Survived => record.survived.insert(clear.part),
-            };
-            if is_new {
+            clear.parts.retain(|part| {
+                let Some(marks) = record.shared.get_mut(part) else { return false };
+                let mark = match clear.reason {
+                    ClearReason::Familiar => &mut marks.is_familiar,
+                    ClearReason::Survived => &mut marks.is_survived,
+                };
+                !std::mem::replace(mark, true)
+            });
+            if !clear.parts.is_empty() {
                 news.clears.push(clear);
             }
         }
+        self.enforce_limits();
+        if !news.is_empty() {
+            self.derive_rules(now);
+        }
+        MergedNews { received: news, own }
+    }
+
+    /// Drops records until the limits are kept: the oldest ones, or, if prompts are long, first those of
+    /// runs that are not likely to have caused their end.
+    fn enforce_limits(&mut self) {
         if self.records.len() > self.params.record_limit {
             self.records.sort_by(|_, earlier, _, later| earlier.at.cmp(&later.at));
             self.records.drain(..self.records.len() - self.params.record_limit);
         }
-        if !news.is_empty() {
-            self.derive_rules(now);
+        let mut parts: usize = self.records.values().map(|record| record.shared.len()).sum();
+        if parts <= self.params.part_limit {
+            return;
         }
-        MergedNews { received: news, own }
+        let is_likely = |record: &CrashRecord| match record.phase {
+            RunPhase::Beginning | RunPhase::Hidden => true,
+            RunPhase::Waiting | RunPhase::Writing => false,
+        };
+        self.records.sort_by(|_, one, _, other| {
+            is_likely(one).cmp(&is_likely(other)).then(one.at.cmp(&other.at))
+        });
+        let most = self.records.len().saturating_sub(self.params.record_minimum);
+        let mut dropped = 0;
+        for record in self.records.values().take(most) {
+            if parts <= self.params.part_limit {
+                break;
+            }
+            parts -= record.shared.len();
+            dropped += 1;
+        }
+        self.records.drain(..dropped);
     }
 
     /// Returns all entries.
@@ -350,11 +453,16 @@
             all.crashes.push(CrashReport {
                 key: *key,
                 phase: record.phase,
-                parts: record.parts.clone(),
+                shared: record.shared.keys().copied().collect(),
+                own: record.own,
                 age_ms: now.since(record.at).as_millis().min(u32::MAX.into()) as u32,
             });
-            let clears = record.clears();
-            all.clears.extend(clears.map(|(part, reason)| ClearReport { key: *key, part, reason }));
+            for reason in [ClearReason::Familiar, ClearReason::Survived] {
+                let parts: Vec<PartId> = record.cleared(reason).collect();
+                if !parts.is_empty() {
+                    all.clears.push(ClearReport { key: *key, parts, reason });
+                }
+            }
         }
         all
     }
@@ -364,10 +472,16 @@
         let mut sum = 0u64;
         for (key, record) in &self.records {
             let number = key.server.rotate_left(1) ^ key.run;
-            sum = sum.wrapping_add(stable_hash(&number.to_be_bytes()));
-            for (part, reason) in record.clears() {
-                let clear = number.rotate_left(7 + reason as u32) ^ part.0;
-                sum = sum.wrapping_add(stable_hash(&clear.to_be_bytes()));
+            // Changes when parts of a long prompt arrive.
+            let size = record.shared.len() as u64;
+            sum = sum.wrapping_add(mix(number ^ size.rotate_left(32)));
+            for (part, marks) in &record.shared {
+                if marks.is_familiar {
+                    sum = sum.wrapping_add(mix(number.rotate_left(7) ^ part.0));
+                }
+                if marks.is_survived {
+                    sum = sum.wrapping_add(mix(number.rotate_left(8) ^ part.0));
+                }
             }
         }
         sum
@@ -404,7 +518,7 @@
 
     fn ends_with(&self, part: PartId) -> usize {
         let has_part = |end: &&Vec<(CrashKey, &CrashRecord)>| {
-            end.iter().any(|(_, record)| record.parts.contains(part))
+            end.iter().any(|(_, record)| record.contains(part))
         };
         self.ends().iter().filter(has_part).count()
     }
@@ -428,8 +542,8 @@
         let mut own_ends: IndexMap<PartId, usize> = IndexMap::new();
         let all_ends = self.ends();
         for end in &all_ends {
-            let own = end.iter().filter_map(|(_, record)| record.parts.all().last());
-            for part in own.copied().collect::<IndexSet<PartId>>() {
+            let own = end.iter().filter_map(|(_, record)| record.own);
+            for part in own.collect::<IndexSet<PartId>>() {
                 *own_ends.entry(part).or_default() += 1;
             }
         }
@@ -441,14 +555,13 @@
         });
         let mut ends: Vec<Vec<SuspectRun>> = suspects.filter(|runs| !runs.is_empty()).collect();
         let mut rules = IndexMap::new();
-        while let Some(part) = self.most_blamed(&ends) {
-            let with_part = || ends.iter().flatten().filter(|run| run.parts.contains(&part));
+        let recurring = self.recurring_parts(&ends);
+        while let Some(part) = self.most_blamed(&ends, &recurring) {
+            let with_part = || ends.iter().flatten().filter(|run| run.contains(part));
             let mut common: Option<Vec<PartId>> = None;
             for run in with_part() {
                 common = Some(match common {
-                    Some(common) => {
-                        common.into_iter().filter(|part| run.parts.contains(part)).collect()
-                    },
+                    Some(common) => common.into_iter().filter(|part| run.contains(*part)).collect(),
                     None => run.parts.clone(),
                 });
             }
@@ -456,7 +569,7 @@
                 with_part().filter_map(|run| self.records.get(&run.key)).map(|it| it.at).max();
             let until = last.unwrap_or(now) + self.params.hold;
             rules.insert(part, BlockRule { common: common.unwrap_or_default(), until });
-            ends.retain(|runs| runs.iter().all(|run| !run.parts.contains(&part)));
+            ends.retain(|runs| runs.iter().all(|run| !run.contains(part)));
         }
         self.rules = rules;
     }
@@ -468,17 +581,20 @@
         record: &CrashRecord,
         recurs: impl Fn(&PartId) -> bool,
     ) -> Option<SuspectRun> {
-        let open = record.parts.shared().iter().filter(|part| !record.survived.contains(*part));
-        let unfamiliar: Vec<PartId> =
-            open.clone().filter(|part| !record.familiar.contains(*part)).copied().collect();
-        let is_familiar = unfamiliar.is_empty();
-        let mut parts = if is_familiar { open.copied().collect() } else { unfamiliar };
+        let open = record.shared.iter().filter(|(_, marks)| !marks.is_survived);
+        let unfamiliar = open.clone().filter(|(_, marks)| !marks.is_familiar);
+        let mut parts: Vec<PartId> = unfamiliar.map(|(part, _)| *part).collect();
+        let is_familiar = parts.is_empty();
+        if is_familiar {
+            parts.extend(open.map(|(part, _)| part));
+        }
         // The request's own part is suspected only if a further engine ended on it.
-        let own = record.parts.all().last().filter(|own| recurs(own));
+        let own = record.own.filter(recurs);
         parts.extend(own);
         if parts.is_empty() {
             return None;
         }
+        parts.sort_unstable();
         let progress = match record.phase {
             RunPhase::Waiting | RunPhase::Writing => self.params.remote_blame,
             RunPhase::Beginning | RunPhase::Hidden => 1.0,
@@ -494,8 +610,26 @@
         })
     }
 
+    /// Returns the suspected parts of enough ends to be blocked.
+    fn recurring_parts(&self, ends: &[Vec<SuspectRun>]) -> IndexSet<PartId> {
+        // An end gives a part a blame of 1 at most.
+        let fewest = self.params.blame_limit.ceil() as usize;
+        if ends.len() < fewest {
+            return IndexSet::new();
+        }
+        let counts = count_ends(ends);
+        counts.into_iter().filter(|(_, ends)| *ends >= fewest).map(|(part, _)| part).collect()
+    }
+
     /// Returns the part to block next; `None` if no blame reaches the limit.
-    fn most_blamed(&self, ends: &[Vec<SuspectRun>]) -> Option<PartId> {
+    fn most_blamed(
+        &self,
+        ends: &[Vec<SuspectRun>],
+        recurring: &IndexSet<PartId>,
+    ) -> Option<PartId> {
+        if recurring.is_empty() {
+            return None;
+        }
         let mut blames: IndexMap<PartId, (f64, usize)> = IndexMap::new();
         for runs in ends {
             // Runs with the same suspected parts are one suspect, which fatal requests that reach an
@@ -509,12 +643,13 @@
             let total: f64 = suspects.values().map(|(_, weight)| weight).sum();
             let mut of_end: IndexMap<PartId, f64> = IndexMap::new();
             for (parts, (blame, weight)) in suspects {
-                for part in parts {
+                for part in parts.iter().filter(|part| recurring.contains(*part)) {
                     let highest = of_end.entry(*part).or_default();
                     *highest = highest.max(blame * weight / total);
                 }
             }
-            for part in runs.iter().flat_map(|run| &run.parts) {
+            let all_parts = runs.iter().flat_map(|run| &run.parts);
+            for part in all_parts.filter(|part| recurring.contains(*part)) {
                 blames.entry(*part).or_default().1 += 1;
             }
             for (part, blame) in of_end {
@@ -532,9 +667,49 @@
     }
 }
 
+/// Counts for each part the ends with a suspected run that contains it.
+fn count_ends(ends: &[Vec<SuspectRun>]) -> IndexMap<PartId, usize> {
+    /// Ends that contain a part, and the last one that was counted.
+    #[derive(Clone, Copy)]
+    struct EndCount {
+        ends: usize,
+        last: usize,
+    }
+    let mut counts: IndexMap<PartId, EndCount> = IndexMap::new();
+    for (number, runs) in ends.iter().enumerate() {
+        for part in runs.iter().flat_map(|run| &run.parts) {
+            let count = counts.entry(*part).or_insert(EndCount { ends: 0, last: usize::MAX });
+            if count.last != number {
+                *count = EndCount { ends: count.ends + 1, last: number };
+            }
+        }
+    }
+    counts.into_iter().map(|(part, count)| (part, count.ends)).collect()
+}
+
+/// Mixes the bits of a number, for sums that differ if one summand does.
+fn mix(number: u64) -> u64 {
+    stable_hash(&number.to_be_bytes())
+}
+
+impl SuspectRun {
+    fn contains(&self, part: PartId) -> bool {
+        self.parts.binary_search(&part).is_ok()
+    }
+}
+
 impl CrashRecord {
-    fn clears(&self) -> impl Iterator<Item = (PartId, ClearReason)> {
-        let familiar = self.familiar.iter().map(|part| (*part, ClearReason::Familiar));
-        familiar.chain(self.survived.iter().map(|part| (*part, ClearReason::Survived)))
+    fn contains(&self, part: PartId) -> bool {
+        self.shared.contains_key(&part) || self.own == Some(part)
+    }
+
+    /// Returns the parts that are cleared for a reason.
+    fn cleared(&self, reason: ClearReason) -> impl Iterator<Item = PartId> {
+        let is_cleared = move |marks: &PartMarks| match reason {
+            ClearReason::Familiar => marks.is_familiar,
+            ClearReason::Survived => marks.is_survived,
+        };
+        let cleared = self.shared.iter().filter(move |(_, marks)| is_cleared(marks));
+        cleared.map(|(part, _)| *part)
     }
 }
--- a/medlarlanding-core/src/prompts/parts.rs
+++ b/medlarlanding-core/src/prompts/parts.rs
@@ -1,10 +1,13 @@
 //! Parts of a prompt and the progress of a run that is computed from them.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::ids::stable_hash;
 
+use indexmap::IndexSet;
+
 value_type! { copy
     /// Identifies a part of prompts, the same in every process.
     pub struct PartId(pub u64);
@@ -28,27 +31,28 @@
     }
 }
 
-value_type! {
-    /// Parts of a prompt in their order. The last one belongs to the request or its session; the
-    /// others are shared with other requests.
-    #[derive(Default)]
-    pub struct PromptParts(Vec<PartId>);
-}
+/// Distinct parts of a prompt. The last one belongs to the request or its session; the others are
+/// shared with other requests.
+///
+/// Takes 8 bytes for each part. A head of N bytes names at most N / 2 parts, so the limit of a request's
+/// head bounds them. Copies share one list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptParts(Arc<[PartId]>);
 
 impl PromptParts {
-    /// Most parts that are kept of a prompt; further ones before the last are ignored.
-    pub const LIMIT: usize = 32;
-
-    /// Creates the parts of a prompt.
+    /// Creates the parts of a prompt from those that it names in their order. Repeated ones count once.
     pub fn new(parts: impl IntoIterator<Item = PartId>) -> Self {
-        let mut kept: Vec<PartId> = Vec::new();
+        let mut distinct: IndexSet<PartId> = IndexSet::new();
+        let mut last = None;
         for part in parts {
-            if kept.len() == Self::LIMIT {
-                kept.pop();
-            }
-            kept.push(part);
+            distinct.insert(part);
+            last = Some(part);
+        }
+        if let Some(last) = last {
+            distinct.shift_remove(&last);
+            distinct.insert(last);
         }
-        Self(kept)
+        Self(distinct.into_iter().collect())
     }
 
     /// Returns all parts.
@@ -61,6 +65,11 @@
         self.0.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Returns the part that belongs to the request or its session; `None` if the prompt names none.
+    pub fn own(&self) -> Option<PartId> {
+        self.0.last().copied()
+    }
+
     /// Returns whether the request names no parts.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
@@ -72,13 +81,19 @@
     }
 }
 
+/// Shows the first parts and the last one, and how many are left out between them.
 impl fmt::Display for PromptParts {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, part) in self.0.iter().enumerate() {
-            let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{part}")?;
+        /// Parts before the last one in a log line.
+        const SHOWN: usize = 31;
+        for part in self.shared().iter().take(SHOWN) {
+            write!(f, "{part},")?;
+        }
+        let left_out = self.shared().len().saturating_sub(SHOWN);
+        if left_out > 0 {
+            write!(f, "+{left_out},")?;
         }
-        Ok(())
+        self.own().map_or(Ok(()), |own| write!(f, "{own}"))
     }
 }
 
--- a/medlarlanding-core/tests/prompts_crash_ledger.rs
+++ b/medlarlanding-core/tests/prompts_crash_ledger.rs
@@ -271,15 +271,117 @@
         .quickcheck(agree as fn(Vec<(u8, u8, u8, bool)>) -> bool);
 }
 
-/// Guards against datagrams that are too long for the receiver's buffer.
-#[test]
-fn messages_fit_into_a_datagram() {
-    let long: Vec<u64> = (1..40).map(|part| u64::MAX - part).collect();
+/// Guards against datagrams that are too long for the receiver's buffer, and against parts that are lost
+/// when the entries of long prompts are split.
+fn fits_into_datagrams(parts: u64) {
+    let long: Vec<u64> = (1..parts).map(|part| u64::MAX - part).collect();
     let runs: Vec<BrokenRun<'_>> =
-        (0..100).map(|run| (run, u64::MAX - run, WRITING, long.as_slice())).collect();
+        (0..6).map(|run| (run, u64::MAX - run, WRITING, long.as_slice())).collect();
     let ledger = ledger_of(&runs, &long);
+    let mut received = CrashLedger::default();
     for message in ledger.snapshot(at(200)).split() {
         let bytes = postcard::to_stdvec(&message).expect("an encoded message");
         assert!(bytes.len() < 3_500, "{} bytes", bytes.len());
+        received.merge(at(200), message);
+    }
+    assert_eq!(received.fingerprint(), ledger.fingerprint());
+}
+
+cases! { fits_into_datagrams;
+    prompts_without_shared_parts_fit_into_a_datagram => 1,
+    prompts_of_40_parts_fit_into_a_datagram => 40,
+    prompts_of_4096_parts_fit_into_datagrams => 4_096,
+}
+
+/// A prompt with many parts, one of which is fatal.
+struct LongPrompt {
+    /// Shared parts of each prompt.
+    length: u64,
+    /// Position of the fatal part among them, from 0.
+    position: u64,
+    /// Sound runs have survived the other parts.
+    is_familiar: bool,
+}
+
+/// Guards against a fatal part that is never blocked because of its position in a long prompt (review
+/// case 5), and against refusing sound prompts that share all other parts. The ends are reported by
+/// three instances.
+fn finds_fatal_part(case: LongPrompt) {
+    let sound: Vec<u64> = (0..case.length).map(|part| 0x10_0000 + part).collect();
+    let mut fatal = sound.clone();
+    fatal[case.position as usize] = FATAL;
+    let mut ledgers: Vec<CrashLedger> = (0..3).map(|_| CrashLedger::default()).collect();
+    if case.is_familiar {
+        ledgers[2].record_survival(at(0), at(0), &prompt(&sound, 0x9999));
+    }
+    for end in 0..3 {
+        let key = CrashKey { server: end, run: end };
+        let now = at(100 * (end + 1));
+        let crash =
+            ledgers[end as usize].record_crash(now, key, BEGINNING, prompt(&fatal, 0x1000 + end));
+        let mut messages = crash.split();
+        while !messages.is_empty() {
+            let own = messages.into_iter().flat_map(|message| {
+                let merged = ledgers.iter_mut().map(|it| it.merge(now, message.clone()).own);
+                merged.flat_map(LedgerNews::split).collect::<Vec<LedgerNews>>()
+            });
+            messages = own.collect();
+        }
+    }
+    for ledger in &ledgers {
+        assert!(ledger.check(at(400), &prompt(&fatal, 0x77)).is_some());
+        assert!(ledger.check(at(400), &prompt(&sound, 0x78)).is_none());
+    }
+}
+
+cases! { finds_fatal_part;
+    first_part_of_a_long_prompt_is_blocked => LongPrompt {
+        length: 39, position: 0, is_familiar: true,
+    },
+    part_31_is_blocked => LongPrompt { length: 39, position: 30, is_familiar: true },
+    part_32_is_blocked => LongPrompt { length: 39, position: 31, is_familiar: true },
+    last_shared_part_of_a_long_prompt_is_blocked => LongPrompt {
+        length: 39, position: 38, is_familiar: true,
+    },
+    part_of_an_unfamiliar_prompt_is_blocked => LongPrompt {
+        length: 39, position: 34, is_familiar: false,
+    },
+    part_in_the_middle_of_a_full_head_is_blocked => LongPrompt {
+        length: 4_095, position: 2_000, is_familiar: true,
+    },
+    last_part_of_a_full_head_is_blocked => LongPrompt {
+        length: 4_095, position: 4_094, is_familiar: true,
+    },
+    last_part_of_an_unfamiliar_full_head_is_blocked => LongPrompt {
+        length: 4_095, position: 4_094, is_familiar: false,
+    },
+}
+
+/// Guards against memory that grows with the length of prompts and the number of runs that ends break
+/// off, and against dropping the runs that had just begun for those beside them.
+#[test]
+fn long_prompts_take_bounded_memory() {
+    const LENGTH: u64 = 4_000;
+    let params = LedgerParams::default();
+    let mut ledger = CrashLedger::new(params);
+    for end in 0..6 {
+        for run in 0..24 {
+            let number = 100 * end + run;
+            let mut shared: Vec<u64> =
+                (0..LENGTH).map(|part| 0x1000_0000 + number * LENGTH + part).collect();
+            let phase = if run == 5 { BEGINNING } else { WAITING };
+            if run == 5 {
+                shared[3_000] = FATAL;
+            }
+            let key = CrashKey { server: end, run: number };
+            let now = at(1_000 * end + run);
+            ledger.record_crash(now, key, phase, prompt(&shared, 0x1000 + number));
+            let kept = ledger.snapshot(now).crashes;
+            let parts: usize = kept.iter().map(|crash| crash.shared.len()).sum();
+            assert!(parts <= params.part_limit, "{parts} parts");
+        }
     }
+    let kept = ledger.snapshot(at(7_000)).crashes;
+    let fatal = kept.iter().filter(|crash| crash.shared.contains(&PartId(FATAL))).count();
+    assert_eq!(fatal, 6, "of the runs that had just begun");
 }
--- a/medlarlanding/src/http/generations.rs
+++ b/medlarlanding/src/http/generations.rs
@@ -286,9 +286,7 @@
     };
     let mut parts = Vec::new();
     let mut rest = prompt;
-    while let Some((end, _)) = rest.char_indices().nth(PREFIX_CHARS)
-        && parts.len() + 1 < PromptParts::LIMIT
-    {
+    while let Some((end, _)) = rest.char_indices().nth(PREFIX_CHARS) {
         let (beginning, others) = rest.split_at(end);
         parts.push(part(beginning));
         rest = others;
