Do not blame a prompt for engines that were not reached

Cause: an engine to which no connection could be made was examined like one that ended while it ran the prompt, and its absence counted as an end on it.

Change: an engine is examined only if a connection to it was established for this generation.

It works because a request that was not sent cannot have ended its server.

--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -14,7 +14,7 @@
 use crate::trace::TraceStep;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::generations::{
-    GenerationSession, SessionEffect, SessionInput, SessionPhase,
+    GenerationSession, LostReason, SessionEffect, SessionInput, SessionPhase,
 };
 use medlarlanding_core::handles::ResumeHandle;
 use medlarlanding_core::ids::{CustomerId, DeskId, RequestId, ServerId, stable_hash};
@@ -61,6 +61,8 @@
     caller_present: bool,
     /// When the last generation was opened on an engine; `None` before.
     opened_at: Option<Timestamp>,
+    /// The last generation may have reached its engine: a connection to it was established.
+    is_sent: bool,
     /// When the first token of the response was received.
     first_token_at: Option<Timestamp>,
     /// The engine has written for long enough to show that it survives the prompt.
@@ -93,6 +95,7 @@
             handle: String::new(),
             caller_present: true,
             opened_at: None,
+            is_sent: false,
             first_token_at: None,
             is_settled: false,
             last_delivery: None,
@@ -108,6 +111,7 @@
         }
         while self.session.phase() != SessionPhase::Finished {
             let input = self.next_input().await;
+            self.is_sent |= shows_connection(&input);
             if matches!(input, SessionInput::Token { .. }) {
                 self.note_token();
             }
@@ -174,7 +178,7 @@
                 let name = self.shared.server_name(server);
                 self.trace(TraceStep::Opened { exchange, server: name });
                 self.opened_at = Some(self.shared.clock.now());
-                (self.first_token_at, self.is_settled) = (None, false);
+                (self.first_token_at, self.is_settled, self.is_sent) = (None, false, false);
                 match self.plan.generation.clone() {
                     Some(request) => self.begin(exchange, server, ExchangeStart::Open(request)),
                     None => debug_assert!(false, "a resumed generation was started again"),
@@ -205,9 +209,13 @@
                 self.cancel(server, generation, attachment);
             },
             SessionEffect::Suspect { server, reason } => {
+                // An engine that was not reached has not ended on the prompt.
+                let may_have_run = self.is_sent || reason != LostReason::Unreachable;
                 let reason = format!("{reason:?}");
                 self.shared.suspect_server(server, &reason);
-                self.examine_engine(server).await;
+                if may_have_run {
+                    self.examine_engine(server).await;
+                }
                 let server = self.shared.server_name(server);
                 self.trace(TraceStep::ServerFailed { server, reason });
             },
@@ -384,3 +392,14 @@
         .await;
     }
 }
+
+/// Returns whether an input shows that a connection to the engine was established.
+fn shows_connection(input: &SessionInput) -> bool {
+    match input {
+        SessionInput::Attached { .. } | SessionInput::Token { .. } | SessionInput::End { .. } => {
+            true
+        },
+        SessionInput::Lost { reason, .. } => *reason != LostReason::Unreachable,
+        _ => false,
+    }
+}
