--- a/medlarlanding-bench/src/site/crashing_engine.rs
+++ b/medlarlanding-bench/src/site/crashing_engine.rs
@@ -94,8 +94,8 @@
 /// Returns the entry of an engine in the store.
 pub(super) fn entry(address: SocketAddr, born: u64, state: &str) -> String {
     let entry = json!({
-        "service": "engines", "address": address.to_string(), "zone": "z0", "slots": 24,
-        "state": state, "born": born, "sequence": 1,
+        "service": "engines", "address": address.to_string(), "zone": "z0", "version": "v1",
+        "slots": 24, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": born,
     });
     entry.to_string()
 }
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -160,10 +160,14 @@
         }
     }
 
-    fn write(&mut self, now: Timestamp, entry: ServerEntry) -> (ServerKey, bool) {
+    fn write(&mut self, now: Timestamp, mut entry: ServerEntry) -> (ServerKey, bool) {
         let (mut announced_at, mut hold_until) = (None, None);
         if let Some(&key) = self.current.get(&entry.id) {
             let record = &mut self.records[&key];
+            if entry.born_millis == 0 {
+                // An entry that does not state its start is not that of a later one.
+                entry.born_millis = record.entry.born_millis;
+            }
             let is_same_start = record.entry.born_millis == entry.born_millis
                 && record.entry.address == entry.address
                 && record.entry.service == entry.service;
--- a/medlarlanding-core/tests/forwarding_server_notices.rs
+++ b/medlarlanding-core/tests/forwarding_server_notices.rs
@@ -160,3 +160,23 @@
     write(&mut directory, 1_000, entry("a", 60, ServerPhase::Ready));
     assert_eq!(directory.shortest_hold(at(1_000), "orders"), None);
 }
+
+/// Guards against a leaving server that is used again, or a pause that is cut short, because an entry
+/// that does not state its start came between two that do.
+#[test]
+fn entry_without_a_start_keeps_the_word() {
+    let mut directory = ServerDirectory::default();
+    let key = write(&mut directory, 0, entry("s", 5, ServerPhase::Ready));
+    directory.hold(key, at(60_000));
+    directory.mark_leaving(at(100), key);
+    let unstated = write(&mut directory, 200, entry("s", 0, ServerPhase::Ready));
+    let again = write(&mut directory, 300, entry("s", 5, ServerPhase::Ready));
+    assert_eq!((unstated, again), (key, key));
+    let record = directory.get(key).expect("a record");
+    assert_eq!(record.leaving_since, Some(at(100)));
+    assert_eq!(record.hold_left(at(1_000)), Duration::from_secs(59));
+    assert!(place(&directory, 30_000, None, &[]).is_none());
+    // A later start is another server.
+    let later = write(&mut directory, 31_000, entry("s", 6, ServerPhase::Ready));
+    assert_eq!(place(&directory, 31_000, None, &[]), Some(later));
+}
