Copy the chunks of a body into one buffer

Cause: each chunk was kept until the body was complete, 32 bytes and its read buffer for one byte; and a body in chunks was counted with the longest one allowed, so that short ones were refused.

Change: chunks are copied into one buffer that doubles; its capacity is counted.

It works because nothing but the counted buffer is kept.

--- a/medlarlanding-bench/tests/forwarding_bad_input.rs
+++ b/medlarlanding-bench/tests/forwarding_bad_input.rs
@@ -162,3 +162,80 @@
         statuses: &[200, 400], runs: 1,
     },
 }
+
+/// Starts a deployment that accepts bodies of 4 MiB.
+fn start_with_large_bodies() -> TestSite {
+    let mut site = TestSite::start(SiteParams::default()).expect("a deployment");
+    let version = site.publish_config(|config| {
+        config["limits"]["maxBodyBytes"] = (4 << 20).into();
+        let routes = config["routes"].as_array_mut().expect("routes");
+        routes.iter_mut().for_each(|route| route["timeoutMs"] = 30_000.into());
+    });
+    let accepted = format!("version={version} ");
+    site.wait_until("a configuration", || site.log(0).contains(&accepted)).expect("a line");
+    site
+}
+
+fn chunked_order(id: &str, chunk: &str, count: usize) -> String {
+    let body = format!("{:x}\r\n{chunk}\r\n", chunk.len()).repeat(count);
+    format!(
+        "POST /order/a HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\n\
+         Authorization: Token key-1\r\nX-Deadline-Ms: 30000\r\nTransfer-Encoding: chunked\r\n\r\n\
+         {body}0\r\n\r\n"
+    )
+}
+
+/// Guards against a body in small chunks that takes many times the memory of its bytes, by which the
+/// process is killed together with all its requests (review case 4).
+#[test]
+fn bodies_in_small_chunks_take_bounded_memory() {
+    /// Memory that all bodies together may occupy: a quarter of that of the smallest machines.
+    const BODY_LIMIT: u64 = (110 << 20) / 4;
+    let site = start_with_large_bodies();
+    let before = site.peak_memory(0);
+    for (number, (chunk, count)) in [("x", 1_500_000), ("xyz", 500_000)].into_iter().enumerate() {
+        let id = format!("id-{number}");
+        let answer = exchange(&site, &chunked_order(&id, chunk, count), false);
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        let length = (chunk.len() * count).to_string();
+        assert!(answer.contains(&length), "the body was changed: {answer}");
+    }
+    let taken = site.peak_memory(0) - before;
+    println!("{} KiB taken", taken >> 10);
+    assert!(taken < BODY_LIMIT, "{taken} bytes taken");
+}
+
+/// Guards against refusing requests with short bodies in chunks because each counts with the longest body
+/// that is allowed, and against accepting more than the memory holds.
+#[test]
+fn bodies_in_chunks_count_with_their_size() {
+    let site = start_with_large_bodies();
+    let address = site.caller_address(0);
+    let open = |id: &str, kilobytes: usize| {
+        let mut stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(END_LIMIT)).expect("a time limit");
+        let request = chunked_order(id, &"x".repeat(1024), kilobytes);
+        let (beginning, _) = request.split_at(request.len() - 5);
+        // Writing fails if the request was refused.
+        let _ = stream.write_all(beginning.as_bytes());
+        stream
+    };
+    let read_status = |mut stream: TcpStream| {
+        let mut answer = [0; 12];
+        // Fails if the request was refused before its end was written.
+        let _ = stream.write_all(b"0\r\n\r\n");
+        stream.read_exact(&mut answer).expect("an answer");
+        String::from_utf8_lossy(&answer[9..]).into_owned()
+    };
+    // All bodies are incomplete at the same time.
+    let short: Vec<TcpStream> = (0..60).map(|number| open(&format!("short-{number}"), 4)).collect();
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(short.into_iter().map(read_status).all(|status| status == "200"));
+    let long: Vec<TcpStream> =
+        (0..20).map(|number| open(&format!("long-{number}"), 4_000)).collect();
+    std::thread::sleep(Duration::from_millis(300));
+    let statuses: Vec<String> = long.into_iter().map(read_status).collect();
+    let count = |expected: &str| statuses.iter().filter(|status| **status == expected).count();
+    assert_eq!(count("200") + count("503"), statuses.len(), "{statuses:?}");
+    assert!(count("200") >= 3 && count("503") >= 1, "{statuses:?}");
+}
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -19,7 +19,7 @@
 use medlarlanding_platform::headers::CallerHeaders;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Uri, Version};
@@ -99,9 +99,29 @@
 /// Counts the bytes of one request body in `body_bytes` until it is dropped.
 struct BodyMemory {
     state: SharedState,
+    /// Capacity of the body's buffer.
     bytes: u64,
 }
 
+impl BodyMemory {
+    /// Grows the buffer of the body. Both buffers are counted while the bytes are copied.
+    ///
+    /// # Errors
+    ///
+    /// `OutOfMemory` if all bodies together would occupy more than they may.
+    fn reserve(&mut self, buffer: &mut Vec<u8>, capacity: usize) -> Result<(), ErrorAnswer> {
+        let others = self.state.body_bytes.get() - self.bytes;
+        let most = self.state.settings.memory_bytes / BODY_MEMORY_DIVISOR;
+        if others + self.bytes + capacity as u64 > most {
+            return Err(ErrorAnswer::OutOfMemory);
+        }
+        buffer.reserve_exact(capacity - buffer.len());
+        self.bytes = buffer.capacity() as u64;
+        self.state.body_bytes.set(others + self.bytes);
+        Ok(())
+    }
+}
+
 impl Drop for BodyMemory {
     fn drop(&mut self) {
         let held: &Cell<u64> = &self.state.body_bytes;
@@ -243,29 +263,33 @@
     })
 }
 
+/// Reads the body of a request. Chunks are copied, because each of them, however small, keeps the buffer
+/// that it was read into.
 async fn read_body(
     state: &SharedState,
-    body: Incoming,
+    mut body: Incoming,
     limit: u64,
     wait: Duration,
 ) -> Result<(Bytes, BodyMemory), ErrorAnswer> {
-    let expected = body.size_hint().upper().unwrap_or(limit).min(limit);
-    if state.body_bytes.get() + expected > state.settings.memory_bytes / BODY_MEMORY_DIVISOR {
-        return Err(ErrorAnswer::OutOfMemory);
-    }
-    state.body_bytes.set(state.body_bytes.get() + expected);
-    let mut memory = BodyMemory { state: Rc::clone(state), bytes: expected };
-    let reading = Limited::new(body, limit as usize).collect();
-    let collected = match tokio::time::timeout(wait, reading).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(ErrorAnswer::BodyTooLarge);
-        },
-        Ok(Err(_)) => return Err(ErrorAnswer::Malformed),
-        Err(_) => return Err(ErrorAnswer::LateUnsent),
+    let mut memory = BodyMemory { state: Rc::clone(state), bytes: 0 };
+    let mut collected = Vec::new();
+    let stated = body.size_hint().exact().unwrap_or(0);
+    memory.reserve(&mut collected, stated as usize)?;
+    let reading = async {
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| ErrorAnswer::Malformed)?.into_data() else { continue };
+            let length = collected.len() + data.len();
+            if length as u64 > limit {
+                return Err(ErrorAnswer::BodyTooLarge);
+            }
+            if length > collected.capacity() {
+                let doubled = (2 * collected.capacity()).min(limit as usize);
+                memory.reserve(&mut collected, length.max(doubled))?;
+            }
+            collected.extend_from_slice(&data);
+        }
+        Ok(())
     };
-    let unused = memory.bytes.saturating_sub(collected.len() as u64);
-    memory.bytes -= unused;
-    state.body_bytes.set(state.body_bytes.get() - unused);
-    Ok((collected, memory))
+    tokio::time::timeout(wait, reading).await.unwrap_or(Err(ErrorAnswer::LateUnsent))?;
+    Ok((Bytes::from(collected), memory))
 }
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -69,7 +69,7 @@
     open_connections: Rc<Cell<usize>>,
     /// Connections of callers accepted so far.
     accepted_connections: Cell<u64>,
-    /// Bytes reserved for request bodies that are read or held.
+    /// Bytes of the buffers of request bodies that are read or held.
     pub body_bytes: Cell<u64>,
     /// Servers with their load and health.
     pub directory: RefCell<ServerDirectory>,
