Answer what is left at the end of a drain on the own interface

Requests that waited for an engine, or were at a server, were closed without an answer when `limits.drain_ms` had passed.

Cause: the end of the drain stopped the wait and answered nobody.

Change: generations that were not opened are refused as draining (not run); 0.1 s later everything without an answer gets backend_failed (it may have run).

--- a/medlarlanding-bench/tests/processes.rs
+++ b/medlarlanding-bench/tests/processes.rs
@@ -37,6 +37,48 @@
     reader.read_and_check(&mut stream, 300).await;
 }
 
+/// Guards against requests that are closed without an answer when the time of a drain ends: those that
+/// wait for an engine have not run, and those at a server may have (as in review case 3).
+#[ntex::test]
+async fn requests_without_an_answer_are_answered_at_the_end_of_a_drain() {
+    let limits = "drain_ms: 2500".to_owned();
+    let mut fixture =
+        ClusterFixture::start_with_orders(ClusterParams { limits, ..ClusterParams::default() })
+            .await;
+    let slow = ServiceFaults { delay_ms: Some(30_000), ..ServiceFaults::default() };
+    fixture.cluster.ledgers.iter().for_each(|ledger| ledger.set_faults(&slow));
+    let spawn = |call: Call| {
+        let (client, target) = (fixture.client.clone(), fixture.target(0));
+        ntex::rt::spawn(async move { client.call(target, &call, TIMEOUT).await })
+    };
+    let ordered = spawn(order_call("releases", "late-key", "late"));
+    let generations: Vec<_> =
+        (0..200).map(|_| spawn(generation_call("overnight", 4_000, "whole"))).collect();
+    let started = Instant::now();
+    while execution_count(&fixture, "late") == 0 {
+        assert!(started.elapsed() < TIMEOUT, "the order did not reach its service");
+        ntex::time::sleep(Duration::from_millis(10)).await;
+    }
+    // All calls have been read by then.
+    ntex::time::sleep(Duration::from_millis(500)).await;
+    fixture.cluster.instances[0].signal(Signal::TERM).unwrap();
+    let order = ordered.await.unwrap().expect("an answer to the order");
+    assert_ne!(order.json()["error"]["run"], "not_run", "{order:?}");
+    let (mut waited, mut running) = (0, 0);
+    for generation in generations {
+        let answer = generation.await.unwrap().expect("an answer to a generation");
+        match answer.json()["error"]["run"].as_str() {
+            Some("not_run") => waited += 1,
+            Some("outcome_unknown") => running += 1,
+            // Refused at once, or complete.
+            _ => {},
+        }
+    }
+    println!("{waited} waited, {running} ran");
+    assert!(waited > 0 && running > 0, "{waited} waited, {running} ran");
+    assert!(fixture.cluster.instances[0].wait(TIMEOUT).unwrap().success());
+}
+
 /// Guards against a shutdown that interrupts a stream, a whole delivery or an order in progress,
 /// that accepts new requests, or that never ends.
 #[ntex::test]
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -8,7 +8,7 @@
 use super::sink::{CallerSink, WholeResponse, token_event};
 use crate::backends::engine::{self, GenerationRequest};
 use crate::exchange::{self, ListenerState};
-use crate::gate::RequestGuard;
+use crate::gate::{DrainStage, RequestGuard};
 use crate::instance::InstanceShared;
 use crate::logging::event;
 use crate::trace::TraceStep;
@@ -124,6 +124,9 @@
     }
 
     async fn next_input(&mut self) -> SessionInput {
+        // A generation that was not opened has not run.
+        let is_unsent = self.opened_at.is_none() && self.permit.is_waiting();
+        let shared = Arc::clone(&self.shared);
         let delay = self
             .session
             .next_wakeup()
@@ -148,6 +151,9 @@
                 },
                 PermitOutcome::Refused(kind) => SessionInput::Refused(kind),
             },
+            () = shared.gate.drain_stage(DrainStage::RefusingWaiting), if is_unsent => {
+                SessionInput::Refused(ErrorKind::Draining)
+            },
             () = self.sink.closed(), if self.caller_present => {
                 self.caller_present = false;
                 self.trace(TraceStep::CallerGone);
--- a/medlarlanding/src/gate.rs
+++ b/medlarlanding/src/gate.rs
@@ -6,7 +6,18 @@
 use medlarlanding_core::{ErrorKind, Result};
 
 use prometheus::IntGauge;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
+
+/// How far a drain has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DrainStage {
+    /// Requests in progress finish, or there is no drain.
+    Finishing,
+    /// The time limit has passed: requests that have not started are refused.
+    RefusingWaiting,
+    /// All requests that still have no answer get one, before the process ends.
+    AnsweringAll,
+}
 
 /// Admits requests to the process.
 pub struct RequestGate {
@@ -17,6 +28,7 @@
     gauge: IntGauge,
     /// Notified when the last request in progress ends.
     idle: Notify,
+    stage: watch::Sender<DrainStage>,
 }
 
 impl RequestGate {
@@ -28,6 +40,7 @@
             limit,
             gauge,
             idle: Notify::new(),
+            stage: watch::Sender::new(DrainStage::Finishing),
         })
     }
 
@@ -62,6 +75,17 @@
         self.open.load(Ordering::SeqCst)
     }
 
+    /// Ends the wait for requests in progress.
+    pub fn end_drain(&self, stage: DrainStage) {
+        self.stage.send_replace(stage);
+    }
+
+    /// Waits until a drain has come to a stage.
+    pub async fn drain_stage(&self, stage: DrainStage) {
+        // The sender lives as long as this gate.
+        let _ = self.stage.subscribe().wait_for(|current| *current >= stage).await;
+    }
+
     /// Returns whether the process is draining.
     pub fn draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
--- a/medlarlanding/src/http/callers.rs
+++ b/medlarlanding/src/http/callers.rs
@@ -5,7 +5,7 @@
 use super::caller_path::{CallerPath, CallerResource};
 use super::responses::{CallerResponse, empty_response, refusal_response};
 use super::{generations, lookups, orders};
-use crate::gate::RequestGuard;
+use crate::gate::{DrainStage, RequestGuard};
 use crate::instance::{DeskAccess, InstanceShared};
 use crate::trace::TraceStep;
 use medlarlanding_core::ids::RequestId;
@@ -39,8 +39,21 @@
     pub payload: Incoming,
 }
 
-/// Serves one request.
+/// Serves one request. One that has no answer when a drain ends may have run.
 pub async fn serve(context: CallerContext, request: Request<Incoming>) -> CallerResponse {
+    let shared = Arc::clone(&context.shared);
+    tokio::select! {
+        biased;
+        response = dispatch(context, request) => response,
+        () = shared.gate.drain_stage(DrainStage::AnsweringAll) => {
+            let error = ErrorKind::BackendFailed.into();
+            shared.count_refusal("drain", &error, None);
+            refusal_response(&error, None)
+        },
+    }
+}
+
+async fn dispatch(context: CallerContext, request: Request<Incoming>) -> CallerResponse {
     let (parts, payload) = request.into_parts();
     let Some(CallerPath { desk, resource }) = CallerPath::parse(parts.uri.path()) else {
         return refusal_response(&ErrorKind::NotFound.into(), None);
--- a/medlarlanding/src/serve.rs
+++ b/medlarlanding/src/serve.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::gate::DrainStage;
 use crate::http::admin;
 use crate::http::callers::{self, CallerContext};
 use crate::http::listener::{HttpListener, ListenerLimits};
@@ -26,6 +27,9 @@
 const DRAIN_MIN: Duration = Duration::from_millis(1500);
 /// Delay before exit in which the datagrams that announce the departure are sent.
 const DEPARTURE_DELAY: Duration = Duration::from_millis(50);
+/// Time in which requests that have not started are refused at the end of a drain, before all others are
+/// answered.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
 /// Interval at which a drain checks for orders that are not complete.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Maximum time for open connections to flush their last bytes after the drain.
@@ -81,7 +85,11 @@
     let started = shared.clock.now();
     let _ = shared.apply(NodeInput::Leave);
     let limit = Duration::from_millis(shared.settings.limits.drain_ms);
-    let _ = tokio::time::timeout(limit, wait_until_drained(&shared)).await;
+    if tokio::time::timeout(limit, wait_until_drained(&shared)).await.is_err() {
+        shared.gate.end_drain(DrainStage::RefusingWaiting);
+        tokio::time::sleep(REFUSAL_TIME).await;
+        shared.gate.end_drain(DrainStage::AnsweringAll);
+    }
     callers.stop(FLUSH_TIMEOUT).await;
     let _ = shared.apply(NodeInput::Depart);
     tokio::time::sleep(DEPARTURE_DELAY).await;
