Search the common parts of a block by hash

A block that long prompts share has thousands of common parts, and each was searched for in the list of the request's parts: up to 16 million comparisons for a request that fills its head.

--- a/medlarlanding-core/src/prompts/crash_ledger.rs
+++ b/medlarlanding-core/src/prompts/crash_ledger.rs
@@ -305,9 +305,12 @@
         if self.rules.is_empty() {
             return None;
         }
+        // Searched for each common part, of which long prompts have thousands.
+        let mut named: Option<IndexSet<PartId>> = None;
         parts.all().iter().find_map(|part| {
             let rule = self.rules.get(part).filter(|rule| now < rule.until)?;
-            let is_blocked = rule.common.iter().all(|common| parts.contains(*common));
+            let named = named.get_or_insert_with(|| parts.all().iter().copied().collect());
+            let is_blocked = rule.common.iter().all(|common| named.contains(common));
             is_blocked.then(|| self.blocked_part(now, *part, rule))
         })
     }
--- a/medlarlanding-core/src/prompts/parts.rs
+++ b/medlarlanding-core/src/prompts/parts.rs
@@ -74,11 +74,6 @@
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
-
-    /// Returns whether the prompt contains a part.
-    pub fn contains(&self, part: PartId) -> bool {
-        self.0.contains(&part)
-    }
 }
 
 /// Shows the first parts and the last one, and how many are left out between them.
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -517,8 +517,8 @@
     }
 
     /// Waits for the answer to a call that is to stop a run, and records in `run_stop` what the answers
-    /// show. A call whose answer is lost or says nothing of the run is repeated once. While an earlier call still copies the
-    /// remainder, the engine refuses further ones and is asked again.
+    /// show. A call whose answer is lost or says nothing of the run is repeated once. While an earlier
+    /// call still copies the remainder, the engine refuses further ones and is asked again.
     async fn await_remainder(
         &self,
         mut call: MoveCall,
@@ -536,9 +536,12 @@
                 EventKind::RunCopied,
                 &[&self.admitted.id, &source.id, &destination.id, &answer.name(), &self.events],
             );
-            let is_busy = matches!(answer, MoveAnswer::Rejected(StatusCode::CONFLICT));
             let is_unknown = answer.stop_outcome() == StopOutcome::Unknown;
-            if !(is_busy && self.state.now() < until || is_unknown && may_repeat) {
+            let is_asked_again = match answer {
+                MoveAnswer::Rejected(StatusCode::CONFLICT) => self.state.now() < until,
+                _ => is_unknown && may_repeat,
+            };
+            if !is_asked_again {
                 return answer;
             }
             may_repeat &= !is_unknown;
