Wait until the port of a stopped stand-in is closed

engine_faults_take_effect failed now and then: a call after the engine had stopped was "broken" instead of "not sent".

Cause: a further thread of the stand-in's server accepts connections and closes the port after stop() has returned; a probe found it open in 48 of 300 stops, for 1.9 ms at most, and a call that connects then is reset.

Change: stop() waits until the port refuses connections, as its comment says. The test is unchanged.

--- a/medlarlanding-bench/src/stand_ins/server.rs
+++ b/medlarlanding-bench/src/stand_ins/server.rs
@@ -1,10 +1,10 @@
 //! HTTP server of all stand-ins, with one worker, limits on reads and a stop that acts like a crash.
 
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, OnceLock, mpsc};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use ntex::SharedCfg;
@@ -27,6 +27,10 @@
 const KEEP_ALIVE: Seconds = Seconds(30);
 /// Largest number of concurrent connections.
 const CONNECTION_LIMIT: usize = 8192;
+/// Time limit for the port of a stopped server to close.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval at which the port of a stopped server is checked.
+const CLOSE_CHECK_PERIOD: Duration = Duration::from_millis(1);
 /// Largest number of connections that `SilenceFault` keeps track of.
 const TRACKED_CONNECTIONS: usize = 65_536;
 
@@ -60,8 +64,14 @@
     /// Stops the server as a crash would and waits until its port is closed.
     pub fn stop(&mut self) {
         self.switch.stop();
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
+        let Some(thread) = self.thread.take() else { return };
+        let _ = thread.join();
+        // A further thread accepts connections and closes the port a little later.
+        let started = Instant::now();
+        while started.elapsed() < CLOSE_TIMEOUT
+            && TcpStream::connect_timeout(&self.address, CLOSE_TIMEOUT).is_ok()
+        {
+            std::thread::sleep(CLOSE_CHECK_PERIOD);
         }
     }
 
--- a/medlarlanding-bench/tests/stand_ins.rs
+++ b/medlarlanding-bench/tests/stand_ins.rs
@@ -195,6 +195,23 @@
     assert!(matches!(refused, Err(CallFault::NotSent(_))), "{refused:?}");
 }
 
+/// Guards against an engine that accepts connections after it has stopped: a call that is sent then is
+/// broken, not refused.
+#[test]
+fn stopped_engine_has_closed_its_port() {
+    const ROUNDS: usize = 100;
+    let mut open = 0;
+    for _ in 0..ROUNDS {
+        let mut engine = start_engine(LISTEN, fast()).unwrap();
+        let address = engine.address();
+        // An open connection delays the end of the server's threads.
+        let _stream = std::net::TcpStream::connect(address).unwrap();
+        engine.stop();
+        open += usize::from(std::net::TcpStream::connect(address).is_ok());
+    }
+    assert_eq!(open, 0, "of {ROUNDS} ports were open after the stop");
+}
+
 /// Guards against the fault `die` leaving the port open.
 #[ntex::test]
 async fn engine_dies_over_http() {
