--- a/medlarlanding-core/src/forwarding/drain.rs
+++ b/medlarlanding-core/src/forwarding/drain.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::config::RequestKind;
-use super::placement::RunWeight;
+use super::load::RunWeight;
 
 /// Parameters of the decision.
 #[derive(Clone, Copy, Debug)]
--- /dev/null
+++ b/medlarlanding-core/src/forwarding/load.rs
@@ -0,0 +1,39 @@
+//! Sizes of requests and the load that instances put on servers.
+
+/// Number of tokens that a request is expected to need at a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RunWeight {
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Expected output tokens.
+    pub output: u32,
+}
+
+value_type! { copy
+    /// Load that one instance puts on one server.
+    pub struct LoadReport {
+        /// Hash of the server's id.
+        pub server: u64,
+        /// Requests in progress.
+        pub requests: u16,
+        /// Tokens that these requests occupy in the server's memory.
+        pub tokens: u32,
+        /// Prompt tokens of requests whose answer has not begun.
+        pub waiting_tokens: u32,
+        /// Tokens that the requests are expected to generate until they end.
+        pub growth: u32,
+    }
+}
+
+/// Load that all live peers together put on one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RemoteLoad {
+    /// Requests in progress.
+    pub requests: f64,
+    /// Tokens that these requests occupy in the server's memory.
+    pub tokens: f64,
+    /// Prompt tokens that wait to be processed.
+    pub waiting_tokens: f64,
+    /// Tokens that the requests are expected to generate until they end.
+    pub growth: f64,
+}
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -10,6 +10,7 @@
 mod directory;
 mod drain;
 mod entries;
+mod load;
 mod messages;
 mod moves;
 mod peer_lag;
@@ -33,16 +34,16 @@
 };
 pub use drain::{DrainParams, can_finish};
 pub use entries::{EntryDelta, EntryLog};
+pub use load::{LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
     LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
     RelayedMessage, ServerChanges,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use peer_lag::PeerLag;
-pub use peers::{LoadReport, PeerDigest, PeerTable, PeerTableParams, RemoteLoad};
+pub use peers::{PeerDigest, PeerTable, PeerTableParams};
 pub use placement::{
     DRAIN_FALLBACK_DIVISOR, PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest,
-    RunWeight,
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use relays::{RelayGroup, RelayParams};
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -9,28 +9,12 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use super::placement::RunWeight;
+use super::load::{LoadReport, RemoteLoad, RunWeight};
 use crate::ids::stable_hash;
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
 
-value_type! { copy
-    /// Load that one instance puts on one server.
-    pub struct LoadReport {
-        /// Hash of the server's id.
-        pub server: u64,
-        /// Requests in progress.
-        pub requests: u16,
-        /// Tokens that these requests occupy in the server's memory.
-        pub tokens: u32,
-        /// Prompt tokens of requests whose answer has not begun.
-        pub waiting_tokens: u32,
-        /// Tokens that the requests are expected to generate until they end.
-        pub growth: u32,
-    }
-}
-
 value_type! {
     /// Periodic message of an instance to its peers.
     pub struct PeerDigest {
@@ -130,19 +114,6 @@
     waiting_tokens: u32,
 }
 
-/// Load that all live peers together put on one server.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct RemoteLoad {
-    /// Requests in progress.
-    pub requests: f64,
-    /// Tokens that these requests occupy in the server's memory.
-    pub tokens: f64,
-    /// Prompt tokens that wait to be processed.
-    pub waiting_tokens: f64,
-    /// Tokens that the requests are expected to generate until they end.
-    pub growth: f64,
-}
-
 /// Rank of an instance: its strength, then a hash of its address. The highest rank comes first.
 type PeerRank = (u16, u64);
 
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -8,18 +8,9 @@
 
 use super::directory::{ServerDirectory, ServerKey, ServerRecord};
 use super::drain::DrainParams;
-use super::peers::RemoteLoad;
+use super::load::{RemoteLoad, RunWeight};
 use crate::time::Timestamp;
 
-/// Number of tokens that a request is expected to need at a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct RunWeight {
-    /// Prompt tokens.
-    pub prompt: u32,
-    /// Expected output tokens.
-    pub output: u32,
-}
-
 /// Costs and limits of the placement. A cost of 1 equals that of one engine's whole memory.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementParams {
--- a/medlarlanding-core/src/forwarding/waiting.rs
+++ b/medlarlanding-core/src/forwarding/waiting.rs
@@ -9,7 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::placement::{PROMPT_TOKEN_TIME, RunWeight};
+use super::load::RunWeight;
+use super::placement::PROMPT_TOKEN_TIME;
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
--- a/medlarlanding/src/forwarding/engine_probe.rs
+++ b/medlarlanding/src/forwarding/engine_probe.rs
@@ -10,7 +10,8 @@
 
 use super::engine_calls::{self, CallAnswer};
 use super::peer_link::PeerLink;
-use super::shared::{SharedState, start_hash};
+use super::servers::start_hash;
+use super::shared::SharedState;
 use crate::exchange::ExchangeFault;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use super::peer_fetch::fetch_if_behind;
-use super::shared::{ForwardState, Placement, SharedState, start_hash};
+use super::placing::Placement;
+use super::servers::start_hash;
+use super::shared::{ForwardState, SharedState};
 use medlarlanding_core::forwarding::{
     ChangeSource, DirectoryChange, EngineFault, LedgerSync, PeerDigest, PeerLag, PeerMessage,
     PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup,
@@ -246,7 +248,7 @@
         self.questions.borrow_mut().swap_remove(&number);
         match answer {
             Ok(Ok(answer)) => {
-                state.granted.set(state.granted.get().max(answer.grant));
+                state.placing.granted.set(state.placing.granted.get().max(answer.grant));
                 match answer.verdict {
                     PlaceVerdict::Server(hash) => match state.find_server(hash) {
                         Some(key)
@@ -301,7 +303,7 @@
         let current = state.peers.borrow().coordinator(now);
         if current != coordinator {
             // Each coordinator numbers its own grants.
-            state.granted.set(0);
+            state.placing.granted.set(0);
             coordinator = current;
         }
         send_digest(&link, &state, sequence);
@@ -353,7 +355,7 @@
         config_version: state.config_version(),
         servers_revision: state.entries.borrow().changed_revision(),
         peers: state.peers.borrow().sample(now, sequence),
-        granted: state.granted.get(),
+        granted: state.placing.granted.get(),
         loads: Vec::new(),
     };
     let addresses = |with_loads: bool| -> Vec<SocketAddr> {
--- /dev/null
+++ b/medlarlanding/src/forwarding/placing.rs
@@ -0,0 +1,240 @@
+//! Chooses servers: for this instance, and as the coordinator for generations of all instances.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::servers::server_hash;
+use super::shared::{ConfigInForce, ForwardState};
+use crate::logging::event;
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::forwarding::{
+    EngineFault, FaultLog, LoadReport, PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion,
+    PlaceVerdict, PlacementChoice, PlacementPolicy, PlacementRequest, RemoteLoad, RepeatBudget,
+    RepeatPurpose, RunKey, RunWeight, ServerKey, ServerRecord, WaitingClass, WaitingRuns,
+};
+use medlarlanding_core::time::Timestamp;
+
+use indexmap::IndexMap;
+
+/// State of the placement. All but `policy` and `granted` is used only while this instance is the
+/// coordinator.
+#[derive(Default)]
+pub struct PlacementState {
+    policy: PlacementPolicy,
+    /// Highest number of a grant from the current coordinator; 0 if there is none.
+    pub granted: Cell<u64>,
+    /// Budgets for the moves of all instances, by service.
+    move_budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
+    /// Generations of all instances that wait for room, by service.
+    waiting: RefCell<IndexMap<Arc<str>, WaitingRuns>>,
+    /// Engine faults that all instances reported.
+    faults: RefCell<FaultLog>,
+}
+
+/// Result of placing a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// On this server.
+    Server(ServerKey),
+    /// Not placed: no engine has room for it. The number of waiting runs that are served before
+    /// this one, or 0 while it must not be refused for its position.
+    Full(u16),
+    /// Not placed: no server accepts it, or the budget for moves is used up.
+    Nowhere,
+}
+
+impl ForwardState {
+    /// Chooses a server without asking the coordinator, and without counting the choice in a budget
+    /// or queue.
+    pub fn place(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
+        match purpose {
+            PlacePurpose::Start | PlacePurpose::StartLate => match self.choose(request) {
+                Some(PlacementChoice { servers_with_room: 0, .. }) => Placement::Full(0),
+                Some(choice) => Placement::Server(choice.key),
+                None => Placement::Nowhere,
+            },
+            PlacePurpose::Move | PlacePurpose::MoveAgain => self.choose_destination(request),
+        }
+    }
+
+    fn choose(&self, request: &PlacementRequest<'_>) -> Option<PlacementChoice> {
+        let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
+        let remote = |record: &ServerRecord| remote_load(&peers, now, record);
+        self.placing.policy.choose(now, &directory, request, remote, || self.draw())
+    }
+
+    fn choose_destination(&self, request: &PlacementRequest<'_>) -> Placement {
+        let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
+        let remote = |record: &ServerRecord| remote_load(&peers, now, record);
+        self.placing
+            .policy
+            .choose_destination(now, &directory, request, remote, || self.draw())
+            .map_or(Placement::Nowhere, Placement::Server)
+    }
+
+    /// Counts a fault of an engine that any instance reported, and avoids the engine if its faults
+    /// have reached the limit. `engine` is the hash of its id. Used while this instance is the
+    /// coordinator.
+    pub fn record_fault(&self, engine: u64, fault: EngineFault) {
+        let now = self.now();
+        let Some(period) = self.placing.faults.borrow_mut().record(now, engine, fault) else {
+            return;
+        };
+        let Some(key) = self.find_server(engine) else { return };
+        let mut directory = self.directory.borrow_mut();
+        directory.avoid(key, now + period);
+        if let Some(record) = directory.get(key) {
+            let reason = format!("reported, avoided for {} ms", period.as_millis());
+            event(EventKind::ServerSuspected, &[&record.entry.id, &reason]);
+        }
+    }
+
+    /// Answers a peer's question on which engine to run a generation.
+    pub fn answer_question(&self, peer: SocketAddr, question: &PlaceQuestion) -> PlaceAnswer {
+        let excluded: Vec<ServerKey> =
+            question.excluded.iter().filter_map(|hash| self.find_server(*hash)).collect();
+        let config = self.config();
+        let policy = config.as_ref().and_then(|it| it.config.service(&question.service));
+        let memory = policy.and_then(|policy| policy.engine).map(|engine| engine.memory_tokens);
+        let weight = RunWeight { prompt: question.prompt, output: question.output };
+        let service: Arc<str> = Arc::from(question.service.as_str());
+        let placement = self.place_as_coordinator(
+            question.purpose,
+            RunKey { instance: peer, run: question.run },
+            &service,
+            &PlacementRequest {
+                service: &question.service,
+                memory_tokens: memory,
+                weight,
+                excluded: &excluded,
+                zone: &question.zone,
+                due: (question.due_ms > 0).then(|| Duration::from_millis(question.due_ms.into())),
+                is_urgent: question.priority == 0,
+                drain_limit: self.settings.drain_limit,
+            },
+        );
+        let waiting = match question.purpose {
+            PlacePurpose::Start | PlacePurpose::StartLate => question.prompt,
+            PlacePurpose::Move | PlacePurpose::MoveAgain => 0,
+        };
+        let (verdict, grant) = match placement {
+            Placement::Server(key) => match self.hash_of(key) {
+                Some(server) => {
+                    let mut peers = self.peers.borrow_mut();
+                    let grant = peers.grant(self.now(), peer, server, weight, waiting);
+                    (PlaceVerdict::Server(server), grant)
+                },
+                None => (PlaceVerdict::Nowhere, 0),
+            },
+            Placement::Full(ahead) => (PlaceVerdict::Full(ahead), 0),
+            Placement::Nowhere => (PlaceVerdict::Nowhere, 0),
+        };
+        PlaceAnswer { number: question.number, verdict, grant }
+    }
+
+    /// Chooses a server for a generation as the coordinator, which also keeps the budget for moves
+    /// and the queue of waiting runs.
+    pub fn place_as_coordinator(
+        &self,
+        purpose: PlacePurpose,
+        key: RunKey,
+        service: &Arc<str>,
+        request: &PlacementRequest<'_>,
+    ) -> Placement {
+        let (now, params) = (self.now(), self.budget_params());
+        let placement = match purpose {
+            PlacePurpose::Start | PlacePurpose::StartLate => {
+                self.place_new_run(key, service, request)
+            },
+            PlacePurpose::Move | PlacePurpose::MoveAgain => self.choose_destination(request),
+        };
+        if !matches!(placement, Placement::Server(_)) {
+            return placement;
+        }
+        let mut budgets = self.placing.move_budgets.borrow_mut();
+        let budget = budgets.entry(Arc::clone(service)).or_default();
+        match purpose {
+            PlacePurpose::Start | PlacePurpose::StartLate => budget.record_request(now, &params),
+            PlacePurpose::Move => {
+                if !budget.try_repeat(now, &params, RepeatPurpose::Move, 1) {
+                    return Placement::Nowhere;
+                }
+            },
+            PlacePurpose::MoveAgain => {},
+        }
+        placement
+    }
+
+    /// Places a new run, unless the room that is left is needed for waiting runs ahead of it.
+    fn place_new_run(
+        &self,
+        key: RunKey,
+        service: &Arc<str>,
+        request: &PlacementRequest<'_>,
+    ) -> Placement {
+        let now = self.now();
+        let Some(choice) = self.choose(request) else { return Placement::Nowhere };
+        let class = match request.due {
+            None => WaitingClass::Late,
+            Some(_) if request.is_urgent => WaitingClass::Urgent,
+            Some(_) => WaitingClass::InTime,
+        };
+        let mut services = self.placing.waiting.borrow_mut();
+        let waiting = services.entry(Arc::clone(service)).or_default();
+        match waiting.admit(now, key, class, request.weight, choice.servers_with_room) {
+            Ok(()) => Placement::Server(choice.key),
+            Err(ahead) => Placement::Full(ahead.min(usize::from(u16::MAX)) as u16),
+        }
+    }
+
+    /// Logs the load of the engines of each service, as far as this instance knows it.
+    pub fn log_fleet_load(&self) {
+        let Some(ConfigInForce { config, .. }) = self.config() else { return };
+        let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
+        for (policy, engine) in config.engine_services() {
+            let mut engines = 0;
+            let mut load = RemoteLoad::default();
+            for (_, record) in directory.candidates(&policy.name) {
+                engines += 1;
+                let remote = remote_load(&peers, now, record);
+                load.requests += remote.requests + f64::from(record.open_requests);
+                load.tokens += remote.tokens + record.open_tokens as f64;
+                load.growth += remote.growth + record.expected_growth as f64;
+                load.waiting_tokens += remote.waiting_tokens + record.waiting_tokens as f64;
+            }
+            event(
+                EventKind::FleetLoad,
+                &[
+                    &policy.name,
+                    &engines,
+                    &load.requests,
+                    &load.tokens,
+                    &load.growth,
+                    &load.waiting_tokens,
+                    &(engines * engine.memory_tokens),
+                ],
+            );
+        }
+    }
+
+    /// Returns the load that this instance puts on each server.
+    pub fn own_loads(&self) -> Vec<LoadReport> {
+        let directory = self.directory.borrow();
+        let busy = directory.iter().filter(|(_, record)| record.open_requests > 0);
+        busy.map(|(_, record)| LoadReport {
+            server: server_hash(&record.entry.id),
+            requests: record.open_requests.min(u32::from(u16::MAX)) as u16,
+            tokens: record.open_tokens.min(u64::from(u32::MAX)) as u32,
+            waiting_tokens: record.waiting_tokens.min(u64::from(u32::MAX)) as u32,
+            growth: record.expected_growth.min(u64::from(u32::MAX)) as u32,
+        })
+        .collect()
+    }
+}
+
+/// Returns the load that peers put on a server.
+fn remote_load(peers: &PeerTable, now: Timestamp, record: &ServerRecord) -> RemoteLoad {
+    peers.remote_load(now, server_hash(&record.entry.id))
+}
--- /dev/null
+++ b/medlarlanding/src/forwarding/servers.rs
@@ -0,0 +1,187 @@
+//! Changes of the server directory, and what servers say of themselves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::shared::{ConfigInForce, ForwardState};
+use crate::logging::event;
+use medlarlanding_core::events::EventKind;
+use medlarlanding_core::forwarding::{
+    ChangeSource, DRAIN_FALLBACK_DIVISOR, DirectoryChange, RequiredPart, ServerEntry, ServerKey,
+    ServerPhase,
+};
+use medlarlanding_core::ids::stable_hash;
+use medlarlanding_core::time::Timestamp;
+use medlarlanding_platform::headers::{announces_leaving, requested_hold};
+
+use hyper::{HeaderMap, StatusCode};
+use indexmap::IndexSet;
+
+impl ForwardState {
+    /// Applies a change of one server entry. Returns whether the entry differs from the known one.
+    pub fn change_server(
+        &self,
+        change: DirectoryChange,
+        changed_at: u64,
+        source: ChangeSource,
+    ) -> bool {
+        let is_current = self.entries.borrow_mut().record(change.clone(), changed_at);
+        if !is_current || !self.has_new_content(&change) {
+            return false;
+        }
+        let id = Arc::clone(change.id());
+        let written = match &change {
+            DirectoryChange::Written(entry) => match entry.phase {
+                ServerPhase::Ready => "ready",
+                ServerPhase::Draining => "draining",
+            },
+            DirectoryChange::Removed(_) => "removed",
+        };
+        let now = self.now();
+        let applied = self.directory.borrow_mut().apply(now, change);
+        if let Some((key, _)) = applied {
+            let directory = self.directory.borrow();
+            let service = directory.get(key).map_or("", |record| &record.entry.service);
+            event(EventKind::ServerChanged, &[&id, &service, &written, &source.name()]);
+        }
+        self.directory_changes.send_modify(|count| *count += 1);
+        true
+    }
+
+    /// Returns whether a change differs from the known entry. Servers also rewrite their entries when
+    /// only values changed that are not used here.
+    fn has_new_content(&self, change: &DirectoryChange) -> bool {
+        let directory = self.directory.borrow();
+        match change {
+            DirectoryChange::Written(entry) => directory
+                .find(&entry.id)
+                .is_none_or(|record| record.is_removed || record.entry != *entry),
+            DirectoryChange::Removed(id) => {
+                directory.find(id).is_some_and(|record| !record.is_removed)
+            },
+        }
+    }
+
+    /// Records that a server reported that it is leaving. Returns false if this was known.
+    pub fn mark_leaving(&self, key: ServerKey) -> bool {
+        let is_new = self.directory.borrow_mut().mark_leaving(self.now(), key);
+        if is_new {
+            if let Some(record) = self.directory.borrow().get(key) {
+                let (id, service) = (&record.entry.id, &record.entry.service);
+                event(EventKind::ServerChanged, &[id, service, &"leaving", &"server"]);
+            }
+            self.directory_changes.send_modify(|count| *count += 1);
+        }
+        is_new
+    }
+
+    /// Records what a server says of itself in the head of an answer to a request: that it leaves, or
+    /// that it wants no requests from this instance for a while. Returns whether it is news that the
+    /// server leaves.
+    pub fn note_answer(
+        &self,
+        key: ServerKey,
+        request: &str,
+        status: StatusCode,
+        answer: &HeaderMap,
+    ) -> bool {
+        if let Some(hold) = requested_hold(status, answer) {
+            self.directory.borrow_mut().hold(key, self.now() + hold);
+            self.telemetry.server_holds.inc();
+            if let Some(record) = self.directory.borrow().get(key) {
+                event(EventKind::ServerHold, &[&request, &record.entry.id, &hold.as_millis()]);
+            }
+        }
+        announces_leaving(answer) && self.mark_leaving(key)
+    }
+
+    /// Returns the time until a request may be sent to a server that was chosen for it; zero if it may
+    /// be sent now, and `Duration::MAX` if the server leaves for too long.
+    pub fn send_delay(&self, key: ServerKey, arrived_at: Timestamp) -> Duration {
+        let directory = self.directory.borrow();
+        let Some(record) = directory.get(key) else { return Duration::MAX };
+        let limit = self.settings.drain_limit / DRAIN_FALLBACK_DIVISOR;
+        let is_late = record.leaving_since.is_some_and(|since| arrived_at > since + limit);
+        if is_late { Duration::MAX } else { record.hold_left(self.now()) }
+    }
+
+    /// Adds the servers of a service that want no requests from this instance to those that a request
+    /// must not be sent to.
+    pub fn with_held(&self, service: &str, excluded: &[ServerKey]) -> Vec<ServerKey> {
+        let directory = self.directory.borrow();
+        let held = directory.held(self.now(), service).map(|(key, _)| key);
+        excluded.iter().copied().chain(held.filter(|key| !excluded.contains(key))).collect()
+    }
+
+    /// Returns the time until a server of a service takes requests from this instance again, if all of
+    /// them want none.
+    pub fn shortest_hold(&self, service: &str) -> Option<Duration> {
+        self.directory.borrow().shortest_hold(self.now(), service)
+    }
+
+    /// Returns the model engines that are not known to be leaving.
+    pub fn engines(&self) -> Vec<(ServerKey, SocketAddr)> {
+        let Some(ConfigInForce { config, .. }) = self.config() else { return Vec::new() };
+        let directory = self.directory.borrow();
+        let policies = config.engine_services();
+        policies
+            .flat_map(|(policy, _)| directory.candidates(&policy.name))
+            .map(|(key, record)| (key, record.entry.address))
+            .collect()
+    }
+
+    /// Replaces all server entries by a snapshot at a store revision.
+    pub fn replace_servers(
+        &self,
+        revision: u64,
+        changes: Vec<DirectoryChange>,
+        source: ChangeSource,
+    ) {
+        let present: IndexSet<Arc<str>> =
+            changes.iter().map(|change| Arc::clone(change.id())).collect();
+        let known: Vec<Arc<str>> = self.entries.borrow().ids().cloned().collect();
+        for id in known.into_iter().filter(|id| !present.contains(id)) {
+            self.change_server(DirectoryChange::Removed(id), revision, source);
+        }
+        for change in changes {
+            self.change_server(change, revision, source);
+        }
+        if self.entries.borrow().revision() == 0 {
+            // Peers that start at the same time wait for the list.
+            self.digest_wanted.notify_one();
+        }
+        self.entries.borrow_mut().advance_with_changes(revision);
+        self.readiness.borrow_mut().record(self.now(), RequiredPart::Servers, source);
+    }
+
+    /// Returns the key of the server whose id has this hash.
+    pub fn find_server(&self, hash: u64) -> Option<ServerKey> {
+        let directory = self.directory.borrow();
+        let found = directory
+            .iter()
+            .find(|(_, record)| !record.is_removed && server_hash(&record.entry.id) == hash);
+        found.map(|(key, _)| key)
+    }
+
+    /// Returns the key of the server of whose current start this is the hash.
+    pub fn find_start(&self, hash: u64) -> Option<ServerKey> {
+        let directory = self.directory.borrow();
+        directory.iter().find(|(_, record)| start_hash(&record.entry) == hash).map(|(key, _)| key)
+    }
+
+    /// Returns the hash of a server's id, which identifies the server in messages between instances.
+    pub fn hash_of(&self, key: ServerKey) -> Option<u64> {
+        Some(server_hash(&self.directory.borrow().get(key)?.entry.id))
+    }
+}
+
+/// Returns the hash of one start of a server, which is the same on all instances.
+pub fn start_hash(entry: &ServerEntry) -> u64 {
+    stable_hash(format!("{}/{}", entry.id, entry.born_millis).as_bytes())
+}
+
+/// Returns the hash of a server's id, which is the same on all instances.
+pub fn server_hash(id: &str) -> u64 {
+    stable_hash(id.as_bytes())
+}
