Name the reasons why a server may not get a request

Several parts of the work on uneven load refuse a server for a reason of their own. They extend ServerRecord::access, so that one check answers for all of them. Nothing uses it yet.

--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -26,6 +26,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerKey(u32);
 
+/// Whether a server may get a request now, and if not, why. Reasons that last longer come first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerAccess {
+    /// The server may get a request.
+    Open,
+    /// The server is leaving or removed.
+    Leaving,
+    /// The server wants no requests from this instance for a while.
+    Held,
+}
+
 value_type! { copy
     /// State that a server reports.
     pub enum ServerPhase {
@@ -117,6 +128,18 @@
         self.leaving_since.is_none()
     }
 
+    /// Returns whether the server may get a request now. All requests to servers pass this check, whether
+    /// they are new, sent again, moved or resumed.
+    pub fn access(&self, now: Timestamp) -> ServerAccess {
+        if !self.accepts_work() {
+            ServerAccess::Leaving
+        } else if !self.hold_left(now).is_zero() {
+            ServerAccess::Held
+        } else {
+            ServerAccess::Open
+        }
+    }
+
     /// Returns how long the server wants no requests from this instance; zero if it takes them.
     pub fn hold_left(&self, now: Timestamp) -> Duration {
         self.hold_until.map_or(Duration::ZERO, |until| until.since(now))
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -30,7 +30,8 @@
     RequestLimits, RouteRule, RouteTarget, ServicePolicy,
 };
 pub use directory::{
-    DirectoryChange, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
+    DirectoryChange, ServerAccess, ServerDirectory, ServerEntry, ServerKey, ServerPhase,
+    ServerRecord,
 };
 pub use drain::{DrainParams, can_finish};
 pub use entries::{EntryDelta, EntryLog};
