Admit competing generations by latency class

Short generations with an objective of 1.5 s were refused or began late while long ones with 4 s took each part of the room that became free; long ones were refused after 0.3 s although their objective left 3 s to wait; runs on leaving engines found no room because new runs took it.

Change: a service whose routes have objectives that differ by a factor of two or more has latency-critical and latency-tolerant generations. Tolerant ones leave enough engines with room for the critical ones that arrive until runs end (room_reserve.rs), wait while the forecast of the backlog (backlog.rs) lets them begin in time and are refused at once otherwise, and go after runs that move off leaving engines. A critical run reserves only the growth of the others during its own short time. A service with objectives that are about the same is served as before.

--- a/medlarlanding-core/src/forwarding/config.rs
+++ b/medlarlanding-core/src/forwarding/config.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::load::LatencyClass;
+
 use indexmap::IndexMap;
 
 /// Whether a request may run more than once, and how it is answered.
@@ -156,8 +158,14 @@
     hosts: IndexMap<String, Vec<Arc<RouteRule>>>,
     keys: IndexMap<String, CustomerRecord>,
     has_customers: bool,
+    /// Shortest and longest objective of the routes for generations, by service.
+    objectives: IndexMap<Arc<str>, (Duration, Duration)>,
 }
 
+/// Objectives of a service's routes are of different latency classes if the longest is at least the
+/// shortest times this.
+const LATENCY_RATIO: u32 = 2;
+
 impl ForwardConfig {
     /// Indexes the parts of a configuration. `customers` lists each customer with its keys; it
     /// is `None` for an installation without customers, where no route needs a key.
@@ -173,10 +181,18 @@
         customers: Option<Vec<(CustomerRecord, Vec<String>)>>,
     ) -> Result<Self, ForwardConfigError> {
         let mut hosts: IndexMap<String, Vec<Arc<RouteRule>>> = IndexMap::new();
+        let mut objectives: IndexMap<Arc<str>, (Duration, Duration)> = IndexMap::new();
         for rule in routes {
             if rule.targets.is_empty() {
                 return Err(ForwardConfigError(format!("route {} names no service", rule.name)));
             }
+            let is_stream = rule.kind == RequestKind::Stream && !rule.objective.is_zero();
+            for target in rule.targets.iter().filter(|_| is_stream) {
+                let range = objectives
+                    .entry(Arc::clone(&target.service))
+                    .or_insert((rule.objective, rule.objective));
+                *range = (range.0.min(rule.objective), range.1.max(rule.objective));
+            }
             hosts.entry(rule.host.clone()).or_default().push(Arc::new(rule));
         }
         for rules in hosts.values_mut() {
@@ -191,7 +207,7 @@
         }
         let services =
             services.into_iter().map(|policy| (Arc::clone(&policy.name), policy)).collect();
-        Ok(Self { version, limits, services, hosts, keys, has_customers })
+        Ok(Self { version, limits, services, hosts, keys, has_customers, objectives })
     }
 
     /// Returns the host's route whose prefix is the longest that matches the path. `host` may
@@ -210,6 +226,20 @@
         self.services.get(name)
     }
 
+    /// Returns how the objective of a route compares with those of the other routes of a service.
+    pub fn latency_class(&self, rule: &RouteRule, service: &str) -> LatencyClass {
+        match self.objectives.get(service) {
+            Some((shortest, longest)) if *longest >= *shortest * LATENCY_RATIO => {
+                if rule.objective >= *shortest * LATENCY_RATIO {
+                    LatencyClass::Tolerant
+                } else {
+                    LatencyClass::Critical
+                }
+            },
+            Some(_) | None => LatencyClass::Uniform,
+        }
+    }
+
     /// Iterates over the services whose servers are model engines.
     pub fn engine_services(&self) -> impl Iterator<Item = (&ServicePolicy, EngineLimits)> {
         self.services.values().filter_map(|policy| Some((policy, policy.engine?)))
--- a/medlarlanding-core/src/forwarding/load.rs
+++ b/medlarlanding-core/src/forwarding/load.rs
@@ -1,5 +1,19 @@
 //! Sizes of requests and the load that instances put on servers.
 
+value_type! { copy
+    /// How the objective of a generation compares with those of the others that its engines run.
+    #[derive(Default)]
+    pub enum LatencyClass {
+        /// The objectives of the service's routes are about the same.
+        #[default]
+        Uniform,
+        /// The objective is among the shortest of the service; other routes can wait much longer.
+        Critical,
+        /// The objective leaves much more time than the shortest of the service.
+        Tolerant,
+    }
+}
+
 /// Number of tokens that a request is expected to need at a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RunWeight {
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::directory::DirectoryChange;
+use super::load::LatencyClass;
 use super::peers::PeerDigest;
 use crate::prompts::LedgerNews;
 
@@ -128,6 +129,8 @@
         pub due_ms: u32,
         /// Priority; 0 is the most urgent.
         pub priority: u8,
+        /// How the objective compares with those of other requests to the service.
+        pub latency: LatencyClass,
         /// Hashes of the ids of servers that must not be chosen.
         pub excluded: Vec<u64>,
         /// Preferred availability zone.
@@ -135,14 +138,25 @@
     }
 }
 
+value_type! { copy
+    /// What a run that is not placed waits for.
+    #[derive(Default)]
+    pub struct RunBacklog {
+        /// Number of waiting runs that are served before this one, or 0 while it must not be refused for
+        /// its position.
+        pub ahead: u16,
+        /// Expected milliseconds until the run is placed; 0 if there is no forecast.
+        pub wait_ms: u32,
+    }
+}
+
 value_type! { copy
     /// Where a run is placed.
     pub enum PlaceVerdict {
         /// On the server whose id has this hash.
         Server(u64),
-        /// Not placed: no engine has room for it. The number of waiting runs that are served before
-        /// this one, or 0 while it must not be refused for its position.
-        Full(u16),
+        /// Not placed: no engine has room for it.
+        Full(RunBacklog),
         /// Not placed: no server accepts it, or the budget for moves is used up.
         Nowhere,
     }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -4,6 +4,7 @@
 //! names of the platform's protocol to itself and decodes into the types defined here.
 
 mod answer_end;
+mod backlog;
 mod budget;
 mod cold_read;
 mod config;
@@ -18,11 +19,13 @@
 mod placement;
 mod readiness;
 mod relays;
+mod room_reserve;
 mod suspicion;
 mod wait_limit;
 mod waiting;
 
 pub use answer_end::{BodyDelimiter, EndVerdict, ProcessIdentity, ServerLiveness};
+pub use backlog::{BacklogForecast, BacklogParams};
 pub use budget::{BudgetParams, RepeatBudget, RepeatPurpose};
 pub use cold_read::ColdReadParams;
 pub use config::{
@@ -35,10 +38,10 @@
 };
 pub use drain::{DrainParams, can_finish};
 pub use entries::{EntryDelta, EntryLog};
-pub use load::{LoadReport, RemoteLoad, RunWeight};
+pub use load::{LatencyClass, LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
     LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
-    RelayedMessage, ServerChanges,
+    RelayedMessage, RunBacklog, ServerChanges,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use peer_lag::PeerLag;
@@ -48,6 +51,7 @@
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use relays::{RelayGroup, RelayParams};
+pub use room_reserve::{CriticalDemand, ReserveParams, RoomReserve};
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
-pub use waiting::{RunKey, WaitingClass, WaitingParams, WaitingRuns};
+pub use waiting::{QueuedRun, RunKey, WaitingClass, WaitingParams, WaitingRuns};
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -4,11 +4,13 @@
 //! engines themselves are outdated and the same for all instances, so each instance instead adds up
 //! the requests that it and its peers have sent.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use super::directory::{ServerDirectory, ServerKey, ServerRecord};
 use super::drain::DrainParams;
-use super::load::{RemoteLoad, RunWeight};
+use super::load::{LatencyClass, RemoteLoad, RunWeight};
+use super::room_reserve::RoomReserve;
 use crate::time::Timestamp;
 
 /// Costs and limits of the placement. A cost of 1 equals that of one engine's whole memory.
@@ -38,6 +40,10 @@
     pub late_prefill_s: f64,
     /// Cost for each unit of an engine's memory fraction above `fill_limit`.
     pub overfull_cost: f64,
+    /// Tokens that each run on the destination of a move may generate until another run ends there.
+    pub move_growth: f64,
+    /// Time of a step in which an engine generates a token for each of its runs.
+    pub step_time: Duration,
     /// Factor by which an engine in the same zone as the leaving one is more likely to be the
     /// destination of a move: a copy to another zone occupies both links for twice as long.
     pub same_zone_factor: f64,
@@ -56,11 +62,21 @@
             late_fill_limit: 0.85,
             late_prefill_s: 0.8,
             overfull_cost: 20.0,
+            move_growth: 100.0,
+            step_time: Duration::from_millis(10),
             same_zone_factor: 3.0,
         }
     }
 }
 
+impl PlacementParams {
+    /// Returns the number of steps in which an engine completes a run.
+    fn steps(&self, weight: RunWeight) -> f64 {
+        let prompt_time = f64::from(weight.prompt) / PREFILL_TOKENS_PER_SECOND;
+        prompt_time / self.step_time.as_secs_f64() + f64::from(weight.output)
+    }
+}
+
 /// A request to place.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
@@ -80,6 +96,10 @@
     pub is_urgent: bool,
     /// Time for which a leaving server still runs requests, if there is no other server.
     pub drain_limit: Duration,
+    /// How the objective compares with those of other requests to the service.
+    pub latency: LatencyClass,
+    /// Room that the request must leave for latency-critical ones.
+    pub reserve: Option<RoomReserve>,
 }
 
 impl<'a> PlacementRequest<'a> {
@@ -92,6 +112,18 @@
         directory.candidates(self.service).filter(move |(key, _)| !excluded.contains(key))
     }
 
+    /// Returns the latency-critical request for which a reserve keeps room.
+    fn critical(&self, reserve: RoomReserve) -> Self {
+        Self {
+            weight: reserve.weight,
+            due: Some(reserve.due),
+            latency: LatencyClass::Critical,
+            is_urgent: false,
+            reserve: None,
+            ..*self
+        }
+    }
+
     /// Iterates over the draining servers that may get a new request because no other server of the
     /// service exists. A run must be expected to end before the server does.
     fn draining_fallbacks(
@@ -120,6 +152,52 @@
 /// known for longer that it leaves.
 pub const DRAIN_FALLBACK_DIVISOR: u32 = 2;
 
+/// What a request must leave for latency-critical ones.
+#[derive(Clone, Copy, Debug)]
+enum KeptRoom {
+    /// More engines than needed can begin a latency-critical run in time.
+    Nothing,
+    /// The engines that can begin one are just enough.
+    Engines(RoomReserve),
+    /// Too few engines can begin one. Room has to accumulate on the others, where each part of it would
+    /// be too small for a run.
+    All(RoomReserve),
+}
+
+impl KeptRoom {
+    /// Returns whether a new run may be placed on an engine.
+    fn allows(
+        self,
+        policy: &PlacementPolicy,
+        request: &PlacementRequest<'_>,
+        record: &ServerRecord,
+        load: RemoteLoad,
+    ) -> bool {
+        match self {
+            Self::Nothing => true,
+            Self::Engines(reserve) => !policy.takes_kept_room(request, record, load, reserve),
+            Self::All(_) => false,
+        }
+    }
+
+    /// Returns whether a run that moves off a leaving engine may be placed on an engine. It would be lost
+    /// while room accumulates.
+    fn allows_move(
+        self,
+        policy: &PlacementPolicy,
+        request: &PlacementRequest<'_>,
+        record: &ServerRecord,
+        load: RemoteLoad,
+    ) -> bool {
+        match self {
+            Self::Nothing => true,
+            Self::Engines(reserve) | Self::All(reserve) => {
+                !policy.takes_kept_room(request, record, load, reserve)
+            },
+        }
+    }
+}
+
 /// Server that was chosen for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlacementChoice {
@@ -161,10 +239,16 @@
         let mut best: Option<((bool, bool, f64), ServerKey)> = None;
         let mut servers_with_room = 0;
         let draining_fallbacks = request.draining_fallbacks(now, directory);
-        for (key, record) in request.candidates(directory).chain(draining_fallbacks) {
-            let load = remote(record);
+        let servers: Vec<(ServerKey, &ServerRecord, RemoteLoad)> = request
+            .candidates(directory)
+            .chain(draining_fallbacks)
+            .map(|(key, record)| (key, record, remote(record)))
+            .collect();
+        let kept = self.kept_room(now, request, &servers);
+        for (key, record, load) in servers {
             let cost = self.cost(request, record, load) + draw() * self.params.jitter;
-            let has_room = self.has_room(request, record, load);
+            let has_room =
+                self.has_room(request, record, load) && kept.allows(self, request, record, load);
             servers_with_room += usize::from(has_room && !record.is_avoided(now));
             let rank = (record.is_avoided(now), !has_room, cost);
             if best.is_none_or(|(least, _)| rank < least) {
@@ -193,13 +277,28 @@
     ) -> Option<ServerKey> {
         let memory = request.memory_tokens?;
         let mut best: Option<(f64, ServerKey)> = None;
-        let healthy = request.candidates(directory).filter(|(_, record)| !record.is_avoided(now));
-        for (key, record) in healthy {
+        let healthy: Vec<(ServerKey, &ServerRecord, RemoteLoad)> = request
+            .candidates(directory)
+            .filter(|(_, record)| !record.is_avoided(now))
+            .map(|(key, record)| (key, record, remote(record)))
+            .collect();
+        let kept = self.kept_room(now, request, &healthy);
+        for (key, record, load) in healthy {
+            if !kept.allows_move(self, request, record, load) {
+                continue;
+            }
             // Expected output does not count here: the copy takes only the tokens that the run
             // has now, and a run without a destination is lost.
-            let tokens = record.open_tokens as f64 + remote(record).tokens;
+            let tokens = record.open_tokens as f64 + load.tokens;
             let fill = (tokens + f64::from(request.weight.prompt)) / f64::from(memory.max(1));
-            let room = (1.0 - fill).max(0.0);
+            let margin = match request.latency {
+                LatencyClass::Uniform => 0.0,
+                LatencyClass::Critical | LatencyClass::Tolerant => {
+                    let running = f64::from(record.open_requests) + load.requests + 1.0;
+                    running * self.params.move_growth / f64::from(memory.max(1))
+                },
+            };
+            let room = (1.0 - fill - margin).max(0.0);
             let is_same_zone = &*record.entry.zone == request.zone;
             let zone_factor = if is_same_zone { self.params.same_zone_factor } else { 1.0 };
             let weight = room * room * zone_factor;
@@ -216,6 +315,44 @@
         best.map(|(_, key)| key)
     }
 
+    /// Returns what a request must leave for latency-critical ones.
+    fn kept_room(
+        &self,
+        now: Timestamp,
+        request: &PlacementRequest<'_>,
+        servers: &[(ServerKey, &ServerRecord, RemoteLoad)],
+    ) -> KeptRoom {
+        let Some(reserve) = request.reserve else { return KeptRoom::Nothing };
+        let critical = request.critical(reserve);
+        let healthy = servers.iter().filter(|(_, record, _)| !record.is_avoided(now));
+        let count =
+            healthy.filter(|(_, record, load)| self.has_room(&critical, record, *load)).count();
+        match count.cmp(&reserve.engines) {
+            Ordering::Greater => KeptRoom::Nothing,
+            Ordering::Equal => KeptRoom::Engines(reserve),
+            Ordering::Less => KeptRoom::All(reserve),
+        }
+    }
+
+    /// Returns whether an engine that can begin a latency-critical run could not once it has the request.
+    fn takes_kept_room(
+        &self,
+        request: &PlacementRequest<'_>,
+        record: &ServerRecord,
+        remote: RemoteLoad,
+        reserve: RoomReserve,
+    ) -> bool {
+        let critical = request.critical(reserve);
+        let RunWeight { prompt, output } = request.weight;
+        let after = RemoteLoad {
+            requests: remote.requests + 1.0,
+            tokens: remote.tokens + f64::from(prompt),
+            waiting_tokens: remote.waiting_tokens + f64::from(prompt),
+            growth: remote.growth + f64::from(output),
+        };
+        self.has_room(&critical, record, remote) && !self.has_room(&critical, record, after)
+    }
+
     /// Returns whether a server has memory and a slot for a run and can begin its answer in time.
     /// Servers of plain services always have room.
     fn has_room(
@@ -233,6 +370,8 @@
         let free_slots = f64::from(record.entry.slots) - f64::from(record.open_requests);
         let is_in_time = match request.due {
             Some(due) => first_event <= due.as_secs_f64(),
+            // A short run hardly displaces others, and its caller still waits for it.
+            None if request.latency == LatencyClass::Critical => true,
             None => fill <= params.late_fill_limit && first_event <= params.late_prefill_s,
         };
         let limit = if request.is_urgent { params.urgent_fill_limit } else { params.fill_limit };
@@ -250,8 +389,14 @@
     ) -> f64 {
         let growth =
             record.expected_growth as f64 + remote.growth + f64::from(request.weight.output);
+        let mut reserved = self.params.growth_share * growth;
+        if request.latency == LatencyClass::Critical {
+            // The others grow by a token in each step of the short time that the run takes.
+            let running = f64::from(record.open_requests) + remote.requests + 1.0;
+            reserved = reserved.min(running * self.params.steps(request.weight));
+        }
         let tokens = record.open_tokens as f64 + remote.tokens + f64::from(request.weight.prompt);
-        (tokens + self.params.growth_share * growth) / f64::from(memory.max(1))
+        (tokens + reserved) / f64::from(memory.max(1))
     }
 
     /// Returns the cost of running a request on a server.
--- a/medlarlanding-core/src/forwarding/wait_limit.rs
+++ b/medlarlanding-core/src/forwarding/wait_limit.rs
@@ -6,7 +6,8 @@
 
 use std::time::Duration;
 
-use super::messages::PlacePurpose;
+use super::load::LatencyClass;
+use super::messages::{PlacePurpose, RunBacklog};
 use super::placement::PROMPT_TOKEN_TIME;
 use crate::time::Timestamp;
 
@@ -28,6 +29,8 @@
     /// Longest wait of a run as a multiple of its objective; callers give up at four times the
     /// objective.
     pub late_factor: u32,
+    /// Longest wait of a latency-tolerant run as a multiple of its objective.
+    pub tolerant_factor: f64,
     /// Time that a busy engine takes for one prompt token.
     pub prompt_token_time: Duration,
 }
@@ -40,6 +43,7 @@
             ahead_limit: 5,
             first_event_fraction: 0.85,
             late_factor: 3,
+            tolerant_factor: 1.1,
             prompt_token_time: PROMPT_TOKEN_TIME,
         }
     }
@@ -60,6 +64,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WaitLimit {
     params: WaitLimitParams,
+    latency: LatencyClass,
     arrived_at: Timestamp,
     objective: Duration,
     /// When the run is refused if it still waits; at the latest halfway to the caller's deadline.
@@ -73,14 +78,20 @@
     /// `arrived_at`.
     pub fn new(
         params: WaitLimitParams,
+        latency: LatencyClass,
         arrived_at: Timestamp,
         objective: Duration,
         time_left: Duration,
         prompt: u32,
     ) -> Self {
-        let latest = arrived_at + (objective * params.late_factor).min(time_left / 2);
+        let longest = match latency {
+            LatencyClass::Uniform | LatencyClass::Critical => objective * params.late_factor,
+            // Few runs that are late already find room; the caller returns later instead.
+            LatencyClass::Tolerant => objective.mul_f64(params.tolerant_factor),
+        };
+        let latest = arrived_at + longest.min(time_left / 2);
         let prompt_time = params.prompt_token_time * prompt;
-        Self { params, arrived_at, objective, latest, prompt_time }
+        Self { params, latency, arrived_at, objective, latest, prompt_time }
     }
 
     /// Returns the purpose to ask the coordinator with, and the time until the first event is due.
@@ -94,14 +105,28 @@
         }
     }
 
-    /// Decides on a run for which no engine has room and which `ahead` waiting runs are ahead of.
-    pub fn decide(&self, now: Timestamp, ahead: u16) -> WaitDecision {
+    /// Returns whether a run that waits is expected not to begin in time.
+    fn is_hopeless(&self, now: Timestamp, backlog: RunBacklog) -> bool {
+        match self.latency {
+            LatencyClass::Uniform => backlog.ahead >= self.params.ahead_limit,
+            // A short run finds room as soon as any run ends.
+            LatencyClass::Critical => false,
+            LatencyClass::Tolerant => {
+                let (_, due) = self.purpose_and_due(now);
+                let wait = Duration::from_millis(backlog.wait_ms.into());
+                wait > due.saturating_sub(self.prompt_time)
+            },
+        }
+    }
+
+    /// Decides on a run for which no engine has room.
+    pub fn decide(&self, now: Timestamp, backlog: RunBacklog) -> WaitDecision {
         let waited = now.since(self.arrived_at);
         let is_early = waited >= self.objective.mul_f64(self.params.settle_fraction)
             && waited < self.objective.mul_f64(self.params.early_fraction);
         if now >= self.latest {
             WaitDecision::RefuseLate
-        } else if is_early && ahead >= self.params.ahead_limit {
+        } else if is_early && self.is_hopeless(now, backlog) {
             WaitDecision::RefuseEarly
         } else {
             WaitDecision::Wait
--- a/medlarlanding-core/src/forwarding/waiting.rs
+++ b/medlarlanding-core/src/forwarding/waiting.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::load::RunWeight;
+use super::load::{LatencyClass, RunWeight};
 use super::placement::PROMPT_TOKEN_TIME;
 use crate::time::Timestamp;
 
@@ -67,6 +67,9 @@
 /// Class of a waiting run. All runs of one class are served before those of the next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WaitingClass {
+    /// A run that moves off a leaving engine. It has used engines for longer than any new run, and is
+    /// lost if it finds no room before its engine ends.
+    Moving,
     /// The run has the most urgent priority, and its first event can still be in time.
     Urgent,
     /// The first event can still be in time.
@@ -75,6 +78,19 @@
     Late,
 }
 
+/// A run that asks for room.
+#[derive(Clone, Copy, Debug)]
+pub struct QueuedRun {
+    /// Key of the run.
+    pub key: RunKey,
+    /// Class of the run at the moment.
+    pub class: WaitingClass,
+    /// How the objective compares with those of other runs of the service.
+    pub latency: LatencyClass,
+    /// Expected size.
+    pub weight: RunWeight,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct WaitingRun {
     class: WaitingClass,
@@ -136,20 +152,31 @@
     pub fn admit(
         &mut self,
         now: Timestamp,
-        key: RunKey,
-        class: WaitingClass,
-        weight: RunWeight,
+        run: QueuedRun,
         servers_with_room: usize,
     ) -> Result<(), usize> {
+        let QueuedRun { key, class, latency, weight } = run;
         let value_density = self.value_density(weight);
-        let ahead = self.count_ahead(now, key, class, value_density);
+        let mut ahead = self.count_ahead(now, key, class, value_density);
+        if latency == LatencyClass::Critical {
+            // A short run ends long before a moving one would need its room.
+            ahead -= self.count_moving(now);
+        }
         if servers_with_room > ahead {
             self.remove(key);
             self.record_size(weight);
             return Ok(());
         }
         self.enqueue(now, key, class, value_density);
-        Err(if servers_with_room > 0 { 0 } else { ahead })
+        Err(if servers_with_room > 0 && latency != LatencyClass::Tolerant { 0 } else { ahead })
+    }
+
+    /// Returns the number of waiting runs that move off leaving engines.
+    fn count_moving(&self, now: Timestamp) -> usize {
+        let is_moving = |run: &&WaitingRun| {
+            run.class == WaitingClass::Moving && now.since(run.asked_at) < self.params.ask_timeout
+        };
+        self.runs.values().filter(is_moving).count()
     }
 
     /// Returns the number of waiting runs that are served before a run, without the run itself.
@@ -187,6 +214,11 @@
         *waiting = WaitingRun { first_asked_at: waiting.first_asked_at, ..run };
     }
 
+    /// Returns whether a run has asked before and still waits.
+    pub fn contains(&self, key: RunKey) -> bool {
+        self.runs.contains_key(&key)
+    }
+
     /// Removes a run that was placed.
     pub fn remove(&mut self, key: RunKey) {
         self.runs.swap_remove(&key);
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -280,6 +280,8 @@
         due,
         is_urgent: false,
         drain_limit: Duration::ZERO,
+        reserve: None,
+        latency: LatencyClass::Uniform,
     }
 }
 
--- a/medlarlanding-core/tests/forwarding_server_notices.rs
+++ b/medlarlanding-core/tests/forwarding_server_notices.rs
@@ -48,6 +48,8 @@
         due: None,
         is_urgent: false,
         drain_limit: DRAIN_LIMIT,
+        reserve: None,
+        latency: LatencyClass::Uniform,
     };
     let policy = PlacementPolicy::default();
     let choice = policy.choose(at(millis), directory, &request, |_| RemoteLoad::default(), || 0.5);
--- a/medlarlanding-core/tests/forwarding_suspicion.rs
+++ b/medlarlanding-core/tests/forwarding_suspicion.rs
@@ -84,6 +84,8 @@
             due: Some(Duration::from_secs(1)),
             is_urgent: false,
             drain_limit: Duration::ZERO,
+            reserve: None,
+            latency: LatencyClass::Uniform,
         };
         let policy = PlacementPolicy::default();
         let no_remote_load = |_: &_| RemoteLoad::default();
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -12,7 +12,8 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    DrainParams, EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight, can_finish,
+    DrainParams, EngineLimits, KeyCheck, LatencyClass, RequestKind, RouteRule, RunWeight,
+    can_finish,
 };
 use medlarlanding_core::prompts::{BLOCK_TIME, PromptParts};
 use medlarlanding_core::time::Timestamp;
@@ -63,6 +64,8 @@
     pub customer: Option<Arc<str>>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// How the objective compares with those of other requests to the service.
+    pub latency: LatencyClass,
     /// Size of the generation.
     pub weight: RunWeight,
     /// Parts of the prompt; empty for requests that no engine runs.
@@ -248,6 +251,7 @@
         uri: uri.parse().map_err(|_| ErrorAnswer::Malformed)?,
         headers: parts.headers,
         body,
+        latency: config.latency_class(&rule, &service),
         service,
         engine,
         priority: customer.as_ref().and_then(|record| record.priority).unwrap_or(rule.priority),
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -15,8 +15,8 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, EngineFault, MovePlan, MoveStep, PlacePurpose, RunStop, ServerEntry, ServerKey,
-    ServerLiveness, StopOutcome,
+    EndVerdict, EngineFault, LatencyClass, MovePlan, MoveStep, PlacePurpose, RunStop, ServerEntry,
+    ServerKey, ServerLiveness, StopOutcome,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{AnswerCheck, RunContinuation, check_answer};
@@ -125,7 +125,9 @@
                     MoveStep::Wait(until) => wake_at = wake_at.min(until),
                     MoveStep::Copy => {
                         call = self.begin_copy(stream, destination, &refused).await;
-                        plan.copy_begun();
+                        if call.is_some() || self.admitted.latency == LatencyClass::Uniform {
+                            plan.copy_begun();
+                        }
                         if call.is_none() {
                             self.record_move(stream, destination, "no_room");
                             plan.refused(now);
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -236,6 +236,7 @@
         let arrived_at = self.admitted.arrived_at;
         let limit = WaitLimit::new(
             WaitLimitParams::default(),
+            self.admitted.latency,
             arrived_at,
             self.admitted.rule.objective,
             self.admitted.time_left(arrived_at),
@@ -253,17 +254,17 @@
                 },
                 Placement::Nowhere if tried.is_empty() => return Err(ErrorAnswer::NoServer),
                 Placement::Nowhere => return Err(ErrorAnswer::ServersFull),
-                Placement::Full(ahead) => match limit.decide(self.state.now(), ahead) {
+                Placement::Full(backlog) => match limit.decide(self.state.now(), backlog) {
                     WaitDecision::Wait => {
                         let pause = ASK_PERIOD.mul_f64(0.75 + self.state.draw() / 2.0);
                         tokio::time::sleep(pause).await;
                     },
                     WaitDecision::RefuseEarly => {
-                        self.log_refusal("others_first", ahead);
+                        self.log_refusal("others_first", backlog.ahead);
                         return Err(ErrorAnswer::Overloaded);
                     },
                     WaitDecision::RefuseLate => {
-                        self.log_refusal("waited", ahead);
+                        self.log_refusal("waited", backlog.ahead);
                         return Err(ErrorAnswer::Overloaded);
                     },
                 },
@@ -310,6 +311,8 @@
             due: (purpose == PlacePurpose::Start).then_some(due),
             is_urgent: self.admitted.priority == 0,
             drain_limit: self.state.settings.drain_limit,
+            reserve: None,
+            latency: self.admitted.latency,
         };
         let run = stable_hash(self.admitted.id.as_bytes());
         self.link.place(&self.state, purpose, run, &self.admitted.service, &request).await
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -235,6 +235,7 @@
             output: request.weight.output,
             due_ms: request.due.map_or(0, |due| due.as_millis().min(u32::MAX.into()) as u32),
             priority: u8::from(!request.is_urgent),
+            latency: request.latency,
             excluded: request
                 .excluded
                 .iter()
@@ -260,7 +261,7 @@
                         // This instance and the coordinator know different servers at the moment.
                         Some(_) | None => state.place(purpose, request),
                     },
-                    PlaceVerdict::Full(ahead) => Placement::Full(ahead),
+                    PlaceVerdict::Full(backlog) => Placement::Full(backlog),
                     PlaceVerdict::Nowhere => match purpose {
                         PlacePurpose::Start | PlacePurpose::StartLate => {
                             state.place(purpose, request)
--- a/medlarlanding/src/forwarding/placing.rs
+++ b/medlarlanding/src/forwarding/placing.rs
@@ -10,9 +10,10 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EngineFault, FaultLog, LoadReport, PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion,
-    PlaceVerdict, PlacementChoice, PlacementPolicy, PlacementRequest, RemoteLoad, RepeatBudget,
-    RepeatPurpose, RunKey, RunWeight, ServerKey, ServerRecord, WaitingClass, WaitingRuns,
+    BacklogForecast, CriticalDemand, EngineFault, FaultLog, LatencyClass, LoadReport, PeerTable,
+    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementChoice, PlacementPolicy,
+    PlacementRequest, QueuedRun, RemoteLoad, RepeatBudget, RepeatPurpose, RunBacklog, RunKey,
+    RunWeight, ServerKey, ServerRecord, WaitingClass, WaitingRuns,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -27,8 +28,8 @@
     pub granted: Cell<u64>,
     /// Budgets for the moves of all instances, by service.
     move_budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
-    /// Generations of all instances that wait for room, by service.
-    waiting: RefCell<IndexMap<Arc<str>, WaitingRuns>>,
+    /// Generations of all instances that compete for room, by service.
+    competition: RefCell<IndexMap<Arc<str>, ServiceCompetition>>,
     /// Engine faults that all instances reported.
     faults: RefCell<FaultLog>,
 }
@@ -38,20 +39,61 @@
 pub enum Placement {
     /// On this server.
     Server(ServerKey),
-    /// Not placed: no engine has room for it. The number of waiting runs that are served before
-    /// this one, or 0 while it must not be refused for its position.
-    Full(u16),
+    /// Not placed: no engine has room for it.
+    Full(RunBacklog),
     /// Not placed: no server accepts it, or the budget for moves is used up.
     Nowhere,
 }
 
+/// Generations of all instances that compete for the engines of one service.
+#[derive(Default)]
+struct ServiceCompetition {
+    /// Generations that wait for room.
+    waiting: WaitingRuns,
+    /// Arrivals of latency-critical generations.
+    critical: CriticalDemand,
+    /// Arrivals and placements of latency-tolerant generations.
+    backlog: BacklogForecast,
+}
+
+impl ServiceCompetition {
+    /// Records a run that asks for the first time.
+    fn record_arrival(&mut self, now: Timestamp, run: QueuedRun, due: Option<Duration>) {
+        match (run.latency, due) {
+            (LatencyClass::Critical, Some(due)) => self.critical.record(now, run.weight, due),
+            (LatencyClass::Tolerant, Some(_)) => {
+                let density = self.waiting.value_density(run.weight);
+                self.backlog.record_arrival(now, density);
+            },
+            _ => {},
+        }
+    }
+
+    /// Returns what a run waits for that `ahead` runs are ahead of.
+    fn backlog_of(&self, now: Timestamp, run: QueuedRun, ahead: usize) -> RunBacklog {
+        let wait = match run.latency {
+            LatencyClass::Tolerant => {
+                let density = self.waiting.value_density(run.weight);
+                self.backlog.expected_wait(now, density, ahead)
+            },
+            LatencyClass::Uniform | LatencyClass::Critical => Duration::ZERO,
+        };
+        RunBacklog {
+            ahead: ahead.min(usize::from(u16::MAX)) as u16,
+            wait_ms: wait.as_millis().min(u32::MAX.into()) as u32,
+        }
+    }
+}
+
 impl ForwardState {
     /// Chooses a server without asking the coordinator, and without counting the choice in a budget
     /// or queue.
     pub fn place(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
         match purpose {
             PlacePurpose::Start | PlacePurpose::StartLate => match self.choose(request) {
-                Some(PlacementChoice { servers_with_room: 0, .. }) => Placement::Full(0),
+                Some(PlacementChoice { servers_with_room: 0, .. }) => {
+                    Placement::Full(RunBacklog::default())
+                },
                 Some(choice) => Placement::Server(choice.key),
                 None => Placement::Nowhere,
             },
@@ -113,6 +155,8 @@
                 due: (question.due_ms > 0).then(|| Duration::from_millis(question.due_ms.into())),
                 is_urgent: question.priority == 0,
                 drain_limit: self.settings.drain_limit,
+                reserve: None,
+                latency: question.latency,
             },
         );
         let waiting = match question.purpose {
@@ -128,7 +172,7 @@
                 },
                 None => (PlaceVerdict::Nowhere, 0),
             },
-            Placement::Full(ahead) => (PlaceVerdict::Full(ahead), 0),
+            Placement::Full(backlog) => (PlaceVerdict::Full(backlog), 0),
             Placement::Nowhere => (PlaceVerdict::Nowhere, 0),
         };
         PlaceAnswer { number: question.number, verdict, grant }
@@ -148,7 +192,9 @@
             PlacePurpose::Start | PlacePurpose::StartLate => {
                 self.place_new_run(key, service, request)
             },
-            PlacePurpose::Move | PlacePurpose::MoveAgain => self.choose_destination(request),
+            PlacePurpose::Move | PlacePurpose::MoveAgain => {
+                self.place_moving_run(key, service, request)
+            },
         };
         if !matches!(placement, Placement::Server(_)) {
             return placement;
@@ -175,18 +221,60 @@
         request: &PlacementRequest<'_>,
     ) -> Placement {
         let now = self.now();
+        let mut services = self.placing.competition.borrow_mut();
+        let competition = services.entry(Arc::clone(service)).or_default();
+        let reserve = match (request.latency, request.due) {
+            (LatencyClass::Tolerant, Some(due)) => competition.critical.reserve(now, due),
+            _ => None,
+        };
+        let request = &PlacementRequest { reserve, ..*request };
         let Some(choice) = self.choose(request) else { return Placement::Nowhere };
         let class = match request.due {
             None => WaitingClass::Late,
             Some(_) if request.is_urgent => WaitingClass::Urgent,
             Some(_) => WaitingClass::InTime,
         };
-        let mut services = self.placing.waiting.borrow_mut();
-        let waiting = services.entry(Arc::clone(service)).or_default();
-        match waiting.admit(now, key, class, request.weight, choice.servers_with_room) {
-            Ok(()) => Placement::Server(choice.key),
-            Err(ahead) => Placement::Full(ahead.min(usize::from(u16::MAX)) as u16),
+        let run = QueuedRun { key, class, latency: request.latency, weight: request.weight };
+        if !competition.waiting.contains(key) {
+            competition.record_arrival(now, run, request.due);
         }
+        match competition.waiting.admit(now, run, choice.servers_with_room) {
+            Ok(()) => {
+                if request.latency == LatencyClass::Tolerant {
+                    competition.backlog.record_placement(now);
+                }
+                Placement::Server(choice.key)
+            },
+            Err(ahead) => Placement::Full(competition.backlog_of(now, run, ahead)),
+        }
+    }
+
+    /// Chooses the engine that a run moves to. A run without a destination waits before new runs that
+    /// can wait too.
+    fn place_moving_run(
+        &self,
+        key: RunKey,
+        service: &Arc<str>,
+        request: &PlacementRequest<'_>,
+    ) -> Placement {
+        let now = self.now();
+        let mut services = self.placing.competition.borrow_mut();
+        let competition = services.entry(Arc::clone(service)).or_default();
+        let reserve = match request.latency {
+            LatencyClass::Tolerant => competition.critical.reserve(now, Duration::MAX),
+            LatencyClass::Uniform | LatencyClass::Critical => None,
+        };
+        let placement = self.choose_destination(&PlacementRequest { reserve, ..*request });
+        if request.latency != LatencyClass::Uniform {
+            let waiting = &mut competition.waiting;
+            match placement {
+                Placement::Server(_) => waiting.remove(key),
+                Placement::Full(_) | Placement::Nowhere => {
+                    waiting.enqueue(now, key, WaitingClass::Moving, 0.0);
+                },
+            }
+        }
+        placement
     }
 
     /// Logs the load of the engines of each service, as far as this instance knows it.
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -17,8 +17,8 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, RunStop, ServerKey,
-    ServerLiveness,
+    EndVerdict, LatencyClass, PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, RunStop,
+    ServerKey, ServerLiveness,
 };
 use medlarlanding_core::prompts::RunPhase;
 use medlarlanding_core::time::Timestamp;
@@ -143,6 +143,8 @@
                 due: None,
                 is_urgent: admitted.priority == 0,
                 drain_limit: state.settings.drain_limit,
+                reserve: None,
+                latency: LatencyClass::Uniform,
             },
         );
         let Placement::Server(key) = placed else {
