Check zone, region, notice and pause of a server in one place

Cause: placement, moves, sends and resumed runs each asked for themselves whether a server may get a request, and none of them knew evacuated zones or region limits.

Change: ServerRecord::access names the reason that leaves the fewest exceptions, access_for adds the region limit of a request, and ServerDirectory keeps the set of evacuated zones and the regions of zones that both read. Placement, its draining fallbacks, choose_destination, send_delay, resume and shortest_hold use it. Probes still go to servers of evacuated zones. Nothing sets the zones or regions yet.

--- a/medlarlanding-core/src/forwarding/config.rs
+++ b/medlarlanding-core/src/forwarding/config.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::regions::RegionLimit;
+
 use indexmap::IndexMap;
 
 /// Whether a request may run more than once, and how it is answered.
@@ -55,6 +57,8 @@
     pub max_servers: u32,
     /// Requests need no customer key.
     pub is_public: bool,
+    /// Regions whose servers may get the route's requests.
+    pub regions: RegionLimit,
 }
 
 impl RouteRule {
@@ -119,6 +123,8 @@
     pub name: Arc<str>,
     /// Priority that replaces the route's; `None` keeps the route's.
     pub priority: Option<u8>,
+    /// Regions whose servers may get the customer's requests, in addition to the limit of the route.
+    pub regions: RegionLimit,
 }
 
 /// Result of checking the customer key of a request.
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::regions::{RegionKey, RegionLimit, ZoneRegions};
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
@@ -26,15 +27,34 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerKey(u32);
 
-/// Whether a server may get a request now, and if not, why. Reasons that last longer come first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Whether a server may get a request now, and if not, why. If several reasons apply, the one that
+/// leaves fewer exceptions counts; the variants are in ascending order of this.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ServerAccess {
     /// The server may get a request.
     Open,
-    /// The server is leaving or removed.
-    Leaving,
-    /// The server wants no requests from this instance for a while.
+    /// The server has failed recently. It gets requests for which there is no other server.
+    Avoided,
+    /// The server wants no requests from this instance for a while. Other instances may send some.
     Held,
+    /// The server is leaving or removed. For a part of its time it gets requests for which there is no
+    /// other server.
+    Leaving,
+    /// The server's availability zone is evacuated.
+    Evacuated,
+    /// The request is restricted to regions other than the server's.
+    OutsideRegions,
+}
+
+impl ServerAccess {
+    /// Returns whether a request of any instance may be placed on the server. The instance that sends
+    /// the request excludes the servers that are held for it.
+    pub fn may_place(self) -> bool {
+        match self {
+            Self::Open | Self::Avoided | Self::Held => true,
+            Self::Leaving | Self::Evacuated | Self::OutsideRegions => false,
+        }
+    }
 }
 
 value_type! { copy
@@ -102,6 +122,11 @@
     hold_until: Option<Timestamp>,
     /// The entry was removed, or the server has restarted since.
     pub is_removed: bool,
+    /// When this instance learned that the server's zone is evacuated; `None` while it is not. Follows
+    /// `ServerDirectory::evacuated`.
+    evacuated_since: Option<Timestamp>,
+    /// Region of the server's zone; `None` if it is unknown. Follows `ServerDirectory::zone_regions`.
+    region: Option<RegionKey>,
     /// When this instance first saw the server.
     pub seen_at: Timestamp,
     /// Requests that this instance has open at the server.
@@ -128,18 +153,32 @@
         self.leaving_since.is_none()
     }
 
-    /// Returns whether the server may get a request now. All requests to servers pass this check, whether
-    /// they are new, sent again, moved or resumed.
+    /// Returns whether the server may get a request without a region limit now.
     pub fn access(&self, now: Timestamp) -> ServerAccess {
-        if !self.accepts_work() {
+        if self.evacuated_since.is_some() {
+            ServerAccess::Evacuated
+        } else if !self.accepts_work() {
             ServerAccess::Leaving
         } else if !self.hold_left(now).is_zero() {
             ServerAccess::Held
+        } else if self.is_avoided(now) {
+            ServerAccess::Avoided
         } else {
             ServerAccess::Open
         }
     }
 
+    /// Returns whether the server may get a request with a region limit now. All requests to servers
+    /// pass this check, whether they are new, sent again, moved or resumed.
+    pub fn access_for(&self, now: Timestamp, regions: &RegionLimit) -> ServerAccess {
+        if regions.allows(self.region) { self.access(now) } else { ServerAccess::OutsideRegions }
+    }
+
+    /// Returns when this instance learned that the server's zone is evacuated; `None` while it is not.
+    pub fn evacuated_since(&self) -> Option<Timestamp> {
+        self.evacuated_since
+    }
+
     /// Returns how long the server wants no requests from this instance; zero if it takes them.
     pub fn hold_left(&self, now: Timestamp) -> Duration {
         self.hold_until.map_or(Duration::ZERO, |until| until.since(now))
@@ -162,10 +201,37 @@
     records: IndexMap<ServerKey, ServerRecord>,
     /// Key of the latest record of each id.
     current: IndexMap<Arc<str>, ServerKey>,
+    /// Evacuated zones, with the times when this instance learned of it.
+    evacuated: IndexMap<Arc<str>, Timestamp>,
+    zone_regions: ZoneRegions,
     next_key: u32,
 }
 
 impl ServerDirectory {
+    /// Sets the regions of the zones.
+    pub fn set_zone_regions(&mut self, zone_regions: ZoneRegions) {
+        self.zone_regions = zone_regions;
+        for record in self.records.values_mut() {
+            record.region = self.zone_regions.region_of(&record.entry.zone);
+        }
+    }
+
+    /// Replaces the set of evacuated zones.
+    pub fn set_evacuated<'a>(
+        &mut self,
+        now: Timestamp,
+        zones: impl IntoIterator<Item = &'a Arc<str>>,
+    ) {
+        let zones = zones.into_iter().map(|zone| {
+            let since = self.evacuated.get(zone).copied().unwrap_or(now);
+            (Arc::clone(zone), since)
+        });
+        self.evacuated = zones.collect();
+        for record in self.records.values_mut() {
+            record.evacuated_since = self.evacuated.get(&record.entry.zone).copied();
+        }
+    }
+
     /// Applies one change. Returns the server's key and whether the server starts to leave with
     /// this change, or `None` for the removal of an unknown server.
     pub fn apply(&mut self, now: Timestamp, change: DirectoryChange) -> Option<(ServerKey, bool)> {
@@ -205,6 +271,8 @@
                     record.leaving_since = record.announced_at;
                 }
                 record.is_removed = false;
+                record.evacuated_since = self.evacuated.get(&entry.zone).copied();
+                record.region = self.zone_regions.region_of(&entry.zone);
                 record.entry = entry;
                 return (key, starts_leaving);
             }
@@ -227,6 +295,8 @@
                 announced_at,
                 hold_until,
                 is_removed: false,
+                evacuated_since: self.evacuated.get(&entry.zone).copied(),
+                region: self.zone_regions.region_of(&entry.zone),
                 seen_at: now,
                 open_requests: 0,
                 open_tokens: 0,
@@ -267,10 +337,16 @@
         held.filter(move |(_, record)| &*record.entry.service == service)
     }
 
-    /// Returns the time until a server of a service takes requests again, if all that are not leaving
-    /// want none.
-    pub fn shortest_hold(&self, now: Timestamp, service: &str) -> Option<Duration> {
-        let left = self.candidates(service).map(|(_, record)| record.hold_left(now)).min();
+    /// Returns the time until a server of a service takes requests with a region limit again, if all on
+    /// which they may be placed want none.
+    pub fn shortest_hold(
+        &self,
+        now: Timestamp,
+        service: &str,
+        regions: &RegionLimit,
+    ) -> Option<Duration> {
+        let placeable = self.placeable(now, service, regions);
+        let left = placeable.map(|(_, record)| record.hold_left(now)).min();
         left.filter(|left| !left.is_zero())
     }
 
@@ -310,15 +386,39 @@
         self.records.get(&key)
     }
 
+    /// Iterates over the servers of a service.
+    fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
+        self.iter().filter(move |(_, record)| &*record.entry.service == service)
+    }
+
+    /// Iterates over the servers of a service that are not leaving, including those of evacuated zones.
+    pub fn staying<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
+        self.of_service(service).filter(|(_, record)| record.accepts_work())
+    }
+
     /// Iterates over the servers of a service that accept new requests.
     pub fn candidates<'a>(
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
-        self.records
-            .iter()
-            .filter(move |(_, record)| record.accepts_work() && &*record.entry.service == service)
-            .map(|(key, record)| (*key, record))
+        self.staying(service).filter(|(_, record)| record.evacuated_since.is_none())
+    }
+
+    /// Iterates over the servers of a service on which a request with a region limit may be placed.
+    pub fn placeable<'a>(
+        &'a self,
+        now: Timestamp,
+        service: &'a str,
+        regions: &'a RegionLimit,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
+        let of_service = self.of_service(service);
+        of_service.filter(move |(_, record)| record.access_for(now, regions).may_place())
     }
 
     /// Iterates over the entries of the servers that have reported that they are leaving while their
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -4,6 +4,7 @@
 
 use super::directory::DirectoryChange;
 use super::peers::PeerDigest;
+use super::regions::RegionLimit;
 use crate::prompts::LedgerNews;
 
 value_type! {
@@ -132,6 +133,8 @@
         pub excluded: Vec<u64>,
         /// Preferred availability zone.
         pub zone: String,
+        /// Regions whose servers may be chosen.
+        pub regions: RegionLimit,
     }
 }
 
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod placement;
 mod readiness;
+mod regions;
 mod relays;
 mod suspicion;
 mod wait_limit;
@@ -47,6 +48,7 @@
     DRAIN_FALLBACK_DIVISOR, PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest,
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
+pub use regions::{RegionKey, RegionLimit, ZoneRegions};
 pub use relays::{RelayGroup, RelayParams};
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -6,9 +6,10 @@
 
 use std::time::Duration;
 
-use super::directory::{ServerDirectory, ServerKey, ServerRecord};
+use super::directory::{ServerAccess, ServerDirectory, ServerKey, ServerRecord};
 use super::drain::DrainParams;
 use super::load::{RemoteLoad, RunWeight};
+use super::regions::RegionLimit;
 use crate::time::Timestamp;
 
 /// Costs and limits of the placement. A cost of 1 equals that of one engine's whole memory.
@@ -72,6 +73,8 @@
     pub weight: RunWeight,
     /// Servers that must not be chosen.
     pub excluded: &'a [ServerKey],
+    /// Regions whose servers may be chosen.
+    pub regions: &'a RegionLimit,
     /// Preferred availability zone.
     pub zone: &'a str,
     /// Time until the first event is due; `None` if it will be late.
@@ -86,30 +89,33 @@
     /// Iterates over the servers that accept new requests and are not excluded.
     fn candidates(
         &self,
+        now: Timestamp,
         directory: &'a ServerDirectory,
     ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> {
-        let excluded = self.excluded;
-        directory.candidates(self.service).filter(move |(key, _)| !excluded.contains(key))
+        let Self { service, excluded, regions, .. } = *self;
+        let placeable = directory.placeable(now, service, regions);
+        placeable.filter(move |(key, _)| !excluded.contains(key))
     }
 
     /// Iterates over the draining servers that may get a new request because no other server of the
-    /// service exists. A run must be expected to end before the server does.
+    /// service may. A run must be expected to end before the server does.
     fn draining_fallbacks(
         &self,
         now: Timestamp,
         directory: &'a ServerDirectory,
     ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> {
-        let Self { service, excluded, drain_limit, .. } = *self;
+        let Self { service, excluded, regions, drain_limit, .. } = *self;
         let duration = match self.memory_tokens {
             Some(_) => DrainParams::default().expected_time(self.weight),
             None => Duration::ZERO,
         };
         let limit = drain_limit / DRAIN_FALLBACK_DIVISOR;
-        let is_needed = directory.candidates(service).next().is_none();
+        let is_needed = directory.placeable(now, service, regions).next().is_none();
         directory.iter().filter(move |(key, record)| {
             is_needed
                 && &*record.entry.service == service
                 && !excluded.contains(key)
+                && record.access_for(now, regions) == ServerAccess::Leaving
                 && record.is_draining_within(now, limit)
                 && record.leaving_since.is_some_and(|at| now.since(at) + duration < drain_limit)
         })
@@ -161,7 +167,7 @@
         let mut best: Option<((bool, bool, f64), ServerKey)> = None;
         let mut servers_with_room = 0;
         let draining_fallbacks = request.draining_fallbacks(now, directory);
-        for (key, record) in request.candidates(directory).chain(draining_fallbacks) {
+        for (key, record) in request.candidates(now, directory).chain(draining_fallbacks) {
             let load = remote(record);
             let cost = self.cost(request, record, load) + draw() * self.params.jitter;
             let has_room = self.has_room(request, record, load);
@@ -193,7 +199,8 @@
     ) -> Option<ServerKey> {
         let memory = request.memory_tokens?;
         let mut best: Option<(f64, ServerKey)> = None;
-        let healthy = request.candidates(directory).filter(|(_, record)| !record.is_avoided(now));
+        let candidates = request.candidates(now, directory);
+        let healthy = candidates.filter(|(_, record)| !record.is_avoided(now));
         for (key, record) in healthy {
             // Expected output does not count here: the copy takes only the tokens that the run
             // has now, and a run without a destination is lost.
--- a/medlarlanding-core/tests/forwarding_decisions.rs
+++ b/medlarlanding-core/tests/forwarding_decisions.rs
@@ -6,8 +6,8 @@
 use medlarlanding_core::cases;
 use medlarlanding_core::forwarding::{
     CustomerRecord, DirectoryChange, DrainParams, ForwardConfig, KeyCheck, MoveParams, MovePlan,
-    MoveStep, RequestKind, RequestLimits, RouteRule, RouteTarget, RunWeight, ServerDirectory,
-    ServerEntry, ServerPhase, ServicePolicy, can_finish,
+    MoveStep, RegionLimit, RequestKind, RequestLimits, RouteRule, RouteTarget, RunWeight,
+    ServerDirectory, ServerEntry, ServerPhase, ServicePolicy, can_finish,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -30,12 +30,14 @@
         ],
         max_servers: 1,
         is_public,
+        regions: RegionLimit::Any,
     }
 }
 
 fn config() -> ForwardConfig {
     let limits = RequestLimits { header_bytes: 1, body_bytes: 1, idle: Duration::ZERO };
-    let record = CustomerRecord { name: Arc::from("museum"), priority: Some(0) };
+    let record =
+        CustomerRecord { name: Arc::from("museum"), priority: Some(0), regions: RegionLimit::Any };
     let policy =
         ServicePolicy { name: Arc::from("a"), max_connections: 1, health_path: None, engine: None };
     let rules =
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -9,8 +9,8 @@
 
 use medlarlanding_core::forwarding::{
     BudgetParams, DirectoryChange, LoadReport, PeerDigest, PeerTable, PeerTableParams,
-    PlacementPolicy, PlacementRequest, RemoteLoad, RepeatBudget, RepeatPurpose, RunWeight,
-    ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
+    PlacementPolicy, PlacementRequest, RegionLimit, RemoteLoad, RepeatBudget, RepeatPurpose,
+    RunWeight, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -276,6 +276,7 @@
         memory_tokens: Some(MEMORY),
         weight: RunWeight { prompt, output: 400 },
         excluded: &[],
+        regions: &RegionLimit::Any,
         zone: "z0",
         due,
         is_urgent: false,
--- a/medlarlanding-core/tests/forwarding_server_notices.rs
+++ b/medlarlanding-core/tests/forwarding_server_notices.rs
@@ -5,8 +5,8 @@
 
 use medlarlanding_core::cases;
 use medlarlanding_core::forwarding::{
-    DirectoryChange, PlacementPolicy, PlacementRequest, RemoteLoad, RunWeight, ServerDirectory,
-    ServerEntry, ServerKey, ServerPhase,
+    DirectoryChange, PlacementPolicy, PlacementRequest, RegionLimit, RemoteLoad, RunWeight,
+    ServerDirectory, ServerEntry, ServerKey, ServerPhase,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -44,6 +44,7 @@
         memory_tokens: weight.map(|_| 30_000),
         weight: weight.unwrap_or_default(),
         excluded,
+        regions: &RegionLimit::Any,
         zone: "z0",
         due: None,
         is_urgent: false,
@@ -145,20 +146,30 @@
     directory.hold(first, at(500));
     let held: Vec<_> = directory.held(at(1_000), "orders").map(|(key, _)| key).collect();
     assert_eq!(held, [first]);
-    assert_eq!(directory.shortest_hold(at(1_000), "orders"), None, "another server takes requests");
+    assert_eq!(
+        directory.shortest_hold(at(1_000), "orders", &RegionLimit::Any),
+        None,
+        "another server takes requests"
+    );
     directory.hold(second, at(3_000));
-    let left = directory.shortest_hold(at(1_000), "orders");
+    let left = directory.shortest_hold(at(1_000), "orders", &RegionLimit::Any);
     assert_eq!(left, Some(Duration::from_secs(1)));
     assert_eq!(directory.held(at(2_500), "orders").count(), 1);
     // Neither an old entry nor one that comes back ends a pause.
     write(&mut directory, 1_000, entry("b", 40, ServerPhase::Ready));
-    assert_eq!(directory.shortest_hold(at(1_000), "orders"), Some(Duration::from_secs(1)));
+    assert_eq!(
+        directory.shortest_hold(at(1_000), "orders", &RegionLimit::Any),
+        Some(Duration::from_secs(1))
+    );
     directory.apply(at(1_000), DirectoryChange::Removed(Arc::from("a")));
     write(&mut directory, 1_000, entry("a", 50, ServerPhase::Ready));
-    assert_eq!(directory.shortest_hold(at(1_000), "orders"), Some(Duration::from_secs(1)));
+    assert_eq!(
+        directory.shortest_hold(at(1_000), "orders", &RegionLimit::Any),
+        Some(Duration::from_secs(1))
+    );
     // The next start has said nothing.
     write(&mut directory, 1_000, entry("a", 60, ServerPhase::Ready));
-    assert_eq!(directory.shortest_hold(at(1_000), "orders"), None);
+    assert_eq!(directory.shortest_hold(at(1_000), "orders", &RegionLimit::Any), None);
 }
 
 /// Guards against a leaving server that is used again, or a pause that is cut short, because an entry
--- a/medlarlanding-core/tests/forwarding_suspicion.rs
+++ b/medlarlanding-core/tests/forwarding_suspicion.rs
@@ -5,8 +5,8 @@
 
 use medlarlanding_core::cases;
 use medlarlanding_core::forwarding::{
-    DirectoryChange, EngineFault, FaultLog, PlacementPolicy, PlacementRequest, RemoteLoad,
-    RunWeight, ServerDirectory, ServerEntry, ServerPhase, SuspicionParams,
+    DirectoryChange, EngineFault, FaultLog, PlacementPolicy, PlacementRequest, RegionLimit,
+    RemoteLoad, RunWeight, ServerDirectory, ServerEntry, ServerPhase, SuspicionParams,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -80,6 +80,7 @@
             memory_tokens: Some(21_805),
             weight: RunWeight { prompt: 3_000, output: 700 },
             excluded: &[],
+            regions: &RegionLimit::Any,
             zone: "z",
             due: Some(Duration::from_secs(1)),
             is_urgent: false,
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -12,7 +12,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    DrainParams, EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight, can_finish,
+    DrainParams, EngineLimits, KeyCheck, RegionLimit, RequestKind, RouteRule, RunWeight, can_finish,
 };
 use medlarlanding_core::prompts::{BLOCK_TIME, PromptParts};
 use medlarlanding_core::time::Timestamp;
@@ -61,6 +61,8 @@
     pub engine: Option<EngineLimits>,
     /// Name of the customer; `None` for an anonymous request.
     pub customer: Option<Arc<str>>,
+    /// Regions whose servers may get the request.
+    pub regions: RegionLimit,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Size of the generation.
@@ -139,14 +141,15 @@
 }
 
 /// Returns the delay after which the caller should retry; `None` for errors that a retry does not
-/// resolve and for requests that may have run. A request for a `service` all of whose servers want
-/// none for a while comes back after the shortest of these periods.
+/// resolve and for requests that may have run. An admitted request that all servers want none of for a
+/// while comes back after the shortest of these periods.
 pub fn retry_after(
     error: ErrorAnswer,
     state: &ForwardState,
-    service: Option<&str>,
+    admitted: Option<&AdmittedRequest>,
 ) -> Option<Duration> {
-    let hold = service.and_then(|service| state.shortest_hold(service)).unwrap_or_default();
+    let hold = admitted.and_then(|it| state.shortest_hold(&it.service, &it.regions));
+    let hold = hold.unwrap_or_default();
     let delay = match error {
         ErrorAnswer::NotConfigured => RETRY_NOT_CONFIGURED,
         ErrorAnswer::NoServer => hold.max(RETRY_NO_SERVER),
@@ -217,6 +220,8 @@
         KeyCheck::Unknown => return Err(ErrorAnswer::UnknownKey),
     };
     let rule = Arc::clone(rule);
+    let customer_regions = customer.as_ref().map(|record| &record.regions);
+    let regions = rule.regions.intersect(customer_regions.unwrap_or(&RegionLimit::Any));
     if state.check_prompt(&caller.parts).is_some() {
         return Err(ErrorAnswer::FatalPrompt);
     }
@@ -250,6 +255,7 @@
         body,
         service,
         engine,
+        regions,
         priority: customer.as_ref().and_then(|record| record.priority).unwrap_or(rule.priority),
         customer: customer.map(|record| record.name),
         weight: caller.weight,
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -145,7 +145,7 @@
         let (stream, status, server_headers) = match self.start().await {
             Ok(started) => started,
             Err(StartFailure::Error(error)) => {
-                let delay = retry_after(error, &self.state, Some(&self.admitted.service));
+                let delay = retry_after(error, &self.state, Some(&self.admitted));
                 let answer = error.to_answer(&self.admitted.id, delay);
                 self.finish(error.code(), answer.status().as_u16(), "");
                 // Sending fails if the caller has disconnected; it then needs no answer.
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -423,7 +423,8 @@
             if time_left.is_zero() || self.is_fatal() {
                 return ResumeOutcome::Failed;
             }
-            let delay = self.state.send_delay(*key, self.admitted.arrived_at);
+            let delay =
+                self.state.send_delay(*key, self.admitted.arrived_at, &self.admitted.regions);
             if delay > RESUME_DELAY_LIMIT.min(time_left) {
                 continue;
             }
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -306,6 +306,7 @@
             memory_tokens: self.admitted.engine.map(|engine| engine.memory_tokens),
             weight: self.run_weight(),
             excluded: &excluded,
+            regions: &self.admitted.regions,
             zone,
             due: (purpose == PlacePurpose::Start).then_some(due),
             is_urgent: self.admitted.priority == 0,
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -242,6 +242,7 @@
                 .take(EXCLUDED_LIMIT)
                 .collect(),
             zone: request.zone.to_owned(),
+            regions: request.regions.clone(),
         };
         self.send(state, &PeerMessage::Question(question), &[coordinator]);
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
@@ -253,7 +254,9 @@
                     PlaceVerdict::Server(hash) => match state.find_server(hash) {
                         Some(key)
                             if !request.excluded.contains(&key)
-                                && state.send_delay(key, state.now()).is_zero() =>
+                                && state
+                                    .send_delay(key, state.now(), request.regions)
+                                    .is_zero() =>
                         {
                             Placement::Server(key)
                         },
--- a/medlarlanding/src/forwarding/placing.rs
+++ b/medlarlanding/src/forwarding/placing.rs
@@ -109,6 +109,7 @@
                 memory_tokens: memory,
                 weight,
                 excluded: &excluded,
+                regions: &question.regions,
                 zone: &question.zone,
                 due: (question.due_ms > 0).then(|| Duration::from_millis(question.due_ms.into())),
                 is_urgent: question.priority == 0,
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -139,6 +139,7 @@
                 memory_tokens: None,
                 weight: admitted.weight,
                 excluded: &excluded,
+                regions: &admitted.regions,
                 zone: &state.settings.zone,
                 due: None,
                 is_urgent: admitted.priority == 0,
@@ -229,7 +230,7 @@
     let answer = match answer {
         Answer::Server(answer) => answer,
         Answer::Error(error) => {
-            error.to_answer(&admitted.id, retry_after(error, state, Some(&admitted.service)))
+            error.to_answer(&admitted.id, retry_after(error, state, Some(&admitted)))
         },
     };
     record.finish(outcome, answer.status().as_u16(), &last_server);
--- a/medlarlanding/src/forwarding/servers.rs
+++ b/medlarlanding/src/forwarding/servers.rs
@@ -8,8 +8,8 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    ChangeSource, DRAIN_FALLBACK_DIVISOR, DirectoryChange, RequiredPart, ServerEntry, ServerKey,
-    ServerPhase,
+    ChangeSource, DRAIN_FALLBACK_DIVISOR, DirectoryChange, RegionLimit, RequiredPart, ServerAccess,
+    ServerEntry, ServerKey, ServerPhase,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
@@ -97,13 +97,25 @@
     }
 
     /// Returns the time until a request may be sent to a server that was chosen for it; zero if it may
-    /// be sent now, and `Duration::MAX` if the server leaves for too long.
-    pub fn send_delay(&self, key: ServerKey, arrived_at: Timestamp) -> Duration {
+    /// be sent now, and `Duration::MAX` if the server leaves for too long or may not get the request.
+    pub fn send_delay(
+        &self,
+        key: ServerKey,
+        arrived_at: Timestamp,
+        regions: &RegionLimit,
+    ) -> Duration {
         let directory = self.directory.borrow();
         let Some(record) = directory.get(key) else { return Duration::MAX };
         let limit = self.settings.drain_limit / DRAIN_FALLBACK_DIVISOR;
         let is_late = record.leaving_since.is_some_and(|since| arrived_at > since + limit);
-        if is_late { Duration::MAX } else { record.hold_left(self.now()) }
+        match record.access_for(self.now(), regions) {
+            ServerAccess::Evacuated | ServerAccess::OutsideRegions => Duration::MAX,
+            ServerAccess::Leaving if is_late => Duration::MAX,
+            ServerAccess::Open
+            | ServerAccess::Avoided
+            | ServerAccess::Held
+            | ServerAccess::Leaving => record.hold_left(self.now()),
+        }
     }
 
     /// Adds the servers of a service that want no requests from this instance to those that a request
@@ -114,19 +126,20 @@
         excluded.iter().copied().chain(held.filter(|key| !excluded.contains(key))).collect()
     }
 
-    /// Returns the time until a server of a service takes requests from this instance again, if all of
-    /// them want none.
-    pub fn shortest_hold(&self, service: &str) -> Option<Duration> {
-        self.directory.borrow().shortest_hold(self.now(), service)
+    /// Returns the time until a server of a service takes requests with a region limit from this instance
+    /// again, if all that may get them want none.
+    pub fn shortest_hold(&self, service: &str, regions: &RegionLimit) -> Option<Duration> {
+        self.directory.borrow().shortest_hold(self.now(), service, regions)
     }
 
-    /// Returns the model engines that are not known to be leaving.
+    /// Returns the model engines that are not known to be leaving, including those of evacuated zones,
+    /// whose runs continue.
     pub fn engines(&self) -> Vec<(ServerKey, SocketAddr)> {
         let Some(ConfigInForce { config, .. }) = self.config() else { return Vec::new() };
         let directory = self.directory.borrow();
         let policies = config.engine_services();
         policies
-            .flat_map(|(policy, _)| directory.candidates(&policy.name))
+            .flat_map(|(policy, _)| directory.staying(&policy.name))
             .map(|(key, record)| (key, record.entry.address))
             .collect()
     }
