Stop sending requests to evacuated zones

Cause: the store key op/evacuate/ZONE says that the servers of a zone get no more requests, and instances did not read it.

Change: EvacuationTable keeps the last change of each zone with its revision and the revision up to which it is complete; of two statements about a zone the one that holds up to the later revision counts. The watch of the configuration covers the prefix op/, so the number of calls to the store stays the same. A change goes to all instances as the whole table through the relay groups; digests carry a fingerprint (0 while no zone is evacuated), and instances whose fingerprints differ exchange their tables. Fetches return the table too, before the configuration makes the instance ready. After a pause of its process an instance sends requests only once a peer has answered a new question, at most 0.4 s later; only where the settings have evacuateMs. A run that is being moved to a zone when it is evacuated may resume there for a quarter of evacuateMs, and then gets another destination. Events E630 to E632, gauge evacuated_zones. Settings zones, region and evacuateMs are read.

Changed tests: only the new fields in literals, and a message more in forwarding_datagrams.

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -141,6 +141,12 @@
     623 AnswerEnd Info "answer_end" ["request", "route", "server", "framing", "known", "state", "took_ms", "verdict"];
     /// A server refused a request and wants no further ones from this instance for a while.
     624 ServerHold Info "server_hold" ["request", "server", "hold_ms"];
+    /// An availability zone was evacuated: its servers get no more requests.
+    630 ZoneEvacuated Warn "zone_emptied" ["zone", "revision", "source"];
+    /// An availability zone was restored: its servers get requests again.
+    631 ZoneRestored Info "zone_restored" ["zone", "revision", "source"];
+    /// An item of the store that evacuates a zone is ignored.
+    632 EvacuationRefused Warn "evacuation_refused" ["key", "revision", "reason"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::directory::DirectoryChange;
+use super::evacuation::EvacuationTable;
 use super::peers::PeerDigest;
 use super::regions::RegionLimit;
 use crate::prompts::LedgerNews;
@@ -37,13 +38,19 @@
         LedgerSync(LedgerSync),
         /// Hash of the id of an engine that has ended; sent to the coordinator.
         Ended(u64),
+        /// The sender's table of evacuated zones: from the instance that reads a change to all others,
+        /// and between instances whose digests show that their tables differ.
+        Evacuations(EvacuationSync),
     }
 }
 
 impl PeerMessage {
     /// Returns whether an instance passes the message on for another one.
     pub fn may_be_relayed(&self) -> bool {
-        matches!(self, Self::Servers(_) | Self::Leaving(_) | Self::LedgerNews(_))
+        matches!(
+            self,
+            Self::Servers(_) | Self::Leaving(_) | Self::LedgerNews(_) | Self::Evacuations(_)
+        )
     }
 
     /// Returns the kind of the message, for metrics.
@@ -56,6 +63,7 @@
             Self::Question(_) => "question",
             Self::Answer(_) => "answer",
             Self::Relayed(_) => "relayed",
+            Self::Evacuations(_) => "evacuations",
             Self::LedgerNews(_) | Self::LedgerState(_) | Self::LedgerSync(_) => "ledger",
         }
     }
@@ -72,13 +80,36 @@
     }
 }
 
+value_type! {
+    /// A table of evacuated zones.
+    pub struct EvacuationSync {
+        /// The sender's table.
+        pub table: EvacuationTable,
+        /// Purpose of the message.
+        pub purpose: SyncPurpose,
+    }
+}
+
+value_type! { copy
+    /// Purpose of sending a table.
+    pub enum SyncPurpose {
+        /// The table has changed, or differs from the receiver's. A receiver whose table differs after
+        /// the merge sends its own.
+        Share,
+        /// The sender asks for the receiver's table, with a number for the answer.
+        Ask(u64),
+        /// Answer to the question with this number, or 0 if there was none.
+        Answer(u64),
+    }
+}
+
 value_type! {
     /// A message that the receiver applies and passes on to others.
     pub struct RelayedMessage {
         /// Peers to which the receiver sends the message.
         pub targets: Vec<SocketAddr>,
-        /// An encoded `PeerMessage::Servers`, `PeerMessage::Leaving` or `PeerMessage::LedgerNews`;
-        /// others are dropped.
+        /// An encoded `PeerMessage::Servers`, `PeerMessage::Leaving`, `PeerMessage::LedgerNews` or
+        /// `PeerMessage::Evacuations`; others are dropped.
         pub message: Vec<u8>,
     }
 }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -10,9 +10,11 @@
 mod directory;
 mod drain;
 mod entries;
+mod evacuation;
 mod load;
 mod messages;
 mod moves;
+mod pause_gate;
 mod peer_lag;
 mod peers;
 mod placement;
@@ -36,12 +38,14 @@
 };
 pub use drain::{DrainParams, can_finish};
 pub use entries::{EntryDelta, EntryLog};
+pub use evacuation::{EvacuationTable, ZoneChange, ZoneEntry, ZoneEntryState, ZoneState};
 pub use load::{LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
-    LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
-    RelayedMessage, ServerChanges,
+    EvacuationSync, LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion,
+    PlaceVerdict, RelayedMessage, ServerChanges, SyncPurpose,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
+pub use pause_gate::{PauseGate, PauseParams};
 pub use peer_lag::PeerLag;
 pub use peers::{PeerDigest, PeerTable, PeerTableParams};
 pub use placement::{
--- a/medlarlanding-core/src/forwarding/moves.rs
+++ b/medlarlanding-core/src/forwarding/moves.rs
@@ -117,6 +117,11 @@
         self.is_copied = true;
     }
 
+    /// Records that the copy can no longer be used, so that another destination is needed.
+    pub fn copy_lost(&mut self) {
+        self.is_copied = false;
+    }
+
     /// Records that the first or the final copy was refused.
     pub fn refused(&mut self, now: Timestamp) {
         self.retry_at = now + self.params.retry_pause;
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -33,6 +33,8 @@
         /// Store revision at which server entries last changed, as far as the sender knows; 0 for
         /// none.
         pub servers_revision: u64,
+        /// Fingerprint of the sender's table of evacuated zones; 0 if none is evacuated.
+        pub evacuations: u64,
         /// Addresses of some peers that the sender considers live.
         pub peers: Vec<SocketAddr>,
         /// Highest number of a grant from the receiver whose load `loads` contains.
@@ -100,6 +102,7 @@
     reaches_store: bool,
     config_version: u64,
     servers_revision: u64,
+    evacuations: u64,
     loads: Vec<LoadReport>,
     /// Placements granted to the peer that its reported loads do not include yet.
     grants: Vec<PeerGrant>,
@@ -199,6 +202,7 @@
             reaches_store: digest.reaches_store,
             config_version: digest.config_version,
             servers_revision: digest.servers_revision,
+            evacuations: digest.evacuations,
             loads: digest.loads,
             grants,
         };
@@ -410,6 +414,22 @@
         ahead.get((draw * ahead.len() as f64) as usize).map(|address| **address)
     }
 
+    /// Returns one of the live peers whose table of evacuated zones has another fingerprint. `draw`, a
+    /// random number from 0 to 1, selects among them.
+    pub fn peer_with_other_evacuations(
+        &self,
+        now: Timestamp,
+        fingerprint: u64,
+        draw: f64,
+    ) -> Option<SocketAddr> {
+        let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
+        let others: Vec<&SocketAddr> = live
+            .filter(|(_, record)| record.evacuations != fingerprint)
+            .map(|(address, _)| address)
+            .collect();
+        others.get((draw * others.len() as f64) as usize).map(|address| **address)
+    }
+
     /// Returns the newest store revision of server entries among the live peers; 0 for none.
     pub fn newest_servers_revision(&self, now: Timestamp) -> u64 {
         let live = self.peers.values().filter(|record| self.is_live(now, record));
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 
 use medlarlanding_core::forwarding::{
-    DirectoryChange, LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams,
-    RelayedMessage, ServerChanges, ServerEntry, ServerPhase,
+    DirectoryChange, EvacuationSync, EvacuationTable, LoadReport, PeerDigest, PeerMessage,
+    PeerTable, PeerTableParams, RelayedMessage, ServerChanges, ServerEntry, ServerPhase,
+    SyncPurpose, ZoneEntry, ZoneEntryState,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -20,6 +21,14 @@
     SocketAddr::from(([10, 1, 0, number], 7200))
 }
 
+fn evacuations() -> EvacuationSync {
+    let zone = Arc::from("regina");
+    let entry = ZoneEntry { zone, revision: 5, state: ZoneEntryState::Evacuated };
+    let mut table = EvacuationTable::default();
+    table.read_snapshot(&[entry], 8);
+    EvacuationSync { table, purpose: SyncPurpose::Ask(3) }
+}
+
 fn messages() -> Vec<PeerMessage> {
     let entry = ServerEntry {
         id: Arc::from("i-1"),
@@ -42,6 +51,7 @@
         reaches_store: true,
         config_version: 3,
         servers_revision: 9,
+        evacuations: 0,
         peers: vec![address(3), address(4)],
         granted: 8,
         loads: vec![load],
@@ -57,6 +67,7 @@
         PeerMessage::Fault(4),
         PeerMessage::Relayed(relayed),
         PeerMessage::Unresponsive(4),
+        PeerMessage::Evacuations(evacuations()),
     ]
 }
 
@@ -77,6 +88,9 @@
         };
         let again = postcard::to_stdvec(&message).expect("a decoded message can be encoded");
         let has_bounded_size = again.len() <= bytes.len() + 64;
+        if let PeerMessage::Evacuations(sync) = &message {
+            evacuations().table.merge(&sync.table);
+        }
         if let PeerMessage::Digest(digest) = message {
             let mut table =
                 PeerTable::new(PeerTableParams::default(), address(1), 100, vec![address(2)]);
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -37,6 +37,7 @@
         reaches_store: true,
         config_version: 3,
         servers_revision: 9,
+        evacuations: 0,
         peers: Vec::new(),
         granted: 0,
         loads: Vec::new(),
--- a/medlarlanding-core/tests/forwarding_relays.rs
+++ b/medlarlanding-core/tests/forwarding_relays.rs
@@ -29,6 +29,7 @@
             reaches_store: true,
             config_version: 1,
             servers_revision: 1,
+            evacuations: 0,
             peers: silent.iter().map(|number| address(*number)).collect(),
             granted: 0,
             loads: Vec::new(),
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -123,6 +123,12 @@
                     MoveStep::Copy | MoveStep::Finish if self.is_fatal() => {},
                     MoveStep::Stay => {},
                     MoveStep::Wait(until) => wake_at = wake_at.min(until),
+                    MoveStep::Finish if self.is_barred(destination) => {
+                        // The first copy went to a zone that has been evacuated since.
+                        refused.extend(destination.take().map(|target| target.key));
+                        plan.copy_lost();
+                        continue;
+                    },
                     MoveStep::Copy => {
                         call = self.begin_copy(stream, destination, &refused).await;
                         plan.copy_begun();
@@ -300,6 +306,12 @@
         Some(self.move_call(stream, address, false))
     }
 
+    /// Returns whether the engine with the copy no longer takes the run because its zone is evacuated.
+    fn is_barred(&self, destination: &Option<RunDestination>) -> bool {
+        let target = destination.as_ref();
+        target.is_some_and(|target| self.state.is_evacuated_for_long(target.key))
+    }
+
     fn move_call(&self, stream: &EngineStream, to: SocketAddr, is_final: bool) -> MoveCall {
         MoveCall::begin(stream.entry.address, &self.admitted.id, to, is_final)
     }
@@ -418,13 +430,14 @@
         for _ in 0..RESUME_LIMIT {
             let (key, entry) = &targets[next_target % targets.len()];
             next_target += 1;
+            self.state.wait_for_news().await;
             let now = self.state.now();
             let time_left = self.admitted.time_left(now);
             if time_left.is_zero() || self.is_fatal() {
                 return ResumeOutcome::Failed;
             }
             let delay =
-                self.state.send_delay(*key, self.admitted.arrived_at, &self.admitted.regions);
+                self.state.resume_delay(*key, self.admitted.arrived_at, &self.admitted.regions);
             if delay > RESUME_DELAY_LIMIT.min(time_left) {
                 continue;
             }
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -242,6 +242,7 @@
             self.admitted.weight.prompt,
         );
         loop {
+            self.state.wait_for_news().await;
             if !self.admitted.fits_stop(&self.state) {
                 self.log_refusal("stopping", 0);
                 return Err(ErrorAnswer::Stopping);
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -3,7 +3,7 @@
 //! `listener` accepts connections, `admit` checks each request, and `relay` (plain services) or
 //! `generation` (model engines) sends it to a server over a connection of `crate::exchange`.
 //! `store_watch`, `peer_link` and `peer_fetch` keep the configuration and the server directory up
-//! to date.
+//! to date, and `evacuations` the evacuated zones.
 
 mod admit;
 mod answer;
@@ -11,6 +11,7 @@
 mod caller_stream;
 mod engine_calls;
 mod engine_probe;
+mod evacuations;
 mod generation;
 mod ledger;
 mod listener;
--- a/medlarlanding/src/forwarding/peer_fetch.rs
+++ b/medlarlanding/src/forwarding/peer_fetch.rs
@@ -1,4 +1,4 @@
-//! Fetches a newer configuration and newer server entries from a peer over TCP.
+//! Fetches a newer configuration, newer server entries and the evacuated zones from a peer over TCP.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -10,7 +10,7 @@
 use crate::listener::accept;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{ChangeSource, EntryDelta, PeerLag};
+use medlarlanding_core::forwarding::{ChangeSource, EntryDelta, EvacuationTable, PeerLag};
 use medlarlanding_core::value_type;
 
 use anyhow::{Context, bail};
@@ -46,17 +46,19 @@
 }
 
 value_type! {
-    /// Configuration and server entries, each only if it is newer than the requester's.
+    /// Evacuated zones, and configuration and server entries, each only if newer than the requester's.
     struct FetchAnswer {
         /// Text of the configuration as stored; `None` if the requester's is not older.
         config: Option<Vec<u8>>,
+        /// Evacuated zones. Part of every answer, so that an instance with a configuration has them.
+        evacuations: EvacuationTable,
         /// Server entries; `None` if the requester lacks none.
         servers: Option<EntryDelta>,
     }
 }
 
-/// Starts a fetch from a peer if one has a newer configuration, or server entries that this instance
-/// has lacked for a while. At most one fetch runs at a time. `lag` is kept between calls.
+/// Starts a fetch from a peer if one has a newer configuration, or server entries or evacuated zones that
+/// this instance has lacked for a while. At most one fetch runs at a time. `lag` is kept between calls.
 pub fn fetch_if_behind(state: &SharedState, lag: &mut PeerLag) {
     let now = state.now();
     let (config_version, servers_revision) =
@@ -69,11 +71,13 @@
         let with_servers = || peers.peer_with_newer_servers(now, servers_revision, state.draw());
         with_config.or_else(|| lacks_servers.then(with_servers).flatten())
     };
-    let Some(peer) = ahead else { return };
+    let with_other_table = state.peer_with_other_table(now);
+    let Some(peer) = ahead.or(with_other_table) else { return };
     if state.is_fetching.get() || now < state.fetch_after.get() {
         return;
     }
     lag.reset();
+    state.begin_table_fetch();
     let request = FetchRequest { config_version, servers_revision };
     let state = Rc::clone(state);
     // A second fetch at the same time would only slow both down.
@@ -106,6 +110,7 @@
             &answer.servers.as_ref().map_or(0, |delta| delta.revision),
         ],
     );
+    state.merge_evacuations(&answer.evacuations);
     if let Some(text) = answer.config {
         state.offer_config(&text, ChangeSource::Peer);
     }
@@ -170,7 +175,11 @@
 fn answer_fetch(state: &SharedState, request: &FetchRequest) -> FetchAnswer {
     let config = state.config().filter(|in_force| in_force.config.version > request.config_version);
     let servers = state.entries.borrow().delta_since(request.servers_revision);
-    FetchAnswer { config: config.map(|in_force| in_force.text.to_vec()), servers }
+    FetchAnswer {
+        config: config.map(|in_force| in_force.text.to_vec()),
+        evacuations: state.evacuations(),
+        servers,
+    }
 }
 
 async fn write_frame<T: Serialize>(
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -53,14 +53,19 @@
         Self { socket, questions: RefCell::default(), next_question: Cell::new(1) }
     }
 
-    fn send(&self, state: &ForwardState, message: &PeerMessage, targets: &[SocketAddr]) {
+    pub(super) fn send(&self, state: &ForwardState, message: &PeerMessage, targets: &[SocketAddr]) {
         if let Some(bytes) = encode(message) {
             self.send_bytes(state, message.kind(), &bytes, targets);
         }
     }
 
     /// Sends a message to the relays of each group, which pass it on to the members.
-    fn send_to_groups(&self, state: &ForwardState, message: &PeerMessage, groups: &[RelayGroup]) {
+    pub(super) fn send_to_groups(
+        &self,
+        state: &ForwardState,
+        message: &PeerMessage,
+        groups: &[RelayGroup],
+    ) {
         let Some(bytes) = encode(message) else { return };
         for group in groups {
             if group.relays.is_empty() {
@@ -290,7 +295,7 @@
         .ok()
 }
 
-fn relay_groups(state: &ForwardState) -> Vec<RelayGroup> {
+pub(super) fn relay_groups(state: &ForwardState) -> Vec<RelayGroup> {
     RelayParams::default().groups(state.now(), &state.peers.borrow())
 }
 
@@ -357,6 +362,7 @@
         reaches_store: state.reaches_store.get(),
         config_version: state.config_version(),
         servers_revision: state.entries.borrow().changed_revision(),
+        evacuations: state.evacuation_fingerprint(),
         peers: state.peers.borrow().sample(now, sequence),
         granted: state.placing.granted.get(),
         loads: Vec::new(),
@@ -399,7 +405,10 @@
         },
         PeerMessage::Digest(digest) => {
             let has_started = state.peers.borrow().boot(source) != Some(digest.boot);
-            state.peers.borrow_mut().receive(state.now(), digest);
+            let evacuations = digest.evacuations;
+            if state.peers.borrow_mut().receive(state.now(), digest) {
+                link.compare_evacuations(state, source, evacuations);
+            }
             if has_started && state.ledger_fingerprint().is_some() {
                 // The sender takes requests as soon as it knows the servers.
                 link.send_ledger(state, source, false);
@@ -447,6 +456,7 @@
                 link.send_ledger(state, source, false);
             }
         },
+        PeerMessage::Evacuations(sync) => link.receive_evacuations(state, source, &sync),
         PeerMessage::Question(question) => {
             let answer = state.answer_question(source, &question);
             link.send(state, &PeerMessage::Answer(answer), &[source]);
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -119,6 +119,7 @@
     let mut last_server = String::new();
     state.record_request(&admitted.service);
     let (outcome, answer) = loop {
+        state.wait_for_news().await;
         let now = state.now();
         let time_left = admitted.time_left(now);
         if time_left < SEND_TIME_MIN {
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::engine_probe;
+use super::evacuations;
 use super::listener;
 use super::log_output::LogWriter;
 use super::peer_fetch;
@@ -120,6 +121,7 @@
         store_watch::run(Rc::clone(&state), Rc::clone(&link), WatchedPart::Servers),
     );
     tasks.spawn("probes", engine_probe::run(Rc::clone(&state), Rc::clone(&link)));
+    tasks.spawn("pauses", evacuations::watch_pauses(Rc::clone(&link), Rc::clone(&state)));
     tasks.spawn("settings", watch_settings(Rc::clone(&state)));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut failures = tasks.failures;
@@ -186,11 +188,12 @@
     event(EventKind::DrainFinished, &[&started.elapsed().as_millis()]);
 }
 
-/// Applies changed seeds from the settings file, on SIGHUP and periodically.
+/// Applies changed seeds and regions of zones from the settings file, on SIGHUP and periodically.
 async fn watch_settings(state: SharedState) -> anyhow::Result<()> {
     let mut reload = signal(SignalKind::hangup())?;
     let path = PlatformSettings::path();
     let mut seeds = state.settings.seeds.clone();
+    let mut zone_regions = state.settings.zone_regions.clone();
     loop {
         let is_signalled = tokio::select! {
             _ = reload.recv() => true,
@@ -203,7 +206,12 @@
                 }
                 if settings.seeds != seeds {
                     state.peers.borrow_mut().set_seeds(settings.seeds.clone());
-                    seeds = settings.seeds;
+                    seeds = settings.seeds.clone();
+                }
+                if settings.zone_regions != zone_regions {
+                    let regions = evacuations::zone_regions(&settings);
+                    state.directory.borrow_mut().set_zone_regions(regions);
+                    zone_regions = settings.zone_regions;
                 }
             },
             Err(error) => event(EventKind::SettingsRefused, &[&format!("{error:#}")]),
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::evacuations::{EvacuationState, zone_regions};
 use super::ledger::LedgerState;
 use super::placing::PlacementState;
 use super::telemetry::Telemetry;
@@ -71,6 +72,8 @@
     pub placing: PlacementState,
     /// Runs that the ends of engines broke off.
     pub ledger: LedgerState,
+    /// Evacuated zones.
+    pub(super) evacuation: EvacuationState,
     /// This instance watches the store and its last call was answered.
     pub reaches_store: Cell<bool>,
     /// A fetch from a peer is in progress.
@@ -98,6 +101,9 @@
         ledger_news: mpsc::UnboundedSender<LedgerNews>,
     ) -> Self {
         let seed = stable_hash(settings.instance.as_bytes()) ^ boot;
+        let clock = ProcessClock::start();
+        let mut directory = ServerDirectory::default();
+        directory.set_zone_regions(zone_regions(&settings));
         Self {
             settings,
             boot,
@@ -106,16 +112,17 @@
             open_connections: Rc::default(),
             accepted_connections: Cell::new(0),
             body_bytes: Cell::new(0),
-            directory: RefCell::default(),
+            directory: RefCell::new(directory),
             peers: RefCell::new(peers),
             entries: RefCell::default(),
             move_params: MoveParams::default(),
-            clock: ProcessClock::start(),
             readiness: RefCell::default(),
             config: RefCell::default(),
             budgets: RefCell::default(),
             placing: PlacementState::default(),
             ledger: LedgerState::new(ledger_news),
+            evacuation: EvacuationState::new(clock.now()),
+            clock,
             reaches_store: Cell::new(false),
             is_fetching: Cell::new(false),
             fetch_after: Cell::new(Timestamp::default()),
@@ -219,7 +226,8 @@
         let peers = self.peers.borrow();
         let servers_revision = self.entries.borrow().revision();
         let is_behind = peers.peer_with_newer_config(now, self.config_version(), draw).is_some()
-            || peers.peer_with_newer_servers(now, servers_revision, draw).is_some();
+            || peers.peer_with_newer_servers(now, servers_revision, draw).is_some()
+            || self.lacks_evacuations(now);
         self.stop_time_left().is_none() && self.readiness.borrow_mut().is_ready(now, is_behind)
     }
 
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -11,7 +11,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{ChangeSource, ColdReadParams, DirectoryChange};
 use medlarlanding_core::time::Timestamp;
-use medlarlanding_platform::config::CONFIG_KEY;
+use medlarlanding_platform::config::{CONFIG_KEY, OPERATOR_PREFIX};
 use medlarlanding_platform::servers::{SERVERS_PREFIX, decode_item};
 use medlarlanding_platform::store::StoreItem;
 
@@ -48,7 +48,8 @@
 /// Part of the store that is watched.
 #[derive(Clone, Copy, Debug)]
 pub enum WatchedPart {
-    /// The current configuration.
+    /// The current configuration and the evacuated zones. One watch covers both, because calls to the
+    /// store are charged.
     Config,
     /// The server entries.
     Servers,
@@ -57,7 +58,7 @@
 impl WatchedPart {
     fn prefix(self) -> &'static str {
         match self {
-            Self::Config => CONFIG_KEY,
+            Self::Config => OPERATOR_PREFIX,
             Self::Servers => SERVERS_PREFIX,
         }
     }
@@ -198,6 +199,11 @@
         // Peers take a datagram with older revisions than the one before for known.
         items.sort_by_key(|item| item.revision);
         let has_changes = !items.is_empty();
+        if let (WatchedPart::Config, Some(after)) = (self.part, self.revision)
+            && self.state.change_evacuations(&items, after, revision)
+        {
+            self.link.send_evacuations(&self.state);
+        }
         let mut changed = Vec::new();
         for item in items {
             let changed_at = item.revision;
@@ -244,9 +250,16 @@
             }
         }
         match self.part {
-            WatchedPart::Config => items.into_iter().for_each(|item| {
-                self.apply(item);
-            }),
+            WatchedPart::Config => {
+                // The configuration makes this instance ready, so the evacuated zones come first.
+                let is_news = self.state.read_evacuations(&items, first_revision.unwrap_or(0));
+                if is_news {
+                    self.link.send_evacuations(&self.state);
+                }
+                items.into_iter().for_each(|item| {
+                    self.apply(item);
+                });
+            },
             WatchedPart::Servers => {
                 let changes = items.iter().filter_map(decode_entry).collect();
                 let revision = first_revision.unwrap_or(0);
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -30,6 +30,8 @@
     pub server_holds: IntCounter,
     /// Parts of prompts for which requests are refused.
     pub blocked_parts: IntGauge,
+    /// Evacuated zones that the settings or a server entry name.
+    pub evacuated_zones: IntGauge,
     /// Calls to the store, by outcome.
     pub store_calls: IntCounterVec,
     /// Received datagrams dropped because they could not be decoded or named another sender.
@@ -78,6 +80,8 @@
                 .counter("server_holds", "Refusals that ask for no further requests.")?,
             blocked_parts: registry
                 .gauge("blocked_parts", "Parts of prompts for which requests are refused.")?,
+            evacuated_zones: registry
+                .gauge("evacuated_zones", "Availability zones whose servers get no requests.")?,
             store_calls: registry.counters("store_calls", "Calls to the store.", &["outcome"])?,
             dropped_datagrams: registry
                 .counter("dropped_datagrams", "Unreadable datagrams of peers.")?,
