Play evacuations and region limits on real instances

Cause: the check and the exchange of tables were tested only without processes.

Change: a test site can have several zones with regions, evacuate and restore them, discard the history of its store, and give each instance a link of its own to the store. forwarding_evacuation plays a sound, silent, refusing and slow store, two and all zones, restarts while the store is down, discarded history, paused instances, moved runs, draining servers, odd items and region limits.

--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -10,6 +10,7 @@
 mod server;
 mod state;
 mod store;
+mod zones;
 
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -19,6 +20,7 @@
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use self::zones::EvacuationLog;
 use crate::cluster::binary;
 
 use anyhow::{Context, bail};
@@ -35,6 +37,7 @@
 pub use move_script::{MoveScript, ResumeMode, StopFault, StreamClose};
 pub use proxy::{LinkMode, LinkSwitch};
 pub use state::{RunRecord, ServerCrash, ServerMode, SiteState, StoreMode};
+pub use zones::{EvacuationPeriod, LateRun, ZoneLayout};
 
 /// Time limit of waits in tests; generous because debug builds share the machine.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -82,6 +85,10 @@
     store: SocketAddr,
     instances: Vec<SiteInstance>,
     links: Vec<LinkSwitch>,
+    layout: ZoneLayout,
+    evacuations: EvacuationLog,
+    /// Links from the instances to the store.
+    store_links: Vec<LinkSwitch>,
     version: u64,
 }
 
@@ -92,6 +99,7 @@
 const METRICS_PORT: u16 = 18_750;
 const SERVER_PORT: u16 = 18_800;
 const LINK_PORT: u16 = 18_801;
+const STORE_LINK_PORT: u16 = 18_802;
 
 impl TestSite {
     /// Starts stand-ins and instances and waits until every instance is ready.
@@ -100,14 +108,32 @@
     ///
     /// Fails if an address is taken or an instance does not become ready.
     pub fn start(params: SiteParams) -> anyhow::Result<Self> {
+        Self::start_in_zones(params, ZoneLayout::default())
+    }
+
+    /// Starts stand-ins and instances in several availability zones, as `start` does.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken or an instance does not become ready.
+    pub fn start_in_zones(params: SiteParams, layout: ZoneLayout) -> anyhow::Result<Self> {
         let site = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
         let process = (std::process::id() % 200) as u8;
         let network = [20 + process, site];
         let state = Arc::new(SiteState::default());
         let store = SocketAddr::new(loopback_address(network, 250), SERVER_PORT);
         store::start(TcpListener::bind(store)?, Arc::clone(&state))?;
-        let mut running =
-            Self { state, network, store, instances: Vec::new(), links: Vec::new(), version: 0 };
+        let mut running = Self {
+            state,
+            network,
+            store,
+            instances: Vec::new(),
+            links: Vec::new(),
+            layout,
+            evacuations: EvacuationLog::default(),
+            store_links: Vec::new(),
+            version: 0,
+        };
         for index in 0..params.plain_servers {
             running.add_server("orders", index)?;
         }
@@ -263,8 +289,8 @@
 
     fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
         let entry = json!({
-            "service": service, "address": address.to_string(), "zone": "z0", "version": "v1",
-            "slots": 24, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+            "service": service, "address": address.to_string(),
+            "zone": self.layout.zone_of(id), "version": "v1", "slots": 24, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
         });
         self.state.put(&format!("servers/{id}"), entry.to_string().as_bytes());
     }
@@ -328,20 +354,23 @@
                 format!("\"{}:{CONTROL_PORT}\"", loopback_address(self.network, 1 + seed as u8))
             })
             .collect();
+        let store = self.store_address(address)?;
         std::fs::write(
             &settings,
             format!(
-                "nodeName = \"edge-{index}\"\nzone = \"z0\"\nip = \"{address}\"\n\
+                "nodeName = \"edge-{index}\"\n{}ip = \"{address}\"\n\
              internalPorts = [{PEER_PORT}, {}]\nseedNodes = [{}]\n\
              [listen]\nfrontend = \"{address}:{CALLER_PORT}\"\nready = \"{address}:{READY_PORT}\"\n\
              controlPlane = \"{address}:{CONTROL_PORT}\"\n\
              [limits]\ncpuQuota = 0.25\nmemoryMb = 110\nlinkMbps = 1000.0\n\
-             [bounds]\ngraceS = {}\nbudgetSlack = 50\n\
-             [platform]\naddress = \"{}\"\n",
+             [bounds]\ngraceS = {}\nbudgetSlack = 50\n{}\
+             [platform]\naddress = \"{store}\"\n{}",
+                self.layout.own_settings(index),
                 PEER_PORT + 10,
                 seeds.join(","),
                 params.grace_s,
-                self.store,
+                self.layout.bounds(),
+                self.layout.table(),
             ),
         )?;
         let log = dir.join(format!("{name}.log"));
@@ -349,6 +378,17 @@
         self.spawn_instance(index)
     }
 
+    /// Returns the address at which an instance reaches the store.
+    fn store_address(&mut self, instance: IpAddr) -> anyhow::Result<SocketAddr> {
+        if !self.layout.is_described {
+            return Ok(self.store);
+        }
+        let link = SocketAddr::new(instance, STORE_LINK_PORT);
+        let stopped = self.state.stopped.subscribe();
+        self.store_links.push(proxy::start(TcpListener::bind(link)?, self.store, stopped)?);
+        Ok(link)
+    }
+
     /// Starts the process of an instance.
     ///
     /// # Errors
--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -79,6 +79,8 @@
 pub(super) struct SiteInner {
     pub revision: u64,
     pub items: BTreeMap<String, StoredItem>,
+    /// Revision up to which the store has discarded its history.
+    pub discarded: u64,
     pub store_mode: StoreMode,
     pub store_calls: u64,
     pub further_server_pages: u64,
@@ -152,6 +154,17 @@
         self.write(key, None);
     }
 
+    /// Discards the history of the store: watches that begin at an earlier revision are refused, and
+    /// removed items are forgotten.
+    pub fn discard_history(&self) {
+        let mut inner = self.lock();
+        inner.revision += 1;
+        inner.discarded = inner.revision;
+        inner.items.retain(|_, stored| stored.value.is_some());
+        drop(inner);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Sets the fault mode of the store.
     pub fn set_store(&self, mode: StoreMode) {
         self.lock().store_mode = mode;
--- a/medlarlanding-bench/src/site/store.rs
+++ b/medlarlanding-bench/src/site/store.rs
@@ -99,6 +99,9 @@
             if refuses(inner.store_mode, prefix) {
                 return (503, json!({}));
             }
+            if after < inner.discarded {
+                return (410, json!({}));
+            }
             let events: Vec<Value> = inner
                 .items
                 .iter()
