Let no instance answer for evacuated zones before it has noticed its own pause

An instance answered the question of another one before it had checked whether it had been paused itself, and so opened the other's gate.

Change: the state of the gate is read only after a check for a pause. odd_items_are_logged_once reads the items twice.

--- a/medlarlanding-bench/tests/forwarding_evacuation.rs
+++ b/medlarlanding-bench/tests/forwarding_evacuation.rs
@@ -305,6 +305,33 @@
     }
 }
 
+/// Guards against instances that were all paused while a zone was evacuated, as with a migration of their
+/// machines, and send the requests that waited for them to that zone: only the hubs find the news in
+/// their sockets.
+#[test]
+fn resumed_deployment_knows_the_zones() {
+    const INSTANCES: usize = 6;
+    const CROWDS: usize = 5;
+    let site = start(INSTANCES, 4, TWO_ZONES);
+    let crowds: Vec<_> = (0..CROWDS).map(|_| CallerCrowd::start(&site, 0..INSTANCES)).collect();
+    for _ in 0..3 {
+        wait_for_runs(&site, "regina");
+        (0..INSTANCES).for_each(|index| site.signal(index, Signal::STOP).expect("a signal"));
+        std::thread::sleep(Duration::from_millis(100));
+        site.evacuate("regina");
+        std::thread::sleep(Duration::from_secs(2));
+        let resumed_at = Instant::now();
+        (0..INSTANCES).for_each(|index| site.signal(index, Signal::CONT).expect("a signal"));
+        std::thread::sleep(Duration::from_secs(2));
+        let late = runs_in_zone(&site, "regina", resumed_at);
+        let served = runs_in_zone(&site, "giza", resumed_at);
+        site.restore("regina");
+        assert_eq!(late, 0, "instances sent requests to the zone after their pause");
+        assert!(served > 0, "instances serve after their pause");
+    }
+    crowds.into_iter().for_each(|crowd| drop(crowd.stop()));
+}
+
 /// Guards against runs that are cut off because their zone is evacuated, and against runs of a leaving
 /// engine in such a zone that move to another engine of the zone.
 #[test]
@@ -391,6 +418,8 @@
     }
     let is_logged = |site: &TestSite| site.log(0).matches("evacuation_refused").count() >= 5;
     site.wait_until("the log lines", || is_logged(&site)).expect("log lines");
+    // The items are read again.
+    site.state.discard_history();
     site.signal(1, Signal::KILL).expect("a signal");
     site.wait_exit(1).expect("an end");
     site.spawn_instance(1).expect("a process");
--- a/medlarlanding/src/forwarding/evacuations.rs
+++ b/medlarlanding/src/forwarding/evacuations.rs
@@ -229,12 +229,7 @@
     /// Waits until requests may be sent after a pause of the process. Does not wait where the settings
     /// do not limit the time for which an evacuated zone may get requests.
     pub async fn wait_for_news(&self) {
-        while self.settings.evacuate_limit.is_some() {
-            let now = self.now();
-            self.check_pause(now);
-            if self.evacuation.gate.borrow().is_open(now) {
-                return;
-            }
+        while self.settings.evacuate_limit.is_some() && !self.is_gate_open() {
             tokio::time::sleep(GATE_PERIOD).await;
         }
     }
@@ -249,8 +244,12 @@
         }
     }
 
+    /// Returns whether requests may be sent. Checks for a pause first, because after one the tasks of the
+    /// process continue in any order.
     fn is_gate_open(&self) -> bool {
-        self.evacuation.gate.borrow().is_open(self.now())
+        let now = self.now();
+        self.check_pause(now);
+        self.evacuation.gate.borrow().is_open(now)
     }
 }
 
@@ -320,7 +319,6 @@
     loop {
         // The next check is due after a timeout too.
         let _ = tokio::time::timeout(period, state.evacuation.pause_ended.notified()).await;
-        state.check_pause(state.now());
         if state.is_gate_open() {
             continue;
         }
