--- a/medlarlanding-core/src/forwarding/config.rs
+++ b/medlarlanding-core/src/forwarding/config.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::load::LatencyClass;
+use super::regions::RegionLimit;
 
 use indexmap::IndexMap;
 
@@ -57,6 +58,8 @@
     pub max_servers: u32,
     /// Requests need no customer key.
     pub is_public: bool,
+    /// Regions whose servers may get the route's requests.
+    pub regions: RegionLimit,
 }
 
 impl RouteRule {
@@ -121,6 +124,8 @@
     pub name: Arc<str>,
     /// Priority that replaces the route's; `None` keeps the route's.
     pub priority: Option<u8>,
+    /// Regions whose servers may get the customer's requests, in addition to the limit of the route.
+    pub regions: RegionLimit,
 }
 
 /// Result of checking the customer key of a request.
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -11,13 +11,16 @@
 mod directory;
 mod drain;
 mod entries;
+mod evacuation;
 mod load;
 mod messages;
 mod moves;
+mod pause_gate;
 mod peer_lag;
 mod peers;
 mod placement;
 mod readiness;
+mod regions;
 mod relays;
 mod room_reserve;
 mod suspicion;
@@ -38,18 +41,21 @@
 };
 pub use drain::{DrainParams, can_finish};
 pub use entries::{EntryDelta, EntryLog};
+pub use evacuation::{EvacuationTable, ZoneChange, ZoneEntry, ZoneEntryState, ZoneState};
 pub use load::{LatencyClass, LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
-    LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
-    RelayedMessage, RunBacklog, ServerChanges,
+    EvacuationSync, LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion,
+    PlaceVerdict, RelayedMessage, RunBacklog, ServerChanges, SyncPurpose,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
+pub use pause_gate::{PauseGate, PauseParams};
 pub use peer_lag::PeerLag;
 pub use peers::{PeerDigest, PeerTable, PeerTableParams};
 pub use placement::{
     DRAIN_FALLBACK_DIVISOR, PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest,
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
+pub use regions::{RegionKey, RegionLimit, ZoneRegions};
 pub use relays::{RelayGroup, RelayParams};
 pub use room_reserve::{CriticalDemand, ReserveParams, RoomReserve};
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -7,9 +7,10 @@
 use std::cmp::Ordering;
 use std::time::Duration;
 
-use super::directory::{ServerDirectory, ServerKey, ServerRecord};
+use super::directory::{ServerAccess, ServerDirectory, ServerKey, ServerRecord};
 use super::drain::DrainParams;
 use super::load::{LatencyClass, RemoteLoad, RunWeight};
+use super::regions::RegionLimit;
 use super::room_reserve::RoomReserve;
 use crate::time::Timestamp;
 
@@ -88,6 +89,8 @@
     pub weight: RunWeight,
     /// Servers that must not be chosen.
     pub excluded: &'a [ServerKey],
+    /// Regions whose servers may be chosen.
+    pub regions: &'a RegionLimit,
     /// Preferred availability zone.
     pub zone: &'a str,
     /// Time until the first event is due; `None` if it will be late.
@@ -106,10 +109,12 @@
     /// Iterates over the servers that accept new requests and are not excluded.
     fn candidates(
         &self,
+        now: Timestamp,
         directory: &'a ServerDirectory,
     ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> {
-        let excluded = self.excluded;
-        directory.candidates(self.service).filter(move |(key, _)| !excluded.contains(key))
+        let Self { service, excluded, regions, .. } = *self;
+        let placeable = directory.placeable(now, service, regions);
+        placeable.filter(move |(key, _)| !excluded.contains(key))
     }
 
     /// Returns the latency-critical request for which a reserve keeps room.
@@ -125,23 +130,24 @@
     }
 
     /// Iterates over the draining servers that may get a new request because no other server of the
-    /// service exists. A run must be expected to end before the server does.
+    /// service may. A run must be expected to end before the server does.
     fn draining_fallbacks(
         &self,
         now: Timestamp,
         directory: &'a ServerDirectory,
     ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> {
-        let Self { service, excluded, drain_limit, .. } = *self;
+        let Self { service, excluded, regions, drain_limit, .. } = *self;
         let duration = match self.memory_tokens {
             Some(_) => DrainParams::default().expected_time(self.weight),
             None => Duration::ZERO,
         };
         let limit = drain_limit / DRAIN_FALLBACK_DIVISOR;
-        let is_needed = directory.candidates(service).next().is_none();
+        let is_needed = directory.placeable(now, service, regions).next().is_none();
         directory.iter().filter(move |(key, record)| {
             is_needed
                 && &*record.entry.service == service
                 && !excluded.contains(key)
+                && record.access_for(now, regions) == ServerAccess::Leaving
                 && record.is_draining_within(now, limit)
                 && record.leaving_since.is_some_and(|at| now.since(at) + duration < drain_limit)
         })
@@ -240,7 +246,7 @@
         let mut servers_with_room = 0;
         let draining_fallbacks = request.draining_fallbacks(now, directory);
         let servers: Vec<(ServerKey, &ServerRecord, RemoteLoad)> = request
-            .candidates(directory)
+            .candidates(now, directory)
             .chain(draining_fallbacks)
             .map(|(key, record)| (key, record, remote(record)))
             .collect();
@@ -278,7 +284,7 @@
         let memory = request.memory_tokens?;
         let mut best: Option<(f64, ServerKey)> = None;
         let healthy: Vec<(ServerKey, &ServerRecord, RemoteLoad)> = request
-            .candidates(directory)
+            .candidates(now, directory)
             .filter(|(_, record)| !record.is_avoided(now))
             .map(|(key, record)| (key, record, remote(record)))
             .collect();
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use medlarlanding_core::forwarding::{
-    BudgetParams, DirectoryChange, LoadReport, PeerDigest, PeerTable, PeerTableParams,
-    PlacementPolicy, PlacementRequest, RemoteLoad, RepeatBudget, RepeatPurpose, RunWeight,
-    ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
+    BudgetParams, DirectoryChange, LatencyClass, LoadReport, PeerDigest, PeerTable,
+    PeerTableParams, PlacementPolicy, PlacementRequest, RegionLimit, RemoteLoad, RepeatBudget,
+    RepeatPurpose, RunWeight, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -37,6 +37,7 @@
         reaches_store: true,
         config_version: 3,
         servers_revision: 9,
+        evacuations: 0,
         peers: Vec::new(),
         granted: 0,
         loads: Vec::new(),
@@ -276,6 +277,7 @@
         memory_tokens: Some(MEMORY),
         weight: RunWeight { prompt, output: 400 },
         excluded: &[],
+        regions: &RegionLimit::Any,
         zone: "z0",
         due,
         is_urgent: false,
--- a/medlarlanding-core/tests/forwarding_waiting.rs
+++ b/medlarlanding-core/tests/forwarding_waiting.rs
@@ -5,8 +5,8 @@
 
 use medlarlanding_core::cases;
 use medlarlanding_core::forwarding::{
-    PlacePurpose, RunKey, RunWeight, WaitDecision, WaitLimit, WaitLimitParams, WaitingClass,
-    WaitingParams, WaitingRuns,
+    LatencyClass, PlacePurpose, QueuedRun, RunBacklog, RunKey, RunWeight, WaitDecision, WaitLimit,
+    WaitLimitParams, WaitingClass, WaitingParams, WaitingRuns,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -21,6 +21,20 @@
     RunKey { instance: SocketAddr::from(([10, 1, 0, 1], 7200)), run }
 }
 
+fn queued_run(key: RunKey, weight: RunWeight) -> QueuedRun {
+    let (class, latency) = (WaitingClass::InTime, LatencyClass::Uniform);
+    QueuedRun { key, class, latency, weight }
+}
+
+fn backlog(ahead: u16) -> RunBacklog {
+    RunBacklog { ahead, wait_ms: 0 }
+}
+
+fn uniform_limit(arrived_at: Timestamp, objective: Duration, time_left: Duration) -> WaitLimit {
+    let (params, latency) = (WaitLimitParams::default(), LatencyClass::Uniform);
+    WaitLimit::new(params, latency, arrived_at, objective, time_left, 3_000)
+}
+
 fn trained_queue() -> WaitingRuns {
     let mut waiting = WaitingRuns::default();
     for _ in 0..200 {
@@ -30,7 +44,7 @@
 }
 
 /// Guards against room that is given to whichever run asks next instead of the first in the queue.
-fn is_served_before(((first, first_weight), (second, second_weight)): (QueuedRun, QueuedRun)) {
+fn is_served_before(((first, first_weight), (second, second_weight)): (RunSpec, RunSpec)) {
     let mut waiting = trained_queue();
     let densities = [first_weight, second_weight]
         .map(|(prompt, output)| waiting.value_density(RunWeight { prompt, output }));
@@ -40,7 +54,7 @@
     assert_eq!(waiting.count_ahead(at(1), run_key(2), second, densities[1]), 1);
 }
 
-type QueuedRun = (WaitingClass, (u32, u32));
+type RunSpec = (WaitingClass, (u32, u32));
 
 cases! { is_served_before;
     urgent_before_in_time => (
@@ -178,10 +192,11 @@
                 return true;
             }
             let key = run_key(1_000 + arrived);
-            let admitted = waiting.admit(at(now), key, WaitingClass::InTime, weight, 4);
+            let admitted = waiting.admit(at(now), queued_run(key, weight), 4);
             let objective = Duration::from_secs(1);
             let limit = WaitLimit::new(
                 WaitLimitParams::default(),
+                LatencyClass::Uniform,
                 at(arrived),
                 objective,
                 Duration::from_secs(15),
@@ -189,7 +204,9 @@
             );
             match admitted {
                 Ok(()) => served += 1,
-                Err(ahead) if limit.decide(at(now), ahead as u16) != WaitDecision::Wait => {
+                Err(ahead)
+                    if limit.decide(at(now), backlog(ahead as u16)) != WaitDecision::Wait =>
+                {
                     refused += 1;
                 },
                 Err(_) => return true,
@@ -212,13 +229,13 @@
 
 fn wait_limit() -> WaitLimit {
     let (objective, time_left) = (Duration::from_millis(1_800), Duration::from_secs(39));
-    WaitLimit::new(WaitLimitParams::default(), at(0), objective, time_left, 3_000)
+    uniform_limit(at(0), objective, time_left)
 }
 
 /// Guards against callers that wait although they cannot be served in time, and against refusals
 /// of runs that only have to wait briefly.
 fn decides_for_a_run_without_room((millis, ahead, expected): (u64, u16, WaitDecision)) {
-    assert_eq!(wait_limit().decide(at(millis), ahead), expected);
+    assert_eq!(wait_limit().decide(at(millis), backlog(ahead)), expected);
 }
 
 cases! { decides_for_a_run_without_room;
@@ -239,6 +256,6 @@
     // 0.85 of 1.8 s, less 0.42 s for the prompt.
     assert_eq!(wait_limit().purpose_and_due(at(1_120)).0, PlacePurpose::StartLate);
     let (objective, time_left) = (Duration::from_millis(1_800), Duration::from_secs(4));
-    let short = WaitLimit::new(WaitLimitParams::default(), at(0), objective, time_left, 3_000);
-    assert_eq!(short.decide(at(2_000), 0), WaitDecision::RefuseLate);
+    let short = uniform_limit(at(0), objective, time_left);
+    assert_eq!(short.decide(at(2_000), backlog(0)), WaitDecision::RefuseLate);
 }
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -243,6 +243,7 @@
             self.admitted.weight.prompt,
         );
         loop {
+            self.state.wait_for_news().await;
             if !self.admitted.fits_stop(&self.state) {
                 self.log_refusal("stopping", 0);
                 return Err(ErrorAnswer::Stopping);
@@ -307,6 +308,7 @@
             memory_tokens: self.admitted.engine.map(|engine| engine.memory_tokens),
             weight: self.run_weight(),
             excluded: &excluded,
+            regions: &self.admitted.regions,
             zone,
             due: (purpose == PlacePurpose::Start).then_some(due),
             is_urgent: self.admitted.priority == 0,
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -119,6 +119,7 @@
     let mut last_server = String::new();
     state.record_request(&admitted.service);
     let (outcome, answer) = loop {
+        state.wait_for_news().await;
         let now = state.now();
         let time_left = admitted.time_left(now);
         if time_left < SEND_TIME_MIN {
@@ -139,6 +140,7 @@
                 memory_tokens: None,
                 weight: admitted.weight,
                 excluded: &excluded,
+                regions: &admitted.regions,
                 zone: &state.settings.zone,
                 due: None,
                 is_urgent: admitted.priority == 0,
@@ -231,7 +233,7 @@
     let answer = match answer {
         Answer::Server(answer) => answer,
         Answer::Error(error) => {
-            error.to_answer(&admitted.id, retry_after(error, state, Some(&admitted.service)))
+            error.to_answer(&admitted.id, retry_after(error, state, Some(&admitted)))
         },
     };
     record.finish(outcome, answer.status().as_u16(), &last_server);
