Decode the limits for cold servers and divide them among instances

A service may state how many requests per second its servers tolerate while they are cold. The platform crate now keeps coldRemainingMs of entries, X-Cold-Ms of answers about a server, coldStartS and coldPerS of services, coldOvershoot and coldSlack of settings. cold_share computes the share of one instance. ServerRecord::access gets the reason Limited. Nothing sets a share yet, so nothing changes for requests.

--- a/medlarlanding-core/src/forwarding/config.rs
+++ b/medlarlanding-core/src/forwarding/config.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cold_share::ColdPolicy;
+
 use indexmap::IndexMap;
 
 /// Whether a request may run more than once, and how it is answered.
@@ -99,6 +101,28 @@
     pub health_path: Option<Arc<str>>,
     /// Capacity of the model engines; `None` for a plain service.
     pub engine: Option<EngineLimits>,
+    /// Limit on the requests to cold servers.
+    pub cold: ColdPolicy,
+}
+
+/// Field of a service whose value cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InvalidField {
+    /// `ColdPolicy::start`.
+    ColdStart,
+    /// `ColdPolicy::per_second`.
+    ColdRate,
+}
+
+/// Value of a service's field that cannot be used. The last valid one stays in effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvalidValue {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// The field.
+    pub field: InvalidField,
+    /// The value and what is wrong with it.
+    pub reason: String,
 }
 
 /// Limits on what a caller may send.
@@ -156,6 +180,8 @@
     hosts: IndexMap<String, Vec<Arc<RouteRule>>>,
     keys: IndexMap<String, CustomerRecord>,
     has_customers: bool,
+    /// Values that `keep_last` replaces.
+    invalid: Vec<InvalidValue>,
 }
 
 impl ForwardConfig {
@@ -191,7 +217,33 @@
         }
         let services =
             services.into_iter().map(|policy| (Arc::clone(&policy.name), policy)).collect();
-        Ok(Self { version, limits, services, hosts, keys, has_customers })
+        Ok(Self { version, limits, services, hosts, keys, has_customers, invalid: Vec::new() })
+    }
+
+    /// Adds the values of services that cannot be used.
+    pub fn with_invalid(self, invalid: Vec<InvalidValue>) -> Self {
+        Self { invalid, ..self }
+    }
+
+    /// Replaces values that cannot be used by those of the configuration that was in effect before.
+    /// Returns the values that were replaced.
+    pub fn keep_last(&mut self, last: Option<&Self>) -> Vec<InvalidValue> {
+        let invalid = std::mem::take(&mut self.invalid);
+        for value in &invalid {
+            let Some(policy) = self.services.get_mut(&value.service) else { continue };
+            let last = last.and_then(|config| config.service(&value.service));
+            let last = last.map(|policy| policy.cold).unwrap_or_default();
+            match value.field {
+                InvalidField::ColdStart => policy.cold.start = last.start,
+                InvalidField::ColdRate => policy.cold.per_second = last.per_second,
+            }
+        }
+        invalid
+    }
+
+    /// Returns whether a service limits the requests to its cold servers.
+    pub fn has_cold_limits(&self) -> bool {
+        self.services.values().any(|policy| policy.cold.per_second > 0.0)
     }
 
     /// Returns the host's route whose prefix is the longest that matches the path. `host` may
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cold_share::{ColdServer, ColdShare};
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
@@ -35,6 +36,9 @@
     Leaving,
     /// The server wants no requests from this instance for a while.
     Held,
+    /// The server is cold and this instance's share of its rate limit is used up. A request that the
+    /// coordinator has granted may be sent nevertheless: it counts towards the coordinator's share.
+    Limited,
 }
 
 value_type! { copy
@@ -115,6 +119,8 @@
     /// Consecutive failures that this instance has seen.
     failures: u32,
     avoid_until: Option<Timestamp>,
+    /// Cold time of this start and the requests that count towards its rate limit.
+    cold: ColdServer,
 }
 
 impl ServerRecord {
@@ -135,11 +141,18 @@
             ServerAccess::Leaving
         } else if !self.hold_left(now).is_zero() {
             ServerAccess::Held
+        } else if self.cold.is_used_up(now) {
+            ServerAccess::Limited
         } else {
             ServerAccess::Open
         }
     }
 
+    /// Returns the cold time of this start and the requests that count towards its rate limit.
+    pub fn cold(&self) -> &ColdServer {
+        &self.cold
+    }
+
     /// Returns how long the server wants no requests from this instance; zero if it takes them.
     pub fn hold_left(&self, now: Timestamp) -> Duration {
         self.hold_until.map_or(Duration::ZERO, |until| until.since(now))
@@ -234,6 +247,7 @@
                 expected_growth: 0,
                 failures: 0,
                 avoid_until: None,
+                cold: ColdServer::default(),
                 entry,
             },
         );
@@ -257,6 +271,37 @@
         }
     }
 
+    /// Records that a server stays cold for `remaining`. Returns whether peers have to be told.
+    pub fn extend_cold(&mut self, now: Timestamp, key: ServerKey, remaining: Duration) -> bool {
+        self.records.get_mut(&key).is_some_and(|record| record.cold.extend(now, remaining))
+    }
+
+    /// Sets this instance's share of the rate limit of each server, as `share` returns it; `None` for
+    /// servers without a limit.
+    pub fn set_cold_shares(&mut self, share: impl Fn(&ServerRecord) -> Option<ColdShare>) {
+        for record in self.records.values_mut() {
+            let share = share(record);
+            record.cold.set_share(share);
+        }
+    }
+
+    /// Counts a request towards the rate limit of a cold server when it is sent, or when a peer is
+    /// allowed to send it. Returns whether the server is cold.
+    pub fn record_send(&mut self, now: Timestamp, key: ServerKey) -> bool {
+        self.records.get_mut(&key).is_some_and(|record| record.cold.record_send(now))
+    }
+
+    /// Iterates over the servers of a service that are cold and for which this instance's share of the
+    /// rate limit is used up.
+    pub fn limited<'a>(
+        &'a self,
+        now: Timestamp,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
+        let limited = move |record: &ServerRecord| record.access(now) == ServerAccess::Limited;
+        self.candidates(service).filter(move |(_, record)| limited(record))
+    }
+
     /// Iterates over the servers of a service that want no requests from this instance.
     pub fn held<'a>(
         &'a self,
--- a/medlarlanding-core/src/forwarding/entries.rs
+++ b/medlarlanding-core/src/forwarding/entries.rs
@@ -112,6 +112,17 @@
         true
     }
 
+    /// Records that peers have to be told of an entry again although its content has not changed.
+    /// Returns false if a later change of the entry is known.
+    pub fn touch(&mut self, id: &str, changed_at: u64) -> bool {
+        let Some(logged) = self.entries.get_mut(id) else { return false };
+        if changed_at < logged.confirmed_at {
+            return false;
+        }
+        (logged.changed_at, logged.confirmed_at) = (changed_at, changed_at);
+        true
+    }
+
     fn evict_removed(&mut self) {
         let removed = self.entries.values().filter(|logged| logged.entry.is_none());
         let mut revisions: Vec<u64> = removed.map(|logged| logged.changed_at).collect();
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::cold_share::ColdReport;
 use super::directory::DirectoryChange;
 use super::peers::PeerDigest;
 use crate::prompts::LedgerNews;
@@ -36,13 +37,18 @@
         LedgerSync(LedgerSync),
         /// Hash of the id of an engine that has ended; sent to the coordinator.
         Ended(u64),
+        /// Servers that said themselves that they are cold: from an instance to the coordinator, and
+        /// from it to all others.
+        Cold(Vec<ColdReport>),
+        /// Asks the coordinator whether a run may be resumed at a cold server.
+        ColdQuestion(ColdQuestion),
     }
 }
 
 impl PeerMessage {
     /// Returns whether an instance passes the message on for another one.
     pub fn may_be_relayed(&self) -> bool {
-        matches!(self, Self::Servers(_) | Self::Leaving(_) | Self::LedgerNews(_))
+        matches!(self, Self::Servers(_) | Self::Leaving(_) | Self::LedgerNews(_) | Self::Cold(_))
     }
 
     /// Returns the kind of the message, for metrics.
@@ -52,7 +58,8 @@
             Self::Servers(_) => "servers",
             Self::Leaving(_) => "leaving",
             Self::Fault(_) | Self::Unresponsive(_) | Self::Ended(_) => "fault",
-            Self::Question(_) => "question",
+            Self::Question(_) | Self::ColdQuestion(_) => "question",
+            Self::Cold(_) => "cold",
             Self::Answer(_) => "answer",
             Self::Relayed(_) => "relayed",
             Self::LedgerNews(_) | Self::LedgerState(_) | Self::LedgerSync(_) => "ledger",
@@ -76,8 +83,7 @@
     pub struct RelayedMessage {
         /// Peers to which the receiver sends the message.
         pub targets: Vec<SocketAddr>,
-        /// An encoded `PeerMessage::Servers`, `PeerMessage::Leaving` or `PeerMessage::LedgerNews`;
-        /// others are dropped.
+        /// An encoded `PeerMessage` for which `may_be_relayed` holds; others are dropped.
         pub message: Vec<u8>,
     }
 }
@@ -91,6 +97,19 @@
         pub revision: u64,
         /// Entries that were written or removed between the two revisions.
         pub changes: Vec<DirectoryChange>,
+        /// Remaining cold times of the servers among them.
+        pub cold: Vec<ColdReport>,
+    }
+}
+
+value_type! { copy
+    /// Question to the coordinator whether a run may be resumed at a cold server. A `PlaceAnswer` with
+    /// the server's hash permits it.
+    pub struct ColdQuestion {
+        /// Number that the answer repeats, for matching the two.
+        pub number: u64,
+        /// Hash of the server's start.
+        pub server: u64,
     }
 }
 
@@ -145,6 +164,9 @@
         Full(u16),
         /// Not placed: no server accepts it, or the budget for moves is used up.
         Nowhere,
+        /// Not placed: only cold engines have room for it, and the coordinator's share of their rate
+        /// limits is used up. The asking instance may use its own share.
+        Limited,
     }
 }
 
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -6,6 +6,7 @@
 mod answer_end;
 mod budget;
 mod cold_read;
+mod cold_share;
 mod config;
 mod directory;
 mod drain;
@@ -25,9 +26,13 @@
 pub use answer_end::{BodyDelimiter, EndVerdict, ProcessIdentity, ServerLiveness};
 pub use budget::{BudgetParams, RepeatBudget, RepeatPurpose};
 pub use cold_read::ColdReadParams;
+pub use cold_share::{
+    COLD_TIME_MAX, ColdLimitParams, ColdPolicy, ColdReport, ColdServer, ColdShare, ColdSource,
+    ColdTarget, FleetNote, FleetView, ShareAllocator,
+};
 pub use config::{
-    CustomerRecord, EngineLimits, ForwardConfig, ForwardConfigError, KeyCheck, RequestKind,
-    RequestLimits, RouteRule, RouteTarget, ServicePolicy,
+    CustomerRecord, EngineLimits, ForwardConfig, ForwardConfigError, InvalidField, InvalidValue,
+    KeyCheck, RequestKind, RequestLimits, RouteRule, RouteTarget, ServicePolicy,
 };
 pub use directory::{
     DirectoryChange, ServerAccess, ServerDirectory, ServerEntry, ServerKey, ServerPhase,
@@ -37,7 +42,7 @@
 pub use entries::{EntryDelta, EntryLog};
 pub use load::{LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
-    LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
+    ColdQuestion, LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
     RelayedMessage, ServerChanges,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -9,6 +9,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use super::cold_share::{FleetNote, FleetView};
 use super::load::{LoadReport, RemoteLoad, RunWeight};
 use crate::ids::stable_hash;
 use crate::time::Timestamp;
@@ -39,6 +40,8 @@
         pub granted: u64,
         /// Load that the sender puts on servers; empty unless the receiver is a hub.
         pub loads: Vec<LoadReport>,
+        /// For the division of the rate limits of cold servers; `None` while no service has one.
+        pub fleet: Option<FleetNote>,
     }
 }
 
@@ -101,6 +104,7 @@
     config_version: u64,
     servers_revision: u64,
     loads: Vec<LoadReport>,
+    fleet: Option<FleetNote>,
     /// Placements granted to the peer that its reported loads do not include yet.
     grants: Vec<PeerGrant>,
 }
@@ -131,6 +135,8 @@
     /// Index of the next peer that gets a digest without being a hub.
     next_target: usize,
     next_grant: u64,
+    /// A digest of a peer was ever received.
+    has_heard: bool,
 }
 
 impl PeerTable {
@@ -150,6 +156,7 @@
             peers: IndexMap::new(),
             next_target: 0,
             next_grant: 1,
+            has_heard: false,
         };
         table.set_seeds(seeds);
         table
@@ -188,6 +195,7 @@
         if !is_restarted && digest.sequence <= record.sequence {
             return false;
         }
+        self.has_heard = true;
         let mut grants = std::mem::take(&mut record.grants);
         grants.retain(|grant| !is_restarted && grant.number > digest.granted);
         *record = PeerRecord {
@@ -200,6 +208,7 @@
             config_version: digest.config_version,
             servers_revision: digest.servers_revision,
             loads: digest.loads,
+            fleet: digest.fleet,
             grants,
         };
         true
@@ -235,7 +244,8 @@
         self.params.interval.mul_f64(self.size_factor())
     }
 
-    fn live_timeout(&self) -> Duration {
+    /// Returns the time after which a peer without a digest counts as silent.
+    pub fn live_timeout(&self) -> Duration {
         self.params.live_timeout.mul_f64(self.size_factor())
     }
 
@@ -306,6 +316,36 @@
         ranked.filter(|(rank, _)| *rank > own).max().map(|(_, address)| address)
     }
 
+    /// Returns what this instance tells its peers for the division of the rate limits.
+    pub fn fleet_note(&self, now: Timestamp) -> FleetNote {
+        let coordinator = self.coordinator(now).unwrap_or(self.own);
+        FleetNote {
+            instances: self.instance_count().min(usize::from(u16::MAX)) as u16,
+            coordinator: Self::tag(&coordinator),
+        }
+    }
+
+    /// Returns the instances as this one knows them, for the division of the rate limits.
+    pub fn fleet_view(&self, now: Timestamp) -> FleetView {
+        let own_tag = Self::tag(&self.own);
+        let live = self.peers.values().filter(|record| self.is_live(now, record));
+        let notes = live.filter_map(|record| record.fleet);
+        FleetView {
+            own: Self::rank(&self.own, 0).1,
+            others: self.peers.keys().map(|address| Self::rank(address, 0).1).collect(),
+            told: notes.clone().map(|note| usize::from(note.instances)).max().unwrap_or(0),
+            followers: 1 + notes.filter(|note| note.coordinator == own_tag).count(),
+            is_coordinator: self.coordinator(now).is_none(),
+            has_heard: self.has_heard,
+            live_timeout: self.live_timeout(),
+        }
+    }
+
+    /// Returns a short hash of an address.
+    fn tag(address: &SocketAddr) -> u16 {
+        Self::rank(address, 0).1 as u16
+    }
+
     /// Returns the peers that get the digest with the number `sequence`, each with whether it is sent
     /// the loads too.
     pub fn targets(&mut self, now: Timestamp, sequence: u64) -> Vec<(SocketAddr, bool)> {
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -40,6 +40,7 @@
         peers: Vec::new(),
         granted: 0,
         loads: Vec::new(),
+        fleet: None,
     }
 }
 
--- a/medlarlanding-core/tests/forwarding_relays.rs
+++ b/medlarlanding-core/tests/forwarding_relays.rs
@@ -32,6 +32,7 @@
             peers: silent.iter().map(|number| address(*number)).collect(),
             granted: 0,
             loads: Vec::new(),
+            fleet: None,
         };
         if !silent.contains(&number) {
             table.receive(at(0), digest);
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -112,7 +112,8 @@
         changed: Vec<(Arc<str>, u64)>,
     ) {
         let groups = relay_groups(state);
-        let mut pending = ServerChanges { after, revision: after, changes: Vec::new() };
+        let mut pending =
+            ServerChanges { after, revision: after, changes: Vec::new(), cold: Vec::new() };
         let mut size = 0;
         for (id, changed_at) in changed {
             let Some(change) = state.entries.borrow().change(&id) else { continue };
@@ -124,7 +125,8 @@
             };
             if size > 0 && size + length > CHANGES_LIMIT {
                 let after = pending.revision;
-                let next = ServerChanges { after, revision: after, changes: Vec::new() };
+                let next =
+                    ServerChanges { after, revision: after, changes: Vec::new(), cold: Vec::new() };
                 let full = std::mem::replace(&mut pending, next);
                 self.send_to_groups(state, &PeerMessage::Servers(full), &groups);
                 size = 0;
@@ -261,6 +263,7 @@
                         Some(_) | None => state.place(purpose, request),
                     },
                     PlaceVerdict::Full(ahead) => Placement::Full(ahead),
+                    PlaceVerdict::Limited => Placement::Full(0),
                     PlaceVerdict::Nowhere => match purpose {
                         PlacePurpose::Start | PlacePurpose::StartLate => {
                             state.place(purpose, request)
@@ -357,6 +360,7 @@
         peers: state.peers.borrow().sample(now, sequence),
         granted: state.placing.granted.get(),
         loads: Vec::new(),
+        fleet: None,
     };
     let addresses = |with_loads: bool| -> Vec<SocketAddr> {
         let selected = targets.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
@@ -448,6 +452,7 @@
             let answer = state.answer_question(source, &question);
             link.send(state, &PeerMessage::Answer(answer), &[source]);
         },
+        PeerMessage::Cold(_) | PeerMessage::ColdQuestion(_) => {},
         PeerMessage::Relayed(relayed) => {
             if let Some(message) = link.relay(state, &relayed) {
                 handle_message(link, state, source, message);
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -316,7 +316,7 @@
 
 /// Decodes a server entry. Logs an invalid one, which is treated as removed.
 fn decode_entry(item: &StoreItem) -> Option<DirectoryChange> {
-    let change = decode_item(item)?;
+    let change = decode_item(item)?.change;
     if let (Some(_), DirectoryChange::Removed(id)) = (&item.value, &change) {
         log::warn!(
             "entry of server {id} at revision {} is invalid; treated as removed",
