--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::directory::{ServerDirectory, ServerKey, ServerRecord};
+use super::directory::{ServerAccess, ServerDirectory, ServerKey, ServerRecord};
 use super::drain::DrainParams;
 use super::load::{RemoteLoad, RunWeight};
 use crate::time::Timestamp;
@@ -83,13 +83,17 @@
 }
 
 impl<'a> PlacementRequest<'a> {
-    /// Iterates over the servers that accept new requests and are not excluded.
+    /// Iterates over the servers that accept new requests and are not excluded, without the cold ones
+    /// for which this instance's share of the rate limit is used up.
     fn candidates(
         &self,
+        now: Timestamp,
         directory: &'a ServerDirectory,
     ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> {
         let excluded = self.excluded;
-        directory.candidates(self.service).filter(move |(key, _)| !excluded.contains(key))
+        directory.candidates(self.service).filter(move |(key, record)| {
+            !excluded.contains(key) && record.access(now) != ServerAccess::Limited
+        })
     }
 
     /// Iterates over the draining servers that may get a new request because no other server of the
@@ -161,7 +165,7 @@
         let mut best: Option<((bool, bool, f64), ServerKey)> = None;
         let mut servers_with_room = 0;
         let draining_fallbacks = request.draining_fallbacks(now, directory);
-        for (key, record) in request.candidates(directory).chain(draining_fallbacks) {
+        for (key, record) in request.candidates(now, directory).chain(draining_fallbacks) {
             let load = remote(record);
             let cost = self.cost(request, record, load) + draw() * self.params.jitter;
             let has_room = self.has_room(request, record, load);
@@ -193,7 +197,8 @@
     ) -> Option<ServerKey> {
         let memory = request.memory_tokens?;
         let mut best: Option<(f64, ServerKey)> = None;
-        let healthy = request.candidates(directory).filter(|(_, record)| !record.is_avoided(now));
+        let healthy =
+            request.candidates(now, directory).filter(|(_, record)| !record.is_avoided(now));
         for (key, record) in healthy {
             // Expected output does not count here: the copy takes only the tokens that the run
             // has now, and a run without a destination is lost.
