Limit the requests to cold servers over all instances

Each instance computes its shares of the limits from the peers it knows and skips a cold server whose share is used up. The coordinator counts what it grants; other decisions count towards the instance's own share, resumed runs included, for which a coordinator is asked if the own share is used up. Store entries whose cold time counts down are no news; one that is cold again is sent to peers. Digests carry the number of known instances and the coordinator that the sender follows, only while a service has a limit.

The coordinator's share is divided by who follows it, not by who is live, and a new follower counts only after the peer timeout and the counting window: with a wait of the peer timeout alone, a coordinator that is not heard by the others and its successor together sent 63 requests in a second of 50 (coordinator_of_60_is_not_heard). Ranks in a half are rounded up: 51 of 50 before (halves_of_12_engine_that_forget_one_another).

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -141,6 +141,11 @@
     623 AnswerEnd Info "answer_end" ["request", "route", "server", "framing", "known", "state", "took_ms", "verdict"];
     /// A server refused a request and wants no further ones from this instance for a while.
     624 ServerHold Info "server_hold" ["request", "server", "hold_ms"];
+    /// A server became cold, or stays cold for longer than was known.
+    635 ServerCold Info "server_cold" ["server", "remaining_ms", "source"];
+    /// A request was refused because all servers that it could be sent to are cold and this instance's
+    /// shares of their rate limits are used up.
+    636 ColdLimitRefused Info "cold_limit_refused" ["request", "service", "servers"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/cold_share.rs
+++ b/medlarlanding-core/src/forwarding/cold_share.rs
@@ -26,11 +26,11 @@
 /// A partition that lasts longer than peers are kept in the table must not raise the shares on both of
 /// its sides; a deployment that was made smaller must not use too little of the limit for ever.
 const COUNT_MEMORY: Duration = Duration::from_secs(300);
-/// Extension of a server's cold time from which peers are told. Shorter ones are differences in the time
-/// that the entry was under way.
+/// Extension of a server's cold time from which it is news. Shorter ones are differences in the time that
+/// the entry was under way.
 const NEWS_MIN: Duration = Duration::from_millis(250);
-/// The limit stays in effect for this long after the server's cold time. Covers extensions shorter than
-/// `NEWS_MIN`, of which peers are not told.
+/// The limit stays in effect for this long after the server's cold time. Covers extensions up to
+/// `NEWS_MIN`, which are not recorded.
 const COLD_MARGIN: Duration = Duration::from_millis(300);
 /// Longest cold time that is believed; servers are cold for a few seconds.
 pub const COLD_TIME_MAX: Duration = Duration::from_secs(600);
@@ -163,8 +163,10 @@
     /// Nothing is allocated as the coordinator before this time.
     coordinates_at: Timestamp,
     was_coordinator: bool,
-    /// Numbers of followers within `SHARE_WINDOW`, with when each was seen, the oldest first. The
-    /// smallest one counts: another instance may have allocated the share of a new follower until now.
+    /// Numbers of followers in the last `live_timeout` and `SHARE_WINDOW` together, with when each was
+    /// seen, the oldest first. The smallest one counts: the instance that a new follower followed before
+    /// may count it until it takes it for silent, and what it has allocated until then counts for
+    /// another `SHARE_WINDOW`.
     followers: VecDeque<(Timestamp, usize)>,
     /// Largest number of instances in the current and in the previous period of `COUNT_MEMORY`.
     counts: [usize; 2],
@@ -204,7 +206,8 @@
             self.coordinates_at = self.coordinates_at.max(now + view.live_timeout);
         }
         self.was_coordinator = view.is_coordinator;
-        while self.followers.front().is_some_and(|(at, _)| now.since(*at) >= SHARE_WINDOW) {
+        let memory = view.live_timeout + SHARE_WINDOW;
+        while self.followers.front().is_some_and(|(at, _)| now.since(*at) >= memory) {
             self.followers.pop_front();
         }
         self.followers.push_back((now, view.followers));
@@ -254,8 +257,9 @@
         let (known, count) = (view.others.len() + 1, self.instance_count());
         let own = rendezvous(start, view.own);
         let higher = view.others.iter().filter(|other| rendezvous(start, **other) > own).count();
-        // The rank among all instances is estimated from that among the known ones.
-        let rank = higher * count / known;
+        // The rank among all instances is estimated from that among the known ones; the lowest one that
+        // it may be counts.
+        let rank = ((higher + 1) * count).div_ceil(known) - 1;
         let requests = share / count + usize::from(rank < share % count);
         // An instance without peers serves alone, unless its peers have had no time to be heard.
         let is_alone = view.others.is_empty() && age >= view.live_timeout;
@@ -301,22 +305,23 @@
     /// Share of this instance; `None` if the service has no limit. Outdated by at most the interval at
     /// which the owner of the directory updates it.
     share: Option<ColdShare>,
-    /// Requests that count towards `share.direct`. Those sent before the server became cold count too.
-    direct: SendWindow,
-    /// Requests that count towards `share.coordinated`.
-    coordinated: SendWindow,
+    /// Requests that count towards the share. Those sent before the server became cold count too, as do
+    /// those that this instance has allowed peers to send.
+    sent: SendWindow,
 }
 
 impl ColdServer {
-    /// Records that the server stays cold for `remaining`. Returns whether peers have to be told.
-    pub fn extend(&mut self, now: Timestamp, remaining: Duration) -> bool {
-        if remaining.is_zero() {
-            return false;
-        }
+    /// Records that the server stays cold for `remaining`, as a message states that may have been under
+    /// way for `lateness`. Returns whether that is news, of which peers have to be told: the server is
+    /// cold for longer than the same time counting down explains.
+    pub fn extend(&mut self, now: Timestamp, remaining: Duration, lateness: Duration) -> bool {
         let until = now + remaining.min(COLD_TIME_MAX);
-        let known = self.until.unwrap_or_default().max(now);
-        self.until = self.until.max(Some(until));
-        until.since(known) > NEWS_MIN
+        let known = self.until.map_or(now, |until| now.max(until + lateness));
+        let is_news = until.since(known) > NEWS_MIN;
+        if is_news {
+            self.until = Some(until);
+        }
+        is_news
     }
 
     /// Returns for how long the server stays cold.
@@ -329,34 +334,36 @@
         self.until.is_some()
     }
 
-    /// Returns whether the limit is in effect.
+    /// Returns whether the server is cold or may still be; its limit is then in effect if it has one.
     pub fn is_cold(&self, now: Timestamp) -> bool {
-        self.share.is_some() && self.until.is_some_and(|until| now < until + COLD_MARGIN)
+        self.until.is_some_and(|until| now < until + COLD_MARGIN)
     }
 
     /// Sets the share of this instance; `None` if the service has no limit.
     pub fn set_share(&mut self, share: Option<ColdShare>) {
         if share.is_none() {
-            (self.direct, self.coordinated) = Default::default();
+            self.sent = SendWindow::default();
         }
         self.share = share;
     }
 
     /// Returns whether the server is cold and this instance's share is used up.
     pub fn is_used_up(&self, now: Timestamp) -> bool {
-        let Some(share) = self.share.filter(|_| self.is_cold(now)) else { return false };
-        self.direct.count(now) >= share.direct && self.coordinated.count(now) >= share.coordinated
+        let share = self.share.filter(|_| self.is_cold(now));
+        share.is_some_and(|share| self.sent.count(now) >= share.direct + share.coordinated)
+    }
+
+    /// Returns the number of requests counted within `SHARE_WINDOW`.
+    pub fn sent_count(&self, now: Timestamp) -> u32 {
+        self.sent.count(now)
     }
 
     /// Counts a request that is sent, or that a peer is allowed to send. Returns whether the server is
-    /// cold.
+    /// cold and has a limit.
     pub fn record_send(&mut self, now: Timestamp) -> bool {
-        let Some(share) = self.share else { return false };
-        if self.coordinated.count(now) < share.coordinated {
-            self.coordinated.record(now);
-        } else {
-            self.direct.record(now);
+        if self.share.is_some() {
+            self.sent.record(now);
         }
-        self.is_cold(now)
+        self.share.is_some() && self.is_cold(now)
     }
 }
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -271,9 +271,16 @@
         }
     }
 
-    /// Records that a server stays cold for `remaining`. Returns whether peers have to be told.
-    pub fn extend_cold(&mut self, now: Timestamp, key: ServerKey, remaining: Duration) -> bool {
-        self.records.get_mut(&key).is_some_and(|record| record.cold.extend(now, remaining))
+    /// Records that a server stays cold for `remaining`, as `ColdServer::extend` does.
+    pub fn extend_cold(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        remaining: Duration,
+        lateness: Duration,
+    ) -> bool {
+        let record = self.records.get_mut(&key);
+        record.is_some_and(|record| record.cold.extend(now, remaining, lateness))
     }
 
     /// Sets this instance's share of the rate limit of each server, as `share` returns it; `None` for
@@ -350,6 +357,12 @@
         self.records.get(self.current.get(id)?)
     }
 
+    /// Returns the latest record of the server with this id, with its key.
+    pub fn find_key(&self, id: &str) -> Option<(ServerKey, &ServerRecord)> {
+        let key = *self.current.get(id)?;
+        Some((key, self.records.get(&key)?))
+    }
+
     /// Returns the record with this key; `None` once it has been evicted.
     pub fn get(&self, key: ServerKey) -> Option<&ServerRecord> {
         self.records.get(&key)
--- a/medlarlanding-core/src/forwarding/entries.rs
+++ b/medlarlanding-core/src/forwarding/entries.rs
@@ -112,6 +112,11 @@
         true
     }
 
+    /// Returns whether the content of an entry at a store revision is known already.
+    pub fn confirms(&self, id: &str, revision: u64) -> bool {
+        self.entries.get(id).is_some_and(|logged| revision <= logged.confirmed_at)
+    }
+
     /// Records that peers have to be told of an entry again although its content has not changed.
     /// Returns false if a later change of the entry is known.
     pub fn touch(&mut self, id: &str, changed_at: u64) -> bool {
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -223,7 +223,7 @@
 
     /// Returns whether a server has memory and a slot for a run and can begin its answer in time.
     /// Servers of plain services always have room.
-    fn has_room(
+    pub fn has_room(
         &self,
         request: &PlacementRequest<'_>,
         record: &ServerRecord,
--- a/medlarlanding/src/forwarding/engine_probe.rs
+++ b/medlarlanding/src/forwarding/engine_probe.rs
@@ -65,7 +65,7 @@
         for (key, address) in state.engines() {
             let (state, link) = (Rc::clone(&state), Rc::clone(&link));
             tokio::task::spawn_local(async move {
-                let answer = probe_engine(address).await;
+                let answer = probe_engine(&state, key, address).await;
                 apply_answer(&state, &link, key, &answer);
             });
         }
@@ -86,13 +86,14 @@
     }
 }
 
-async fn probe_engine(address: SocketAddr) -> ProbeAnswer {
+async fn probe_engine(state: &SharedState, key: ServerKey, address: SocketAddr) -> ProbeAnswer {
     let CallAnswer { status, headers, body } =
         match engine_calls::read_report(address, PROBE_TIMEOUT).await {
             Ok(answer) => answer,
             Err(ExchangeFault::NotConnected) => return ProbeAnswer::Unreachable,
             Err(_) => return ProbeAnswer::Unknown,
         };
+    state.note_cold_answer(key, &headers);
     if announces_leaving(&headers) {
         return ProbeAnswer::Leaves;
     }
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -430,6 +430,11 @@
             if !delay.is_zero() {
                 tokio::time::sleep(delay).await;
             }
+            let limit = RESUME_DELAY_LIMIT.min(time_left - delay);
+            let Some(waited) = self.link.await_cold_share(&self.state, *key, limit).await else {
+                continue;
+            };
+            let delay = (delay + waited).min(time_left);
             let (now, time_left) = (now + delay, time_left - delay);
             let load = LoadGuard::begin(&self.state, *key, self.run_weight());
             let request = server_request(
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -39,6 +39,9 @@
 /// Largest answer in bytes that an engine sends instead of a stream.
 const WHOLE_ANSWER_LIMIT: usize = 64 << 10;
 
+/// Reason in logs for a run that is refused because this process ends.
+const STOPPING: &str = "stopping";
+
 /// Why a run did not start.
 pub(super) enum StartFailure {
     Error(ErrorAnswer),
@@ -243,7 +246,7 @@
         );
         loop {
             if !self.admitted.fits_stop(&self.state) {
-                self.log_refusal("stopping", 0);
+                self.log_refusal(STOPPING, 0);
                 return Err(ErrorAnswer::Stopping);
             }
             let (purpose, due) = limit.purpose_and_due(self.state.now());
@@ -253,6 +256,8 @@
                 },
                 Placement::Nowhere if tried.is_empty() => return Err(ErrorAnswer::NoServer),
                 Placement::Nowhere => return Err(ErrorAnswer::ServersFull),
+                // `PeerLink::place` lets a run wait for the share of a cold engine.
+                Placement::Limited => return Err(ErrorAnswer::ServersFull),
                 Placement::Full(ahead) => match limit.decide(self.state.now(), ahead) {
                     WaitDecision::Wait => {
                         let pause = ASK_PERIOD.mul_f64(0.75 + self.state.draw() / 2.0);
@@ -272,6 +277,9 @@
     }
 
     fn log_refusal(&self, reason: &'static str, ahead: u16) {
+        if reason != STOPPING {
+            self.state.log_cold_refusal(&self.admitted.id, &self.admitted.service, &[]);
+        }
         let now = self.state.now();
         let coordinator =
             self.state.peers.borrow().coordinator(now).unwrap_or(self.state.settings.peers);
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod answer_end;
 mod caller_stream;
+mod cold_limit;
 mod engine_calls;
 mod engine_probe;
 mod generation;
--- a/medlarlanding/src/forwarding/peer_fetch.rs
+++ b/medlarlanding/src/forwarding/peer_fetch.rs
@@ -10,7 +10,7 @@
 use crate::listener::accept;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{ChangeSource, EntryDelta, PeerLag};
+use medlarlanding_core::forwarding::{ChangeSource, ColdReport, EntryDelta, PeerLag};
 use medlarlanding_core::value_type;
 
 use anyhow::{Context, bail};
@@ -52,6 +52,8 @@
         config: Option<Vec<u8>>,
         /// Server entries; `None` if the requester lacks none.
         servers: Option<EntryDelta>,
+        /// Remaining cold times of servers, with the entries.
+        cold: Vec<ColdReport>,
     }
 }
 
@@ -121,6 +123,7 @@
         }
         state.entries.borrow_mut().advance_with_changes(delta.revision);
     }
+    state.apply_cold_reports(&answer.cold, Some(delta.revision));
 }
 
 async fn fetch(
@@ -170,7 +173,8 @@
 fn answer_fetch(state: &SharedState, request: &FetchRequest) -> FetchAnswer {
     let config = state.config().filter(|in_force| in_force.config.version > request.config_version);
     let servers = state.entries.borrow().delta_since(request.servers_revision);
-    FetchAnswer { config: config.map(|in_force| in_force.text.to_vec()), servers }
+    let cold = if servers.is_some() { state.cold_reports() } else { Vec::new() };
+    FetchAnswer { config: config.map(|in_force| in_force.text.to_vec()), servers, cold }
 }
 
 async fn write_frame<T: Serialize>(
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -11,11 +11,13 @@
 use super::servers::start_hash;
 use super::shared::{ForwardState, SharedState};
 use medlarlanding_core::forwarding::{
-    ChangeSource, DirectoryChange, EngineFault, LedgerSync, PeerDigest, PeerLag, PeerMessage,
-    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup,
-    RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey, SuspicionParams,
+    ChangeSource, ColdQuestion, ColdReport, DirectoryChange, EngineFault, LedgerSync, PeerDigest,
+    PeerLag, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest,
+    RelayGroup, RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
+    SuspicionParams,
 };
 use medlarlanding_core::prompts::LedgerNews;
+use medlarlanding_core::time::Timestamp;
 
 use indexmap::IndexMap;
 use tokio::net::UdpSocket;
@@ -26,6 +28,8 @@
 const DATAGRAM_LIMIT: usize = 4096;
 /// Time limit for the answer to a question; a packet takes about a millisecond each way.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Age of an answer after which it does not allow a request to a cold server.
+const LATE_ANSWER: Duration = Duration::from_millis(60);
 /// Most bytes of changes in one datagram.
 const CHANGES_LIMIT: usize = 1100;
 /// Most servers that a question excludes, so that it fits into a datagram. The answer may name another
@@ -33,6 +37,10 @@
 const EXCLUDED_LIMIT: usize = 200;
 /// Size in bytes of an encoded entry without its strings.
 const ENTRY_LENGTH: usize = 32;
+/// Size in bytes of an encoded cold time.
+const COLD_LENGTH: usize = 15;
+/// Pause before the coordinator is asked again for a share of a cold server.
+const COLD_PAUSE: Duration = Duration::from_millis(40);
 /// Interval at which the coordinator logs the load of the fleet.
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
 /// One in so many digests is followed by the fingerprint of the ledger.
@@ -131,7 +139,9 @@
                 self.send_to_groups(state, &PeerMessage::Servers(full), &groups);
                 size = 0;
             }
-            size += length;
+            let cold = state.cold_report_of(&id);
+            size += length + if cold.is_some() { COLD_LENGTH } else { 0 };
+            pending.cold.extend(cold);
             pending.revision = pending.revision.max(changed_at);
             pending.changes.push(change);
         }
@@ -157,6 +167,69 @@
         self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_groups(state));
     }
 
+    /// Passes on what servers said themselves of their cold times: to the coordinator, or as the
+    /// coordinator to all peers.
+    fn send_cold_reports(&self, state: &ForwardState, reports: Vec<ColdReport>) {
+        if reports.is_empty() {
+            return;
+        }
+        let message = PeerMessage::Cold(reports);
+        match state.peers.borrow().coordinator(state.now()) {
+            Some(coordinator) => self.send(state, &message, &[coordinator]),
+            None => self.send_to_groups(state, &message, &relay_groups(state)),
+        }
+    }
+
+    /// Waits until a run may be resumed at a server, which takes time only if the server is cold, and
+    /// counts the request. Returns the time waited; `None` if the server may not get the request within
+    /// `limit`.
+    pub async fn await_cold_share(
+        &self,
+        state: &ForwardState,
+        key: ServerKey,
+        limit: Duration,
+    ) -> Option<Duration> {
+        if state.try_record_send(key) {
+            return Some(Duration::ZERO);
+        }
+        let started = state.now();
+        loop {
+            if self.ask_cold_share(state, key).await || state.try_record_send(key) {
+                return Some(state.now().since(started));
+            }
+            if state.now().since(started) + COLD_PAUSE >= limit {
+                return None;
+            }
+            tokio::time::sleep(COLD_PAUSE).await;
+        }
+    }
+
+    /// Asks the coordinator to count a request to a cold server towards its own share.
+    async fn ask_cold_share(&self, state: &ForwardState, key: ServerKey) -> bool {
+        let coordinator = state.peers.borrow().coordinator(state.now());
+        let server = state.directory.borrow().get(key).map(|record| start_hash(&record.entry));
+        let (Some(coordinator), Some(server)) = (coordinator, server) else { return false };
+        let (number, answer) = self.expect_answer();
+        let question = PeerMessage::ColdQuestion(ColdQuestion { number, server });
+        self.send(state, &question, &[coordinator]);
+        let asked_at = state.now();
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        self.questions.borrow_mut().swap_remove(&number);
+        // A process that was paused meanwhile takes an answer that is too old.
+        let is_late = state.now().since(asked_at) > LATE_ANSWER;
+        matches!(answer, Ok(Ok(answer)) if answer.verdict == PlaceVerdict::Server(server))
+            && !is_late
+    }
+
+    /// Returns the number of a new question and the channel on which its answer arrives.
+    fn expect_answer(&self) -> (u64, oneshot::Receiver<PlaceAnswer>) {
+        let number = self.next_question.get();
+        self.next_question.set(number + 1);
+        let (sender, answer) = oneshot::channel();
+        self.questions.borrow_mut().insert(number, sender);
+        (number, answer)
+    }
+
     /// Avoids an engine that has ended, here and at the coordinator.
     pub fn report_end(&self, state: &ForwardState, key: ServerKey) {
         let until = state.now() + SuspicionParams::default().avoid_ended;
@@ -222,12 +295,13 @@
         let coordinator = state.peers.borrow().coordinator(state.now());
         let Some(coordinator) = coordinator else {
             let key = RunKey { instance: state.settings.peers, run };
-            return state.place_as_coordinator(purpose, key, service, request);
+            return match state.place_as_coordinator(purpose, key, service, request) {
+                // The share of the coordinator includes its own.
+                Placement::Limited => Placement::Full(0),
+                placement => placement,
+            };
         };
-        let number = self.next_question.get();
-        self.next_question.set(number + 1);
-        let (sender, answer) = oneshot::channel();
-        self.questions.borrow_mut().insert(number, sender);
+        let (number, answer) = self.expect_answer();
         let question = PlaceQuestion {
             number,
             run,
@@ -246,6 +320,7 @@
             zone: request.zone.to_owned(),
         };
         self.send(state, &PeerMessage::Question(question), &[coordinator]);
+        let asked_at = state.now();
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
         self.questions.borrow_mut().swap_remove(&number);
         match answer {
@@ -255,18 +330,19 @@
                     PlaceVerdict::Server(hash) => match state.find_server(hash) {
                         Some(key)
                             if !request.excluded.contains(&key)
-                                && state.send_delay(key, state.now()).is_zero() =>
+                                && state.send_delay(key, state.now()).is_zero()
+                                && !is_outdated(state, key, asked_at) =>
                         {
                             Placement::Server(key)
                         },
                         // This instance and the coordinator know different servers at the moment.
-                        Some(_) | None => state.place(purpose, request),
+                        Some(_) | None => state.place_alone(purpose, request),
                     },
                     PlaceVerdict::Full(ahead) => Placement::Full(ahead),
-                    PlaceVerdict::Limited => Placement::Full(0),
+                    PlaceVerdict::Limited => state.place_cold(purpose, request),
                     PlaceVerdict::Nowhere => match purpose {
                         PlacePurpose::Start | PlacePurpose::StartLate => {
-                            state.place(purpose, request)
+                            state.place_alone(purpose, request)
                         },
                         // The coordinator found no engine with room, or the budget for moves is
                         // used up.
@@ -278,12 +354,20 @@
                 state.telemetry.lost_questions.inc();
                 let may_move =
                     purpose != PlacePurpose::Move || state.try_repeat(service, RepeatPurpose::Move);
-                if may_move { state.place(purpose, request) } else { Placement::Nowhere }
+                if may_move { state.place_alone(purpose, request) } else { Placement::Nowhere }
             },
         }
     }
 }
 
+/// Returns whether a server is cold and the coordinator's answer that names it is so old that the request
+/// would count towards another second. That happens only to a process that was paused.
+fn is_outdated(state: &ForwardState, key: ServerKey, asked_at: Timestamp) -> bool {
+    let (now, directory) = (state.now(), state.directory.borrow());
+    now.since(asked_at) > LATE_ANSWER
+        && directory.get(key).is_some_and(|record| record.cold().is_cold(now))
+}
+
 fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
     postcard::to_stdvec(message)
         .inspect_err(|error| log::warn!("cannot encode a datagram: {error}"))
@@ -309,6 +393,8 @@
             state.placing.granted.set(0);
             coordinator = current;
         }
+        state.update_cold_shares();
+        link.send_cold_reports(&state, state.take_cold_reports());
         send_digest(&link, &state, sequence);
         if current.is_none() && now.since(logged_at) >= LOAD_PERIOD {
             logged_at = now;
@@ -360,7 +446,7 @@
         peers: state.peers.borrow().sample(now, sequence),
         granted: state.placing.granted.get(),
         loads: Vec::new(),
-        fleet: None,
+        fleet: state.fleet_note(),
     };
     let addresses = |with_loads: bool| -> Vec<SocketAddr> {
         let selected = targets.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
@@ -419,6 +505,7 @@
             for change in changes.changes {
                 state.change_server(change, changes.revision, ChangeSource::Peer);
             }
+            state.apply_cold_reports(&changes.cold, Some(changes.revision));
             state.entries.borrow_mut().advance_with_changes(changes.revision);
         },
         PeerMessage::Leaving(servers) => {
@@ -452,7 +539,21 @@
             let answer = state.answer_question(source, &question);
             link.send(state, &PeerMessage::Answer(answer), &[source]);
         },
-        PeerMessage::Cold(_) | PeerMessage::ColdQuestion(_) => {},
+        PeerMessage::Cold(reports) => {
+            let news = state.apply_cold_reports(&reports, None);
+            if state.peers.borrow().coordinator(state.now()).is_none() {
+                link.send_cold_reports(state, news);
+            }
+        },
+        PeerMessage::ColdQuestion(question) => {
+            let key = state.find_start(question.server);
+            let verdict = match key.filter(|key| state.try_record_send(*key)) {
+                Some(_) => PlaceVerdict::Server(question.server),
+                None => PlaceVerdict::Limited,
+            };
+            let answer = PlaceAnswer { number: question.number, verdict, grant: 0 };
+            link.send(state, &PeerMessage::Answer(answer), &[source]);
+        },
         PeerMessage::Relayed(relayed) => {
             if let Some(message) = link.relay(state, &relayed) {
                 handle_message(link, state, source, message);
--- a/medlarlanding/src/forwarding/placing.rs
+++ b/medlarlanding/src/forwarding/placing.rs
@@ -43,12 +43,16 @@
     Full(u16),
     /// Not placed: no server accepts it, or the budget for moves is used up.
     Nowhere,
+    /// Not placed by the coordinator: only cold engines have room for it, and the coordinator's share
+    /// of their limits is used up.
+    Limited,
 }
 
 impl ForwardState {
     /// Chooses a server without asking the coordinator, and without counting the choice in a budget
     /// or queue.
     pub fn place(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
+        self.update_cold_shares();
         match purpose {
             PlacePurpose::Start | PlacePurpose::StartLate => match self.choose(request) {
                 Some(PlacementChoice { servers_with_room: 0, .. }) => Placement::Full(0),
@@ -59,10 +63,44 @@
         }
     }
 
+    /// Chooses a server as `place` does and counts a new run towards the limit of a cold server. A run
+    /// waits if only cold servers are left and their limits are used up.
+    pub fn place_alone(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
+        let placement = self.place(purpose, request);
+        match (purpose, placement) {
+            (PlacePurpose::Start | PlacePurpose::StartLate, Placement::Server(key)) => {
+                self.record_send(key);
+                placement
+            },
+            (PlacePurpose::Start | PlacePurpose::StartLate, Placement::Nowhere)
+                if self.limited_count(request.service, request.excluded) > 0 =>
+            {
+                Placement::Full(0)
+            },
+            (_, placement) => placement,
+        }
+    }
+
+    /// Chooses a cold server for a new run from this instance's own share, after the coordinator's share
+    /// was used up. The run waits if there is none.
+    pub fn place_cold(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
+        let mut excluded = self.warm_servers(request.service);
+        excluded.extend(request.excluded);
+        let cold = PlacementRequest { excluded: &excluded, ..*request };
+        match self.place_alone(purpose, &cold) {
+            Placement::Server(key) => Placement::Server(key),
+            Placement::Full(_) | Placement::Nowhere | Placement::Limited => Placement::Full(0),
+        }
+    }
+
     fn choose(&self, request: &PlacementRequest<'_>) -> Option<PlacementChoice> {
         let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
         let remote = |record: &ServerRecord| remote_load(&peers, now, record);
-        self.placing.policy.choose(now, &directory, request, remote, || self.draw())
+        let choice = self.placing.policy.choose(now, &directory, request, remote, || self.draw());
+        if choice.is_some_and(|choice| choice.servers_with_room > 0) {
+            self.note_redirect(request);
+        }
+        choice
     }
 
     fn choose_destination(&self, request: &PlacementRequest<'_>) -> Placement {
@@ -130,6 +168,7 @@
             },
             Placement::Full(ahead) => (PlaceVerdict::Full(ahead), 0),
             Placement::Nowhere => (PlaceVerdict::Nowhere, 0),
+            Placement::Limited => (PlaceVerdict::Limited, 0),
         };
         PlaceAnswer { number: question.number, verdict, grant }
     }
@@ -143,6 +182,7 @@
         service: &Arc<str>,
         request: &PlacementRequest<'_>,
     ) -> Placement {
+        self.update_cold_shares();
         let (now, params) = (self.now(), self.budget_params());
         let placement = match purpose {
             PlacePurpose::Start | PlacePurpose::StartLate => {
@@ -150,13 +190,14 @@
             },
             PlacePurpose::Move | PlacePurpose::MoveAgain => self.choose_destination(request),
         };
-        if !matches!(placement, Placement::Server(_)) {
-            return placement;
-        }
+        let Placement::Server(server) = placement else { return placement };
         let mut budgets = self.placing.move_budgets.borrow_mut();
         let budget = budgets.entry(Arc::clone(service)).or_default();
         match purpose {
-            PlacePurpose::Start | PlacePurpose::StartLate => budget.record_request(now, &params),
+            PlacePurpose::Start | PlacePurpose::StartLate => {
+                budget.record_request(now, &params);
+                self.record_send(server);
+            },
             PlacePurpose::Move => {
                 if !budget.try_repeat(now, &params, RepeatPurpose::Move, 1) {
                     return Placement::Nowhere;
@@ -175,7 +216,15 @@
         request: &PlacementRequest<'_>,
     ) -> Placement {
         let now = self.now();
-        let Some(choice) = self.choose(request) else { return Placement::Nowhere };
+        let choice = self.choose(request);
+        let has_room = choice.is_some_and(|choice| choice.servers_with_room > 0);
+        if !has_room && self.has_limited_room(request) {
+            return Placement::Limited;
+        }
+        let Some(choice) = choice else {
+            let is_limited = self.limited_count(request.service, request.excluded) > 0;
+            return if is_limited { Placement::Full(0) } else { Placement::Nowhere };
+        };
         let class = match request.due {
             None => WaitingClass::Late,
             Some(_) if request.is_urgent => WaitingClass::Urgent,
@@ -189,6 +238,15 @@
         }
     }
 
+    /// Returns whether a cold engine whose limit is used up has room for a request.
+    fn has_limited_room(&self, request: &PlacementRequest<'_>) -> bool {
+        let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
+        let limited = directory.limited(now, request.service);
+        limited.filter(|(key, _)| !request.excluded.contains(key)).any(|(_, record)| {
+            self.placing.policy.has_room(request, record, remote_load(&peers, now, record))
+        })
+    }
+
     /// Logs the load of the engines of each service, as far as this instance knows it.
     pub fn log_fleet_load(&self) {
         let Some(ConfigInForce { config, .. }) = self.config() else { return };
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -146,6 +146,7 @@
             },
         );
         let Placement::Server(key) = placed else {
+            state.log_cold_refusal(&admitted.id, &admitted.service, &excluded);
             let error = match (run_count, not_run_count) {
                 (0, 0) => ErrorAnswer::NoServer,
                 (0, _) => ErrorAnswer::ServersFull,
@@ -332,6 +333,7 @@
 ) -> (String, SendOutcome) {
     let target = state.directory.borrow().get(key).map(|record| record.entry.clone());
     let Some(entry) = target else { return (String::new(), SendOutcome::NotConnected) };
+    state.record_send(key);
     let load = LoadGuard::begin(state, key, admitted.weight);
     let request = server_request(admitted, &entry.id, time_left, None, None);
     let started = state.now();
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -201,6 +201,7 @@
                 if is_signalled || settings.seeds != seeds {
                     event(EventKind::SettingsRead, &[&settings.seeds.len()]);
                 }
+                state.apply_cold_settings(&settings);
                 if settings.seeds != seeds {
                     state.peers.borrow_mut().set_seeds(settings.seeds.clone());
                     seeds = settings.seeds;
--- a/medlarlanding/src/forwarding/server_liveness.rs
+++ b/medlarlanding/src/forwarding/server_liveness.rs
@@ -6,6 +6,7 @@
 use super::admit::AdmittedRequest;
 use super::engine_calls;
 use super::peer_link::PeerLink;
+use super::servers::start_hash;
 use super::shared::SharedState;
 use crate::exchange::{self, ExchangeFault, ListenerState};
 use crate::logging::event;
@@ -72,13 +73,13 @@
 pub async fn prove_liveness(state: &SharedState, entry: &ServerEntry) -> ServerLiveness {
     let [first, second] = identity_queries(state, &entry.service);
     let asking = async {
-        let mut first = std::pin::pin!(ask_process(entry, &first));
+        let mut first = std::pin::pin!(ask_process(state, entry, &first));
         match tokio::time::timeout(PROOF_PAUSE, &mut first).await {
-            Ok(ServerLiveness::Unknown) => return ask_process(entry, &second).await,
+            Ok(ServerLiveness::Unknown) => return ask_process(state, entry, &second).await,
             Ok(liveness) => return liveness,
             Err(_) => {},
         }
-        let mut second = std::pin::pin!(ask_process(entry, &second));
+        let mut second = std::pin::pin!(ask_process(state, entry, &second));
         tokio::select! {
             liveness = &mut first => match liveness {
                 ServerLiveness::Unknown => second.await,
@@ -94,7 +95,11 @@
 }
 
 /// Asks the process at a server's address which one it is.
-async fn ask_process(entry: &ServerEntry, question: &IdentityQuery) -> ServerLiveness {
+async fn ask_process(
+    state: &SharedState,
+    entry: &ServerEntry,
+    question: &IdentityQuery,
+) -> ServerLiveness {
     let address = entry.address;
     let answer = match question {
         IdentityQuery::Report => engine_calls::read_report(address, REPORT_TIMEOUT).await,
@@ -127,16 +132,22 @@
         born_millis: (entry.born_millis > 0).then_some(entry.born_millis),
         id: Some(&entry.id),
     };
-    ServerLiveness::of_process(expected, found)
+    let liveness = ServerLiveness::of_process(expected, found);
+    if liveness == ServerLiveness::Alive
+        && let Some(key) = state.find_start(start_hash(entry))
+    {
+        state.note_cold_answer(key, &answer.headers);
+    }
+    liveness
 }
 
 /// Finds out whether the process described by `entry` still runs after a connection to it broke.
-async fn probe_process(entry: &ServerEntry) -> ServerLiveness {
+async fn probe_process(state: &SharedState, entry: &ServerEntry) -> ServerLiveness {
     match exchange::probe_listener_again(entry.address).await {
         ListenerState::Absent => ServerLiveness::Ended,
         ListenerState::Unknown => ServerLiveness::Unknown,
         ListenerState::Listening if entry.born_millis == 0 => ServerLiveness::Alive,
-        ListenerState::Listening => ask_process(entry, &IdentityQuery::Report).await,
+        ListenerState::Listening => ask_process(state, entry, &IdentityQuery::Report).await,
     }
 }
 
@@ -194,7 +205,7 @@
     ) {
         let liveness = match known {
             Some(liveness) => liveness,
-            None => probe_process(&self.entry).await,
+            None => probe_process(state, &self.entry).await,
         };
         if liveness == ServerLiveness::Ended {
             link.report_end(state, self.key);
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cold_limit::ColdLimitState;
 use super::ledger::LedgerState;
 use super::placing::PlacementState;
 use super::telemetry::Telemetry;
@@ -67,6 +68,8 @@
     config: RefCell<Option<ConfigInForce>>,
     /// Budgets for the repeats of this instance, by service.
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
+    /// Limits for cold servers.
+    pub cold: ColdLimitState,
     /// State of the placement.
     pub placing: PlacementState,
     /// Runs that the ends of engines broke off.
@@ -98,7 +101,8 @@
         ledger_news: mpsc::UnboundedSender<LedgerNews>,
     ) -> Self {
         let seed = stable_hash(settings.instance.as_bytes()) ^ boot;
-        Self {
+        let clock = ProcessClock::start();
+        let state = Self {
             settings,
             boot,
             telemetry,
@@ -110,7 +114,8 @@
             peers: RefCell::new(peers),
             entries: RefCell::default(),
             move_params: MoveParams::default(),
-            clock: ProcessClock::start(),
+            cold: ColdLimitState::new(clock.now()),
+            clock,
             readiness: RefCell::default(),
             config: RefCell::default(),
             budgets: RefCell::default(),
@@ -123,7 +128,9 @@
             store_lost: Notify::new(),
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             directory_changes: watch::Sender::new(0),
-        }
+        };
+        state.apply_cold_settings(&state.settings);
+        state
     }
 
     /// Returns the current time.
@@ -192,7 +199,7 @@
     /// Decodes a configuration and puts it in force if its version is higher than that of the one in
     /// force. Logs a configuration that cannot be decoded.
     pub fn offer_config(&self, text: &[u8], source: ChangeSource) {
-        let config = match decode_config(text) {
+        let mut config = match decode_config(text) {
             Ok(config) => config,
             Err(error) => {
                 let version = self.config_version();
@@ -204,6 +211,15 @@
         if config.version <= self.config_version() {
             return;
         }
+        let last = self.config();
+        for invalid in config.keep_last(last.as_ref().map(|last| &*last.config)) {
+            log::warn!(
+                "configuration {}, service {}: {}; the last valid value stays in effect",
+                config.version,
+                invalid.service,
+                invalid.reason
+            );
+        }
         let (version, routes) = (config.version, config.route_count());
         event(EventKind::ForwardConfigAccepted, &[&version, &source.name(), &routes]);
         self.telemetry.config_version.set(version as i64);
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -12,7 +12,7 @@
 use medlarlanding_core::forwarding::{ChangeSource, ColdReadParams, DirectoryChange};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::config::CONFIG_KEY;
-use medlarlanding_platform::servers::{SERVERS_PREFIX, decode_item};
+use medlarlanding_platform::servers::{SERVERS_PREFIX, ServerReport, decode_item};
 use medlarlanding_platform::store::StoreItem;
 
 /// Time for which a watch waits at the store. A lost answer is noticed only after this time, and a
@@ -36,6 +36,8 @@
 /// Pause of the other hubs after a watch that returned changes. The coordinator reports changes to
 /// them; if it fails, they are still in time for a configuration that must be in force after 2 s.
 const STANDBY_PAUSE: Duration = Duration::from_millis(900);
+/// Age of entries that the other hubs read: their pause and the time of a call.
+const STANDBY_LATENESS: Duration = Duration::from_millis(1000);
 
 /// Interval at which an instance that waits for the list of a peer checks whether it has arrived.
 const PEER_LIST_CHECK: Duration = Duration::from_millis(20);
@@ -216,6 +218,12 @@
         }
     }
 
+    /// Returns how long ago an entry may have been written that a watch returns, apart from the batch
+    /// pause of the coordinator.
+    fn entry_lateness(&self) -> Duration {
+        if self.is_coordinator() { Duration::ZERO } else { STANDBY_LATENESS }
+    }
+
     fn batch_pause(&self) -> Duration {
         if !self.is_coordinator() {
             return STANDBY_PAUSE;
@@ -248,9 +256,13 @@
                 self.apply(item);
             }),
             WatchedPart::Servers => {
-                let changes = items.iter().filter_map(decode_entry).collect();
+                let reports: Vec<ServerReport> = items.iter().filter_map(decode_entry).collect();
                 let revision = first_revision.unwrap_or(0);
+                let changes = reports.iter().map(|report| report.change.clone()).collect();
                 self.state.replace_servers(revision, changes, ChangeSource::Store);
+                for report in reports {
+                    self.state.note_cold_entry(report.change.id(), &report.cold, Duration::ZERO);
+                }
             },
         }
         self.advance(first_revision.unwrap_or(0));
@@ -298,10 +310,15 @@
             },
             WatchedPart::Config => None,
             WatchedPart::Servers => {
-                let change = decode_entry(&item)?;
+                let ServerReport { change, cold } = decode_entry(&item)?;
                 let id = Arc::clone(change.id());
+                let is_known = self.state.entries.borrow().confirms(&id, item.revision);
                 let is_new = self.state.change_server(change, item.revision, ChangeSource::Store);
-                is_new.then_some(id)
+                // An entry whose cold time counts down is no news; one that is cold again is.
+                let is_cold = !is_known
+                    && self.state.note_cold_entry(&id, &cold, self.entry_lateness())
+                    && self.state.entries.borrow_mut().touch(&id, item.revision);
+                (is_new || is_cold).then_some(id)
             },
         }
     }
@@ -315,13 +332,13 @@
 }
 
 /// Decodes a server entry. Logs an invalid one, which is treated as removed.
-fn decode_entry(item: &StoreItem) -> Option<DirectoryChange> {
-    let change = decode_item(item)?.change;
-    if let (Some(_), DirectoryChange::Removed(id)) = (&item.value, &change) {
+fn decode_entry(item: &StoreItem) -> Option<ServerReport> {
+    let report = decode_item(item)?;
+    if let (Some(_), DirectoryChange::Removed(id)) = (&item.value, &report.change) {
         log::warn!(
             "entry of server {id} at revision {} is invalid; treated as removed",
             item.revision
         );
     }
-    Some(change)
+    Some(report)
 }
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -30,6 +30,12 @@
     pub server_holds: IntCounter,
     /// Parts of prompts for which requests are refused.
     pub blocked_parts: IntGauge,
+    /// Requests to cold servers with a limit that this instance sent or allowed as the coordinator.
+    pub cold_requests: IntCounter,
+    /// Requests placed while the limits of some cold servers kept them from those.
+    pub cold_redirects: IntCounter,
+    /// Requests refused because of the limits of cold servers.
+    pub cold_refusals: IntCounter,
     /// Calls to the store, by outcome.
     pub store_calls: IntCounterVec,
     /// Received datagrams dropped because they could not be decoded or named another sender.
@@ -78,6 +84,12 @@
                 .counter("server_holds", "Refusals that ask for no further requests.")?,
             blocked_parts: registry
                 .gauge("blocked_parts", "Parts of prompts for which requests are refused.")?,
+            cold_requests: registry
+                .counter("cold_requests", "Requests to cold servers with a rate limit.")?,
+            cold_redirects: registry
+                .counter("cold_redirects", "Requests kept from cold servers by their limits.")?,
+            cold_refusals: registry
+                .counter("cold_refusals", "Requests refused because of limits of cold servers.")?,
             store_calls: registry.counters("store_calls", "Calls to the store.", &["outcome"])?,
             dropped_datagrams: registry
                 .counter("dropped_datagrams", "Unreadable datagrams of peers.")?,
