--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -71,6 +71,8 @@
     address: IpAddr,
     settings: PathBuf,
     log: PathBuf,
+    /// Lists the peers that the instance is cut off from.
+    cut: PathBuf,
     child: Option<Child>,
 }
 
@@ -262,13 +264,49 @@
     }
 
     fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
+        self.put_entry(id, service, address, state, Duration::ZERO);
+    }
+
+    fn put_entry(&self, id: &str, service: &str, address: SocketAddr, state: &str, cold: Duration) {
         let entry = json!({
             "service": service, "address": address.to_string(), "zone": "z0", "version": "v1",
-            "slots": 24, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+            "slots": 24, "state": state, "coldRemainingMs": cold.as_millis() as u64, "sequence": 1,
+            "born": 1,
         });
         self.state.put(&format!("servers/{id}"), entry.to_string().as_bytes());
     }
 
+    /// Writes the entry of a ready server that stays cold for `remaining`.
+    pub fn mark_server_cold(&self, id: &str, remaining: Duration) {
+        let (service, address) = self.link_of(id);
+        self.put_entry(id, service, address, "ready", remaining);
+    }
+
+    /// Cuts two groups of instances off from each other. Takes effect within 0.3 s.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be written.
+    pub fn cut_groups(&self, groups: [&[usize]; 2]) -> anyhow::Result<()> {
+        for (group, others) in [(groups[0], groups[1]), (groups[1], groups[0])] {
+            let addresses: Vec<String> =
+                others.iter().map(|other| self.instances[*other].address.to_string()).collect();
+            for index in group {
+                std::fs::write(&self.instances[*index].cut, addresses.join("\n"))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all cuts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be written.
+    pub fn heal_cuts(&self) -> anyhow::Result<()> {
+        self.instances.iter().try_for_each(|instance| Ok(std::fs::write(&instance.cut, "")?))
+    }
+
     /// Marks a server as draining in the store.
     pub fn drain_server(&self, id: &str) {
         self.set_server_state(id, "draining");
@@ -280,15 +318,34 @@
     }
 
     fn set_server_state(&self, id: &str, state: &str) {
+        let (service, address) = self.link_of(id);
+        self.register(id, service, address, state);
+    }
+
+    /// Returns the service and the address of a server.
+    fn link_of<'a>(&self, id: &'a str) -> (&'a str, SocketAddr) {
         let (service, index) = id.split_once('-').expect("an id of this deployment");
         let number: u8 = index.parse().expect("an id of this deployment");
-        let address = SocketAddr::new(self.server_address(service, number).ip(), LINK_PORT);
-        self.register(id, service, address, state);
+        (service, SocketAddr::new(self.server_address(service, number).ip(), LINK_PORT))
     }
 
     /// Publishes the default configuration, modified by `change`, under the next version. Returns
     /// the version.
     pub fn publish_config(&mut self, change: impl FnOnce(&mut Value)) -> u64 {
+        let config = self.next_config(change);
+        self.state.put("op/config", config.to_string().as_bytes());
+        self.version
+    }
+
+    /// Publishes the default configuration, whose text `change` modifies, under the next version. Returns
+    /// the version.
+    pub fn publish_text(&mut self, change: impl FnOnce(String) -> String) -> u64 {
+        let config = self.next_config(|_| {});
+        self.state.put("op/config", change(config.to_string()).as_bytes());
+        self.version
+    }
+
+    fn next_config(&mut self, change: impl FnOnce(&mut Value)) -> Value {
         self.version += 3;
         let route = |name: &str, kind: &str, service: &str, servers: u32, timeout: u32| {
             json!({"name": name, "host": HOST, "prefix": format!("/{name}/"), "routeType": kind,
@@ -314,8 +371,7 @@
             "tenants": [{"name": "museum", "apiKeys": [API_KEY], "priority": 1}],
         });
         change(&mut config);
-        self.state.put("op/config", config.to_string().as_bytes());
-        self.version
+        config
     }
 
     fn add_instance(&mut self, index: usize, params: SiteParams) -> anyhow::Result<()> {
@@ -345,7 +401,8 @@
             ),
         )?;
         let log = dir.join(format!("{name}.log"));
-        self.instances.push(SiteInstance { address, settings, log, child: None });
+        let cut = dir.join(format!("{name}.cut"));
+        self.instances.push(SiteInstance { address, settings, log, cut, child: None });
         self.spawn_instance(index)
     }
 
@@ -359,6 +416,8 @@
         let log = File::options().create(true).append(true).open(&instance.log)?;
         let child = Command::new(binary()?)
             .args(["forward", "--metrics-port", &METRICS_PORT.to_string()])
+            .arg("--drill-cut")
+            .arg(&instance.cut)
             .env("MEDLARLANDING_BOOT", &instance.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
@@ -454,6 +513,8 @@
             }
             let _ = std::fs::remove_file(&instance.settings);
             let _ = std::fs::remove_file(&instance.log);
+            // The file exists only after a cut.
+            let _ = std::fs::remove_file(&instance.cut);
         }
     }
 }
--- a/medlarlanding/src/cli.rs
+++ b/medlarlanding/src/cli.rs
@@ -51,6 +51,9 @@
     /// port for metrics on the instance's own address; metrics are not served by default
     #[argh(option, default = "0")]
     pub metrics_port: u16,
+    /// for drills: file with addresses of peers whose messages are dropped while they are in it
+    #[argh(option)]
+    pub drill_cut: Option<PathBuf>,
 }
 
 /// checks settings files and configuration trees; exit status 1 on a fault
--- a/medlarlanding/src/commands.rs
+++ b/medlarlanding/src/commands.rs
@@ -49,7 +49,10 @@
 ///
 /// Fails on faulty settings or when the role ends abnormally.
 pub fn forward(options: &ForwardOptions) -> anyhow::Result<ExitCode> {
-    forwarding::run(RoleOptions { metrics_port: options.metrics_port })?;
+    forwarding::run(RoleOptions {
+        metrics_port: options.metrics_port,
+        drill_cut: options.drill_cut.clone(),
+    })?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -17,6 +17,7 @@
 mod listener;
 mod load_guard;
 mod log_output;
+mod peer_cut;
 mod peer_fetch;
 mod peer_link;
 mod placing;
--- a/medlarlanding/src/forwarding/peer_fetch.rs
+++ b/medlarlanding/src/forwarding/peer_fetch.rs
@@ -131,6 +131,9 @@
     peer: SocketAddr,
     request: &FetchRequest,
 ) -> anyhow::Result<FetchAnswer> {
+    if state.peer_cut.drops(&peer) {
+        bail!("cut off for a drill");
+    }
     let mut stream =
         connect(peer, FETCH_TIMEOUT).await.map_err(|_| anyhow::anyhow!("cannot connect"))?;
     write_frame(state, &mut stream, request).await?;
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -100,7 +100,7 @@
     ) {
         let sent = bytes.len() * targets.len();
         state.telemetry.control_bytes.with_label_values(&[kind, "sent"]).inc_by(sent as u64);
-        for target in targets {
+        for target in targets.iter().filter(|target| !state.peer_cut.drops(target)) {
             // An unsent datagram has the same effect as a lost one; later digests make up for it.
             if self.socket.try_send_to(bytes, *target).is_err() {
                 state.telemetry.unsent_datagrams.inc();
@@ -393,6 +393,7 @@
             state.placing.granted.set(0);
             coordinator = current;
         }
+        state.peer_cut.update();
         state.update_cold_shares();
         link.send_cold_reports(&state, state.take_cold_reports());
         send_digest(&link, &state, sequence);
@@ -467,6 +468,9 @@
         // The socket reports errors for datagrams sent earlier to a peer that does not listen; they
         // need no handling.
         let Ok((length, source)) = link.socket.recv_from(&mut buffer).await else { continue };
+        if state.peer_cut.drops(&source) {
+            continue;
+        }
         match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
             Ok(message) => {
                 let received = &state.telemetry.control_bytes;
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -1,12 +1,14 @@
 //! Starts the forwarding role, applies changed settings, and stops the role on SIGTERM.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use super::engine_probe;
 use super::listener;
 use super::log_output::LogWriter;
+use super::peer_cut::PeerCut;
 use super::peer_fetch;
 use super::peer_link::{self, PeerLink};
 use super::shared::{ForwardState, SharedState};
@@ -44,10 +46,12 @@
 const LOG_FLUSH: Duration = Duration::from_millis(30);
 
 /// Command-line options of the role.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct RoleOptions {
     /// Port of the metrics endpoint on the address for peers; 0 disables the endpoint.
     pub metrics_port: u16,
+    /// File with addresses of peers whose messages are dropped, for drills.
+    pub drill_cut: Option<PathBuf>,
 }
 
 /// Runs the role until it is stopped.
@@ -89,7 +93,10 @@
     let seeds = settings.seeds.clone();
     let peers = PeerTable::new(PeerTableParams::default(), settings.peers, strength, seeds);
     let (ledger_sender, ledger_news) = mpsc::unbounded_channel();
-    let state = Rc::new(ForwardState::new(settings, boot, Telemetry::new()?, peers, ledger_sender));
+    let state = Rc::new(
+        ForwardState::new(settings, boot, Telemetry::new()?, peers, ledger_sender)
+            .with_cut(PeerCut::new(options.drill_cut)),
+    );
     let link = Rc::new(PeerLink::new(digests));
     let (stop, stopping) = watch::channel(false);
     let tasks = RoleTasks::new();
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -7,6 +7,7 @@
 
 use super::cold_limit::ColdLimitState;
 use super::ledger::LedgerState;
+use super::peer_cut::PeerCut;
 use super::placing::PlacementState;
 use super::telemetry::Telemetry;
 use crate::clock::ProcessClock;
@@ -68,6 +69,8 @@
     config: RefCell<Option<ConfigInForce>>,
     /// Budgets for the repeats of this instance, by service.
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
+    /// Peers that this instance is cut off from in a drill.
+    pub peer_cut: PeerCut,
     /// Limits for cold servers.
     pub cold: ColdLimitState,
     /// State of the placement.
@@ -114,6 +117,7 @@
             peers: RefCell::new(peers),
             entries: RefCell::default(),
             move_params: MoveParams::default(),
+            peer_cut: PeerCut::default(),
             cold: ColdLimitState::new(clock.now()),
             clock,
             readiness: RefCell::default(),
@@ -133,6 +137,11 @@
         state
     }
 
+    /// Cuts the process off from peers, for a drill.
+    pub fn with_cut(self, peer_cut: PeerCut) -> Self {
+        Self { peer_cut, ..self }
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> Timestamp {
         self.clock.now()
