--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -147,6 +147,11 @@
     631 ZoneRestored Info "zone_restored" ["zone", "revision", "source"];
     /// An item of the store that evacuates a zone is ignored.
     632 EvacuationRefused Warn "evacuation_refused" ["key", "revision", "reason"];
+    /// A server became cold, or stays cold for longer than was known.
+    635 ServerCold Info "server_cold" ["server", "remaining_ms", "source"];
+    /// A request was refused because all servers that it could be sent to are cold and this instance's
+    /// shares of their rate limits are used up.
+    636 ColdLimitRefused Info "cold_limit_refused" ["request", "service", "servers"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -7,6 +7,7 @@
 mod backlog;
 mod budget;
 mod cold_read;
+mod cold_share;
 mod config;
 mod directory;
 mod drain;
@@ -31,9 +32,13 @@
 pub use backlog::{BacklogForecast, BacklogParams};
 pub use budget::{BudgetParams, RepeatBudget, RepeatPurpose};
 pub use cold_read::ColdReadParams;
+pub use cold_share::{
+    COLD_TIME_MAX, ColdLimitParams, ColdPolicy, ColdReport, ColdServer, ColdShare, ColdSource,
+    ColdTarget, FleetNote, FleetView, ShareAllocator,
+};
 pub use config::{
-    CustomerRecord, EngineLimits, ForwardConfig, ForwardConfigError, KeyCheck, RequestKind,
-    RequestLimits, RouteRule, RouteTarget, ServicePolicy,
+    CustomerRecord, EngineLimits, ForwardConfig, ForwardConfigError, InvalidField, InvalidValue,
+    KeyCheck, RequestKind, RequestLimits, RouteRule, RouteTarget, ServicePolicy,
 };
 pub use directory::{
     DirectoryChange, ServerAccess, ServerDirectory, ServerEntry, ServerKey, ServerPhase,
@@ -44,8 +49,8 @@
 pub use evacuation::{EvacuationTable, ZoneChange, ZoneEntry, ZoneEntryState, ZoneState};
 pub use load::{LatencyClass, LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
-    EvacuationSync, LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion,
-    PlaceVerdict, RelayedMessage, RunBacklog, ServerChanges, SyncPurpose,
+    ColdQuestion, EvacuationSync, LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose,
+    PlaceQuestion, PlaceVerdict, RelayedMessage, RunBacklog, ServerChanges, SyncPurpose,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use pause_gate::{PauseGate, PauseParams};
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -106,7 +106,8 @@
 }
 
 impl<'a> PlacementRequest<'a> {
-    /// Iterates over the servers that accept new requests and are not excluded.
+    /// Iterates over the servers that accept new requests and are not excluded, without the cold ones
+    /// for which this instance's share of the rate limit is used up.
     fn candidates(
         &self,
         now: Timestamp,
@@ -361,7 +362,7 @@
 
     /// Returns whether a server has memory and a slot for a run and can begin its answer in time.
     /// Servers of plain services always have room.
-    fn has_room(
+    pub fn has_room(
         &self,
         request: &PlacementRequest<'_>,
         record: &ServerRecord,
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 
 use medlarlanding_core::forwarding::{
-    DirectoryChange, EvacuationSync, EvacuationTable, LoadReport, PeerDigest, PeerMessage,
-    PeerTable, PeerTableParams, RelayedMessage, ServerChanges, ServerEntry, ServerPhase,
-    SyncPurpose, ZoneEntry, ZoneEntryState,
+    ColdQuestion, ColdReport, DirectoryChange, EvacuationSync, EvacuationTable, FleetNote,
+    LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams, RelayedMessage, ServerChanges,
+    ServerEntry, ServerPhase, SyncPurpose, ZoneEntry, ZoneEntryState,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -28,6 +28,7 @@
     table.read_snapshot(&[entry], 8);
     EvacuationSync { table, purpose: SyncPurpose::Ask(3) }
 }
+const COLD: ColdReport = ColdReport { server: 7, remaining_ms: 900 };
 
 fn messages() -> Vec<PeerMessage> {
     let entry = ServerEntry {
@@ -40,7 +41,8 @@
         born_millis: 1,
     };
     let changes = vec![DirectoryChange::Written(entry), DirectoryChange::Removed(Arc::from("i-2"))];
-    let servers = PeerMessage::Servers(ServerChanges { after: 3, revision: 9, changes });
+    let servers =
+        PeerMessage::Servers(ServerChanges { after: 3, revision: 9, changes, cold: vec![COLD] });
     let load =
         LoadReport { server: 7, requests: 1, tokens: 2_000, waiting_tokens: 100, growth: 50 };
     let digest = PeerDigest {
@@ -55,6 +57,7 @@
         peers: vec![address(3), address(4)],
         granted: 8,
         loads: vec![load],
+        fleet: Some(FleetNote { instances: 60, coordinator: 7 }),
     };
     let relayed = RelayedMessage {
         targets: vec![address(5)],
@@ -68,6 +71,8 @@
         PeerMessage::Relayed(relayed),
         PeerMessage::Unresponsive(4),
         PeerMessage::Evacuations(evacuations()),
+        PeerMessage::Cold(vec![COLD]),
+        PeerMessage::ColdQuestion(ColdQuestion { number: 4, server: 7 }),
     ]
 }
 
--- a/medlarlanding/src/forwarding/peer_fetch.rs
+++ b/medlarlanding/src/forwarding/peer_fetch.rs
@@ -10,7 +10,9 @@
 use crate::listener::accept;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{ChangeSource, EntryDelta, EvacuationTable, PeerLag};
+use medlarlanding_core::forwarding::{
+    ChangeSource, ColdReport, EntryDelta, EvacuationTable, PeerLag,
+};
 use medlarlanding_core::value_type;
 
 use anyhow::{Context, bail};
@@ -54,6 +56,8 @@
         evacuations: EvacuationTable,
         /// Server entries; `None` if the requester lacks none.
         servers: Option<EntryDelta>,
+        /// Remaining cold times of servers, with the entries.
+        cold: Vec<ColdReport>,
     }
 }
 
@@ -126,6 +130,7 @@
         }
         state.entries.borrow_mut().advance_with_changes(delta.revision);
     }
+    state.apply_cold_reports(&answer.cold, Some(delta.revision));
 }
 
 async fn fetch(
@@ -133,6 +138,9 @@
     peer: SocketAddr,
     request: &FetchRequest,
 ) -> anyhow::Result<FetchAnswer> {
+    if state.peer_cut.drops(&peer) {
+        bail!("cut off for a drill");
+    }
     let mut stream =
         connect(peer, FETCH_TIMEOUT).await.map_err(|_| anyhow::anyhow!("cannot connect"))?;
     write_frame(state, &mut stream, request).await?;
@@ -175,10 +183,12 @@
 fn answer_fetch(state: &SharedState, request: &FetchRequest) -> FetchAnswer {
     let config = state.config().filter(|in_force| in_force.config.version > request.config_version);
     let servers = state.entries.borrow().delta_since(request.servers_revision);
+    let cold = if servers.is_some() { state.cold_reports() } else { Vec::new() };
     FetchAnswer {
         config: config.map(|in_force| in_force.text.to_vec()),
         evacuations: state.evacuations(),
         servers,
+        cold,
     }
 }
 
--- a/medlarlanding/src/forwarding/placing.rs
+++ b/medlarlanding/src/forwarding/placing.rs
@@ -43,6 +43,9 @@
     Full(RunBacklog),
     /// Not placed: no server accepts it, or the budget for moves is used up.
     Nowhere,
+    /// Not placed by the coordinator: only cold engines have room for it, and the coordinator's share
+    /// of their limits is used up.
+    Limited,
 }
 
 /// Generations of all instances that compete for the engines of one service.
@@ -89,6 +92,7 @@
     /// Chooses a server without asking the coordinator, and without counting the choice in a budget
     /// or queue.
     pub fn place(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
+        self.update_cold_shares();
         match purpose {
             PlacePurpose::Start | PlacePurpose::StartLate => match self.choose(request) {
                 Some(PlacementChoice { servers_with_room: 0, .. }) => {
@@ -101,10 +105,46 @@
         }
     }
 
+    /// Chooses a server as `place` does and counts a new run towards the limit of a cold server. A run
+    /// waits if only cold servers are left and their limits are used up.
+    pub fn place_alone(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
+        let placement = self.place(purpose, request);
+        match (purpose, placement) {
+            (PlacePurpose::Start | PlacePurpose::StartLate, Placement::Server(key)) => {
+                self.record_send(key);
+                placement
+            },
+            (PlacePurpose::Start | PlacePurpose::StartLate, Placement::Nowhere)
+                if self.limited_count(request.service, request.excluded) > 0 =>
+            {
+                Placement::Full(RunBacklog::default())
+            },
+            (_, placement) => placement,
+        }
+    }
+
+    /// Chooses a cold server for a new run from this instance's own share, after the coordinator's share
+    /// was used up. The run waits if there is none.
+    pub fn place_cold(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
+        let mut excluded = self.warm_servers(request.service);
+        excluded.extend(request.excluded);
+        let cold = PlacementRequest { excluded: &excluded, ..*request };
+        match self.place_alone(purpose, &cold) {
+            Placement::Server(key) => Placement::Server(key),
+            Placement::Full(_) | Placement::Nowhere | Placement::Limited => {
+                Placement::Full(RunBacklog::default())
+            },
+        }
+    }
+
     fn choose(&self, request: &PlacementRequest<'_>) -> Option<PlacementChoice> {
         let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
         let remote = |record: &ServerRecord| remote_load(&peers, now, record);
-        self.placing.policy.choose(now, &directory, request, remote, || self.draw())
+        let choice = self.placing.policy.choose(now, &directory, request, remote, || self.draw());
+        if choice.is_some_and(|choice| choice.servers_with_room > 0) {
+            self.note_redirect(request);
+        }
+        choice
     }
 
     fn choose_destination(&self, request: &PlacementRequest<'_>) -> Placement {
@@ -175,6 +215,7 @@
             },
             Placement::Full(backlog) => (PlaceVerdict::Full(backlog), 0),
             Placement::Nowhere => (PlaceVerdict::Nowhere, 0),
+            Placement::Limited => (PlaceVerdict::Limited, 0),
         };
         PlaceAnswer { number: question.number, verdict, grant }
     }
@@ -188,6 +229,7 @@
         service: &Arc<str>,
         request: &PlacementRequest<'_>,
     ) -> Placement {
+        self.update_cold_shares();
         let (now, params) = (self.now(), self.budget_params());
         let placement = match purpose {
             PlacePurpose::Start | PlacePurpose::StartLate => {
@@ -197,13 +239,14 @@
                 self.place_moving_run(key, service, request)
             },
         };
-        if !matches!(placement, Placement::Server(_)) {
-            return placement;
-        }
+        let Placement::Server(server) = placement else { return placement };
         let mut budgets = self.placing.move_budgets.borrow_mut();
         let budget = budgets.entry(Arc::clone(service)).or_default();
         match purpose {
-            PlacePurpose::Start | PlacePurpose::StartLate => budget.record_request(now, &params),
+            PlacePurpose::Start | PlacePurpose::StartLate => {
+                budget.record_request(now, &params);
+                self.record_send(server);
+            },
             PlacePurpose::Move => {
                 if !budget.try_repeat(now, &params, RepeatPurpose::Move, 1) {
                     return Placement::Nowhere;
@@ -229,7 +272,18 @@
             _ => None,
         };
         let request = &PlacementRequest { reserve, ..*request };
-        let Some(choice) = self.choose(request) else { return Placement::Nowhere };
+        let choice = self.choose(request);
+        let has_room = choice.is_some_and(|choice| choice.servers_with_room > 0);
+        if !has_room && self.has_limited_room(request) {
+            return Placement::Limited;
+        }
+        let Some(choice) = choice else {
+            let is_limited = self.limited_count(request.service, request.excluded) > 0;
+            return match is_limited {
+                true => Placement::Full(RunBacklog::default()),
+                false => Placement::Nowhere,
+            };
+        };
         let class = match request.due {
             None => WaitingClass::Late,
             Some(_) if request.is_urgent => WaitingClass::Urgent,
@@ -270,7 +324,7 @@
             let waiting = &mut competition.waiting;
             match placement {
                 Placement::Server(_) => waiting.remove(key),
-                Placement::Full(_) | Placement::Nowhere => {
+                Placement::Full(_) | Placement::Nowhere | Placement::Limited => {
                     waiting.enqueue(now, key, WaitingClass::Moving, 0.0);
                 },
             }
@@ -278,6 +332,15 @@
         placement
     }
 
+    /// Returns whether a cold engine whose limit is used up has room for a request.
+    fn has_limited_room(&self, request: &PlacementRequest<'_>) -> bool {
+        let (now, peers, directory) = (self.now(), self.peers.borrow(), self.directory.borrow());
+        let limited = directory.limited(now, request.service);
+        limited.filter(|(key, _)| !request.excluded.contains(key)).any(|(_, record)| {
+            self.placing.policy.has_room(request, record, remote_load(&peers, now, record))
+        })
+    }
+
     /// Logs the load of the engines of each service, as far as this instance knows it.
     pub fn log_fleet_load(&self) {
         let Some(ConfigInForce { config, .. }) = self.config() else { return };
--- a/medlarlanding/src/forwarding/servers.rs
+++ b/medlarlanding/src/forwarding/servers.rs
@@ -114,6 +114,7 @@
             ServerAccess::Open
             | ServerAccess::Avoided
             | ServerAccess::Held
+            | ServerAccess::Limited
             | ServerAccess::Leaving => record.hold_left(self.now()),
         }
     }
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cold_limit::ColdLimitState;
 use super::evacuations::{EvacuationState, zone_regions};
 use super::ledger::LedgerState;
+use super::peer_cut::PeerCut;
 use super::placing::PlacementState;
 use super::telemetry::Telemetry;
 use crate::clock::ProcessClock;
@@ -68,6 +70,10 @@
     config: RefCell<Option<ConfigInForce>>,
     /// Budgets for the repeats of this instance, by service.
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
+    /// Peers that this instance is cut off from in a drill.
+    pub peer_cut: PeerCut,
+    /// Limits for cold servers.
+    pub cold: ColdLimitState,
     /// State of the placement.
     pub placing: PlacementState,
     /// Runs that the ends of engines broke off.
@@ -104,7 +110,7 @@
         let clock = ProcessClock::start();
         let mut directory = ServerDirectory::default();
         directory.set_zone_regions(zone_regions(&settings));
-        Self {
+        let state = Self {
             settings,
             boot,
             telemetry,
@@ -116,6 +122,8 @@
             peers: RefCell::new(peers),
             entries: RefCell::default(),
             move_params: MoveParams::default(),
+            peer_cut: PeerCut::default(),
+            cold: ColdLimitState::new(clock.now()),
             readiness: RefCell::default(),
             config: RefCell::default(),
             budgets: RefCell::default(),
@@ -130,7 +138,14 @@
             store_lost: Notify::new(),
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             directory_changes: watch::Sender::new(0),
-        }
+        };
+        state.apply_cold_settings(&state.settings);
+        state
+    }
+
+    /// Cuts the process off from peers, for a drill.
+    pub fn with_cut(self, peer_cut: PeerCut) -> Self {
+        Self { peer_cut, ..self }
     }
 
     /// Returns the current time.
@@ -199,7 +214,7 @@
     /// Decodes a configuration and puts it in force if its version is higher than that of the one in
     /// force. Logs a configuration that cannot be decoded.
     pub fn offer_config(&self, text: &[u8], source: ChangeSource) {
-        let config = match decode_config(text) {
+        let mut config = match decode_config(text) {
             Ok(config) => config,
             Err(error) => {
                 let version = self.config_version();
@@ -211,6 +226,15 @@
         if config.version <= self.config_version() {
             return;
         }
+        let last = self.config();
+        for invalid in config.keep_last(last.as_ref().map(|last| &*last.config)) {
+            log::warn!(
+                "configuration {}, service {}: {}; the last valid value stays in effect",
+                config.version,
+                invalid.service,
+                invalid.reason
+            );
+        }
         let (version, routes) = (config.version, config.route_count());
         event(EventKind::ForwardConfigAccepted, &[&version, &source.name(), &routes]);
         self.telemetry.config_version.set(version as i64);
