--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod cold_read;
 mod cold_share;
+mod competition;
 mod config;
 mod directory;
 mod drain;
@@ -36,6 +37,7 @@
     COLD_TIME_MAX, ColdLimitParams, ColdPolicy, ColdReport, ColdServer, ColdShare, ColdSource,
     ColdTarget, FleetNote, FleetView, ShareAllocator,
 };
+pub use competition::ServiceCompetition;
 pub use config::{
     CustomerRecord, EngineLimits, ForwardConfig, ForwardConfigError, InvalidField, InvalidValue,
     KeyCheck, RequestKind, RequestLimits, RouteRule, RouteTarget, ServicePolicy,
--- a/medlarlanding-core/src/forwarding/room_reserve.rs
+++ b/medlarlanding-core/src/forwarding/room_reserve.rs
@@ -40,7 +40,7 @@
             rate_window: Duration::from_secs(2),
             rate_min: 0.5,
             mean_weight: 0.02,
-            size_margin: 1.0,
+            size_margin: 2.0,
             yield_factor: 1.5,
         }
     }
--- a/medlarlanding/src/forwarding/placing.rs
+++ b/medlarlanding/src/forwarding/placing.rs
@@ -10,10 +10,10 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BacklogForecast, CriticalDemand, EngineFault, FaultLog, LatencyClass, LoadReport, PeerTable,
-    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementChoice, PlacementPolicy,
-    PlacementRequest, QueuedRun, RemoteLoad, RepeatBudget, RepeatPurpose, RunBacklog, RunKey,
-    RunWeight, ServerKey, ServerRecord, WaitingClass, WaitingRuns,
+    EngineFault, FaultLog, LoadReport, PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion,
+    PlaceVerdict, PlacementChoice, PlacementPolicy, PlacementRequest, QueuedRun, RemoteLoad,
+    RepeatBudget, RepeatPurpose, RunBacklog, RunKey, RunWeight, ServerKey, ServerRecord,
+    ServiceCompetition, WaitingClass,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -48,46 +48,6 @@
     Limited,
 }
 
-/// Generations of all instances that compete for the engines of one service.
-#[derive(Default)]
-struct ServiceCompetition {
-    /// Generations that wait for room.
-    waiting: WaitingRuns,
-    /// Arrivals of latency-critical generations.
-    critical: CriticalDemand,
-    /// Arrivals and placements of latency-tolerant generations.
-    backlog: BacklogForecast,
-}
-
-impl ServiceCompetition {
-    /// Records a run that asks for the first time.
-    fn record_arrival(&mut self, now: Timestamp, run: QueuedRun, due: Option<Duration>) {
-        match (run.latency, due) {
-            (LatencyClass::Critical, Some(due)) => self.critical.record(now, run.weight, due),
-            (LatencyClass::Tolerant, Some(_)) => {
-                let density = self.waiting.value_density(run.weight);
-                self.backlog.record_arrival(now, density);
-            },
-            _ => {},
-        }
-    }
-
-    /// Returns what a run waits for that `ahead` runs are ahead of.
-    fn backlog_of(&self, now: Timestamp, run: QueuedRun, ahead: usize) -> RunBacklog {
-        let wait = match run.latency {
-            LatencyClass::Tolerant => {
-                let density = self.waiting.value_density(run.weight);
-                self.backlog.expected_wait(now, density, ahead)
-            },
-            LatencyClass::Uniform | LatencyClass::Critical => Duration::ZERO,
-        };
-        RunBacklog {
-            ahead: ahead.min(usize::from(u16::MAX)) as u16,
-            wait_ms: wait.as_millis().min(u32::MAX.into()) as u32,
-        }
-    }
-}
-
 impl ForwardState {
     /// Chooses a server without asking the coordinator, and without counting the choice in a budget
     /// or queue.
@@ -267,10 +227,7 @@
         let now = self.now();
         let mut services = self.placing.competition.borrow_mut();
         let competition = services.entry(Arc::clone(service)).or_default();
-        let reserve = match (request.latency, request.due) {
-            (LatencyClass::Tolerant, Some(due)) => competition.critical.reserve(now, due),
-            _ => None,
-        };
+        let reserve = competition.reserve(now, request.latency, request.due);
         let request = &PlacementRequest { reserve, ..*request };
         let choice = self.choose(request);
         let has_room = choice.is_some_and(|choice| choice.servers_with_room > 0);
@@ -290,17 +247,9 @@
             Some(_) => WaitingClass::InTime,
         };
         let run = QueuedRun { key, class, latency: request.latency, weight: request.weight };
-        if !competition.waiting.contains(key) {
-            competition.record_arrival(now, run, request.due);
-        }
-        match competition.waiting.admit(now, run, choice.servers_with_room) {
-            Ok(()) => {
-                if request.latency == LatencyClass::Tolerant {
-                    competition.backlog.record_placement(now);
-                }
-                Placement::Server(choice.key)
-            },
-            Err(ahead) => Placement::Full(competition.backlog_of(now, run, ahead)),
+        match competition.admit(now, run, request.due, choice.servers_with_room) {
+            Ok(()) => Placement::Server(choice.key),
+            Err(backlog) => Placement::Full(backlog),
         }
     }
 
@@ -315,20 +264,10 @@
         let now = self.now();
         let mut services = self.placing.competition.borrow_mut();
         let competition = services.entry(Arc::clone(service)).or_default();
-        let reserve = match request.latency {
-            LatencyClass::Tolerant => competition.critical.reserve(now, Duration::MAX),
-            LatencyClass::Uniform | LatencyClass::Critical => None,
-        };
+        let reserve = competition.move_reserve(now, request.latency);
         let placement = self.choose_destination(&PlacementRequest { reserve, ..*request });
-        if request.latency != LatencyClass::Uniform {
-            let waiting = &mut competition.waiting;
-            match placement {
-                Placement::Server(_) => waiting.remove(key),
-                Placement::Full(_) | Placement::Nowhere | Placement::Limited => {
-                    waiting.enqueue(now, key, WaitingClass::Moving, 0.0);
-                },
-            }
-        }
+        let is_placed = matches!(placement, Placement::Server(_));
+        competition.record_move(now, key, request.latency, is_placed);
         placement
     }
 
