--- a/medlarlanding-core/src/forwarding/room_reserve.rs
+++ b/medlarlanding-core/src/forwarding/room_reserve.rs
@@ -35,7 +35,7 @@
 impl Default for ReserveParams {
     fn default() -> Self {
         Self {
-            refill_time: Duration::from_millis(150),
+            refill_time: Duration::from_millis(200),
             engines_min: 2,
             rate_window: Duration::from_secs(2),
             rate_min: 0.5,
