Check evacuations once more when the connection to a server is open

Change: exchange::send_checked asks before it writes; such a request counts as not run and goes to another server.

--- a/medlarlanding/src/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -197,9 +197,28 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<(Response<Incoming>, Exchange), ExchangeFault> {
+    let sent = send_checked(address, request, limit, async || true).await?;
+    sent.ok_or(ExchangeFault::NotConnected)
+}
+
+/// Sends a request like `send`, unless `may_send` refuses it once the connection is open. Returns `None`
+/// if it does; nothing was sent then.
+///
+/// # Errors
+///
+/// Returns why no response was received.
+pub async fn send_checked(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+    may_send: impl AsyncFnOnce() -> bool,
+) -> Result<Option<(Response<Incoming>, Exchange)>, ExchangeFault> {
     let (mut sender, exchange) = open(address, limit).await?;
+    if !may_send().await {
+        return Ok(None);
+    }
     match tokio::time::timeout(limit, exchange.request(&mut sender, request)).await {
-        Ok(Ok(response)) => Ok((response, exchange)),
+        Ok(Ok(response)) => Ok(Some((response, exchange))),
         Ok(Err(error)) => {
             log::debug!("no usable head of a response from {address}: {error}");
             Err(ExchangeFault::Broken)
--- a/medlarlanding/src/forwarding/evacuations.rs
+++ b/medlarlanding/src/forwarding/evacuations.rs
@@ -47,6 +47,15 @@
 /// Most items whose faults are remembered, so that each is logged once.
 const LOGGED_LIMIT: usize = 1_000;
 
+/// Whether a request that is sent to a server begins something there.
+#[derive(Clone, Copy, Debug)]
+pub enum SendPurpose {
+    /// The request has not run, or may run again.
+    New,
+    /// The request resumes a run whose memory the server has.
+    Resumed,
+}
+
 /// Evacuated zones as this instance knows them.
 pub struct EvacuationState {
     table: RefCell<EvacuationTable>,
@@ -226,6 +235,19 @@
         since.is_some_and(|since| self.now().since(since) >= grace)
     }
 
+    /// Returns whether a request may be sent to a server over a connection that was just opened. The
+    /// process may have been paused, or the zone evacuated, since the server was chosen.
+    pub async fn may_send(&self, key: ServerKey, purpose: SendPurpose) -> bool {
+        self.wait_for_news().await;
+        match purpose {
+            SendPurpose::New => {
+                let directory = self.directory.borrow();
+                directory.get(key).is_none_or(|record| record.evacuated_since().is_none())
+            },
+            SendPurpose::Resumed => !self.is_evacuated_for_long(key),
+        }
+    }
+
     /// Waits until requests may be sent after a pause of the process. Does not wait where the settings
     /// do not limit the time for which an evacuated zone may get requests.
     pub async fn wait_for_news(&self) {
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -369,13 +369,14 @@
     }
 }
 
-/// Outcome of sending a request to an engine.
-type SentRequest = Result<(Response<Incoming>, Exchange), ExchangeFault>;
+/// Outcome of sending a request to an engine; `None` if the engine may no longer get it.
+type SentRequest = Result<Option<(Response<Incoming>, Exchange)>, ExchangeFault>;
 
 /// Returns the name of an outcome in logs: the status, or the name of the fault.
 fn outcome_name(sent: &SentRequest) -> String {
     match sent {
-        Ok((response, _)) => response.status().as_str().to_owned(),
+        Ok(Some((response, _))) => response.status().as_str().to_owned(),
+        Ok(None) => "withheld".to_owned(),
         Err(fault) => fault.name().to_owned(),
     }
 }
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -7,6 +7,7 @@
 use crate::answer_body::StreamPiece;
 use crate::exchange::{self, BodyFraming, ExchangeFault};
 use crate::forwarding::engine_calls::{MOVE_TIMEOUT, MoveAnswer, MoveCall, release_copy};
+use crate::forwarding::evacuations::SendPurpose;
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::placing::Placement;
 use crate::forwarding::relay::server_request;
@@ -453,7 +454,8 @@
                 Some(self.admitted.priority),
                 Some(&continuation),
             );
-            let sending = exchange::send(entry.address, request, time_left);
+            let may_send = async || self.state.may_send(*key, SendPurpose::Resumed).await;
+            let sending = exchange::send_checked(entry.address, request, time_left, may_send);
             let fault = EngineFault::Unresponsive;
             let sent = self.report_silence(*key, RESUME_SILENCE, fault, sending).await;
             let outcome = outcome_name(&sent);
@@ -469,7 +471,8 @@
                 ],
             );
             match sent {
-                Ok((response, exchange)) => {
+                Ok(None) => continue,
+                Ok(Some((response, exchange))) => {
                     self.note_answer(*key, &response);
                     let framing = BodyFraming::of_response(&response);
                     let (parts, body) = response.into_parts();
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -10,6 +10,7 @@
 use crate::exchange::{self, BodyFraming, ExchangeFault};
 use crate::forwarding::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use crate::forwarding::answer_end::EndingAnswer;
+use crate::forwarding::evacuations::SendPurpose;
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::placing::Placement;
 use crate::forwarding::relay::server_request;
@@ -78,7 +79,9 @@
                 None,
             );
             let silence = self.admitted.rule.objective * SILENCE_FACTOR;
-            let sending = exchange::send(entry.address, request, time_left);
+            let state = Rc::clone(&self.state);
+            let may_send = async move || state.may_send(key, SendPurpose::New).await;
+            let sending = exchange::send_checked(entry.address, request, time_left, may_send);
             let sending = self.report_silence(key, silence, EngineFault::Failed, sending);
             // Closing the connection keeps the engine from writing on a prompt that is blocked while
             // it waits there.
@@ -110,7 +113,13 @@
                 return Err(StartFailure::Error(ErrorAnswer::AnswerLost));
             };
             let (response, exchange) = match sent {
-                Ok(sent) => sent,
+                Ok(Some(sent)) => sent,
+                Ok(None) => {
+                    if tried.len() as u32 >= NOT_RUN_LIMIT {
+                        return Err(StartFailure::Error(ErrorAnswer::ServersFull));
+                    }
+                    continue;
+                },
                 Err(ExchangeFault::NotConnected) => {
                     self.record_failure(key, &entry, "not_connected");
                     let (state, link) = (Rc::clone(&self.state), Rc::clone(&self.link));
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -7,6 +7,7 @@
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::answer_end::EndingAnswer;
+use super::evacuations::SendPurpose;
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
 use super::placing::Placement;
@@ -51,7 +52,7 @@
 enum SendOutcome {
     /// The server sent a complete answer, or the beginning of a long one.
     Answered(StatusCode, HeaderMap, AnswerBody),
-    /// The server did not run the request and never will.
+    /// The server did not run the request and never will, or was not sent it.
     NotRun,
     /// No connection was established, so nothing was sent.
     NotConnected,
@@ -338,8 +339,10 @@
     let request = server_request(admitted, &entry.id, time_left, None, None);
     let started = state.now();
     let answering = async {
-        match exchange::send(entry.address, request, limit).await {
-            Ok((response, exchange)) => {
+        let may_send = async || state.may_send(key, SendPurpose::New).await;
+        match exchange::send_checked(entry.address, request, limit, may_send).await {
+            Ok(None) => SendOutcome::NotRun,
+            Ok(Some((response, exchange))) => {
                 if state.note_answer(key, &admitted.id, response.status(), response.headers()) {
                     link.report_leaving(state, key);
                 }
