Make servers cold in the soak and in answers to health checks

The soak publishes limits for cold servers, makes servers cold and checks how many requests reach them within a second, unless a fault kept the instances from the news or held requests back. Its draws leave those of the other faults as they were.

--- a/medlarlanding-bench/src/site/ending_server.rs
+++ b/medlarlanding-bench/src/site/ending_server.rs
@@ -123,6 +123,9 @@
     /// Milliseconds for which the server wants no requests from an instance that it refuses; 0 if it
     /// refuses none.
     hold_ms: AtomicU64,
+    /// Milliseconds for which the server says that it is cold in answers about itself; 0 if it says
+    /// nothing.
+    cold_ms: AtomicU64,
     /// Requests that reached the server, with the times at which they did.
     arrivals: Mutex<Vec<(String, Instant)>>,
     /// Request whose run is to stop for a move.
@@ -171,6 +174,7 @@
             connections: AtomicUsize::new(0),
             says_leaving: AtomicBool::new(false),
             hold_ms: AtomicU64::new(0),
+            cold_ms: AtomicU64::new(0),
             arrivals: Mutex::default(),
             stopped_run: watch::Sender::new(None),
             completes_on_move: AtomicBool::new(false),
@@ -216,6 +220,11 @@
         self.shared.hold_ms.store(hold.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Says in answers about itself that it stays cold for this time.
+    pub fn say_cold(&self, remaining: Duration) {
+        self.shared.cold_ms.store(remaining.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Returns the ids of the requests that reached the server, with the times at which they did.
     pub fn arrivals(&self) -> Vec<(String, Instant)> {
         self.shared.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -306,8 +315,12 @@
             let Some((status, body)) = self.answer_call(&path, &body, start).await else {
                 return Ok(SockRef::from(&stream).set_linger(Some(Duration::ZERO))?);
             };
+            let cold = match self.cold_ms.load(Ordering::Relaxed) {
+                0 => String::new(),
+                millis => format!("X-Cold-Ms: {millis}\r\n"),
+            };
             let answer = format!(
-                "HTTP/1.1 {status} Status\r\n{leaving}X-Instance-Id: {}\r\nContent-Length: {}\r\n\r\n\
+                "HTTP/1.1 {status} Status\r\n{leaving}{cold}X-Instance-Id: {}\r\nContent-Length: {}\r\n\r\n\
                  {body}",
                 self.id,
                 body.len()
--- a/medlarlanding-bench/src/soak.rs
+++ b/medlarlanding-bench/src/soak.rs
@@ -1,6 +1,7 @@
 //! Fault soak test: injects random faults around real instance processes and checks the guarantees
 //! from the answers of callers and the run records of servers.
 
+mod cold_servers;
 mod fatal_prompts;
 
 use std::net::SocketAddr;
@@ -8,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use self::cold_servers::ColdPeriods;
 use self::fatal_prompts::{PromptPlan, SOUND_PART, ServiceGaps, find_late_runs};
 use crate::site::{
     FATAL_PART, LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode,
@@ -34,6 +36,9 @@
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 50..400;
 /// Servers of the service without a model.
 const PLAIN_SERVERS: usize = 3;
+/// Servers with links. A soak with fatal prompts has only those of the service without a model.
+const SERVERS: [&str; PLAIN_SERVERS + ENGINES] =
+    ["orders-0", "orders-1", "orders-2", "engines-0", "engines-1", "engines-2", "engines-3"];
 /// Engines of a soak without fatal prompts.
 const ENGINES: usize = 4;
 /// Engines of a soak with fatal prompts; more, because some of them are starting again.
@@ -77,11 +82,13 @@
         };
         let report = run_seed(params).with_context(|| format!("seed {seed}"))?;
         println!(
-            "seed {seed}: {} requests, {} served, {} faults, {} engines ended, {} violations",
+            "seed {seed}: {} requests, {} served, {} faults, {} engines ended, {} cold times checked, \
+             {} violations",
             report.requests,
             report.served,
             report.faults,
             report.ended_engines,
+            report.cold_times,
             report.violations.len()
         );
         report.violations.iter().for_each(|violation| println!("  {violation}"));
@@ -120,6 +127,8 @@
     pub faults: usize,
     /// Times that an engine ended on a part of a prompt.
     pub ended_engines: usize,
+    /// Cold times of servers in which the requests to them were checked.
+    pub cold_times: usize,
     /// Violated guarantees.
     pub violations: Vec<String>,
 }
@@ -153,6 +162,7 @@
         grace_s: 3,
     })?;
     site.state.set_generation(EVENTS, EVENT_INTERVAL_MS);
+    ColdPeriods::publish_config(&mut site);
     let plan = PromptPlan::new(params.seed);
     if params.with_fatal_prompts {
         site.state.set_fatal_part(Some(FATAL_PART));
@@ -187,9 +197,11 @@
     let mut random = SmallRng::seed_from_u64(params.seed);
     let mut faults = 0;
     let mut gaps = ServiceGaps::default();
+    let mut cold = ColdPeriods::new(params.seed);
     let started = Instant::now();
     while started.elapsed() < params.length {
-        inject_fault(&mut site, &mut random, params.instances, &mut gaps)?;
+        inject_fault(&mut site, &mut random, params.instances, &mut gaps, &mut cold)?;
+        cold.inject(&site, &SERVERS);
         faults += 1;
         std::thread::sleep(Duration::from_millis(random.random_range(FAULT_INTERVAL_MS)));
     }
@@ -203,13 +215,16 @@
     let is_served = |record: &&CallRecord| {
         record.answer.as_ref().is_some_and(|answer| answer.status == 200 && answer.is_complete)
     };
+    let (cold_times, overloads) = cold.find_overloads(&site.state, &SERVERS, &gaps);
     let mut report = SoakReport {
         requests: records.len(),
         served: records.iter().filter(is_served).count(),
         faults,
         ended_engines: site.state.crashes().len(),
+        cold_times,
         violations: find_violations(&site.state, &records),
     };
+    report.violations.extend(overloads);
     report.violations.extend(find_late_runs(&site.state, &records, &gaps));
     report.violations.extend(recovery.err().map(|error| format!("{error:#}")));
     Ok(report)
@@ -251,10 +266,10 @@
     random: &mut SmallRng,
     instances: usize,
     gaps: &mut ServiceGaps,
+    cold: &mut ColdPeriods,
 ) -> anyhow::Result<()> {
     let instance = random.random_range(0..instances);
-    let servers =
-        ["orders-0", "orders-1", "orders-2", "engines-0", "engines-1", "engines-2", "engines-3"];
+    let servers = SERVERS;
     // Engines of a soak with fatal prompts have no links; faults concern only the other servers.
     let server = random.random_range(0..site.links().len());
     let started = Instant::now();
@@ -277,11 +292,15 @@
             site.signal(instance, Signal::CONT)?;
             gaps.add(instance, started);
         },
-        3 => site.state.set_store(StoreMode::Unavailable),
-        4 => site.state.set_store(StoreMode::Available),
-        5 => {
-            site.publish_config(|_| {});
+        3 => {
+            site.state.set_store(StoreMode::Unavailable);
+            cold.note_store(false);
         },
+        4 => {
+            site.state.set_store(StoreMode::Available);
+            cold.note_store(true);
+        },
+        5 => ColdPeriods::publish_config(site),
         6 => site.drain_server(servers[server]),
         7 => site.mark_server_ready(servers[server]),
         8 => {
@@ -300,8 +319,12 @@
         10 => {
             let modes = [LinkMode::Slow, LinkMode::Silent, LinkMode::OneWay, LinkMode::Reset];
             site.links()[server].set(*modes.choose(random).expect("a mode"));
+            cold.note_link(server, false);
+        },
+        _ => {
+            site.links()[server].set(LinkMode::Healthy);
+            cold.note_link(server, true);
         },
-        _ => site.links()[server].set(LinkMode::Healthy),
     }
     Ok(())
 }
--- a/medlarlanding-bench/src/soak/fatal_prompts.rs
+++ b/medlarlanding-bench/src/soak/fatal_prompts.rs
@@ -66,6 +66,11 @@
         self.0.push(ServiceGap { instance, from: started, until: Instant::now() });
     }
 
+    /// Returns whether any instance was paused or not running between two times.
+    pub(super) fn overlap(&self, from: Instant, until: Instant) -> bool {
+        self.0.iter().any(|gap| gap.from < until && from < gap.until)
+    }
+
     /// Returns whether an instance has been running for `CONTACT`.
     fn is_connected(&self, instance: usize, at: Instant) -> bool {
         let is_inside = |gap: &ServiceGap| {
--- a/medlarlanding-bench/tests/forwarding_cold_servers.rs
+++ b/medlarlanding-bench/tests/forwarding_cold_servers.rs
@@ -5,11 +5,14 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use medlarlanding_bench::site::{SiteCall, SiteParams, TestSite};
+use medlarlanding_bench::site::{
+    BodyDelimiter, EndMode, EndingServer, HEALTH_PATH, SiteCall, SiteParams, TestSite,
+};
 use medlarlanding_core::cases;
 
 use hyper::Method;
 use rustix::process::Signal;
+use serde_json::json;
 
 const INSTANCES: usize = 12;
 /// Callers, the same number at each instance.
@@ -133,11 +136,16 @@
         runs.iter().filter(|run| run.server == server).map(|run| run.at).collect();
     arrivals.retain(|at| (from..to).contains(at));
     arrivals.sort_unstable();
+    (peak(&arrivals), arrivals.len() as f64 / (to - from).as_secs_f64() / LIMIT as f64)
+}
+
+/// Returns the largest number of arrivals within a second.
+fn peak(arrivals: &[Instant]) -> usize {
     let within = |first: &Instant| {
-        arrivals.iter().filter(|at| (*first..*first + Duration::from_secs(1)).contains(*at)).count()
+        let second = *first..*first + Duration::from_secs(1);
+        arrivals.iter().filter(|at| second.contains(*at)).count()
     };
-    let peak = arrivals.iter().map(within).max().unwrap_or(0);
-    (peak, arrivals.len() as f64 / (to - from).as_secs_f64() / LIMIT as f64)
+    arrivals.iter().map(within).max().unwrap_or(0)
 }
 
 /// Returns the instance that logged the load of the engines last, which only the coordinator does.
@@ -247,6 +255,57 @@
     }
 }
 
+/// Guards against a cold time that only the answers to health checks state and that stays with the instance
+/// that asked.
+#[test]
+fn cold_time_of_a_health_check_reaches_all_instances() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut site = start(30);
+    // The end of an answer without a length is checked by asking the server for its health.
+    let specs = [(BodyDelimiter::Connection, EndMode::Lives); 2];
+    let servers = site.add_ending_servers(&specs).expect("servers");
+    servers.iter().for_each(EndingServer::release);
+    let version = site.publish_config(|config| {
+        config["services"] = json!([{"name": "orders", "maxConnections": 100, "coldPerS": 30,
+            "healthPath": HEALTH_PATH}, {"name": "engines", "maxConnections": 100}]);
+    });
+    for id in ["orders-0", "orders-1"] {
+        site.state.remove(&format!("servers/{id}"));
+    }
+    servers.iter().for_each(|server| site.register_ending_server(server, "orders", "ready"));
+    for instance in 0..INSTANCES {
+        let accepted = format!("forward_config_accepted version={version} ");
+        let is_known = || {
+            let log = site.log(instance);
+            log.contains(&accepted) && log.matches("service=orders state=ready").count() >= 4
+        };
+        site.wait_until("configuration and servers", is_known).expect("an instance");
+    }
+    let cold_time = Duration::from_secs(4);
+    let mut begun_at = Instant::now();
+    let (served, others) = send_calls(&site, PLAIN, || {
+        std::thread::sleep(Duration::from_millis(500));
+        begun_at = Instant::now();
+        servers[0].say_cold(cold_time);
+        std::thread::sleep(Duration::from_millis(100));
+        servers[0].say_cold(Duration::ZERO);
+        std::thread::sleep(cold_time);
+    });
+    let arrivals = servers[0].arrivals().into_iter().map(|(_, at)| at);
+    let (from, to) = (begun_at + NEWS_TIME, begun_at + cold_time - NEWS_TIME);
+    let arrivals: Vec<Instant> = arrivals.filter(|at| (from..to).contains(at)).collect();
+    let peak = peak(&arrivals);
+    let sources = |source: &str| -> usize {
+        let source = format!("source={source}");
+        let is_report = |line: &&str| line.contains("server_cold ") && line.contains(&source);
+        (0..INSTANCES).map(|index| site.log(index).lines().filter(is_report).count()).sum()
+    };
+    let (own, peers) = (sources("server"), sources("peer"));
+    println!("{served} served, {others} others, peak {peak}, {own} own reports, {peers} of peers");
+    assert!(peak > 0 && peak <= LIMIT, "{peak} requests within a second");
+    assert!(own >= 1 && own + peers >= INSTANCES, "{own} own reports, {peers} of peers");
+}
+
 /// Guards against a configuration that is refused, or a limit that is lost, because of a value that is no
 /// number.
 #[test]
--- a/medlarlanding-core/src/forwarding/cold_share.rs
+++ b/medlarlanding-core/src/forwarding/cold_share.rs
@@ -263,7 +263,9 @@
         let requests = share / count + usize::from(rank < share % count);
         // An instance without peers serves alone, unless its peers have had no time to be heard.
         let is_alone = view.others.is_empty() && age >= view.live_timeout;
-        let is_informed = (view.has_heard || is_alone) && known * 2 >= count;
+        // An earlier process of this instance may have sent requests in the second before the start.
+        let is_settled = age >= SHARE_WINDOW;
+        let is_informed = (view.has_heard || is_alone) && is_settled && known * 2 >= count;
         if is_informed { requests } else { requests.min(1) }
     }
 }
--- a/medlarlanding/src/forwarding/servers.rs
+++ b/medlarlanding/src/forwarding/servers.rs
@@ -9,7 +9,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     ChangeSource, DRAIN_FALLBACK_DIVISOR, DirectoryChange, RequiredPart, ServerEntry, ServerKey,
-    ServerPhase,
+    ServerPhase, ServerRecord,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::time::Timestamp;
@@ -164,10 +164,13 @@
         found.map(|(key, _)| key)
     }
 
-    /// Returns the key of the server of whose current start this is the hash.
+    /// Returns the key of the server of whose current start this is the hash. A server that was
+    /// registered anew with another address or service has several records of one start.
     pub fn find_start(&self, hash: u64) -> Option<ServerKey> {
         let directory = self.directory.borrow();
-        directory.iter().find(|(_, record)| start_hash(&record.entry) == hash).map(|(key, _)| key)
+        let of_start = |record: &ServerRecord| start_hash(&record.entry) == hash;
+        let found = directory.iter().filter(|(_, record)| of_start(record));
+        found.max_by_key(|(key, record)| (!record.is_removed, *key)).map(|(key, _)| key)
     }
 
     /// Returns the hash of a server's id, which identifies the server in messages between instances.
