--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -282,6 +282,20 @@
         self.put_entry(id, service, address, "ready", remaining);
     }
 
+    /// Changes the settings file of an instance, which the process reads again within 2 s.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or written.
+    pub fn change_settings(
+        &self,
+        index: usize,
+        change: impl FnOnce(String) -> String,
+    ) -> anyhow::Result<()> {
+        let path = &self.instances[index].settings;
+        Ok(std::fs::write(path, change(std::fs::read_to_string(path)?))?)
+    }
+
     /// Cuts two groups of instances off from each other. Takes effect within 0.3 s.
     ///
     /// # Errors
--- a/medlarlanding-bench/tests/forwarding_cold_servers.rs
+++ b/medlarlanding-bench/tests/forwarding_cold_servers.rs
@@ -323,6 +323,13 @@
     }
     let accepted = format!("forward_config_accepted version={version} ");
     site.wait_until("the configuration", || site.log(0).contains(&accepted)).expect("an instance");
+    for index in 0..INSTANCES {
+        let change =
+            |text: String| text.replace("graceS", "coldOvershoot = 1e400\ncoldSlack = -5\ngraceS");
+        site.change_settings(index, change).expect("settings");
+    }
+    // They are read every two seconds.
+    std::thread::sleep(Duration::from_secs(5));
     let begun_at = Instant::now();
     let (served, others) = send_calls(&site, PLAIN, || {
         keep_cold(&site, PLAIN.server, Duration::from_secs(3));
@@ -333,6 +340,10 @@
     assert!(peak <= LIMIT && peak > 20, "{peak} requests within a second");
     assert_eq!(others, 0, "requests were refused");
     let log = site.log(0);
+    for setting in ["coldOvershoot", "coldSlack"] {
+        let line = format!("settings_refused reason=\"{setting}: ");
+        assert_eq!(log.matches(&line).count(), 1, "{setting} is reported once: {log}");
+    }
     let lines = log.matches("1e400 is not a number from 0 to 1000000").count();
     assert!((2..=4).contains(&lines), "one line for each service and version, not {lines}");
 }
--- a/medlarlanding/src/forwarding/cold_limit.rs
+++ b/medlarlanding/src/forwarding/cold_limit.rs
@@ -259,9 +259,14 @@
         reports: &[ColdReport],
         changed_at: Option<u64>,
     ) -> Vec<ColdReport> {
+        if reports.is_empty() {
+            return Vec::new();
+        }
+        // A whole zone may turn cold at once; the hashes are computed once for all reports.
+        let starts = self.start_keys();
         let mut news = Vec::new();
         for report in reports {
-            let Some(key) = self.find_start(report.server) else { continue };
+            let Some(&key) = starts.get(&report.server) else { continue };
             let remaining = Duration::from_millis(report.remaining_ms.into());
             if !self.extend_cold(key, remaining, Duration::ZERO, ColdSource::Peer) {
                 continue;
--- a/medlarlanding/src/forwarding/servers.rs
+++ b/medlarlanding/src/forwarding/servers.rs
@@ -16,7 +16,7 @@
 use medlarlanding_platform::headers::{announces_leaving, requested_hold};
 
 use hyper::{HeaderMap, StatusCode};
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
 impl ForwardState {
     /// Applies a change of one server entry. Returns whether the entry differs from the known one.
@@ -164,6 +164,13 @@
         found.map(|(key, _)| key)
     }
 
+    /// Returns the keys of the servers that are not removed, by the hashes of their starts.
+    pub fn start_keys(&self) -> IndexMap<u64, ServerKey> {
+        let directory = self.directory.borrow();
+        let present = directory.iter().filter(|(_, record)| !record.is_removed);
+        present.map(|(key, record)| (start_hash(&record.entry), key)).collect()
+    }
+
     /// Returns the key of the server of whose current start this is the hash. A server that was
     /// registered anew with another address or service has several records of one start.
     pub fn find_start(&self, hash: u64) -> Option<ServerKey> {
