--- a/medlarlanding-bench/tests/forwarding_cold_servers.rs
+++ b/medlarlanding-bench/tests/forwarding_cold_servers.rs
@@ -255,6 +255,61 @@
     }
 }
 
+/// Guards against moved runs that all resume at cold engines at once, and against ones that are lost because
+/// the share of their instance is used up.
+#[test]
+fn moved_runs_count_towards_the_limit() {
+    /// Requests per second that a cold engine may get: 2 x 1.5 + 5.
+    const RUN_LIMIT: usize = 8;
+    /// Runs that move.
+    const RUNS: usize = 20;
+    /// Events of each run.
+    const EVENTS: u64 = 150;
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let site = start(2);
+    site.state.set_generation(EVENTS, 30);
+    // At first there is only one engine.
+    for id in ["engines-1", "engines-2"] {
+        site.drain_server(id);
+    }
+    let is_known =
+        || (0..INSTANCES).all(|index| site.log(index).matches("state=draining").count() >= 2);
+    site.wait_until("draining engines", is_known).expect("a change");
+    let callers: Vec<_> = (0..RUNS)
+        .map(|number| {
+            let address = site.caller_address(number % INSTANCES);
+            std::thread::sleep(Duration::from_millis(40));
+            std::thread::spawn(move || {
+                let call = SiteCall::new(Method::POST, "/draft/a", &format!("m-{number}"));
+                call.header("x-token-count", "100,600").send(address).expect("an answer")
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(800));
+    let cold_at = Instant::now();
+    let cold_time = Duration::from_secs(8);
+    for id in ["engines-1", "engines-2"] {
+        site.mark_server_cold(id, cold_time);
+    }
+    std::thread::sleep(Duration::from_millis(400));
+    site.drain_server("engines-0");
+    let answers: Vec<_> =
+        callers.into_iter().map(|caller| caller.join().expect("a caller")).collect();
+    let runs = site.state.runs("");
+    let resumed = runs.iter().filter(|run| run.is_continued).count();
+    let peaks =
+        ["engines-1", "engines-2"].map(|id| measure(&site, id, cold_at, cold_at + cold_time).0);
+    let complete = answers
+        .iter()
+        .filter(|answer| answer.status == 200 && answer.event_ids().into_iter().eq(1..=EVENTS));
+    let complete = complete.count();
+    println!("{complete} of {RUNS} complete, {resumed} resumed, peaks {peaks:?} of {RUN_LIMIT}");
+    assert!(resumed >= RUNS / 2, "{resumed} runs moved");
+    assert!(peaks.iter().all(|peak| *peak <= RUN_LIMIT), "{peaks:?} requests within a second");
+    assert_eq!(complete, RUNS, "runs were lost");
+    assert!(site.state.overlapping_generations().is_empty(), "a run went on at two engines");
+}
+
 /// Guards against a cold time that only the answers to health checks state and that stays with the instance
 /// that asked.
 #[test]
