Fetch configurations across a zone boundary once for each relay

Every configuration change was fetched as a whole text by each instance from a random peer, so with four zones three quarters of the texts crossed a zone boundary, which is charged.

Digests now carry a hash of the sender's zone. Each hub names the two highest- ranked live instances of every other zone its relays. A relay fetches a newer configuration at once and announces it to the members of its zone, which fetch it within the zone. With one zone or unknown zones nothing changes. New metrics: forward_zone_bytes{kind} counts the bytes sent to other zones, forward_zone_relay marks relays.

--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -83,6 +83,8 @@
     instances: Vec<SiteInstance>,
     links: Vec<LinkSwitch>,
     version: u64,
+    /// Number of availability zones; instances are assigned to them in turn.
+    zones: usize,
 }
 
 const CALLER_PORT: u16 = 18_740;
@@ -100,14 +102,24 @@
     ///
     /// Fails if an address is taken or an instance does not become ready.
     pub fn start(params: SiteParams) -> anyhow::Result<Self> {
+        Self::start_in_zones(params, 1)
+    }
+
+    /// Starts stand-ins, and instances in several availability zones, which they belong to in turn. Waits
+    /// until every instance is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken or an instance does not become ready.
+    pub fn start_in_zones(params: SiteParams, zones: usize) -> anyhow::Result<Self> {
         let site = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
         let process = (std::process::id() % 200) as u8;
         let network = [20 + process, site];
         let state = Arc::new(SiteState::default());
         let store = SocketAddr::new(loopback_address(network, 250), SERVER_PORT);
         store::start(TcpListener::bind(store)?, Arc::clone(&state))?;
-        let mut running =
-            Self { state, network, store, instances: Vec::new(), links: Vec::new(), version: 0 };
+        let (instances, links) = (Vec::new(), Vec::new());
+        let mut running = Self { state, network, store, instances, links, version: 0, zones };
         for index in 0..params.plain_servers {
             running.add_server("orders", index)?;
         }
@@ -331,13 +343,14 @@
         std::fs::write(
             &settings,
             format!(
-                "nodeName = \"edge-{index}\"\nzone = \"z0\"\nip = \"{address}\"\n\
+                "nodeName = \"edge-{index}\"\nzone = \"z{}\"\nip = \"{address}\"\n\
              internalPorts = [{PEER_PORT}, {}]\nseedNodes = [{}]\n\
              [listen]\nfrontend = \"{address}:{CALLER_PORT}\"\nready = \"{address}:{READY_PORT}\"\n\
              controlPlane = \"{address}:{CONTROL_PORT}\"\n\
              [limits]\ncpuQuota = 0.25\nmemoryMb = 110\nlinkMbps = 1000.0\n\
              [bounds]\ngraceS = {}\nbudgetSlack = 50\n\
              [platform]\naddress = \"{}\"\n",
+                index % self.zones,
                 PEER_PORT + 10,
                 seeds.join(","),
                 params.grace_s,
--- /dev/null
+++ b/medlarlanding-bench/tests/forwarding_zone_relays.rs
@@ -0,0 +1,101 @@
+//! Changes in a deployment of several availability zones, with real processes.
+
+use std::time::{Duration, Instant};
+
+use medlarlanding_bench::site::{SiteParams, TestSite};
+
+use rustix::process::Signal;
+use serde_json::json;
+
+const INSTANCES: usize = 24;
+const ZONES: usize = 4;
+/// Relays of each zone.
+const RELAYS: usize = 2;
+/// Longest time from the store's confirmation of a configuration to its effect on every instance.
+const CONFIG_LIMIT: Duration = Duration::from_secs(2);
+/// Customers of a configuration; they make a text of about 60 KB.
+const CUSTOMERS: usize = 900;
+/// Interval between two checks of all instances.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+fn start() -> TestSite {
+    let params =
+        SiteParams { instances: INSTANCES, plain_servers: 1, engines: 0, ..SiteParams::default() };
+    let site = TestSite::start_in_zones(params, ZONES).expect("a deployment");
+    let has_relays = || (0..ZONES).all(|zone| relays(&site, zone).len() == RELAYS);
+    site.wait_until("two relays in each zone", has_relays).expect("relays");
+    site
+}
+
+fn relays(site: &TestSite, zone: usize) -> Vec<usize> {
+    let is_relay = |index: &usize| site.metric(*index, "forward_zone_relay ") == Some(1.0);
+    (0..INSTANCES).filter(|index| index % ZONES == zone).filter(is_relay).collect()
+}
+
+/// Publishes a configuration with many customers. Returns its version and the length of its text.
+fn publish(site: &mut TestSite) -> (u64, usize) {
+    let mut length = 0;
+    let version = site.publish_config(|config| {
+        let customer = |number: usize| {
+            json!({"name": format!("customer-{number}"), "priority": 1,
+                "apiKeys": [format!("key-of-customer-{number}")]})
+        };
+        let customers = config["tenants"].as_array_mut().expect("customers");
+        customers.extend((0..CUSTOMERS).map(customer));
+        length = config.to_string().len();
+    });
+    (version, length)
+}
+
+/// Waits until a version is in force at all instances but `paused`. Returns the time it took.
+fn wait_in_force(site: &TestSite, version: u64, paused: &[usize]) -> Duration {
+    let started = Instant::now();
+    let mut lacking: Vec<usize> = (0..INSTANCES).filter(|index| !paused.contains(index)).collect();
+    site.wait_until("the version in force", || {
+        let has =
+            |index: usize| site.metric(index, "forward_config_version ") == Some(version as f64);
+        lacking.retain(|index| !has(*index));
+        std::thread::sleep(CHECK_INTERVAL);
+        lacking.is_empty()
+    })
+    .expect("a version in force");
+    started.elapsed()
+}
+
+fn bytes_across(site: &TestSite) -> f64 {
+    let bytes = |index| site.metric(index, "forward_zone_bytes{kind=\"fetch\"}").unwrap_or(0.0);
+    (0..INSTANCES).map(bytes).sum()
+}
+
+/// Guards against configurations whose whole text crosses a zone boundary once for each instance.
+#[test]
+fn configuration_crosses_a_border_once_for_each_relay() {
+    let mut site = start();
+    let before = bytes_across(&site);
+    let (version, length) = publish(&mut site);
+    let taken = wait_in_force(&site, version, &[]);
+    let texts = (bytes_across(&site) - before) / length as f64;
+    println!("{texts:.1} texts of {length} bytes crossed a border, in force after {taken:?}");
+    assert!(texts <= (ZONES * RELAYS) as f64 + 0.5, "{texts} texts");
+    assert!(taken <= CONFIG_LIMIT, "{taken:?}");
+}
+
+/// Guards against members that wait for relays which are paused: a configuration has to be in force in time
+/// on all others, and on the relays after the pause.
+#[test]
+fn configuration_is_in_force_while_relays_are_paused() {
+    let mut site = start();
+    for count in 1..=RELAYS {
+        let paused: Vec<usize> = relays(&site, 0).into_iter().take(count).collect();
+        assert_eq!(paused.len(), count);
+        paused.iter().for_each(|index| site.signal(*index, Signal::STOP).expect("a pause"));
+        let (version, _) = publish(&mut site);
+        let taken = wait_in_force(&site, version, &paused);
+        println!("{count} paused: in force after {taken:?}");
+        assert!(taken <= CONFIG_LIMIT, "{taken:?} with {count} relays paused");
+        paused.iter().for_each(|index| site.signal(*index, Signal::CONT).expect("a process"));
+        wait_in_force(&site, version, &[]);
+        let has_relays = || (0..ZONES).all(|zone| relays(&site, zone).len() == RELAYS);
+        site.wait_until("two relays in each zone", has_relays).expect("relays");
+    }
+}
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -4,6 +4,7 @@
 
 use super::directory::DirectoryChange;
 use super::peers::PeerDigest;
+use super::zone_plan::ZonePlan;
 use crate::prompts::LedgerNews;
 
 value_type! {
@@ -36,10 +37,31 @@
         LedgerSync(LedgerSync),
         /// Hash of the id of an engine that has ended; sent to the coordinator.
         Ended(u64),
+        /// Relays of the receiver's zone: from a hub to the relays, and from them to the members.
+        ZonePlan(ZonePlan),
     }
 }
 
+/// Bytes that stand for the fields that digests of earlier versions lack.
+const MISSING_FIELDS: [u8; 8] = [0; 8];
+
 impl PeerMessage {
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are no message.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        // The last fields of a digest of an earlier version are missing and count as 0, so that
+        // instances hear one another while they are upgraded one after the other.
+        postcard::from_bytes(bytes).or_else(|error| match error {
+            postcard::Error::DeserializeUnexpectedEnd if bytes.first() == Some(&0) => {
+                postcard::from_bytes(&[bytes, &MISSING_FIELDS].concat())
+            },
+            _ => Err(error),
+        })
+    }
+
     /// Returns whether an instance passes the message on for another one.
     pub fn may_be_relayed(&self) -> bool {
         matches!(self, Self::Servers(_) | Self::Leaving(_) | Self::LedgerNews(_))
@@ -56,6 +78,7 @@
             Self::Answer(_) => "answer",
             Self::Relayed(_) => "relayed",
             Self::LedgerNews(_) | Self::LedgerState(_) | Self::LedgerSync(_) => "ledger",
+            Self::ZonePlan(_) => "zone_plan",
         }
     }
 }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -21,6 +21,9 @@
 mod suspicion;
 mod wait_limit;
 mod waiting;
+mod zone;
+mod zone_fetch;
+mod zone_plan;
 
 pub use answer_end::{BodyDelimiter, EndVerdict, ProcessIdentity, ServerLiveness};
 pub use budget::{BudgetParams, RepeatBudget, RepeatPurpose};
@@ -51,3 +54,6 @@
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
 pub use waiting::{RunKey, WaitingClass, WaitingParams, WaitingRuns};
+pub use zone::ZoneKey;
+pub use zone_fetch::{ConfigFetch, ConfigFetchParams, ConfigStep, FetchEnd};
+pub use zone_plan::{ZoneDuties, ZoneDuty, ZonePlan, ZonePlanParams, ZonePlanner};
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use super::load::{LoadReport, RemoteLoad, RunWeight};
+use super::zone::ZoneKey;
 use crate::ids::stable_hash;
 use crate::time::Timestamp;
 
@@ -39,6 +40,9 @@
         pub granted: u64,
         /// Load that the sender puts on servers; empty unless the receiver is a hub.
         pub loads: Vec<LoadReport>,
+        /// Availability zone of the sender. Digests of earlier versions end before this field; see
+        /// `PeerMessage::decode`.
+        pub zone: ZoneKey,
     }
 }
 
@@ -101,6 +105,8 @@
     config_version: u64,
     servers_revision: u64,
     loads: Vec<LoadReport>,
+    /// Kept while the peer is silent; unknown until its first digest.
+    zone: ZoneKey,
     /// Placements granted to the peer that its reported loads do not include yet.
     grants: Vec<PeerGrant>,
 }
@@ -123,6 +129,8 @@
     params: PeerTableParams,
     own: SocketAddr,
     strength: u16,
+    /// Availability zone of this instance.
+    zone: ZoneKey,
     /// Without this instance.
     seeds: Vec<SocketAddr>,
     /// This instance is one of the seeds.
@@ -145,6 +153,7 @@
             params,
             own,
             strength,
+            zone: ZoneKey::UNKNOWN,
             seeds: Vec::new(),
             is_seed: false,
             peers: IndexMap::new(),
@@ -155,6 +164,37 @@
         table
     }
 
+    /// Sets the availability zone of this instance, which is unknown otherwise.
+    pub fn in_zone(mut self, zone: ZoneKey) -> Self {
+        self.zone = zone;
+        self
+    }
+
+    /// Returns the availability zone of this instance.
+    pub fn own_zone(&self) -> ZoneKey {
+        self.zone
+    }
+
+    /// Returns the availability zone of a peer.
+    pub fn zone(&self, address: SocketAddr) -> ZoneKey {
+        self.peers.get(&address).map_or(ZoneKey::UNKNOWN, |record| record.zone)
+    }
+
+    /// Iterates over all peers with their zones, including silent ones.
+    pub fn zones(&self) -> impl Iterator<Item = (SocketAddr, ZoneKey)> {
+        self.peers.iter().map(|(address, record)| (*address, record.zone))
+    }
+
+    /// Iterates over the live peers with their zones, the highest-ranked first.
+    pub fn live_by_rank(&self, now: Timestamp) -> impl Iterator<Item = (SocketAddr, ZoneKey)> {
+        let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
+        let mut ranked: Vec<(PeerRank, SocketAddr, ZoneKey)> = live
+            .map(|(address, record)| (Self::rank(address, record.strength), *address, record.zone))
+            .collect();
+        ranked.sort_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
+        ranked.into_iter().map(|(_, address, zone)| (address, zone))
+    }
+
     /// Replaces the seeds, which are kept in the table even when silent.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.is_seed = seeds.contains(&self.own);
@@ -200,6 +240,7 @@
             config_version: digest.config_version,
             servers_revision: digest.servers_revision,
             loads: digest.loads,
+            zone: digest.zone,
             grants,
         };
         true
@@ -297,6 +338,11 @@
         (self.higher_ranked(now).len() / self.params.hub_count.max(1)) as u32
     }
 
+    /// Returns whether this instance is one of the hubs by its rank.
+    pub fn is_hub(&self, now: Timestamp) -> bool {
+        self.higher_ranked(now).len() < self.params.hub_count
+    }
+
     /// Returns the coordinator, which places generations for all instances; `None` if it is this
     /// instance.
     pub fn coordinator(&self, now: Timestamp) -> Option<SocketAddr> {
@@ -372,30 +418,29 @@
         self.peers.len() + 1
     }
 
-    /// Returns one of the live peers with the newest configuration if that is newer than
-    /// `version`. `draw`, a random number from 0 to 1, selects among them, which spreads the
-    /// fetches over the fleet.
-    pub fn peer_with_newer_config(
-        &self,
-        now: Timestamp,
-        version: u64,
-        draw: f64,
-    ) -> Option<SocketAddr> {
-        let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
-        let newest = live.clone().map(|(_, record)| record.config_version).max()?;
+    /// Returns the newest configuration version among the live peers; 0 for none.
+    pub fn newest_config_version(&self, now: Timestamp) -> u64 {
+        let live = self.peers.values().filter(|record| self.is_live(now, record));
+        live.map(|record| record.config_version).max().unwrap_or(0)
+    }
+
+    /// Returns the live peers with the newest configuration, with their zones, if that is newer than
+    /// `version`; none otherwise.
+    pub fn config_holders(&self, now: Timestamp, version: u64) -> Vec<(SocketAddr, ZoneKey)> {
+        let newest = self.newest_config_version(now);
         if newest <= version {
-            return None;
+            return Vec::new();
         }
-        let holders: Vec<&SocketAddr> = live
-            .filter(|(_, record)| record.config_version == newest)
-            .map(|(address, _)| address)
-            .collect();
-        holders.get((draw * holders.len() as f64) as usize).map(|address| **address)
+        self.peers
+            .iter()
+            .filter(|(_, record)| self.is_live(now, record) && record.config_version == newest)
+            .map(|(address, record)| (*address, record.zone))
+            .collect()
     }
 
-    /// Returns one of the live peers that know of changed server entries after `revision`. `draw`,
-    /// a random number from 0 to 1, selects among them; if the one with the highest revision were
-    /// always selected, the whole fleet would ask that one.
+    /// Returns one of the live peers that know of changed server entries after `revision`, of the own
+    /// zone if there is one. `draw`, a random number from 0 to 1, selects among them; if the one with
+    /// the highest revision were always selected, the whole fleet would ask that one.
     pub fn peer_with_newer_servers(
         &self,
         now: Timestamp,
@@ -403,11 +448,15 @@
         draw: f64,
     ) -> Option<SocketAddr> {
         let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
-        let ahead: Vec<&SocketAddr> = live
+        let mut ahead: Vec<(&SocketAddr, ZoneKey)> = live
             .filter(|(_, record)| record.servers_revision > revision)
-            .map(|(address, _)| address)
+            .map(|(address, record)| (address, record.zone))
             .collect();
-        ahead.get((draw * ahead.len() as f64) as usize).map(|address| **address)
+        let is_near = |zone: ZoneKey| zone.is_known() && zone == self.zone;
+        if ahead.iter().any(|(_, zone)| is_near(*zone)) {
+            ahead.retain(|(_, zone)| is_near(*zone));
+        }
+        ahead.get((draw * ahead.len() as f64) as usize).map(|(address, _)| **address)
     }
 
     /// Returns the newest store revision of server entries among the live peers; 0 for none.
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -7,7 +7,7 @@
 
 use medlarlanding_core::forwarding::{
     DirectoryChange, LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams,
-    RelayedMessage, ServerChanges, ServerEntry, ServerPhase,
+    RelayedMessage, ServerChanges, ServerEntry, ServerPhase, ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -45,6 +45,7 @@
         peers: vec![address(3), address(4)],
         granted: 8,
         loads: vec![load],
+        zone: ZoneKey::of("z"),
     };
     let relayed = RelayedMessage {
         targets: vec![address(5)],
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -10,7 +10,7 @@
 use medlarlanding_core::forwarding::{
     BudgetParams, DirectoryChange, LoadReport, PeerDigest, PeerTable, PeerTableParams,
     PlacementPolicy, PlacementRequest, RemoteLoad, RepeatBudget, RepeatPurpose, RunWeight,
-    ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
+    ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord, ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -40,6 +40,7 @@
         peers: Vec::new(),
         granted: 0,
         loads: Vec::new(),
+        zone: ZoneKey::UNKNOWN,
     }
 }
 
--- a/medlarlanding-core/tests/forwarding_relays.rs
+++ b/medlarlanding-core/tests/forwarding_relays.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use medlarlanding_core::cases;
-use medlarlanding_core::forwarding::{PeerDigest, PeerTable, PeerTableParams, RelayParams};
+use medlarlanding_core::forwarding::{
+    PeerDigest, PeerTable, PeerTableParams, RelayParams, ZoneKey,
+};
 use medlarlanding_core::time::Timestamp;
 
 fn at(millis: u64) -> Timestamp {
@@ -32,6 +34,7 @@
             peers: silent.iter().map(|number| address(*number)).collect(),
             granted: 0,
             loads: Vec::new(),
+            zone: ZoneKey::UNKNOWN,
         };
         if !silent.contains(&number) {
             table.receive(at(0), digest);
--- /dev/null
+++ b/medlarlanding-core/tests/forwarding_zone_relays.rs
@@ -0,0 +1,222 @@
+//! Replay of a fleet in several availability zones: how often updates cross a zone boundary, and how soon
+//! they reach all instances when relays fail.
+
+mod zone_fleet;
+
+use medlarlanding_core::cases;
+use medlarlanding_core::forwarding::{PeerDigest, PeerMessage, ZoneDuty, ZoneKey};
+
+use zone_fleet::{FleetParams, InstanceFault, ZoneFleet, address};
+
+/// Time in which a fleet of up to 100 instances has learned its zones.
+const SETTLE_MS: u64 = 15_000;
+
+fn fleet(count: u16, zones: u16, is_zoned: bool) -> ZoneFleet {
+    let mut fleet = ZoneFleet::new(FleetParams { count, zones, is_zoned });
+    fleet.run(SETTLE_MS);
+    fleet
+}
+
+struct ConfigCase {
+    count: u16,
+    zones: u16,
+    is_zoned: bool,
+    /// Most texts that cross a zone boundary for one change.
+    crossings: usize,
+    /// Time after which the change is in force everywhere.
+    limit_ms: u64,
+}
+
+/// Guards against a configuration whose text crosses zone boundaries once for each instance, and against
+/// one that takes effect late because instances wait for one another.
+fn config_crosses_once_per_relay(case: ConfigCase) {
+    let mut fleet = fleet(case.count, case.zones, case.is_zoned);
+    fleet.publish(7);
+    let taken = fleet.run_until(5_000, |fleet| fleet.lacking(7).is_empty());
+    let taken = taken.unwrap_or_else(|| panic!("lacking: {:?}", fleet.lacking(7)));
+    println!("{} instances: {} crossings, {taken} ms", case.count, fleet.fetched_across);
+    assert!(fleet.fetched_across <= case.crossings, "{} crossings", fleet.fetched_across);
+    assert!(taken <= case.limit_ms, "{taken} ms");
+}
+
+cases! { config_crosses_once_per_relay;
+    four_zones_of_74 =>
+        ConfigCase { count: 74, zones: 4, is_zoned: true, crossings: 8, limit_ms: 800 },
+    four_zones_of_300 =>
+        ConfigCase { count: 300, zones: 4, is_zoned: true, crossings: 8, limit_ms: 2_000 },
+    twelve_zones_of_300 =>
+        ConfigCase { count: 300, zones: 12, is_zoned: true, crossings: 24, limit_ms: 2_000 },
+    three_zones_of_9 =>
+        ConfigCase { count: 9, zones: 3, is_zoned: true, crossings: 6, limit_ms: 800 },
+    two_instances_in_each_zone =>
+        ConfigCase { count: 8, zones: 4, is_zoned: true, crossings: 8, limit_ms: 800 },
+    unknown_zones_fetch_from_anywhere =>
+        ConfigCase { count: 74, zones: 4, is_zoned: false, crossings: 71, limit_ms: 1_500 },
+    one_zone =>
+        ConfigCase { count: 74, zones: 1, is_zoned: true, crossings: 0, limit_ms: 1_500 },
+}
+
+struct FaultCase {
+    fault: InstanceFault,
+    /// Number of the relays of each zone that fail.
+    relays: usize,
+    limit_ms: u64,
+}
+
+/// Guards against a zone that gets a configuration late, or not at all, because its relays failed
+/// a moment before the change and the hubs do not know it yet.
+fn config_is_in_force_although_relays_fail(case: FaultCase) {
+    let mut fleet = fleet(74, 6, true);
+    let zones: Vec<u16> = (0..6).filter(|zone| fleet.hubs_in(*zone).is_empty()).collect();
+    assert!(zones.len() >= 3, "{zones:?} have no hub");
+    for zone in zones {
+        let relays = fleet.relays(zone);
+        assert_eq!(relays.len(), 2);
+        relays.iter().take(case.relays).for_each(|relay| fleet.fail(*relay, case.fault));
+    }
+    fleet.publish(7);
+    let taken = fleet.run_until(5_000, |fleet| fleet.lacking(7).is_empty());
+    let taken = taken.unwrap_or_else(|| panic!("lacking: {:?}", fleet.lacking(7)));
+    println!("{taken} ms, {} crossings", fleet.fetched_across);
+    assert!(taken <= case.limit_ms, "{taken} ms");
+}
+
+cases! { config_is_in_force_although_relays_fail;
+    one_relay_of_each_zone_is_dead =>
+        FaultCase { fault: InstanceFault::Dead, relays: 1, limit_ms: 900 },
+    one_relay_of_each_zone_hangs =>
+        FaultCase { fault: InstanceFault::Hung, relays: 1, limit_ms: 900 },
+    both_relays_are_dead => FaultCase { fault: InstanceFault::Dead, relays: 2, limit_ms: 1_500 },
+    both_relays_hang => FaultCase { fault: InstanceFault::Hung, relays: 2, limit_ms: 1_500 },
+}
+
+/// Guards against members that wait for a relay which announced a configuration and hung before it served
+/// any of them.
+#[test]
+fn config_is_in_force_although_relays_hang_after_the_announcement() {
+    let mut fleet = fleet(74, 4, true);
+    let zone = (0..4).find(|zone| fleet.hubs_in(*zone).is_empty()).expect("a zone without a hub");
+    let relays = fleet.relays(zone);
+    fleet.publish(7);
+    let has = |fleet: &ZoneFleet| relays.iter().all(|relay| fleet.version(*relay) == 7);
+    fleet.run_until(1_000, has).expect("relays fetch at once");
+    // The announcements are under way.
+    fleet.run(10);
+    relays.iter().for_each(|relay| fleet.fail(*relay, InstanceFault::Hung));
+    let taken = fleet.run_until(5_000, |fleet| fleet.lacking(7).is_empty());
+    let taken = taken.unwrap_or_else(|| panic!("lacking: {:?}", fleet.lacking(7)));
+    assert!(taken <= 1_500, "{taken} ms");
+}
+
+/// Guards against a zone that relies on relays of hubs which it no longer hears: it has to elect hubs of
+/// its own, which read the store, and must not send across the border.
+#[test]
+fn zone_that_is_cut_off_serves_itself() {
+    let mut fleet = fleet(74, 4, true);
+    let zone = (0..4).find(|zone| fleet.hubs_in(*zone).is_empty()).expect("a zone without a hub");
+    fleet.cut_off(Some(zone));
+    fleet.run(3_000);
+    assert!(!fleet.hubs_in(zone).is_empty(), "the zone has hubs of its own");
+    fleet.publish(7);
+    let taken = fleet.run_until(5_000, |fleet| fleet.lacking(7).is_empty());
+    assert!(taken.is_some_and(|taken| taken <= 1_500), "{taken:?} ms");
+    fleet.cut_off(None);
+    fleet.run(3_000);
+    assert!(fleet.hubs_in(zone).is_empty(), "the hubs of the fleet take over again");
+    fleet.fetched_across = 0;
+    fleet.publish(8);
+    let taken = fleet.run_until(5_000, |fleet| fleet.lacking(8).is_empty());
+    assert!(taken.is_some_and(|taken| taken <= 1_000), "{taken:?} ms");
+    assert!(fleet.fetched_across <= 8, "{} crossings", fleet.fetched_across);
+}
+
+/// Guards against changes that a cut-off zone never gets after the cut, because its members wait for
+/// relays that were replaced meanwhile.
+#[test]
+fn zone_that_was_cut_off_without_the_store_catches_up() {
+    let mut fleet = fleet(74, 4, true);
+    let zone = (0..4).find(|zone| fleet.hubs_in(*zone).is_empty()).expect("a zone without a hub");
+    fleet.cut_off(Some(zone));
+    fleet.publish_outside(7, zone);
+    fleet.run(4_000);
+    assert_eq!(fleet.lacking(7).len(), fleet.members(zone).len());
+    fleet.cut_off(None);
+    let taken = fleet.run_until(5_000, |fleet| fleet.lacking(7).is_empty());
+    assert!(taken.is_some_and(|taken| taken <= 1_500), "{taken:?} ms");
+}
+
+/// Guards against hubs that name different relays, for example because one of them hears less: each zone
+/// then has at most the relays of both, and a change is in force as soon as otherwise.
+#[test]
+fn hubs_that_disagree_only_add_crossings() {
+    let mut fleet = fleet(74, 4, true);
+    let hubs: Vec<u16> = (0..4).flat_map(|zone| fleet.hubs_in(zone)).collect();
+    // The second hub does not hear the first relays of all zones.
+    let relays: Vec<u16> = (0..4).filter_map(|zone| fleet.relays(zone).first().copied()).collect();
+    fleet.block(relays.iter().map(|relay| (*relay, hubs[1])).collect());
+    fleet.run(4_000);
+    fleet.publish(7);
+    let taken = fleet.run_until(5_000, |fleet| fleet.lacking(7).is_empty());
+    assert!(taken.is_some_and(|taken| taken <= 1_000), "{taken:?} ms");
+    assert!(fleet.fetched_across <= 16, "{} crossings", fleet.fetched_across);
+}
+
+/// Guards against a relay that keeps its part for ever after the hubs have replaced it, or that is
+/// not replaced within a second and a half.
+#[test]
+fn dead_relay_is_replaced() {
+    let mut fleet = fleet(74, 4, true);
+    let zone = (0..4).find(|zone| fleet.hubs_in(*zone).is_empty()).expect("a zone without a hub");
+    let relays = fleet.relays(zone);
+    fleet.fail(relays[0], InstanceFault::Dead);
+    let replaced = |fleet: &ZoneFleet| {
+        let live = fleet.members(zone).into_iter().filter(|member| *member != relays[0]);
+        live.filter(|member| fleet.duty(*member) == ZoneDuty::Relay).count() == 2
+    };
+    fleet.run_until(1_700, replaced).expect("another relay");
+    fleet.recover(relays[0]);
+    let restored = |fleet: &ZoneFleet| {
+        let relaying = fleet.members(zone).into_iter();
+        let relaying = relaying.filter(|member| fleet.duty(*member) == ZoneDuty::Relay);
+        relaying.collect::<std::collections::BTreeSet<u16>>() == relays.iter().copied().collect()
+    };
+    fleet.run_until(6_000, restored).expect("the first relays again");
+}
+
+/// Guards against an upgrade in which instances of the version before are not heard: their digests end
+/// before the zone.
+#[test]
+fn digests_of_the_version_before_are_decoded() {
+    let digest = PeerDigest {
+        sender: address(1),
+        boot: 5,
+        sequence: 6,
+        strength: 100,
+        reaches_store: true,
+        config_version: 3,
+        servers_revision: 9,
+        peers: vec![address(3)],
+        granted: 8,
+        loads: Vec::new(),
+        zone: ZoneKey::of("regina"),
+    };
+    let full = postcard::to_stdvec(&PeerMessage::Digest(digest.clone())).expect("a datagram");
+    let decoded = PeerMessage::decode(&full);
+    assert_eq!(decoded, Ok(PeerMessage::Digest(digest.clone())));
+    let zone = postcard::to_stdvec(&digest.zone).expect("a zone");
+    let shortened = PeerMessage::decode(&full[..full.len() - zone.len()]);
+    let unzoned = PeerDigest { zone: ZoneKey::UNKNOWN, ..digest };
+    assert_eq!(shortened, Ok(PeerMessage::Digest(unzoned)));
+    assert!(PeerMessage::decode(&[1]).is_err(), "other messages are decoded strictly");
+}
+
+/// Guards against a fleet of one zone, or without zones, that gets plans.
+#[test]
+fn single_zone_has_no_relays() {
+    for (zones, is_zoned) in [(1, true), (4, false)] {
+        let mut fleet = fleet(20, zones, is_zoned);
+        fleet.run(2_000);
+        assert!((0..20).all(|number| fleet.duty(number) == ZoneDuty::Unassigned));
+    }
+    assert_eq!(ZoneKey::of(""), ZoneKey::UNKNOWN);
+}
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -28,6 +28,7 @@
 mod store_watch;
 mod stream_events;
 mod telemetry;
+mod zone_link;
 
 pub use role::{RoleOptions, run};
 pub use stream_events::{EventSplitter, StreamEvent};
--- a/medlarlanding/src/forwarding/peer_fetch.rs
+++ b/medlarlanding/src/forwarding/peer_fetch.rs
@@ -1,6 +1,7 @@
 //! Fetches a newer configuration and newer server entries from a peer over TCP.
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +11,9 @@
 use crate::listener::accept;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{ChangeSource, EntryDelta, PeerLag};
+use medlarlanding_core::forwarding::{
+    ChangeSource, ConfigStep, EntryDelta, FetchEnd, PeerLag, ZoneDuty, ZoneKey,
+};
 use medlarlanding_core::value_type;
 
 use anyhow::{Context, bail};
@@ -21,16 +24,18 @@
 
 /// Largest frame in bytes; a configuration has at most 1 MB, a server entry about 65 bytes.
 const FRAME_LIMIT: u32 = 8 << 20;
-/// Largest frame in bytes of a request, which consists of two numbers.
+/// Largest frame in bytes of a request, which consists of three numbers.
 const REQUEST_FRAME_LIMIT: u32 = 64;
 /// Number of peers that are served at the same time; a configuration of 1 MB takes 0.8 s on the
 /// slowest link, 10 Mbit/s.
 const SERVING_LIMIT: usize = 6;
 /// Time limit of one fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Mean pause after a failed fetch; the actual one is random, from 0.5 to 1.5 times this. A busy
-/// peer refuses fetches, and a configuration must be in force 2 s after its confirmation.
-const FETCH_RETRY: Duration = Duration::from_millis(200);
+/// Time limit of the first byte of an answer from a peer of the own zone, which any other peer can
+/// replace: a relay may hang after it has announced a configuration.
+const NEAR_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Shortest pause between two checks for something to fetch.
+const FETCH_PAUSE: Duration = Duration::from_millis(20);
 /// How long an instance that knows earlier server entries waits for a change that a peer has before it
 /// fetches it: usually the change is on its way.
 const FETCH_DELAY: Duration = Duration::from_millis(300);
@@ -42,6 +47,8 @@
         config_version: u64,
         /// Store revision up to which the sender knows the server entries.
         servers_revision: u64,
+        /// Availability zone of the sender; missing in requests of earlier versions.
+        zone: ZoneKey,
     }
 }
 
@@ -55,46 +62,98 @@
     }
 }
 
+/// Fetches a newer configuration and missed server entries from peers until the process ends.
+pub async fn follow_peers(state: SharedState) -> anyhow::Result<()> {
+    let mut lag = PeerLag::default();
+    loop {
+        let wait = fetch_if_behind(&state, &mut lag);
+        let interval = state.peers.borrow().digest_interval();
+        let pause = wait.map_or(interval, |wait| wait.min(interval)).max(FETCH_PAUSE);
+        let wanted = async {
+            tokio::time::sleep(FETCH_PAUSE).await;
+            state.zone.fetch_wanted.notified().await;
+        };
+        if tokio::time::timeout(pause, wanted).await.is_ok() {
+            let delay = {
+                let (duty, draw) = (state.zone_duty(), state.draw());
+                let peers = state.peers.borrow();
+                state.zone.config_fetch.borrow().start_delay(&peers, duty, draw)
+            };
+            tokio::time::sleep(delay).await;
+        }
+    }
+}
+
 /// Starts a fetch from a peer if one has a newer configuration, or server entries that this instance
-/// has lacked for a while. At most one fetch runs at a time. `lag` is kept between calls.
-pub fn fetch_if_behind(state: &SharedState, lag: &mut PeerLag) {
+/// has lacked for a while. At most one fetch runs at a time. `lag` is kept between calls. Returns the time
+/// to wait for a relay, if this instance waits for one.
+fn fetch_if_behind(state: &SharedState, lag: &mut PeerLag) -> Option<Duration> {
     let now = state.now();
+    let duty = state.zone_duty();
     let (config_version, servers_revision) =
         (state.config_version(), state.entries.borrow().revision());
-    let ahead = {
+    let (step, with_servers, is_near) = {
         let peers = state.peers.borrow();
         let behind = lag.update(now, servers_revision, peers.newest_servers_revision(now));
         let lacks_servers = servers_revision == 0 || behind >= FETCH_DELAY;
-        let with_config = peers.peer_with_newer_config(now, config_version, state.draw());
-        let with_servers = || peers.peer_with_newer_servers(now, servers_revision, state.draw());
-        with_config.or_else(|| lacks_servers.then(with_servers).flatten())
+        let mut config_fetch = state.zone.config_fetch.borrow_mut();
+        let step = config_fetch.step(now, &peers, duty, config_version, state.draw());
+        let with_servers = lacks_servers
+            .then(|| peers.peer_with_newer_servers(now, servers_revision, state.draw()))
+            .flatten();
+        let is_near = |peer| peers.zone(peer) == peers.own_zone() && duty == ZoneDuty::Member;
+        let near = |peer: Option<SocketAddr>| peer.is_some_and(is_near);
+        let peer = match step {
+            ConfigStep::Fetch(peer) => Some(peer),
+            ConfigStep::Wait(_) | ConfigStep::UpToDate => with_servers,
+        };
+        (step, with_servers, near(peer))
     };
-    let Some(peer) = ahead else { return };
+    let (peer, wait) = match step {
+        ConfigStep::Fetch(peer) => (Some(peer), None),
+        ConfigStep::Wait(wait) => (with_servers, Some(wait)),
+        ConfigStep::UpToDate => (with_servers, None),
+    };
+    let Some(peer) = peer else { return wait };
     if state.is_fetching.get() || now < state.fetch_after.get() {
-        return;
+        return wait;
     }
     lag.reset();
-    let request = FetchRequest { config_version, servers_revision };
+    let zone = state.peers.borrow().own_zone();
+    let request = FetchRequest { config_version, servers_revision, zone };
+    let answer_limit = if is_near { NEAR_ANSWER_TIMEOUT } else { FETCH_TIMEOUT };
     let state = Rc::clone(state);
     // A second fetch at the same time would only slow both down.
     state.is_fetching.set(true);
     tokio::task::spawn_local(async move {
-        let failure = match tokio::time::timeout(FETCH_TIMEOUT, fetch(&state, peer, &request)).await
-        {
-            Ok(Ok(answer)) => {
+        let fetching = fetch(&state, peer, &request, answer_limit);
+        let (end, failure) = match tokio::time::timeout(FETCH_TIMEOUT, fetching).await {
+            Ok(Ok(Some(answer))) => {
                 apply_answer(&state, peer, answer);
-                None
+                (FetchEnd::Answered, None)
+            },
+            Ok(Ok(None)) => (FetchEnd::Refused, Some("refused".to_owned())),
+            Ok(Err(error)) => (FetchEnd::Failed, Some(format!("{error:#}"))),
+            Err(_) => {
+                let reason = format!("no answer within {} ms", FETCH_TIMEOUT.as_millis());
+                (FetchEnd::Failed, Some(reason))
             },
-            Ok(Err(error)) => Some(format!("{error:#}")),
-            Err(_) => Some(format!("no answer within {} ms", FETCH_TIMEOUT.as_millis())),
         };
+        state.zone.config_fetch.borrow_mut().record_end(peer, end);
+        state.is_fetching.set(false);
         if let Some(reason) = failure {
             event(EventKind::PeerUnreachable, &[&peer, &reason]);
-            let pause = FETCH_RETRY.mul_f64(0.5 + state.draw());
+            let duty = state.zone_duty();
+            let pause = state.zone.config_fetch.borrow().retry_pause(duty, end);
+            let pause = pause.mul_f64(0.5 + state.draw());
             state.fetch_after.set(state.now() + pause);
+            if duty != ZoneDuty::Unassigned {
+                tokio::time::sleep(pause).await;
+                state.zone.fetch_wanted.notify_one();
+            }
         }
-        state.is_fetching.set(false);
     });
+    None
 }
 
 fn apply_answer(state: &SharedState, peer: SocketAddr, answer: FetchAnswer) {
@@ -127,11 +186,23 @@
     state: &SharedState,
     peer: SocketAddr,
     request: &FetchRequest,
-) -> anyhow::Result<FetchAnswer> {
+    answer_limit: Duration,
+) -> anyhow::Result<Option<FetchAnswer>> {
     let mut stream =
-        connect(peer, FETCH_TIMEOUT).await.map_err(|_| anyhow::anyhow!("cannot connect"))?;
-    write_frame(state, &mut stream, request).await?;
-    read_frame(state, &mut stream, FRAME_LIMIT).await
+        connect(peer, answer_limit).await.map_err(|_| anyhow::anyhow!("cannot connect"))?;
+    let zone = state.peers.borrow().zone(peer);
+    write_frame(state, &mut stream, request, zone).await?;
+    let mut head = [0; 1];
+    let length = tokio::time::timeout(answer_limit, stream.peek(&mut head))
+        .await
+        .with_context(|| format!("no answer within {} ms", answer_limit.as_millis()))?;
+    // A peer that serves others closes the connection without reading the request.
+    match length {
+        Ok(1..) => Ok(Some(read_frame(state, &mut stream, FRAME_LIMIT).await?)),
+        Ok(0) => Ok(None),
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => Ok(None),
+        Err(error) => Err(error.into()),
+    }
 }
 
 /// Serves fetches of peers.
@@ -152,7 +223,7 @@
                 let request: FetchRequest =
                     read_frame(&state, &mut stream, REQUEST_FRAME_LIMIT).await?;
                 let answer = answer_fetch(&state, &request);
-                write_frame(&state, &mut stream, &answer).await
+                write_frame(&state, &mut stream, &answer, request.zone).await
             };
             match tokio::time::timeout(FETCH_TIMEOUT, serving).await {
                 Ok(Ok(())) => {},
@@ -177,6 +248,7 @@
     state: &SharedState,
     stream: &mut TcpStream,
     value: &T,
+    target_zone: ZoneKey,
 ) -> anyhow::Result<()> {
     let bytes = postcard::to_stdvec(value)?;
     let length = u32::try_from(bytes.len())
@@ -184,6 +256,9 @@
     stream.write_all(&length.to_be_bytes()).await?;
     stream.write_all(&bytes).await?;
     count_bytes(state, "sent", bytes.len());
+    if target_zone.is_apart(state.peers.borrow().own_zone()) {
+        state.telemetry.zone_bytes.with_label_values(&["fetch"]).inc_by(bytes.len() as u64);
+    }
     Ok(())
 }
 
@@ -201,6 +276,8 @@
     let mut bytes = vec![0; length as usize];
     stream.read_exact(&mut bytes).await?;
     count_bytes(state, "received", bytes.len());
+    // Stands for the zone that requests of earlier versions lack; other frames end before it.
+    bytes.push(0);
     Ok(postcard::from_bytes(&bytes)?)
 }
 
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -6,14 +6,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::peer_fetch::fetch_if_behind;
 use super::placing::Placement;
 use super::servers::start_hash;
 use super::shared::{ForwardState, SharedState};
+use super::zone_link::send_zone_messages;
 use medlarlanding_core::forwarding::{
-    ChangeSource, DirectoryChange, EngineFault, LedgerSync, PeerDigest, PeerLag, PeerMessage,
-    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup,
-    RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey, SuspicionParams,
+    ChangeSource, DirectoryChange, EngineFault, LedgerSync, PeerDigest, PeerMessage, PlaceAnswer,
+    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup, RelayParams,
+    RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey, SuspicionParams, ZoneDuty,
 };
 use medlarlanding_core::prompts::LedgerNews;
 
@@ -53,7 +53,7 @@
         Self { socket, questions: RefCell::default(), next_question: Cell::new(1) }
     }
 
-    fn send(&self, state: &ForwardState, message: &PeerMessage, targets: &[SocketAddr]) {
+    pub(super) fn send(&self, state: &ForwardState, message: &PeerMessage, targets: &[SocketAddr]) {
         if let Some(bytes) = encode(message) {
             self.send_bytes(state, message.kind(), &bytes, targets);
         }
@@ -92,6 +92,7 @@
     ) {
         let sent = bytes.len() * targets.len();
         state.telemetry.control_bytes.with_label_values(&[kind, "sent"]).inc_by(sent as u64);
+        state.count_zone_bytes(kind, bytes.len(), targets);
         for target in targets {
             // An unsent datagram has the same effect as a lost one; later digests make up for it.
             if self.socket.try_send_to(bytes, *target).is_err() {
@@ -294,7 +295,6 @@
 /// Sends digests periodically, and without delay after `digest_wanted` is notified.
 pub async fn send_digests(link: Rc<PeerLink>, state: SharedState) -> anyhow::Result<()> {
     let mut sequence = 0u64;
-    let mut lag = PeerLag::default();
     let mut coordinator = None;
     let mut logged_at = state.now();
     loop {
@@ -311,7 +311,6 @@
             logged_at = now;
             state.log_fleet_load();
         }
-        fetch_if_behind(&state, &mut lag);
         let wanted = async {
             tokio::time::sleep(DIGEST_PAUSE).await;
             state.digest_wanted.notified().await;
@@ -357,7 +356,9 @@
         peers: state.peers.borrow().sample(now, sequence),
         granted: state.placing.granted.get(),
         loads: Vec::new(),
+        zone: state.peers.borrow().own_zone(),
     };
+    send_zone_messages(link, state, &digest);
     let addresses = |with_loads: bool| -> Vec<SocketAddr> {
         let selected = targets.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
         selected.map(|(address, _)| *address).collect()
@@ -377,7 +378,7 @@
         // The socket reports errors for datagrams sent earlier to a peer that does not listen; they
         // need no handling.
         let Ok((length, source)) = link.socket.recv_from(&mut buffer).await else { continue };
-        match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
+        match PeerMessage::decode(&buffer[..length]) {
             Ok(message) => {
                 let received = &state.telemetry.control_bytes;
                 let labels = [message.kind(), "received"];
@@ -396,6 +397,7 @@
         },
         PeerMessage::Digest(digest) => {
             let has_started = state.peers.borrow().boot(source) != Some(digest.boot);
+            let has_newer_config = digest.config_version > state.config_version();
             state.peers.borrow_mut().receive(state.now(), digest);
             if has_started && state.ledger_fingerprint().is_some() {
                 // The sender takes requests as soon as it knows the servers.
@@ -404,8 +406,12 @@
             if state.entries.borrow().revision() == 0 {
                 // The sender may have the list of servers, which is then fetched without delay.
                 state.digest_wanted.notify_one();
+                state.zone.fetch_wanted.notify_one();
+            } else if has_newer_config && state.zone_duty() != ZoneDuty::Unassigned {
+                state.zone.fetch_wanted.notify_one();
             }
         },
+        PeerMessage::ZonePlan(plan) => state.receive_plan(link, source, plan),
         PeerMessage::Servers(changes) => {
             let known = state.entries.borrow().revision();
             // Older changes are known already. After a gap, the peers' digests cause a fetch.
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -16,7 +16,7 @@
 use crate::listener::bind;
 use crate::logging::{self, event};
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{PeerTable, PeerTableParams};
+use medlarlanding_core::forwarding::{PeerTable, PeerTableParams, ZoneKey};
 use medlarlanding_platform::settings::PlatformSettings;
 
 use anyhow::Context;
@@ -87,7 +87,8 @@
     let grace = settings.stop_grace;
     let strength = machine_strength(&settings);
     let seeds = settings.seeds.clone();
-    let peers = PeerTable::new(PeerTableParams::default(), settings.peers, strength, seeds);
+    let peers = PeerTable::new(PeerTableParams::default(), settings.peers, strength, seeds)
+        .in_zone(ZoneKey::of(&settings.zone));
     let (ledger_sender, ledger_news) = mpsc::unbounded_channel();
     let state = Rc::new(ForwardState::new(settings, boot, Telemetry::new()?, peers, ledger_sender));
     let link = Rc::new(PeerLink::new(digests));
@@ -105,6 +106,7 @@
         tasks.spawn("metrics", listener::serve_metrics(metrics, Rc::clone(&state)));
     }
     tasks.spawn("digests", peer_link::send_digests(Rc::clone(&link), Rc::clone(&state)));
+    tasks.spawn("following", peer_fetch::follow_peers(Rc::clone(&state)));
     tasks.spawn("datagrams", peer_link::read_datagrams(Rc::clone(&link), Rc::clone(&state)));
     tasks.spawn(
         "ledger",
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -8,6 +8,7 @@
 use super::ledger::LedgerState;
 use super::placing::PlacementState;
 use super::telemetry::Telemetry;
+use super::zone_link::ZoneState;
 use crate::clock::ProcessClock;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -71,6 +72,8 @@
     pub placing: PlacementState,
     /// Runs that the ends of engines broke off.
     pub ledger: LedgerState,
+    /// State of the distribution within the availability zone.
+    pub zone: ZoneState,
     /// This instance watches the store and its last call was answered.
     pub reaches_store: Cell<bool>,
     /// A fetch from a peer is in progress.
@@ -116,6 +119,7 @@
             budgets: RefCell::default(),
             placing: PlacementState::default(),
             ledger: LedgerState::new(ledger_news),
+            zone: ZoneState::default(),
             reaches_store: Cell::new(false),
             is_fetching: Cell::new(false),
             fetch_after: Cell::new(Timestamp::default()),
@@ -218,7 +222,7 @@
         let (now, draw) = (self.now(), self.draw());
         let peers = self.peers.borrow();
         let servers_revision = self.entries.borrow().revision();
-        let is_behind = peers.peer_with_newer_config(now, self.config_version(), draw).is_some()
+        let is_behind = peers.newest_config_version(now) > self.config_version()
             || peers.peer_with_newer_servers(now, servers_revision, draw).is_some();
         self.stop_time_left().is_none() && self.readiness.borrow_mut().is_ready(now, is_behind)
     }
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -37,6 +37,11 @@
     /// Bytes of messages between instances, by kind and direction, without the headers of lower
     /// layers. Together they are the control traffic of the instance.
     pub control_bytes: IntCounterVec,
+    /// The part of `control_bytes` that is sent to instances of other zones, by kind. Prices depend on
+    /// it.
+    pub zone_bytes: IntCounterVec,
+    /// 1 while this instance is a relay of its availability zone, 0 otherwise.
+    pub zone_relay: IntGauge,
     /// Datagrams that the socket did not accept for sending.
     pub unsent_datagrams: IntCounter,
     /// Questions to the coordinator that were not answered in time.
@@ -86,6 +91,12 @@
                 "Bytes of messages between instances.",
                 &["kind", "direction"],
             )?,
+            zone_bytes: registry.counters(
+                "zone_bytes",
+                "Bytes of messages to instances of other zones.",
+                &["kind"],
+            )?,
+            zone_relay: registry.gauge("zone_relay", "1 for a relay of its zone.")?,
             unsent_datagrams: registry
                 .counter("unsent_datagrams", "Datagrams that the socket did not take.")?,
             lost_questions: registry
