Send changes to relay groups within one availability zone

Changes of servers, notices and ledger entries went through groups of peers with neighbouring addresses. If these are in different zones, most copies that relays pass on cross a zone boundary, and the coordinator sends each change to two relays of every group.

If zones are known, a group now lies within one zone. The change is sent to the two strongest live instances of each zone; each of them sends it to one relay of every other group of its zone, so the two copies of an instance take paths without a common instance. With one zone or unknown zones the groups are those of before.

--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -39,6 +39,8 @@
         Ended(u64),
         /// Relays of the receiver's zone: from a hub to the relays, and from them to the members.
         ZonePlan(ZonePlan),
+        /// A message for the receiver, which passes it on to a group and to the relays of others.
+        ZoneRelayed(ZoneRelayedMessage),
     }
 }
 
@@ -76,7 +78,7 @@
             Self::Fault(_) | Self::Unresponsive(_) | Self::Ended(_) => "fault",
             Self::Question(_) => "question",
             Self::Answer(_) => "answer",
-            Self::Relayed(_) => "relayed",
+            Self::Relayed(_) | Self::ZoneRelayed(_) => "relayed",
             Self::LedgerNews(_) | Self::LedgerState(_) | Self::LedgerSync(_) => "ledger",
             Self::ZonePlan(_) => "zone_plan",
         }
@@ -105,6 +107,46 @@
     }
 }
 
+value_type! {
+    /// A message that the receiver applies and passes on within its zone.
+    pub struct ZoneRelayedMessage {
+        /// Peers to which the receiver sends the message itself.
+        pub targets: Vec<SocketAddr>,
+        /// Other groups of the zone.
+        pub onward: Vec<OnwardGroup>,
+        /// As in `RelayedMessage`.
+        pub message: Vec<u8>,
+    }
+}
+
+value_type! {
+    /// A group to whose relays a message is passed on.
+    pub struct OnwardGroup {
+        /// Relays to which the receiver sends the message; if there is none, it sends the message to the
+        /// members itself.
+        pub relays: Vec<SocketAddr>,
+        /// Peers to which the relays send it.
+        pub members: Vec<SocketAddr>,
+    }
+}
+
+impl ZoneRelayedMessage {
+    /// Returns what the receiver sends to whom: `None` stands for the message itself.
+    pub fn sends(self) -> Vec<(Vec<SocketAddr>, Option<PeerMessage>)> {
+        let mut sends = vec![(self.targets, None)];
+        for group in self.onward {
+            sends.push(if group.relays.is_empty() {
+                (group.members, None)
+            } else {
+                let message = self.message.clone();
+                let relayed = RelayedMessage { targets: group.members, message };
+                (group.relays, Some(PeerMessage::Relayed(relayed)))
+            });
+        }
+        sends
+    }
+}
+
 value_type! {
     /// Changes of server entries between two revisions of the store.
     pub struct ServerChanges {
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -40,8 +40,8 @@
 pub use entries::{EntryDelta, EntryLog};
 pub use load::{LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
-    LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
-    RelayedMessage, ServerChanges,
+    LedgerSync, OnwardGroup, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
+    RelayedMessage, ServerChanges, ZoneRelayedMessage,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use peer_lag::PeerLag;
@@ -50,7 +50,7 @@
     DRAIN_FALLBACK_DIVISOR, PlacementChoice, PlacementParams, PlacementPolicy, PlacementRequest,
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
-pub use relays::{RelayGroup, RelayParams};
+pub use relays::{RelayGroup, RelayParams, RelayRoute};
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
 pub use waiting::{RunKey, WaitingClass, WaitingParams, WaitingRuns};
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -12,8 +12,9 @@
 use super::zone_link::send_zone_messages;
 use medlarlanding_core::forwarding::{
     ChangeSource, DirectoryChange, EngineFault, LedgerSync, PeerDigest, PeerMessage, PlaceAnswer,
-    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup, RelayParams,
+    PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayParams, RelayRoute,
     RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey, SuspicionParams, ZoneDuty,
+    ZoneRelayedMessage,
 };
 use medlarlanding_core::prompts::LedgerNews;
 
@@ -60,25 +61,29 @@
     }
 
     /// Sends a message to the relays of each group, which pass it on to the members.
-    fn send_to_groups(&self, state: &ForwardState, message: &PeerMessage, groups: &[RelayGroup]) {
+    fn send_to_groups(&self, state: &ForwardState, message: &PeerMessage, routes: &[RelayRoute]) {
         let Some(bytes) = encode(message) else { return };
-        for group in groups {
-            if group.relays.is_empty() {
-                self.send_bytes(state, message.kind(), &bytes, &group.members);
-                continue;
+        for (targets, relayed) in routes.iter().flat_map(|route| route.sends(&bytes)) {
+            match relayed {
+                Some(relayed) => self.send(state, &relayed, &targets),
+                None => self.send_bytes(state, message.kind(), &bytes, &targets),
             }
-            let relayed = RelayedMessage { targets: group.members.clone(), message: bytes.clone() };
-            self.send(state, &PeerMessage::Relayed(relayed), &group.relays);
         }
     }
 
     /// Passes a message on. Returns the message if it may be relayed.
-    fn relay(&self, state: &ForwardState, relayed: &RelayedMessage) -> Option<PeerMessage> {
-        let message =
-            postcard::from_bytes(&relayed.message).ok().filter(PeerMessage::may_be_relayed);
-        match message {
-            Some(_) => self.send_bytes(state, "passed_on", &relayed.message, &relayed.targets),
-            None => state.telemetry.dropped_datagrams.inc(),
+    fn relay(&self, state: &ForwardState, relayed: ZoneRelayedMessage) -> Option<PeerMessage> {
+        let bytes = relayed.message.clone();
+        let message = postcard::from_bytes(&bytes).ok().filter(PeerMessage::may_be_relayed);
+        if message.is_none() {
+            state.telemetry.dropped_datagrams.inc();
+            return None;
+        }
+        for (targets, relayed) in relayed.sends() {
+            match relayed {
+                Some(relayed) => self.send(state, &relayed, &targets),
+                None => self.send_bytes(state, "passed_on", &bytes, &targets),
+            }
         }
         message
     }
@@ -112,7 +117,7 @@
         revision: u64,
         changed: Vec<(Arc<str>, u64)>,
     ) {
-        let groups = relay_groups(state);
+        let routes = relay_routes(state);
         let mut pending = ServerChanges { after, revision: after, changes: Vec::new() };
         let mut size = 0;
         for (id, changed_at) in changed {
@@ -127,7 +132,7 @@
                 let after = pending.revision;
                 let next = ServerChanges { after, revision: after, changes: Vec::new() };
                 let full = std::mem::replace(&mut pending, next);
-                self.send_to_groups(state, &PeerMessage::Servers(full), &groups);
+                self.send_to_groups(state, &PeerMessage::Servers(full), &routes);
                 size = 0;
             }
             size += length;
@@ -135,7 +140,7 @@
             pending.changes.push(change);
         }
         pending.revision = pending.revision.max(revision);
-        self.send_to_groups(state, &PeerMessage::Servers(pending), &groups);
+        self.send_to_groups(state, &PeerMessage::Servers(pending), &routes);
     }
 
     /// Reports that a server said itself that it is leaving: to the coordinator, which tells all peers.
@@ -153,7 +158,7 @@
 
     /// Reports to all peers which servers are leaving. `servers` are the hashes of their starts.
     pub fn send_leaving(&self, state: &ForwardState, servers: Vec<u64>) {
-        self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_groups(state));
+        self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_routes(state));
     }
 
     /// Avoids an engine that has ended, here and at the coordinator.
@@ -187,7 +192,7 @@
             let message = PeerMessage::LedgerNews(part);
             match coordinator {
                 Some(coordinator) => self.send(state, &message, &[coordinator]),
-                None => self.send_to_groups(state, &message, &relay_groups(state)),
+                None => self.send_to_groups(state, &message, &relay_routes(state)),
             }
         }
     }
@@ -288,8 +293,8 @@
         .ok()
 }
 
-fn relay_groups(state: &ForwardState) -> Vec<RelayGroup> {
-    RelayParams::default().groups(state.now(), &state.peers.borrow())
+fn relay_routes(state: &ForwardState) -> Vec<RelayRoute> {
+    RelayParams::default().routes(state.now(), &state.peers.borrow())
 }
 
 /// Sends digests periodically, and without delay after `digest_wanted` is notified.
@@ -455,7 +460,14 @@
             link.send(state, &PeerMessage::Answer(answer), &[source]);
         },
         PeerMessage::Relayed(relayed) => {
-            if let Some(message) = link.relay(state, &relayed) {
+            let RelayedMessage { targets, message } = relayed;
+            let relayed = ZoneRelayedMessage { targets, onward: Vec::new(), message };
+            if let Some(message) = link.relay(state, relayed) {
+                handle_message(link, state, source, message);
+            }
+        },
+        PeerMessage::ZoneRelayed(relayed) => {
+            if let Some(message) = link.relay(state, relayed) {
                 handle_message(link, state, source, message);
             }
         },
