Send most digests of hubs through one relay of each zone

Each of the three hubs sends its digest to all instances every 250 ms, so three quarters of them cross a zone boundary.

Three of four digests of a hub now reach the other zones through one of the two relays of the zone, in turn, which passes them on. The fourth, and those that tell of another configuration, are sent to all as before, so that hubs stay live for the members of a zone whose relays both hang. Instances of unknown zones are sent all digests directly.

Without the direct digests the test with both relays hung fails.

--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -41,6 +41,10 @@
         ZonePlan(ZonePlan),
         /// A message for the receiver, which passes it on to a group and to the relays of others.
         ZoneRelayed(ZoneRelayedMessage),
+        /// Digest of a hub for a relay, which passes it on within its zone.
+        ZoneDigest(PeerDigest),
+        /// Digest of a hub from a relay.
+        PassedDigest(PeerDigest),
     }
 }
 
@@ -72,7 +76,8 @@
     /// Returns the kind of the message, for metrics.
     pub fn kind(&self) -> &'static str {
         match self {
-            Self::Digest(_) => "digest",
+            Self::Digest(_) | Self::ZoneDigest(_) => "digest",
+            Self::PassedDigest(_) => "passed_digest",
             Self::Servers(_) => "servers",
             Self::Leaving(_) => "leaving",
             Self::Fault(_) | Self::Unresponsive(_) | Self::Ended(_) => "fault",
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -56,4 +56,4 @@
 pub use waiting::{RunKey, WaitingClass, WaitingParams, WaitingRuns};
 pub use zone::ZoneKey;
 pub use zone_fetch::{ConfigFetch, ConfigFetchParams, ConfigStep, FetchEnd};
-pub use zone_plan::{ZoneDuties, ZoneDuty, ZonePlan, ZonePlanParams, ZonePlanner};
+pub use zone_plan::{DigestRoute, ZoneDuties, ZoneDuty, ZonePlan, ZonePlanParams, ZonePlanner};
--- a/medlarlanding-core/src/forwarding/zone_plan.rs
+++ b/medlarlanding-core/src/forwarding/zone_plan.rs
@@ -34,6 +34,11 @@
     pub relay_count: usize,
     /// One in so many digests of a hub is followed by the plans; they are also sent when they change.
     pub period: u64,
+    /// One in so many digests of a hub is sent to all instances directly, as are those that tell of
+    /// a newer configuration; the others reach the members of a planned zone through one of its relays,
+    /// in turn. At most `live_timeout` passes between two direct ones, so that hubs stay live for the
+    /// members although both relays hang.
+    pub direct_period: u64,
     /// Number of digest intervals for which a plan holds: two plans may be lost.
     pub lifetime_intervals: u32,
     /// Most plans of different hubs that are kept; there are three hubs, and another one while one is
@@ -43,7 +48,7 @@
 
 impl Default for ZonePlanParams {
     fn default() -> Self {
-        Self { relay_count: 2, period: 4, lifetime_intervals: 13, plan_limit: 6 }
+        Self { relay_count: 2, period: 4, direct_period: 4, lifetime_intervals: 13, plan_limit: 6 }
     }
 }
 
@@ -91,8 +96,23 @@
     params: ZonePlanParams,
     /// Plans that were last made; sent again without delay when they change.
     made: Vec<ZonePlan>,
+    /// Version of the configuration in the last digest.
+    told_version: u64,
 }
 
+/// Receivers of one digest.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DigestRoute {
+    /// Peers that are sent it directly, each with whether it is sent the loads too.
+    pub direct: Vec<(SocketAddr, bool)>,
+    /// Relays that are sent it to pass it on to the members of their zones.
+    pub relays: Vec<SocketAddr>,
+}
+
+/// Remainder of the number of direct digests by `direct_period`. Digests with addresses of peers, which have
+/// numbers without remainder, are the longest.
+const DIRECT_REMAINDER: u64 = 2;
+
 impl ZonePlanner {
     /// Returns the plans that are due with the digest with the number `sequence`, each for its relays; none
     /// if this instance is no hub.
@@ -107,6 +127,30 @@
         plans.retain(|plan| is_periodic || !previous.contains(plan));
         plans
     }
+
+    /// Divides the receivers of the digest with the number `sequence` into those that are sent it
+    /// directly and relays. `due` must have been called for this digest.
+    pub fn route(
+        &mut self,
+        sequence: u64,
+        config_version: u64,
+        targets: &[(SocketAddr, bool)],
+    ) -> DigestRoute {
+        let is_news = std::mem::replace(&mut self.told_version, config_version) != config_version;
+        if is_news || sequence % self.params.direct_period == DIRECT_REMAINDER {
+            return DigestRoute { direct: targets.to_vec(), relays: Vec::new() };
+        }
+        let is_direct = |(target, gets_loads): &&(SocketAddr, bool)| {
+            let is_planned =
+                |plan: &ZonePlan| plan.relays.contains(target) || plan.members.contains(target);
+            *gets_loads || !self.made.iter().any(is_planned)
+        };
+        let relay = |plan: &ZonePlan| plan.relays[sequence as usize % plan.relays.len()];
+        DigestRoute {
+            direct: targets.iter().filter(is_direct).copied().collect(),
+            relays: self.made.iter().map(relay).collect(),
+        }
+    }
 }
 
 /// Part of an instance in the distribution within its zone.
@@ -179,16 +223,30 @@
         is_news || sequence.is_multiple_of(self.params.period)
     }
 
-    /// Returns the members to which this instance passes on digests of a hub.
-    pub fn members_of(&self, now: Timestamp, interval: Duration, hub: SocketAddr) -> &[SocketAddr] {
-        let lifetime = interval * self.params.lifetime_intervals;
-        let plan = self.assigned.get(&hub).filter(|(at, _)| now.since(*at) < lifetime);
-        plan.map_or(&[], |(_, plan)| &plan.members)
+    /// Returns the instances to which this one passes on a digest of a hub: the members of the zone and the
+    /// other relays; none if the hub has not named it a relay.
+    pub fn receivers(
+        &self,
+        now: Timestamp,
+        interval: Duration,
+        own: SocketAddr,
+        hub: SocketAddr,
+    ) -> Vec<SocketAddr> {
+        let plan = self.fresh_plan(now, interval, hub);
+        let all = plan.into_iter().flat_map(|plan| plan.members.iter().chain(&plan.relays));
+        all.copied().filter(|address| *address != own).collect()
     }
 
     /// Returns the members of the own zone if this instance is a relay, from the latest plan.
     pub fn members(&self, now: Timestamp, interval: Duration) -> &[SocketAddr] {
         let latest = self.assigned.iter().max_by_key(|(_, (at, _))| *at);
-        latest.map_or(&[], |(hub, _)| self.members_of(now, interval, *hub))
+        let plan = latest.and_then(|(hub, _)| self.fresh_plan(now, interval, *hub));
+        plan.map_or(&[], |plan| &plan.members)
+    }
+
+    fn fresh_plan(&self, now: Timestamp, interval: Duration, hub: SocketAddr) -> Option<&ZonePlan> {
+        let lifetime = interval * self.params.lifetime_intervals;
+        let (at, plan) = self.assigned.get(&hub)?;
+        (now.since(*at) < lifetime).then_some(plan)
     }
 }
--- a/medlarlanding-core/tests/forwarding_zone_relays.rs
+++ b/medlarlanding-core/tests/forwarding_zone_relays.rs
@@ -271,3 +271,68 @@
     }
     assert_eq!(ZoneKey::of(""), ZoneKey::UNKNOWN);
 }
+
+struct DigestCase {
+    count: u16,
+    is_zoned: bool,
+    /// Most digests that one hub sends to other zones in four intervals.
+    crossings: usize,
+}
+
+/// Guards against digests of hubs that cross a zone boundary once for each instance.
+fn digests_of_hubs_cross_once_per_zone(case: DigestCase) {
+    const INTERVALS: u64 = 16;
+    let mut fleet = fleet(case.count, 4, case.is_zoned);
+    fleet.sent_across.clear();
+    fleet.run(250 * INTERVALS);
+    let sent = fleet.sent_across["digest of a hub"];
+    println!("{} instances: {sent} digests, {:?}", case.count, fleet.bytes_across);
+    let rounds = INTERVALS as usize / 4;
+    assert!(sent <= 3 * case.crossings * (rounds + 1), "{sent} digests");
+}
+
+cases! { digests_of_hubs_cross_once_per_zone;
+    // Three through relays, and one to each of three quarters of the instances.
+    digests_of_74 => DigestCase { count: 74, is_zoned: true, crossings: 3 * 3 + 56 },
+    digests_of_30 => DigestCase { count: 30, is_zoned: true, crossings: 3 * 3 + 23 },
+    digests_of_74_in_unknown_zones =>
+        DigestCase { count: 74, is_zoned: false, crossings: 4 * 56 },
+}
+
+/// Guards against members that take the hubs for silent, and themselves for hubs, because the digests come
+/// through relays that hang.
+fn hubs_stay_live_while_relays_hang(hung: usize) {
+    let mut fleet = fleet(74, 6, true);
+    let hubs =
+        |fleet: &ZoneFleet| -> Vec<u16> { (0..6).flat_map(|zone| fleet.hubs_in(zone)).collect() };
+    let known = hubs(&fleet);
+    for zone in (0..6).filter(|zone| fleet.hubs_in(*zone).is_empty()).collect::<Vec<u16>>() {
+        let relays = fleet.relays(zone);
+        relays.iter().take(hung).for_each(|relay| fleet.fail(*relay, InstanceFault::Hung));
+    }
+    let changed = fleet.run_until(5_000, |fleet| hubs(fleet) != known);
+    assert_eq!(changed, None, "{known:?} became {:?}", hubs(&fleet));
+}
+
+cases! { hubs_stay_live_while_relays_hang;
+    hubs_stay_live_while_one_relay_of_each_zone_hangs => 1,
+    hubs_stay_live_while_both_relays_of_each_zone_hang => 2,
+}
+
+/// Guards against a hub whose death is noticed later because its digests come through relays: peers count as
+/// silent after 1.1 s, also without zones.
+fn dead_coordinator_is_replaced_in_time(is_zoned: bool) {
+    let mut fleet = fleet(74, 4, is_zoned);
+    let dead = fleet.coordinator();
+    fleet.fail(dead, InstanceFault::Dead);
+    let is_replaced =
+        |fleet: &ZoneFleet| fleet.coordinators().len() == 1 && fleet.coordinators() != [dead];
+    let taken = fleet.run_until(3_000, is_replaced).expect("one coordinator");
+    println!("replaced after {taken} ms");
+    assert!(taken <= 1_150, "{taken} ms");
+}
+
+cases! { dead_coordinator_is_replaced_in_time;
+    dead_coordinator_of_zones_is_replaced => true,
+    dead_coordinator_of_unknown_zones_is_replaced => false,
+}
--- a/medlarlanding-core/tests/zone_fleet/mod.rs
+++ b/medlarlanding-core/tests/zone_fleet/mod.rs
@@ -196,15 +196,23 @@
         relays
     }
 
-    /// Returns the only live instance that no peer outranks.
-    pub fn coordinator(&self) -> u16 {
-        let leads = |number: &u16| {
-            let instance = &self.instances[usize::from(*number)];
-            instance.fault.is_none() && instance.table.coordinator(self.at()).is_none()
+    /// Returns the coordinators of all instances without a fault; one if they agree.
+    pub fn coordinators(&self) -> Vec<u16> {
+        let live = (0..self.params.count)
+            .filter(|number| self.instances[usize::from(*number)].fault.is_none());
+        let coordinator = |own: u16| {
+            let table = &self.instances[usize::from(own)].table;
+            table.coordinator(self.at()).map_or(own, number)
         };
-        let leading: Vec<u16> = (0..self.params.count).filter(leads).collect();
-        assert_eq!(leading.len(), 1, "{leading:?}");
-        leading[0]
+        let distinct: BTreeSet<u16> = live.map(coordinator).collect();
+        distinct.into_iter().collect()
+    }
+
+    /// Returns the coordinator, on which all instances must agree.
+    pub fn coordinator(&self) -> u16 {
+        let coordinators = self.coordinators();
+        assert_eq!(coordinators.len(), 1, "{coordinators:?}");
+        coordinators[0]
     }
 
     /// Sends a change from an instance through the relays. The instances in `hung` do nothing, although
@@ -321,7 +329,7 @@
     fn send(&mut self, from: u16, targets: &[SocketAddr], message: &PeerMessage) {
         let is_hub = self.instances[usize::from(from)].table.is_hub(self.at());
         let kind = match message {
-            PeerMessage::Digest(_) if is_hub => "digest of a hub",
+            PeerMessage::Digest(_) | PeerMessage::ZoneDigest(_) if is_hub => "digest of a hub",
             PeerMessage::Digest(_) => "digest",
             other => other.kind(),
         };
@@ -387,6 +395,17 @@
                     instance.next_check = instance.next_check.min(at);
                 }
             },
+            PeerMessage::ZoneDigest(digest) => {
+                let interval = instance.table.digest_interval();
+                let receivers =
+                    instance.duties.receivers(now, interval, address(to), digest.sender);
+                self.send(to, &receivers, &PeerMessage::PassedDigest(digest.clone()));
+                self.receive(from, to, PeerMessage::Digest(digest));
+            },
+            PeerMessage::PassedDigest(digest) => {
+                let sender = number(digest.sender);
+                self.receive(sender, to, PeerMessage::Digest(digest));
+            },
             PeerMessage::ZonePlan(plan) => {
                 let plan = instance.duties.receive(now, address(to), address(from), plan);
                 let coordinator = instance.table.coordinator(now);
@@ -425,23 +444,25 @@
             zone: instance.table.own_zone(),
         };
         let plans = instance.planner.due(now, sequence, &instance.table);
+        let route = instance.planner.route(sequence, instance.version, &targets);
         let is_relay = instance.duties.duty(now, interval) == ZoneDuty::Relay;
         let members = match is_relay && instance.duties.announces(sequence, instance.version) {
             true => instance.duties.members(now, interval).to_vec(),
             false => Vec::new(),
         };
         let select = |with_loads: bool| -> Vec<SocketAddr> {
-            let selected = targets.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
+            let selected = route.direct.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
             selected.map(|(address, _)| *address).collect()
         };
-        self.send(number, &select(false), &PeerMessage::Digest(digest.clone()));
-        self.send(number, &members, &PeerMessage::Digest(digest.clone()));
-        digest.loads = loads(number);
-        self.send(number, &select(true), &PeerMessage::Digest(digest));
         for plan in plans {
             let relays = plan.relays.clone();
             self.send(number, &relays, &PeerMessage::ZonePlan(plan));
         }
+        self.send(number, &select(false), &PeerMessage::Digest(digest.clone()));
+        self.send(number, &route.relays, &PeerMessage::ZoneDigest(digest.clone()));
+        self.send(number, &members, &PeerMessage::Digest(digest.clone()));
+        digest.loads = loads(number);
+        self.send(number, &select(true), &PeerMessage::Digest(digest));
     }
 
     fn check(&mut self, number: u16) {
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -364,11 +364,13 @@
         zone: state.peers.borrow().own_zone(),
     };
     send_zone_messages(link, state, &digest);
+    let route = state.zone.planner.borrow_mut().route(sequence, digest.config_version, &targets);
     let addresses = |with_loads: bool| -> Vec<SocketAddr> {
-        let selected = targets.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
+        let selected = route.direct.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
         selected.map(|(address, _)| *address).collect()
     };
     link.send(state, &PeerMessage::Digest(digest.clone()), &addresses(false));
+    link.send(state, &PeerMessage::ZoneDigest(digest.clone()), &route.relays);
     digest.loads = state.own_loads();
     link.send(state, &PeerMessage::Digest(digest), &addresses(true));
     if sequence.is_multiple_of(LEDGER_STATE_PERIOD) {
@@ -395,25 +397,46 @@
     }
 }
 
+fn receive_digest(link: &PeerLink, state: &SharedState, digest: PeerDigest) {
+    let sender = digest.sender;
+    let has_started = state.peers.borrow().boot(sender) != Some(digest.boot);
+    let has_newer_config = digest.config_version > state.config_version();
+    state.peers.borrow_mut().receive(state.now(), digest);
+    if has_started && state.ledger_fingerprint().is_some() {
+        // The sender takes requests as soon as it knows the servers.
+        link.send_ledger(state, sender, false);
+    }
+    if state.entries.borrow().revision() == 0 {
+        // The sender may have the list of servers, which is then fetched without delay.
+        state.digest_wanted.notify_one();
+        state.zone.fetch_wanted.notify_one();
+    } else if has_newer_config && state.zone_duty() != ZoneDuty::Unassigned {
+        state.zone.fetch_wanted.notify_one();
+    }
+}
+
 fn handle_message(link: &PeerLink, state: &SharedState, source: SocketAddr, message: PeerMessage) {
     match message {
-        PeerMessage::Digest(digest) if digest.sender != source => {
+        PeerMessage::Digest(digest) | PeerMessage::ZoneDigest(digest)
+            if digest.sender != source =>
+        {
             state.telemetry.dropped_datagrams.inc();
         },
-        PeerMessage::Digest(digest) => {
-            let has_started = state.peers.borrow().boot(source) != Some(digest.boot);
-            let has_newer_config = digest.config_version > state.config_version();
-            state.peers.borrow_mut().receive(state.now(), digest);
-            if has_started && state.ledger_fingerprint().is_some() {
-                // The sender takes requests as soon as it knows the servers.
-                link.send_ledger(state, source, false);
-            }
-            if state.entries.borrow().revision() == 0 {
-                // The sender may have the list of servers, which is then fetched without delay.
-                state.digest_wanted.notify_one();
-                state.zone.fetch_wanted.notify_one();
-            } else if has_newer_config && state.zone_duty() != ZoneDuty::Unassigned {
-                state.zone.fetch_wanted.notify_one();
+        PeerMessage::Digest(digest) => receive_digest(link, state, digest),
+        PeerMessage::ZoneDigest(digest) => {
+            let receivers = state.digest_receivers(source);
+            link.send(state, &PeerMessage::PassedDigest(digest.clone()), &receivers);
+            receive_digest(link, state, digest);
+        },
+        PeerMessage::PassedDigest(digest) => {
+            let peers = state.peers.borrow();
+            let is_foreign = peers.zone(source).is_apart(peers.own_zone());
+            drop(peers);
+            if is_foreign {
+                // Relays pass on within their zone only.
+                state.telemetry.dropped_datagrams.inc();
+            } else {
+                receive_digest(link, state, digest);
             }
         },
         PeerMessage::ZonePlan(plan) => state.receive_plan(link, source, plan),
--- a/medlarlanding/src/forwarding/zone_link.rs
+++ b/medlarlanding/src/forwarding/zone_link.rs
@@ -21,7 +21,7 @@
     /// Notifies the task that fetches from peers.
     pub fetch_wanted: Notify,
     /// Plans that this instance sends as a hub.
-    planner: RefCell<ZonePlanner>,
+    pub planner: RefCell<ZonePlanner>,
 }
 
 impl ForwardState {
@@ -51,6 +51,12 @@
         self.telemetry.zone_bytes.with_label_values(&[kind]).inc_by((count * length) as u64);
     }
 
+    /// Returns the instances to which this one passes on a digest of a hub.
+    pub fn digest_receivers(&self, hub: SocketAddr) -> Vec<SocketAddr> {
+        let interval = self.peers.borrow().digest_interval();
+        self.zone.duties.borrow().receivers(self.now(), interval, self.settings.peers, hub)
+    }
+
     /// Returns the members to whom this instance passes on as a relay.
     fn zone_members(&self) -> Vec<SocketAddr> {
         let interval = self.peers.borrow().digest_interval();
