--- a/medlarlanding-core/tests/forwarding_zone_relays.rs
+++ b/medlarlanding-core/tests/forwarding_zone_relays.rs
@@ -336,3 +336,20 @@
     dead_coordinator_of_zones_is_replaced => true,
     dead_coordinator_of_unknown_zones_is_replaced => false,
 }
+
+/// Guards against a zone that was cut off for so long that the others forgot its instances, and is not
+/// found again because most digests of hubs go through relays.
+#[test]
+fn zone_is_found_again_after_a_long_cut() {
+    let mut fleet = fleet(74, 4, true);
+    let coordinator = fleet.coordinator();
+    let zone = (0..4).find(|zone| fleet.hubs_in(*zone).is_empty()).expect("a zone without a hub");
+    fleet.cut_off(Some(zone));
+    fleet.run(60_000);
+    assert_eq!(fleet.coordinators().len(), 2);
+    fleet.cut_off(None);
+    let is_whole = |fleet: &ZoneFleet| fleet.coordinators() == [coordinator];
+    let taken = fleet.run_until(10_000, is_whole).expect("one fleet");
+    println!("whole after {taken} ms");
+    assert!(taken <= 3_000, "{taken} ms");
+}
