Fetch differences of configurations instead of whole texts

Each instance fetched each configuration as a whole text, tens of KB of which a change touches a few bytes: the version and one or two values.

A peer now answers with the difference from the requester's version if it still has that text and the difference is shorter than half of the new text. Frames of the version before are decoded with the new fields absent.

--- a/medlarlanding-bench/tests/forwarding_zone_relays.rs
+++ b/medlarlanding-bench/tests/forwarding_zone_relays.rs
@@ -70,7 +70,14 @@
     (0..INSTANCES).map(bytes).sum()
 }
 
-/// Guards against configurations whose whole text crosses a zone boundary once for each instance.
+/// Returns the bytes that instances have sent in answer to fetches.
+fn fetched_bytes(site: &TestSite) -> f64 {
+    let name = "forward_control_bytes{direction=\"sent\",kind=\"fetch\"}";
+    (0..INSTANCES).map(|index| site.metric(index, name).unwrap_or(0.0)).sum()
+}
+
+/// Guards against configurations whose whole text crosses a zone boundary once for each instance, and against
+/// whole texts that are fetched although only their version changed.
 #[test]
 fn configuration_crosses_a_border_once_for_each_relay() {
     let mut site = start();
@@ -81,6 +88,15 @@
     println!("{texts:.1} texts of {length} bytes crossed a border, in force after {taken:?}");
     assert!(texts <= (ZONES * RELAYS) as f64 + 0.5, "{texts} texts");
     assert!(taken <= CONFIG_LIMIT, "{taken:?}");
+
+    // The next version differs in its number only.
+    let (before, before_all) = (bytes_across(&site), fetched_bytes(&site));
+    let (version, length) = publish(&mut site);
+    wait_in_force(&site, version, &[]);
+    let texts = (bytes_across(&site) - before) / length as f64;
+    let all = (fetched_bytes(&site) - before_all) / length as f64;
+    println!("{texts:.3} texts crossed a border and {all:.3} were fetched for the next version");
+    assert!(all <= 0.5, "{all} texts");
 }
 
 /// Guards against members that wait for relays which are paused: a configuration has to be in force in time
@@ -103,6 +119,33 @@
     }
 }
 
+/// Guards against instances that keep a version for ever because a difference does not fit their text: the store
+/// may hold another text of a version than the one in force.
+#[test]
+fn difference_that_does_not_fit_is_replaced_by_the_text() {
+    // There are three hubs, which read the store.
+    const RESTARTED: usize = 6;
+    let mut site = start();
+    let mut text = json!({});
+    let version = site.publish_config(|config| text = config.clone());
+    wait_in_force(&site, version, &[]);
+    text["tenants"][0]["priority"] = json!(2);
+    site.state.put("op/config", text.to_string().as_bytes());
+    for index in INSTANCES - RESTARTED..INSTANCES {
+        site.signal(index, Signal::KILL).expect("a process");
+        site.wait_exit(index).expect("an end");
+        site.spawn_instance(index).expect("a process");
+        site.wait_until("a ready instance", || site.is_ready(index)).expect("readiness");
+    }
+    let version = site.publish_config(|_| {});
+    wait_in_force(&site, version, &[]);
+    let refused = (0..INSTANCES)
+        .filter(|index| site.log(*index).contains("difference of the configuration from peer"))
+        .count();
+    println!("{refused} instances were sent a difference that does not fit");
+    assert!(refused >= RESTARTED - 3, "{refused} instances");
+}
+
 /// Guards against a leaving server that some instances of a zone learn of late because one of the two relays
 /// of their zone hangs.
 #[test]
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod cold_read;
 mod config;
+mod config_delta;
 mod directory;
 mod drain;
 mod entries;
@@ -32,6 +33,7 @@
     CustomerRecord, EngineLimits, ForwardConfig, ForwardConfigError, KeyCheck, RequestKind,
     RequestLimits, RouteRule, RouteTarget, ServicePolicy,
 };
+pub use config_delta::{ConfigDelta, ConfigHistory};
 pub use directory::{
     DirectoryChange, ServerAccess, ServerDirectory, ServerEntry, ServerKey, ServerPhase,
     ServerRecord,
--- a/medlarlanding/src/forwarding/peer_fetch.rs
+++ b/medlarlanding/src/forwarding/peer_fetch.rs
@@ -12,7 +12,7 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    ChangeSource, ConfigStep, EntryDelta, FetchEnd, PeerLag, ZoneDuty, ZoneKey,
+    ChangeSource, ConfigDelta, ConfigStep, EntryDelta, FetchEnd, PeerLag, ZoneDuty, ZoneKey,
 };
 use medlarlanding_core::value_type;
 
@@ -24,7 +24,7 @@
 
 /// Largest frame in bytes; a configuration has at most 1 MB, a server entry about 65 bytes.
 const FRAME_LIMIT: u32 = 8 << 20;
-/// Largest frame in bytes of a request, which consists of three numbers.
+/// Largest frame in bytes of a request, which consists of a few numbers.
 const REQUEST_FRAME_LIMIT: u32 = 64;
 /// Number of peers that are served at the same time; a configuration of 1 MB takes 0.8 s on the
 /// slowest link, 10 Mbit/s.
@@ -34,6 +34,8 @@
 /// Time limit of the first byte of an answer from a peer of the own zone, which any other peer can
 /// replace: a relay may hang after it has announced a configuration.
 const NEAR_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Bytes that stand for the last fields of requests and answers, which those of earlier versions lack.
+const MISSING_FIELDS: [u8; 8] = [0; 8];
 /// Shortest pause between two checks for something to fetch.
 const FETCH_PAUSE: Duration = Duration::from_millis(20);
 /// How long an instance that knows earlier server entries waits for a change that a peer has before it
@@ -49,16 +51,21 @@
         servers_revision: u64,
         /// Availability zone of the sender; missing in requests of earlier versions.
         zone: ZoneKey,
+        /// The sender has the text of `config_version` and can apply a difference.
+        accepts_delta: bool,
     }
 }
 
 value_type! {
     /// Configuration and server entries, each only if it is newer than the requester's.
     struct FetchAnswer {
-        /// Text of the configuration as stored; `None` if the requester's is not older.
+        /// Text of the configuration as stored; `None` if the requester's is not older, or if
+        /// `config_delta` is present.
         config: Option<Vec<u8>>,
         /// Server entries; `None` if the requester lacks none.
         servers: Option<EntryDelta>,
+        /// Difference from the requester's configuration; missing in answers of earlier versions.
+        config_delta: Option<ConfigDelta>,
     }
 }
 
@@ -120,7 +127,8 @@
     }
     lag.reset();
     let zone = state.peers.borrow().own_zone();
-    let request = FetchRequest { config_version, servers_revision, zone };
+    let accepts_delta = config_version > 0 && !state.zone.whole_config_wanted.get();
+    let request = FetchRequest { config_version, servers_revision, zone, accepts_delta };
     let answer_limit = if is_near { NEAR_ANSWER_TIMEOUT } else { FETCH_TIMEOUT };
     let state = Rc::clone(state);
     // A second fetch at the same time would only slow both down.
@@ -161,12 +169,16 @@
         EventKind::PeerFetched,
         &[
             &peer,
-            &answer.config.is_some(),
+            &(answer.config.is_some() || answer.config_delta.is_some()),
             &answer.servers.as_ref().map_or(0, |delta| delta.revision),
         ],
     );
     if let Some(text) = answer.config {
         state.offer_config(&text, ChangeSource::Peer);
+        state.zone.whole_config_wanted.set(false);
+    }
+    if let Some(delta) = answer.config_delta {
+        apply_delta(state, peer, &delta);
     }
     let Some(delta) = answer.servers else { return };
     if delta.revision <= state.entries.borrow().revision() {
@@ -182,6 +194,21 @@
     }
 }
 
+/// Applies a difference to the text in force. If it does not fit, for example because the store changed the
+/// text of a version, the next fetch asks for the whole text.
+fn apply_delta(state: &SharedState, peer: SocketAddr, delta: &ConfigDelta) {
+    let text =
+        state.config().and_then(|in_force| delta.apply(str::from_utf8(&in_force.text).ok()?));
+    match text {
+        Some(text) => state.offer_config(text.as_bytes(), ChangeSource::Peer),
+        None => {
+            log::warn!("difference of the configuration from peer {peer} does not fit");
+            state.zone.whole_config_wanted.set(true);
+            state.zone.fetch_wanted.notify_one();
+        },
+    }
+}
+
 async fn fetch(
     state: &SharedState,
     peer: SocketAddr,
@@ -241,7 +268,11 @@
 fn answer_fetch(state: &SharedState, request: &FetchRequest) -> FetchAnswer {
     let config = state.config().filter(|in_force| in_force.config.version > request.config_version);
     let servers = state.entries.borrow().delta_since(request.servers_revision);
-    FetchAnswer { config: config.map(|in_force| in_force.text.to_vec()), servers }
+    let config_delta = config.as_ref().filter(|_| request.accepts_delta).and_then(|in_force| {
+        state.zone.config_history.borrow().delta_from(request.config_version, &in_force.text)
+    });
+    let config = config.filter(|_| config_delta.is_none()).map(|in_force| in_force.text.to_vec());
+    FetchAnswer { config, servers, config_delta }
 }
 
 async fn write_frame<T: Serialize>(
@@ -276,8 +307,8 @@
     let mut bytes = vec![0; length as usize];
     stream.read_exact(&mut bytes).await?;
     count_bytes(state, "received", bytes.len());
-    // Stands for the zone that requests of earlier versions lack; other frames end before it.
-    bytes.push(0);
+    // Stands for the fields that frames of earlier versions lack; the decoder ignores it otherwise.
+    bytes.extend(MISSING_FIELDS);
     Ok(postcard::from_bytes(&bytes)?)
 }
 
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -213,7 +213,10 @@
         self.telemetry.config_version.set(version as i64);
         self.digest_wanted.notify_one();
         let in_force = ConfigInForce { config: Rc::new(config), text: Rc::new(text.to_vec()) };
-        *self.config.borrow_mut() = Some(in_force);
+        if let Some(replaced) = self.config.borrow_mut().replace(in_force) {
+            let text = Rc::unwrap_or_clone(replaced.text);
+            self.zone.config_history.borrow_mut().push(replaced.config.version, text);
+        }
     }
 
     /// Returns whether callers may be sent to this instance: it knows the configuration and the
--- a/medlarlanding/src/forwarding/zone_link.rs
+++ b/medlarlanding/src/forwarding/zone_link.rs
@@ -1,12 +1,13 @@
 //! What an instance sends within its availability zone, and what it knows of the relays there.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 
 use super::peer_link::PeerLink;
 use super::shared::ForwardState;
 use medlarlanding_core::forwarding::{
-    ConfigFetch, PeerDigest, PeerMessage, ZoneDuties, ZoneDuty, ZonePlan, ZonePlanner,
+    ConfigFetch, ConfigHistory, PeerDigest, PeerMessage, ZoneDuties, ZoneDuty, ZonePlan,
+    ZonePlanner,
 };
 
 use tokio::sync::Notify;
@@ -18,6 +19,10 @@
     pub duties: RefCell<ZoneDuties>,
     /// Fetch of a newer configuration.
     pub config_fetch: RefCell<ConfigFetch>,
+    /// Earlier texts of the configuration.
+    pub config_history: RefCell<ConfigHistory>,
+    /// A difference did not fit, so that the whole text is to be fetched.
+    pub whole_config_wanted: Cell<bool>,
     /// Notifies the task that fetches from peers.
     pub fetch_wanted: Notify,
     /// Plans that this instance sends as a hub.
