--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -8,6 +8,7 @@
 use super::load::LatencyClass;
 use super::peers::PeerDigest;
 use super::regions::RegionLimit;
+use super::zone_plan::ZonePlan;
 use crate::prompts::LedgerNews;
 
 value_type! {
@@ -48,10 +49,37 @@
         Cold(Vec<ColdReport>),
         /// Asks the coordinator whether a run may be resumed at a cold server.
         ColdQuestion(ColdQuestion),
+        /// Relays of the receiver's zone: from a hub to the relays, and from them to the members.
+        ZonePlan(ZonePlan),
+        /// A message for the receiver, which passes it on to a group and to the relays of others.
+        ZoneRelayed(ZoneRelayedMessage),
+        /// Digest of a hub for a relay, which passes it on within its zone.
+        ZoneDigest(PeerDigest),
+        /// Digest of a hub from a relay.
+        PassedDigest(PeerDigest),
     }
 }
 
+/// Bytes that stand for the fields that digests of earlier versions lack.
+const MISSING_FIELDS: [u8; 8] = [0; 8];
+
 impl PeerMessage {
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are no message.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        // The last fields of a digest of an earlier version are missing and count as 0, so that
+        // instances hear one another while they are upgraded one after the other.
+        postcard::from_bytes(bytes).or_else(|error| match error {
+            postcard::Error::DeserializeUnexpectedEnd if bytes.first() == Some(&0) => {
+                postcard::from_bytes(&[bytes, &MISSING_FIELDS].concat())
+            },
+            _ => Err(error),
+        })
+    }
+
     /// Returns whether an instance passes the message on for another one.
     pub fn may_be_relayed(&self) -> bool {
         matches!(
@@ -67,16 +95,18 @@
     /// Returns the kind of the message, for metrics.
     pub fn kind(&self) -> &'static str {
         match self {
-            Self::Digest(_) => "digest",
+            Self::Digest(_) | Self::ZoneDigest(_) => "digest",
+            Self::PassedDigest(_) => "passed_digest",
             Self::Servers(_) => "servers",
             Self::Leaving(_) => "leaving",
             Self::Fault(_) | Self::Unresponsive(_) | Self::Ended(_) => "fault",
             Self::Question(_) | Self::ColdQuestion(_) => "question",
             Self::Cold(_) => "cold",
             Self::Answer(_) => "answer",
-            Self::Relayed(_) => "relayed",
             Self::Evacuations(_) => "evacuations",
+            Self::Relayed(_) | Self::ZoneRelayed(_) => "relayed",
             Self::LedgerNews(_) | Self::LedgerState(_) | Self::LedgerSync(_) => "ledger",
+            Self::ZonePlan(_) => "zone_plan",
         }
     }
 }
@@ -125,6 +155,46 @@
     }
 }
 
+value_type! {
+    /// A message that the receiver applies and passes on within its zone.
+    pub struct ZoneRelayedMessage {
+        /// Peers to which the receiver sends the message itself.
+        pub targets: Vec<SocketAddr>,
+        /// Other groups of the zone.
+        pub onward: Vec<OnwardGroup>,
+        /// As in `RelayedMessage`.
+        pub message: Vec<u8>,
+    }
+}
+
+value_type! {
+    /// A group to whose relays a message is passed on.
+    pub struct OnwardGroup {
+        /// Relays to which the receiver sends the message; if there is none, it sends the message to the
+        /// members itself.
+        pub relays: Vec<SocketAddr>,
+        /// Peers to which the relays send it.
+        pub members: Vec<SocketAddr>,
+    }
+}
+
+impl ZoneRelayedMessage {
+    /// Returns what the receiver sends to whom: `None` stands for the message itself.
+    pub fn sends(self) -> Vec<(Vec<SocketAddr>, Option<PeerMessage>)> {
+        let mut sends = vec![(self.targets, None)];
+        for group in self.onward {
+            sends.push(if group.relays.is_empty() {
+                (group.members, None)
+            } else {
+                let message = self.message.clone();
+                let relayed = RelayedMessage { targets: group.members, message };
+                (group.relays, Some(PeerMessage::Relayed(relayed)))
+            });
+        }
+        sends
+    }
+}
+
 value_type! {
     /// Changes of server entries between two revisions of the store.
     pub struct ServerChanges {
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -10,6 +10,7 @@
 mod cold_share;
 mod competition;
 mod config;
+mod config_delta;
 mod directory;
 mod drain;
 mod entries;
@@ -28,6 +29,9 @@
 mod suspicion;
 mod wait_limit;
 mod waiting;
+mod zone;
+mod zone_fetch;
+mod zone_plan;
 
 pub use answer_end::{BodyDelimiter, EndVerdict, ProcessIdentity, ServerLiveness};
 pub use backlog::{BacklogForecast, BacklogParams};
@@ -42,6 +46,7 @@
     CustomerRecord, EngineLimits, ForwardConfig, ForwardConfigError, InvalidField, InvalidValue,
     KeyCheck, RequestKind, RequestLimits, RouteRule, RouteTarget, ServicePolicy,
 };
+pub use config_delta::{ConfigDelta, ConfigHistory};
 pub use directory::{
     DirectoryChange, ServerAccess, ServerDirectory, ServerEntry, ServerKey, ServerPhase,
     ServerRecord,
@@ -51,8 +56,9 @@
 pub use evacuation::{EvacuationTable, ZoneChange, ZoneEntry, ZoneEntryState, ZoneState};
 pub use load::{LatencyClass, LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
-    ColdQuestion, EvacuationSync, LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose,
+    ColdQuestion, EvacuationSync, LedgerSync, OnwardGroup, PeerMessage, PlaceAnswer, PlacePurpose,
     PlaceQuestion, PlaceVerdict, RelayedMessage, RunBacklog, ServerChanges, SyncPurpose,
+    ZoneRelayedMessage,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use pause_gate::{PauseGate, PauseParams};
@@ -63,8 +69,11 @@
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use regions::{RegionKey, RegionLimit, ZoneRegions};
-pub use relays::{RelayGroup, RelayParams};
+pub use relays::{RelayGroup, RelayParams, RelayRoute};
 pub use room_reserve::{CriticalDemand, ReserveParams, RoomReserve};
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
 pub use waiting::{QueuedRun, RunKey, WaitingClass, WaitingParams, WaitingRuns};
+pub use zone::ZoneKey;
+pub use zone_fetch::{ConfigFetch, ConfigFetchParams, ConfigStep, FetchEnd};
+pub use zone_plan::{DigestRoute, ZoneDuties, ZoneDuty, ZonePlan, ZonePlanParams, ZonePlanner};
--- a/medlarlanding-core/tests/forwarding_cold_share.rs
+++ b/medlarlanding-core/tests/forwarding_cold_share.rs
@@ -9,7 +9,7 @@
 use medlarlanding_core::forwarding::{
     ColdServer, ColdShare, ColdTarget, DirectoryChange, FleetNote, PeerDigest, PeerTable,
     PeerTableParams, ServerAccess, ServerDirectory, ServerEntry, ServerKey, ServerPhase,
-    ShareAllocator,
+    ShareAllocator, ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -188,6 +188,7 @@
                     config_version: 1,
                     servers_revision: 1,
                     evacuations: 0,
+                    zone: ZoneKey::UNKNOWN,
                     peers: (0..count).map(address).collect(),
                     granted: 0,
                     loads: Vec::new(),
@@ -273,6 +274,7 @@
             config_version: 1,
             servers_revision: 1,
             evacuations: 0,
+            zone: ZoneKey::UNKNOWN,
             peers: instance.peers.sample(at(millis), sequence),
             granted: 0,
             loads: Vec::new(),
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -8,7 +8,7 @@
 use medlarlanding_core::forwarding::{
     ColdQuestion, ColdReport, DirectoryChange, EvacuationSync, EvacuationTable, FleetNote,
     LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams, RelayedMessage, ServerChanges,
-    ServerEntry, ServerPhase, SyncPurpose, ZoneEntry, ZoneEntryState,
+    ServerEntry, ServerPhase, SyncPurpose, ZoneEntry, ZoneEntryState, ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -58,6 +58,7 @@
         granted: 8,
         loads: vec![load],
         fleet: Some(FleetNote { instances: 60, coordinator: 7 }),
+        zone: ZoneKey::of("z"),
     };
     let relayed = RelayedMessage {
         targets: vec![address(5)],
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -11,6 +11,7 @@
     BudgetParams, DirectoryChange, LatencyClass, LoadReport, PeerDigest, PeerTable,
     PeerTableParams, PlacementPolicy, PlacementRequest, RegionLimit, RemoteLoad, RepeatBudget,
     RepeatPurpose, RunWeight, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
+    ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -42,6 +43,7 @@
         granted: 0,
         loads: Vec::new(),
         fleet: None,
+        zone: ZoneKey::UNKNOWN,
     }
 }
 
--- a/medlarlanding/src/forwarding/evacuations.rs
+++ b/medlarlanding/src/forwarding/evacuations.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::peer_link::{PeerLink, relay_groups};
+use super::peer_link::{PeerLink, relay_routes};
 use super::shared::{ForwardState, SharedState};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -279,7 +279,7 @@
     /// Sends the table to all peers after a change.
     pub fn send_evacuations(&self, state: &ForwardState) {
         if let Some(message) = table_message(state, SyncPurpose::Share) {
-            self.send_to_groups(state, &message, &relay_groups(state));
+            self.send_to_groups(state, &message, &relay_routes(state));
         }
     }
 
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -6,15 +6,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::peer_fetch::fetch_if_behind;
 use super::placing::Placement;
 use super::servers::start_hash;
 use super::shared::{ForwardState, SharedState};
+use super::zone_link::send_zone_messages;
 use medlarlanding_core::forwarding::{
     ChangeSource, ColdQuestion, ColdReport, DirectoryChange, EngineFault, LedgerSync, PeerDigest,
-    PeerLag, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest,
-    RelayGroup, RelayParams, RelayedMessage, RepeatPurpose, RunBacklog, RunKey, ServerChanges,
-    ServerKey, SuspicionParams,
+    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest,
+    RelayParams, RelayRoute, RelayedMessage, RepeatPurpose, RunBacklog, RunKey, ServerChanges,
+    ServerKey, SuspicionParams, ZoneDuty, ZoneRelayedMessage,
 };
 use medlarlanding_core::prompts::LedgerNews;
 use medlarlanding_core::time::Timestamp;
@@ -72,26 +72,30 @@
         &self,
         state: &ForwardState,
         message: &PeerMessage,
-        groups: &[RelayGroup],
+        routes: &[RelayRoute],
     ) {
         let Some(bytes) = encode(message) else { return };
-        for group in groups {
-            if group.relays.is_empty() {
-                self.send_bytes(state, message.kind(), &bytes, &group.members);
-                continue;
+        for (targets, relayed) in routes.iter().flat_map(|route| route.sends(&bytes)) {
+            match relayed {
+                Some(relayed) => self.send(state, &relayed, &targets),
+                None => self.send_bytes(state, message.kind(), &bytes, &targets),
             }
-            let relayed = RelayedMessage { targets: group.members.clone(), message: bytes.clone() };
-            self.send(state, &PeerMessage::Relayed(relayed), &group.relays);
         }
     }
 
     /// Passes a message on. Returns the message if it may be relayed.
-    fn relay(&self, state: &ForwardState, relayed: &RelayedMessage) -> Option<PeerMessage> {
-        let message =
-            postcard::from_bytes(&relayed.message).ok().filter(PeerMessage::may_be_relayed);
-        match message {
-            Some(_) => self.send_bytes(state, "passed_on", &relayed.message, &relayed.targets),
-            None => state.telemetry.dropped_datagrams.inc(),
+    fn relay(&self, state: &ForwardState, relayed: ZoneRelayedMessage) -> Option<PeerMessage> {
+        let bytes = relayed.message.clone();
+        let message = postcard::from_bytes(&bytes).ok().filter(PeerMessage::may_be_relayed);
+        if message.is_none() {
+            state.telemetry.dropped_datagrams.inc();
+            return None;
+        }
+        for (targets, relayed) in relayed.sends() {
+            match relayed {
+                Some(relayed) => self.send(state, &relayed, &targets),
+                None => self.send_bytes(state, "passed_on", &bytes, &targets),
+            }
         }
         message
     }
@@ -105,6 +109,7 @@
     ) {
         let sent = bytes.len() * targets.len();
         state.telemetry.control_bytes.with_label_values(&[kind, "sent"]).inc_by(sent as u64);
+        state.count_zone_bytes(kind, bytes.len(), targets);
         for target in targets.iter().filter(|target| !state.peer_cut.drops(target)) {
             // An unsent datagram has the same effect as a lost one; later digests make up for it.
             if self.socket.try_send_to(bytes, *target).is_err() {
@@ -124,7 +129,7 @@
         revision: u64,
         changed: Vec<(Arc<str>, u64)>,
     ) {
-        let groups = relay_groups(state);
+        let routes = relay_routes(state);
         let mut pending =
             ServerChanges { after, revision: after, changes: Vec::new(), cold: Vec::new() };
         let mut size = 0;
@@ -141,7 +146,7 @@
                 let next =
                     ServerChanges { after, revision: after, changes: Vec::new(), cold: Vec::new() };
                 let full = std::mem::replace(&mut pending, next);
-                self.send_to_groups(state, &PeerMessage::Servers(full), &groups);
+                self.send_to_groups(state, &PeerMessage::Servers(full), &routes);
                 size = 0;
             }
             let cold = state.cold_report_of(&id);
@@ -151,7 +156,7 @@
             pending.changes.push(change);
         }
         pending.revision = pending.revision.max(revision);
-        self.send_to_groups(state, &PeerMessage::Servers(pending), &groups);
+        self.send_to_groups(state, &PeerMessage::Servers(pending), &routes);
     }
 
     /// Reports that a server said itself that it is leaving: to the coordinator, which tells all peers.
@@ -169,7 +174,7 @@
 
     /// Reports to all peers which servers are leaving. `servers` are the hashes of their starts.
     pub fn send_leaving(&self, state: &ForwardState, servers: Vec<u64>) {
-        self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_groups(state));
+        self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_routes(state));
     }
 
     /// Passes on what servers said themselves of their cold times: to the coordinator, or as the
@@ -181,7 +186,7 @@
         let message = PeerMessage::Cold(reports);
         match state.peers.borrow().coordinator(state.now()) {
             Some(coordinator) => self.send(state, &message, &[coordinator]),
-            None => self.send_to_groups(state, &message, &relay_groups(state)),
+            None => self.send_to_groups(state, &message, &relay_routes(state)),
         }
     }
 
@@ -266,7 +271,7 @@
             let message = PeerMessage::LedgerNews(part);
             match coordinator {
                 Some(coordinator) => self.send(state, &message, &[coordinator]),
-                None => self.send_to_groups(state, &message, &relay_groups(state)),
+                None => self.send_to_groups(state, &message, &relay_routes(state)),
             }
         }
     }
@@ -383,14 +388,13 @@
         .ok()
 }
 
-pub(super) fn relay_groups(state: &ForwardState) -> Vec<RelayGroup> {
-    RelayParams::default().groups(state.now(), &state.peers.borrow())
+pub(super) fn relay_routes(state: &ForwardState) -> Vec<RelayRoute> {
+    RelayParams::default().routes(state.now(), &state.peers.borrow())
 }
 
 /// Sends digests periodically, and without delay after `digest_wanted` is notified.
 pub async fn send_digests(link: Rc<PeerLink>, state: SharedState) -> anyhow::Result<()> {
     let mut sequence = 0u64;
-    let mut lag = PeerLag::default();
     let mut coordinator = None;
     let mut logged_at = state.now();
     loop {
@@ -410,7 +414,6 @@
             logged_at = now;
             state.log_fleet_load();
         }
-        fetch_if_behind(&state, &mut lag);
         let wanted = async {
             tokio::time::sleep(DIGEST_PAUSE).await;
             state.digest_wanted.notified().await;
@@ -458,12 +461,16 @@
         granted: state.placing.granted.get(),
         loads: Vec::new(),
         fleet: state.fleet_note(),
+        zone: state.peers.borrow().own_zone(),
     };
+    send_zone_messages(link, state, &digest);
+    let route = state.zone.planner.borrow_mut().route(sequence, digest.config_version, &targets);
     let addresses = |with_loads: bool| -> Vec<SocketAddr> {
-        let selected = targets.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
+        let selected = route.direct.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
         selected.map(|(address, _)| *address).collect()
     };
     link.send(state, &PeerMessage::Digest(digest.clone()), &addresses(false));
+    link.send(state, &PeerMessage::ZoneDigest(digest.clone()), &route.relays);
     digest.loads = state.own_loads();
     link.send(state, &PeerMessage::Digest(digest), &addresses(true));
     if sequence.is_multiple_of(LEDGER_STATE_PERIOD) {
@@ -481,7 +488,7 @@
         if state.peer_cut.drops(&source) {
             continue;
         }
-        match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
+        match PeerMessage::decode(&buffer[..length]) {
             Ok(message) => {
                 let received = &state.telemetry.control_bytes;
                 let labels = [message.kind(), "received"];
@@ -493,26 +500,52 @@
     }
 }
 
+fn receive_digest(link: &PeerLink, state: &SharedState, digest: PeerDigest) {
+    let sender = digest.sender;
+    let has_started = state.peers.borrow().boot(sender) != Some(digest.boot);
+    let has_newer_config = digest.config_version > state.config_version();
+    let evacuations = digest.evacuations;
+    if state.peers.borrow_mut().receive(state.now(), digest) {
+        link.compare_evacuations(state, sender, evacuations);
+    }
+    if has_started && state.ledger_fingerprint().is_some() {
+        // The sender takes requests as soon as it knows the servers.
+        link.send_ledger(state, sender, false);
+    }
+    if state.entries.borrow().revision() == 0 {
+        // The sender may have the list of servers, which is then fetched without delay.
+        state.digest_wanted.notify_one();
+        state.zone.fetch_wanted.notify_one();
+    } else if has_newer_config && state.zone_duty() != ZoneDuty::Unassigned {
+        state.zone.fetch_wanted.notify_one();
+    }
+}
+
 fn handle_message(link: &PeerLink, state: &SharedState, source: SocketAddr, message: PeerMessage) {
     match message {
-        PeerMessage::Digest(digest) if digest.sender != source => {
+        PeerMessage::Digest(digest) | PeerMessage::ZoneDigest(digest)
+            if digest.sender != source =>
+        {
             state.telemetry.dropped_datagrams.inc();
         },
-        PeerMessage::Digest(digest) => {
-            let has_started = state.peers.borrow().boot(source) != Some(digest.boot);
-            let evacuations = digest.evacuations;
-            if state.peers.borrow_mut().receive(state.now(), digest) {
-                link.compare_evacuations(state, source, evacuations);
-            }
-            if has_started && state.ledger_fingerprint().is_some() {
-                // The sender takes requests as soon as it knows the servers.
-                link.send_ledger(state, source, false);
-            }
-            if state.entries.borrow().revision() == 0 {
-                // The sender may have the list of servers, which is then fetched without delay.
-                state.digest_wanted.notify_one();
+        PeerMessage::Digest(digest) => receive_digest(link, state, digest),
+        PeerMessage::ZoneDigest(digest) => {
+            let receivers = state.digest_receivers(source);
+            link.send(state, &PeerMessage::PassedDigest(digest.clone()), &receivers);
+            receive_digest(link, state, digest);
+        },
+        PeerMessage::PassedDigest(digest) => {
+            let peers = state.peers.borrow();
+            let is_foreign = peers.zone(source).is_apart(peers.own_zone());
+            drop(peers);
+            if is_foreign {
+                // Relays pass on within their zone only.
+                state.telemetry.dropped_datagrams.inc();
+            } else {
+                receive_digest(link, state, digest);
             }
         },
+        PeerMessage::ZonePlan(plan) => state.receive_plan(link, source, plan),
         PeerMessage::Servers(changes) => {
             let known = state.entries.borrow().revision();
             // Older changes are known already. After a gap, the peers' digests cause a fetch.
@@ -573,7 +606,14 @@
             link.send(state, &PeerMessage::Answer(answer), &[source]);
         },
         PeerMessage::Relayed(relayed) => {
-            if let Some(message) = link.relay(state, &relayed) {
+            let RelayedMessage { targets, message } = relayed;
+            let relayed = ZoneRelayedMessage { targets, onward: Vec::new(), message };
+            if let Some(message) = link.relay(state, relayed) {
+                handle_message(link, state, source, message);
+            }
+        },
+        PeerMessage::ZoneRelayed(relayed) => {
+            if let Some(message) = link.relay(state, relayed) {
                 handle_message(link, state, source, message);
             }
         },
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -11,6 +11,7 @@
 use super::peer_cut::PeerCut;
 use super::placing::PlacementState;
 use super::telemetry::Telemetry;
+use super::zone_link::ZoneState;
 use crate::clock::ProcessClock;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -80,6 +81,8 @@
     pub ledger: LedgerState,
     /// Evacuated zones.
     pub(super) evacuation: EvacuationState,
+    /// State of the distribution within the availability zone.
+    pub zone: ZoneState,
     /// This instance watches the store and its last call was answered.
     pub reaches_store: Cell<bool>,
     /// A fetch from a peer is in progress.
@@ -131,6 +134,7 @@
             ledger: LedgerState::new(ledger_news),
             evacuation: EvacuationState::new(clock.now()),
             clock,
+            zone: ZoneState::default(),
             reaches_store: Cell::new(false),
             is_fetching: Cell::new(false),
             fetch_after: Cell::new(Timestamp::default()),
@@ -240,7 +244,10 @@
         self.telemetry.config_version.set(version as i64);
         self.digest_wanted.notify_one();
         let in_force = ConfigInForce { config: Rc::new(config), text: Rc::new(text.to_vec()) };
-        *self.config.borrow_mut() = Some(in_force);
+        if let Some(replaced) = self.config.borrow_mut().replace(in_force) {
+            let text = Rc::unwrap_or_clone(replaced.text);
+            self.zone.config_history.borrow_mut().push(replaced.config.version, text);
+        }
     }
 
     /// Returns whether callers may be sent to this instance: it knows the configuration and the
@@ -249,7 +256,7 @@
         let (now, draw) = (self.now(), self.draw());
         let peers = self.peers.borrow();
         let servers_revision = self.entries.borrow().revision();
-        let is_behind = peers.peer_with_newer_config(now, self.config_version(), draw).is_some()
+        let is_behind = peers.newest_config_version(now) > self.config_version()
             || peers.peer_with_newer_servers(now, servers_revision, draw).is_some()
             || self.lacks_evacuations(now);
         self.stop_time_left().is_none() && self.readiness.borrow_mut().is_ready(now, is_behind)
