Learn the speed of servers from their answers

Change: each instance compares the time of events and of first events with what the work at the engine explains. Its samples go to the coordinator with the load reports (at most 12 bytes for each server with new samples, one byte otherwise), and the coordinator's answers tell the work at the engine. A server is compared with the median of its service. Samples of moved runs, of slow callers, of pauses and of answers that break off are left out. Reports name the start that they are for. Nothing is learned, sent or logged unless a route has gapGoalMs, which is decoded into RouteRule. Placement does not use the estimates yet.

--- a/medlarlanding-bench/src/site/server.rs
+++ b/medlarlanding-bench/src/site/server.rs
@@ -201,6 +201,10 @@
             })
             .collect(),
     });
+    let delay = state.lock().delays.get(&*id).copied().unwrap_or(0);
+    if !path.starts_with("/draft/") && delay > 0 {
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+    }
     let stamp = format!("stamp-{id}");
     let fields = [("x-request-id", request.as_str()), ("x-server-stamp", stamp.as_str())];
     Ok(match mode {
@@ -293,7 +297,8 @@
         if active.len() > 1 {
             inner.overlapping.push(request.to_owned());
         }
-        (inner.events, Duration::from_millis(inner.event_interval_ms))
+        let interval = inner.delays.get(&**server).copied().unwrap_or(inner.event_interval_ms);
+        (inner.events, Duration::from_millis(interval))
     };
     let active_run =
         ActiveRun { state: Arc::clone(state), request: id.clone(), server: server.to_string() };
--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -105,6 +105,9 @@
     pub events: u64,
     /// Time between events in milliseconds.
     pub event_interval_ms: u64,
+    /// Milliseconds between the events of a server, or before its whole answers, in place of the
+    /// usual ones.
+    pub delays: BTreeMap<String, u64>,
 }
 
 /// State shared by the stand-ins and the test.
@@ -194,6 +197,11 @@
         (inner.events, inner.event_interval_ms) = (events, event_interval_ms);
     }
 
+    /// Sets the milliseconds between the events of one server, or before its whole answers.
+    pub fn set_delay(&self, server: &str, millis: u64) {
+        self.lock().delays.insert(server.to_owned(), millis);
+    }
+
     /// Returns the number of events that a generation has produced so far.
     pub fn events_made(&self, request: &str) -> u64 {
         self.lock().generations.get(request).map_or(0, |(events_made, _)| *events_made)
--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -141,6 +141,12 @@
     623 AnswerEnd Info "answer_end" ["request", "route", "server", "framing", "known", "state", "took_ms", "verdict"];
     /// A server refused a request and wants no further ones from this instance for a while.
     624 ServerHold Info "server_hold" ["request", "server", "hold_ms"];
+    /// The estimated speed of a server changed.
+    645 ServerSpeed Info "server_speed" ["server", "service", "token_percent", "first_percent", "run_limit"];
+    /// The estimated speed of a server expired, because no request was sent to it.
+    646 SpeedExpired Info "speed_expired" ["server", "unused_ms"];
+    /// A generation was placed on an engine.
+    647 EngineChosen Info "engine_chosen" ["request", "server", "running", "ahead_tokens", "token_percent", "first_percent"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/config.rs
+++ b/medlarlanding-core/src/forwarding/config.rs
@@ -47,6 +47,8 @@
     pub timeout: Duration,
     /// Target time until the answer or, for a generation, its first event.
     pub objective: Duration,
+    /// Target for the longest pause between two events of a generation; `None` without one.
+    pub gap_objective: Option<Duration>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Services of the route; never empty.
@@ -223,6 +225,19 @@
         if rule.is_public || !self.has_customers { KeyCheck::Anonymous } else { KeyCheck::Unknown }
     }
 
+    /// Returns whether servers are compared by speed. A configuration asks for it with a target for the
+    /// pauses between events.
+    pub fn compares_speeds(&self) -> bool {
+        self.hosts.values().flatten().any(|rule| rule.gap_objective.is_some())
+    }
+
+    /// Returns the shortest target for pauses among the routes of a service; `None` without any.
+    pub fn gap_objective(&self, service: &str) -> Option<Duration> {
+        let routes = self.hosts.values().flatten();
+        let serving = routes.filter(|rule| rule.targets.iter().any(|it| &*it.service == service));
+        serving.filter_map(|rule| rule.gap_objective).min()
+    }
+
     /// Returns the number of routes of all hosts.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/medlarlanding-core/src/forwarding/load.rs
+++ b/medlarlanding-core/src/forwarding/load.rs
@@ -1,5 +1,7 @@
 //! Sizes of requests and the load that instances put on servers.
 
+use super::speed_samples::SpeedReport;
+
 /// Number of tokens that a request is expected to need at a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RunWeight {
@@ -22,6 +24,8 @@
         pub waiting_tokens: u32,
         /// Tokens that the requests are expected to generate until they end.
         pub growth: u32,
+        /// Samples of the server's speed since the last report; `None` without any.
+        pub speed: Option<SpeedReport>,
     }
 }
 
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -4,6 +4,7 @@
 
 use super::directory::DirectoryChange;
 use super::peers::PeerDigest;
+use super::speed_samples::EngineQueue;
 use crate::prompts::LedgerNews;
 
 value_type! {
@@ -158,5 +159,7 @@
         /// Number of the grant, which the receiver reports in its digests; 0 if the run was not
         /// placed.
         pub grant: u64,
+        /// Work at the engine that the run was placed on; `None` unless speeds are compared.
+        pub queue: Option<EngineQueue>,
     }
 }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -18,6 +18,8 @@
 mod placement;
 mod readiness;
 mod relays;
+mod server_speed;
+mod speed_samples;
 mod suspicion;
 mod wait_limit;
 mod waiting;
@@ -48,6 +50,11 @@
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use relays::{RelayGroup, RelayParams};
+pub use server_speed::{SpeedChange, SpeedParams, SpeedRatios, SpeedTable, SpeedTarget};
+pub use speed_samples::{
+    EngineQueue, FIRST_EVENT_WEIGHT, SpeedReport, SpeedSums, StreamSample, StreamSampler,
+    TOKENS_PER_EVENT,
+};
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
 pub use waiting::{RunKey, WaitingClass, WaitingParams, WaitingRuns};
--- /dev/null
+++ b/medlarlanding-core/src/forwarding/server_speed.rs
@@ -0,0 +1,365 @@
+//! Estimates how fast each server is, from its answers alone.
+//!
+//! Load pattern: engines of one service differ by up to a factor of four in the time for a token, for
+//! a whole day, while plain servers turn slow for a few seconds. A sixth of the engines is replaced
+//! every 3.3 s, so an estimate must be of use after one or two answers, and one of an earlier start
+//! must not be applied to the next. All servers also slow down together under load, so a server is
+//! compared with the median of its service.
+//!
+//! Memory: 200 bytes for each server that has answered in the last `SpeedParams::expiry`.
+
+use std::time::Duration;
+
+use super::directory::{ServerDirectory, ServerKey};
+use super::speed_samples::{SpeedReport, SpeedSums, StreamSample, TOKENS_PER_EVENT, step_millis};
+use crate::time::Timestamp;
+
+use indexmap::IndexMap;
+
+/// Parameters of the estimates. Times are those of one kind of service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpeedParams {
+    /// Time after which a sample counts for 1/e of a new one.
+    pub memory: Duration,
+    /// Time without a sample after which the server counts as average again, so that it is tried.
+    pub expiry: Duration,
+    /// Weight, in events, of the assumption that a server without samples is average. The events of a
+    /// generation count for 1 each, from the second on, its first one and an answer for 2.
+    pub prior_weight: f64,
+    /// An engine counts as average while its time for a token differs from the median by less than
+    /// this factor. Batches make alike engines differ by up to 1.2.
+    pub token_band: f64,
+    /// Same for the time until the first event or the answer, which also depends on load that no
+    /// instance knows of.
+    pub first_band: f64,
+    /// A server that did not count as average does again once its estimate is nearer to the median
+    /// than its band by this factor.
+    pub return_factor: f64,
+    /// The estimate in use is replaced by one that differs by this factor.
+    pub change_band: f64,
+}
+
+impl SpeedParams {
+    /// Returns the parameters for engines, whose speeds last and whose slow periods, of 0.6 s, do not
+    /// matter to a run.
+    pub fn engines() -> Self {
+        Self {
+            memory: Duration::from_secs(10),
+            expiry: Duration::from_secs(30),
+            prior_weight: 4.0,
+            token_band: 1.25,
+            first_band: 1.5,
+            return_factor: 1.1,
+            change_band: 1.1,
+        }
+    }
+
+    /// Returns the parameters for plain servers, of which the last few answers matter.
+    pub fn plain_servers() -> Self {
+        Self {
+            memory: Duration::from_secs(2),
+            expiry: Duration::from_secs(6),
+            prior_weight: 1.0,
+            token_band: 1.5,
+            first_band: 1.5,
+            return_factor: 1.1,
+            change_band: 1.1,
+        }
+    }
+
+    /// Returns the ratio to use instead of `current`, given the estimate.
+    fn ratio_in_use(&self, band: f64, current: f64, estimate: f64) -> f64 {
+        let band = if current == 1.0 { band } else { band / self.return_factor };
+        if estimate.ln().abs() < band.ln() {
+            1.0
+        } else if (estimate / current).ln().abs() < self.change_band.ln() {
+            current
+        } else {
+            estimate
+        }
+    }
+}
+
+/// Time after which a sample of the usual answer time of a plain server counts for 1/e; longer than its
+/// slow periods.
+const USUAL_MEMORY: Duration = Duration::from_secs(30);
+
+/// Weight in events from which a server counts for the median of its service: that of one short answer
+/// a few seconds ago.
+const MEDIAN_WEIGHT_MIN: f64 = 0.5;
+
+/// Longest stretch of a pause between events by prompts, which share the steps of an engine with its
+/// runs: a step that processes a part of a prompt takes twice as long.
+const PROMPT_STEP_FACTOR: f64 = 2.0;
+
+/// How fast a server is compared with the median of its service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpeedRatios {
+    /// Time for each output token, relative to the median; 1 for an average server.
+    pub token: f64,
+    /// Time until the first event, or the answer of a plain server, relative to the median at the same
+    /// load; 1 for an average server.
+    pub first: f64,
+    /// Most runs with which the engine keeps the service's target for pauses between events; `None`
+    /// without a target or for an average engine.
+    pub run_limit: Option<u32>,
+}
+
+impl Default for SpeedRatios {
+    fn default() -> Self {
+        Self { token: 1.0, first: 1.0, run_limit: None }
+    }
+}
+
+impl SpeedRatios {
+    /// Returns whether the server counts as average in all respects.
+    pub fn is_average(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// Mean of logarithms in which older samples count less.
+#[derive(Clone, Copy, Debug, Default)]
+struct DecayedMean {
+    weight: f64,
+    sum: f64,
+    /// Time up to which both have decayed.
+    decayed_to: Timestamp,
+}
+
+impl DecayedMean {
+    fn add(&mut self, now: Timestamp, sums: SpeedSums, memory: Duration) {
+        let factor = self.decay(now, memory);
+        self.weight = self.weight * factor + f64::from(sums.weight);
+        self.sum = self.sum * factor + sums.log_total();
+        self.decayed_to = self.decayed_to.max(now);
+    }
+
+    fn decay(&self, now: Timestamp, memory: Duration) -> f64 {
+        (-now.since(self.decayed_to).as_secs_f64() / memory.as_secs_f64()).exp()
+    }
+
+    /// Returns the mean and its weight now; `None` without samples.
+    fn mean(&self, now: Timestamp, memory: Duration) -> Option<(f64, f64)> {
+        (self.weight > 0.0).then(|| (self.sum / self.weight, self.weight * self.decay(now, memory)))
+    }
+
+    /// Returns the ratio to the service's median, drawn towards 1 by the prior weight.
+    fn ratio(&self, now: Timestamp, params: &SpeedParams, median: Option<f64>) -> f64 {
+        let (Some((mean, weight)), Some(median)) = (self.mean(now, params.memory), median) else {
+            return 1.0;
+        };
+        ((mean - median) * weight / (weight + params.prior_weight)).exp()
+    }
+}
+
+/// Speed of one start of a server.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServerSpeed {
+    /// Time for each output token; without samples for plain servers.
+    token: DecayedMean,
+    /// Time until the first event or the answer.
+    first: DecayedMean,
+    /// Same samples as `first`, with a longer memory.
+    usual: DecayedMean,
+    /// Samples of this instance that were not reported yet.
+    pending: StreamSample,
+    /// When the last sample was taken; moves forward only.
+    sampled_at: Timestamp,
+    /// Ratios in use; they change only by more than a band, so that choices do not alternate.
+    ratios: SpeedRatios,
+}
+
+/// What the estimates depend on besides samples, for the servers of one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpeedTarget {
+    /// The service's servers are engines.
+    pub is_engine: bool,
+    /// Longest pause between events that callers accept; `None` without a target.
+    pub gap_objective: Option<Duration>,
+}
+
+impl SpeedTarget {
+    fn params(&self) -> SpeedParams {
+        if self.is_engine { SpeedParams::engines() } else { SpeedParams::plain_servers() }
+    }
+}
+
+/// A change of the ratios in use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpeedChange {
+    /// Server that changed.
+    pub key: ServerKey,
+    /// Ratios in use now.
+    pub ratios: SpeedRatios,
+    /// Time since the last sample.
+    pub age: Duration,
+    /// The estimate expired.
+    pub is_expired: bool,
+}
+
+/// Speeds of all servers that have answered recently. A server that restarts has a new key and so
+/// begins without samples.
+#[derive(Debug, Default)]
+pub struct SpeedTable {
+    servers: IndexMap<ServerKey, ServerSpeed>,
+}
+
+impl SpeedTable {
+    /// Adds samples that this instance took; they are contained in the next report.
+    pub fn record(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        is_engine: bool,
+        sample: StreamSample,
+    ) {
+        if sample.is_empty() {
+            return;
+        }
+        self.add(now, key, is_engine, sample);
+        let pending = &mut self.servers[&key].pending;
+        for (sums, added) in
+            [(&mut pending.token, sample.token), (&mut pending.first, sample.first)]
+        {
+            let weight = added.weight.min(u16::MAX - sums.weight);
+            if weight == added.weight {
+                sums.weight += weight;
+                sums.log_sum += added.log_sum;
+            }
+        }
+    }
+
+    /// Adds samples that a peer reported.
+    pub fn merge(&mut self, now: Timestamp, key: ServerKey, is_engine: bool, report: &SpeedReport) {
+        let sample = StreamSample { token: report.token, first: report.first };
+        if !sample.is_empty() {
+            self.add(now, key, is_engine, sample);
+        }
+    }
+
+    fn add(&mut self, now: Timestamp, key: ServerKey, is_engine: bool, sample: StreamSample) {
+        let memory = SpeedTarget { is_engine, gap_objective: None }.params().memory;
+        let speed = self.servers.entry(key).or_default();
+        speed.sampled_at = speed.sampled_at.max(now);
+        if !sample.token.is_empty() {
+            speed.token.add(now, sample.token, memory);
+        }
+        if !sample.first.is_empty() {
+            speed.first.add(now, sample.first, memory);
+            speed.usual.add(now, sample.first, USUAL_MEMORY);
+        }
+    }
+
+    /// Returns the servers with samples that were not reported yet.
+    pub fn unreported(&self) -> impl Iterator<Item = ServerKey> {
+        let pending = self.servers.iter().filter(|(_, speed)| !speed.pending.is_empty());
+        pending.map(|(key, _)| *key)
+    }
+
+    /// Removes and returns the samples of a server that were not reported yet; `None` without any.
+    pub fn take_report(&mut self, key: ServerKey, start: u16) -> Option<SpeedReport> {
+        let pending = std::mem::take(&mut self.servers.get_mut(&key)?.pending);
+        (!pending.is_empty()).then_some(SpeedReport {
+            start,
+            token: pending.token,
+            first: pending.first,
+        })
+    }
+
+    /// Returns the ratios in use; those of an average server without samples.
+    pub fn ratios(&self, key: ServerKey) -> SpeedRatios {
+        self.servers.get(&key).map_or_else(SpeedRatios::default, |speed| speed.ratios)
+    }
+
+    /// Iterates over all servers with their ratios in use and the time since their last samples.
+    pub fn iter(&self, now: Timestamp) -> impl Iterator<Item = (ServerKey, SpeedRatios, Duration)> {
+        self.servers
+            .iter()
+            .map(move |(key, speed)| (*key, speed.ratios, now.since(speed.sampled_at)))
+    }
+
+    /// Returns the usual time of a plain server relative to the expected one; `None` before its first
+    /// answer.
+    pub fn usual_first(&self, now: Timestamp, key: ServerKey) -> Option<f64> {
+        let (mean, _) = self.servers.get(&key)?.usual.mean(now, USUAL_MEMORY)?;
+        Some(mean.exp())
+    }
+
+    /// Compares the servers of each service with one another and updates the ratios in use. Forgets
+    /// removed servers and expired estimates. `target` returns `None` for a service whose servers
+    /// are not to be compared. Returns the changes.
+    pub fn refresh(
+        &mut self,
+        now: Timestamp,
+        directory: &ServerDirectory,
+        target: impl Fn(&str) -> Option<SpeedTarget>,
+    ) -> Vec<SpeedChange> {
+        let mut changes = Vec::new();
+        let mut services: IndexMap<&str, Vec<ServerKey>> = IndexMap::new();
+        self.servers.retain(|key, speed| {
+            let Some(record) = directory.get(*key).filter(|record| !record.is_removed) else {
+                return false;
+            };
+            let Some(target) = target(&record.entry.service) else { return false };
+            let age = now.since(speed.sampled_at);
+            if age >= target.params().expiry {
+                let ratios = SpeedRatios::default();
+                changes.push(SpeedChange { key: *key, ratios, age, is_expired: true });
+                return false;
+            }
+            services.entry(&record.entry.service).or_default().push(*key);
+            true
+        });
+        for (service, keys) in services {
+            let Some(target) = target(service) else { continue };
+            let params = target.params();
+            let token_median = self.median(now, &keys, &params, |speed| &speed.token);
+            let first_median = self.median(now, &keys, &params, |speed| &speed.first);
+            for key in keys {
+                let speed = &mut self.servers[&key];
+                let token = speed.token.ratio(now, &params, token_median);
+                let first = speed.first.ratio(now, &params, first_median);
+                let token = params.ratio_in_use(params.token_band, speed.ratios.token, token);
+                let run_limit = token_median
+                    .filter(|_| token > 1.0)
+                    .and_then(|median| run_limit(target.gap_objective?, median.exp() * token));
+                let first = params.ratio_in_use(params.first_band, speed.ratios.first, first);
+                let ratios = SpeedRatios { token, first, run_limit };
+                if (ratios.token, ratios.first) != (speed.ratios.token, speed.ratios.first) {
+                    let age = now.since(speed.sampled_at);
+                    changes.push(SpeedChange { key, ratios, age, is_expired: false });
+                }
+                speed.ratios = ratios;
+            }
+        }
+        changes
+    }
+
+    /// Returns the median of the logarithms over servers with samples; of an even number, the faster
+    /// of the two in the middle. `None` with fewer than two such servers.
+    fn median(
+        &self,
+        now: Timestamp,
+        keys: &[ServerKey],
+        params: &SpeedParams,
+        mean: impl Fn(&ServerSpeed) -> &DecayedMean,
+    ) -> Option<f64> {
+        let known = keys.iter().filter_map(|key| mean(&self.servers[key]).mean(now, params.memory));
+        let mut means: Vec<f64> = known
+            .filter(|(_, weight)| *weight >= MEDIAN_WEIGHT_MIN)
+            .map(|(mean, _)| mean)
+            .collect();
+        means.sort_by(f64::total_cmp);
+        (means.len() >= 2).then(|| means[(means.len() - 1) / 2])
+    }
+}
+
+/// Returns the most runs with which an engine keeps a target for pauses, at least one. `slowness` is its
+/// time for a token relative to the common kind.
+fn run_limit(objective: Duration, slowness: f64) -> Option<u32> {
+    let event = |running| step_millis(running) * TOKENS_PER_EVENT as f64 * PROMPT_STEP_FACTOR;
+    let longest = objective.as_secs_f64() * 1e3 / slowness.max(f64::MIN_POSITIVE);
+    let further = (longest - event(1)) / (event(2) - event(1));
+    (further < f64::from(u16::MAX)).then(|| 1 + further.max(0.0) as u32)
+}
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -7,7 +7,7 @@
 
 use medlarlanding_core::forwarding::{
     DirectoryChange, LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams,
-    RelayedMessage, ServerChanges, ServerEntry, ServerPhase,
+    RelayedMessage, ServerChanges, ServerEntry, ServerPhase, SpeedReport, SpeedSums,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -32,8 +32,16 @@
     };
     let changes = vec![DirectoryChange::Written(entry), DirectoryChange::Removed(Arc::from("i-2"))];
     let servers = PeerMessage::Servers(ServerChanges { after: 3, revision: 9, changes });
-    let load =
-        LoadReport { server: 7, requests: 1, tokens: 2_000, waiting_tokens: 100, growth: 50 };
+    let sums = SpeedSums { weight: 16, log_sum: -40 };
+    let speed = SpeedReport { start: 9, token: sums, first: SpeedSums::default() };
+    let load = LoadReport {
+        server: 7,
+        requests: 1,
+        tokens: 2_000,
+        waiting_tokens: 100,
+        growth: 50,
+        speed: Some(speed),
+    };
     let digest = PeerDigest {
         sender: address(2),
         boot: 5,
--- a/medlarlanding-core/tests/forwarding_decisions.rs
+++ b/medlarlanding-core/tests/forwarding_decisions.rs
@@ -23,6 +23,7 @@
         kind: RequestKind::Safe,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
+        gap_objective: None,
         priority: 1,
         targets: vec![
             RouteTarget { service: Arc::from("a"), weight: 90 },
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -230,6 +230,7 @@
         tokens: 3_000,
         waiting_tokens: 3_000,
         growth: 400,
+        speed: None,
     }];
     table.receive(at(350), reported);
     assert_eq!(table.remote_load(at(350), 77).requests, 1.0);
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -24,6 +24,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     EndVerdict, EngineFault, RunStop, RunWeight, ServerEntry, ServerKey, ServerLiveness,
+    StreamSampler, TOKENS_PER_EVENT,
 };
 use medlarlanding_core::prompts::{RunPhase, SURVIVAL_TIME};
 use medlarlanding_core::time::Timestamp;
@@ -32,9 +33,6 @@
 use hyper::{Response, StatusCode};
 use tokio::sync::{mpsc, oneshot, watch};
 
-/// Number of tokens in one event: engines of current installations put four into each, and the
-/// configuration does not state it.
-const TOKENS_PER_EVENT: u64 = 4;
 /// Number of events that are buffered for a slow caller.
 const EVENT_BACKLOG: usize = 16;
 
@@ -81,6 +79,8 @@
     is_settled: bool,
     /// Whether a call has stopped the run at this engine.
     run_stop: RunStop,
+    /// Measures how fast the engine writes.
+    sampler: StreamSampler,
     _exchange: Exchange,
     load: LoadGuard,
 }
@@ -180,6 +180,8 @@
             let server = stream.entry.id.to_string();
             let outcome = match end {
                 StreamEnd::Complete => {
+                    let sample = stream.sampler.finish();
+                    self.state.record_stream_sample(stream.key, sample);
                     self.state.record_survival(stream.begun_at, &self.admitted.parts);
                     "complete"
                 },
@@ -320,6 +322,8 @@
             self.state.telemetry.event_gap.observe(gap.as_secs_f64());
             self.longest_gap = self.longest_gap.max(gap);
         }
+        let sample = stream.sampler.record_event(now);
+        self.state.record_stream_sample(stream.key, sample);
         stream.load.answer_begun();
         stream.load.add_output(TOKENS_PER_EVENT);
         self.last_event_at = now;
@@ -331,6 +335,10 @@
         if event.id.is_some() {
             self.last_event = event.id;
         }
+        if sender.capacity() == 0 {
+            // The caller reads more slowly than the engine writes.
+            stream.sampler.interrupt();
+        }
         self.send_piece(sender, StreamPiece::Data(event.bytes)).await
     }
 
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -16,7 +16,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     EndVerdict, EngineFault, MovePlan, MoveStep, PlacePurpose, RunStop, ServerEntry, ServerKey,
-    ServerLiveness, StopOutcome,
+    ServerLiveness, StopOutcome, StreamSampler,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{AnswerCheck, RunContinuation, check_answer};
@@ -116,6 +116,11 @@
             }
             if plan.is_none() {
                 plan = self.plan_move(stream);
+                if plan.is_some() {
+                    // Copies share the engine and its link with the events.
+                    let sample = stream.sampler.stop();
+                    self.state.record_stream_sample(stream.key, sample);
+                }
             }
             let mut wake_at = self.admitted.deadline;
             if let (Some(plan), None) = (&mut plan, &call) {
@@ -475,6 +480,7 @@
                             has_events: has_events(&parts.headers),
                             begun_at: self.state.now(),
                             is_settled: false,
+                            sampler: StreamSampler::disabled(),
                             // A call without an answer may still reach the source.
                             run_stop: match run_stop {
                                 RunStop::Possible if *key == source_key => RunStop::Possible,
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -18,11 +18,12 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, RunStop, ServerEntry,
-    ServerKey, WaitDecision, WaitLimit, WaitLimitParams,
+    EndVerdict, EngineFault, EngineQueue, PlacePurpose, PlacementRequest, RepeatPurpose, RunStop,
+    ServerEntry, ServerKey, StreamSampler, WaitDecision, WaitLimit, WaitLimitParams,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::prompts::RunPhase;
+use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{AnswerCheck, check_answer, status_implies_not_run};
 
 use http_body_util::{BodyExt, Limited};
@@ -69,6 +70,8 @@
                 return Err(StartFailure::Error(ErrorAnswer::ServersFull));
             }
             tried.push(key);
+            let queue = self.state.queue_at(key);
+            self.log_choice(&entry, queue);
             let load = LoadGuard::begin(&self.state, key, self.admitted.weight);
             let request = server_request(
                 &self.admitted,
@@ -170,6 +173,7 @@
                 has_events: has_events(&parts.headers),
                 begun_at,
                 is_settled: false,
+                sampler: self.sampler(now, queue),
                 run_stop: RunStop::NotStopped,
                 _exchange: exchange,
                 load,
@@ -178,6 +182,32 @@
         }
     }
 
+    /// Creates the sampler for a run that was sent at `sent_at` to an engine with other work.
+    fn sampler(&self, sent_at: Timestamp, queue: EngineQueue) -> StreamSampler {
+        if self.state.compares_speeds() {
+            StreamSampler::new(sent_at, self.admitted.weight.prompt, queue)
+        } else {
+            StreamSampler::disabled()
+        }
+    }
+
+    /// Logs on which engine the run was placed, and why.
+    fn log_choice(&self, entry: &ServerEntry, queue: EngineQueue) {
+        if self.state.compares_speeds() {
+            event(
+                EventKind::EngineChosen,
+                &[
+                    &self.admitted.id,
+                    &entry.id,
+                    &queue.running,
+                    &queue.ahead,
+                    &queue.token_percent,
+                    &queue.first_percent,
+                ],
+            );
+        }
+    }
+
     /// Receives an answer that is not a stream. Returns `None` if it cannot be received completely.
     async fn read_whole_answer(
         &self,
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -24,6 +24,7 @@
 mod server_liveness;
 mod servers;
 mod shared;
+mod speeds;
 mod store_client;
 mod store_watch;
 mod stream_events;
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -255,6 +255,9 @@
                             if !request.excluded.contains(&key)
                                 && state.send_delay(key, state.now()).is_zero() =>
                         {
+                            if let Some(queue) = answer.queue {
+                                state.note_queue(key, queue);
+                            }
                             Placement::Server(key)
                         },
                         // This instance and the coordinator know different servers at the moment.
@@ -306,6 +309,7 @@
             state.placing.granted.set(0);
             coordinator = current;
         }
+        state.update_speeds();
         send_digest(&link, &state, sequence);
         if current.is_none() && now.since(logged_at) >= LOAD_PERIOD {
             logged_at = now;
@@ -396,7 +400,10 @@
         },
         PeerMessage::Digest(digest) => {
             let has_started = state.peers.borrow().boot(source) != Some(digest.boot);
-            state.peers.borrow_mut().receive(state.now(), digest);
+            let loads = digest.loads.clone();
+            if state.peers.borrow_mut().receive(state.now(), digest) {
+                state.merge_speed_reports(&loads);
+            }
             if has_started && state.ledger_fingerprint().is_some() {
                 // The sender takes requests as soon as it knows the servers.
                 link.send_ledger(state, source, false);
--- a/medlarlanding/src/forwarding/placing.rs
+++ b/medlarlanding/src/forwarding/placing.rs
@@ -115,6 +115,11 @@
                 drain_limit: self.settings.drain_limit,
             },
         );
+        // Before the grant is counted, so that the run itself is not contained.
+        let queue = match placement {
+            Placement::Server(key) if self.compares_speeds() => Some(self.known_queue(key)),
+            _ => None,
+        };
         let waiting = match question.purpose {
             PlacePurpose::Start | PlacePurpose::StartLate => question.prompt,
             PlacePurpose::Move | PlacePurpose::MoveAgain => 0,
@@ -131,7 +136,7 @@
             Placement::Full(ahead) => (PlaceVerdict::Full(ahead), 0),
             Placement::Nowhere => (PlaceVerdict::Nowhere, 0),
         };
-        PlaceAnswer { number: question.number, verdict, grant }
+        PlaceAnswer { number: question.number, verdict, grant, queue }
     }
 
     /// Chooses a server for a generation as the coordinator, which also keeps the budget for moves
@@ -219,18 +224,22 @@
         }
     }
 
-    /// Returns the load that this instance puts on each server.
+    /// Returns the load that this instance puts on each server, with its samples of their speeds since
+    /// the last report.
     pub fn own_loads(&self) -> Vec<LoadReport> {
         let directory = self.directory.borrow();
         let busy = directory.iter().filter(|(_, record)| record.open_requests > 0);
-        busy.map(|(_, record)| LoadReport {
+        let busy = busy.map(|(_, record)| LoadReport {
             server: server_hash(&record.entry.id),
             requests: record.open_requests.min(u32::from(u16::MAX)) as u16,
             tokens: record.open_tokens.min(u64::from(u32::MAX)) as u32,
             waiting_tokens: record.waiting_tokens.min(u64::from(u32::MAX)) as u32,
             growth: record.expected_growth.min(u64::from(u32::MAX)) as u32,
-        })
-        .collect()
+            speed: None,
+        });
+        let mut loads = busy.collect();
+        self.add_speed_reports(&mut loads);
+        loads
     }
 }
 
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -333,6 +333,7 @@
     let target = state.directory.borrow().get(key).map(|record| record.entry.clone());
     let Some(entry) = target else { return (String::new(), SendOutcome::NotConnected) };
     let load = LoadGuard::begin(state, key, admitted.weight);
+    let open = state.directory.borrow().get(key).map_or(1, |record| record.open_requests);
     let request = server_request(admitted, &entry.id, time_left, None, None);
     let started = state.now();
     let answering = async {
@@ -379,6 +380,11 @@
         () = state.wait_for_block(&admitted.parts) => SendOutcome::Blocked,
         () = state.stop_within(Duration::ZERO) => SendOutcome::Stopping,
     };
+    if let SendOutcome::Answered(status, _, AnswerBody::Whole(_)) = &outcome
+        && status.is_success()
+    {
+        state.record_answer_time(key, &admitted.rule, state.now().since(started), open);
+    }
     let mut directory = state.directory.borrow_mut();
     match &outcome {
         SendOutcome::Answered(status, ..) if !status.is_server_error() => {
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -7,6 +7,7 @@
 
 use super::ledger::LedgerState;
 use super::placing::PlacementState;
+use super::speeds::SpeedState;
 use super::telemetry::Telemetry;
 use crate::clock::ProcessClock;
 use crate::logging::event;
@@ -71,6 +72,8 @@
     pub placing: PlacementState,
     /// Runs that the ends of engines broke off.
     pub ledger: LedgerState,
+    /// Speeds of servers.
+    pub(super) speeds: SpeedState,
     /// This instance watches the store and its last call was answered.
     pub reaches_store: Cell<bool>,
     /// A fetch from a peer is in progress.
@@ -116,6 +119,7 @@
             budgets: RefCell::default(),
             placing: PlacementState::default(),
             ledger: LedgerState::new(ledger_news),
+            speeds: SpeedState::default(),
             reaches_store: Cell::new(false),
             is_fetching: Cell::new(false),
             fetch_after: Cell::new(Timestamp::default()),
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -2,7 +2,7 @@
 
 use crate::metric_registry::MetricRegistry;
 
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 /// Bucket bounds in seconds of the time until an answer or its first event; the objectives of the
 /// installations lie between 0.1 and 1.8 s.
@@ -45,6 +45,8 @@
     pub open_requests: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Estimated speed of each server, by name of the estimate, and the age of its last sample.
+    pub server_speeds: IntGaugeVec,
     /// Time until an answer or its first event, in seconds.
     pub first_answer: Histogram,
     /// Pause between two events of a stream, in seconds.
@@ -92,6 +94,11 @@
                 .counter("lost_questions", "Questions for a placement without an answer.")?,
             open_requests: registry.gauge("open_requests", "Requests in progress.")?,
             config_version: registry.gauge("config_version", "Configuration in force.")?,
+            server_speeds: registry.gauges(
+                "server_speeds",
+                "Estimated times of servers in percent of the median, and their ages.",
+                &["server", "estimate"],
+            )?,
             first_answer: registry.histogram(
                 "first_answer_seconds",
                 "Time to an answer or its first event.",
--- a/medlarlanding/src/metric_registry.rs
+++ b/medlarlanding/src/metric_registry.rs
@@ -1,8 +1,8 @@
 //! Creates, registers and renders Prometheus metrics.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Registry of the metrics of one process.
@@ -58,6 +58,17 @@
         Ok(gauge)
     }
 
+    /// Creates and registers a gauge with labels.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a duplicate or malformed name, which is a defect.
+    pub fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> anyhow::Result<IntGaugeVec> {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+        self.registry.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
     /// Creates and registers a histogram; `bounds` are the upper bounds of its buckets.
     ///
     /// # Errors
