Place generations by the time that they take on each engine

Cause: a long answer on an engine that is three times as slow holds memory for three times as long and is three times as likely to be cut; placement took the engine for as good as the others.

Change: where the estimate of an engine differs from the median, the expected time until the first event replaces the constant rate for prompts, and the cost of a run grows with the seconds that it takes longer and the memory that it holds for them. The targets for the first event and for pauses and the memory in use limit what a slow engine gets. An engine without samples has the mean ratios of its service. A fast engine is preferred by a part of the jitter only. Samples take prompts that wait at the engine into account, and slow ones are reported at once.

--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::server_speed::SpeedRatios;
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
@@ -112,6 +113,9 @@
     pub waiting_tokens: u64,
     /// Tokens that the requests are expected to generate until they end.
     pub expected_growth: u64,
+    /// Speed compared with the median of the service; that of an average server from the start on and
+    /// while servers are not compared.
+    pub speed: SpeedRatios,
     /// Consecutive failures that this instance has seen.
     failures: u32,
     avoid_until: Option<Timestamp>,
@@ -232,6 +236,7 @@
                 open_tokens: 0,
                 waiting_tokens: 0,
                 expected_growth: 0,
+                speed: SpeedRatios::default(),
                 failures: 0,
                 avoid_until: None,
                 entry,
@@ -381,6 +386,13 @@
         }
     }
 
+    /// Sets the speeds of all servers. `speed` gets the key and the service of each.
+    pub fn set_speeds(&mut self, speed: impl Fn(ServerKey, &str) -> SpeedRatios) {
+        for (key, record) in &mut self.records {
+            record.speed = speed(*key, &record.entry.service);
+        }
+    }
+
     /// Records a successful answer, which ends the avoidance of the server.
     pub fn record_success(&mut self, key: ServerKey) {
         if let Some(record) = self.records.get_mut(&key) {
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -50,7 +50,9 @@
 };
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use relays::{RelayGroup, RelayParams};
-pub use server_speed::{SpeedChange, SpeedParams, SpeedRatios, SpeedTable, SpeedTarget};
+pub use server_speed::{
+    SampleSource, SpeedChange, SpeedParams, SpeedRatios, SpeedTable, SpeedTarget,
+};
 pub use speed_samples::{
     EngineQueue, FIRST_EVENT_WEIGHT, SpeedReport, SpeedSums, StreamSample, StreamSampler,
     TOKENS_PER_EVENT,
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -3,12 +3,19 @@
 //! Load pattern: many instances place short and long requests on few engines. Load reports of the
 //! engines themselves are outdated and the same for all instances, so each instance instead adds up
 //! the requests that it and its peers have sent.
+//!
+//! Engines of one service may differ by a factor of three in speed, for a whole day. A run holds its
+//! memory for three times as long on a slow one, and is three times as likely to be cut by the end of
+//! its engine. Runs are therefore placed by the time that they would take, where the speed of an engine
+//! is known to differ from the median; among alike engines speed has no effect.
 
 use std::time::Duration;
 
 use super::directory::{ServerDirectory, ServerKey, ServerRecord};
 use super::drain::DrainParams;
 use super::load::{RemoteLoad, RunWeight};
+use super::server_speed::SpeedRatios;
+use super::speed_samples::TOKENS_PER_EVENT;
 use crate::time::Timestamp;
 
 /// Costs and limits of the placement. A cost of 1 equals that of one engine's whole memory.
@@ -38,6 +45,20 @@
     pub late_prefill_s: f64,
     /// Cost for each unit of an engine's memory fraction above `fill_limit`.
     pub overfull_cost: f64,
+    /// Cost for each second by which a run takes longer than on an average engine, because an engine
+    /// lasts for 20 s on average.
+    pub slow_time_cost: f64,
+    /// Cost for each second for which a run holds one engine's whole memory longer than on an average
+    /// engine.
+    pub slow_hold_cost: f64,
+    /// The memory in use at a slow engine counts as more by the ratio of the run's time there to that
+    /// on an average engine, raised to this power, when it is compared with a limit. With 1, slow
+    /// engines give memory in proportion to their speed, and with more runs than memory fewer begin
+    /// in time.
+    pub slow_fill_power: f64,
+    /// Largest amount by which the cost of a fast engine is below that of an average one; a part of
+    /// `jitter`, so that instances which decide at the same time do not all choose one fast engine.
+    pub fast_gain: f64,
     /// Factor by which an engine in the same zone as the leaving one is more likely to be the
     /// destination of a move: a copy to another zone occupies both links for twice as long.
     pub same_zone_factor: f64,
@@ -56,6 +77,10 @@
             late_fill_limit: 0.85,
             late_prefill_s: 0.8,
             overfull_cost: 20.0,
+            slow_time_cost: 0.2,
+            slow_hold_cost: 0.5,
+            slow_fill_power: 0.5,
+            fast_gain: 0.015,
             same_zone_factor: 3.0,
         }
     }
@@ -136,6 +161,39 @@
 /// rounded.
 pub(super) const PROMPT_TOKEN_TIME: Duration = Duration::from_micros(140);
 
+/// Seconds that a busy engine takes for one output token: a step takes 7.7 ms, and one that processes a
+/// part of a prompt as much again.
+const OUTPUT_TOKEN_SECONDS: f64 = 0.011;
+
+/// Times of a run on an engine compared with those on an average one.
+#[derive(Clone, Copy, Debug)]
+struct RunTimes {
+    /// Factor on the time of processing prompts.
+    prompt_ratio: f64,
+    /// Seconds by which the first event takes longer to generate; 0 on an average engine.
+    event_delay: f64,
+    /// Time from the start of the run's prompt to its end, as a multiple of that on an average engine;
+    /// exactly 1 there.
+    total_ratio: f64,
+    /// Seconds by which this time is longer; 0 on an average engine, negative on a faster one.
+    excess: f64,
+}
+
+impl RunTimes {
+    fn new(weight: RunWeight, speed: SpeedRatios) -> Self {
+        let prompt = f64::from(weight.prompt) / PREFILL_TOKENS_PER_SECOND;
+        let output = f64::from(weight.output) * OUTPUT_TOKEN_SECONDS;
+        let excess = prompt * (speed.first - 1.0) + output * (speed.token - 1.0);
+        let event = TOKENS_PER_EVENT as f64 * OUTPUT_TOKEN_SECONDS;
+        Self {
+            prompt_ratio: speed.first,
+            event_delay: event * (speed.token - 1.0),
+            total_ratio: 1.0 + excess / (prompt + output).max(f64::MIN_POSITIVE),
+            excess,
+        }
+    }
+}
+
 /// Policy that chooses servers for new and for moved requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlacementPolicy {
@@ -202,7 +260,10 @@
             let room = (1.0 - fill).max(0.0);
             let is_same_zone = &*record.entry.zone == request.zone;
             let zone_factor = if is_same_zone { self.params.same_zone_factor } else { 1.0 };
-            let weight = room * room * zone_factor;
+            // What a moved run still generates takes as many times as long, and it may have to move
+            // again.
+            let slowness = record.speed.token;
+            let weight = room * room * zone_factor / (slowness * slowness);
             if weight <= 0.0 {
                 continue;
             }
@@ -226,11 +287,15 @@
     ) -> bool {
         let Some(memory) = request.memory_tokens else { return true };
         let params = &self.params;
-        let fill = self.fill(request, record, remote, memory);
+        let times = RunTimes::new(request.weight, record.speed);
+        let slow_factor = times.total_ratio.max(1.0).powf(params.slow_fill_power);
+        let fill = self.fill(request, record, remote, memory) * slow_factor;
         let waiting = record.waiting_tokens as f64 + remote.waiting_tokens;
         let prompt_tokens = waiting + f64::from(request.weight.prompt);
-        let first_event = prompt_tokens / PREFILL_TOKENS_PER_SECOND;
-        let free_slots = f64::from(record.entry.slots) - f64::from(record.open_requests);
+        let first_event =
+            prompt_tokens / PREFILL_TOKENS_PER_SECOND * times.prompt_ratio + times.event_delay;
+        let slots = record.speed.run_limit.unwrap_or(u32::MAX).min(record.entry.slots);
+        let free_slots = f64::from(slots) - f64::from(record.open_requests);
         let is_in_time = match request.due {
             Some(due) => first_event <= due.as_secs_f64(),
             None => fill <= params.late_fill_limit && first_event <= params.late_prefill_s,
@@ -260,17 +325,38 @@
         request: &PlacementRequest<'_>,
         record: &ServerRecord,
         remote: RemoteLoad,
+    ) -> f64 {
+        let average = self.cost_at_speed(request, record, remote, SpeedRatios::default());
+        if record.speed.is_average() {
+            return average;
+        }
+        let least = average - self.params.fast_gain;
+        self.cost_at_speed(request, record, remote, record.speed).max(least)
+    }
+
+    /// Returns the cost of running a request on a server if it has a given speed.
+    fn cost_at_speed(
+        &self,
+        request: &PlacementRequest<'_>,
+        record: &ServerRecord,
+        remote: RemoteLoad,
+        speed: SpeedRatios,
     ) -> f64 {
         let params = &self.params;
         let running = f64::from(record.open_requests) + remote.requests;
         let mut cost = params.batch_cost * running / f64::from(record.entry.slots.max(1));
         if let Some(memory) = request.memory_tokens {
+            let times = RunTimes::new(request.weight, speed);
+            cost *= times.total_ratio;
             let fill = self.fill(request, record, remote, memory);
-            cost += fill;
+            cost += fill * times.total_ratio.max(1.0);
             let excess = (fill - params.fill_limit).max(0.0);
             cost += params.overfull_cost * excess;
             let waiting = record.waiting_tokens as f64 + remote.waiting_tokens;
-            cost += params.prefill_cost * waiting / PREFILL_TOKENS_PER_SECOND;
+            cost += params.prefill_cost * waiting / PREFILL_TOKENS_PER_SECOND * times.prompt_ratio;
+            let tokens = f64::from(request.weight.prompt) + f64::from(request.weight.output) / 2.0;
+            let held = params.slow_hold_cost * tokens / f64::from(memory.max(1));
+            cost += (params.slow_time_cost + held) * times.excess;
         }
         if &*record.entry.zone != request.zone {
             cost += params.cross_zone_cost;
--- a/medlarlanding-core/src/forwarding/server_speed.rs
+++ b/medlarlanding-core/src/forwarding/server_speed.rs
@@ -8,6 +8,7 @@
 //!
 //! Memory: 200 bytes for each server that has answered in the last `SpeedParams::expiry`.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::directory::{ServerDirectory, ServerKey};
@@ -27,7 +28,8 @@
     /// generation count for 1 each, from the second on, its first one and an answer for 2.
     pub prior_weight: f64,
     /// An engine counts as average while its time for a token differs from the median by less than
-    /// this factor. Batches make alike engines differ by up to 1.2.
+    /// this factor. Batches and prompts make alike engines differ by up to 1.5 in the replay of a
+    /// loaded fleet (`forwarding_slow_engines`).
     pub token_band: f64,
     /// Same for the time until the first event or the answer, which also depends on load that no
     /// instance knows of.
@@ -46,9 +48,9 @@
         Self {
             memory: Duration::from_secs(10),
             expiry: Duration::from_secs(30),
-            prior_weight: 4.0,
-            token_band: 1.25,
-            first_band: 1.5,
+            prior_weight: 3.0,
+            token_band: 1.4,
+            first_band: 1.6,
             return_factor: 1.1,
             change_band: 1.1,
         }
@@ -60,8 +62,8 @@
             memory: Duration::from_secs(2),
             expiry: Duration::from_secs(6),
             prior_weight: 1.0,
-            token_band: 1.5,
-            first_band: 1.5,
+            token_band: 1.6,
+            first_band: 1.6,
             return_factor: 1.1,
             change_band: 1.1,
         }
@@ -88,8 +90,7 @@
 /// a few seconds ago.
 const MEDIAN_WEIGHT_MIN: f64 = 0.5;
 
-/// Longest stretch of a pause between events by prompts, which share the steps of an engine with its
-/// runs: a step that processes a part of a prompt takes twice as long.
+/// Factor on the time of a step of an engine that processes a part of a prompt as well.
 const PROMPT_STEP_FACTOR: f64 = 2.0;
 
 /// How fast a server is compared with the median of its service.
@@ -128,10 +129,15 @@
 }
 
 impl DecayedMean {
-    fn add(&mut self, now: Timestamp, sums: SpeedSums, memory: Duration) {
+    /// Adds samples whose expected times are to be multiplied by `e` to the power of `expected_log`.
+    fn add(&mut self, now: Timestamp, sums: SpeedSums, memory: Duration, expected_log: f64) {
+        if sums.is_empty() {
+            return;
+        }
+        let weight = f64::from(sums.weight);
         let factor = self.decay(now, memory);
-        self.weight = self.weight * factor + f64::from(sums.weight);
-        self.sum = self.sum * factor + sums.log_total();
+        self.weight = self.weight * factor + weight;
+        self.sum = self.sum * factor + sums.log_total() - weight * expected_log;
         self.decayed_to = self.decayed_to.max(now);
     }
 
@@ -185,6 +191,18 @@
     }
 }
 
+/// Where a sample comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SampleSource {
+    /// An engine.
+    Engine {
+        /// Prompts wait at the engine, so that its steps take longer.
+        has_prompts: bool,
+    },
+    /// A server of a plain service.
+    PlainServer,
+}
+
 /// A change of the ratios in use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SpeedChange {
@@ -203,6 +221,8 @@
 #[derive(Debug, Default)]
 pub struct SpeedTable {
     servers: IndexMap<ServerKey, ServerSpeed>,
+    /// Mean ratios in use of the engines of each service that has any, as of the last refresh.
+    means: IndexMap<Arc<str>, SpeedRatios>,
 }
 
 impl SpeedTable {
@@ -211,44 +231,50 @@
         &mut self,
         now: Timestamp,
         key: ServerKey,
-        is_engine: bool,
+        source: SampleSource,
         sample: StreamSample,
     ) {
         if sample.is_empty() {
             return;
         }
-        self.add(now, key, is_engine, sample);
+        self.add(now, key, source, sample);
         let pending = &mut self.servers[&key].pending;
-        for (sums, added) in
-            [(&mut pending.token, sample.token), (&mut pending.first, sample.first)]
-        {
-            let weight = added.weight.min(u16::MAX - sums.weight);
-            if weight == added.weight {
-                sums.weight += weight;
-                sums.log_sum += added.log_sum;
-            }
-        }
+        pending.token.merge(sample.token);
+        pending.first.merge(sample.first);
     }
 
     /// Adds samples that a peer reported.
-    pub fn merge(&mut self, now: Timestamp, key: ServerKey, is_engine: bool, report: &SpeedReport) {
+    pub fn merge(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        source: SampleSource,
+        report: &SpeedReport,
+    ) {
         let sample = StreamSample { token: report.token, first: report.first };
         if !sample.is_empty() {
-            self.add(now, key, is_engine, sample);
+            self.add(now, key, source, sample);
         }
     }
 
-    fn add(&mut self, now: Timestamp, key: ServerKey, is_engine: bool, sample: StreamSample) {
-        let memory = SpeedTarget { is_engine, gap_objective: None }.params().memory;
+    fn add(&mut self, now: Timestamp, key: ServerKey, source: SampleSource, sample: StreamSample) {
+        let (memory, token_log) = match source {
+            SampleSource::Engine { has_prompts: false } => (SpeedParams::engines().memory, 0.0),
+            SampleSource::Engine { has_prompts: true } => {
+                (SpeedParams::engines().memory, PROMPT_STEP_FACTOR.ln())
+            },
+            SampleSource::PlainServer => (SpeedParams::plain_servers().memory, 0.0),
+        };
         let speed = self.servers.entry(key).or_default();
         speed.sampled_at = speed.sampled_at.max(now);
-        if !sample.token.is_empty() {
-            speed.token.add(now, sample.token, memory);
-        }
-        if !sample.first.is_empty() {
-            speed.first.add(now, sample.first, memory);
-            speed.usual.add(now, sample.first, USUAL_MEMORY);
-        }
+        speed.token.add(now, sample.token, memory, token_log);
+        speed.first.add(now, sample.first, memory, 0.0);
+        speed.usual.add(now, sample.first, USUAL_MEMORY, 0.0);
+    }
+
+    /// Returns whether there are no samples of any server.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
     }
 
     /// Returns the servers with samples that were not reported yet.
@@ -267,9 +293,15 @@
         })
     }
 
-    /// Returns the ratios in use; those of an average server without samples.
-    pub fn ratios(&self, key: ServerKey) -> SpeedRatios {
-        self.servers.get(&key).map_or_else(SpeedRatios::default, |speed| speed.ratios)
+    /// Returns the ratios in use. An engine without samples has the mean ratios of its service, so that
+    /// short runs show its speed before long ones are placed there; among alike engines these are 1.
+    pub fn ratios(&self, key: ServerKey, service: &str) -> SpeedRatios {
+        let mean = self.means.get(service).copied().unwrap_or_default();
+        match self.servers.get(&key) {
+            Some(speed) if speed.token.weight > 0.0 => speed.ratios,
+            Some(speed) => SpeedRatios { token: mean.token, ..speed.ratios },
+            None => mean,
+        }
     }
 
     /// Iterates over all servers with their ratios in use and the time since their last samples.
@@ -296,7 +328,7 @@
         target: impl Fn(&str) -> Option<SpeedTarget>,
     ) -> Vec<SpeedChange> {
         let mut changes = Vec::new();
-        let mut services: IndexMap<&str, Vec<ServerKey>> = IndexMap::new();
+        let mut services: IndexMap<&Arc<str>, Vec<ServerKey>> = IndexMap::new();
         self.servers.retain(|key, speed| {
             let Some(record) = directory.get(*key).filter(|record| !record.is_removed) else {
                 return false;
@@ -311,12 +343,13 @@
             services.entry(&record.entry.service).or_default().push(*key);
             true
         });
+        self.means.clear();
         for (service, keys) in services {
             let Some(target) = target(service) else { continue };
             let params = target.params();
             let token_median = self.median(now, &keys, &params, |speed| &speed.token);
             let first_median = self.median(now, &keys, &params, |speed| &speed.first);
-            for key in keys {
+            for &key in &keys {
                 let speed = &mut self.servers[&key];
                 let token = speed.token.ratio(now, &params, token_median);
                 let first = speed.first.ratio(now, &params, first_median);
@@ -332,10 +365,28 @@
                 }
                 speed.ratios = ratios;
             }
+            if target.is_engine {
+                self.means.insert(Arc::clone(service), self.mean(&keys));
+            }
         }
         changes
     }
 
+    fn mean(&self, keys: &[ServerKey]) -> SpeedRatios {
+        let sampled = keys.iter().map(|key| &self.servers[key]);
+        let sampled = sampled.filter(|speed| speed.token.weight > 0.0);
+        let (mut token, mut first, mut count) = (0.0, 0.0, 0.0);
+        for speed in sampled {
+            token += speed.ratios.token;
+            first += speed.ratios.first;
+            count += 1.0;
+        }
+        if count == 0.0 {
+            return SpeedRatios::default();
+        }
+        SpeedRatios { token: token / count, first: first / count, run_limit: None }
+    }
+
     /// Returns the median of the logarithms over servers with samples; of an even number, the faster
     /// of the two in the middle. `None` with fewer than two such servers.
     fn median(
--- a/medlarlanding-core/src/forwarding/speed_samples.rs
+++ b/medlarlanding-core/src/forwarding/speed_samples.rs
@@ -24,10 +24,19 @@
 /// Milliseconds until the first event that depend neither on the prompt nor on the engine: the
 /// handshake and the request.
 const CONNECT_MS: f64 = 5.0;
+/// Events in the first sample of a stream. Each further one has twice as many, up to
+/// `SAMPLE_EVENTS_MAX`, so that a slow new engine is known early.
+const SAMPLE_EVENTS_FIRST: u16 = 2;
 /// Events in one sample: 0.45 s at a common engine, 1.4 s at one that is three times as slow.
-const SAMPLE_EVENTS: u16 = 16;
+const SAMPLE_EVENTS_MAX: u16 = 16;
+/// Events after which samples that are faster than expected are certain: an engine that writes nonsense
+/// soon breaks off.
+const FAST_EVENTS_MIN: u16 = 16;
 /// Events that a shorter sample, at the end of a stream, must have.
 const SAMPLE_EVENTS_MIN: u16 = 1;
+/// Events of a sample whose halves are compared. A half must be longer than the time for which a weak
+/// machine may be paused, 0.1 s, after which several events are read at once.
+const HALVED_EVENTS_MIN: u16 = 16;
 /// Longest time between two events that counts. An event takes at most 0.24 s at the slowest engines
 /// with a full batch; they pause for 0.6 s.
 const PAUSE_MIN: Duration = Duration::from_millis(400);
@@ -61,6 +70,14 @@
         self.log_sum += (log_ratio * f64::from(weight) * LOG_UNITS).round() as i32;
     }
 
+    /// Adds samples of the same kind. Leaves them out if there are too many for the weight.
+    pub fn merge(&mut self, added: Self) {
+        if let Some(weight) = self.weight.checked_add(added.weight) {
+            self.weight = weight;
+            self.log_sum = self.log_sum.saturating_add(added.log_sum);
+        }
+    }
+
     /// Returns the sum of the logarithms, limited to what `weight` samples can add up to. A peer may
     /// send anything.
     pub fn log_total(self) -> f64 {
@@ -140,10 +157,31 @@
     events: u16,
     /// Sum of these gaps.
     elapsed: Duration,
+    /// Sum of the gaps of the first half of a complete sample; zero before its end.
+    first_half: Duration,
 }
 
-/// Takes samples of the events of one stream. Samples are kept back until the next one is complete or
-/// the stream has ended, so that a server whose answer breaks off soon does not count as fast.
+impl SampleWindow {
+    fn new(last_event_at: Timestamp) -> Self {
+        Self { last_event_at, events: 0, elapsed: Duration::ZERO, first_half: Duration::ZERO }
+    }
+
+    /// Returns the time of one event in milliseconds, in the faster half of a long sample: a prompt
+    /// that the engine processes meanwhile doubles the time of some events.
+    fn event_millis(&self) -> f64 {
+        let second_half = self.elapsed.saturating_sub(self.first_half);
+        let (elapsed, events) = if self.events >= HALVED_EVENTS_MIN && !self.first_half.is_zero() {
+            (self.first_half.min(second_half), self.events / 2)
+        } else {
+            (self.elapsed, self.events)
+        };
+        elapsed.as_secs_f64() * 1e3 / f64::from(events.max(1))
+    }
+}
+
+/// Takes samples of the events of one stream. Samples that are faster than expected are kept back until
+/// the next one is complete, or the stream, so that a server whose answer breaks off soon does not count
+/// as fast.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamSampler {
     sent_at: Timestamp,
@@ -151,8 +189,12 @@
     queue: EngineQueue,
     is_stopped: bool,
     has_begun: bool,
+    /// Events of the next complete sample.
+    sample_events: u16,
     /// Events since the last interruption; `None` before the first one.
     window: Option<SampleWindow>,
+    /// Events in complete samples.
+    events: u16,
     /// Complete samples that are kept back.
     kept: StreamSample,
 }
@@ -169,7 +211,9 @@
             queue,
             is_stopped: false,
             has_begun: false,
+            sample_events: SAMPLE_EVENTS_FIRST,
             window: None,
+            events: 0,
             kept: StreamSample::default(),
         }
     }
@@ -203,8 +247,7 @@
             self.kept.first.add(ratio, FIRST_EVENT_WEIGHT);
         }
         let Some(window) = &mut self.window else {
-            let elapsed = Duration::ZERO;
-            self.window = Some(SampleWindow { last_event_at: now, events: 0, elapsed });
+            self.window = Some(SampleWindow::new(now));
             return StreamSample::default();
         };
         let gap = now.since(window.last_event_at);
@@ -212,13 +255,30 @@
         if gap < PAUSE_MIN {
             window.events += 1;
             window.elapsed += gap;
+            if window.events == self.sample_events / 2 {
+                window.first_half = window.elapsed;
+            }
         }
-        if window.events < SAMPLE_EVENTS {
+        if window.events < self.sample_events {
             return StreamSample::default();
         }
-        let certain = std::mem::take(&mut self.kept);
+        self.events = self.events.saturating_add(window.events);
+        self.sample_events = (self.sample_events * 2).min(SAMPLE_EVENTS_MAX);
+        let earlier = std::mem::take(&mut self.kept);
         self.close_window();
-        certain
+        let is_slow = |sample: &StreamSample| sample.token.log_sum + sample.first.log_sum >= 0;
+        if is_slow(&self.kept) {
+            let mut certain = std::mem::take(&mut self.kept);
+            certain.token.merge(earlier.token);
+            certain.first.merge(earlier.first);
+            certain
+        } else if self.events > FAST_EVENTS_MIN {
+            earlier
+        } else {
+            self.kept.token.merge(earlier.token);
+            self.kept.first.merge(earlier.first);
+            StreamSample::default()
+        }
     }
 
     /// Records that the stream is complete. Returns the last samples.
@@ -232,11 +292,9 @@
     /// Keeps the sample in progress back and begins the next one.
     fn close_window(&mut self) {
         let Some(window) = &mut self.window else { return };
-        let tokens = f64::from(window.events) * TOKENS_PER_EVENT as f64;
-        let millis = window.elapsed.as_secs_f64() * 1e3 / tokens;
-        let ratio = millis / step_millis(u32::from(self.queue.running) + 1);
+        let token_millis = window.event_millis() / TOKENS_PER_EVENT as f64;
+        let ratio = token_millis / step_millis(u32::from(self.queue.running) + 1);
         self.kept.token.add(ratio, window.events);
-        window.events = 0;
-        window.elapsed = Duration::ZERO;
+        *window = SampleWindow::new(window.last_event_at);
     }
 }
--- a/medlarlanding-core/tests/forwarding_server_speed.rs
+++ b/medlarlanding-core/tests/forwarding_server_speed.rs
@@ -6,14 +6,17 @@
 
 use medlarlanding_core::cases;
 use medlarlanding_core::forwarding::{
-    DirectoryChange, EngineQueue, LoadReport, ServerDirectory, ServerEntry, ServerKey, ServerPhase,
-    SpeedRatios, SpeedReport, SpeedSums, SpeedTable, SpeedTarget, StreamSample, StreamSampler,
+    DirectoryChange, EngineQueue, LoadReport, SampleSource, ServerDirectory, ServerEntry,
+    ServerKey, ServerPhase, SpeedRatios, SpeedReport, SpeedSums, SpeedTable, SpeedTarget,
+    StreamSample, StreamSampler,
 };
 use medlarlanding_core::time::Timestamp;
 
 /// Prompt of a long generation in tokens.
 const PROMPT: u32 = 3_000;
 
+const ENGINE: SampleSource = SampleSource::Engine { has_prompts: false };
+
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(1_000_000 + millis)
 }
@@ -50,7 +53,7 @@
     }
 
     fn record(&mut self, millis: u64, index: usize, sample: StreamSample) {
-        self.table.record(at(millis), self.keys[index], true, sample);
+        self.table.record(at(millis), self.keys[index], ENGINE, sample);
     }
 
     fn refresh(&mut self, millis: u64) {
@@ -59,7 +62,7 @@
     }
 
     fn ratios(&self, index: usize) -> SpeedRatios {
-        self.table.ratios(self.keys[index])
+        self.table.ratios(self.keys[index], "llm")
     }
 
     /// Serves one answer at each engine, with the times that `event_millis` returns for its events.
@@ -74,8 +77,7 @@
 
 fn add(total: &mut StreamSample, part: StreamSample) {
     for (sums, added) in [(&mut total.token, part.token), (&mut total.first, part.first)] {
-        sums.weight += added.weight;
-        sums.log_sum += added.log_sum;
+        sums.merge(added);
     }
 }
 
@@ -184,7 +186,7 @@
     let (key, _) = fleet.directory.apply(at(500), change).expect("a server");
     assert_ne!(key, fleet.keys[8]);
     fleet.refresh(500);
-    assert!(fleet.table.ratios(key).is_average() && fleet.ratios(8).is_average());
+    assert!(fleet.table.ratios(key, "llm").is_average() && fleet.ratios(8).is_average());
 }
 
 /// Guards against a server that stays slow for ever because no request is sent to it, and against one
@@ -255,7 +257,7 @@
     let first = SpeedSums { weight: 1, log_sum: i32::MIN };
     let token = SpeedSums { weight: 4, log_sum: i32::MAX };
     let key = fleet.keys[8];
-    fleet.table.merge(at(0), key, true, &SpeedReport { start: 0, token, first });
+    fleet.table.merge(at(0), key, ENGINE, &SpeedReport { start: 0, token, first });
     fleet.refresh(0);
     let SpeedRatios { token, first, .. } = fleet.ratios(8);
     assert!(token < 1.5 && first > 0.3, "{token}, {first}");
--- a/medlarlanding/src/forwarding/speeds.rs
+++ b/medlarlanding/src/forwarding/speeds.rs
@@ -13,8 +13,9 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EngineQueue, FIRST_EVENT_WEIGHT, LoadReport, RouteRule, ServerEntry, ServerKey, ServerRecord,
-    SpeedRatios, SpeedSums, SpeedTable, SpeedTarget, StreamSample,
+    EngineQueue, FIRST_EVENT_WEIGHT, ForwardConfig, LoadReport, RouteRule, SampleSource,
+    ServerEntry, ServerKey, ServerRecord, SpeedChange, SpeedRatios, SpeedSums, SpeedTable,
+    SpeedTarget, StreamSample,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -58,11 +59,6 @@
         self.config().is_some_and(|it| it.config.compares_speeds())
     }
 
-    /// Returns the speed of a server compared with the median of its service.
-    pub fn speed_ratios(&self, key: ServerKey) -> SpeedRatios {
-        self.speeds.table.borrow().ratios(key)
-    }
-
     /// Returns the work at an engine before a run is sent there: what the coordinator has just told, or
     /// what this instance knows itself.
     pub fn queue_at(&self, key: ServerKey) -> EngineQueue {
@@ -81,7 +77,7 @@
         let remote = peers.remote_load(self.now(), server_hash(&record.entry.id));
         let ahead = record.waiting_tokens as f64 + remote.waiting_tokens;
         let running = f64::from(record.open_requests) + remote.requests;
-        let ratios = self.speed_ratios(key);
+        let ratios = record.speed;
         EngineQueue {
             ahead: ahead as u32,
             running: running as u16,
@@ -100,7 +96,12 @@
 
     /// Records samples of the events of a stream.
     pub fn record_stream_sample(&self, key: ServerKey, sample: StreamSample) {
-        self.speeds.table.borrow_mut().record(self.now(), key, true, sample);
+        if sample.is_empty() {
+            return;
+        }
+        let has_prompts = self.known_queue(key).ahead > 0;
+        let source = SampleSource::Engine { has_prompts };
+        self.speeds.table.borrow_mut().record(self.now(), key, source, sample);
     }
 
     /// Records the time of an answer of a plain server; whole answers of engines differ too much in
@@ -120,7 +121,7 @@
         let mut first = SpeedSums::default();
         first.add(took.as_secs_f64() / expected.as_secs_f64(), FIRST_EVENT_WEIGHT);
         let sample = StreamSample { token: SpeedSums::default(), first };
-        self.speeds.table.borrow_mut().record(self.now(), key, false, sample);
+        self.speeds.table.borrow_mut().record(self.now(), key, SampleSource::PlainServer, sample);
     }
 
     /// Adds the samples of this instance since the last report to the load that it reports. Servers
@@ -160,13 +161,20 @@
             let Some(key) = keys.get(&load.server) else { continue };
             let Some(record) = directory.get(*key) else { continue };
             if start_mark(&record.entry) == report.start {
-                table.merge(now, *key, self.is_engine(record), &report);
+                let source = match self.is_engine(record) {
+                    true => SampleSource::Engine { has_prompts: self.known_queue(*key).ahead > 0 },
+                    false => SampleSource::PlainServer,
+                };
+                table.merge(now, *key, source, &report);
             }
         }
     }
 
     fn is_engine(&self, record: &ServerRecord) -> bool {
-        self.speed_target(&record.entry.service).is_some_and(|target| target.is_engine)
+        let is_engine = |config: &ForwardConfig| {
+            config.service(&record.entry.service).is_some_and(|policy| policy.engine.is_some())
+        };
+        self.config().is_some_and(|in_force| is_engine(&in_force.config))
     }
 
     fn speed_target(&self, service: &str) -> Option<SpeedTarget> {
@@ -178,25 +186,44 @@
         })
     }
 
-    /// Updates the estimates, and logs those that changed: of engines at the coordinator, which uses
-    /// them, and of plain servers here, where each instance uses its own.
+    /// Updates the estimates and the speeds in the directory, by which requests are placed. Logs those
+    /// that changed: of engines at the coordinator, which uses them, and of plain servers here, where
+    /// each instance uses its own.
     pub fn update_speeds(&self) {
-        if !self.compares_speeds() {
-            *self.speeds.table.borrow_mut() = SpeedTable::default();
-            return;
-        }
         let now = self.now();
         if now.since(self.speeds.updated_at.get()) < UPDATE_PERIOD {
             return;
         }
         self.speeds.updated_at.set(now);
-        let is_coordinator = self.peers.borrow().coordinator(now).is_none();
-        let directory = self.directory.borrow();
+        let mut table = self.speeds.table.borrow_mut();
+        let mut directory = self.directory.borrow_mut();
+        if !self.compares_speeds() {
+            if !table.is_empty() {
+                *table = SpeedTable::default();
+                directory.set_speeds(|_, _| SpeedRatios::default());
+            }
+            return;
+        }
         let entries = directory.iter().filter(|(_, record)| !record.is_removed);
         *self.speeds.keys.borrow_mut() =
             entries.map(|(key, record)| (server_hash(&record.entry.id), key)).collect();
-        let mut table = self.speeds.table.borrow_mut();
         let changes = table.refresh(now, &directory, |service| self.speed_target(service));
+        directory.set_speeds(|key, service| table.ratios(key, service));
+        drop(directory);
+        self.log_speed_changes(&changes);
+        self.speeds.updates.set(self.speeds.updates.get().wrapping_add(1));
+        if self.speeds.updates.get().is_multiple_of(METRICS_PERIOD) {
+            let directory = self.directory.borrow();
+            let estimates = table.iter(now).filter_map(|(key, ratios, age)| {
+                Some((directory.get(key)?.entry.id.to_string(), ratios, age))
+            });
+            show_speeds(&self.telemetry, &mut self.speeds.shown.borrow_mut(), estimates);
+        }
+    }
+
+    fn log_speed_changes(&self, changes: &[SpeedChange]) {
+        let is_coordinator = self.peers.borrow().coordinator(self.now()).is_none();
+        let directory = self.directory.borrow();
         for change in changes {
             let Some(record) = directory.get(change.key) else { continue };
             let entry = &record.entry;
@@ -219,13 +246,6 @@
                 ],
             );
         }
-        self.speeds.updates.set(self.speeds.updates.get().wrapping_add(1));
-        if self.speeds.updates.get().is_multiple_of(METRICS_PERIOD) {
-            let estimates = table.iter(now).filter_map(|(key, ratios, age)| {
-                Some((directory.get(key)?.entry.id.to_string(), ratios, age))
-            });
-            show_speeds(&self.telemetry, &mut self.speeds.shown.borrow_mut(), estimates);
-        }
     }
 }
 
