--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -152,6 +152,12 @@
     /// A request was refused because all servers that it could be sent to are cold and this instance's
     /// shares of their rate limits are used up.
     636 ColdLimitRefused Info "cold_limit_refused" ["request", "service", "servers"];
+    /// The estimated speed of a server changed.
+    645 ServerSpeed Info "server_speed" ["server", "service", "token_percent", "first_percent", "run_limit"];
+    /// The estimated speed of a server expired, because no request was sent to it.
+    646 SpeedExpired Info "speed_expired" ["server", "unused_ms"];
+    /// A generation was placed on an engine.
+    647 EngineChosen Info "engine_chosen" ["request", "server", "running", "ahead_tokens", "token_percent", "first_percent"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -6,6 +6,7 @@
 
 use super::cold_share::{ColdServer, ColdShare};
 use super::regions::{RegionKey, RegionLimit, ZoneRegions};
+use super::server_speed::SpeedRatios;
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
@@ -141,6 +142,9 @@
     pub waiting_tokens: u64,
     /// Tokens that the requests are expected to generate until they end.
     pub expected_growth: u64,
+    /// Speed compared with the median of the service; that of an average server from the start on and
+    /// while servers are not compared.
+    pub speed: SpeedRatios,
     /// Consecutive failures that this instance has seen.
     failures: u32,
     avoid_until: Option<Timestamp>,
@@ -315,6 +319,7 @@
                 open_tokens: 0,
                 waiting_tokens: 0,
                 expected_growth: 0,
+                speed: SpeedRatios::default(),
                 failures: 0,
                 avoid_until: None,
                 cold: ColdServer::default(),
@@ -539,6 +544,13 @@
         }
     }
 
+    /// Sets the speeds of all servers. `speed` gets the key and the service of each.
+    pub fn set_speeds(&mut self, speed: impl Fn(ServerKey, &str) -> SpeedRatios) {
+        for (key, record) in &mut self.records {
+            record.speed = speed(*key, &record.entry.service);
+        }
+    }
+
     /// Records a successful answer, which ends the avoidance of the server.
     pub fn record_success(&mut self, key: ServerKey) {
         if let Some(record) = self.records.get_mut(&key) {
--- a/medlarlanding-core/src/forwarding/load.rs
+++ b/medlarlanding-core/src/forwarding/load.rs
@@ -1,5 +1,7 @@
 //! Sizes of requests and the load that instances put on servers.
 
+use super::speed_samples::SpeedReport;
+
 value_type! { copy
     /// How the objective of a generation compares with those of the others that its engines run.
     #[derive(Default)]
@@ -36,6 +38,8 @@
         pub waiting_tokens: u32,
         /// Tokens that the requests are expected to generate until they end.
         pub growth: u32,
+        /// Samples of the server's speed since the last report; `None` without any.
+        pub speed: Option<SpeedReport>,
     }
 }
 
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -8,6 +8,7 @@
 use super::load::LatencyClass;
 use super::peers::PeerDigest;
 use super::regions::RegionLimit;
+use super::speed_samples::EngineQueue;
 use super::zone_plan::ZonePlan;
 use crate::prompts::LedgerNews;
 
@@ -302,5 +303,7 @@
         /// Number of the grant, which the receiver reports in its digests; 0 if the run was not
         /// placed.
         pub grant: u64,
+        /// Work at the engine that the run was placed on; `None` unless speeds are compared.
+        pub queue: Option<EngineQueue>,
     }
 }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -26,6 +26,8 @@
 mod regions;
 mod relays;
 mod room_reserve;
+mod server_speed;
+mod speed_samples;
 mod suspicion;
 mod wait_limit;
 mod waiting;
@@ -71,6 +73,13 @@
 pub use regions::{RegionKey, RegionLimit, ZoneRegions};
 pub use relays::{RelayGroup, RelayParams, RelayRoute};
 pub use room_reserve::{CriticalDemand, ReserveParams, RoomReserve};
+pub use server_speed::{
+    SampleSource, SpeedChange, SpeedParams, SpeedRatios, SpeedTable, SpeedTarget,
+};
+pub use speed_samples::{
+    EngineQueue, FIRST_EVENT_WEIGHT, SpeedReport, SpeedSums, StreamSample, StreamSampler,
+    TOKENS_PER_EVENT,
+};
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
 pub use waiting::{QueuedRun, RunKey, WaitingClass, WaitingParams, WaitingRuns};
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -314,6 +314,7 @@
         targets: vec![RouteTarget { service: Arc::from("llm"), weight: 1 }],
         max_servers: 1,
         is_public: true,
+        gap_objective: None,
         regions: RegionLimit::Any,
     };
     let limits = RequestLimits { header_bytes: 1, body_bytes: 1, idle: Duration::ZERO };
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -8,7 +8,8 @@
 use medlarlanding_core::forwarding::{
     ColdQuestion, ColdReport, DirectoryChange, EvacuationSync, EvacuationTable, FleetNote,
     LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams, RelayedMessage, ServerChanges,
-    ServerEntry, ServerPhase, SyncPurpose, ZoneEntry, ZoneEntryState, ZoneKey,
+    ServerEntry, ServerPhase, SpeedReport, SpeedSums, SyncPurpose, ZoneEntry, ZoneEntryState,
+    ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -43,8 +44,16 @@
     let changes = vec![DirectoryChange::Written(entry), DirectoryChange::Removed(Arc::from("i-2"))];
     let servers =
         PeerMessage::Servers(ServerChanges { after: 3, revision: 9, changes, cold: vec![COLD] });
-    let load =
-        LoadReport { server: 7, requests: 1, tokens: 2_000, waiting_tokens: 100, growth: 50 };
+    let sums = SpeedSums { weight: 16, log_sum: -40 };
+    let speed = SpeedReport { start: 9, token: sums, first: SpeedSums::default() };
+    let load = LoadReport {
+        server: 7,
+        requests: 1,
+        tokens: 2_000,
+        waiting_tokens: 100,
+        growth: 50,
+        speed: Some(speed),
+    };
     let digest = PeerDigest {
         sender: address(2),
         boot: 5,
--- a/medlarlanding-core/tests/zone_fleet/mod.rs
+++ b/medlarlanding-core/tests/zone_fleet/mod.rs
@@ -47,6 +47,7 @@
         tokens: 6_000,
         waiting_tokens: 300,
         growth: 800,
+        speed: None,
     };
     (0..12).map(load).collect()
 }
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -347,6 +347,9 @@
                                     .is_zero()
                                 && !is_outdated(state, key, asked_at) =>
                         {
+                            if let Some(queue) = answer.queue {
+                                state.note_queue(key, queue);
+                            }
                             Placement::Server(key)
                         },
                         // This instance and the coordinator know different servers at the moment.
@@ -409,6 +412,7 @@
         state.peer_cut.update();
         state.update_cold_shares();
         link.send_cold_reports(&state, state.take_cold_reports());
+        state.update_speeds();
         send_digest(&link, &state, sequence);
         if current.is_none() && now.since(logged_at) >= LOAD_PERIOD {
             logged_at = now;
@@ -505,8 +509,10 @@
     let has_started = state.peers.borrow().boot(sender) != Some(digest.boot);
     let has_newer_config = digest.config_version > state.config_version();
     let evacuations = digest.evacuations;
+    let loads = digest.loads.clone();
     if state.peers.borrow_mut().receive(state.now(), digest) {
         link.compare_evacuations(state, sender, evacuations);
+        state.merge_speed_reports(&loads);
     }
     if has_started && state.ledger_fingerprint().is_some() {
         // The sender takes requests as soon as it knows the servers.
@@ -602,7 +608,7 @@
                 Some(_) => PlaceVerdict::Server(question.server),
                 None => PlaceVerdict::Limited,
             };
-            let answer = PlaceAnswer { number: question.number, verdict, grant: 0 };
+            let answer = PlaceAnswer { number: question.number, verdict, grant: 0, queue: None };
             link.send(state, &PeerMessage::Answer(answer), &[source]);
         },
         PeerMessage::Relayed(relayed) => {
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -10,6 +10,7 @@
 use super::ledger::LedgerState;
 use super::peer_cut::PeerCut;
 use super::placing::PlacementState;
+use super::speeds::SpeedState;
 use super::telemetry::Telemetry;
 use super::zone_link::ZoneState;
 use crate::clock::ProcessClock;
@@ -83,6 +84,8 @@
     pub(super) evacuation: EvacuationState,
     /// State of the distribution within the availability zone.
     pub zone: ZoneState,
+    /// Speeds of servers.
+    pub(super) speeds: SpeedState,
     /// This instance watches the store and its last call was answered.
     pub reaches_store: Cell<bool>,
     /// A fetch from a peer is in progress.
@@ -135,6 +138,7 @@
             evacuation: EvacuationState::new(clock.now()),
             clock,
             zone: ZoneState::default(),
+            speeds: SpeedState::default(),
             reaches_store: Cell::new(false),
             is_fetching: Cell::new(false),
             fetch_after: Cell::new(Timestamp::default()),
