--- a/medlarlanding-core/tests/forwarding_cold_share.rs
+++ b/medlarlanding-core/tests/forwarding_cold_share.rs
@@ -7,9 +7,10 @@
 
 use medlarlanding_core::cases;
 use medlarlanding_core::forwarding::{
-    ColdServer, ColdShare, ColdTarget, DirectoryChange, FleetNote, PeerDigest, PeerTable,
-    PeerTableParams, PlacementPolicy, PlacementRequest, RemoteLoad, RunWeight, ServerAccess,
-    ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord, ShareAllocator, ZoneKey,
+    ColdServer, ColdShare, ColdTarget, DirectoryChange, FleetNote, LatencyClass, PeerDigest,
+    PeerTable, PeerTableParams, PlacementPolicy, PlacementRequest, RegionLimit, RemoteLoad,
+    RunWeight, ServerAccess, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
+    ShareAllocator, ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
