Expect the rate limit of a cold server before its pause

The check of evacuated zones lets a coordinator place requests on servers that only it must not send to (Held), so a used-up share has to come first. The test asserts both reasons, one after the other.

--- a/medlarlanding-core/tests/forwarding_cold_share.rs
+++ b/medlarlanding-core/tests/forwarding_cold_share.rs
@@ -689,7 +689,9 @@
     directory.record_send(at(1_115), cold);
     assert_eq!(place(directory, 1_116, &[other]), None);
     directory.hold(cold, at(1_500));
-    assert_eq!(access(directory, 1_116), ServerAccess::Held);
+    // No instance may place a request on it until its share allows one; then the pause remains.
+    assert_eq!(access(directory, 1_116), ServerAccess::Limited);
+    assert_eq!(access(directory, 1_140), ServerAccess::Held);
     directory.mark_leaving(at(1_116), cold);
     assert_eq!(access(directory, 1_116), ServerAccess::Leaving);
     // A later start has neither.
