Make no plan for a zone that does not fit into a datagram

A plan names all members of a zone. Above 180 members it could exceed the receive buffer of 4,096 bytes, and the relays would never learn of it while the hub sends its digests through them. Such a zone is sent everything directly, as without zones.

--- a/medlarlanding-core/src/forwarding/zone_plan.rs
+++ b/medlarlanding-core/src/forwarding/zone_plan.rs
@@ -41,6 +41,9 @@
     pub direct_period: u64,
     /// Number of digest intervals for which a plan holds: two plans may be lost.
     pub lifetime_intervals: u32,
+    /// Most members of a zone with a plan, so that it fits into a datagram of 4,096 bytes with addresses of 8
+    /// (IPv4) or 20 bytes (IPv6). The instances of a larger zone are sent everything directly.
+    pub member_limit: usize,
     /// Most plans of different hubs that are kept; there are three hubs, and another one while one is
     /// replaced.
     pub plan_limit: usize,
@@ -48,13 +51,20 @@
 
 impl Default for ZonePlanParams {
     fn default() -> Self {
-        Self { relay_count: 2, period: 4, direct_period: 4, lifetime_intervals: 13, plan_limit: 6 }
+        Self {
+            relay_count: 2,
+            period: 4,
+            direct_period: 4,
+            lifetime_intervals: 13,
+            member_limit: 180,
+            plan_limit: 6,
+        }
     }
 }
 
 impl ZonePlanParams {
     /// Returns the plans that this instance, a hub, makes for the other zones. A zone in which every live
-    /// instance would be a relay gets none.
+    /// instance would be a relay gets none, and neither does one that is too large.
     pub fn plans(&self, now: Timestamp, peers: &PeerTable) -> Vec<ZonePlan> {
         let own = peers.own_zone();
         let mut plans: IndexMap<ZoneKey, ZonePlan> = IndexMap::new();
@@ -75,7 +85,8 @@
                 plan.members.push(address);
             }
         }
-        plans.into_values().filter(|plan| !plan.members.is_empty()).collect()
+        let is_useful = |plan: &ZonePlan| (1..=self.member_limit).contains(&plan.members.len());
+        plans.into_values().filter(is_useful).collect()
     }
 }
 
--- a/medlarlanding-core/tests/forwarding_zone_relays.rs
+++ b/medlarlanding-core/tests/forwarding_zone_relays.rs
@@ -4,7 +4,10 @@
 mod zone_fleet;
 
 use medlarlanding_core::cases;
-use medlarlanding_core::forwarding::{PeerDigest, PeerMessage, ZoneDuty, ZoneKey};
+use medlarlanding_core::forwarding::{
+    PeerDigest, PeerMessage, PeerTable, PeerTableParams, ZoneDuty, ZoneKey, ZonePlanParams,
+};
+use medlarlanding_core::time::Timestamp;
 
 use zone_fleet::{FleetParams, InstanceFault, ZoneFleet, address};
 
@@ -265,6 +268,41 @@
     assert!(PeerMessage::decode(&[1]).is_err(), "other messages are decoded strictly");
 }
 
+/// Guards against plans that do not fit into a datagram.
+fn plans_of_a_zone((members, plans): (u16, usize)) {
+    let mut table = PeerTable::new(PeerTableParams::default(), address(0), 500, Vec::new())
+        .in_zone(ZoneKey::of("regina"));
+    for number in 1..=members {
+        let digest = PeerDigest {
+            sender: address(number),
+            boot: 5,
+            sequence: 6,
+            strength: 100,
+            reaches_store: true,
+            config_version: 3,
+            servers_revision: 9,
+            peers: Vec::new(),
+            granted: 0,
+            loads: Vec::new(),
+            zone: ZoneKey::of("other"),
+        };
+        assert!(table.receive(Timestamp::from_millis(1), digest));
+    }
+    let made = ZonePlanParams::default().plans(Timestamp::from_millis(2), &table);
+    assert_eq!(made.len(), plans);
+    for plan in made {
+        let length = postcard::to_stdvec(&PeerMessage::ZonePlan(plan)).expect("a datagram").len();
+        assert!(length <= 4_096, "{length} bytes");
+    }
+}
+
+cases! { plans_of_a_zone;
+    zone_of_two_relays_has_no_plan => (2, 0),
+    zone_of_three_has_a_plan => (3, 1),
+    largest_zone_with_a_plan => (182, 1),
+    zone_that_is_too_large => (183, 0),
+}
+
 /// Guards against a fleet of one zone, or without zones, that gets plans.
 #[test]
 fn single_zone_has_no_relays() {
