Evacuate and restore zones in the soak

Cause: evacuations were played only with the faults of their own tests.

Change: the soak deploys three zones, evacuates and restores them at random and discards the history of the store. A request must not reach an evacuated zone 5 s after the acknowledgement, 11 s if the store had an outage within that time, or 5 s after the end of the outage if that is later.

--- a/medlarlanding-bench/src/site/crashing_engine.rs
+++ b/medlarlanding-bench/src/site/crashing_engine.rs
@@ -14,6 +14,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+/// Availability zone of all crashing engines.
+pub(super) const CRASHING_ZONE: &str = "z0";
 /// Time within which instances that are connected to the others learn of a change: `contactMs` of the
 /// platform's sites.
 pub const CONTACT: Duration = Duration::from_secs(3);
@@ -94,7 +96,7 @@
 /// Returns the entry of an engine in the store.
 pub(super) fn entry(address: SocketAddr, born: u64, state: &str) -> String {
     let entry = json!({
-        "service": "engines", "address": address.to_string(), "zone": "z0", "version": "v1",
+        "service": "engines", "address": address.to_string(), "zone": CRASHING_ZONE, "version": "v1",
         "slots": 24, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": born,
     });
     entry.to_string()
--- a/medlarlanding-bench/src/site/zones.rs
+++ b/medlarlanding-bench/src/site/zones.rs
@@ -1,9 +1,9 @@
 //! Availability zones of a deployment, their evacuation, and the check of requests that come too late.
 
-use std::sync::Mutex;
-use std::sync::PoisonError;
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use super::crashing_engine::CRASHING_ZONE;
 use super::{LinkSwitch, TestSite};
 
 /// Zones with their regions; instances and servers are spread over them in turn.
@@ -28,13 +28,13 @@
         self.zones[index % self.zones.len()].0
     }
 
-    /// Returns the zone of a server from its id, which ends with its index; servers that start anew under
-    /// further ids are all in the first zone.
+    /// Returns the zone of a server from its id, which ends with its index; ids of crashing engines end with
+    /// the index and the number of the start.
     pub fn zone_of(&self, server: &str) -> &'static str {
         let mut parts = server.split('-').skip(1);
         match (parts.next().and_then(|index| index.parse().ok()), parts.next()) {
             (Some(index), None) => self.zone(index),
-            _ => self.zone(0),
+            _ => CRASHING_ZONE,
         }
     }
 
--- a/medlarlanding-bench/src/soak.rs
+++ b/medlarlanding-bench/src/soak.rs
@@ -1,6 +1,7 @@
 //! Fault soak test: injects random faults around real instance processes and checks the guarantees
 //! from the answers of callers and the run records of servers.
 
+mod evacuations;
 mod fatal_prompts;
 
 use std::net::SocketAddr;
@@ -8,6 +9,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use self::evacuations::{
+    LAYOUT, StoreOutages, change_zone, find_late_requests, latest_request, restore_zones,
+};
 use self::fatal_prompts::{PromptPlan, SOUND_PART, ServiceGaps, find_late_runs};
 use crate::site::{
     FATAL_PART, LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode,
@@ -77,11 +81,14 @@
         };
         let report = run_seed(params).with_context(|| format!("seed {seed}"))?;
         println!(
-            "seed {seed}: {} requests, {} served, {} faults, {} engines ended, {} violations",
+            "seed {seed}: {} requests, {} served, {} faults, {} engines ended, {} evacuations, latest \
+             request in an evacuated zone after {} ms, {} violations",
             report.requests,
             report.served,
             report.faults,
             report.ended_engines,
+            report.evacuations,
+            report.latest_request.as_millis(),
             report.violations.len()
         );
         report.violations.iter().for_each(|violation| println!("  {violation}"));
@@ -120,6 +127,10 @@
     pub faults: usize,
     /// Times that an engine ended on a part of a prompt.
     pub ended_engines: usize,
+    /// Evacuations of zones.
+    pub evacuations: usize,
+    /// Longest time after which a request reached an evacuated zone.
+    pub latest_request: Duration,
     /// Violated guarantees.
     pub violations: Vec<String>,
 }
@@ -146,12 +157,13 @@
 ///
 /// Fails if the deployment cannot be started or a fault cannot be injected.
 pub fn run_seed(params: SoakParams) -> anyhow::Result<SoakReport> {
-    let mut site = TestSite::start(SiteParams {
+    let site_params = SiteParams {
         instances: params.instances,
         plain_servers: PLAIN_SERVERS,
         engines: if params.with_fatal_prompts { 0 } else { ENGINES },
         grace_s: 3,
-    })?;
+    };
+    let mut site = TestSite::start_in_zones(site_params, LAYOUT)?;
     site.state.set_generation(EVENTS, EVENT_INTERVAL_MS);
     let plan = PromptPlan::new(params.seed);
     if params.with_fatal_prompts {
@@ -187,13 +199,14 @@
     let mut random = SmallRng::seed_from_u64(params.seed);
     let mut faults = 0;
     let mut gaps = ServiceGaps::default();
+    let mut outages = StoreOutages::default();
     let started = Instant::now();
     while started.elapsed() < params.length {
-        inject_fault(&mut site, &mut random, params.instances, &mut gaps)?;
+        inject_fault(&mut site, &mut random, params.instances, &mut gaps, &mut outages)?;
         faults += 1;
         std::thread::sleep(Duration::from_millis(random.random_range(FAULT_INTERVAL_MS)));
     }
-    clear_faults(&mut site, params.instances)?;
+    clear_faults(&mut site, params.instances, &mut outages)?;
     let recovery = wait_for_service(&site, params.instances, plan);
     is_over.store(true, Ordering::Relaxed);
     for caller in callers {
@@ -208,8 +221,11 @@
         served: records.iter().filter(is_served).count(),
         faults,
         ended_engines: site.state.crashes().len(),
+        evacuations: site.evacuations().len(),
+        latest_request: latest_request(&site),
         violations: find_violations(&site.state, &records),
     };
+    report.violations.extend(find_late_requests(&site, &outages));
     report.violations.extend(find_late_runs(&site.state, &records, &gaps));
     report.violations.extend(recovery.err().map(|error| format!("{error:#}")));
     Ok(report)
@@ -251,6 +267,7 @@
     random: &mut SmallRng,
     instances: usize,
     gaps: &mut ServiceGaps,
+    outages: &mut StoreOutages,
 ) -> anyhow::Result<()> {
     let instance = random.random_range(0..instances);
     let servers =
@@ -258,7 +275,7 @@
     // Engines of a soak with fatal prompts have no links; faults concern only the other servers.
     let server = random.random_range(0..site.links().len());
     let started = Instant::now();
-    match random.random_range(0..12) {
+    match random.random_range(0..14) {
         0 => {
             site.signal(instance, Signal::KILL)?;
             site.wait_exit(instance)?;
@@ -277,8 +294,8 @@
             site.signal(instance, Signal::CONT)?;
             gaps.add(instance, started);
         },
-        3 => site.state.set_store(StoreMode::Unavailable),
-        4 => site.state.set_store(StoreMode::Available),
+        3 => outages.set(site, StoreMode::Unavailable),
+        4 => outages.set(site, StoreMode::Available),
         5 => {
             site.publish_config(|_| {});
         },
@@ -301,13 +318,20 @@
             let modes = [LinkMode::Slow, LinkMode::Silent, LinkMode::OneWay, LinkMode::Reset];
             site.links()[server].set(*modes.choose(random).expect("a mode"));
         },
-        _ => site.links()[server].set(LinkMode::Healthy),
+        11 => site.links()[server].set(LinkMode::Healthy),
+        12 => change_zone(site, random),
+        _ => site.state.discard_history(),
     }
     Ok(())
 }
 
-fn clear_faults(site: &mut TestSite, instances: usize) -> anyhow::Result<()> {
-    site.state.set_store(StoreMode::Available);
+fn clear_faults(
+    site: &mut TestSite,
+    instances: usize,
+    outages: &mut StoreOutages,
+) -> anyhow::Result<()> {
+    outages.set(site, StoreMode::Available);
+    restore_zones(site);
     site.links().iter().for_each(|link| link.set(LinkMode::Healthy));
     let engines = site.links().len() - PLAIN_SERVERS;
     for (service, count) in [("orders", PLAIN_SERVERS), ("engines", engines)] {
