--- a/medlarlanding-bench/src/soak/cold_servers.rs
+++ b/medlarlanding-bench/src/soak/cold_servers.rs
@@ -9,17 +9,16 @@
 use rand::{Rng, SeedableRng};
 
 /// Requests per second that services state for cold servers.
-const COLD_RATE: u32 = 4;
+const COLD_RATE: u32 = 1;
 /// Requests that a cold server may get within a second: `COLD_RATE` x 1.5 + 5.
-const COLD_LIMIT: usize = 11;
-/// One fault in so many is followed by a server that turns cold.
-const COLD_SHARE: u32 = 3;
+const COLD_LIMIT: usize = 6;
 /// Time for which a server turns cold, in milliseconds.
 const COLD_MS: std::ops::Range<u64> = 800..3_000;
 /// Time until all running instances know that a server is cold while the store is available.
 const NEWS_TIME: Duration = Duration::from_millis(800);
-/// Time for which the store must have been available, so that it is watched again.
-const STORE_TIME: Duration = Duration::from_secs(4);
+/// Time for which the store must have been available, so that it is watched again: the pause after failed
+/// calls is at most 0.8 s.
+const STORE_TIME: Duration = Duration::from_millis(1500);
 /// Time for which a link must have been healthy, so that it holds back no requests.
 const LINK_TIME: Duration = Duration::from_secs(4);
 
@@ -74,12 +73,17 @@
         self.links.push((server, Instant::now(), is_healthy));
     }
 
-    /// Makes a server cold now and then.
+    /// Makes a server cold, one with a healthy link if there is any.
     pub(super) fn inject(&mut self, site: &TestSite, servers: &[&str]) {
-        if !self.random.random_ratio(1, COLD_SHARE) {
-            return;
+        let is_healthy = |server: &usize| {
+            let mut changes = self.links.iter().rev().filter(|(changed, ..)| changed == server);
+            changes.next().is_none_or(|(_, _, is_healthy)| *is_healthy)
+        };
+        let mut candidates: Vec<usize> = (0..site.links().len()).filter(is_healthy).collect();
+        if candidates.is_empty() {
+            candidates = (0..site.links().len()).collect();
         }
-        let server = self.random.random_range(0..site.links().len());
+        let server = candidates[self.random.random_range(0..candidates.len())];
         let remaining = Duration::from_millis(self.random.random_range(COLD_MS));
         let from = Instant::now();
         site.mark_server_cold(servers[server], remaining);
