Choose plain servers by recent answers and hedge late safe requests

Cause: a plain server in a slow period keeps getting its share of requests, and each of them waits for it.

Change: of the two plain servers with the lowest cost, the one is chosen that answers sooner by recent evidence. The coordinator, which has the samples of all instances, tells them which plain servers are not of average speed. A safe request that is late against its server's usual time is sent to a second server within the route's limit of servers and 0.6 of the budget for repeats; the first success is the answer and the other connection is closed. Unsafe requests and those with prompt parts are never hedged.

Result: with one of two servers at 900 ms, a request that began there is answered by the other one; a failure of one of two late servers no longer reaches the caller as a wait for a retry; 160 requests at two servers that are both slow stay in the budget (forwarding_hedges). Three processes know of a slow server to which only one of them sends requests.

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -147,6 +147,10 @@
     646 SpeedExpired Info "speed_expired" ["server", "unused_ms"];
     /// A generation was placed on an engine.
     647 EngineChosen Info "engine_chosen" ["request", "server", "running", "ahead_tokens", "token_percent", "first_percent"];
+    /// A safe request was sent to a second plain server because the first one is late.
+    648 RequestHedged Info "request_hedged" ["request", "route", "first", "second", "after_ms"];
+    /// A request that was sent to two plain servers ended.
+    649 HedgeEnded Info "hedge_ended" ["request", "winner", "server", "took_ms"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/budget.rs
+++ b/medlarlanding-core/src/forwarding/budget.rs
@@ -24,6 +24,8 @@
 pub enum RepeatPurpose {
     /// A request to a plain service failed.
     Retry,
+    /// A request to a plain service is late at its first server.
+    Hedge,
     /// An engine refused a generation.
     Restart,
     /// A running generation continues on another engine; without the repeat it is lost.
@@ -32,13 +34,15 @@
 
 impl RepeatPurpose {
     /// Returns the fraction of the allowance that repeats for this purpose may use. Restarts and
-    /// moves are budgeted separately and divide the allowance of an engine service.
+    /// moves are budgeted separately and divide the allowance of an engine service. Hedges leave a
+    /// part of that of a plain service for retries, without which requests fail.
     ///
     /// The remainder is a margin for requests that the platform counts in a different window
     /// than this instance does.
     fn allowance_fraction(self) -> f64 {
         match self {
             Self::Retry => 0.85,
+            Self::Hedge => 0.6,
             Self::Restart => 0.3,
             Self::Move => 0.55,
         }
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -37,13 +37,15 @@
         LedgerSync(LedgerSync),
         /// Hash of the id of an engine that has ended; sent to the coordinator.
         Ended(u64),
+        /// Plain servers that are not of average speed now: from the coordinator to all others.
+        Speeds(Vec<ServerPace>),
     }
 }
 
 impl PeerMessage {
     /// Returns whether an instance passes the message on for another one.
     pub fn may_be_relayed(&self) -> bool {
-        matches!(self, Self::Servers(_) | Self::Leaving(_) | Self::LedgerNews(_))
+        matches!(self, Self::Servers(_) | Self::Leaving(_) | Self::LedgerNews(_) | Self::Speeds(_))
     }
 
     /// Returns the kind of the message, for metrics.
@@ -56,11 +58,24 @@
             Self::Question(_) => "question",
             Self::Answer(_) => "answer",
             Self::Relayed(_) => "relayed",
+            Self::Speeds(_) => "speeds",
             Self::LedgerNews(_) | Self::LedgerState(_) | Self::LedgerSync(_) => "ledger",
         }
     }
 }
 
+value_type! { copy
+    /// Speed of a plain server.
+    pub struct ServerPace {
+        /// Hash of the server's id.
+        pub server: u64,
+        /// Part of the hash of the server's start, as in `SpeedReport`.
+        pub start: u16,
+        /// Time until an answer in percent of the median of the service.
+        pub percent: u16,
+    }
+}
+
 value_type! {
     /// Part of all entries of the sender's ledger.
     pub struct LedgerSync {
@@ -77,8 +92,7 @@
     pub struct RelayedMessage {
         /// Peers to which the receiver sends the message.
         pub targets: Vec<SocketAddr>,
-        /// An encoded `PeerMessage::Servers`, `PeerMessage::Leaving` or `PeerMessage::LedgerNews`;
-        /// others are dropped.
+        /// An encoded message that may be relayed; others are dropped.
         pub message: Vec<u8>,
     }
 }
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -40,7 +40,7 @@
 pub use load::{LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
     LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
-    RelayedMessage, ServerChanges,
+    RelayedMessage, ServerChanges, ServerPace,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use peer_lag::PeerLag;
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -194,6 +194,20 @@
     }
 }
 
+/// Returns whether a plain server answers sooner than another one by recent evidence, with the requests
+/// that this instance has open at both.
+fn answers_sooner(directory: &ServerDirectory, key: ServerKey, than: ServerKey) -> bool {
+    let expected = |key: ServerKey| {
+        let record = directory.get(key)?;
+        let open = f64::from(record.open_requests) / f64::from(record.entry.slots.max(1));
+        Some((record.speed.first * open.max(1.0), record.speed.is_average()))
+    };
+    match (expected(key), expected(than)) {
+        (Some((_, true)), Some((_, true))) | (None, _) | (_, None) => false,
+        (Some((time, _)), Some((other, _))) => time < other,
+    }
+}
+
 /// Policy that chooses servers for new and for moved requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlacementPolicy {
@@ -206,8 +220,9 @@
     /// server, and `draw` returns random numbers from 0 to 1.
     ///
     /// A server that is avoided after failures is chosen only when there is no other, and one that
-    /// begins to leave only when all do. Returns `None` if no server of the service accepts new
-    /// requests.
+    /// begins to leave only when all do. Of the two plain servers with the lowest cost, the one that
+    /// answers sooner by recent evidence is chosen. Returns `None` if no server of the service accepts
+    /// new requests.
     pub fn choose(
         &self,
         now: Timestamp,
@@ -217,6 +232,7 @@
         mut draw: impl FnMut() -> f64,
     ) -> Option<PlacementChoice> {
         let mut best: Option<((bool, bool, f64), ServerKey)> = None;
+        let mut second = None;
         let mut servers_with_room = 0;
         let draining_fallbacks = request.draining_fallbacks(now, directory);
         for (key, record) in request.candidates(directory).chain(draining_fallbacks) {
@@ -226,9 +242,18 @@
             servers_with_room += usize::from(has_room && !record.is_avoided(now));
             let rank = (record.is_avoided(now), !has_room, cost);
             if best.is_none_or(|(least, _)| rank < least) {
-                best = Some((rank, key));
+                second = best.replace((rank, key));
+            } else if second.is_none_or(|(least, _)| rank < least) {
+                second = Some((rank, key));
             }
         }
+        if request.memory_tokens.is_none()
+            && let (Some((rank, key)), Some((other_rank, other))) = (best, second)
+            && rank.0 == other_rank.0
+            && answers_sooner(directory, other, key)
+        {
+            best = second;
+        }
         best.map(|((_, is_full, _), key)| {
             let servers_with_room = if is_full { 0 } else { servers_with_room.max(1) };
             PlacementChoice { key, servers_with_room }
--- a/medlarlanding-core/src/forwarding/server_speed.rs
+++ b/medlarlanding-core/src/forwarding/server_speed.rs
@@ -28,7 +28,7 @@
     /// generation count for 1 each, from the second on, its first one and an answer for 2.
     pub prior_weight: f64,
     /// An engine counts as average while its time for a token differs from the median by less than
-    /// this factor. Batches and prompts make alike engines differ by up to 1.5 in the replay of a
+    /// this factor. Without it, batches and prompts would make alike engines differ in the replay of a
     /// loaded fleet (`forwarding_slow_engines`).
     pub token_band: f64,
     /// Same for the time until the first event or the answer, which also depends on load that no
@@ -85,6 +85,11 @@
 /// Time after which a sample of the usual answer time of a plain server counts for 1/e; longer than its
 /// slow periods.
 const USUAL_MEMORY: Duration = Duration::from_secs(30);
+/// Time without a sample after which the usual answer time of a plain server is forgotten.
+const USUAL_EXPIRY: Duration = Duration::from_secs(60);
+/// Weight of samples, in events, from which the usual answer time of a service is known: that of three
+/// answers.
+const USUAL_WEIGHT_MIN: f64 = 5.0;
 
 /// Weight in events from which a server counts for the median of its service: that of one short answer
 /// a few seconds ago.
@@ -304,18 +309,28 @@
         }
     }
 
-    /// Iterates over all servers with their ratios in use and the time since their last samples.
-    pub fn iter(&self, now: Timestamp) -> impl Iterator<Item = (ServerKey, SpeedRatios, Duration)> {
-        self.servers
-            .iter()
-            .map(move |(key, speed)| (*key, speed.ratios, now.since(speed.sampled_at)))
+    /// Iterates over all servers with their ratios in use.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, SpeedRatios)> {
+        self.servers.iter().map(|(key, speed)| (*key, speed.ratios))
     }
 
-    /// Returns the usual time of a plain server relative to the expected one; `None` before its first
-    /// answer.
-    pub fn usual_first(&self, now: Timestamp, key: ServerKey) -> Option<f64> {
-        let (mean, _) = self.servers.get(&key)?.usual.mean(now, USUAL_MEMORY)?;
-        Some(mean.exp())
+    /// Returns the time since the last sample of a server; `None` without samples.
+    pub fn age(&self, now: Timestamp, key: ServerKey) -> Option<Duration> {
+        self.servers.get(&key).map(|speed| now.since(speed.sampled_at))
+    }
+
+    /// Returns the usual time of a plain server relative to the expected one, or without samples of it
+    /// the median of the servers `keys` of its service. `None` with too few samples of the service.
+    pub fn usual_first(&self, now: Timestamp, key: ServerKey, keys: &[ServerKey]) -> Option<f64> {
+        let usual = |key: &ServerKey| self.servers.get(key)?.usual.mean(now, USUAL_MEMORY);
+        let known: Vec<(f64, f64)> = keys.iter().filter_map(usual).collect();
+        if known.iter().map(|(_, weight)| weight).sum::<f64>() < USUAL_WEIGHT_MIN {
+            return None;
+        }
+        let mut means: Vec<f64> = known.into_iter().map(|(mean, _)| mean).collect();
+        means.sort_by(f64::total_cmp);
+        let median = means[(means.len() - 1) / 2];
+        Some(usual(&key).map_or(median, |(mean, _)| mean).exp())
     }
 
     /// Compares the servers of each service with one another and updates the ratios in use. Forgets
@@ -337,8 +352,13 @@
             let age = now.since(speed.sampled_at);
             if age >= target.params().expiry {
                 let ratios = SpeedRatios::default();
-                changes.push(SpeedChange { key: *key, ratios, age, is_expired: true });
-                return false;
+                let has_samples = speed.token.weight + speed.first.weight > 0.0;
+                if has_samples {
+                    changes.push(SpeedChange { key: *key, ratios, age, is_expired: true });
+                }
+                (speed.token, speed.first) = (DecayedMean::default(), DecayedMean::default());
+                speed.ratios = ratios;
+                return !target.is_engine && age < USUAL_EXPIRY;
             }
             services.entry(&record.entry.service).or_default().push(*key);
             true
--- a/medlarlanding-core/src/forwarding/speed_samples.rs
+++ b/medlarlanding-core/src/forwarding/speed_samples.rs
@@ -40,8 +40,11 @@
 /// Longest time between two events that counts. An event takes at most 0.24 s at the slowest engines
 /// with a full batch; they pause for 0.6 s.
 const PAUSE_MIN: Duration = Duration::from_millis(400);
-/// Logarithms of ratios are limited to that of 8, so that no single answer decides an estimate.
-const LOG_RATIO_LIMIT: f64 = 2.08;
+/// Logarithms of ratios are limited to that of 64, so that no single answer decides an estimate. Plain
+/// servers may answer in a fiftieth of the objective of their route.
+const LOG_RATIO_LIMIT: f64 = 4.16;
+/// Limit of the ratios of engines, which differ from the expected times by a factor of 4 at most.
+const ENGINE_RATIO_LIMIT: f64 = 8.0;
 /// Units of `SpeedSums::log_sum` for a logarithm of 1.
 const LOG_UNITS: f64 = 100.0;
 
@@ -52,7 +55,7 @@
         /// Number of events or answers in the samples.
         pub weight: u16,
         /// Sum over these of the logarithm of the time taken relative to the time expected, in
-        /// hundredths; from -208 to 208 times `weight`.
+        /// hundredths; from -416 to 416 times `weight`.
         pub log_sum: i32,
     }
 }
@@ -120,6 +123,10 @@
     }
 }
 
+fn limit_ratio(ratio: f64) -> f64 {
+    ratio.clamp(1.0 / ENGINE_RATIO_LIMIT, ENGINE_RATIO_LIMIT)
+}
+
 /// Returns the milliseconds of a step of an engine of the common kind that has `running` requests.
 pub fn step_millis(running: u32) -> f64 {
     STEP_MS + BATCH_STEP_MS * f64::from(running.saturating_sub(1))
@@ -244,7 +251,7 @@
         if !std::mem::replace(&mut self.has_begun, true) {
             let millis = now.since(self.sent_at).as_secs_f64() * 1e3;
             let ratio = millis / first_event_millis(self.prompt, self.queue);
-            self.kept.first.add(ratio, FIRST_EVENT_WEIGHT);
+            self.kept.first.add(limit_ratio(ratio), FIRST_EVENT_WEIGHT);
         }
         let Some(window) = &mut self.window else {
             self.window = Some(SampleWindow::new(now));
@@ -294,7 +301,7 @@
         let Some(window) = &mut self.window else { return };
         let token_millis = window.event_millis() / TOKENS_PER_EVENT as f64;
         let ratio = token_millis / step_millis(u32::from(self.queue.running) + 1);
-        self.kept.token.add(ratio, window.events);
+        self.kept.token.add(limit_ratio(ratio), window.events);
         *window = SampleWindow::new(window.last_event_at);
     }
 }
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -7,7 +7,7 @@
 
 use medlarlanding_core::forwarding::{
     DirectoryChange, LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams,
-    RelayedMessage, ServerChanges, ServerEntry, ServerPhase, SpeedReport, SpeedSums,
+    RelayedMessage, ServerChanges, ServerEntry, ServerPace, ServerPhase, SpeedReport, SpeedSums,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -65,6 +65,7 @@
         PeerMessage::Fault(4),
         PeerMessage::Relayed(relayed),
         PeerMessage::Unresponsive(4),
+        PeerMessage::Speeds(vec![ServerPace { server: 7, start: 9, percent: 500 }]),
     ]
 }
 
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -12,6 +12,7 @@
 mod engine_calls;
 mod engine_probe;
 mod generation;
+mod hedging;
 mod ledger;
 mod listener;
 mod load_guard;
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -179,6 +179,14 @@
         }
     }
 
+    /// Tells all peers as the coordinator which plain servers are not of average speed.
+    fn send_paces(&self, state: &ForwardState) {
+        let paces = state.paces();
+        if !paces.is_empty() {
+            self.send_to_groups(state, &PeerMessage::Speeds(paces), &relay_groups(state));
+        }
+    }
+
     /// Sends new entries of the ledger to the coordinator, or as the coordinator to all peers.
     fn send_ledger_news(&self, state: &ForwardState, news: LedgerNews) {
         let coordinator = state.peers.borrow().coordinator(state.now());
@@ -309,7 +317,9 @@
             state.placing.granted.set(0);
             coordinator = current;
         }
-        state.update_speeds();
+        if state.update_speeds() && current.is_none() {
+            link.send_paces(&state);
+        }
         send_digest(&link, &state, sequence);
         if current.is_none() && now.since(logged_at) >= LOAD_PERIOD {
             logged_at = now;
@@ -451,6 +461,7 @@
                 link.send_ledger(state, source, false);
             }
         },
+        PeerMessage::Speeds(paces) => state.note_paces(&paces),
         PeerMessage::Question(question) => {
             let answer = state.answer_question(source, &question);
             link.send(state, &PeerMessage::Answer(answer), &[source]);
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -7,6 +7,7 @@
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::answer_end::EndingAnswer;
+use super::hedging::{self, RequestTarget, ServerResult};
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
 use super::placing::Placement;
@@ -48,7 +49,7 @@
 const SAFE_TIME_FACTOR: u32 = 3;
 
 /// Outcome of sending a request to one server.
-enum SendOutcome {
+pub(super) enum SendOutcome {
     /// The server sent a complete answer, or the beginning of a long one.
     Answered(StatusCode, HeaderMap, AnswerBody),
     /// The server did not run the request and never will.
@@ -66,7 +67,17 @@
 }
 
 impl SendOutcome {
-    fn name(&self) -> &'static str {
+    /// Returns whether a server answered without an error of its own.
+    pub(super) fn is_success(&self) -> bool {
+        matches!(self, Self::Answered(status, ..) if !status.is_server_error())
+    }
+
+    /// Returns whether the outcome decides the request although another server may still answer.
+    pub(super) fn is_final(&self) -> bool {
+        self.is_success() || matches!(self, Self::Blocked | Self::Stopping)
+    }
+
+    pub(super) fn name(&self) -> &'static str {
         match self {
             Self::Answered(..) => "answered",
             Self::NotRun => "not_run",
@@ -132,19 +143,7 @@
             break fallback_or_error(fallback, error);
         }
         let excluded = state.with_held(&admitted.service, &tried);
-        let placed = state.place(
-            PlacePurpose::Start,
-            &PlacementRequest {
-                service: &admitted.service,
-                memory_tokens: None,
-                weight: admitted.weight,
-                excluded: &excluded,
-                zone: &state.settings.zone,
-                due: None,
-                is_urgent: admitted.priority == 0,
-                drain_limit: state.settings.drain_limit,
-            },
-        );
+        let placed = state.place(PlacePurpose::Start, &plain_request(state, &admitted, &excluded));
         let Placement::Server(key) = placed else {
             let error = match (run_count, not_run_count) {
                 (0, 0) => ErrorAnswer::NoServer,
@@ -169,21 +168,20 @@
         } else {
             time_left
         };
-        let (server, outcome) =
-            send_to_server(state, &link, &admitted, key, time_left, limit).await;
-        event(
-            EventKind::RequestSent,
-            &[
-                &admitted.id,
-                &admitted.rule.name,
-                &server,
-                &tried.len(),
-                &(time_left.as_millis()),
-                &outcome.name(),
-                &(state.now().since(now).as_millis()),
-                &admitted.config_version,
-            ],
-        );
+        let target = RequestTarget { key, time_left, limit };
+        let may_hedge = is_safe && run_count + 2 <= admitted.rule.max_servers;
+        let sent = hedging::send(state, &link, &admitted, target, &mut tried, may_hedge).await;
+        run_count += u32::from(sent.is_abandoned);
+        match sent.failure.map(|failure| failure.outcome) {
+            Some(SendOutcome::Answered(status, server_headers, body)) => {
+                run_count += 1;
+                fallback = Some((status, server_headers, body));
+            },
+            Some(SendOutcome::NotRun | SendOutcome::NotConnected) => not_run_count += 1,
+            Some(_) => run_count += 1,
+            None => {},
+        }
+        let ServerResult { key, server, outcome } = sent.last;
         last_server = server;
         match outcome {
             SendOutcome::Answered(status, server_headers, body) => {
@@ -322,7 +320,25 @@
     }
 }
 
-async fn send_to_server(
+/// Describes a request to a plain service for the choice of a server.
+pub(super) fn plain_request<'a>(
+    state: &'a SharedState,
+    admitted: &'a AdmittedRequest,
+    excluded: &'a [ServerKey],
+) -> PlacementRequest<'a> {
+    PlacementRequest {
+        service: &admitted.service,
+        memory_tokens: None,
+        weight: admitted.weight,
+        excluded,
+        zone: &state.settings.zone,
+        due: None,
+        is_urgent: admitted.priority == 0,
+        drain_limit: state.settings.drain_limit,
+    }
+}
+
+pub(super) async fn send_to_server(
     state: &SharedState,
     link: &Rc<PeerLink>,
     admitted: &AdmittedRequest,
--- a/medlarlanding/src/forwarding/speeds.rs
+++ b/medlarlanding/src/forwarding/speeds.rs
@@ -1,8 +1,9 @@
 //! Speeds of servers: collects samples of this instance and of its peers, and publishes estimates.
 //!
 //! The coordinator and the instance that would replace it get the samples of all instances with their
-//! load reports. Every other instance knows its own samples only; it uses them for plain servers, and
-//! for engines while the coordinator does not answer.
+//! load reports. Every other instance knows its own samples only, and uses those of engines while the
+//! coordinator does not answer. The coordinator tells all instances which plain servers are not of
+//! average speed, because each instance chooses plain servers itself and sends few requests to each.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -14,8 +15,8 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     EngineQueue, FIRST_EVENT_WEIGHT, ForwardConfig, LoadReport, RouteRule, SampleSource,
-    ServerEntry, ServerKey, ServerRecord, SpeedChange, SpeedRatios, SpeedSums, SpeedTable,
-    SpeedTarget, StreamSample,
+    ServerEntry, ServerKey, ServerPace, ServerRecord, SpeedChange, SpeedRatios, SpeedSums,
+    SpeedTable, SpeedTarget, StreamSample,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -30,6 +31,16 @@
 /// Expected time of an answer from a plain server on a route without an objective. Comparisons of
 /// servers do not depend on it.
 const DEFAULT_ANSWER_TIME: Duration = Duration::from_millis(300);
+/// A server is late when it has not answered for its usual time multiplied by this.
+const LATE_FACTOR: f64 = 3.0;
+/// Shortest time after which a server is late; a weak machine may be paused for longer than this.
+const LATE_MIN: Duration = Duration::from_millis(20);
+/// Time for which the speeds that the coordinator told are used; it tells them every 250 ms.
+const TOLD_RETENTION: Duration = Duration::from_secs(1);
+/// Most servers whose speeds the coordinator tells, so that they fit into a datagram.
+const TOLD_LIMIT: usize = 60;
+/// Range of the speeds in percent that are taken from a peer.
+const TOLD_RANGE: (u16, u16) = (10, 1_000);
 /// Shortest time between two updates of the estimates; digests, which cause them, are sent up to 50
 /// times a second.
 const UPDATE_PERIOD: Duration = Duration::from_millis(200);
@@ -45,6 +56,8 @@
     /// Work at the engines that the coordinator chose last, with the time of its answers; none is
     /// older than `QUEUE_RETENTION` at the time of an insertion.
     queues: RefCell<IndexMap<ServerKey, (Timestamp, EngineQueue)>>,
+    /// Ratios of plain servers that the coordinator told, with the times at which they arrived.
+    told: RefCell<IndexMap<ServerKey, (Timestamp, f64)>>,
     /// Ids of the servers that the metrics name.
     shown: RefCell<IndexSet<String>>,
     updates: Cell<u32>,
@@ -124,6 +137,56 @@
         self.speeds.table.borrow_mut().record(self.now(), key, SampleSource::PlainServer, sample);
     }
 
+    /// Returns the time after which a plain server is late with an answer; `None` if its usual time is
+    /// unknown or servers are not compared.
+    pub fn late_after(&self, key: ServerKey, rule: &RouteRule) -> Option<Duration> {
+        if !self.compares_speeds() {
+            return None;
+        }
+        let directory = self.directory.borrow();
+        let record = directory.get(key).filter(|record| !self.is_engine(record))?;
+        let keys: Vec<ServerKey> =
+            directory.candidates(&record.entry.service).map(|(key, _)| key).collect();
+        let usual = self.speeds.table.borrow().usual_first(self.now(), key, &keys)?;
+        let open = f64::from(record.open_requests + 1) / f64::from(record.entry.slots.max(1));
+        let factor = usual * open.max(1.0) * LATE_FACTOR;
+        Some(expected_answer_time(rule).mul_f64(factor).max(LATE_MIN))
+    }
+
+    /// Records the speeds of plain servers that the coordinator told.
+    pub fn note_paces(&self, paces: &[ServerPace]) {
+        if !self.compares_speeds() {
+            return;
+        }
+        let (now, keys, directory) =
+            (self.now(), self.speeds.keys.borrow(), self.directory.borrow());
+        let mut told = self.speeds.told.borrow_mut();
+        for pace in paces {
+            let Some(key) = keys.get(&pace.server) else { continue };
+            let is_same_start =
+                directory.get(*key).is_some_and(|it| start_mark(&it.entry) == pace.start);
+            if is_same_start {
+                let percent = pace.percent.clamp(TOLD_RANGE.0, TOLD_RANGE.1);
+                told.insert(*key, (now, f64::from(percent) / 100.0));
+            }
+        }
+    }
+
+    /// Returns the plain servers that are not of average speed by the samples of all instances, which
+    /// this instance has while it is the coordinator.
+    pub fn paces(&self) -> Vec<ServerPace> {
+        let (directory, table) = (self.directory.borrow(), self.speeds.table.borrow());
+        let paces = table.iter().filter_map(|(key, ratios)| {
+            let record = directory.get(key).filter(|record| !self.is_engine(record))?;
+            (ratios.first != 1.0).then(|| ServerPace {
+                server: server_hash(&record.entry.id),
+                start: start_mark(&record.entry),
+                percent: percent(ratios.first),
+            })
+        });
+        paces.take(TOLD_LIMIT).collect()
+    }
+
     /// Adds the samples of this instance since the last report to the load that it reports. Servers
     /// without a request are added if there are samples of them.
     pub fn add_speed_reports(&self, loads: &mut Vec<LoadReport>) {
@@ -188,11 +251,11 @@
 
     /// Updates the estimates and the speeds in the directory, by which requests are placed. Logs those
     /// that changed: of engines at the coordinator, which uses them, and of plain servers here, where
-    /// each instance uses its own.
-    pub fn update_speeds(&self) {
+    /// each instance chooses. Returns whether they were updated.
+    pub fn update_speeds(&self) -> bool {
         let now = self.now();
         if now.since(self.speeds.updated_at.get()) < UPDATE_PERIOD {
-            return;
+            return false;
         }
         self.speeds.updated_at.set(now);
         let mut table = self.speeds.table.borrow_mut();
@@ -202,23 +265,35 @@
                 *table = SpeedTable::default();
                 directory.set_speeds(|_, _| SpeedRatios::default());
             }
-            return;
+            return false;
         }
         let entries = directory.iter().filter(|(_, record)| !record.is_removed);
         *self.speeds.keys.borrow_mut() =
             entries.map(|(key, record)| (server_hash(&record.entry.id), key)).collect();
         let changes = table.refresh(now, &directory, |service| self.speed_target(service));
-        directory.set_speeds(|key, service| table.ratios(key, service));
+        let mut told = self.speeds.told.borrow_mut();
+        told.retain(|_, (at, _)| now.since(*at) < TOLD_RETENTION);
+        directory.set_speeds(|key, service| {
+            let known = table.ratios(key, service);
+            told.get(&key).map_or(known, |(_, first)| SpeedRatios { first: *first, ..known })
+        });
+        drop(told);
         drop(directory);
         self.log_speed_changes(&changes);
         self.speeds.updates.set(self.speeds.updates.get().wrapping_add(1));
         if self.speeds.updates.get().is_multiple_of(METRICS_PERIOD) {
             let directory = self.directory.borrow();
-            let estimates = table.iter(now).filter_map(|(key, ratios, age)| {
-                Some((directory.get(key)?.entry.id.to_string(), ratios, age))
+            // Servers whose speed only the coordinator knows have the age 0.
+            let estimates = directory.iter().filter_map(|(key, record)| {
+                let age = table.age(now, key);
+                let is_shown = age.is_some() || !record.speed.is_average();
+                let id = record.entry.id.to_string();
+                (is_shown && !record.is_removed)
+                    .then(|| (id, record.speed, age.unwrap_or_default()))
             });
             show_speeds(&self.telemetry, &mut self.speeds.shown.borrow_mut(), estimates);
         }
+        true
     }
 
     fn log_speed_changes(&self, changes: &[SpeedChange]) {
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -17,6 +17,9 @@
     pub requests: IntCounterVec,
     /// Repeats of requests to plain services, by reason.
     pub repeats: IntCounterVec,
+    /// Requests sent to two plain servers, by outcome: `won` if the second one answered first, `lost` if
+    /// the first one did, `failed` if neither succeeded.
+    pub hedges: IntCounterVec,
     /// Steps of moves of generations, by outcome.
     pub moves: IntCounterVec,
     /// Failed exchanges with servers, by fault.
@@ -64,6 +67,7 @@
         Ok(Self {
             requests: registry.counters("requests", "Requests.", &["kind", "outcome"])?,
             repeats: registry.counters("repeats", "Sends to a second server.", &["reason"])?,
+            hedges: registry.counters("hedges", "Requests sent to two servers.", &["outcome"])?,
             moves: registry.counters("moves", "Moves of generations.", &["outcome"])?,
             faults: registry.counters("faults", "Failed exchanges with servers.", &["fault"])?,
             broken_answers: registry.counters(
