--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -58,6 +58,8 @@
         ZoneDigest(PeerDigest),
         /// Digest of a hub from a relay.
         PassedDigest(PeerDigest),
+        /// Plain servers that are not of average speed now: from the coordinator to all others.
+        Speeds(Vec<ServerPace>),
     }
 }
 
@@ -90,6 +92,7 @@
                 | Self::LedgerNews(_)
                 | Self::Evacuations(_)
                 | Self::Cold(_)
+                | Self::Speeds(_)
         )
     }
 
@@ -106,12 +109,25 @@
             Self::Answer(_) => "answer",
             Self::Evacuations(_) => "evacuations",
             Self::Relayed(_) | Self::ZoneRelayed(_) => "relayed",
+            Self::Speeds(_) => "speeds",
             Self::LedgerNews(_) | Self::LedgerState(_) | Self::LedgerSync(_) => "ledger",
             Self::ZonePlan(_) => "zone_plan",
         }
     }
 }
 
+value_type! { copy
+    /// Speed of a plain server.
+    pub struct ServerPace {
+        /// Hash of the server's id.
+        pub server: u64,
+        /// Part of the hash of the server's start, as in `SpeedReport`.
+        pub start: u16,
+        /// Time until an answer in percent of the median of the service.
+        pub percent: u16,
+    }
+}
+
 value_type! {
     /// Part of all entries of the sender's ledger.
     pub struct LedgerSync {
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -59,8 +59,8 @@
 pub use load::{LatencyClass, LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
     ColdQuestion, EvacuationSync, LedgerSync, OnwardGroup, PeerMessage, PlaceAnswer, PlacePurpose,
-    PlaceQuestion, PlaceVerdict, RelayedMessage, RunBacklog, ServerChanges, SyncPurpose,
-    ZoneRelayedMessage,
+    PlaceQuestion, PlaceVerdict, RelayedMessage, RunBacklog, ServerChanges, ServerPace,
+    SyncPurpose, ZoneRelayedMessage,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use pause_gate::{PauseGate, PauseParams};
--- a/medlarlanding-core/src/forwarding/server_speed.rs
+++ b/medlarlanding-core/src/forwarding/server_speed.rs
@@ -28,8 +28,8 @@
     /// generation count for 1 each, from the second on, its first one and an answer for 2.
     pub prior_weight: f64,
     /// An engine counts as average while its time for a token differs from the median by less than
-    /// this factor. Batches and prompts make alike engines differ by up to 1.5 in the replay of a
-    /// loaded fleet (`forwarding_slow_engines`).
+    /// this factor. Because of batches and prompts, one of 24 alike engines differed by more than 1.45
+    /// in 2 % of the updates of 18 replays, most of them near capacity.
     pub token_band: f64,
     /// Same for the time until the first event or the answer, which also depends on load that no
     /// instance knows of.
@@ -49,7 +49,7 @@
             memory: Duration::from_secs(10),
             expiry: Duration::from_secs(30),
             prior_weight: 3.0,
-            token_band: 1.4,
+            token_band: 1.45,
             first_band: 1.6,
             return_factor: 1.1,
             change_band: 1.1,
@@ -85,6 +85,11 @@
 /// Time after which a sample of the usual answer time of a plain server counts for 1/e; longer than its
 /// slow periods.
 const USUAL_MEMORY: Duration = Duration::from_secs(30);
+/// Time without a sample after which the usual answer time of a plain server is forgotten.
+const USUAL_EXPIRY: Duration = Duration::from_secs(60);
+/// Weight of samples, in events, from which the usual answer time of a service is known: that of three
+/// answers.
+const USUAL_WEIGHT_MIN: f64 = 5.0;
 
 /// Weight in events from which a server counts for the median of its service: that of one short answer
 /// a few seconds ago.
@@ -93,6 +98,10 @@
 /// Factor on the time of a step of an engine that processes a part of a prompt as well.
 const PROMPT_STEP_FACTOR: f64 = 2.0;
 
+/// Weight of the current state in the share of time in which prompts wait at an engine. Of 0.2 to 1, 0.5
+/// makes alike engines differ least in the replay of loaded fleets.
+const PROMPT_SHARE_WEIGHT: f64 = 0.5;
+
 /// How fast a server is compared with the median of its service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SpeedRatios {
@@ -195,10 +204,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SampleSource {
     /// An engine.
-    Engine {
-        /// Prompts wait at the engine, so that its steps take longer.
-        has_prompts: bool,
-    },
+    Engine,
     /// A server of a plain service.
     PlainServer,
 }
@@ -223,9 +229,24 @@
     servers: IndexMap<ServerKey, ServerSpeed>,
     /// Mean ratios in use of the engines of each service that has any, as of the last refresh.
     means: IndexMap<Arc<str>, SpeedRatios>,
+    /// Share of recent time, from 0 to 1, in which prompts waited at each engine, so that its steps took
+    /// longer.
+    prompt_shares: IndexMap<ServerKey, f64>,
 }
 
 impl SpeedTable {
+    /// Records at which engines prompts wait now. Called every 250 ms with all engines; others are
+    /// forgotten.
+    pub fn update_prompts(&mut self, engines: impl IntoIterator<Item = (ServerKey, bool)>) {
+        let earlier = std::mem::take(&mut self.prompt_shares);
+        let share = |(key, has_prompts): (ServerKey, bool)| {
+            let before = earlier.get(&key).copied().unwrap_or(0.0);
+            let current = f64::from(u8::from(has_prompts));
+            (key, before + PROMPT_SHARE_WEIGHT * (current - before))
+        };
+        self.prompt_shares = engines.into_iter().map(share).collect();
+    }
+
     /// Adds samples that this instance took; they are contained in the next report.
     pub fn record(
         &mut self,
@@ -259,9 +280,10 @@
 
     fn add(&mut self, now: Timestamp, key: ServerKey, source: SampleSource, sample: StreamSample) {
         let (memory, token_log) = match source {
-            SampleSource::Engine { has_prompts: false } => (SpeedParams::engines().memory, 0.0),
-            SampleSource::Engine { has_prompts: true } => {
-                (SpeedParams::engines().memory, PROMPT_STEP_FACTOR.ln())
+            SampleSource::Engine => {
+                let prompt_share = self.prompt_shares.get(&key).copied().unwrap_or(0.0);
+                let factor = 1.0 + (PROMPT_STEP_FACTOR - 1.0) * prompt_share;
+                (SpeedParams::engines().memory, factor.ln())
             },
             SampleSource::PlainServer => (SpeedParams::plain_servers().memory, 0.0),
         };
@@ -304,18 +326,28 @@
         }
     }
 
-    /// Iterates over all servers with their ratios in use and the time since their last samples.
-    pub fn iter(&self, now: Timestamp) -> impl Iterator<Item = (ServerKey, SpeedRatios, Duration)> {
-        self.servers
-            .iter()
-            .map(move |(key, speed)| (*key, speed.ratios, now.since(speed.sampled_at)))
+    /// Iterates over all servers with their ratios in use.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, SpeedRatios)> {
+        self.servers.iter().map(|(key, speed)| (*key, speed.ratios))
     }
 
-    /// Returns the usual time of a plain server relative to the expected one; `None` before its first
-    /// answer.
-    pub fn usual_first(&self, now: Timestamp, key: ServerKey) -> Option<f64> {
-        let (mean, _) = self.servers.get(&key)?.usual.mean(now, USUAL_MEMORY)?;
-        Some(mean.exp())
+    /// Returns the time since the last sample of a server; `None` without samples.
+    pub fn age(&self, now: Timestamp, key: ServerKey) -> Option<Duration> {
+        self.servers.get(&key).map(|speed| now.since(speed.sampled_at))
+    }
+
+    /// Returns the usual time of a plain server relative to the expected one, or without samples of it
+    /// the median of the servers `keys` of its service. `None` with too few samples of the service.
+    pub fn usual_first(&self, now: Timestamp, key: ServerKey, keys: &[ServerKey]) -> Option<f64> {
+        let usual = |key: &ServerKey| self.servers.get(key)?.usual.mean(now, USUAL_MEMORY);
+        let known: Vec<(f64, f64)> = keys.iter().filter_map(usual).collect();
+        if known.iter().map(|(_, weight)| weight).sum::<f64>() < USUAL_WEIGHT_MIN {
+            return None;
+        }
+        let mut means: Vec<f64> = known.into_iter().map(|(mean, _)| mean).collect();
+        means.sort_by(f64::total_cmp);
+        let median = means[(means.len() - 1) / 2];
+        Some(usual(&key).map_or(median, |(mean, _)| mean).exp())
     }
 
     /// Compares the servers of each service with one another and updates the ratios in use. Forgets
@@ -337,8 +369,13 @@
             let age = now.since(speed.sampled_at);
             if age >= target.params().expiry {
                 let ratios = SpeedRatios::default();
-                changes.push(SpeedChange { key: *key, ratios, age, is_expired: true });
-                return false;
+                let has_samples = speed.token.weight + speed.first.weight > 0.0;
+                if has_samples {
+                    changes.push(SpeedChange { key: *key, ratios, age, is_expired: true });
+                }
+                (speed.token, speed.first) = (DecayedMean::default(), DecayedMean::default());
+                speed.ratios = ratios;
+                return !target.is_engine && age < USUAL_EXPIRY;
             }
             services.entry(&record.entry.service).or_default().push(*key);
             true
--- a/medlarlanding-core/tests/forwarding_zone_relays.rs
+++ b/medlarlanding-core/tests/forwarding_zone_relays.rs
@@ -283,6 +283,8 @@
             reaches_store: true,
             config_version: 3,
             servers_revision: 9,
+            evacuations: 0,
+            fleet: None,
             peers: Vec::new(),
             granted: 0,
             loads: Vec::new(),
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 mod engine_probe;
 mod evacuations;
 mod generation;
+mod hedging;
 mod ledger;
 mod listener;
 mod load_guard;
