Decode the cold start fields of services

coldStartS and coldPerS of a service become ServicePolicy::cold_start and cold_rate. Nothing reads them yet.

--- a/medlarlanding-core/src/forwarding/config.rs
+++ b/medlarlanding-core/src/forwarding/config.rs
@@ -99,6 +99,10 @@
     pub health_path: Option<Arc<str>>,
     /// Capacity of the model engines; `None` for a plain service.
     pub engine: Option<EngineLimits>,
+    /// Time for which a server is cold after its start; zero if the configuration states none.
+    pub cold_start: Duration,
+    /// Requests per second that a cold server tolerates; 0 if the configuration states no limit.
+    pub cold_rate: f64,
 }
 
 /// Limits on what a caller may send.
--- a/medlarlanding-core/tests/forwarding_decisions.rs
+++ b/medlarlanding-core/tests/forwarding_decisions.rs
@@ -36,8 +36,14 @@
 fn config() -> ForwardConfig {
     let limits = RequestLimits { header_bytes: 1, body_bytes: 1, idle: Duration::ZERO };
     let record = CustomerRecord { name: Arc::from("museum"), priority: Some(0) };
-    let policy =
-        ServicePolicy { name: Arc::from("a"), max_connections: 1, health_path: None, engine: None };
+    let policy = ServicePolicy {
+        name: Arc::from("a"),
+        max_connections: 1,
+        health_path: None,
+        engine: None,
+        cold_start: Duration::ZERO,
+        cold_rate: 0.0,
+    };
     let rules =
         vec![rule("short", "/a/", false), rule("long", "/a/b/", false), rule("open", "/o/", true)];
     let customers = Some(vec![(record, vec!["key".to_owned()])]);
