Find the pace of servers that start or recover from their answers

A server that has just started looks idle to all instances and gets its first requests in one burst. ServerPace limits its requests in flight: the limit doubles while answers are near those of the peers, is halved when they are not or fail, and is held below the last fault for 1 to 64 s. PaceTable tells which servers have started or returned, PeerBaseline compares, and InstanceShare divides the limit of a server between instances that decide independently. Nothing uses them yet.

--- a/medlarlanding-core/src/lib.rs
+++ b/medlarlanding-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod membership;
 pub mod node;
 pub mod orders;
+pub mod pacing;
 pub mod prompts;
 pub mod rendezvous;
 pub mod time;
