Limit requests to servers in slow start on the forwarding role

A server that had just started looked idle and got its first requests in one burst. The coordinator holds the paces of engines; it answers PlaceVerdict::Ramping for one in slow start, and the asking instance reports its answers with PeerMessage::Answered. Each instance decides alone on plain servers.

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -141,6 +141,8 @@
     623 AnswerEnd Info "answer_end" ["request", "route", "server", "framing", "known", "state", "took_ms", "verdict"];
     /// A server refused a request and wants no further ones from this instance for a while.
     624 ServerHold Info "server_hold" ["request", "server", "hold_ms"];
+    /// The limit of requests to a server in slow start changed.
+    640 PaceChanged Info "pace_changed" ["server", "service", "limit", "reason", "ratio", "decided"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::pacing::PaceLimit;
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
@@ -35,6 +36,9 @@
     Leaving,
     /// The server wants no requests from this instance for a while.
     Held,
+    /// The server is in slow start and has as many requests as its limit allows. Unlike the other
+    /// reasons, this one does not forbid a request that no other server may get.
+    Paced,
 }
 
 value_type! { copy
@@ -115,6 +119,8 @@
     /// Consecutive failures that this instance has seen.
     failures: u32,
     avoid_until: Option<Timestamp>,
+    /// Limit of `open_requests` while the server is in slow start; `None` otherwise.
+    pace: Option<PaceLimit>,
 }
 
 impl ServerRecord {
@@ -135,6 +141,8 @@
             ServerAccess::Leaving
         } else if !self.hold_left(now).is_zero() {
             ServerAccess::Held
+        } else if self.is_paced(now) {
+            ServerAccess::Paced
         } else {
             ServerAccess::Open
         }
@@ -150,6 +158,11 @@
         !self.is_removed && self.leaving_since.is_some_and(|since| now.since(since) < limit)
     }
 
+    /// Returns whether the server is in slow start and has as many requests as its limit allows.
+    pub fn is_paced(&self, now: Timestamp) -> bool {
+        self.pace.is_some_and(|pace| self.open_requests >= pace.in_flight || now < pace.next_start)
+    }
+
     /// Returns whether the server is avoided because of recent failures.
     pub fn is_avoided(&self, now: Timestamp) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
@@ -234,6 +247,7 @@
                 expected_growth: 0,
                 failures: 0,
                 avoid_until: None,
+                pace: None,
                 entry,
             },
         );
@@ -398,6 +412,13 @@
         }
     }
 
+    /// Sets the limit of the requests of this instance to a server in slow start.
+    pub fn set_pace(&mut self, key: ServerKey, pace: Option<PaceLimit>) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.pace = pace;
+        }
+    }
+
     /// Avoids a server until the given time; never shortens the period in force.
     pub fn avoid(&mut self, key: ServerKey, until: Timestamp) {
         if let Some(record) = self.records.get_mut(&key) {
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -4,6 +4,7 @@
 
 use super::directory::DirectoryChange;
 use super::peers::PeerDigest;
+use crate::pacing::AnswerPart;
 use crate::prompts::LedgerNews;
 
 value_type! {
@@ -36,6 +37,8 @@
         LedgerSync(LedgerSync),
         /// Hash of the id of an engine that has ended; sent to the coordinator.
         Ended(u64),
+        /// How an engine in slow start answers; sent to the coordinator.
+        Answered(AnswerReport),
     }
 }
 
@@ -55,6 +58,7 @@
             Self::Question(_) => "question",
             Self::Answer(_) => "answer",
             Self::Relayed(_) => "relayed",
+            Self::Answered(_) => "answered",
             Self::LedgerNews(_) | Self::LedgerState(_) | Self::LedgerSync(_) => "ledger",
         }
     }
@@ -145,6 +149,31 @@
         Full(u16),
         /// Not placed: no server accepts it, or the budget for moves is used up.
         Nowhere,
+        /// On the server whose id has this hash and which is in slow start: the receiver reports how it
+        /// answers.
+        Ramping(u64),
+    }
+}
+
+value_type! { copy
+    /// How an engine in slow start answered a request, as the instance that sent the request saw it.
+    pub struct AnswerReport {
+        /// Hash of the engine's id.
+        pub server: u64,
+        /// Milliseconds since the request was sent.
+        pub age_ms: u32,
+        /// What the engine did.
+        pub outcome: AnswerOutcome,
+    }
+}
+
+value_type! { copy
+    /// What an engine in slow start did with a request.
+    pub enum AnswerOutcome {
+        /// It sent a part of its answer. The time in percent of that of its peers; 0 if that is unknown.
+        Answered(AnswerPart, u16),
+        /// It refused the request.
+        Refused,
     }
 }
 
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -37,8 +37,8 @@
 pub use entries::{EntryDelta, EntryLog};
 pub use load::{LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
-    LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
-    RelayedMessage, ServerChanges,
+    AnswerOutcome, AnswerReport, LedgerSync, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion,
+    PlaceVerdict, RelayedMessage, ServerChanges,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use peer_lag::PeerLag;
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -148,7 +148,8 @@
     /// server, and `draw` returns random numbers from 0 to 1.
     ///
     /// A server that is avoided after failures is chosen only when there is no other, and one that
-    /// begins to leave only when all do. Returns `None` if no server of the service accepts new
+    /// begins to leave only when all do. An engine that has reached its limit of slow start has no
+    /// room, and a plain server that has is chosen only when there is no other. Returns `None` if no server of the service accepts new
     /// requests.
     pub fn choose(
         &self,
@@ -158,20 +159,22 @@
         remote: impl Fn(&ServerRecord) -> RemoteLoad,
         mut draw: impl FnMut() -> f64,
     ) -> Option<PlacementChoice> {
-        let mut best: Option<((bool, bool, f64), ServerKey)> = None;
+        let mut best: Option<((bool, bool, bool, f64), ServerKey)> = None;
         let mut servers_with_room = 0;
         let draining_fallbacks = request.draining_fallbacks(now, directory);
         for (key, record) in request.candidates(directory).chain(draining_fallbacks) {
             let load = remote(record);
             let cost = self.cost(request, record, load) + draw() * self.params.jitter;
-            let has_room = self.has_room(request, record, load);
+            let is_paced = record.is_paced(now);
+            let is_engine = request.memory_tokens.is_some();
+            let has_room = self.has_room(request, record, load) && !(is_paced && is_engine);
             servers_with_room += usize::from(has_room && !record.is_avoided(now));
-            let rank = (record.is_avoided(now), !has_room, cost);
+            let rank = (record.is_avoided(now), is_paced && !is_engine, !has_room, cost);
             if best.is_none_or(|(least, _)| rank < least) {
                 best = Some((rank, key));
             }
         }
-        best.map(|((_, is_full, _), key)| {
+        best.map(|((_, _, is_full, _), key)| {
             let servers_with_room = if is_full { 0 } else { servers_with_room.max(1) };
             PlacementChoice { key, servers_with_room }
         })
@@ -192,7 +195,7 @@
         mut draw: impl FnMut() -> f64,
     ) -> Option<ServerKey> {
         let memory = request.memory_tokens?;
-        let mut best: Option<(f64, ServerKey)> = None;
+        let mut best: Option<((bool, f64), ServerKey)> = None;
         let healthy = request.candidates(directory).filter(|(_, record)| !record.is_avoided(now));
         for (key, record) in healthy {
             // Expected output does not count here: the copy takes only the tokens that the run
@@ -209,8 +212,10 @@
             // The engine with the smallest of these exponential variates is chosen, which has a
             // probability proportional to its weight.
             let variate = -draw().max(f64::MIN_POSITIVE).ln() / weight;
-            if best.is_none_or(|(least, _)| variate < least) {
-                best = Some((variate, key));
+            // An engine in slow start gets a run only if no other has room, but before the run is lost.
+            let rank = (record.is_paced(now), variate);
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, key));
             }
         }
         best.map(|(_, key)| key)
--- a/medlarlanding-core/src/pacing/answer_sample.rs
+++ b/medlarlanding-core/src/pacing/answer_sample.rs
@@ -16,6 +16,11 @@
 /// Most kinds of answers that are kept for one service: the routes of the measured installations
 /// number at most 12.
 const KINDS_KEPT: usize = 64;
+/// Outcomes of requests kept to compare failures.
+const OUTCOMES_KEPT: usize = 64;
+/// Share of the peers' requests that fail above which a failure says nothing against a server: one in
+/// ten fails for a reason that all have in common.
+const FAILURE_SHARE: f64 = 0.1;
 /// Added to both times of a comparison, so that differences which no caller notices do not count: the
 /// targets for an answer are 300 ms and more, and 180 ms for a pause.
 const NOISE_FLOOR: Duration = Duration::from_millis(20);
@@ -67,6 +72,8 @@
 pub struct PeerBaseline {
     /// Invariant: at most `KINDS_KEPT` entries, each with at most `TIMES_KEPT` times, oldest first.
     times: IndexMap<(AnswerKind, AnswerPart), VecDeque<(Timestamp, Duration)>>,
+    /// Whether each of the last requests failed, oldest first; at most `OUTCOMES_KEPT`.
+    outcomes: VecDeque<bool>,
 }
 
 impl PeerBaseline {
@@ -83,6 +90,21 @@
         times.push_back((now, sample.time));
     }
 
+    /// Records the outcome of a request to a server that is not in slow start.
+    pub fn record_outcome(&mut self, has_failed: bool) {
+        if self.outcomes.len() >= OUTCOMES_KEPT {
+            self.outcomes.pop_front();
+        }
+        self.outcomes.push_back(has_failed);
+    }
+
+    /// Returns whether so many requests to the peers fail that one more says nothing against a server.
+    pub fn fails_often(&self) -> bool {
+        let failed = self.outcomes.iter().filter(|has_failed| **has_failed).count();
+        self.outcomes.len() >= TIMES_MIN
+            && failed as f64 > FAILURE_SHARE * self.outcomes.len() as f64
+    }
+
     /// Returns the median of the recent times; `None` if there are too few.
     pub fn median(&self, now: Timestamp, kind: AnswerKind, part: AnswerPart) -> Option<Duration> {
         let times = self.times.get(&(kind, part))?.iter();
--- a/medlarlanding-core/src/pacing/pace_table.rs
+++ b/medlarlanding-core/src/pacing/pace_table.rs
@@ -3,7 +3,7 @@
 use std::hash::Hash;
 use std::time::Duration;
 
-use super::answer_sample::{AnswerSample, JudgedAnswer, PeerBaseline};
+use super::answer_sample::{AnswerPart, AnswerSample, JudgedAnswer, PeerBaseline};
 use super::pace_params::PaceParams;
 use super::server_pace::{PaceChange, PaceLimit, PaceScope, RampCause, ServerPace};
 use crate::time::Timestamp;
@@ -142,6 +142,9 @@
         let judged = self.baseline.judge(now, sample);
         if !is_ramping && !self.is_ramping(key) {
             self.baseline.record(now, sample);
+            if sample.part == AnswerPart::First {
+                self.baseline.record_outcome(false);
+            }
         }
         judged
     }
@@ -152,12 +155,28 @@
         pace.answered(now, &self.params, sight.scope, sight.in_use, answer)
     }
 
-    /// Applies a failed or refused request to a server.
+    /// Applies a failed or refused request to a server. It does not count while requests to the peers
+    /// fail as well.
     pub fn failed(&mut self, now: Timestamp, key: K) -> Option<PaceChange> {
+        if !self.is_ramping(key) {
+            self.baseline.record_outcome(true);
+            return None;
+        }
+        if self.baseline.fails_often() {
+            return None;
+        }
         let PaceRecord { pace, sight } = self.records.get_mut(&key)?;
         pace.failed(now, &self.params, sight.scope, sight.in_use)
     }
 
+    /// Returns whether a server is known, steady and of this standing, so that observing it again has no
+    /// effect.
+    pub fn is_settled(&self, key: K, standing: ServerStanding) -> bool {
+        self.records
+            .get(&key)
+            .is_some_and(|record| !record.pace.is_ramping() && record.sight.standing == standing)
+    }
+
     /// Returns whether a server is in slow start.
     pub fn is_ramping(&self, key: K) -> bool {
         self.records.get(&key).is_some_and(|record| record.pace.is_ramping())
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -16,6 +16,7 @@
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
 use super::server_liveness::BrokenAnswer;
+use super::server_pace::AnswerClock;
 use super::shared::SharedState;
 use super::stream_events::{EventSplitter, StreamEvent};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
@@ -83,6 +84,8 @@
     run_stop: RunStop,
     _exchange: Exchange,
     load: LoadGuard,
+    /// Measures the answer; `None` for a run that was moved here, and without slow start.
+    clock: Option<AnswerClock>,
 }
 
 struct GenerationRun {
@@ -320,6 +323,9 @@
             self.state.telemetry.event_gap.observe(gap.as_secs_f64());
             self.longest_gap = self.longest_gap.max(gap);
         }
+        if let Some(clock) = &mut stream.clock {
+            clock.count_event(&self.state, &self.link);
+        }
         stream.load.answer_begun();
         stream.load.add_output(TOKENS_PER_EVENT);
         self.last_event_at = now;
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -482,6 +482,7 @@
                             },
                             _exchange: exchange,
                             load,
+                            clock: None,
                         }));
                     }
                     if check != AnswerCheck::NotRun {
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -14,6 +14,7 @@
 use crate::forwarding::placing::Placement;
 use crate::forwarding::relay::server_request;
 use crate::forwarding::server_liveness::examine_unreachable;
+use crate::forwarding::server_pace::AnswerClock;
 use crate::forwarding::stream_events::has_events;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -70,6 +71,7 @@
             }
             tried.push(key);
             let load = LoadGuard::begin(&self.state, key, self.admitted.weight);
+            let clock = AnswerClock::start(&self.state, key, &self.admitted);
             let request = server_request(
                 &self.admitted,
                 &entry.id,
@@ -137,6 +139,7 @@
             let (parts, body) = response.into_parts();
             match check_answer(parts.status, &parts.headers, &self.admitted.id) {
                 AnswerCheck::NotRun => {
+                    self.state.note_engine_refusal(&self.link, key, now);
                     if tried.len() as u32 >= NOT_RUN_LIMIT {
                         return Err(StartFailure::Error(ErrorAnswer::ServersFull));
                     }
@@ -173,6 +176,7 @@
                 run_stop: RunStop::NotStopped,
                 _exchange: exchange,
                 load,
+                clock,
             };
             return Ok((stream, parts.status, parts.headers));
         }
--- a/medlarlanding/src/forwarding/listener.rs
+++ b/medlarlanding/src/forwarding/listener.rs
@@ -114,7 +114,7 @@
 
 /// Serves the metrics in the Prometheus text format.
 pub async fn serve_metrics(listener: TcpListener, state: SharedState) -> anyhow::Result<()> {
-    serve_endpoint(listener, move |path| match (path, state.telemetry.render()) {
+    serve_endpoint(listener, move |path| match (path, state.render_metrics()) {
         ("/metrics", Ok(text)) => (StatusCode::OK, text),
         ("/metrics", Err(error)) => {
             (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes())
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -22,6 +22,7 @@
 mod relay;
 mod role;
 mod server_liveness;
+mod server_pace;
 mod servers;
 mod shared;
 mod store_client;
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -11,9 +11,10 @@
 use super::servers::start_hash;
 use super::shared::{ForwardState, SharedState};
 use medlarlanding_core::forwarding::{
-    ChangeSource, DirectoryChange, EngineFault, LedgerSync, PeerDigest, PeerLag, PeerMessage,
-    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup,
-    RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey, SuspicionParams,
+    AnswerReport, ChangeSource, DirectoryChange, EngineFault, LedgerSync, PeerDigest, PeerLag,
+    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest,
+    RelayGroup, RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey,
+    SuspicionParams,
 };
 use medlarlanding_core::prompts::LedgerNews;
 
@@ -179,6 +180,16 @@
         }
     }
 
+    /// Reports to the coordinator how an engine in slow start answers.
+    pub fn report_answer(&self, state: &ForwardState, report: AnswerReport) {
+        match state.peers.borrow().coordinator(state.now()) {
+            Some(coordinator) => {
+                self.send(state, &PeerMessage::Answered(report), &[coordinator]);
+            },
+            None => state.take_answer_report(&report),
+        }
+    }
+
     /// Sends new entries of the ledger to the coordinator, or as the coordinator to all peers.
     fn send_ledger_news(&self, state: &ForwardState, news: LedgerNews) {
         let coordinator = state.peers.borrow().coordinator(state.now());
@@ -250,15 +261,20 @@
             Ok(Ok(answer)) => {
                 state.placing.granted.set(state.placing.granted.get().max(answer.grant));
                 match answer.verdict {
-                    PlaceVerdict::Server(hash) => match state.find_server(hash) {
-                        Some(key)
-                            if !request.excluded.contains(&key)
-                                && state.send_delay(key, state.now()).is_zero() =>
-                        {
-                            Placement::Server(key)
-                        },
-                        // This instance and the coordinator know different servers at the moment.
-                        Some(_) | None => state.place(purpose, request),
+                    PlaceVerdict::Server(hash) | PlaceVerdict::Ramping(hash) => {
+                        match state.find_server(hash) {
+                            Some(key)
+                                if !request.excluded.contains(&key)
+                                    && state.send_delay(key, state.now()).is_zero() =>
+                            {
+                                if let PlaceVerdict::Ramping(_) = answer.verdict {
+                                    state.report_answers_of(key);
+                                }
+                                Placement::Server(key)
+                            },
+                            // This instance and the coordinator know different servers at the moment.
+                            Some(_) | None => state.place(purpose, request),
+                        }
                     },
                     PlaceVerdict::Full(ahead) => Placement::Full(ahead),
                     PlaceVerdict::Nowhere => match purpose {
@@ -428,6 +444,7 @@
         },
         PeerMessage::Fault(engine) => state.record_fault(engine, EngineFault::Failed),
         PeerMessage::Ended(engine) => state.record_fault(engine, EngineFault::Ended),
+        PeerMessage::Answered(report) => state.take_answer_report(&report),
         PeerMessage::Unresponsive(engine) => state.record_fault(engine, EngineFault::Unresponsive),
         PeerMessage::LedgerNews(news) => state.merge_ledger(source, news),
         PeerMessage::LedgerState(fingerprint) => {
--- a/medlarlanding/src/forwarding/placing.rs
+++ b/medlarlanding/src/forwarding/placing.rs
@@ -49,10 +49,14 @@
     /// Chooses a server without asking the coordinator, and without counting the choice in a budget
     /// or queue.
     pub fn place(&self, purpose: PlacePurpose, request: &PlacementRequest<'_>) -> Placement {
+        self.update_paces(request.service);
         match purpose {
             PlacePurpose::Start | PlacePurpose::StartLate => match self.choose(request) {
                 Some(PlacementChoice { servers_with_room: 0, .. }) => Placement::Full(0),
-                Some(choice) => Placement::Server(choice.key),
+                Some(choice) => {
+                    self.pace_began(request.service, choice.key);
+                    Placement::Server(choice.key)
+                },
                 None => Placement::Nowhere,
             },
             PlacePurpose::Move | PlacePurpose::MoveAgain => self.choose_destination(request),
@@ -79,16 +83,17 @@
     /// coordinator.
     pub fn record_fault(&self, engine: u64, fault: EngineFault) {
         let now = self.now();
-        let Some(period) = self.placing.faults.borrow_mut().record(now, engine, fault) else {
-            return;
-        };
+        let period = self.placing.faults.borrow_mut().record(now, engine, fault);
         let Some(key) = self.find_server(engine) else { return };
-        let mut directory = self.directory.borrow_mut();
-        directory.avoid(key, now + period);
-        if let Some(record) = directory.get(key) {
-            let reason = format!("reported, avoided for {} ms", period.as_millis());
-            event(EventKind::ServerSuspected, &[&record.entry.id, &reason]);
+        if let Some(period) = period {
+            let mut directory = self.directory.borrow_mut();
+            directory.avoid(key, now + period);
+            if let Some(record) = directory.get(key) {
+                let reason = format!("reported, avoided for {} ms", period.as_millis());
+                event(EventKind::ServerSuspected, &[&record.entry.id, &reason]);
+            }
         }
+        self.note_pace_failure(key);
     }
 
     /// Answers a peer's question on which engine to run a generation.
@@ -122,9 +127,15 @@
         let (verdict, grant) = match placement {
             Placement::Server(key) => match self.hash_of(key) {
                 Some(server) => {
+                    let is_ramping = self.is_ramping(&service, key);
                     let mut peers = self.peers.borrow_mut();
                     let grant = peers.grant(self.now(), peer, server, weight, waiting);
-                    (PlaceVerdict::Server(server), grant)
+                    let verdict = if is_ramping {
+                        PlaceVerdict::Ramping(server)
+                    } else {
+                        PlaceVerdict::Server(server)
+                    };
+                    (verdict, grant)
                 },
                 None => (PlaceVerdict::Nowhere, 0),
             },
@@ -144,19 +155,21 @@
         request: &PlacementRequest<'_>,
     ) -> Placement {
         let (now, params) = (self.now(), self.budget_params());
+        self.update_paces(service);
         let placement = match purpose {
             PlacePurpose::Start | PlacePurpose::StartLate => {
                 self.place_new_run(key, service, request)
             },
             PlacePurpose::Move | PlacePurpose::MoveAgain => self.choose_destination(request),
         };
-        if !matches!(placement, Placement::Server(_)) {
-            return placement;
-        }
+        let Placement::Server(server) = placement else { return placement };
         let mut budgets = self.placing.move_budgets.borrow_mut();
         let budget = budgets.entry(Arc::clone(service)).or_default();
         match purpose {
-            PlacePurpose::Start | PlacePurpose::StartLate => budget.record_request(now, &params),
+            PlacePurpose::Start | PlacePurpose::StartLate => {
+                budget.record_request(now, &params);
+                self.pace_began(service, server);
+            },
             PlacePurpose::Move => {
                 if !budget.try_repeat(now, &params, RepeatPurpose::Move, 1) {
                     return Placement::Nowhere;
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -11,6 +11,7 @@
 use super::peer_link::PeerLink;
 use super::placing::Placement;
 use super::server_liveness::BrokenAnswer;
+use super::server_pace::answer_kind;
 use super::shared::SharedState;
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
 use crate::exchange::{self, BodyFraming, Exchange, ExchangeFault};
@@ -20,6 +21,7 @@
     EndVerdict, PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, RunStop, ServerKey,
     ServerLiveness,
 };
+use medlarlanding_core::pacing::{AnswerPart, AnswerSample};
 use medlarlanding_core::prompts::RunPhase;
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{
@@ -395,6 +397,21 @@
             }
         },
     }
+    drop(directory);
+    match &outcome {
+        SendOutcome::Answered(status, ..) if !status.is_server_error() => {
+            let time = state.now().since(started);
+            let (kind, part) = (answer_kind(&admitted.rule), AnswerPart::First);
+            let sample = AnswerSample { kind, part, sent_at: started, time };
+            state.note_answer_time(link, &admitted.service, key, &sample);
+        },
+        SendOutcome::Answered(..)
+        | SendOutcome::NotRun
+        | SendOutcome::NotConnected
+        | SendOutcome::Lost(_)
+        | SendOutcome::Incomplete(_) => state.note_pace_failure(key),
+        SendOutcome::Blocked | SendOutcome::Stopping => {},
+    }
     (entry.id.to_string(), outcome)
 }
 
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -7,6 +7,7 @@
 
 use super::ledger::LedgerState;
 use super::placing::PlacementState;
+use super::server_pace::PaceState;
 use super::telemetry::Telemetry;
 use crate::clock::ProcessClock;
 use crate::logging::event;
@@ -69,6 +70,8 @@
     budgets: RefCell<IndexMap<Arc<str>, RepeatBudget>>,
     /// State of the placement.
     pub placing: PlacementState,
+    /// Slow start of servers.
+    pub pacing: PaceState,
     /// Runs that the ends of engines broke off.
     pub ledger: LedgerState,
     /// This instance watches the store and its last call was answered.
@@ -115,6 +118,7 @@
             config: RefCell::default(),
             budgets: RefCell::default(),
             placing: PlacementState::default(),
+            pacing: PaceState::default(),
             ledger: LedgerState::new(ledger_news),
             reaches_store: Cell::new(false),
             is_fetching: Cell::new(false),
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -45,6 +45,12 @@
     pub open_requests: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Servers in slow start, as far as this instance decides on them.
+    pub ramping_servers: IntGauge,
+    /// Sum of their limits of requests in flight.
+    pub ramp_limit: IntGauge,
+    /// Changes of limits of slow start, by reason.
+    pub pace_changes: IntCounterVec,
     /// Time until an answer or its first event, in seconds.
     pub first_answer: Histogram,
     /// Pause between two events of a stream, in seconds.
@@ -92,6 +98,14 @@
                 .counter("lost_questions", "Questions for a placement without an answer.")?,
             open_requests: registry.gauge("open_requests", "Requests in progress.")?,
             config_version: registry.gauge("config_version", "Configuration in force.")?,
+            ramping_servers: registry.gauge("ramping_servers", "Servers in slow start.")?,
+            ramp_limit: registry
+                .gauge("ramp_limit", "Requests in flight allowed to servers in slow start.")?,
+            pace_changes: registry.counters(
+                "pace_changes",
+                "Changes of limits of slow start.",
+                &["reason"],
+            )?,
             first_answer: registry.histogram(
                 "first_answer_seconds",
                 "Time to an answer or its first event.",
