Start engines of the product's own interface slowly

An engine that appeared in the tree, left the state leaving or was suspected got permits for its whole batch at once. The key slow_start_batch of an engine, 1 to 65536 and absent by default, is the number of requests with which it begins. Its manager raises the limit by the reports of running requests and lowers it when an engine is slower than the others or suspected; changes are logged as E640 and counted by pace_changes_total, and the dump shows pace_limit. ServerCapacity has the field slow_start, which existing tests set to None. The first event and the pauses are now smoothed apart: mixed, an engine that began answers quickly and decoded 8 times too slowly passed for one of 3.6 times, which is accepted as its own speed. Pauses count from when they began, not from when a stream of 14 s was sent: those of running streams were ignored after a decrease.

--- a/medlarlanding-bench/src/cost.rs
+++ b/medlarlanding-bench/src/cost.rs
@@ -341,6 +341,7 @@
             kv_tokens: 500_000,
             max_batch: 256,
             accepting: true,
+            slow_start: None,
         })
         .collect();
     let mut effects = Vec::new();
--- a/medlarlanding-bench/src/experiment/simulation.rs
+++ b/medlarlanding-bench/src/experiment/simulation.rs
@@ -307,6 +307,7 @@
                 kv_tokens: self.deployment.engine.kv_tokens,
                 max_batch: self.deployment.engine.max_batch as u32,
                 accepting: true,
+                slow_start: None,
             })
             .collect()
     }
@@ -878,6 +879,8 @@
                     self.start(call, server);
                 }
             },
+            // No engine of the experiments starts slowly.
+            AdmissionEffect::PaceChanged { .. } => {},
             AdmissionEffect::Refused { request, kind, .. } => {
                 let call = request.number as usize - 1;
                 // After a failed attempt the request has run, so it counts as lost.
--- a/medlarlanding-core/src/admission/account.rs
+++ b/medlarlanding-core/src/admission/account.rs
@@ -7,6 +7,7 @@
 
 use crate::config::DeskObjective;
 use crate::ids::{InstanceId, InstanceIdentity, ServerId};
+use crate::pacing::{AnswerKind, AnswerPart, AnswerSample};
 use crate::time::Timestamp;
 
 use super::batch_limit::BatchLimiter;
@@ -32,6 +33,8 @@
 #[derive(Clone, Debug)]
 struct Permit {
     item: WorkItem,
+    /// Time of the grant, or of the first report to this manager.
+    granted_at: Timestamp,
     /// Time of the last report, or of the grant if no report came later.
     reported_at: Timestamp,
     /// Sequence number of the latest message about the request.
@@ -100,6 +103,9 @@
         /// Current batch limit, applied if the new request or a running one has the objective
         /// `least_stall`.
         pub batch_limit: usize,
+        /// Largest number of permits while the engine is in slow start.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub pace_limit: Option<u32>,
         /// Number of live instances that have not sent a complete report during the warm-up.
         #[serde(rename = "unheard")]
         pub unreported: usize,
@@ -126,6 +132,8 @@
     batch_limiter: BatchLimiter,
     adapted_at: Timestamp,
     suspect_until: Option<Timestamp>,
+    /// Largest number of permits while the engine is in slow start; `None` otherwise.
+    pace_limit: Option<u32>,
     /// Number of live instances.
     live: usize,
     /// Live instances whose permits may not all be known yet.
@@ -160,6 +168,7 @@
             batch_limiter,
             adapted_at: now,
             suspect_until: None,
+            pace_limit: None,
             live: 0,
             unreported: BTreeSet::new(),
             warm_up_until: now,
@@ -206,6 +215,42 @@
         self.suspect_until = Some(now + self.params.suspect_hold);
     }
 
+    /// Returns whether no permits are granted because the engine does not respond.
+    pub fn is_suspected(&self, now: Timestamp) -> bool {
+        self.suspect_until.is_some_and(|until| now < until)
+    }
+
+    /// Limits the number of permits while the engine is in slow start.
+    pub fn set_pace_limit(&mut self, limit: Option<u32>) {
+        self.pace_limit = limit;
+    }
+
+    /// Returns the number of permits that are held.
+    pub fn permit_count(&self) -> u32 {
+        self.permits.len() as u32
+    }
+
+    /// Compares a report of a running request with the one before, for slow start.
+    pub fn answer_sample(
+        &self,
+        now: Timestamp,
+        from: InstanceIdentity,
+        item: &WorkItem,
+    ) -> Option<AnswerSample> {
+        let permit = self.permits.get(&(from.id, from.incarnation.started, item.number))?;
+        let tokens = item.decoded.checked_sub(permit.item.decoded).filter(|tokens| *tokens > 0)?;
+        let elapsed = now.since(permit.reported_at);
+        let (part, sent_at, time) = match permit.item.decoded {
+            0 => (AnswerPart::First, permit.granted_at, now.since(permit.granted_at)),
+            _ if elapsed >= MIN_GAP_SAMPLE => {
+                (AnswerPart::Pause, permit.reported_at, elapsed / tokens)
+            },
+            _ => return None,
+        };
+        let kind = AnswerKind(item.route.0);
+        Some(AnswerSample { kind, part, sent_at, time })
+    }
+
     /// Records that an instance has reported all its requests at this engine.
     pub fn mark_reported(&mut self, from: InstanceId) {
         self.unreported.remove(&from);
@@ -250,10 +295,13 @@
                 self.batch_limiter
                     .observe(item.decoded.saturating_sub(permit.item.decoded), elapsed);
             }
-            *permit = Permit { item, reported_at: now, seq, detached: false };
+            let granted_at = permit.granted_at;
+            *permit = Permit { item, granted_at, reported_at: now, seq, detached: false };
         } else {
             self.issued += 1;
-            self.permits.insert(key, Permit { item, reported_at: now, seq, detached: false });
+            let granted_at = now;
+            let permit = Permit { item, granted_at, reported_at: now, seq, detached: false };
+            self.permits.insert(key, permit);
         }
     }
 
@@ -456,8 +504,13 @@
             }
             self.queue.take(key);
             self.issued += 1;
-            let permit =
-                Permit { item: work.item, reported_at: now, seq: work.seq, detached: false };
+            let permit = Permit {
+                item: work.item,
+                granted_at: now,
+                reported_at: now,
+                seq: work.seq,
+                detached: false,
+            };
             self.permits.insert(key, permit);
             out.push(ManagerDecision {
                 to: identity(key),
@@ -492,6 +545,9 @@
         if (running + 1) as f64 > f64::from(self.capacity.max_batch) * fraction {
             return false;
         }
+        if self.pace_limit.is_some_and(|limit| running >= limit as usize) {
+            return false;
+        }
         let least_stall = |item: &WorkItem| item.objective == DeskObjective::LeastStall;
         let limits_stalls =
             least_stall(item) || self.permits.values().any(|p| least_stall(&p.item));
@@ -546,7 +602,8 @@
     /// Returns the load and expected wait by which instances rank servers.
     pub fn status(&self, now: Timestamp, lengths: &LengthEstimator) -> ServerStatus {
         let memory = self.forecast(lengths).peak(0.0, u32::MAX) / self.usable_tokens().max(1.0);
-        let batch = self.permits.len() as f64 / f64::from(self.capacity.max_batch.max(1));
+        let places = self.capacity.max_batch.min(self.pace_limit.unwrap_or(u32::MAX)).max(1);
+        let batch = self.permits.len() as f64 / f64::from(places);
         ServerStatus {
             server: self.capacity.server,
             load_permille: (memory.max(batch) * 1000.0) as u32,
@@ -601,6 +658,7 @@
             expected_tokens: self.forecast(lengths).peak(0.0, u32::MAX) as u64,
             kv_tokens: self.capacity.kv_tokens,
             batch_limit: self.batch_limiter.limit(),
+            pace_limit: self.pace_limit,
             unreported: self.unreported.len(),
             issued: self.issued,
             released: self.released,
--- a/medlarlanding-core/src/admission/controller/mod.rs
+++ b/medlarlanding-core/src/admission/controller/mod.rs
@@ -2,6 +2,7 @@
 //! manager of some servers and customers.
 
 mod customers;
+mod pacing;
 mod receive;
 mod requests;
 mod send;
@@ -11,6 +12,7 @@
 use std::time::Duration;
 
 use crate::admission::account::{AccountDump, BackendAccount};
+use crate::admission::engine_pace::EnginePaces;
 use crate::admission::lengths::{LengthEstimator, RouteLengthsDump};
 use crate::admission::messages::{AdmissionMessage, DeclineReason, ReleasedWork, ServerStatus};
 use crate::admission::params::AdmissionParams;
@@ -19,6 +21,7 @@
 use crate::config::DeskObjective;
 use crate::errors::ErrorKind;
 use crate::ids::{CustomerId, InstanceId, InstanceIdentity, RequestId, RouteId, ServerId};
+use crate::pacing::PaceChange;
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
@@ -44,6 +47,8 @@
         pub max_batch: u32,
         /// Whether the engine accepts new requests; false while it is leaving.
         pub accepting: bool,
+        /// Number of requests with which the engine starts; `None` without slow start.
+        pub slow_start: Option<u32>,
     }
 }
 
@@ -166,6 +171,13 @@
         /// Time after which a retry is useful; absent if the kind's default applies.
         retry_after: Option<Duration>,
     },
+    /// The limit of requests to an engine in slow start changed, which the runtime logs.
+    PaceChanged {
+        /// The engine.
+        server: ServerId,
+        /// The change.
+        change: PaceChange,
+    },
 }
 
 /// State of a [`PermitRequest`].
@@ -215,6 +227,9 @@
     record: DecisionRecord,
     /// Time of the request's entry in `timers`; absent while the request has none.
     due: Option<Timestamp>,
+    /// Time and tokens from which the next pause between tokens is measured; absent while the request
+    /// has decoded none.
+    pause_from: Option<(Timestamp, u32)>,
 }
 
 /// Latest status of a server that its manager sent.
@@ -329,6 +344,8 @@
     /// Recent releases, each with the number of repetitions left.
     releases: Vec<(ReleasedWork, u8)>,
     lengths: LengthEstimator,
+    /// Slow start of the engines.
+    paces: EnginePaces,
     decisions: VecDeque<DecisionRecord>,
     /// Latest sequence number that was used.
     seq: u64,
@@ -367,6 +384,7 @@
             peers: BTreeMap::new(),
             releases: Vec::new(),
             lengths,
+            paces: EnginePaces::default(),
             decisions: VecDeque::new(),
             seq: 0,
             next_report: Timestamp::default(),
@@ -503,6 +521,7 @@
     fn tick_accounts(&mut self, effects: &mut Vec<AdmissionEffect>) {
         let servers: Vec<_> = self.accounts.keys().copied().collect();
         for server in servers {
+            self.update_pace(server, effects);
             let mut decisions = Vec::new();
             if let Some(account) = self.accounts.get_mut(&server) {
                 account.tick(self.now, &self.lengths, &mut decisions);
--- a/medlarlanding-core/src/admission/controller/receive.rs
+++ b/medlarlanding-core/src/admission/controller/receive.rs
@@ -44,6 +44,7 @@
                     && let Some(account) = self.accounts.get_mut(&server)
                 {
                     account.suspect(self.now);
+                    self.note_suspect(server, effects);
                 }
             },
             AdmissionMessage::Grant { acked_seq, number, status } => {
@@ -111,6 +112,7 @@
         let mut servers = BTreeSet::new();
         let mut declined = Vec::new();
         for item in items {
+            self.note_report(from, item, effects);
             let Some(account) = self.accounts.get_mut(&item.server) else {
                 if item.stage != WorkStage::Running {
                     declined.push((item.number, item.server));
@@ -129,6 +131,7 @@
             }
         }
         for &server in &servers {
+            self.update_pace(server, effects);
             let Some(account) = self.accounts.get_mut(&server) else { continue };
             let mut decisions = Vec::new();
             account.grant(self.now, &self.lengths, &mut decisions);
@@ -158,6 +161,8 @@
         for item in items {
             let Some(account) = self.accounts.get_mut(&item.server) else { continue };
             account.release(self.now, from, item);
+            self.update_pace(item.server, effects);
+            let Some(account) = self.accounts.get_mut(&item.server) else { continue };
             let mut decisions = Vec::new();
             account.grant(self.now, &self.lengths, &mut decisions);
             self.send_decisions(item.server, decisions, effects);
--- a/medlarlanding-core/src/admission/controller/requests.rs
+++ b/medlarlanding-core/src/admission/controller/requests.rs
@@ -42,6 +42,7 @@
             failed: Vec::new(),
             record,
             due: None,
+            pause_from: None,
         };
         let expires_before_reply = self.now + self.params.answer_margin >= open.request.deadline;
         self.open.insert(number, open);
@@ -79,6 +80,7 @@
             failed: Vec::new(),
             record,
             due: None,
+            pause_from: None,
         };
         let (customer, limit) = (open.request.customer, open.request.open_limit);
         self.open.insert(number, open);
@@ -93,6 +95,7 @@
         }
         self.lengths.observe(open.request.route, open.decoded, decoded, false);
         open.decoded = decoded;
+        self.note_own_progress(request.number);
     }
 
     pub(super) fn retry(&mut self, request: RequestId, effects: &mut Vec<AdmissionEffect>) {
--- a/medlarlanding-core/src/admission/controller/topology.rs
+++ b/medlarlanding-core/src/admission/controller/topology.rs
@@ -17,6 +17,7 @@
     ) {
         self.servers = servers.into_iter().map(|server| (server.server, server)).collect();
         self.known_servers.retain(|server, _| self.servers.contains_key(server));
+        self.paces.set_servers(self.now, self.servers.values());
         self.rebuild_accounts();
         self.report_all(true, effects);
     }
--- a/medlarlanding-core/src/admission/mod.rs
+++ b/medlarlanding-core/src/admission/mod.rs
@@ -8,6 +8,7 @@
 mod account;
 mod batch_limit;
 mod controller;
+mod engine_pace;
 mod lengths;
 mod memory;
 mod messages;
--- a/medlarlanding-core/src/config/keys.rs
+++ b/medlarlanding-core/src/config/keys.rs
@@ -2,7 +2,7 @@
 
 use super::limits::{
     CUSTOMER_OPEN_LIMIT, DEADLINE_MS, DESK_OPEN_LIMIT, KV_TOKENS, MAX_BATCH, MAX_TOKENS,
-    NumberRange, PRIORITY, SHARE,
+    NumberRange, PRIORITY, SHARE, SLOW_START_BATCH,
 };
 
 /// Type of a key's value.
@@ -132,6 +132,7 @@
         kind_key("engine", "models", KeyType::ModelVersions, RequiredFor("engine")),
         kind_key("engine", "kv_tokens", number(KV_TOKENS), RequiredFor("engine")),
         kind_key("engine", "max_batch", number(MAX_BATCH), RequiredFor("engine")),
+        kind_key("engine", "slow_start_batch", number(SLOW_START_BATCH), Absent("no slow start")),
         kind_key("engine", "checks_fencing", KeyType::Flag, Value("false")),
         kind_key("service", "checks_idempotency_keys", KeyType::Flag, Value("false")),
     ],
--- a/medlarlanding-core/src/config/limits.rs
+++ b/medlarlanding-core/src/config/limits.rs
@@ -34,6 +34,10 @@
 /// Maximum number of requests that an engine decodes in one step.
 pub const MAX_BATCH: NumberRange =
     NumberRange { key: "max_batch", unit: "requests", min: 1, max: 65_536, default: None };
+/// Number of requests with which an engine starts after it appeared, left the state `leaving` or was
+/// suspected.
+pub const SLOW_START_BATCH: NumberRange =
+    NumberRange { key: "slow_start_batch", unit: "requests", min: 1, max: 65_536, default: None };
 /// Weight of a customer in the division of capacity.
 pub const SHARE: NumberRange =
     NumberRange { key: "share", unit: "weight", min: 1, max: 10_000, default: Some(1) };
--- a/medlarlanding-core/src/config/resolved.rs
+++ b/medlarlanding-core/src/config/resolved.rs
@@ -93,6 +93,9 @@
     pub kv_tokens: u64,
     /// Maximum number of requests that the engine decodes in one step.
     pub max_batch: u32,
+    /// Number of requests with which the engine starts; `None` without slow start.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub slow_start_batch: Option<u32>,
     /// Whether the engine refuses commands with a lower fencing number than it has seen.
     pub checks_fencing: bool,
 }
--- a/medlarlanding-core/src/config/tree.rs
+++ b/medlarlanding-core/src/config/tree.rs
@@ -12,7 +12,7 @@
 use super::desks::read_desks;
 use super::faults::{ConfigFault, FaultList, Position, TreePath};
 use super::keys::{CUSTOMER, KINDS, MODEL, ROOT, ROUTE, SERVER, STATES};
-use super::limits::{CUSTOMER_OPEN_LIMIT, KV_TOKENS, MAX_BATCH, SHARE};
+use super::limits::{CUSTOMER_OPEN_LIMIT, KV_TOKENS, MAX_BATCH, SHARE, SLOW_START_BATCH};
 use super::reader::{Fields, NameRef, NamedNode, read_address, read_digest, read_list, read_text};
 use super::resolved::{
     CustomerConfig, CustomerKey, DeskConfig, DeskKey, EngineConfig, ModelConfig, ModelKey,
@@ -215,11 +215,13 @@
             let models = self.read_model_versions(fields, names, faults);
             let kv_tokens = fields.number_or_default(&KV_TOKENS, faults);
             let max_batch = fields.number_or_default(&MAX_BATCH, faults);
+            let slow_start_batch = fields.number(&SLOW_START_BATCH, faults);
             let checks_fencing = fields.flag("checks_fencing", false, faults);
             ServerKind::Engine(EngineConfig {
                 models: models?,
                 kv_tokens: kv_tokens?,
                 max_batch: max_batch? as u32,
+                slow_start_batch: slow_start_batch.map(|batch| batch as u32),
                 checks_fencing: checks_fencing?,
             })
         } else {
--- a/medlarlanding-core/src/pacing/answer_sample.rs
+++ b/medlarlanding-core/src/pacing/answer_sample.rs
@@ -50,7 +50,7 @@
     pub kind: AnswerKind,
     /// Part of the answer.
     pub part: AnswerPart,
-    /// When the request was sent.
+    /// When the request was sent, or the measured pauses began.
     pub sent_at: Timestamp,
     /// The time.
     pub time: Duration,
@@ -61,7 +61,7 @@
 pub struct JudgedAnswer {
     /// Part of the answer.
     pub part: AnswerPart,
-    /// When the request was sent.
+    /// When the request was sent, or the measured pauses began.
     pub sent_at: Timestamp,
     /// Time relative to that of the peers; `None` if no peer has answered such requests recently.
     pub ratio: Option<f64>,
--- a/medlarlanding-core/src/pacing/pace_table.rs
+++ b/medlarlanding-core/src/pacing/pace_table.rs
@@ -35,6 +35,8 @@
     pub standing: ServerStanding,
     /// Requests that the server runs at the same time.
     pub slots: u32,
+    /// Requests with which the server starts; `None` for the usual share of its slots.
+    pub start_limit: Option<u32>,
     /// When this instance first saw this start of the server.
     pub seen_at: Timestamp,
     /// Who applies the limit.
@@ -68,14 +70,28 @@
         Self { params, is_stream, baseline, first_seen_at: None, records }
     }
 
+    /// Records that this instance knew the servers of the service at a time: those seen later than a short
+    /// time after it have started since.
+    pub fn note_first_list(&mut self, at: Timestamp) {
+        let first_seen_at = self.first_seen_at.get_or_insert(at);
+        *first_seen_at = at.min(*first_seen_at);
+    }
+
     /// Applies what is known of a server now: begins a ramp if the server has started, or gets requests
     /// again, and applies the passage of time.
     pub fn observe(&mut self, now: Timestamp, key: K, sight: ServerSight) -> Vec<PaceChange> {
-        let first_seen_at = self.first_seen_at.get_or_insert(sight.seen_at);
-        *first_seen_at = sight.seen_at.min(*first_seen_at);
-        let has_started = sight.seen_at >= *first_seen_at + FIRST_LIST_TIME
-            && now.since(sight.seen_at) < START_AGE;
-        let params = &self.params;
+        self.note_first_list(sight.seen_at);
+        let is_listed = |first: Timestamp| sight.seen_at < first + FIRST_LIST_TIME;
+        let has_started =
+            !self.first_seen_at.is_some_and(is_listed) && now.since(sight.seen_at) < START_AGE;
+        let start_share = sight.start_limit.map_or(self.params.start_share, |limit| {
+            f64::from(limit) / f64::from(sight.slots.max(1))
+        });
+        let params = &PaceParams {
+            start_share: start_share.min(1.0),
+            return_share: self.params.return_share.max(start_share.min(1.0)),
+            ..self.params
+        };
         let mut changes = Vec::new();
         match self.records.get_mut(&key) {
             None => {
--- a/medlarlanding-core/src/pacing/server_pace.rs
+++ b/medlarlanding-core/src/pacing/server_pace.rs
@@ -117,6 +117,31 @@
     ramp: Option<PaceRamp>,
 }
 
+/// Smoothed time relative to the peers.
+#[derive(Clone, Copy, Debug)]
+struct RatioMean {
+    /// 1 before the first time.
+    ratio: f64,
+    /// Number of times.
+    count: u32,
+}
+
+impl Default for RatioMean {
+    fn default() -> Self {
+        Self { ratio: 1.0, count: 0 }
+    }
+}
+
+impl RatioMean {
+    fn add(&mut self, params: &PaceParams, ratio: f64) {
+        self.ratio = match self.count {
+            0 => ratio,
+            _ => self.ratio + params.smoothing * (ratio - self.ratio),
+        };
+        self.count += 1;
+    }
+}
+
 /// Invariants: `limit` is at least 1 and finite, and `slots` at least 1.
 #[derive(Clone, Copy, Debug)]
 struct PaceRamp {
@@ -124,10 +149,10 @@
     slots: u32,
     /// Limit of requests in flight over all instances.
     limit: f64,
-    /// Smoothed time of answers relative to the peers; used only if `answers` is not 0.
-    ratio: f64,
-    /// Answers since `changed_at`.
-    answers: u32,
+    /// Times until the answer or its first event since `changed_at`.
+    first: RatioMean,
+    /// Pauses between events since `changed_at`.
+    pause: RatioMean,
     /// When the ramp began or the limit last fell. Answers to requests sent earlier show the effect of
     /// another limit and do not count.
     changed_at: Timestamp,
@@ -180,8 +205,8 @@
             cause,
             slots,
             limit: (f64::from(slots) * share).max(1.0),
-            ratio: 1.0,
-            answers: 0,
+            first: RatioMean::default(),
+            pause: RatioMean::default(),
             changed_at: now,
             faulted_at: now,
             has_fallen: false,
@@ -204,7 +229,7 @@
         let ramp = self.ramp.as_mut()?;
         ramp.limit = ramp.limit.max(f64::from(in_use));
         // The answers that the last coordinator received are unknown.
-        (ramp.changed_at, ramp.answers) = (now, 0);
+        ramp.restart_means(now);
         Some(ramp.change(PaceReason::Adopted))
     }
 
@@ -230,7 +255,11 @@
             return None;
         }
         if let Some(ratio) = answer.ratio {
-            ramp.add_ratio(params, ratio / ramp.own_ratio);
+            let mean = match answer.part {
+                AnswerPart::First => &mut ramp.first,
+                AnswerPart::Pause => &mut ramp.pause,
+            };
+            mean.add(params, ratio / ramp.own_ratio);
         }
         let needed = match scope {
             // With a small limit of long streams, more answers would take too long.
@@ -238,10 +267,10 @@
             // One of many instances sees few answers, and its part of the limit is small.
             PaceScope::Divided(_) => 1,
         };
-        if ramp.answers >= needed && ramp.ratio > params.slow_ratio {
+        if ramp.answers() >= needed && ramp.ratio() > params.slow_ratio {
             return ramp.judge_slow(now, params, scope, in_use);
         }
-        if ramp.ratio > params.near_ratio {
+        if ramp.ratio() > params.near_ratio {
             return None;
         }
         ramp.slow_verdicts = 0;
@@ -293,7 +322,7 @@
             }
             ramp.limit = ramp.limit.min(full);
         }
-        let is_slow = ramp.has_fallen && (ramp.answers == 0 || ramp.ratio > params.near_ratio);
+        let is_slow = ramp.has_fallen && (ramp.answers() == 0 || ramp.ratio() > params.near_ratio);
         if is_slow || now < ramp.faulted_at.max(ramp.hold_until) + params.calm_end {
             return None;
         }
@@ -343,16 +372,28 @@
 
     fn change(&self, reason: PaceReason) -> PaceChange {
         let ratio_percent =
-            if self.answers == 0 { 0 } else { (self.ratio * self.own_ratio * 100.0) as u32 };
+            if self.answers() == 0 { 0 } else { (self.ratio() * self.own_ratio * 100.0) as u32 };
         PaceChange { limit: Some(self.whole_limit()), ratio_percent, reason }
     }
 
-    fn add_ratio(&mut self, params: &PaceParams, ratio: f64) {
-        self.ratio = match self.answers {
-            0 => ratio,
-            _ => self.ratio + params.smoothing * (ratio - self.ratio),
-        };
-        self.answers += 1;
+    /// Returns the number of times since `changed_at` that could be compared.
+    fn answers(&self) -> u32 {
+        self.first.count + self.pause.count
+    }
+
+    /// Returns the smoothed time relative to the peers: of the part in which the server is slower, as
+    /// it may begin answers quickly and go on slowly.
+    fn ratio(&self) -> f64 {
+        match (self.first.count, self.pause.count) {
+            (0, _) => self.pause.ratio,
+            (_, 0) => self.first.ratio,
+            _ => self.first.ratio.max(self.pause.ratio),
+        }
+    }
+
+    fn restart_means(&mut self, now: Timestamp) {
+        self.changed_at = now;
+        (self.first, self.pause) = (RatioMean::default(), RatioMean::default());
     }
 
     /// Raises the limit, during a hold only up to `hold_limit`.
@@ -372,15 +413,15 @@
             self.first_slow_at = now;
         }
         self.slow_verdicts += 1;
-        let own_ratio = self.ratio * self.own_ratio;
+        let own_ratio = self.ratio() * self.own_ratio;
         let is_own_speed = self.slow_verdicts >= params.own_speed_verdicts
             && now.since(self.first_slow_at) >= params.own_speed_after
             && own_ratio <= params.own_speed_max;
         if is_own_speed {
             let change = self.change(PaceReason::OwnSpeed);
             self.own_ratio = own_ratio;
-            (self.changed_at, self.answers, self.ratio, self.slow_verdicts) = (now, 0, 1.0, 0);
-            (self.hold_until, self.hold) = (now, params.hold_min);
+            self.restart_means(now);
+            (self.slow_verdicts, self.hold_until, self.hold) = (0, now, params.hold_min);
             return Some(change);
         }
         let before = self.whole_limit();
@@ -407,7 +448,7 @@
             self.hold = (self.hold * params.hold_growth).min(params.hold_max);
         }
         self.limit = (from * params.decrease).max(1.0);
-        (self.changed_at, self.faulted_at, self.stepped_at) = (now, now, now);
-        (self.answers, self.ratio, self.has_fallen) = (0, 1.0, true);
+        self.restart_means(now);
+        (self.faulted_at, self.stepped_at, self.has_fallen) = (now, now, true);
     }
 }
--- a/medlarlanding-core/tests/admission_account.rs
+++ b/medlarlanding-core/tests/admission_account.rs
@@ -20,7 +20,13 @@
 }
 
 fn capacity() -> ServerCapacity {
-    ServerCapacity { server: SERVER, kv_tokens: 10_000, max_batch: 4, accepting: true }
+    ServerCapacity {
+        server: SERVER,
+        kv_tokens: 10_000,
+        max_batch: 4,
+        accepting: true,
+        slow_start: None,
+    }
 }
 
 fn item(number: u64, stage: WorkStage) -> WorkItem {
--- a/medlarlanding-core/tests/admission_controller.rs
+++ b/medlarlanding-core/tests/admission_controller.rs
@@ -58,7 +58,13 @@
 
     fn servers(&mut self, accepting: bool) {
         let server = self.server;
-        let capacity = ServerCapacity { server, kv_tokens: 100_000, max_batch: 8, accepting };
+        let capacity = ServerCapacity {
+            server,
+            kv_tokens: 100_000,
+            max_batch: 8,
+            accepting,
+            slow_start: None,
+        };
         self.input(AdmissionInput::Servers(vec![capacity]));
     }
 
@@ -297,6 +303,7 @@
         kv_tokens: 100_000,
         max_batch: 8,
         accepting: true,
+        slow_start: None,
     };
     fixture.input(AdmissionInput::Servers(servers.iter().map(capacity).collect()));
     fixture.wait(4000);
--- a/medlarlanding-core/tests/admission_sim/mod.rs
+++ b/medlarlanding-core/tests/admission_sim/mod.rs
@@ -135,6 +135,7 @@
                 kv_tokens: plan.kv_tokens,
                 max_batch: plan.max_batch,
                 accepting: true,
+                slow_start: None,
             })
             .collect();
         let members = (0..plan.instances)
@@ -406,6 +407,10 @@
                     FleetEvent::Token(at, request.number),
                 );
             },
+            // No engine of these runs starts slowly.
+            AdmissionEffect::PaceChanged { server, .. } => {
+                panic!("server {server:?} has a limit without slow start")
+            },
             AdmissionEffect::Refused { request, .. } => {
                 let asked = self.members[at].waiting.remove(&request.number);
                 let asked = asked.expect("only a waiting request may be refused, and only once");
--- a/medlarlanding-core/tests/pacing.rs
+++ b/medlarlanding-core/tests/pacing.rs
@@ -83,6 +83,7 @@
         let sight = ServerSight {
             standing: ServerStanding::Serving,
             slots: stub.slots,
+            start_limit: None,
             seen_at: sim_start,
             scope,
             in_use: Some(0),
@@ -128,6 +129,7 @@
         let sight = ServerSight {
             standing: self.standing,
             slots: self.stub.slots,
+            start_limit: None,
             seen_at: self.seen_at,
             scope: self.scope,
             in_use: (self.scope == PaceScope::Whole).then_some(in_use),
@@ -344,6 +346,7 @@
     let first = ServerSight {
         standing: ServerStanding::Serving,
         slots: 24,
+        start_limit: None,
         seen_at: at(0) - Duration::from_millis(START_MS),
         scope: PaceScope::Whole,
         in_use: Some(0),
--- a/medlarlanding/src/forwarding/server_pace.rs
+++ b/medlarlanding/src/forwarding/server_pace.rs
@@ -82,6 +82,7 @@
             let sight = ServerSight {
                 standing,
                 slots: record.entry.slots,
+                start_limit: None,
                 seen_at: record.seen_at,
                 scope,
                 in_use: (scope == PaceScope::Whole).then_some(record.open_requests + remote),
@@ -343,15 +344,18 @@
         }
         let now = state.now();
         self.events += 1;
-        let (part, time) = match self.events {
+        let (part, sent_at, time) = match self.events {
             1 => {
                 self.first_at = now;
-                (AnswerPart::First, now.since(self.sent_at))
+                (AnswerPart::First, self.sent_at, now.since(self.sent_at))
+            },
+            PAUSE_EVENTS => {
+                let time = now.since(self.first_at) / (PAUSE_EVENTS - 1);
+                (AnswerPart::Pause, self.first_at, time)
             },
-            PAUSE_EVENTS => (AnswerPart::Pause, now.since(self.first_at) / (PAUSE_EVENTS - 1)),
             _ => return,
         };
-        let Self { kind, sent_at, .. } = *self;
+        let kind = self.kind;
         let sample = AnswerSample { kind, part, sent_at, time };
         state.note_answer_time(link, &self.service, self.key, &sample);
     }
--- a/medlarlanding/src/metrics.rs
+++ b/medlarlanding/src/metrics.rs
@@ -34,6 +34,8 @@
     pub peer_bytes: IntCounterVec,
     /// Peer frames dropped, by reason.
     pub dropped_frames: IntCounterVec,
+    /// Changes of limits of slow start, by reason.
+    pub pace_changes: IntCounterVec,
     /// Requests in progress.
     pub open_requests: IntGauge,
     /// Configuration version in effect.
@@ -88,6 +90,11 @@
                 "Peer frames dropped by reason.",
                 &["reason"],
             )?,
+            pace_changes: registry.counters(
+                "pace_changes_total",
+                "Changes of limits of slow start by reason.",
+                &["reason"],
+            )?,
             open_requests: registry.gauge("open_requests", "Requests in progress.")?,
             config_version: registry.gauge("config_version", "Configuration version in effect.")?,
             list_version: registry.gauge("list_version", "Instance list version in effect.")?,
--- a/medlarlanding/src/runtime/node.rs
+++ b/medlarlanding/src/runtime/node.rs
@@ -9,15 +9,16 @@
 use crate::logging::{event, event_fields};
 use crate::peers::OutboundFrame;
 use crate::settings::{InstanceSettings, OrderSettings};
-use medlarlanding_core::admission::{AdmissionInput, ServerCapacity};
+use medlarlanding_core::admission::{AdmissionEffect, AdmissionInput, ServerCapacity};
 use medlarlanding_core::commands::{
     CommandEffect, CommandInput, CommandParams, CommandResult, EngineTarget,
 };
 use medlarlanding_core::config::{ConfigTree, ServerState};
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::ids::{InstanceId, ZoneId};
+use medlarlanding_core::ids::{InstanceId, ServerId, ZoneId};
 use medlarlanding_core::node::{EntryNode, FrameRejection, NodeEffect, NodeInput, NodeParams};
 use medlarlanding_core::orders::OrderParams;
+use medlarlanding_core::pacing::PaceChange;
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::views::{InstanceEntry, InstanceState};
 
@@ -138,6 +139,9 @@
                 self.queues.push_platform_command(PlatformCommand::Stop(subject));
             },
             NodeEffect::Validate { version, text } => self.validate_config(version, &text, inputs),
+            NodeEffect::Admission(AdmissionEffect::PaceChanged { server, change }) => {
+                self.log_pace(server, change);
+            },
             NodeEffect::Admission(effect) => {
                 if let Some(request) = self.waiters.deliver_permit(effect) {
                     let finished =
@@ -158,6 +162,18 @@
         }
     }
 
+    /// Logs a change of the limit of an engine in slow start. The manager of the engine decides on it
+    /// for all instances.
+    fn log_pace(&self, server: ServerId, change: PaceChange) {
+        let PaceChange { limit, ratio_percent, reason } = change;
+        self.metrics.pace_changes.with_label_values(&[reason.name()]).inc();
+        let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        event(
+            EventKind::PaceChanged,
+            &[&server, &"engine", &limit, &reason.name(), &ratio_percent, &"whole"],
+        );
+    }
+
     fn validate_config(&self, version: u64, text: &str, inputs: &mut VecDeque<NodeInput>) {
         let accepted = match ConfigTree::parse(text) {
             Ok(tree) => {
@@ -186,6 +202,7 @@
                 kv_tokens: engine.kv_tokens,
                 max_batch: engine.max_batch,
                 accepting: server.state == ServerState::Live,
+                slow_start: engine.slow_start_batch,
             })
         })
         .collect()
--- a/medlarlanding/src/runtime/waiters.rs
+++ b/medlarlanding/src/runtime/waiters.rs
@@ -109,7 +109,7 @@
             AdmissionEffect::Refused { request, kind, retry_after } => {
                 (request, PermitDecision::Refused { kind, retry_after })
             },
-            AdmissionEffect::Send { .. } => return None,
+            AdmissionEffect::Send { .. } | AdmissionEffect::PaceChanged { .. } => return None,
         };
         let sender = lock_table(&self.permits).swap_remove(&request);
         let undelivered = sender.is_none_or(|sender| sender.send(decision).is_err());
