Do not count failures that the peers of a server have as well

A failed request to a server in slow start lowers its limit unless at least three and more than a tenth of the last 64 requests to its peers failed: one failure among few was a tenth, and a server that failed was not held back. Servers that get no requests now are observed too, so that the return of a zone that placement leaves out begins a ramp.

--- a/medlarlanding-core/src/pacing/answer_sample.rs
+++ b/medlarlanding-core/src/pacing/answer_sample.rs
@@ -21,6 +21,8 @@
 /// Share of the peers' requests that fail above which a failure says nothing against a server: one in
 /// ten fails for a reason that all have in common.
 const FAILURE_SHARE: f64 = 0.1;
+/// Fewest failures of the peers that count as a share: one or two happen anywhere.
+const FAILURES_MIN: usize = 3;
 /// Added to both times of a comparison, so that differences which no caller notices do not count: the
 /// targets for an answer are 300 ms and more, and 180 ms for a pause.
 const NOISE_FLOOR: Duration = Duration::from_millis(20);
@@ -101,8 +103,7 @@
     /// Returns whether so many requests to the peers fail that one more says nothing against a server.
     pub fn fails_often(&self) -> bool {
         let failed = self.outcomes.iter().filter(|has_failed| **has_failed).count();
-        self.outcomes.len() >= TIMES_MIN
-            && failed as f64 > FAILURE_SHARE * self.outcomes.len() as f64
+        failed >= FAILURES_MIN && failed as f64 > FAILURE_SHARE * self.outcomes.len() as f64
     }
 
     /// Returns the median of the recent times; `None` if there are too few.
--- a/medlarlanding/src/forwarding/server_pace.rs
+++ b/medlarlanding/src/forwarding/server_pace.rs
@@ -68,7 +68,11 @@
         let mut limits: Vec<(ServerKey, Option<PaceLimit>)> = Vec::new();
         let directory = self.directory.borrow();
         table.retain(|key| directory.get(key).is_some());
-        for (key, record) in directory.candidates(service) {
+        // Includes servers that get no requests now, so that their return is noticed.
+        let known = directory
+            .iter()
+            .filter(|(_, record)| &*record.entry.service == service && record.accepts_work());
+        for (key, record) in known {
             let standing = standing(now, record);
             if table.is_settled(key, standing) {
                 continue;
@@ -118,8 +122,11 @@
     /// answers.
     fn pace_scope(&self, now: Timestamp, record: &ServerRecord, is_engine: bool) -> PaceScope {
         let peers = self.peers.borrow();
+        if is_engine && peers.coordinator(now).is_none() {
+            return PaceScope::Whole;
+        }
         let others = peers.addresses();
-        if others.is_empty() || (is_engine && peers.coordinator(now).is_none()) {
+        if others.is_empty() {
             return PaceScope::Whole;
         }
         let id = |address: &SocketAddr| InstanceId(stable_hash(address.to_string().as_bytes()));
