--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -6,9 +6,10 @@
 use std::sync::Arc;
 
 use medlarlanding_core::forwarding::{
-    DirectoryChange, LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams,
-    RelayedMessage, ServerChanges, ServerEntry, ServerPhase,
+    AnswerOutcome, AnswerReport, DirectoryChange, LoadReport, PeerDigest, PeerMessage, PeerTable,
+    PeerTableParams, RelayedMessage, ServerChanges, ServerEntry, ServerPhase,
 };
+use medlarlanding_core::pacing::AnswerPart;
 use medlarlanding_core::time::Timestamp;
 
 use quickcheck::TestResult;
@@ -57,6 +58,11 @@
         PeerMessage::Fault(4),
         PeerMessage::Relayed(relayed),
         PeerMessage::Unresponsive(4),
+        PeerMessage::Answered(AnswerReport {
+            server: 7,
+            age_ms: 250,
+            outcome: AnswerOutcome::Answered(AnswerPart::First, 104),
+        }),
     ]
 }
 
