--- a/medlarlanding-core/src/admission/account.rs
+++ b/medlarlanding-core/src/admission/account/mod.rs
@@ -1,22 +1,26 @@
 //! Account of one engine, kept by the engine's manager: permits, memory forecast and queue.
 
+mod dump;
+mod slow_start;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::config::DeskObjective;
-use crate::ids::{InstanceId, InstanceIdentity, ServerId};
-use crate::pacing::{AnswerKind, AnswerPart, AnswerSample};
+use crate::ids::{InstanceId, InstanceIdentity};
 use crate::time::Timestamp;
 
-use super::batch_limit::BatchLimiter;
-use super::controller::ServerCapacity;
-use super::lengths::LengthEstimator;
-use super::memory::{MemoryForecast, MemoryNeed};
-use super::messages::{DeclineReason, ReleasedWork, ServerStatus, WorkItem, WorkStage};
-use super::params::AdmissionParams;
-use super::queue::{FairQueue, QueuedWork, WorkKey};
+use crate::admission::batch_limit::BatchLimiter;
+use crate::admission::controller::ServerCapacity;
+use crate::admission::lengths::LengthEstimator;
+use crate::admission::memory::{MemoryForecast, MemoryNeed};
+use crate::admission::messages::{DeclineReason, ReleasedWork, ServerStatus, WorkItem, WorkStage};
+use crate::admission::params::AdmissionParams;
+use crate::admission::queue::{FairQueue, QueuedWork, WorkKey};
+
+pub use dump::{AccountDump, PermitDump};
 
 /// Time over which the engine's throughput is averaged; long enough to span several long
 /// generations.
@@ -72,53 +76,6 @@
     Decline(DeclineReason),
 }
 
-value_type! {
-    /// One permit in the dump.
-    pub struct PermitDump {
-        /// Holder of the permit.
-        pub instance: InstanceId,
-        /// The request as last reported.
-        pub item: WorkItem,
-        /// Time since the last report, or since the grant if no report came later, ms.
-        #[serde(rename = "silent_ms")]
-        pub since_report_ms: u64,
-        /// Whether the lease has expired and the permit only keeps the memory charged.
-        pub detached: bool,
-    }
-}
-
-value_type! {
-    /// State of a [`BackendAccount`] in the dump.
-    pub struct AccountDump {
-        /// The engine's id.
-        pub server: ServerId,
-        /// Permits that are held.
-        pub permits: Vec<PermitDump>,
-        /// Number of queued requests.
-        pub queued: usize,
-        /// Expected peak of the memory that the held permits use, tokens.
-        pub expected_tokens: u64,
-        /// Memory of the engine, tokens.
-        pub kv_tokens: u64,
-        /// Current batch limit, applied if the new request or a running one has the objective
-        /// `least_stall`.
-        pub batch_limit: usize,
-        /// Largest number of permits while the engine is in slow start.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        pub pace_limit: Option<u32>,
-        /// Number of live instances that have not sent a complete report during the warm-up.
-        #[serde(rename = "unheard")]
-        pub unreported: usize,
-        /// Permits counted so far: granted here, or first learned of from a report of a running
-        /// request.
-        pub issued: u64,
-        /// Permits that ended with a release.
-        pub released: u64,
-        /// Permits that ended because no report renewed them in time.
-        pub lapsed: u64,
-    }
-}
-
 /// Grants the permits of one engine and queues the requests that wait for one.
 #[derive(Clone, Debug)]
 pub struct BackendAccount {
@@ -215,42 +172,6 @@
         self.suspect_until = Some(now + self.params.suspect_hold);
     }
 
-    /// Returns whether no permits are granted because the engine does not respond.
-    pub fn is_suspected(&self, now: Timestamp) -> bool {
-        self.suspect_until.is_some_and(|until| now < until)
-    }
-
-    /// Limits the number of permits while the engine is in slow start.
-    pub fn set_pace_limit(&mut self, limit: Option<u32>) {
-        self.pace_limit = limit;
-    }
-
-    /// Returns the number of permits that are held.
-    pub fn permit_count(&self) -> u32 {
-        self.permits.len() as u32
-    }
-
-    /// Compares a report of a running request with the one before, for slow start.
-    pub fn answer_sample(
-        &self,
-        now: Timestamp,
-        from: InstanceIdentity,
-        item: &WorkItem,
-    ) -> Option<AnswerSample> {
-        let permit = self.permits.get(&(from.id, from.incarnation.started, item.number))?;
-        let tokens = item.decoded.checked_sub(permit.item.decoded).filter(|tokens| *tokens > 0)?;
-        let elapsed = now.since(permit.reported_at);
-        let (part, sent_at, time) = match permit.item.decoded {
-            0 => (AnswerPart::First, permit.granted_at, now.since(permit.granted_at)),
-            _ if elapsed >= MIN_GAP_SAMPLE => {
-                (AnswerPart::Pause, permit.reported_at, elapsed / tokens)
-            },
-            _ => return None,
-        };
-        let kind = AnswerKind(item.route.0);
-        Some(AnswerSample { kind, part, sent_at, time })
-    }
-
     /// Records that an instance has reported all its requests at this engine.
     pub fn mark_reported(&mut self, from: InstanceId) {
         self.unreported.remove(&from);
@@ -639,32 +560,6 @@
             "issued permits must be held, released or lapsed"
         );
     }
-
-    /// Returns the state for the dump, with the permits in no particular order.
-    pub fn dump(&self, now: Timestamp, lengths: &LengthEstimator) -> AccountDump {
-        AccountDump {
-            server: self.capacity.server,
-            permits: self
-                .permits
-                .iter()
-                .map(|(key, permit)| PermitDump {
-                    instance: key.0,
-                    item: permit.item,
-                    since_report_ms: now.since(permit.reported_at).as_millis() as u64,
-                    detached: permit.detached,
-                })
-                .collect(),
-            queued: self.queue.len(),
-            expected_tokens: self.forecast(lengths).peak(0.0, u32::MAX) as u64,
-            kv_tokens: self.capacity.kv_tokens,
-            batch_limit: self.batch_limiter.limit(),
-            pace_limit: self.pace_limit,
-            unreported: self.unreported.len(),
-            issued: self.issued,
-            released: self.released,
-            lapsed: self.lapsed,
-        }
-    }
 }
 
 fn identity(key: WorkKey) -> InstanceIdentity {
