Count answers that end between two reports of an engine in slow start

An answer shorter than the interval of reports, 500 ms, was released before its manager had seen tokens of it, so the limit rose only by chance or after 10 s. The release now counts as its answer. Answers that are delivered as a whole still do not count: their permits are released with 0 tokens, because the session releases them before it states the number; the note says so.

--- a/medlarlanding-core/src/admission/account/slow_start.rs
+++ b/medlarlanding-core/src/admission/account/slow_start.rs
@@ -1,6 +1,6 @@
 //! What slow start learns of an engine from its account, and the limit that it sets.
 
-use crate::admission::messages::WorkItem;
+use crate::admission::messages::{ReleasedWork, WorkItem};
 use crate::ids::InstanceIdentity;
 use crate::pacing::{AnswerKind, AnswerPart, AnswerSample};
 use crate::time::Timestamp;
@@ -43,4 +43,21 @@
         let kind = AnswerKind(item.route.0);
         Some(AnswerSample { kind, part, sent_at, time })
     }
+
+    /// Returns the time of a request that ends before a report showed tokens of it: otherwise answers that
+    /// are shorter than the interval of reports would not count.
+    pub fn short_answer_sample(
+        &self,
+        now: Timestamp,
+        from: InstanceIdentity,
+        released: &ReleasedWork,
+    ) -> Option<AnswerSample> {
+        let permit = self.permits.get(&(from.id, from.incarnation.started, released.number))?;
+        (permit.item.decoded == 0 && released.decoded > 0).then(|| AnswerSample {
+            kind: AnswerKind(permit.item.route.0),
+            part: AnswerPart::First,
+            sent_at: permit.granted_at,
+            time: now.since(permit.granted_at),
+        })
+    }
 }
--- a/medlarlanding-core/src/admission/controller/pacing.rs
+++ b/medlarlanding-core/src/admission/controller/pacing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::admission::messages::{WorkItem, WorkStage};
+use crate::admission::messages::{ReleasedWork, WorkItem, WorkStage};
 use crate::ids::{InstanceIdentity, ServerId};
 use crate::pacing::{AnswerKind, AnswerPart, AnswerSample, PaceChange};
 
@@ -42,6 +42,23 @@
         push_changes(item.server, change, effects);
     }
 
+    /// Measures a request that has ended, before the account applies its release.
+    pub(super) fn note_release(
+        &mut self,
+        from: InstanceIdentity,
+        released: &ReleasedWork,
+        effects: &mut Vec<AdmissionEffect>,
+    ) {
+        if !self.paces.is_active() {
+            return;
+        }
+        let Some(account) = self.accounts.get(&released.server) else { return };
+        let sample = account.short_answer_sample(self.now, from, released);
+        let Some(sample) = sample else { return };
+        let change = self.paces.answered(self.now, released.server, &sample);
+        push_changes(released.server, change, effects);
+    }
+
     /// Applies the suspicion of a managed engine.
     pub(super) fn note_suspect(&mut self, server: ServerId, effects: &mut Vec<AdmissionEffect>) {
         let change = self.paces.failed(self.now, server);
--- a/medlarlanding-core/src/admission/controller/receive.rs
+++ b/medlarlanding-core/src/admission/controller/receive.rs
@@ -159,6 +159,7 @@
         effects: &mut Vec<AdmissionEffect>,
     ) {
         for item in items {
+            self.note_release(from, item, effects);
             let Some(account) = self.accounts.get_mut(&item.server) else { continue };
             account.release(self.now, from, item);
             self.update_pace(item.server, effects);
--- a/medlarlanding-core/tests/admission_slow_start.rs
+++ b/medlarlanding-core/tests/admission_slow_start.rs
@@ -39,9 +39,11 @@
     changes: Vec<(Timestamp, ServerId, PaceChange)>,
     /// Time per token in milliseconds at the engine that joined.
     joined_token_ms: u64,
+    /// Tokens of each request.
+    tokens: u64,
 }
 
-/// Tokens of each request.
+/// Tokens of each request unless a test sets another number.
 const TOKENS: u64 = 60;
 /// Time per token of the other engine in milliseconds.
 const TOKEN_MS: u64 = 30;
@@ -60,6 +62,7 @@
             slow_start,
             changes: Vec::new(),
             joined_token_ms: TOKEN_MS,
+            tokens: TOKENS,
         };
         sim.input(AdmissionInput::Live(vec![own]));
         sim.set_servers(&[(PEER, true)]);
@@ -131,9 +134,9 @@
                 let call = &self.running[&number];
                 let token_ms = if call.server == JOINED { self.joined_token_ms } else { TOKEN_MS };
                 let elapsed = self.now.since(call.started_at).as_millis() as u64;
-                let decoded = (elapsed / token_ms).min(TOKENS) as u32;
+                let decoded = (elapsed / token_ms).min(self.tokens) as u32;
                 let request = Self::id(number);
-                if u64::from(decoded) == TOKENS {
+                if u64::from(decoded) == self.tokens {
                     self.running.swap_remove(&number);
                     self.open -= 1;
                     let finished = AdmissionInput::Finished { request, decoded, natural_end: true };
@@ -188,6 +191,18 @@
     assert!(sim.changes.iter().all(|(_, server, _)| *server == JOINED), "{:?}", sim.changes);
 }
 
+/// Guards against an engine that keeps its first limit because its answers end between two reports to its
+/// manager, 500 ms apart.
+#[test]
+fn short_answers_raise_the_limit() {
+    let mut sim = SlowStartSim::new(Some(2));
+    sim.tokens = 1;
+    sim.join();
+    sim.first_batch();
+    sim.run(Duration::from_secs(4), 80);
+    assert!(sim.reasons().contains(&PaceReason::Full), "{:?}", sim.changes);
+}
+
 /// Guards against slow start where the configuration does not ask for it.
 #[test]
 fn without_the_key_nothing_is_limited() {
