--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -162,6 +162,8 @@
     648 RequestHedged Info "request_hedged" ["request", "route", "first", "second", "after_ms"];
     /// A request that was sent to two plain servers ended.
     649 HedgeEnded Info "hedge_ended" ["request", "winner", "server", "took_ms"];
+    /// The limit of requests to a server in slow start changed.
+    640 PaceChanged Info "pace_changed" ["server", "service", "limit", "reason", "ratio", "decided"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -7,6 +7,7 @@
 use super::cold_share::{ColdServer, ColdShare};
 use super::regions::{RegionKey, RegionLimit, ZoneRegions};
 use super::server_speed::SpeedRatios;
+use crate::pacing::PaceLimit;
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
@@ -35,6 +36,9 @@
 pub enum ServerAccess {
     /// The server may get a request.
     Open,
+    /// The server is in slow start and has as many requests as its limit allows. Unlike the other
+    /// reasons, this one does not forbid a request that no other server may get.
+    Paced,
     /// The server has failed recently. It gets requests for which there is no other server.
     Avoided,
     /// The server wants no requests from this instance for a while. Other instances may send some.
@@ -56,7 +60,7 @@
     /// the request excludes the servers that are held for it.
     pub fn may_place(self) -> bool {
         match self {
-            Self::Open | Self::Avoided | Self::Held => true,
+            Self::Open | Self::Paced | Self::Avoided | Self::Held => true,
             Self::Limited | Self::Leaving | Self::Evacuated | Self::OutsideRegions => false,
         }
     }
@@ -150,6 +154,8 @@
     avoid_until: Option<Timestamp>,
     /// Cold time of this start and the requests that count towards its rate limit.
     cold: ColdServer,
+    /// Limit of `open_requests` while the server is in slow start; `None` otherwise.
+    pace: Option<PaceLimit>,
 }
 
 impl ServerRecord {
@@ -175,6 +181,8 @@
             ServerAccess::Held
         } else if self.is_avoided(now) {
             ServerAccess::Avoided
+        } else if self.is_paced(now) {
+            ServerAccess::Paced
         } else {
             ServerAccess::Open
         }
@@ -206,6 +214,11 @@
         !self.is_removed && self.leaving_since.is_some_and(|since| now.since(since) < limit)
     }
 
+    /// Returns whether the server is in slow start and has as many requests as its limit allows.
+    pub fn is_paced(&self, now: Timestamp) -> bool {
+        self.pace.is_some_and(|pace| self.open_requests >= pace.in_flight || now < pace.next_start)
+    }
+
     /// Returns whether the server is avoided because of recent failures.
     pub fn is_avoided(&self, now: Timestamp) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
@@ -323,6 +336,7 @@
                 failures: 0,
                 avoid_until: None,
                 cold: ColdServer::default(),
+                pace: None,
                 entry,
             },
         );
@@ -568,6 +582,13 @@
         }
     }
 
+    /// Sets the limit of the requests of this instance to a server in slow start.
+    pub fn set_pace(&mut self, key: ServerKey, pace: Option<PaceLimit>) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.pace = pace;
+        }
+    }
+
     /// Avoids a server until the given time; never shortens the period in force.
     pub fn avoid(&mut self, key: ServerKey, until: Timestamp) {
         if let Some(record) = self.records.get_mut(&key) {
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -10,6 +10,7 @@
 use super::regions::RegionLimit;
 use super::speed_samples::EngineQueue;
 use super::zone_plan::ZonePlan;
+use crate::pacing::AnswerPart;
 use crate::prompts::LedgerNews;
 
 value_type! {
@@ -60,6 +61,8 @@
         PassedDigest(PeerDigest),
         /// Plain servers that are not of average speed now: from the coordinator to all others.
         Speeds(Vec<ServerPace>),
+        /// How an engine in slow start answers; sent to the coordinator.
+        Answered(AnswerReport),
     }
 }
 
@@ -110,6 +113,7 @@
             Self::Evacuations(_) => "evacuations",
             Self::Relayed(_) | Self::ZoneRelayed(_) => "relayed",
             Self::Speeds(_) => "speeds",
+            Self::Answered(_) => "answered",
             Self::LedgerNews(_) | Self::LedgerState(_) | Self::LedgerSync(_) => "ledger",
             Self::ZonePlan(_) => "zone_plan",
         }
@@ -306,6 +310,31 @@
         /// Not placed: only cold engines have room for it, and the coordinator's share of their rate
         /// limits is used up. The asking instance may use its own share.
         Limited,
+        /// On the server whose id has this hash and which is in slow start: the receiver reports how it
+        /// answers.
+        Ramping(u64),
+    }
+}
+
+value_type! { copy
+    /// How an engine in slow start answered a request, as the instance that sent the request saw it.
+    pub struct AnswerReport {
+        /// Hash of the engine's id.
+        pub server: u64,
+        /// Milliseconds since the request was sent.
+        pub age_ms: u32,
+        /// What the engine did.
+        pub outcome: AnswerOutcome,
+    }
+}
+
+value_type! { copy
+    /// What an engine in slow start did with a request.
+    pub enum AnswerOutcome {
+        /// It sent a part of its answer. The time in percent of that of its peers; 0 if that is unknown.
+        Answered(AnswerPart, u16),
+        /// It refused the request.
+        Refused,
     }
 }
 
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -58,9 +58,9 @@
 pub use evacuation::{EvacuationTable, ZoneChange, ZoneEntry, ZoneEntryState, ZoneState};
 pub use load::{LatencyClass, LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
-    ColdQuestion, EvacuationSync, LedgerSync, OnwardGroup, PeerMessage, PlaceAnswer, PlacePurpose,
-    PlaceQuestion, PlaceVerdict, RelayedMessage, RunBacklog, ServerChanges, ServerPace,
-    SyncPurpose, ZoneRelayedMessage,
+    AnswerOutcome, AnswerReport, ColdQuestion, EvacuationSync, LedgerSync, OnwardGroup,
+    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, RelayedMessage,
+    RunBacklog, ServerChanges, ServerPace, SyncPurpose, ZoneRelayedMessage,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use pause_gate::{PauseGate, PauseParams};
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -6,11 +6,12 @@
 use std::sync::Arc;
 
 use medlarlanding_core::forwarding::{
-    ColdQuestion, ColdReport, DirectoryChange, EvacuationSync, EvacuationTable, FleetNote,
-    LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams, RelayedMessage, ServerChanges,
-    ServerEntry, ServerPace, ServerPhase, SpeedReport, SpeedSums, SyncPurpose, ZoneEntry,
-    ZoneEntryState, ZoneKey,
+    AnswerOutcome, AnswerReport, ColdQuestion, ColdReport, DirectoryChange, EvacuationSync,
+    EvacuationTable, FleetNote, LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams,
+    RelayedMessage, ServerChanges, ServerEntry, ServerPace, ServerPhase, SpeedReport, SpeedSums,
+    SyncPurpose, ZoneEntry, ZoneEntryState, ZoneKey,
 };
+use medlarlanding_core::pacing::AnswerPart;
 use medlarlanding_core::time::Timestamp;
 
 use quickcheck::TestResult;
@@ -84,6 +85,11 @@
         PeerMessage::Cold(vec![COLD]),
         PeerMessage::ColdQuestion(ColdQuestion { number: 4, server: 7 }),
         PeerMessage::Speeds(vec![ServerPace { server: 7, start: 9, percent: 500 }]),
+        PeerMessage::Answered(AnswerReport {
+            server: 7,
+            age_ms: 250,
+            outcome: AnswerOutcome::Answered(AnswerPart::First, 104),
+        }),
     ]
 }
 
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -512,6 +512,7 @@
                             },
                             _exchange: exchange,
                             load,
+                            clock: None,
                         }));
                     }
                     if check != AnswerCheck::NotRun {
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -15,6 +15,7 @@
 use crate::forwarding::placing::Placement;
 use crate::forwarding::relay::server_request;
 use crate::forwarding::server_liveness::examine_unreachable;
+use crate::forwarding::server_pace::AnswerClock;
 use crate::forwarding::stream_events::has_events;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -77,6 +78,7 @@
             let queue = self.state.queue_at(key);
             self.log_choice(&entry, queue);
             let load = LoadGuard::begin(&self.state, key, self.admitted.weight);
+            let clock = AnswerClock::start(&self.state, key, &self.admitted);
             let request = server_request(
                 &self.admitted,
                 &entry.id,
@@ -152,6 +154,7 @@
             let (parts, body) = response.into_parts();
             match check_answer(parts.status, &parts.headers, &self.admitted.id) {
                 AnswerCheck::NotRun => {
+                    self.state.note_engine_refusal(&self.link, key, now);
                     if tried.len() as u32 >= NOT_RUN_LIMIT {
                         return Err(StartFailure::Error(ErrorAnswer::ServersFull));
                     }
@@ -189,6 +192,7 @@
                 run_stop: RunStop::NotStopped,
                 _exchange: exchange,
                 load,
+                clock,
             };
             return Ok((stream, parts.status, parts.headers));
         }
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -26,6 +26,7 @@
 mod relay;
 mod role;
 mod server_liveness;
+mod server_pace;
 mod servers;
 mod shared;
 mod speeds;
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -11,10 +11,10 @@
 use super::shared::{ForwardState, SharedState};
 use super::zone_link::send_zone_messages;
 use medlarlanding_core::forwarding::{
-    ChangeSource, ColdQuestion, ColdReport, DirectoryChange, EngineFault, LedgerSync, PeerDigest,
-    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest,
-    RelayParams, RelayRoute, RelayedMessage, RepeatPurpose, RunBacklog, RunKey, ServerChanges,
-    ServerKey, SuspicionParams, ZoneDuty, ZoneRelayedMessage,
+    AnswerReport, ChangeSource, ColdQuestion, ColdReport, DirectoryChange, EngineFault, LedgerSync,
+    PeerDigest, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
+    PlacementRequest, RelayParams, RelayRoute, RelayedMessage, RepeatPurpose, RunBacklog, RunKey,
+    ServerChanges, ServerKey, SuspicionParams, ZoneDuty, ZoneRelayedMessage,
 };
 use medlarlanding_core::prompts::LedgerNews;
 use medlarlanding_core::time::Timestamp;
@@ -272,6 +272,16 @@
         }
     }
 
+    /// Reports to the coordinator how an engine in slow start answers.
+    pub fn report_answer(&self, state: &ForwardState, report: AnswerReport) {
+        match state.peers.borrow().coordinator(state.now()) {
+            Some(coordinator) => {
+                self.send(state, &PeerMessage::Answered(report), &[coordinator]);
+            },
+            None => state.take_answer_report(&report),
+        }
+    }
+
     /// Sends new entries of the ledger to the coordinator, or as the coordinator to all peers.
     fn send_ledger_news(&self, state: &ForwardState, news: LedgerNews) {
         let coordinator = state.peers.borrow().coordinator(state.now());
@@ -347,21 +357,26 @@
             Ok(Ok(answer)) => {
                 state.placing.granted.set(state.placing.granted.get().max(answer.grant));
                 match answer.verdict {
-                    PlaceVerdict::Server(hash) => match state.find_server(hash) {
-                        Some(key)
-                            if !request.excluded.contains(&key)
-                                && state
-                                    .send_delay(key, state.now(), request.regions)
-                                    .is_zero()
-                                && !is_outdated(state, key, asked_at) =>
-                        {
-                            if let Some(queue) = answer.queue {
-                                state.note_queue(key, queue);
-                            }
-                            Placement::Server(key)
-                        },
-                        // This instance and the coordinator know different servers at the moment.
-                        Some(_) | None => state.place_alone(purpose, request),
+                    PlaceVerdict::Server(hash) | PlaceVerdict::Ramping(hash) => {
+                        match state.find_server(hash) {
+                            Some(key)
+                                if !request.excluded.contains(&key)
+                                    && state
+                                        .send_delay(key, state.now(), request.regions)
+                                        .is_zero()
+                                    && !is_outdated(state, key, asked_at) =>
+                            {
+                                if let Some(queue) = answer.queue {
+                                    state.note_queue(key, queue);
+                                }
+                                if let PlaceVerdict::Ramping(_) = answer.verdict {
+                                    state.report_answers_of(key);
+                                }
+                                Placement::Server(key)
+                            },
+                            // This instance and the coordinator know different servers at the moment.
+                            Some(_) | None => state.place_alone(purpose, request),
+                        }
                     },
                     PlaceVerdict::Full(backlog) => Placement::Full(backlog),
                     PlaceVerdict::Limited => state.place_cold(purpose, request),
@@ -585,6 +600,7 @@
         },
         PeerMessage::Fault(engine) => state.record_fault(engine, EngineFault::Failed),
         PeerMessage::Ended(engine) => state.record_fault(engine, EngineFault::Ended),
+        PeerMessage::Answered(report) => state.take_answer_report(&report),
         PeerMessage::Unresponsive(engine) => state.record_fault(engine, EngineFault::Unresponsive),
         PeerMessage::LedgerNews(news) => state.merge_ledger(source, news),
         PeerMessage::LedgerState(fingerprint) => {
--- a/medlarlanding/src/forwarding/servers.rs
+++ b/medlarlanding/src/forwarding/servers.rs
@@ -112,6 +112,7 @@
             ServerAccess::Evacuated | ServerAccess::OutsideRegions => Duration::MAX,
             ServerAccess::Leaving if is_late => Duration::MAX,
             ServerAccess::Open
+            | ServerAccess::Paced
             | ServerAccess::Avoided
             | ServerAccess::Held
             | ServerAccess::Limited
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -10,6 +10,7 @@
 use super::ledger::LedgerState;
 use super::peer_cut::PeerCut;
 use super::placing::PlacementState;
+use super::server_pace::PaceState;
 use super::speeds::SpeedState;
 use super::telemetry::Telemetry;
 use super::zone_link::ZoneState;
@@ -78,6 +79,8 @@
     pub cold: ColdLimitState,
     /// State of the placement.
     pub placing: PlacementState,
+    /// Slow start of servers.
+    pub pacing: PaceState,
     /// Runs that the ends of engines broke off.
     pub ledger: LedgerState,
     /// Evacuated zones.
@@ -134,6 +137,7 @@
             config: RefCell::default(),
             budgets: RefCell::default(),
             placing: PlacementState::default(),
+            pacing: PaceState::default(),
             ledger: LedgerState::new(ledger_news),
             evacuation: EvacuationState::new(clock.now()),
             clock,
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -63,6 +63,12 @@
     pub config_version: IntGauge,
     /// Estimated speed of each server, by name of the estimate, and the age of its last sample.
     pub server_speeds: IntGaugeVec,
+    /// Servers in slow start, as far as this instance decides on them.
+    pub ramping_servers: IntGauge,
+    /// Sum of their limits of requests in flight.
+    pub ramp_limit: IntGauge,
+    /// Changes of limits of slow start, by reason.
+    pub pace_changes: IntCounterVec,
     /// Time until an answer or its first event, in seconds.
     pub first_answer: Histogram,
     /// Pause between two events of a stream, in seconds.
@@ -130,6 +136,14 @@
                 "Estimated times of servers in percent of the median, and their ages.",
                 &["server", "estimate"],
             )?,
+            ramping_servers: registry.gauge("ramping_servers", "Servers in slow start.")?,
+            ramp_limit: registry
+                .gauge("ramp_limit", "Requests in flight allowed to servers in slow start.")?,
+            pace_changes: registry.counters(
+                "pace_changes",
+                "Changes of limits of slow start.",
+                &["reason"],
+            )?,
             first_answer: registry.histogram(
                 "first_answer_seconds",
                 "Time to an answer or its first event.",
