--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -10,7 +10,10 @@
 mod cold_share;
 mod competition;
 mod config;
+mod config_changes;
+mod config_check;
 mod config_delta;
+mod config_parts;
 mod directory;
 mod drain;
 mod entries;
@@ -48,7 +51,12 @@
     CustomerRecord, EngineLimits, ForwardConfig, ForwardConfigError, InvalidField, InvalidValue,
     KeyCheck, RequestKind, RequestLimits, RouteRule, RouteTarget, ServicePolicy,
 };
+pub use config_changes::{ChangeStep, ConfigChange, ConfigPart, FieldValue, compare_configs};
+pub use config_check::{
+    ConfigField, ConfigFinding, ConfigPlace, ConfigProblem, FindingSeverity, check_config,
+};
 pub use config_delta::{ConfigDelta, ConfigHistory};
+pub use config_parts::{ConfigParts, StatedCustomer, StatedRoute};
 pub use directory::{
     DirectoryChange, ServerAccess, ServerDirectory, ServerEntry, ServerKey, ServerPhase,
     ServerRecord,
