Report contradictions and changes in medlarlanding check

For a .json file the command said only whether it can be decoded. Exit statuses of .json files: 0 nothing, 1 warnings, 2 errors (1 before), 3 not checked. Trees and settings keep status 1 for a fault, as the help text states.

--- a/medlarlanding-core/tests/forwarding_config_check.rs
+++ b/medlarlanding-core/tests/forwarding_config_check.rs
@@ -250,8 +250,10 @@
     ChangeStep::Changed { field, old: FieldValue::Number(old), new: FieldValue::Number(new) }
 }
 
+type Change = (ConfigPart, ChangeStep);
+
 /// Guards against differences that are not shown, and against differences where there are none.
-fn compares((spoil, expected): (fn(&mut ConfigParts), Vec<(ConfigPart, ChangeStep)>)) {
+fn compares((spoil, expected): (fn(&mut ConfigParts), Vec<Change>)) {
     let mut new = parts();
     spoil(&mut new);
     let changes = compare_configs(&new, &parts());
--- a/medlarlanding/src/cli.rs
+++ b/medlarlanding/src/cli.rs
@@ -56,15 +56,22 @@
     pub drill_cut: Option<PathBuf>,
 }
 
-/// checks settings files and configuration trees; exit status 1 on a fault
+/// checks settings files and configurations; exit status 1 on a fault in settings or a tree. A configuration of the platform: 1 on warnings only, 2 on errors, 3 if it could not be checked
 #[derive(FromArgs, Debug)]
 #[argh(
     subcommand,
     name = "check",
     example = "medlarlanding check instance.yaml tree.yaml",
+    example = "medlarlanding check --current effective.json new.json",
     note = "A .toml file is checked as the platform's settings, a .json file as the platform's configuration, a file with the key `instance` as settings, any other as a tree."
 )]
 pub struct CheckOptions {
+    /// the platform's configuration in effect; prints what the checked one changes
+    #[argh(option)]
+    pub current: Option<PathBuf>,
+    /// print the findings as JSON
+    #[argh(switch)]
+    pub json: bool,
     /// files to check
     #[argh(positional)]
     pub files: Vec<PathBuf>,
--- a/medlarlanding/src/commands.rs
+++ b/medlarlanding/src/commands.rs
@@ -1,25 +1,21 @@
 //! Subcommands of the binary.
 
-use std::ffi::OsStr;
 use std::fmt::Write;
-use std::fs;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use crate::backends::connection::OutboundCall;
-use crate::cli::{CheckOptions, DumpOptions, ForwardOptions, ServeOptions};
+use crate::cli::{DumpOptions, ForwardOptions, ServeOptions};
 use crate::exchange::ExchangeFault;
 use crate::forwarding::{self, RoleOptions};
 use crate::logging;
 use crate::serve;
 use crate::settings::InstanceSettings;
-use medlarlanding_core::config::{ConfigTree, credential_digest};
+use medlarlanding_core::config::credential_digest;
 use medlarlanding_core::handles::hex_text;
-use medlarlanding_platform::config::decode_config;
-use medlarlanding_platform::settings::PlatformSettings;
 
-use anyhow::{Context, bail};
+use anyhow::Context;
 use hyper::Method;
 use rand::RngCore;
 use serde_json::Value;
@@ -56,45 +52,6 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Checks settings and configuration files and prints all faults.
-///
-/// # Errors
-///
-/// Fails if no file is given or a file cannot be read.
-pub fn check(options: &CheckOptions) -> anyhow::Result<ExitCode> {
-    if options.files.is_empty() {
-        bail!("check needs at least one file");
-    }
-    let mut faulty = false;
-    for file in &options.files {
-        let name = file.display();
-        let text = fs::read_to_string(file).with_context(|| format!("cannot read {name}"))?;
-        let faults = match file.extension().and_then(OsStr::to_str) {
-            Some("toml") => faults_of(PlatformSettings::parse(&text)),
-            Some("json") => faults_of(decode_config(text.as_bytes())),
-            _ if text.lines().any(|line| line.starts_with("instance:")) => {
-                InstanceSettings::parse(&text).err().into_iter().collect()
-            },
-            _ => {
-                let faults = ConfigTree::parse(&text).err().unwrap_or_default();
-                faults.iter().map(ToString::to_string).collect()
-            },
-        };
-        for fault in &faults {
-            println!("{name}:{fault}");
-        }
-        if faults.is_empty() {
-            println!("{name}: ok");
-        }
-        faulty |= !faults.is_empty();
-    }
-    Ok(if faulty { ExitCode::FAILURE } else { ExitCode::SUCCESS })
-}
-
-fn faults_of<T>(checked: anyhow::Result<T>) -> Vec<String> {
-    checked.err().map(|error| format!(" {error:#}")).into_iter().collect()
-}
-
 /// Prints the state of a running instance, or the time line of one request.
 ///
 /// # Errors
--- a/medlarlanding/src/lib.rs
+++ b/medlarlanding/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answer_body;
 pub mod backends;
+pub mod check;
 pub mod cli;
 pub mod clock;
 pub mod commands;
--- a/medlarlanding/src/main.rs
+++ b/medlarlanding/src/main.rs
@@ -4,6 +4,7 @@
 
 use std::process::ExitCode;
 
+use medlarlanding::check;
 use medlarlanding::cli::{Command, CommandLine};
 use medlarlanding::commands;
 
@@ -12,7 +13,7 @@
     let result = match line.command {
         Command::Serve(options) => commands::serve(&options),
         Command::Forward(options) => commands::forward(&options),
-        Command::Check(options) => commands::check(&options),
+        Command::Check(options) => check::check(&options),
         Command::Dump(options) => commands::dump(&options),
         Command::Credential(_) => commands::credential(),
         Command::Version(_) => commands::version(),
