Find the lines of findings in one pass

Each finding read the text again along its path, so that a key shared by 29,000 customers would have read some megabytes 29,000 times. LineIndex keeps the elements of the lists and the line ends.

--- a/medlarlanding/src/check.rs
+++ b/medlarlanding/src/check.rs
@@ -11,7 +11,7 @@
 use medlarlanding_core::forwarding::{ConfigParts, FindingSeverity, check_config, compare_configs};
 use medlarlanding_platform::config::decode_parts;
 use medlarlanding_platform::config_report::{
-    ChangeText, FindingText, describe_change, describe_finding,
+    ChangeText, FindingText, LineIndex, describe_change, describe_finding,
 };
 use medlarlanding_platform::settings::PlatformSettings;
 
@@ -129,12 +129,13 @@
     };
     match decode_parts(&text) {
         Ok(parts) => {
-            // A text that decodes is UTF-8, as JSON strings are.
+            // Only lines are looked up in the text, and replaced characters leave them as they are.
             let text = String::from_utf8_lossy(&text);
+            let lines = LineIndex::new(&text);
             for finding in check_config(&parts, current) {
                 let status = CheckStatus::of_severity(finding.problem.severity());
                 report.status = report.status.max(status);
-                report.findings.push(describe_finding(&finding, &text));
+                report.findings.push(describe_finding(&finding, &lines));
             }
             report.changes = current.map(|current| {
                 compare_configs(&parts, current).iter().map(describe_change).collect()
