Do not count a run among those that move ahead of it

Cause: `count_ahead` leaves out the run that asks and `count_moving` did not. Where a caller sent the id of a moving latency-critical run a second time, one was subtracted from zero.

Effect: a panic of the coordinator in debug builds; in release builds the run had more runs ahead of it than there are, and waited until the other one had moved.

Evidence: repeated_id_of_a_moving_run_is_admitted failed with an overflow and passes now; both counts leave out the same run, so that the second is never above the first.

--- a/medlarlanding-core/src/forwarding/waiting.rs
+++ b/medlarlanding-core/src/forwarding/waiting.rs
@@ -160,7 +160,7 @@
         let mut ahead = self.count_ahead(now, key, class, value_density);
         if latency == LatencyClass::Critical {
             // A short run ends long before a moving one would need its room.
-            ahead -= self.count_moving(now);
+            ahead -= self.count_moving(now, key);
         }
         if servers_with_room > ahead {
             self.remove(key);
@@ -171,12 +171,15 @@
         Err(if servers_with_room > 0 && latency != LatencyClass::Tolerant { 0 } else { ahead })
     }
 
-    /// Returns the number of waiting runs that move off leaving engines.
-    fn count_moving(&self, now: Timestamp) -> usize {
-        let is_moving = |run: &&WaitingRun| {
-            run.class == WaitingClass::Moving && now.since(run.asked_at) < self.params.ask_timeout
+    /// Returns the number of waiting runs that move off leaving engines, without the run itself: a
+    /// caller may have sent the id of a moving run again.
+    fn count_moving(&self, now: Timestamp, key: RunKey) -> usize {
+        let is_moving = |(other, run): &(&RunKey, &WaitingRun)| {
+            **other != key
+                && run.class == WaitingClass::Moving
+                && now.since(run.asked_at) < self.params.ask_timeout
         };
-        self.runs.values().filter(is_moving).count()
+        self.runs.iter().filter(is_moving).count()
     }
 
     /// Returns the number of waiting runs that are served before a run, without the run itself.
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -356,3 +356,14 @@
     short => (1_500, 4_000, LatencyClass::Critical),
     without_objective => (1_500, 0, LatencyClass::Uniform),
 }
+
+/// Guards against a subtraction below zero where a caller sends the id of a moving run a second time.
+#[test]
+fn repeated_id_of_a_moving_run_is_admitted() {
+    let mut competition = ServiceCompetition::default();
+    competition.record_move(at(0), run_key(1), LatencyClass::Critical, false);
+    let weight = RunWeight { prompt: 2_200, output: 10 };
+    let (class, latency) = (WaitingClass::InTime, LatencyClass::Critical);
+    let queued = QueuedRun { key: run_key(1), class, latency, weight };
+    assert!(competition.admit(at(10), queued, Some(CRITICAL_DUE), 1).is_ok());
+}
