Give routes without an objective no latency class

Cause: an objective of zero compares as below the shortest one, so that such a route was latency-critical beside routes whose objectives differ by a factor of two.

Effect: its runs were admitted ahead of moving ones, were accepted by engines however late, and kept room from latency-tolerant runs.

Evidence: route_without_objective_has_no_class gave Critical and gives Uniform now, as for a service in which no route has an objective.

--- a/medlarlanding-core/src/forwarding/config.rs
+++ b/medlarlanding-core/src/forwarding/config.rs
@@ -293,10 +293,13 @@
         self.services.get(name)
     }
 
-    /// Returns how the objective of a route compares with those of the other routes of a service.
+    /// Returns how the objective of a route compares with those of the other routes of a service. A route
+    /// without an objective has no class.
     pub fn latency_class(&self, rule: &RouteRule, service: &str) -> LatencyClass {
         match self.objectives.get(service) {
-            Some((shortest, longest)) if *longest >= *shortest * LATENCY_RATIO => {
+            Some((shortest, longest))
+                if *longest >= *shortest * LATENCY_RATIO && !rule.objective.is_zero() =>
+            {
                 if rule.objective >= *shortest * LATENCY_RATIO {
                     LatencyClass::Tolerant
                 } else {
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -324,6 +324,11 @@
 }
 
 fn class_of(objective_ms: u64, other_ms: u64) -> LatencyClass {
+    class_among(objective_ms, &[other_ms])
+}
+
+/// Returns the class of a route whose service has further routes with the objectives `others_ms`.
+fn class_among(objective_ms: u64, others_ms: &[u64]) -> LatencyClass {
     let rule = |name: &str, objective_ms| RouteRule {
         name: Arc::from(name),
         host: "desk.example".to_owned(),
@@ -339,7 +344,8 @@
         regions: RegionLimit::Any,
     };
     let limits = RequestLimits { header_bytes: 1, body_bytes: 1, idle: Duration::ZERO };
-    let rules = vec![rule("own", objective_ms), rule("other", other_ms)];
+    let others = others_ms.iter().map(|other_ms| rule("other", *other_ms));
+    let rules = std::iter::once(rule("own", objective_ms)).chain(others).collect();
     let config = ForwardConfig::new(1, limits, rules, Vec::new(), None).expect("a configuration");
     let own = config.route("desk.example", "/own/a").expect("a route");
     config.latency_class(own, "llm")
@@ -367,3 +373,9 @@
     let queued = QueuedRun { key: run_key(1), class, latency, weight };
     assert!(competition.admit(at(10), queued, Some(CRITICAL_DUE), 1).is_ok());
 }
+
+/// Guards against a route without an objective that is served as the most urgent one of its service.
+#[test]
+fn route_without_objective_has_no_class() {
+    assert_eq!(class_among(0, &[1_500, 4_000]), LatencyClass::Uniform);
+}
