Make no forecast before a coordinator has placed for half a second

Cause: without any placement the net rate is zero and the expected wait unlimited. An instance that has just become the coordinator has no placements, and one that becomes it again counted from its first time.

Effect: latency-tolerant runs that asked in the first moments after a change of the coordinator with any run ahead of them were refused and told to return after 10 s.

Evidence: new_coordinator_makes_no_forecast failed before the change and passes now. Without a forecast the runs wait, and the time of observation begins anew after a window without arrivals.

--- a/medlarlanding-core/src/forwarding/backlog.rs
+++ b/medlarlanding-core/src/forwarding/backlog.rs
@@ -18,7 +18,8 @@
     pub window: Duration,
     /// Most arrivals and placements that are kept.
     pub capacity: usize,
-    /// Shortest time over which rates are computed, for a coordinator that has just begun.
+    /// Shortest time over which rates are computed. Before it has passed there is no forecast: a
+    /// coordinator that has just begun has placed nothing yet, although the engines have room.
     pub window_min: Duration,
 }
 
@@ -40,15 +41,18 @@
     arrivals: VecDeque<(Timestamp, f64)>,
     /// Times of placements, oldest first.
     placements: VecDeque<Timestamp>,
-    /// When the first arrival was recorded.
+    /// When the first arrival was recorded after a time of `window` without any. An instance that
+    /// becomes the coordinator again begins anew.
     begun_at: Option<Timestamp>,
 }
 
 impl BacklogForecast {
     /// Records a run that asks for the first time.
     pub fn record_arrival(&mut self, now: Timestamp, value_density: f64) {
-        self.begun_at.get_or_insert(now);
         self.evict(now);
+        if self.arrivals.is_empty() && self.placements.is_empty() {
+            self.begun_at = Some(now);
+        }
         self.arrivals.push_back((now, value_density));
     }
 
@@ -59,13 +63,14 @@
     }
 
     /// Returns the expected time until a run is placed that `ahead` waiting runs are ahead of;
-    /// `Duration::MAX` if as many runs arrive that are served before it as are placed.
+    /// `Duration::MAX` if as many runs arrive that are served before it as are placed, and 0 if there is
+    /// no forecast.
     pub fn expected_wait(&self, now: Timestamp, value_density: f64, ahead: usize) -> Duration {
-        if ahead == 0 {
+        let observed = self.begun_at.map_or(Duration::ZERO, |begun_at| now.since(begun_at));
+        if ahead == 0 || observed < self.params.window_min {
             return Duration::ZERO;
         }
-        let begun_at = self.begun_at.unwrap_or(now);
-        let span = now.since(begun_at).clamp(self.params.window_min, self.params.window);
+        let span = observed.min(self.params.window);
         let is_recent = |at: Timestamp| now.since(at) < self.params.window;
         let placed = self.placements.iter().filter(|at| is_recent(**at)).count();
         let before =
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -374,6 +374,19 @@
     assert!(competition.admit(at(10), queued, Some(CRITICAL_DUE), 1).is_ok());
 }
 
+/// Guards against tolerant runs that are refused because the instance has only just become the
+/// coordinator, for the first time or again, and has placed nothing yet.
+#[test]
+fn new_coordinator_makes_no_forecast() {
+    let mut backlog = BacklogForecast::default();
+    for begin in [0, 60_000] {
+        backlog.record_arrival(at(begin), 1.0);
+        assert_eq!(backlog.expected_wait(at(begin + 20), 0.0, 3), Duration::ZERO, "{begin}");
+        backlog.record_arrival(at(begin + 900), 1.0);
+        assert_eq!(backlog.expected_wait(at(begin + 900), 0.0, 3), Duration::MAX, "{begin}");
+    }
+}
+
 /// Guards against a route without an objective that is served as the most urgent one of its service.
 #[test]
 fn route_without_objective_has_no_class() {
