Keep room on no more engines than a service has

Cause: the number of engines on which room is kept follows the rate of arrivals, and is at least two. With fewer engines than that, room for latency-critical runs was never on enough of them, and until it is, no latency-tolerant run is placed at all.

Effect: a service with one engine, or with three while twenty short runs arrive in a second, refused all long runs as long as short ones arrived, also with idle engines.

Evidence: few_idle_engines_take_tolerant_runs found room on none of one and of three idle engines, and finds it on all of them now: with as many engines as are kept, a run is placed where room for a short one is left.

--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -424,9 +424,11 @@
         let Some(reserve) = request.reserve else { return KeptRoom::Nothing };
         let critical = request.critical(reserve);
         let healthy = servers.iter().filter(|(_, record, _)| !record.is_avoided(now));
+        // Room on more engines than there are would never accumulate.
+        let engines = reserve.engines.min(healthy.clone().count());
         let count =
             healthy.filter(|(_, record, load)| self.has_room(&critical, record, *load)).count();
-        match count.cmp(&reserve.engines) {
+        match count.cmp(&engines) {
             Ordering::Greater => KeptRoom::Nothing,
             Ordering::Equal => KeptRoom::Engines(reserve),
             Ordering::Less => KeptRoom::All(reserve),
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -11,6 +11,7 @@
     RouteTarget, RunBacklog, RunKey, RunWeight, ServerDirectory, ServerEntry, ServerKey,
     ServerPhase, ServiceCompetition, WaitDecision, WaitLimit, WaitLimitParams, WaitingClass,
 };
+use medlarlanding_core::pacing::PaceLimit;
 use medlarlanding_core::time::Timestamp;
 
 use rand::rngs::SmallRng;
@@ -387,6 +388,47 @@
     }
 }
 
+/// Returns how many of `count` idle engines have room for a tolerant run while critical runs arrive 20
+/// times a second. Each engine has `pace` as its limit of slow start.
+fn engines_for_tolerant(count: u8, paces: &[Option<PaceLimit>]) -> usize {
+    let mut directory = ServerDirectory::default();
+    for number in 0..count {
+        let key = add_engine(&mut directory, number);
+        if let Some(pace) = paces.get(usize::from(number)) {
+            directory.set_pace(key, *pace);
+        }
+    }
+    let mut demand = CriticalDemand::default();
+    for step in 0..100 {
+        demand.record(at(step * 50), RunWeight { prompt: 2_200, output: 10 }, CRITICAL_DUE);
+    }
+    let reserve = demand.reserve(at(5_000), TOLERANT_DUE);
+    let request = PlacementRequest {
+        service: "llm",
+        memory_tokens: Some(MEMORY_TOKENS),
+        weight: RunWeight { prompt: 3_000, output: 700 },
+        excluded: &[],
+        regions: &RegionLimit::Any,
+        zone: "a",
+        due: Some(TOLERANT_DUE),
+        is_urgent: false,
+        drain_limit: Duration::ZERO,
+        latency: LatencyClass::Tolerant,
+        reserve,
+    };
+    let remote = |_: &_| RemoteLoad::default();
+    let choice = PlacementPolicy::default().choose(at(5_000), &directory, &request, remote, || 0.0);
+    choice.expect("an engine").servers_with_room
+}
+
+/// Guards against tolerant runs that are never admitted, however idle the engines are, because the
+/// service has fewer engines than are to be kept for critical runs.
+#[test]
+fn few_idle_engines_take_tolerant_runs() {
+    assert_eq!(engines_for_tolerant(1, &[]), 1);
+    assert_eq!(engines_for_tolerant(3, &[]), 3);
+}
+
 /// Guards against a route without an objective that is served as the most urgent one of its service.
 #[test]
 fn route_without_objective_has_no_class() {
