Count no kept room on engines at their limit of slow start

Cause: the reserve counted engines by memory, slots and time. Placement also skips engines that have reached their limit of slow start.

Effect: while engines start, latency-tolerant runs took the last room on the engines that begin runs, and latency-critical ones waited beside engines with memory.

Evidence: engines_at_their_pace_keep_no_room found room for long runs on three engines, of four that were to be kept, and finds none now: the reserve uses the same condition as placement.

--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -426,8 +426,11 @@
         let healthy = servers.iter().filter(|(_, record, _)| !record.is_avoided(now));
         // Room on more engines than there are would never accumulate.
         let engines = reserve.engines.min(healthy.clone().count());
-        let count =
-            healthy.filter(|(_, record, load)| self.has_room(&critical, record, *load)).count();
+        // An engine that has reached its limit of slow start begins no run, however much room it has.
+        let begins = healthy.filter(|(_, record, load)| {
+            !record.is_paced(now) && self.has_room(&critical, record, *load)
+        });
+        let count = begins.count();
         match count.cmp(&engines) {
             Ordering::Greater => KeptRoom::Nothing,
             Ordering::Equal => KeptRoom::Engines(reserve),
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -429,6 +429,15 @@
     assert_eq!(engines_for_tolerant(3, &[]), 3);
 }
 
+/// Guards against kept room that is counted on engines in slow start which begin no run at present: the
+/// reserve is 4 engines, and only 3 of these 8 begin a run.
+#[test]
+fn engines_at_their_pace_keep_no_room() {
+    let pace = PaceLimit { in_flight: 0, next_start: at(0) };
+    let load = engines_for_tolerant(8, &[Some(pace); 5]);
+    assert_eq!(load, 0);
+}
+
 /// Guards against a route without an objective that is served as the most urgent one of its service.
 #[test]
 fn route_without_objective_has_no_class() {
