Tell no caller to return later than it honours

Cause: the forecast was limited to 10 s and then lengthened by up to half, whatever time the caller has left. Callers honour a return time of up to a third of that.

Effect: with 39 s to the deadline and 4.5 s waited, callers were told up to 15 s and honour up to 11.5 s. With shorter deadlines the whole range was too long.

Evidence: return_time_is_within_a_third_of_the_time_left failed before the change and passes now; the spread ends at a third of the time left. In refused_runs_return_when_room_is_expected only the arguments change.

--- a/medlarlanding-core/src/forwarding/wait_limit.rs
+++ b/medlarlanding-core/src/forwarding/wait_limit.rs
@@ -34,9 +34,15 @@
     /// Shortest time after which the caller of a refused run is asked to return. A run that finds room
     /// sooner waits instead.
     pub return_min: Duration,
-    /// Longest such time, and that where more runs arrive than are placed. Bursts last 3 to 10 s on the
+    /// Longest such time before it is spread, and that where more runs arrive than are placed. Bursts last 3 to 10 s on the
     /// measured installations.
     pub return_max: Duration,
+    /// Part of a return time by which it is lengthened at random, so that callers which are refused at
+    /// once do not return at once.
+    pub return_spread: f64,
+    /// A return time is at most the time that the caller has left divided by this. Callers do not
+    /// honour a longer one.
+    pub return_divisor: u32,
     /// Time that a busy engine takes for one prompt token.
     pub prompt_token_time: Duration,
 }
@@ -52,6 +58,8 @@
             tolerant_factor: 1.1,
             return_min: Duration::from_secs(2),
             return_max: Duration::from_secs(10),
+            return_spread: 0.5,
+            return_divisor: 3,
             prompt_token_time: PROMPT_TOKEN_TIME,
         }
     }
@@ -75,6 +83,8 @@
     latency: LatencyClass,
     arrived_at: Timestamp,
     objective: Duration,
+    /// When the caller stops waiting.
+    deadline: Timestamp,
     /// When the run is refused if it still waits; at the latest halfway to the caller's deadline.
     latest: Timestamp,
     /// Time that a busy engine takes for the prompt.
@@ -99,7 +109,8 @@
         };
         let latest = arrived_at + longest.min(time_left / 2);
         let prompt_time = params.prompt_token_time * prompt;
-        Self { params, latency, arrived_at, objective, latest, prompt_time }
+        let deadline = arrived_at + time_left;
+        Self { params, latency, arrived_at, objective, deadline, latest, prompt_time }
     }
 
     /// Returns the purpose to ask the coordinator with, and the time until the first event is due.
@@ -128,13 +139,17 @@
     }
 
     /// Returns the time after which the caller of a refused run should return; `None` if there is no
-    /// forecast for its class.
-    pub fn return_delay(&self, backlog: RunBacklog) -> Option<Duration> {
+    /// forecast for its class. `draw` is a random number from 0 to 1, which spreads the returns.
+    pub fn return_delay(&self, now: Timestamp, backlog: RunBacklog, draw: f64) -> Option<Duration> {
         match self.latency {
             LatencyClass::Uniform | LatencyClass::Critical => None,
             LatencyClass::Tolerant => {
                 let wait = Duration::from_millis(backlog.wait_ms.into());
-                Some(wait.clamp(self.params.return_min, self.params.return_max))
+                let honoured = self.deadline.since(now) / self.params.return_divisor;
+                let delay =
+                    wait.clamp(self.params.return_min, self.params.return_max).min(honoured);
+                let latest = delay.mul_f64(1.0 + self.params.return_spread).min(honoured);
+                Some(delay + (latest - delay).mul_f64(draw))
             },
         }
     }
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -281,7 +281,7 @@
         Duration::from_secs(39),
         3_000,
     );
-    let delay = limit.return_delay(RunBacklog { ahead: 60, wait_ms });
+    let delay = limit.return_delay(at(0), RunBacklog { ahead: 60, wait_ms }, 0.0);
     assert_eq!(delay, Some(Duration::from_millis(expected_ms)));
 }
 
@@ -438,6 +438,25 @@
     assert_eq!(load, 0);
 }
 
+/// Guards against return times that callers do not honour: they wait for at most a third of the time
+/// that they have left.
+#[test]
+fn return_time_is_within_a_third_of_the_time_left() {
+    let limit = WaitLimit::new(
+        WaitLimitParams::default(),
+        LatencyClass::Tolerant,
+        at(0),
+        Duration::from_secs(4),
+        Duration::from_secs(39),
+        3_000,
+    );
+    let backlog = RunBacklog { ahead: 60, wait_ms: u32::MAX };
+    for draw in [0.0, 0.5, 1.0] {
+        let delay = limit.return_delay(at(4_500), backlog, draw).expect("a return time");
+        assert!((10_000..=11_500).contains(&delay.as_millis()), "{delay:?}");
+    }
+}
+
 /// Guards against a route without an objective that is served as the most urgent one of its service.
 #[test]
 fn route_without_objective_has_no_class() {
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -10,7 +10,7 @@
 
 use self::moving::{ResumeOutcome, StreamEnd};
 use self::start::StartFailure;
-use super::admit::{AdmittedRequest, retry_after, spread_delay};
+use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::answer_end::EndingAnswer;
 use super::engine_calls::MoveCall;
@@ -153,9 +153,7 @@
             Ok(started) => started,
             Err(StartFailure::Error(error)) => {
                 let delay = match (error, self.return_delay.get()) {
-                    (ErrorAnswer::Overloaded, Some(delay)) => {
-                        Some(spread_delay(delay, &self.state))
-                    },
+                    (ErrorAnswer::Overloaded, Some(delay)) => Some(delay),
                     _ => retry_after(error, &self.state, Some(&self.admitted)),
                 };
                 let answer = error.to_answer(&self.admitted.id, delay);
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -20,8 +20,9 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, EngineFault, EngineQueue, PlacePurpose, PlacementRequest, RepeatPurpose, RunStop,
-    ServerEntry, ServerKey, StreamSampler, WaitDecision, WaitLimit, WaitLimitParams,
+    EndVerdict, EngineFault, EngineQueue, PlacePurpose, PlacementRequest, RepeatPurpose,
+    RunBacklog, RunStop, ServerEntry, ServerKey, StreamSampler, WaitDecision, WaitLimit,
+    WaitLimitParams,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::prompts::RunPhase;
@@ -309,12 +310,12 @@
                         tokio::time::sleep(pause).await;
                     },
                     WaitDecision::RefuseEarly => {
-                        self.return_delay.set(limit.return_delay(backlog));
+                        self.set_return_delay(&limit, backlog);
                         self.log_refusal("others_first", backlog.ahead);
                         return Err(ErrorAnswer::Overloaded);
                     },
                     WaitDecision::RefuseLate => {
-                        self.return_delay.set(limit.return_delay(backlog));
+                        self.set_return_delay(&limit, backlog);
                         self.log_refusal("waited", backlog.ahead);
                         return Err(ErrorAnswer::Overloaded);
                     },
@@ -323,6 +324,12 @@
         }
     }
 
+    /// Sets the time after which the caller of the refused run is asked to return.
+    fn set_return_delay(&self, limit: &WaitLimit, backlog: RunBacklog) {
+        let (now, draw) = (self.state.now(), self.state.draw());
+        self.return_delay.set(limit.return_delay(now, backlog, draw));
+    }
+
     fn log_refusal(&self, reason: &'static str, ahead: u16) {
         if reason != STOPPING {
             self.state.log_cold_refusal(&self.admitted.id, &self.admitted.service, &[]);
