List E640 in the order of numbers

Effect: event_numbers_rise of core:catalogues failed. Log lines are not affected.

Evidence: the test fails with the old order and passes with the new one.

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -152,6 +152,8 @@
     /// A request was refused because all servers that it could be sent to are cold and this instance's
     /// shares of their rate limits are used up.
     636 ColdLimitRefused Info "cold_limit_refused" ["request", "service", "servers"];
+    /// The limit of requests to a server in slow start changed.
+    640 PaceChanged Info "pace_changed" ["server", "service", "limit", "reason", "ratio", "decided"];
     /// The estimated speed of a server changed.
     645 ServerSpeed Info "server_speed" ["server", "service", "token_percent", "first_percent", "run_limit"];
     /// The estimated speed of a server expired, because no request was sent to it.
@@ -162,8 +164,6 @@
     648 RequestHedged Info "request_hedged" ["request", "route", "first", "second", "after_ms"];
     /// A request that was sent to two plain servers ended.
     649 HedgeEnded Info "hedge_ended" ["request", "winner", "server", "took_ms"];
-    /// The limit of requests to a server in slow start changed.
-    640 PaceChanged Info "pace_changed" ["server", "service", "limit", "reason", "ratio", "decided"];
 }
 
 impl EventKind {
