Show operators the room that is kept and why runs wait

Refusals showed how many runs were ahead and not the forecast, the objective or the size that they were decided from, and no metric showed kept room, waits by class or the return times that callers are told.

E650 gives the inputs of each refusal of a run that competes, E651 the room that the coordinator keeps; `forward_kept_engines`, `forward_kept_room`, `forward_run_wait_seconds` and `forward_return_seconds` count. Choices and messages between instances do not change; deployments whose routes have about the same objective write neither line.

Tests: core:forwarding_competition, core:forwarding_waiting and core:catalogues pass.

--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -164,6 +164,10 @@
     648 RequestHedged Info "request_hedged" ["request", "route", "first", "second", "after_ms"];
     /// A request that was sent to two plain servers ended.
     649 HedgeEnded Info "hedge_ended" ["request", "winner", "server", "took_ms"];
+    /// A generation that competes with others for room was refused.
+    650 WaitRefused Info "wait_refused" ["request", "customer", "class", "reason", "ahead", "wait_ms", "due_ms", "prompt", "output", "return_ms"];
+    /// Room is kept for latency-critical generations of a service.
+    651 RoomKept Info "room_kept" ["service", "engines", "prompt", "due_ms", "waiting"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/competition.rs
+++ b/medlarlanding-core/src/forwarding/competition.rs
@@ -44,6 +44,16 @@
         self.reserve(now, latency, Some(Duration::MAX))
     }
 
+    /// Returns the room that is kept for latency-critical runs; `None` while few arrive.
+    pub fn kept_room(&self, now: Timestamp) -> Option<RoomReserve> {
+        self.critical.reserve(now, Duration::MAX)
+    }
+
+    /// Returns the number of runs that wait.
+    pub fn waiting_count(&self, now: Timestamp) -> usize {
+        self.waiting.count(now)
+    }
+
     /// Admits a run that asks for room, if the room is not needed for waiting runs ahead of it.
     ///
     /// # Errors
--- a/medlarlanding-core/src/forwarding/load.rs
+++ b/medlarlanding-core/src/forwarding/load.rs
@@ -16,6 +16,17 @@
     }
 }
 
+impl LatencyClass {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Uniform => "uniform",
+            Self::Critical => "critical",
+            Self::Tolerant => "tolerant",
+        }
+    }
+}
+
 /// Number of tokens that a request is expected to need at a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RunWeight {
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -462,3 +462,23 @@
 fn route_without_objective_has_no_class() {
     assert_eq!(class_among(0, &[1_500, 4_000]), LatencyClass::Uniform);
 }
+
+/// Guards against an operator who is shown kept room after the last critical runs, or runs that wait no
+/// longer.
+#[test]
+fn kept_room_and_waiting_runs_are_shown() {
+    let mut competition = ServiceCompetition::default();
+    let weight = RunWeight { prompt: 2_200, output: 10 };
+    for run in 0..20 {
+        let (class, latency) = (WaitingClass::InTime, LatencyClass::Critical);
+        let queued = QueuedRun { key: run_key(run), class, latency, weight };
+        assert!(competition.admit(at(run * 50), queued, Some(CRITICAL_DUE), 0).is_err());
+    }
+    let kept = competition.kept_room(at(950)).expect("kept room");
+    assert_eq!((kept.weight.prompt, kept.due), (2_200, CRITICAL_DUE));
+    assert_eq!(competition.waiting_count(at(950)), 3);
+    assert_eq!(
+        (competition.kept_room(at(20_000)), competition.waiting_count(at(20_000))),
+        (None, 0)
+    );
+}
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -180,7 +180,7 @@
 }
 
 /// Adds a random part of up to half a delay, which spreads the retries of callers refused at once.
-pub fn spread_delay(delay: Duration, state: &ForwardState) -> Duration {
+fn spread_delay(delay: Duration, state: &ForwardState) -> Duration {
     delay.mul_f64(1.0 + state.draw() / 2.0)
 }
 
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -156,6 +156,11 @@
                     (ErrorAnswer::Overloaded, Some(delay)) => Some(delay),
                     _ => retry_after(error, &self.state, Some(&self.admitted)),
                 };
+                if let (ErrorAnswer::Overloaded, Some(delay)) = (error, delay) {
+                    let labels = [self.admitted.latency.name()];
+                    let return_time = &self.state.telemetry.return_time;
+                    return_time.with_label_values(&labels).observe(delay.as_secs_f64());
+                }
                 let answer = error.to_answer(&self.admitted.id, delay);
                 self.finish(error.code(), answer.status().as_u16(), "");
                 // Sending fails if the caller has disconnected; it then needs no answer.
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -20,9 +20,9 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, EngineFault, EngineQueue, PlacePurpose, PlacementRequest, RepeatPurpose,
-    RunBacklog, RunStop, ServerEntry, ServerKey, StreamSampler, WaitDecision, WaitLimit,
-    WaitLimitParams,
+    EndVerdict, EngineFault, EngineQueue, LatencyClass, PlacePurpose, PlacementRequest,
+    RepeatPurpose, RunBacklog, RunStop, ServerEntry, ServerKey, StreamSampler, WaitDecision,
+    WaitLimit, WaitLimitParams,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::prompts::RunPhase;
@@ -298,6 +298,7 @@
             let (purpose, due) = limit.purpose_and_due(self.state.now());
             match self.choose(purpose, tried, zone, due).await {
                 Placement::Server(key) => {
+                    self.record_wait("placed");
                     return self.entry_of(key).ok_or(ErrorAnswer::NoServer);
                 },
                 Placement::Nowhere if tried.is_empty() => return Err(ErrorAnswer::NoServer),
@@ -310,13 +311,13 @@
                         tokio::time::sleep(pause).await;
                     },
                     WaitDecision::RefuseEarly => {
-                        self.set_return_delay(&limit, backlog);
                         self.log_refusal("others_first", backlog.ahead);
+                        self.record_refusal("others_first", &limit, backlog, due);
                         return Err(ErrorAnswer::Overloaded);
                     },
                     WaitDecision::RefuseLate => {
-                        self.set_return_delay(&limit, backlog);
                         self.log_refusal("waited", backlog.ahead);
+                        self.record_refusal("waited", &limit, backlog, due);
                         return Err(ErrorAnswer::Overloaded);
                     },
                 },
@@ -324,10 +325,44 @@
         }
     }
 
-    /// Sets the time after which the caller of the refused run is asked to return.
-    fn set_return_delay(&self, limit: &WaitLimit, backlog: RunBacklog) {
+    /// Records the wait of the run since its arrival.
+    fn record_wait(&self, outcome: &str) {
+        let waited = self.state.now().since(self.admitted.arrived_at);
+        let labels = [self.admitted.latency.name(), outcome];
+        self.state.telemetry.run_wait.with_label_values(&labels).observe(waited.as_secs_f64());
+    }
+
+    /// Sets the time after which the caller of the refused run is asked to return, and records what the
+    /// refusal was decided from. `due` is the time until the first event was due.
+    fn record_refusal(
+        &self,
+        reason: &'static str,
+        limit: &WaitLimit,
+        backlog: RunBacklog,
+        due: Duration,
+    ) {
+        self.record_wait("refused");
         let (now, draw) = (self.state.now(), self.state.draw());
-        self.return_delay.set(limit.return_delay(now, backlog, draw));
+        let delay = limit.return_delay(now, backlog, draw);
+        self.return_delay.set(delay);
+        if self.admitted.latency != LatencyClass::Uniform {
+            let weight = self.admitted.weight;
+            event(
+                EventKind::WaitRefused,
+                &[
+                    &self.admitted.id,
+                    &self.admitted.customer.as_deref().unwrap_or_default(),
+                    &self.admitted.latency.name(),
+                    &reason,
+                    &backlog.ahead,
+                    &backlog.wait_ms,
+                    &due.as_millis(),
+                    &weight.prompt,
+                    &weight.output,
+                    &delay.unwrap_or_default().as_millis(),
+                ],
+            );
+        }
     }
 
     fn log_refusal(&self, reason: &'static str, ahead: u16) {
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -430,6 +430,8 @@
         if current != coordinator {
             // Each coordinator numbers its own grants.
             state.placing.granted.set(0);
+            // Only the coordinator keeps room; a value from before would stay.
+            state.telemetry.kept_engines.reset();
             coordinator = current;
         }
         state.peer_cut.update();
@@ -442,6 +444,7 @@
         if current.is_none() && now.since(logged_at) >= LOAD_PERIOD {
             logged_at = now;
             state.log_fleet_load();
+            state.report_kept_room();
         }
         let wanted = async {
             tokio::time::sleep(DIGEST_PAUSE).await;
--- a/medlarlanding/src/forwarding/placing.rs
+++ b/medlarlanding/src/forwarding/placing.rs
@@ -10,10 +10,10 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EngineFault, FaultLog, LoadReport, PeerTable, PlaceAnswer, PlacePurpose, PlaceQuestion,
-    PlaceVerdict, PlacementChoice, PlacementPolicy, PlacementRequest, QueuedRun, RemoteLoad,
-    RepeatBudget, RepeatPurpose, RunBacklog, RunKey, RunWeight, ServerKey, ServerRecord,
-    ServiceCompetition, WaitingClass,
+    EngineFault, FaultLog, LatencyClass, LoadReport, PeerTable, PlaceAnswer, PlacePurpose,
+    PlaceQuestion, PlaceVerdict, PlacementChoice, PlacementPolicy, PlacementRequest, QueuedRun,
+    RemoteLoad, RepeatBudget, RepeatPurpose, RunBacklog, RunKey, RunWeight, ServerKey,
+    ServerRecord, ServiceCompetition, WaitingClass,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -265,7 +265,22 @@
             Some(_) => WaitingClass::InTime,
         };
         let run = QueuedRun { key, class, latency: request.latency, weight: request.weight };
-        match competition.admit(now, run, request.due, choice.servers_with_room) {
+        let is_kept = match request.latency {
+            LatencyClass::Tolerant => reserve.is_some(),
+            LatencyClass::Critical => competition.kept_room(now).is_some(),
+            LatencyClass::Uniform => false,
+        };
+        let admission = competition.admit(now, run, request.due, choice.servers_with_room);
+        let outcome = match (request.latency, &admission) {
+            (LatencyClass::Tolerant, Ok(())) => Some("lent"),
+            (LatencyClass::Tolerant, Err(_)) => Some("kept"),
+            (LatencyClass::Critical, Ok(())) => Some("returned"),
+            (LatencyClass::Critical, Err(_)) | (LatencyClass::Uniform, _) => None,
+        };
+        if let Some(outcome) = outcome.filter(|_| is_kept) {
+            self.telemetry.kept_room.with_label_values(&[outcome]).inc();
+        }
+        match admission {
             Ok(()) => Placement::Server(choice.key),
             Err(backlog) => Placement::Full(backlog),
         }
@@ -298,6 +313,24 @@
         })
     }
 
+    /// Logs and counts the room that this instance keeps as the coordinator.
+    pub fn report_kept_room(&self) {
+        let now = self.now();
+        for (service, competition) in self.placing.competition.borrow().iter() {
+            let kept = competition.kept_room(now);
+            let engines = kept.map_or(0, |reserve| reserve.engines);
+            let gauge = self.telemetry.kept_engines.with_label_values(&[&**service]);
+            gauge.set(engines.min(i64::MAX as usize) as i64);
+            if let Some(reserve) = kept {
+                let (due, waiting) = (reserve.due.as_millis(), competition.waiting_count(now));
+                event(
+                    EventKind::RoomKept,
+                    &[service, &engines, &reserve.weight.prompt, &due, &waiting],
+                );
+            }
+        }
+    }
+
     /// Logs the load of the engines of each service, as far as this instance knows it.
     pub fn log_fleet_load(&self) {
         let Some(ConfigInForce { config, .. }) = self.config() else { return };
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -2,7 +2,7 @@
 
 use crate::metric_registry::MetricRegistry;
 
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
+use prometheus::{Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 /// Bucket bounds in seconds of the time until an answer or its first event; the objectives of the
 /// installations lie between 0.1 and 1.8 s.
@@ -10,6 +10,11 @@
 /// Bucket bounds in seconds of the pause between events; the target is 0.18 s.
 const GAP_BOUNDS: &[f64] = &[0.03, 0.05, 0.08, 0.12, 0.18, 0.3, 0.6, 1.0, 2.0];
 
+/// Bucket bounds in seconds of the wait for room; the longest waits are 3 times an objective.
+const WAIT_BOUNDS: &[f64] = &[0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
+/// Bucket bounds in seconds of the time after which refused callers are told to return.
+const RETURN_BOUNDS: &[f64] = &[1.0, 2.0, 3.0, 5.0, 7.5, 10.0, 12.5, 15.0];
+
 /// Metrics of one process.
 pub struct Telemetry {
     registry: MetricRegistry,
@@ -69,6 +74,17 @@
     pub ramp_limit: IntGauge,
     /// Changes of limits of slow start, by reason.
     pub pace_changes: IntCounterVec,
+    /// Engines on which the coordinator keeps room for latency-critical runs, by service.
+    pub kept_engines: IntGaugeVec,
+    /// Decisions of the coordinator while it keeps room, by outcome: `kept` from a latency-tolerant
+    /// run that has to wait, `lent` to one that was placed, `returned` to a latency-critical run that
+    /// was placed.
+    pub kept_room: IntCounterVec,
+    /// Time for which generations waited for room, in seconds, by latency class and outcome.
+    pub run_wait: HistogramVec,
+    /// Time after which callers of refused generations were told to return, in seconds, by latency
+    /// class.
+    pub return_time: HistogramVec,
     /// Time until an answer or its first event, in seconds.
     pub first_answer: Histogram,
     /// Pause between two events of a stream, in seconds.
@@ -144,6 +160,28 @@
                 "Changes of limits of slow start.",
                 &["reason"],
             )?,
+            kept_engines: registry.gauges(
+                "kept_engines",
+                "Engines with room kept for latency-critical generations.",
+                &["service"],
+            )?,
+            kept_room: registry.counters(
+                "kept_room",
+                "Decisions while room is kept for latency-critical generations.",
+                &["outcome"],
+            )?,
+            run_wait: registry.histograms(
+                "run_wait_seconds",
+                "Wait of generations for room.",
+                &["class", "outcome"],
+                WAIT_BOUNDS,
+            )?,
+            return_time: registry.histograms(
+                "return_seconds",
+                "Time after which callers of refused generations were told to return.",
+                &["class"],
+                RETURN_BOUNDS,
+            )?,
             first_answer: registry.histogram(
                 "first_answer_seconds",
                 "Time to an answer or its first event.",
--- a/medlarlanding/src/metric_registry.rs
+++ b/medlarlanding/src/metric_registry.rs
@@ -1,8 +1,8 @@
 //! Creates, registers and renders Prometheus metrics.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Registry of the metrics of one process.
@@ -81,6 +81,24 @@
         Ok(histogram)
     }
 
+    /// Creates and registers a histogram with labels; `bounds` are the upper bounds of its buckets.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a duplicate or malformed name, which is a defect.
+    pub fn histograms(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+        bounds: &[f64],
+    ) -> anyhow::Result<HistogramVec> {
+        let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+        let histograms = HistogramVec::new(options, labels)?;
+        self.registry.register(Box::new(histograms.clone()))?;
+        Ok(histograms)
+    }
+
     /// Writes all metrics in the Prometheus text format.
     ///
     /// # Errors
