Compute rates of the forecast over the time that its entries cover

Cause: at most 4,096 arrivals and placements are kept, and their number was divided by the whole window of 4 s.

Effect: with more than 1,024 placements per second of one service the expected wait was too long, and latency-tolerant runs that could begin in time were refused.

Evidence: forecast_holds_for_many_runs expected 250 ms and got 488 ms; it passes now, because a full list is divided by the age of its oldest entry. Below the capacity nothing changes.

--- a/medlarlanding-core/src/forwarding/backlog.rs
+++ b/medlarlanding-core/src/forwarding/backlog.rs
@@ -10,6 +10,9 @@
 
 use crate::time::Timestamp;
 
+/// Shortest time over which a rate is computed; the resolution of the clock.
+const SPAN_MIN: Duration = Duration::from_millis(1);
+
 /// Parameters of the forecast.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BacklogParams {
@@ -71,11 +74,19 @@
             return Duration::ZERO;
         }
         let span = observed.min(self.params.window);
+        // Entries that fill the capacity may cover less than the window.
+        let seconds = |oldest: Option<Timestamp>, count: usize| {
+            let is_full = count >= self.params.capacity;
+            let covered = oldest.filter(|_| is_full).map_or(span, |at| now.since(at).min(span));
+            covered.max(SPAN_MIN).as_secs_f64()
+        };
+        let placement_s = seconds(self.placements.front().copied(), self.placements.len());
+        let arrival_s = seconds(self.arrivals.front().map(|(at, _)| *at), self.arrivals.len());
         let is_recent = |at: Timestamp| now.since(at) < self.params.window;
         let placed = self.placements.iter().filter(|at| is_recent(**at)).count();
         let before =
             self.arrivals.iter().filter(|(at, density)| is_recent(*at) && *density > value_density);
-        let net_rate = (placed as f64 - 0.5 * before.count() as f64) / span.as_secs_f64();
+        let net_rate = placed as f64 / placement_s - 0.5 * before.count() as f64 / arrival_s;
         if net_rate <= 0.0 {
             return Duration::MAX;
         }
--- a/medlarlanding-core/src/forwarding/waiting.rs
+++ b/medlarlanding-core/src/forwarding/waiting.rs
@@ -146,9 +146,9 @@
     ///
     /// # Errors
     ///
-    /// Returns the number of runs ahead of it if the run has to wait, or 0 while any engine has
-    /// room: runs ahead of it may just have been refused or have left, and no run may be refused
-    /// because of those.
+    /// Returns the number of runs ahead of it if the run has to wait. For runs that are not
+    /// latency-tolerant it returns 0 while any engine has room: runs ahead of it may just have been
+    /// refused or have left, and no run may be refused because of those.
     pub fn admit(
         &mut self,
         now: Timestamp,
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -482,3 +482,16 @@
         (None, 0)
     );
 }
+
+/// Guards against a forecast that is too long where more runs arrive in its window than are kept: 500 runs
+/// are ahead, and 2,000 are placed in a second.
+#[test]
+fn forecast_holds_for_many_runs() {
+    let mut backlog = BacklogForecast::default();
+    for number in 0..8_000 {
+        backlog.record_arrival(at(number / 2), 1.0);
+        backlog.record_placement(at(number / 2));
+    }
+    let wait = backlog.expected_wait(at(4_000), 1.0, 500);
+    assert!((240..=260).contains(&wait.as_millis()), "{wait:?}");
+}
