Let moving runs use engines in slow start in spite of the reserve

Cause: engines at their limit of slow start no longer count as kept room, but a moving run was still kept from them if a latency-critical run would not fit afterwards.

Effect: a run whose only destination was such an engine was lost with its engine, for room that no latency-critical run gets at that moment.

Evidence: moving_run_takes_room_of_an_engine_at_its_pace found no destination and finds one now.

--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -378,7 +378,8 @@
             .collect();
         let kept = self.kept_room(now, request, &healthy);
         for (key, record, load) in healthy {
-            if !kept.allows_move(self, request, record, load) {
+            // No room is kept on an engine that has reached its limit of slow start.
+            if !record.is_paced(now) && !kept.allows_move(self, request, record, load) {
                 continue;
             }
             // Expected output does not count here: the copy takes only the tokens that the run
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -495,3 +495,37 @@
     let wait = backlog.expected_wait(at(4_000), 1.0, 500);
     assert!((240..=260).contains(&wait.as_millis()), "{wait:?}");
 }
+
+/// Guards against a moving run that is lost for the sake of room on an engine in slow start, which is not
+/// counted as kept: no latency-critical run begins there at present.
+#[test]
+fn moving_run_takes_room_of_an_engine_at_its_pace() {
+    let mut directory = ServerDirectory::default();
+    let key = add_engine(&mut directory, 0);
+    directory.begin_request(key, 22_000);
+    let mut demand = CriticalDemand::default();
+    for step in 0..100 {
+        demand.record(at(step * 50), RunWeight { prompt: 2_200, output: 10 }, CRITICAL_DUE);
+    }
+    let request = PlacementRequest {
+        service: "llm",
+        memory_tokens: Some(MEMORY_TOKENS),
+        weight: RunWeight { prompt: 3_000, output: 100 },
+        excluded: &[],
+        regions: &RegionLimit::Any,
+        zone: "a",
+        due: Some(TOLERANT_DUE),
+        is_urgent: false,
+        drain_limit: Duration::ZERO,
+        latency: LatencyClass::Tolerant,
+        reserve: demand.reserve(at(5_000), Duration::MAX),
+    };
+    let policy = PlacementPolicy::default();
+    let destination = |directory: &ServerDirectory| {
+        let remote = |_: &_| RemoteLoad::default();
+        policy.choose_destination(at(5_000), directory, &request, remote, || 0.5)
+    };
+    assert_eq!(destination(&directory), None);
+    directory.set_pace(key, Some(PaceLimit { in_flight: 1, next_start: at(0) }));
+    assert_eq!(destination(&directory), Some(key));
+}
