--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -378,7 +378,8 @@
             .collect();
         let kept = self.kept_room(now, request, &healthy);
         for (key, record, load) in healthy {
-            if !kept.allows_move(self, request, record, load) {
+            // No room is kept on an engine that has reached its limit of slow start.
+            if !record.is_paced(now) && !kept.allows_move(self, request, record, load) {
                 continue;
             }
             // Expected output does not count here: the copy takes only the tokens that the run
@@ -424,9 +425,14 @@
         let Some(reserve) = request.reserve else { return KeptRoom::Nothing };
         let critical = request.critical(reserve);
         let healthy = servers.iter().filter(|(_, record, _)| !record.is_avoided(now));
-        let count =
-            healthy.filter(|(_, record, load)| self.has_room(&critical, record, *load)).count();
-        match count.cmp(&reserve.engines) {
+        // Room on more engines than there are would never accumulate.
+        let engines = reserve.engines.min(healthy.clone().count());
+        // An engine that has reached its limit of slow start begins no run, however much room it has.
+        let begins = healthy.filter(|(_, record, load)| {
+            !record.is_paced(now) && self.has_room(&critical, record, *load)
+        });
+        let count = begins.count();
+        match count.cmp(&engines) {
             Ordering::Greater => KeptRoom::Nothing,
             Ordering::Equal => KeptRoom::Engines(reserve),
             Ordering::Less => KeptRoom::All(reserve),
--- a/medlarlanding-core/tests/forwarding_competition.rs
+++ b/medlarlanding-core/tests/forwarding_competition.rs
@@ -11,6 +11,7 @@
     RouteTarget, RunBacklog, RunKey, RunWeight, ServerDirectory, ServerEntry, ServerKey,
     ServerPhase, ServiceCompetition, WaitDecision, WaitLimit, WaitLimitParams, WaitingClass,
 };
+use medlarlanding_core::pacing::PaceLimit;
 use medlarlanding_core::time::Timestamp;
 
 use rand::rngs::SmallRng;
@@ -280,7 +281,7 @@
         Duration::from_secs(39),
         3_000,
     );
-    let delay = limit.return_delay(RunBacklog { ahead: 60, wait_ms });
+    let delay = limit.return_delay(at(0), RunBacklog { ahead: 60, wait_ms }, 0.0);
     assert_eq!(delay, Some(Duration::from_millis(expected_ms)));
 }
 
@@ -324,6 +325,11 @@
 }
 
 fn class_of(objective_ms: u64, other_ms: u64) -> LatencyClass {
+    class_among(objective_ms, &[other_ms])
+}
+
+/// Returns the class of a route whose service has further routes with the objectives `others_ms`.
+fn class_among(objective_ms: u64, others_ms: &[u64]) -> LatencyClass {
     let rule = |name: &str, objective_ms| RouteRule {
         name: Arc::from(name),
         host: "desk.example".to_owned(),
@@ -339,7 +345,8 @@
         regions: RegionLimit::Any,
     };
     let limits = RequestLimits { header_bytes: 1, body_bytes: 1, idle: Duration::ZERO };
-    let rules = vec![rule("own", objective_ms), rule("other", other_ms)];
+    let others = others_ms.iter().map(|other_ms| rule("other", *other_ms));
+    let rules = std::iter::once(rule("own", objective_ms)).chain(others).collect();
     let config = ForwardConfig::new(1, limits, rules, Vec::new(), None).expect("a configuration");
     let own = config.route("desk.example", "/own/a").expect("a route");
     config.latency_class(own, "llm")
@@ -356,3 +363,169 @@
     short => (1_500, 4_000, LatencyClass::Critical),
     without_objective => (1_500, 0, LatencyClass::Uniform),
 }
+
+/// Guards against a subtraction below zero where a caller sends the id of a moving run a second time.
+#[test]
+fn repeated_id_of_a_moving_run_is_admitted() {
+    let mut competition = ServiceCompetition::default();
+    competition.record_move(at(0), run_key(1), LatencyClass::Critical, false);
+    let weight = RunWeight { prompt: 2_200, output: 10 };
+    let (class, latency) = (WaitingClass::InTime, LatencyClass::Critical);
+    let queued = QueuedRun { key: run_key(1), class, latency, weight };
+    assert!(competition.admit(at(10), queued, Some(CRITICAL_DUE), 1).is_ok());
+}
+
+/// Guards against tolerant runs that are refused because the instance has only just become the
+/// coordinator, for the first time or again, and has placed nothing yet.
+#[test]
+fn new_coordinator_makes_no_forecast() {
+    let mut backlog = BacklogForecast::default();
+    for begin in [0, 60_000] {
+        backlog.record_arrival(at(begin), 1.0);
+        assert_eq!(backlog.expected_wait(at(begin + 20), 0.0, 3), Duration::ZERO, "{begin}");
+        backlog.record_arrival(at(begin + 900), 1.0);
+        assert_eq!(backlog.expected_wait(at(begin + 900), 0.0, 3), Duration::MAX, "{begin}");
+    }
+}
+
+/// Returns how many of `count` idle engines have room for a tolerant run while critical runs arrive 20
+/// times a second. Each engine has `pace` as its limit of slow start.
+fn engines_for_tolerant(count: u8, paces: &[Option<PaceLimit>]) -> usize {
+    let mut directory = ServerDirectory::default();
+    for number in 0..count {
+        let key = add_engine(&mut directory, number);
+        if let Some(pace) = paces.get(usize::from(number)) {
+            directory.set_pace(key, *pace);
+        }
+    }
+    let mut demand = CriticalDemand::default();
+    for step in 0..100 {
+        demand.record(at(step * 50), RunWeight { prompt: 2_200, output: 10 }, CRITICAL_DUE);
+    }
+    let reserve = demand.reserve(at(5_000), TOLERANT_DUE);
+    let request = PlacementRequest {
+        service: "llm",
+        memory_tokens: Some(MEMORY_TOKENS),
+        weight: RunWeight { prompt: 3_000, output: 700 },
+        excluded: &[],
+        regions: &RegionLimit::Any,
+        zone: "a",
+        due: Some(TOLERANT_DUE),
+        is_urgent: false,
+        drain_limit: Duration::ZERO,
+        latency: LatencyClass::Tolerant,
+        reserve,
+    };
+    let remote = |_: &_| RemoteLoad::default();
+    let choice = PlacementPolicy::default().choose(at(5_000), &directory, &request, remote, || 0.0);
+    choice.expect("an engine").servers_with_room
+}
+
+/// Guards against tolerant runs that are never admitted, however idle the engines are, because the
+/// service has fewer engines than are to be kept for critical runs.
+#[test]
+fn few_idle_engines_take_tolerant_runs() {
+    assert_eq!(engines_for_tolerant(1, &[]), 1);
+    assert_eq!(engines_for_tolerant(3, &[]), 3);
+}
+
+/// Guards against kept room that is counted on engines in slow start which begin no run at present: the
+/// reserve is 4 engines, and only 3 of these 8 begin a run.
+#[test]
+fn engines_at_their_pace_keep_no_room() {
+    let pace = PaceLimit { in_flight: 0, next_start: at(0) };
+    let load = engines_for_tolerant(8, &[Some(pace); 5]);
+    assert_eq!(load, 0);
+}
+
+/// Guards against return times that callers do not honour: they wait for at most a third of the time
+/// that they have left.
+#[test]
+fn return_time_is_within_a_third_of_the_time_left() {
+    let limit = WaitLimit::new(
+        WaitLimitParams::default(),
+        LatencyClass::Tolerant,
+        at(0),
+        Duration::from_secs(4),
+        Duration::from_secs(39),
+        3_000,
+    );
+    let backlog = RunBacklog { ahead: 60, wait_ms: u32::MAX };
+    for draw in [0.0, 0.5, 1.0] {
+        let delay = limit.return_delay(at(4_500), backlog, draw).expect("a return time");
+        assert!((10_000..=11_500).contains(&delay.as_millis()), "{delay:?}");
+    }
+}
+
+/// Guards against a route without an objective that is served as the most urgent one of its service.
+#[test]
+fn route_without_objective_has_no_class() {
+    assert_eq!(class_among(0, &[1_500, 4_000]), LatencyClass::Uniform);
+}
+
+/// Guards against an operator who is shown kept room after the last critical runs, or runs that wait no
+/// longer.
+#[test]
+fn kept_room_and_waiting_runs_are_shown() {
+    let mut competition = ServiceCompetition::default();
+    let weight = RunWeight { prompt: 2_200, output: 10 };
+    for run in 0..20 {
+        let (class, latency) = (WaitingClass::InTime, LatencyClass::Critical);
+        let queued = QueuedRun { key: run_key(run), class, latency, weight };
+        assert!(competition.admit(at(run * 50), queued, Some(CRITICAL_DUE), 0).is_err());
+    }
+    let kept = competition.kept_room(at(950)).expect("kept room");
+    assert_eq!((kept.weight.prompt, kept.due), (2_200, CRITICAL_DUE));
+    assert_eq!(competition.waiting_count(at(950)), 3);
+    assert_eq!(
+        (competition.kept_room(at(20_000)), competition.waiting_count(at(20_000))),
+        (None, 0)
+    );
+}
+
+/// Guards against a forecast that is too long where more runs arrive in its window than are kept: 500 runs
+/// are ahead, and 2,000 are placed in a second.
+#[test]
+fn forecast_holds_for_many_runs() {
+    let mut backlog = BacklogForecast::default();
+    for number in 0..8_000 {
+        backlog.record_arrival(at(number / 2), 1.0);
+        backlog.record_placement(at(number / 2));
+    }
+    let wait = backlog.expected_wait(at(4_000), 1.0, 500);
+    assert!((240..=260).contains(&wait.as_millis()), "{wait:?}");
+}
+
+/// Guards against a moving run that is lost for the sake of room on an engine in slow start, which is not
+/// counted as kept: no latency-critical run begins there at present.
+#[test]
+fn moving_run_takes_room_of_an_engine_at_its_pace() {
+    let mut directory = ServerDirectory::default();
+    let key = add_engine(&mut directory, 0);
+    directory.begin_request(key, 22_000);
+    let mut demand = CriticalDemand::default();
+    for step in 0..100 {
+        demand.record(at(step * 50), RunWeight { prompt: 2_200, output: 10 }, CRITICAL_DUE);
+    }
+    let request = PlacementRequest {
+        service: "llm",
+        memory_tokens: Some(MEMORY_TOKENS),
+        weight: RunWeight { prompt: 3_000, output: 100 },
+        excluded: &[],
+        regions: &RegionLimit::Any,
+        zone: "a",
+        due: Some(TOLERANT_DUE),
+        is_urgent: false,
+        drain_limit: Duration::ZERO,
+        latency: LatencyClass::Tolerant,
+        reserve: demand.reserve(at(5_000), Duration::MAX),
+    };
+    let policy = PlacementPolicy::default();
+    let destination = |directory: &ServerDirectory| {
+        let remote = |_: &_| RemoteLoad::default();
+        policy.choose_destination(at(5_000), directory, &request, remote, || 0.5)
+    };
+    assert_eq!(destination(&directory), None);
+    directory.set_pace(key, Some(PaceLimit { in_flight: 1, next_start: at(0) }));
+    assert_eq!(destination(&directory), Some(key));
+}
