--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -10,6 +10,7 @@
 mod server;
 mod state;
 mod store;
+mod zones;
 
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -19,6 +20,7 @@
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use self::zones::EvacuationLog;
 use crate::cluster::binary;
 
 use anyhow::{Context, bail};
@@ -35,6 +37,7 @@
 pub use move_script::{MoveScript, ResumeMode, StopFault, StreamClose};
 pub use proxy::{LinkMode, LinkSwitch};
 pub use state::{RunRecord, ServerCrash, ServerMode, SiteState, StoreMode};
+pub use zones::{EvacuationPeriod, LateRun, ZoneLayout};
 
 /// Time limit of waits in tests; generous because debug builds share the machine.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -71,6 +74,8 @@
     address: IpAddr,
     settings: PathBuf,
     log: PathBuf,
+    /// Lists the peers that the instance is cut off from.
+    cut: PathBuf,
     child: Option<Child>,
 }
 
@@ -82,6 +87,10 @@
     store: SocketAddr,
     instances: Vec<SiteInstance>,
     links: Vec<LinkSwitch>,
+    layout: ZoneLayout,
+    evacuations: EvacuationLog,
+    /// Links from the instances to the store.
+    store_links: Vec<LinkSwitch>,
     version: u64,
 }
 
@@ -92,6 +101,7 @@
 const METRICS_PORT: u16 = 18_750;
 const SERVER_PORT: u16 = 18_800;
 const LINK_PORT: u16 = 18_801;
+const STORE_LINK_PORT: u16 = 18_802;
 
 impl TestSite {
     /// Starts stand-ins and instances and waits until every instance is ready.
@@ -100,14 +110,32 @@
     ///
     /// Fails if an address is taken or an instance does not become ready.
     pub fn start(params: SiteParams) -> anyhow::Result<Self> {
+        Self::start_in_zones(params, ZoneLayout::default())
+    }
+
+    /// Starts stand-ins and instances in several availability zones, as `start` does.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken or an instance does not become ready.
+    pub fn start_in_zones(params: SiteParams, layout: ZoneLayout) -> anyhow::Result<Self> {
         let site = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
         let process = (std::process::id() % 200) as u8;
         let network = [20 + process, site];
         let state = Arc::new(SiteState::default());
         let store = SocketAddr::new(loopback_address(network, 250), SERVER_PORT);
         store::start(TcpListener::bind(store)?, Arc::clone(&state))?;
-        let mut running =
-            Self { state, network, store, instances: Vec::new(), links: Vec::new(), version: 0 };
+        let mut running = Self {
+            state,
+            network,
+            store,
+            instances: Vec::new(),
+            links: Vec::new(),
+            layout,
+            evacuations: EvacuationLog::default(),
+            store_links: Vec::new(),
+            version: 0,
+        };
         for index in 0..params.plain_servers {
             running.add_server("orders", index)?;
         }
@@ -262,13 +290,62 @@
     }
 
     fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
+        self.put_entry(id, service, address, state, Duration::ZERO);
+    }
+
+    fn put_entry(&self, id: &str, service: &str, address: SocketAddr, state: &str, cold: Duration) {
         let entry = json!({
-            "service": service, "address": address.to_string(), "zone": "z0", "version": "v1",
-            "slots": 24, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+            "service": service, "address": address.to_string(),
+            "zone": self.layout.zone_of(id), "version": "v1", "slots": 24, "state": state, "coldRemainingMs": cold.as_millis() as u64, "sequence": 1, "born": 1,
         });
         self.state.put(&format!("servers/{id}"), entry.to_string().as_bytes());
     }
 
+    /// Writes the entry of a ready server that stays cold for `remaining`.
+    pub fn mark_server_cold(&self, id: &str, remaining: Duration) {
+        let (service, address) = self.link_of(id);
+        self.put_entry(id, service, address, "ready", remaining);
+    }
+
+    /// Changes the settings file of an instance, which the process reads again within 2 s.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or written.
+    pub fn change_settings(
+        &self,
+        index: usize,
+        change: impl FnOnce(String) -> String,
+    ) -> anyhow::Result<()> {
+        let path = &self.instances[index].settings;
+        Ok(std::fs::write(path, change(std::fs::read_to_string(path)?))?)
+    }
+
+    /// Cuts two groups of instances off from each other. Takes effect within 0.3 s.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be written.
+    pub fn cut_groups(&self, groups: [&[usize]; 2]) -> anyhow::Result<()> {
+        for (group, others) in [(groups[0], groups[1]), (groups[1], groups[0])] {
+            let addresses: Vec<String> =
+                others.iter().map(|other| self.instances[*other].address.to_string()).collect();
+            for index in group {
+                std::fs::write(&self.instances[*index].cut, addresses.join("\n"))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all cuts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be written.
+    pub fn heal_cuts(&self) -> anyhow::Result<()> {
+        self.instances.iter().try_for_each(|instance| Ok(std::fs::write(&instance.cut, "")?))
+    }
+
     /// Marks a server as draining in the store.
     pub fn drain_server(&self, id: &str) {
         self.set_server_state(id, "draining");
@@ -280,15 +357,34 @@
     }
 
     fn set_server_state(&self, id: &str, state: &str) {
+        let (service, address) = self.link_of(id);
+        self.register(id, service, address, state);
+    }
+
+    /// Returns the service and the address of a server.
+    fn link_of<'a>(&self, id: &'a str) -> (&'a str, SocketAddr) {
         let (service, index) = id.split_once('-').expect("an id of this deployment");
         let number: u8 = index.parse().expect("an id of this deployment");
-        let address = SocketAddr::new(self.server_address(service, number).ip(), LINK_PORT);
-        self.register(id, service, address, state);
+        (service, SocketAddr::new(self.server_address(service, number).ip(), LINK_PORT))
     }
 
     /// Publishes the default configuration, modified by `change`, under the next version. Returns
     /// the version.
     pub fn publish_config(&mut self, change: impl FnOnce(&mut Value)) -> u64 {
+        let config = self.next_config(change);
+        self.state.put("op/config", config.to_string().as_bytes());
+        self.version
+    }
+
+    /// Publishes the default configuration, whose text `change` modifies, under the next version. Returns
+    /// the version.
+    pub fn publish_text(&mut self, change: impl FnOnce(String) -> String) -> u64 {
+        let config = self.next_config(|_| {});
+        self.state.put("op/config", change(config.to_string()).as_bytes());
+        self.version
+    }
+
+    fn next_config(&mut self, change: impl FnOnce(&mut Value)) -> Value {
         self.version += 3;
         let route = |name: &str, kind: &str, service: &str, servers: u32, timeout: u32| {
             json!({"name": name, "host": HOST, "prefix": format!("/{name}/"), "routeType": kind,
@@ -314,8 +410,7 @@
             "tenants": [{"name": "museum", "apiKeys": [API_KEY], "priority": 1}],
         });
         change(&mut config);
-        self.state.put("op/config", config.to_string().as_bytes());
-        self.version
+        config
     }
 
     fn add_instance(&mut self, index: usize, params: SiteParams) -> anyhow::Result<()> {
@@ -328,27 +423,42 @@
                 format!("\"{}:{CONTROL_PORT}\"", loopback_address(self.network, 1 + seed as u8))
             })
             .collect();
+        let store = self.store_address(address)?;
         std::fs::write(
             &settings,
             format!(
-                "nodeName = \"edge-{index}\"\nzone = \"z0\"\nip = \"{address}\"\n\
+                "nodeName = \"edge-{index}\"\n{}ip = \"{address}\"\n\
              internalPorts = [{PEER_PORT}, {}]\nseedNodes = [{}]\n\
              [listen]\nfrontend = \"{address}:{CALLER_PORT}\"\nready = \"{address}:{READY_PORT}\"\n\
              controlPlane = \"{address}:{CONTROL_PORT}\"\n\
              [limits]\ncpuQuota = 0.25\nmemoryMb = 110\nlinkMbps = 1000.0\n\
-             [bounds]\ngraceS = {}\nbudgetSlack = 50\n\
-             [platform]\naddress = \"{}\"\n",
+             [bounds]\ngraceS = {}\nbudgetSlack = 50\n{}\
+             [platform]\naddress = \"{store}\"\n{}",
+                self.layout.own_settings(index),
                 PEER_PORT + 10,
                 seeds.join(","),
                 params.grace_s,
-                self.store,
+                self.layout.bounds(),
+                self.layout.table(),
             ),
         )?;
         let log = dir.join(format!("{name}.log"));
-        self.instances.push(SiteInstance { address, settings, log, child: None });
+        let cut = dir.join(format!("{name}.cut"));
+        self.instances.push(SiteInstance { address, settings, log, cut, child: None });
         self.spawn_instance(index)
     }
 
+    /// Returns the address at which an instance reaches the store.
+    fn store_address(&mut self, instance: IpAddr) -> anyhow::Result<SocketAddr> {
+        if !self.layout.is_described {
+            return Ok(self.store);
+        }
+        let link = SocketAddr::new(instance, STORE_LINK_PORT);
+        let stopped = self.state.stopped.subscribe();
+        self.store_links.push(proxy::start(TcpListener::bind(link)?, self.store, stopped)?);
+        Ok(link)
+    }
+
     /// Starts the process of an instance.
     ///
     /// # Errors
@@ -359,6 +469,8 @@
         let log = File::options().create(true).append(true).open(&instance.log)?;
         let child = Command::new(binary()?)
             .args(["forward", "--metrics-port", &METRICS_PORT.to_string()])
+            .arg("--drill-cut")
+            .arg(&instance.cut)
             .env("MEDLARLANDING_BOOT", &instance.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
@@ -454,6 +566,8 @@
             }
             let _ = std::fs::remove_file(&instance.settings);
             let _ = std::fs::remove_file(&instance.log);
+            // The file exists only after a cut.
+            let _ = std::fs::remove_file(&instance.cut);
         }
     }
 }
--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -79,6 +79,8 @@
 pub(super) struct SiteInner {
     pub revision: u64,
     pub items: BTreeMap<String, StoredItem>,
+    /// Revision up to which the store has discarded its history.
+    pub discarded: u64,
     pub store_mode: StoreMode,
     pub store_calls: u64,
     pub further_server_pages: u64,
@@ -105,6 +107,9 @@
     pub events: u64,
     /// Time between events in milliseconds.
     pub event_interval_ms: u64,
+    /// Milliseconds between the events of a server, or before its whole answers, in place of the
+    /// usual ones.
+    pub delays: BTreeMap<String, u64>,
 }
 
 /// State shared by the stand-ins and the test.
@@ -152,6 +157,17 @@
         self.write(key, None);
     }
 
+    /// Discards the history of the store: watches that begin at an earlier revision are refused, and
+    /// removed items are forgotten.
+    pub fn discard_history(&self) {
+        let mut inner = self.lock();
+        inner.revision += 1;
+        inner.discarded = inner.revision;
+        inner.items.retain(|_, stored| stored.value.is_some());
+        drop(inner);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Sets the fault mode of the store.
     pub fn set_store(&self, mode: StoreMode) {
         self.lock().store_mode = mode;
@@ -194,6 +210,11 @@
         (inner.events, inner.event_interval_ms) = (events, event_interval_ms);
     }
 
+    /// Sets the milliseconds between the events of one server, or before its whole answers.
+    pub fn set_delay(&self, server: &str, millis: u64) {
+        self.lock().delays.insert(server.to_owned(), millis);
+    }
+
     /// Returns the number of events that a generation has produced so far.
     pub fn events_made(&self, request: &str) -> u64 {
         self.lock().generations.get(request).map_or(0, |(events_made, _)| *events_made)
--- a/medlarlanding-bench/src/soak.rs
+++ b/medlarlanding-bench/src/soak.rs
@@ -1,6 +1,8 @@
 //! Fault soak test: injects random faults around real instance processes and checks the guarantees
 //! from the answers of callers and the run records of servers.
 
+mod cold_servers;
+mod evacuations;
 mod fatal_prompts;
 
 use std::net::SocketAddr;
@@ -8,6 +10,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use self::cold_servers::ColdPeriods;
+use self::evacuations::{
+    LAYOUT, StoreOutages, change_zone, find_late_requests, latest_request, restore_zones,
+};
 use self::fatal_prompts::{PromptPlan, SOUND_PART, ServiceGaps, find_late_runs};
 use crate::site::{
     FATAL_PART, LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode,
@@ -34,6 +40,9 @@
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 50..400;
 /// Servers of the service without a model.
 const PLAIN_SERVERS: usize = 3;
+/// Servers with links. A soak with fatal prompts has only those of the service without a model.
+const SERVERS: [&str; PLAIN_SERVERS + ENGINES] =
+    ["orders-0", "orders-1", "orders-2", "engines-0", "engines-1", "engines-2", "engines-3"];
 /// Engines of a soak without fatal prompts.
 const ENGINES: usize = 4;
 /// Engines of a soak with fatal prompts; more, because some of them are starting again.
@@ -77,11 +86,15 @@
         };
         let report = run_seed(params).with_context(|| format!("seed {seed}"))?;
         println!(
-            "seed {seed}: {} requests, {} served, {} faults, {} engines ended, {} violations",
+            "seed {seed}: {} requests, {} served, {} faults, {} engines ended, {} cold times checked, \
+             {} evacuations, latest request in an evacuated zone after {} ms, {} violations",
             report.requests,
             report.served,
             report.faults,
             report.ended_engines,
+            report.cold_times,
+            report.evacuations,
+            report.latest_request.as_millis(),
             report.violations.len()
         );
         report.violations.iter().for_each(|violation| println!("  {violation}"));
@@ -120,6 +133,12 @@
     pub faults: usize,
     /// Times that an engine ended on a part of a prompt.
     pub ended_engines: usize,
+    /// Cold times of servers in which the requests to them were checked.
+    pub cold_times: usize,
+    /// Evacuations of zones.
+    pub evacuations: usize,
+    /// Longest time after which a request reached an evacuated zone.
+    pub latest_request: Duration,
     /// Violated guarantees.
     pub violations: Vec<String>,
 }
@@ -146,13 +165,15 @@
 ///
 /// Fails if the deployment cannot be started or a fault cannot be injected.
 pub fn run_seed(params: SoakParams) -> anyhow::Result<SoakReport> {
-    let mut site = TestSite::start(SiteParams {
+    let site_params = SiteParams {
         instances: params.instances,
         plain_servers: PLAIN_SERVERS,
         engines: if params.with_fatal_prompts { 0 } else { ENGINES },
         grace_s: 3,
-    })?;
+    };
+    let mut site = TestSite::start_in_zones(site_params, LAYOUT)?;
     site.state.set_generation(EVENTS, EVENT_INTERVAL_MS);
+    ColdPeriods::publish_config(&mut site);
     let plan = PromptPlan::new(params.seed);
     if params.with_fatal_prompts {
         site.state.set_fatal_part(Some(FATAL_PART));
@@ -187,13 +208,17 @@
     let mut random = SmallRng::seed_from_u64(params.seed);
     let mut faults = 0;
     let mut gaps = ServiceGaps::default();
+    let mut cold = ColdPeriods::new(params.seed);
+    let mut outages = StoreOutages::default();
     let started = Instant::now();
     while started.elapsed() < params.length {
-        inject_fault(&mut site, &mut random, params.instances, &mut gaps)?;
+        let mut periods = FaultPeriods { gaps: &mut gaps, cold: &mut cold, outages: &mut outages };
+        inject_fault(&mut site, &mut random, params.instances, &mut periods)?;
+        cold.inject(&site, &SERVERS);
         faults += 1;
         std::thread::sleep(Duration::from_millis(random.random_range(FAULT_INTERVAL_MS)));
     }
-    clear_faults(&mut site, params.instances)?;
+    clear_faults(&mut site, params.instances, &mut outages)?;
     let recovery = wait_for_service(&site, params.instances, plan);
     is_over.store(true, Ordering::Relaxed);
     for caller in callers {
@@ -203,13 +228,19 @@
     let is_served = |record: &&CallRecord| {
         record.answer.as_ref().is_some_and(|answer| answer.status == 200 && answer.is_complete)
     };
+    let (cold_times, overloads) = cold.find_overloads(&site.state, &SERVERS, &gaps);
     let mut report = SoakReport {
         requests: records.len(),
         served: records.iter().filter(is_served).count(),
         faults,
         ended_engines: site.state.crashes().len(),
+        cold_times,
+        evacuations: site.evacuations().len(),
+        latest_request: latest_request(&site),
         violations: find_violations(&site.state, &records),
     };
+    report.violations.extend(overloads);
+    report.violations.extend(find_late_requests(&site, &outages));
     report.violations.extend(find_late_runs(&site.state, &records, &gaps));
     report.violations.extend(recovery.err().map(|error| format!("{error:#}")));
     Ok(report)
@@ -246,42 +277,55 @@
     call.send(address).ok()
 }
 
+/// Periods in which faults excuse what a check would report.
+struct FaultPeriods<'a> {
+    /// When instances did not serve.
+    gaps: &'a mut ServiceGaps,
+    /// When servers were cold, and whether news of it could arrive.
+    cold: &'a mut ColdPeriods,
+    /// When the store did not answer.
+    outages: &'a mut StoreOutages,
+}
+
 fn inject_fault(
     site: &mut TestSite,
     random: &mut SmallRng,
     instances: usize,
-    gaps: &mut ServiceGaps,
+    periods: &mut FaultPeriods<'_>,
 ) -> anyhow::Result<()> {
     let instance = random.random_range(0..instances);
-    let servers =
-        ["orders-0", "orders-1", "orders-2", "engines-0", "engines-1", "engines-2", "engines-3"];
+    let servers = SERVERS;
     // Engines of a soak with fatal prompts have no links; faults concern only the other servers.
     let server = random.random_range(0..site.links().len());
     let started = Instant::now();
-    match random.random_range(0..12) {
+    match random.random_range(0..14) {
         0 => {
             site.signal(instance, Signal::KILL)?;
             site.wait_exit(instance)?;
             site.spawn_instance(instance)?;
-            gaps.add(instance, started);
+            periods.gaps.add(instance, started);
         },
         1 => {
             site.signal(instance, Signal::TERM)?;
             site.wait_exit(instance)?;
             site.spawn_instance(instance)?;
-            gaps.add(instance, started);
+            periods.gaps.add(instance, started);
         },
         2 => {
             site.signal(instance, Signal::STOP)?;
             std::thread::sleep(Duration::from_millis(random.random_range(100..1500)));
             site.signal(instance, Signal::CONT)?;
-            gaps.add(instance, started);
+            periods.gaps.add(instance, started);
+        },
+        3 => {
+            periods.outages.set(site, StoreMode::Unavailable);
+            periods.cold.note_store(false);
         },
-        3 => site.state.set_store(StoreMode::Unavailable),
-        4 => site.state.set_store(StoreMode::Available),
-        5 => {
-            site.publish_config(|_| {});
+        4 => {
+            periods.outages.set(site, StoreMode::Available);
+            periods.cold.note_store(true);
         },
+        5 => ColdPeriods::publish_config(site),
         6 => site.drain_server(servers[server]),
         7 => site.mark_server_ready(servers[server]),
         8 => {
@@ -300,14 +344,25 @@
         10 => {
             let modes = [LinkMode::Slow, LinkMode::Silent, LinkMode::OneWay, LinkMode::Reset];
             site.links()[server].set(*modes.choose(random).expect("a mode"));
+            periods.cold.note_link(server, false);
         },
-        _ => site.links()[server].set(LinkMode::Healthy),
+        11 => {
+            site.links()[server].set(LinkMode::Healthy);
+            periods.cold.note_link(server, true);
+        },
+        12 => change_zone(site, random),
+        _ => site.state.discard_history(),
     }
     Ok(())
 }
 
-fn clear_faults(site: &mut TestSite, instances: usize) -> anyhow::Result<()> {
-    site.state.set_store(StoreMode::Available);
+fn clear_faults(
+    site: &mut TestSite,
+    instances: usize,
+    outages: &mut StoreOutages,
+) -> anyhow::Result<()> {
+    outages.set(site, StoreMode::Available);
+    restore_zones(site);
     site.links().iter().for_each(|link| link.set(LinkMode::Healthy));
     let engines = site.links().len() - PLAIN_SERVERS;
     for (service, count) in [("orders", PLAIN_SERVERS), ("engines", engines)] {
--- a/medlarlanding-core/src/admission/account.rs
+++ b/medlarlanding-core/src/admission/account/mod.rs
@@ -1,21 +1,26 @@
 //! Account of one engine, kept by the engine's manager: permits, memory forecast and queue.
 
+mod dump;
+mod slow_start;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::config::DeskObjective;
-use crate::ids::{InstanceId, InstanceIdentity, ServerId};
+use crate::ids::{InstanceId, InstanceIdentity};
 use crate::time::Timestamp;
 
-use super::batch_limit::BatchLimiter;
-use super::controller::ServerCapacity;
-use super::lengths::LengthEstimator;
-use super::memory::{MemoryForecast, MemoryNeed};
-use super::messages::{DeclineReason, ReleasedWork, ServerStatus, WorkItem, WorkStage};
-use super::params::AdmissionParams;
-use super::queue::{FairQueue, QueuedWork, WorkKey};
+use crate::admission::batch_limit::BatchLimiter;
+use crate::admission::controller::ServerCapacity;
+use crate::admission::lengths::LengthEstimator;
+use crate::admission::memory::{MemoryForecast, MemoryNeed};
+use crate::admission::messages::{DeclineReason, ReleasedWork, ServerStatus, WorkItem, WorkStage};
+use crate::admission::params::AdmissionParams;
+use crate::admission::queue::{FairQueue, QueuedWork, WorkKey};
+
+pub use dump::{AccountDump, PermitDump};
 
 /// Time over which the engine's throughput is averaged; long enough to span several long
 /// generations.
@@ -32,6 +37,8 @@
 #[derive(Clone, Debug)]
 struct Permit {
     item: WorkItem,
+    /// Time of the grant, or of the first report to this manager.
+    granted_at: Timestamp,
     /// Time of the last report, or of the grant if no report came later.
     reported_at: Timestamp,
     /// Sequence number of the latest message about the request.
@@ -69,50 +76,6 @@
     Decline(DeclineReason),
 }
 
-value_type! {
-    /// One permit in the dump.
-    pub struct PermitDump {
-        /// Holder of the permit.
-        pub instance: InstanceId,
-        /// The request as last reported.
-        pub item: WorkItem,
-        /// Time since the last report, or since the grant if no report came later, ms.
-        #[serde(rename = "silent_ms")]
-        pub since_report_ms: u64,
-        /// Whether the lease has expired and the permit only keeps the memory charged.
-        pub detached: bool,
-    }
-}
-
-value_type! {
-    /// State of a [`BackendAccount`] in the dump.
-    pub struct AccountDump {
-        /// The engine's id.
-        pub server: ServerId,
-        /// Permits that are held.
-        pub permits: Vec<PermitDump>,
-        /// Number of queued requests.
-        pub queued: usize,
-        /// Expected peak of the memory that the held permits use, tokens.
-        pub expected_tokens: u64,
-        /// Memory of the engine, tokens.
-        pub kv_tokens: u64,
-        /// Current batch limit, applied if the new request or a running one has the objective
-        /// `least_stall`.
-        pub batch_limit: usize,
-        /// Number of live instances that have not sent a complete report during the warm-up.
-        #[serde(rename = "unheard")]
-        pub unreported: usize,
-        /// Permits counted so far: granted here, or first learned of from a report of a running
-        /// request.
-        pub issued: u64,
-        /// Permits that ended with a release.
-        pub released: u64,
-        /// Permits that ended because no report renewed them in time.
-        pub lapsed: u64,
-    }
-}
-
 /// Grants the permits of one engine and queues the requests that wait for one.
 #[derive(Clone, Debug)]
 pub struct BackendAccount {
@@ -126,6 +89,8 @@
     batch_limiter: BatchLimiter,
     adapted_at: Timestamp,
     suspect_until: Option<Timestamp>,
+    /// Largest number of permits while the engine is in slow start; `None` otherwise.
+    pace_limit: Option<u32>,
     /// Number of live instances.
     live: usize,
     /// Live instances whose permits may not all be known yet.
@@ -160,6 +125,7 @@
             batch_limiter,
             adapted_at: now,
             suspect_until: None,
+            pace_limit: None,
             live: 0,
             unreported: BTreeSet::new(),
             warm_up_until: now,
@@ -250,10 +216,13 @@
                 self.batch_limiter
                     .observe(item.decoded.saturating_sub(permit.item.decoded), elapsed);
             }
-            *permit = Permit { item, reported_at: now, seq, detached: false };
+            let granted_at = permit.granted_at;
+            *permit = Permit { item, granted_at, reported_at: now, seq, detached: false };
         } else {
             self.issued += 1;
-            self.permits.insert(key, Permit { item, reported_at: now, seq, detached: false });
+            let granted_at = now;
+            let permit = Permit { item, granted_at, reported_at: now, seq, detached: false };
+            self.permits.insert(key, permit);
         }
     }
 
@@ -456,8 +425,13 @@
             }
             self.queue.take(key);
             self.issued += 1;
-            let permit =
-                Permit { item: work.item, reported_at: now, seq: work.seq, detached: false };
+            let permit = Permit {
+                item: work.item,
+                granted_at: now,
+                reported_at: now,
+                seq: work.seq,
+                detached: false,
+            };
             self.permits.insert(key, permit);
             out.push(ManagerDecision {
                 to: identity(key),
@@ -492,6 +466,9 @@
         if (running + 1) as f64 > f64::from(self.capacity.max_batch) * fraction {
             return false;
         }
+        if self.pace_limit.is_some_and(|limit| running >= limit as usize) {
+            return false;
+        }
         let least_stall = |item: &WorkItem| item.objective == DeskObjective::LeastStall;
         let limits_stalls =
             least_stall(item) || self.permits.values().any(|p| least_stall(&p.item));
@@ -546,7 +523,8 @@
     /// Returns the load and expected wait by which instances rank servers.
     pub fn status(&self, now: Timestamp, lengths: &LengthEstimator) -> ServerStatus {
         let memory = self.forecast(lengths).peak(0.0, u32::MAX) / self.usable_tokens().max(1.0);
-        let batch = self.permits.len() as f64 / f64::from(self.capacity.max_batch.max(1));
+        let places = self.capacity.max_batch.min(self.pace_limit.unwrap_or(u32::MAX)).max(1);
+        let batch = self.permits.len() as f64 / f64::from(places);
         ServerStatus {
             server: self.capacity.server,
             load_permille: (memory.max(batch) * 1000.0) as u32,
@@ -582,31 +560,6 @@
             "issued permits must be held, released or lapsed"
         );
     }
-
-    /// Returns the state for the dump, with the permits in no particular order.
-    pub fn dump(&self, now: Timestamp, lengths: &LengthEstimator) -> AccountDump {
-        AccountDump {
-            server: self.capacity.server,
-            permits: self
-                .permits
-                .iter()
-                .map(|(key, permit)| PermitDump {
-                    instance: key.0,
-                    item: permit.item,
-                    since_report_ms: now.since(permit.reported_at).as_millis() as u64,
-                    detached: permit.detached,
-                })
-                .collect(),
-            queued: self.queue.len(),
-            expected_tokens: self.forecast(lengths).peak(0.0, u32::MAX) as u64,
-            kv_tokens: self.capacity.kv_tokens,
-            batch_limit: self.batch_limiter.limit(),
-            unreported: self.unreported.len(),
-            issued: self.issued,
-            released: self.released,
-            lapsed: self.lapsed,
-        }
-    }
 }
 
 fn identity(key: WorkKey) -> InstanceIdentity {
--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -141,6 +141,33 @@
     623 AnswerEnd Info "answer_end" ["request", "route", "server", "framing", "known", "state", "took_ms", "verdict"];
     /// A server refused a request and wants no further ones from this instance for a while.
     624 ServerHold Info "server_hold" ["request", "server", "hold_ms"];
+    /// An availability zone was evacuated: its servers get no more requests.
+    630 ZoneEvacuated Warn "zone_emptied" ["zone", "revision", "source"];
+    /// An availability zone was restored: its servers get requests again.
+    631 ZoneRestored Info "zone_restored" ["zone", "revision", "source"];
+    /// An item of the store that evacuates a zone is ignored.
+    632 EvacuationRefused Warn "evacuation_refused" ["key", "revision", "reason"];
+    /// A server became cold, or stays cold for longer than was known.
+    635 ServerCold Info "server_cold" ["server", "remaining_ms", "source"];
+    /// A request was refused because all servers that it could be sent to are cold and this instance's
+    /// shares of their rate limits are used up.
+    636 ColdLimitRefused Info "cold_limit_refused" ["request", "service", "servers"];
+    /// The limit of requests to a server in slow start changed.
+    640 PaceChanged Info "pace_changed" ["server", "service", "limit", "reason", "ratio", "decided"];
+    /// The estimated speed of a server changed.
+    645 ServerSpeed Info "server_speed" ["server", "service", "token_percent", "first_percent", "run_limit"];
+    /// The estimated speed of a server expired, because no request was sent to it.
+    646 SpeedExpired Info "speed_expired" ["server", "unused_ms"];
+    /// A generation was placed on an engine.
+    647 EngineChosen Info "engine_chosen" ["request", "server", "running", "ahead_tokens", "token_percent", "first_percent"];
+    /// A safe request was sent to a second plain server because the first one is late.
+    648 RequestHedged Info "request_hedged" ["request", "route", "first", "second", "after_ms"];
+    /// A request that was sent to two plain servers ended.
+    649 HedgeEnded Info "hedge_ended" ["request", "winner", "server", "took_ms"];
+    /// A generation that competes with others for room was refused.
+    650 WaitRefused Info "wait_refused" ["request", "customer", "class", "reason", "ahead", "wait_ms", "due_ms", "prompt", "output", "return_ms"];
+    /// Room is kept for latency-critical generations of a service.
+    651 RoomKept Info "room_kept" ["service", "engines", "prompt", "due_ms", "waiting"];
 }
 
 impl EventKind {
--- a/medlarlanding-core/src/forwarding/config.rs
+++ b/medlarlanding-core/src/forwarding/config.rs
@@ -3,6 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cold_share::ColdPolicy;
+use super::load::LatencyClass;
+use super::regions::RegionLimit;
+
 use indexmap::IndexMap;
 
 /// Whether a request may run more than once, and how it is answered.
@@ -47,6 +51,8 @@
     pub timeout: Duration,
     /// Target time until the answer or, for a generation, its first event.
     pub objective: Duration,
+    /// Target for the longest pause between two events of a generation; `None` without one.
+    pub gap_objective: Option<Duration>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Services of the route; never empty.
@@ -55,6 +61,8 @@
     pub max_servers: u32,
     /// Requests need no customer key.
     pub is_public: bool,
+    /// Regions whose servers may get the route's requests.
+    pub regions: RegionLimit,
 }
 
 impl RouteRule {
@@ -99,6 +107,28 @@
     pub health_path: Option<Arc<str>>,
     /// Capacity of the model engines; `None` for a plain service.
     pub engine: Option<EngineLimits>,
+    /// Limit on the requests to cold servers.
+    pub cold: ColdPolicy,
+}
+
+/// Field of a service whose value cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InvalidField {
+    /// `ColdPolicy::start`.
+    ColdStart,
+    /// `ColdPolicy::per_second`.
+    ColdRate,
+}
+
+/// Value of a service's field that cannot be used. The last valid one stays in effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvalidValue {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// The field.
+    pub field: InvalidField,
+    /// The value and what is wrong with it.
+    pub reason: String,
 }
 
 /// Limits on what a caller may send.
@@ -119,6 +149,8 @@
     pub name: Arc<str>,
     /// Priority that replaces the route's; `None` keeps the route's.
     pub priority: Option<u8>,
+    /// Regions whose servers may get the customer's requests, in addition to the limit of the route.
+    pub regions: RegionLimit,
 }
 
 /// Result of checking the customer key of a request.
@@ -156,8 +188,16 @@
     hosts: IndexMap<String, Vec<Arc<RouteRule>>>,
     keys: IndexMap<String, CustomerRecord>,
     has_customers: bool,
+    /// Shortest and longest objective of the routes for generations, by service.
+    objectives: IndexMap<Arc<str>, (Duration, Duration)>,
+    /// Values that `keep_last` replaces.
+    invalid: Vec<InvalidValue>,
 }
 
+/// Objectives of a service's routes are of different latency classes if the longest is at least the
+/// shortest times this.
+const LATENCY_RATIO: u32 = 2;
+
 impl ForwardConfig {
     /// Indexes the parts of a configuration. `customers` lists each customer with its keys; it
     /// is `None` for an installation without customers, where no route needs a key.
@@ -173,10 +213,18 @@
         customers: Option<Vec<(CustomerRecord, Vec<String>)>>,
     ) -> Result<Self, ForwardConfigError> {
         let mut hosts: IndexMap<String, Vec<Arc<RouteRule>>> = IndexMap::new();
+        let mut objectives: IndexMap<Arc<str>, (Duration, Duration)> = IndexMap::new();
         for rule in routes {
             if rule.targets.is_empty() {
                 return Err(ForwardConfigError(format!("route {} names no service", rule.name)));
             }
+            let is_stream = rule.kind == RequestKind::Stream && !rule.objective.is_zero();
+            for target in rule.targets.iter().filter(|_| is_stream) {
+                let range = objectives
+                    .entry(Arc::clone(&target.service))
+                    .or_insert((rule.objective, rule.objective));
+                *range = (range.0.min(rule.objective), range.1.max(rule.objective));
+            }
             hosts.entry(rule.host.clone()).or_default().push(Arc::new(rule));
         }
         for rules in hosts.values_mut() {
@@ -191,7 +239,42 @@
         }
         let services =
             services.into_iter().map(|policy| (Arc::clone(&policy.name), policy)).collect();
-        Ok(Self { version, limits, services, hosts, keys, has_customers })
+        Ok(Self {
+            version,
+            limits,
+            services,
+            hosts,
+            keys,
+            has_customers,
+            objectives,
+            invalid: Vec::new(),
+        })
+    }
+
+    /// Adds the values of services that cannot be used.
+    pub fn with_invalid(self, invalid: Vec<InvalidValue>) -> Self {
+        Self { invalid, ..self }
+    }
+
+    /// Replaces values that cannot be used by those of the configuration that was in effect before.
+    /// Returns the values that were replaced.
+    pub fn keep_last(&mut self, last: Option<&Self>) -> Vec<InvalidValue> {
+        let invalid = std::mem::take(&mut self.invalid);
+        for value in &invalid {
+            let Some(policy) = self.services.get_mut(&value.service) else { continue };
+            let last = last.and_then(|config| config.service(&value.service));
+            let last = last.map(|policy| policy.cold).unwrap_or_default();
+            match value.field {
+                InvalidField::ColdStart => policy.cold.start = last.start,
+                InvalidField::ColdRate => policy.cold.per_second = last.per_second,
+            }
+        }
+        invalid
+    }
+
+    /// Returns whether a service limits the requests to its cold servers.
+    pub fn has_cold_limits(&self) -> bool {
+        self.services.values().any(|policy| policy.cold.per_second > 0.0)
     }
 
     /// Returns the host's route whose prefix is the longest that matches the path. `host` may
@@ -210,6 +293,23 @@
         self.services.get(name)
     }
 
+    /// Returns how the objective of a route compares with those of the other routes of a service. A route
+    /// without an objective has no class.
+    pub fn latency_class(&self, rule: &RouteRule, service: &str) -> LatencyClass {
+        match self.objectives.get(service) {
+            Some((shortest, longest))
+                if *longest >= *shortest * LATENCY_RATIO && !rule.objective.is_zero() =>
+            {
+                if rule.objective >= *shortest * LATENCY_RATIO {
+                    LatencyClass::Tolerant
+                } else {
+                    LatencyClass::Critical
+                }
+            },
+            Some(_) | None => LatencyClass::Uniform,
+        }
+    }
+
     /// Iterates over the services whose servers are model engines.
     pub fn engine_services(&self) -> impl Iterator<Item = (&ServicePolicy, EngineLimits)> {
         self.services.values().filter_map(|policy| Some((policy, policy.engine?)))
@@ -223,6 +323,19 @@
         if rule.is_public || !self.has_customers { KeyCheck::Anonymous } else { KeyCheck::Unknown }
     }
 
+    /// Returns whether servers are compared by speed. A configuration asks for it with a target for the
+    /// pauses between events.
+    pub fn compares_speeds(&self) -> bool {
+        self.hosts.values().flatten().any(|rule| rule.gap_objective.is_some())
+    }
+
+    /// Returns the shortest target for pauses among the routes of a service; `None` without any.
+    pub fn gap_objective(&self, service: &str) -> Option<Duration> {
+        let routes = self.hosts.values().flatten();
+        let serving = routes.filter(|rule| rule.targets.iter().any(|it| &*it.service == service));
+        serving.filter_map(|rule| rule.gap_objective).min()
+    }
+
     /// Returns the number of routes of all hosts.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -4,6 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cold_share::{ColdServer, ColdShare};
+use super::regions::{RegionKey, RegionLimit, ZoneRegions};
+use super::server_speed::SpeedRatios;
+use crate::pacing::PaceLimit;
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
@@ -26,6 +30,42 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerKey(u32);
 
+/// Whether a server may get a request now, and if not, why. If several reasons apply, the one that
+/// leaves fewer exceptions counts; the variants are in ascending order of this.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ServerAccess {
+    /// The server may get a request.
+    Open,
+    /// The server is in slow start and has as many requests as its limit allows. Unlike the other
+    /// reasons, this one does not forbid a request that no other server may get.
+    Paced,
+    /// The server has failed recently. It gets requests for which there is no other server.
+    Avoided,
+    /// The server wants no requests from this instance for a while. Other instances may send some.
+    Held,
+    /// The server is cold and this instance's share of its rate limit is used up. A request that the
+    /// coordinator has granted may be sent nevertheless: it counts towards the coordinator's share.
+    Limited,
+    /// The server is leaving or removed. For a part of its time it gets requests for which there is no
+    /// other server.
+    Leaving,
+    /// The server's availability zone is evacuated.
+    Evacuated,
+    /// The request is restricted to regions other than the server's.
+    OutsideRegions,
+}
+
+impl ServerAccess {
+    /// Returns whether a request of any instance may be placed on the server. The instance that sends
+    /// the request excludes the servers that are held for it.
+    pub fn may_place(self) -> bool {
+        match self {
+            Self::Open | Self::Paced | Self::Avoided | Self::Held => true,
+            Self::Limited | Self::Leaving | Self::Evacuated | Self::OutsideRegions => false,
+        }
+    }
+}
+
 value_type! { copy
     /// State that a server reports.
     pub enum ServerPhase {
@@ -91,6 +131,11 @@
     hold_until: Option<Timestamp>,
     /// The entry was removed, or the server has restarted since.
     pub is_removed: bool,
+    /// When this instance learned that the server's zone is evacuated; `None` while it is not. Follows
+    /// `ServerDirectory::evacuated`.
+    evacuated_since: Option<Timestamp>,
+    /// Region of the server's zone; `None` if it is unknown. Follows `ServerDirectory::zone_regions`.
+    region: Option<RegionKey>,
     /// When this instance first saw the server.
     pub seen_at: Timestamp,
     /// Requests that this instance has open at the server.
@@ -101,9 +146,16 @@
     pub waiting_tokens: u64,
     /// Tokens that the requests are expected to generate until they end.
     pub expected_growth: u64,
+    /// Speed compared with the median of the service; that of an average server from the start on and
+    /// while servers are not compared.
+    pub speed: SpeedRatios,
     /// Consecutive failures that this instance has seen.
     failures: u32,
     avoid_until: Option<Timestamp>,
+    /// Cold time of this start and the requests that count towards its rate limit.
+    cold: ColdServer,
+    /// Limit of `open_requests` while the server is in slow start; `None` otherwise.
+    pace: Option<PaceLimit>,
 }
 
 impl ServerRecord {
@@ -117,6 +169,41 @@
         self.leaving_since.is_none()
     }
 
+    /// Returns whether the server may get a request without a region limit now.
+    pub fn access(&self, now: Timestamp) -> ServerAccess {
+        if self.evacuated_since.is_some() {
+            ServerAccess::Evacuated
+        } else if !self.accepts_work() {
+            ServerAccess::Leaving
+        } else if self.cold.is_used_up(now) {
+            ServerAccess::Limited
+        } else if !self.hold_left(now).is_zero() {
+            ServerAccess::Held
+        } else if self.is_avoided(now) {
+            ServerAccess::Avoided
+        } else if self.is_paced(now) {
+            ServerAccess::Paced
+        } else {
+            ServerAccess::Open
+        }
+    }
+
+    /// Returns whether the server may get a request with a region limit now. All requests to servers
+    /// pass this check, whether they are new, sent again, moved or resumed.
+    pub fn access_for(&self, now: Timestamp, regions: &RegionLimit) -> ServerAccess {
+        if regions.allows(self.region) { self.access(now) } else { ServerAccess::OutsideRegions }
+    }
+
+    /// Returns when this instance learned that the server's zone is evacuated; `None` while it is not.
+    pub fn evacuated_since(&self) -> Option<Timestamp> {
+        self.evacuated_since
+    }
+
+    /// Returns the cold time of this start and the requests that count towards its rate limit.
+    pub fn cold(&self) -> &ColdServer {
+        &self.cold
+    }
+
     /// Returns how long the server wants no requests from this instance; zero if it takes them.
     pub fn hold_left(&self, now: Timestamp) -> Duration {
         self.hold_until.map_or(Duration::ZERO, |until| until.since(now))
@@ -127,6 +214,11 @@
         !self.is_removed && self.leaving_since.is_some_and(|since| now.since(since) < limit)
     }
 
+    /// Returns whether the server is in slow start and has as many requests as its limit allows.
+    pub fn is_paced(&self, now: Timestamp) -> bool {
+        self.pace.is_some_and(|pace| self.open_requests >= pace.in_flight || now < pace.next_start)
+    }
+
     /// Returns whether the server is avoided because of recent failures.
     pub fn is_avoided(&self, now: Timestamp) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
@@ -139,10 +231,37 @@
     records: IndexMap<ServerKey, ServerRecord>,
     /// Key of the latest record of each id.
     current: IndexMap<Arc<str>, ServerKey>,
+    /// Evacuated zones, with the times when this instance learned of it.
+    evacuated: IndexMap<Arc<str>, Timestamp>,
+    zone_regions: ZoneRegions,
     next_key: u32,
 }
 
 impl ServerDirectory {
+    /// Sets the regions of the zones.
+    pub fn set_zone_regions(&mut self, zone_regions: ZoneRegions) {
+        self.zone_regions = zone_regions;
+        for record in self.records.values_mut() {
+            record.region = self.zone_regions.region_of(&record.entry.zone);
+        }
+    }
+
+    /// Replaces the set of evacuated zones.
+    pub fn set_evacuated<'a>(
+        &mut self,
+        now: Timestamp,
+        zones: impl IntoIterator<Item = &'a Arc<str>>,
+    ) {
+        let zones = zones.into_iter().map(|zone| {
+            let since = self.evacuated.get(zone).copied().unwrap_or(now);
+            (Arc::clone(zone), since)
+        });
+        self.evacuated = zones.collect();
+        for record in self.records.values_mut() {
+            record.evacuated_since = self.evacuated.get(&record.entry.zone).copied();
+        }
+    }
+
     /// Applies one change. Returns the server's key and whether the server starts to leave with
     /// this change, or `None` for the removal of an unknown server.
     pub fn apply(&mut self, now: Timestamp, change: DirectoryChange) -> Option<(ServerKey, bool)> {
@@ -182,6 +301,8 @@
                     record.leaving_since = record.announced_at;
                 }
                 record.is_removed = false;
+                record.evacuated_since = self.evacuated.get(&entry.zone).copied();
+                record.region = self.zone_regions.region_of(&entry.zone);
                 record.entry = entry;
                 return (key, starts_leaving);
             }
@@ -204,13 +325,18 @@
                 announced_at,
                 hold_until,
                 is_removed: false,
+                evacuated_since: self.evacuated.get(&entry.zone).copied(),
+                region: self.zone_regions.region_of(&entry.zone),
                 seen_at: now,
                 open_requests: 0,
                 open_tokens: 0,
                 waiting_tokens: 0,
                 expected_growth: 0,
+                speed: SpeedRatios::default(),
                 failures: 0,
                 avoid_until: None,
+                cold: ColdServer::default(),
+                pace: None,
                 entry,
             },
         );
@@ -234,6 +360,44 @@
         }
     }
 
+    /// Records that a server stays cold for `remaining`, as `ColdServer::extend` does.
+    pub fn extend_cold(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        remaining: Duration,
+        lateness: Duration,
+    ) -> bool {
+        let record = self.records.get_mut(&key);
+        record.is_some_and(|record| record.cold.extend(now, remaining, lateness))
+    }
+
+    /// Sets this instance's share of the rate limit of each server, as `share` returns it; `None` for
+    /// servers without a limit.
+    pub fn set_cold_shares(&mut self, share: impl Fn(&ServerRecord) -> Option<ColdShare>) {
+        for record in self.records.values_mut() {
+            let share = share(record);
+            record.cold.set_share(share);
+        }
+    }
+
+    /// Counts a request towards the rate limit of a cold server when it is sent, or when a peer is
+    /// allowed to send it. Returns whether the server is cold.
+    pub fn record_send(&mut self, now: Timestamp, key: ServerKey) -> bool {
+        self.records.get_mut(&key).is_some_and(|record| record.cold.record_send(now))
+    }
+
+    /// Iterates over the servers of a service that are cold and for which this instance's share of the
+    /// rate limit is used up.
+    pub fn limited<'a>(
+        &'a self,
+        now: Timestamp,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
+        let limited = move |record: &ServerRecord| record.access(now) == ServerAccess::Limited;
+        self.candidates(service).filter(move |(_, record)| limited(record))
+    }
+
     /// Iterates over the servers of a service that want no requests from this instance.
     pub fn held<'a>(
         &'a self,
@@ -244,10 +408,16 @@
         held.filter(move |(_, record)| &*record.entry.service == service)
     }
 
-    /// Returns the time until a server of a service takes requests again, if all that are not leaving
-    /// want none.
-    pub fn shortest_hold(&self, now: Timestamp, service: &str) -> Option<Duration> {
-        let left = self.candidates(service).map(|(_, record)| record.hold_left(now)).min();
+    /// Returns the time until a server of a service takes requests with a region limit again, if all on
+    /// which they may be placed want none.
+    pub fn shortest_hold(
+        &self,
+        now: Timestamp,
+        service: &str,
+        regions: &RegionLimit,
+    ) -> Option<Duration> {
+        let placeable = self.placeable(now, service, regions);
+        let left = placeable.map(|(_, record)| record.hold_left(now)).min();
         left.filter(|left| !left.is_zero())
     }
 
@@ -282,20 +452,50 @@
         self.records.get(self.current.get(id)?)
     }
 
+    /// Returns the latest record of the server with this id, with its key.
+    pub fn find_key(&self, id: &str) -> Option<(ServerKey, &ServerRecord)> {
+        let key = *self.current.get(id)?;
+        Some((key, self.records.get(&key)?))
+    }
+
     /// Returns the record with this key; `None` once it has been evicted.
     pub fn get(&self, key: ServerKey) -> Option<&ServerRecord> {
         self.records.get(&key)
     }
 
+    /// Iterates over the servers of a service.
+    fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
+        self.iter().filter(move |(_, record)| &*record.entry.service == service)
+    }
+
+    /// Iterates over the servers of a service that are not leaving, including those of evacuated zones.
+    pub fn staying<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
+        self.of_service(service).filter(|(_, record)| record.accepts_work())
+    }
+
     /// Iterates over the servers of a service that accept new requests.
     pub fn candidates<'a>(
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
-        self.records
-            .iter()
-            .filter(move |(_, record)| record.accepts_work() && &*record.entry.service == service)
-            .map(|(key, record)| (*key, record))
+        self.staying(service).filter(|(_, record)| record.evacuated_since.is_none())
+    }
+
+    /// Iterates over the servers of a service on which a request with a region limit may be placed.
+    pub fn placeable<'a>(
+        &'a self,
+        now: Timestamp,
+        service: &'a str,
+        regions: &'a RegionLimit,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + 'a {
+        let of_service = self.of_service(service);
+        of_service.filter(move |(_, record)| record.access_for(now, regions).may_place())
     }
 
     /// Iterates over the entries of the servers that have reported that they are leaving while their
@@ -358,6 +558,13 @@
         }
     }
 
+    /// Sets the speeds of all servers. `speed` gets the key and the service of each.
+    pub fn set_speeds(&mut self, speed: impl Fn(ServerKey, &str) -> SpeedRatios) {
+        for (key, record) in &mut self.records {
+            record.speed = speed(*key, &record.entry.service);
+        }
+    }
+
     /// Records a successful answer, which ends the avoidance of the server.
     pub fn record_success(&mut self, key: ServerKey) {
         if let Some(record) = self.records.get_mut(&key) {
@@ -375,6 +582,13 @@
         }
     }
 
+    /// Sets the limit of the requests of this instance to a server in slow start.
+    pub fn set_pace(&mut self, key: ServerKey, pace: Option<PaceLimit>) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.pace = pace;
+        }
+    }
+
     /// Avoids a server until the given time; never shortens the period in force.
     pub fn avoid(&mut self, key: ServerKey, until: Timestamp) {
         if let Some(record) = self.records.get_mut(&key) {
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -9,28 +9,14 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use super::placement::RunWeight;
+use super::cold_share::{FleetNote, FleetView};
+use super::load::{LoadReport, RemoteLoad, RunWeight};
+use super::zone::ZoneKey;
 use crate::ids::stable_hash;
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
 
-value_type! { copy
-    /// Load that one instance puts on one server.
-    pub struct LoadReport {
-        /// Hash of the server's id.
-        pub server: u64,
-        /// Requests in progress.
-        pub requests: u16,
-        /// Tokens that these requests occupy in the server's memory.
-        pub tokens: u32,
-        /// Prompt tokens of requests whose answer has not begun.
-        pub waiting_tokens: u32,
-        /// Tokens that the requests are expected to generate until they end.
-        pub growth: u32,
-    }
-}
-
 value_type! {
     /// Periodic message of an instance to its peers.
     pub struct PeerDigest {
@@ -49,12 +35,19 @@
         /// Store revision at which server entries last changed, as far as the sender knows; 0 for
         /// none.
         pub servers_revision: u64,
+        /// Fingerprint of the sender's table of evacuated zones; 0 if none is evacuated.
+        pub evacuations: u64,
         /// Addresses of some peers that the sender considers live.
         pub peers: Vec<SocketAddr>,
         /// Highest number of a grant from the receiver whose load `loads` contains.
         pub granted: u64,
         /// Load that the sender puts on servers; empty unless the receiver is a hub.
         pub loads: Vec<LoadReport>,
+        /// For the division of the rate limits of cold servers; `None` while no service has one.
+        pub fleet: Option<FleetNote>,
+        /// Availability zone of the sender. Digests of earlier versions end before this field; see
+        /// `PeerMessage::decode`.
+        pub zone: ZoneKey,
     }
 }
 
@@ -116,7 +109,11 @@
     reaches_store: bool,
     config_version: u64,
     servers_revision: u64,
+    evacuations: u64,
     loads: Vec<LoadReport>,
+    fleet: Option<FleetNote>,
+    /// Kept while the peer is silent; unknown until its first digest.
+    zone: ZoneKey,
     /// Placements granted to the peer that its reported loads do not include yet.
     grants: Vec<PeerGrant>,
 }
@@ -130,19 +127,6 @@
     waiting_tokens: u32,
 }
 
-/// Load that all live peers together put on one server.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct RemoteLoad {
-    /// Requests in progress.
-    pub requests: f64,
-    /// Tokens that these requests occupy in the server's memory.
-    pub tokens: f64,
-    /// Prompt tokens that wait to be processed.
-    pub waiting_tokens: f64,
-    /// Tokens that the requests are expected to generate until they end.
-    pub growth: f64,
-}
-
 /// Rank of an instance: its strength, then a hash of its address. The highest rank comes first.
 type PeerRank = (u16, u64);
 
@@ -152,6 +136,8 @@
     params: PeerTableParams,
     own: SocketAddr,
     strength: u16,
+    /// Availability zone of this instance.
+    zone: ZoneKey,
     /// Without this instance.
     seeds: Vec<SocketAddr>,
     /// This instance is one of the seeds.
@@ -160,6 +146,8 @@
     /// Index of the next peer that gets a digest without being a hub.
     next_target: usize,
     next_grant: u64,
+    /// A digest of a peer was ever received.
+    has_heard: bool,
 }
 
 impl PeerTable {
@@ -174,16 +162,49 @@
             params,
             own,
             strength,
+            zone: ZoneKey::UNKNOWN,
             seeds: Vec::new(),
             is_seed: false,
             peers: IndexMap::new(),
             next_target: 0,
             next_grant: 1,
+            has_heard: false,
         };
         table.set_seeds(seeds);
         table
     }
 
+    /// Sets the availability zone of this instance, which is unknown otherwise.
+    pub fn in_zone(mut self, zone: ZoneKey) -> Self {
+        self.zone = zone;
+        self
+    }
+
+    /// Returns the availability zone of this instance.
+    pub fn own_zone(&self) -> ZoneKey {
+        self.zone
+    }
+
+    /// Returns the availability zone of a peer.
+    pub fn zone(&self, address: SocketAddr) -> ZoneKey {
+        self.peers.get(&address).map_or(ZoneKey::UNKNOWN, |record| record.zone)
+    }
+
+    /// Iterates over all peers with their zones, including silent ones.
+    pub fn zones(&self) -> impl Iterator<Item = (SocketAddr, ZoneKey)> {
+        self.peers.iter().map(|(address, record)| (*address, record.zone))
+    }
+
+    /// Iterates over the live peers with their zones, the highest-ranked first.
+    pub fn live_by_rank(&self, now: Timestamp) -> impl Iterator<Item = (SocketAddr, ZoneKey)> {
+        let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
+        let mut ranked: Vec<(PeerRank, SocketAddr, ZoneKey)> = live
+            .map(|(address, record)| (Self::rank(address, record.strength), *address, record.zone))
+            .collect();
+        ranked.sort_by_key(|(rank, _, _)| std::cmp::Reverse(*rank));
+        ranked.into_iter().map(|(_, address, zone)| (address, zone))
+    }
+
     /// Replaces the seeds, which are kept in the table even when silent.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.is_seed = seeds.contains(&self.own);
@@ -217,6 +238,7 @@
         if !is_restarted && digest.sequence <= record.sequence {
             return false;
         }
+        self.has_heard = true;
         let mut grants = std::mem::take(&mut record.grants);
         grants.retain(|grant| !is_restarted && grant.number > digest.granted);
         *record = PeerRecord {
@@ -228,7 +250,10 @@
             reaches_store: digest.reaches_store,
             config_version: digest.config_version,
             servers_revision: digest.servers_revision,
+            evacuations: digest.evacuations,
             loads: digest.loads,
+            fleet: digest.fleet,
+            zone: digest.zone,
             grants,
         };
         true
@@ -264,7 +289,8 @@
         self.params.interval.mul_f64(self.size_factor())
     }
 
-    fn live_timeout(&self) -> Duration {
+    /// Returns the time after which a peer without a digest counts as silent.
+    pub fn live_timeout(&self) -> Duration {
         self.params.live_timeout.mul_f64(self.size_factor())
     }
 
@@ -326,6 +352,11 @@
         (self.higher_ranked(now).len() / self.params.hub_count.max(1)) as u32
     }
 
+    /// Returns whether this instance is one of the hubs by its rank.
+    pub fn is_hub(&self, now: Timestamp) -> bool {
+        self.higher_ranked(now).len() < self.params.hub_count
+    }
+
     /// Returns the coordinator, which places generations for all instances; `None` if it is this
     /// instance.
     pub fn coordinator(&self, now: Timestamp) -> Option<SocketAddr> {
@@ -335,6 +366,36 @@
         ranked.filter(|(rank, _)| *rank > own).max().map(|(_, address)| address)
     }
 
+    /// Returns what this instance tells its peers for the division of the rate limits.
+    pub fn fleet_note(&self, now: Timestamp) -> FleetNote {
+        let coordinator = self.coordinator(now).unwrap_or(self.own);
+        FleetNote {
+            instances: self.instance_count().min(usize::from(u16::MAX)) as u16,
+            coordinator: Self::tag(&coordinator),
+        }
+    }
+
+    /// Returns the instances as this one knows them, for the division of the rate limits.
+    pub fn fleet_view(&self, now: Timestamp) -> FleetView {
+        let own_tag = Self::tag(&self.own);
+        let live = self.peers.values().filter(|record| self.is_live(now, record));
+        let notes = live.filter_map(|record| record.fleet);
+        FleetView {
+            own: Self::rank(&self.own, 0).1,
+            others: self.peers.keys().map(|address| Self::rank(address, 0).1).collect(),
+            told: notes.clone().map(|note| usize::from(note.instances)).max().unwrap_or(0),
+            followers: 1 + notes.filter(|note| note.coordinator == own_tag).count(),
+            is_coordinator: self.coordinator(now).is_none(),
+            has_heard: self.has_heard,
+            live_timeout: self.live_timeout(),
+        }
+    }
+
+    /// Returns a short hash of an address.
+    fn tag(address: &SocketAddr) -> u16 {
+        Self::rank(address, 0).1 as u16
+    }
+
     /// Returns the peers that get the digest with the number `sequence`, each with whether it is sent
     /// the loads too.
     pub fn targets(&mut self, now: Timestamp, sequence: u64) -> Vec<(SocketAddr, bool)> {
@@ -401,42 +462,61 @@
         self.peers.len() + 1
     }
 
-    /// Returns one of the live peers with the newest configuration if that is newer than
-    /// `version`. `draw`, a random number from 0 to 1, selects among them, which spreads the
-    /// fetches over the fleet.
-    pub fn peer_with_newer_config(
+    /// Returns the newest configuration version among the live peers; 0 for none.
+    pub fn newest_config_version(&self, now: Timestamp) -> u64 {
+        let live = self.peers.values().filter(|record| self.is_live(now, record));
+        live.map(|record| record.config_version).max().unwrap_or(0)
+    }
+
+    /// Returns the live peers with the newest configuration, with their zones, if that is newer than
+    /// `version`; none otherwise.
+    pub fn config_holders(&self, now: Timestamp, version: u64) -> Vec<(SocketAddr, ZoneKey)> {
+        let newest = self.newest_config_version(now);
+        if newest <= version {
+            return Vec::new();
+        }
+        self.peers
+            .iter()
+            .filter(|(_, record)| self.is_live(now, record) && record.config_version == newest)
+            .map(|(address, record)| (*address, record.zone))
+            .collect()
+    }
+
+    /// Returns one of the live peers that know of changed server entries after `revision`, of the own
+    /// zone if there is one. `draw`, a random number from 0 to 1, selects among them; if the one with
+    /// the highest revision were always selected, the whole fleet would ask that one.
+    pub fn peer_with_newer_servers(
         &self,
         now: Timestamp,
-        version: u64,
+        revision: u64,
         draw: f64,
     ) -> Option<SocketAddr> {
         let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
-        let newest = live.clone().map(|(_, record)| record.config_version).max()?;
-        if newest <= version {
-            return None;
-        }
-        let holders: Vec<&SocketAddr> = live
-            .filter(|(_, record)| record.config_version == newest)
-            .map(|(address, _)| address)
+        let mut ahead: Vec<(&SocketAddr, ZoneKey)> = live
+            .filter(|(_, record)| record.servers_revision > revision)
+            .map(|(address, record)| (address, record.zone))
             .collect();
-        holders.get((draw * holders.len() as f64) as usize).map(|address| **address)
+        let is_near = |zone: ZoneKey| zone.is_known() && zone == self.zone;
+        if ahead.iter().any(|(_, zone)| is_near(*zone)) {
+            ahead.retain(|(_, zone)| is_near(*zone));
+        }
+        ahead.get((draw * ahead.len() as f64) as usize).map(|(address, _)| **address)
     }
 
-    /// Returns one of the live peers that know of changed server entries after `revision`. `draw`,
-    /// a random number from 0 to 1, selects among them; if the one with the highest revision were
-    /// always selected, the whole fleet would ask that one.
-    pub fn peer_with_newer_servers(
+    /// Returns one of the live peers whose table of evacuated zones has another fingerprint. `draw`, a
+    /// random number from 0 to 1, selects among them.
+    pub fn peer_with_other_evacuations(
         &self,
         now: Timestamp,
-        revision: u64,
+        fingerprint: u64,
         draw: f64,
     ) -> Option<SocketAddr> {
         let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
-        let ahead: Vec<&SocketAddr> = live
-            .filter(|(_, record)| record.servers_revision > revision)
+        let others: Vec<&SocketAddr> = live
+            .filter(|(_, record)| record.evacuations != fingerprint)
             .map(|(address, _)| address)
             .collect();
-        ahead.get((draw * ahead.len() as f64) as usize).map(|address| **address)
+        others.get((draw * others.len() as f64) as usize).map(|address| **address)
     }
 
     /// Returns the newest store revision of server entries among the live peers; 0 for none.
--- a/medlarlanding-core/src/forwarding/waiting.rs
+++ b/medlarlanding-core/src/forwarding/waiting.rs
@@ -9,7 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::placement::{PROMPT_TOKEN_TIME, RunWeight};
+use super::load::{LatencyClass, RunWeight};
+use super::placement::PROMPT_TOKEN_TIME;
 use crate::time::Timestamp;
 
 use indexmap::IndexMap;
@@ -66,6 +67,9 @@
 /// Class of a waiting run. All runs of one class are served before those of the next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WaitingClass {
+    /// A run that moves off a leaving engine. It has used engines for longer than any new run, and is
+    /// lost if it finds no room before its engine ends.
+    Moving,
     /// The run has the most urgent priority, and its first event can still be in time.
     Urgent,
     /// The first event can still be in time.
@@ -74,6 +78,19 @@
     Late,
 }
 
+/// A run that asks for room.
+#[derive(Clone, Copy, Debug)]
+pub struct QueuedRun {
+    /// Key of the run.
+    pub key: RunKey,
+    /// Class of the run at the moment.
+    pub class: WaitingClass,
+    /// How the objective compares with those of other runs of the service.
+    pub latency: LatencyClass,
+    /// Expected size.
+    pub weight: RunWeight,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct WaitingRun {
     class: WaitingClass,
@@ -129,26 +146,40 @@
     ///
     /// # Errors
     ///
-    /// Returns the number of runs ahead of it if the run has to wait, or 0 while any engine has
-    /// room: runs ahead of it may just have been refused or have left, and no run may be refused
-    /// because of those.
+    /// Returns the number of runs ahead of it if the run has to wait. For runs that are not
+    /// latency-tolerant it returns 0 while any engine has room: runs ahead of it may just have been
+    /// refused or have left, and no run may be refused because of those.
     pub fn admit(
         &mut self,
         now: Timestamp,
-        key: RunKey,
-        class: WaitingClass,
-        weight: RunWeight,
+        run: QueuedRun,
         servers_with_room: usize,
     ) -> Result<(), usize> {
+        let QueuedRun { key, class, latency, weight } = run;
         let value_density = self.value_density(weight);
-        let ahead = self.count_ahead(now, key, class, value_density);
+        let mut ahead = self.count_ahead(now, key, class, value_density);
+        if latency == LatencyClass::Critical {
+            // A short run ends long before a moving one would need its room.
+            ahead -= self.count_moving(now, key);
+        }
         if servers_with_room > ahead {
             self.remove(key);
             self.record_size(weight);
             return Ok(());
         }
         self.enqueue(now, key, class, value_density);
-        Err(if servers_with_room > 0 { 0 } else { ahead })
+        Err(if servers_with_room > 0 && latency != LatencyClass::Tolerant { 0 } else { ahead })
+    }
+
+    /// Returns the number of waiting runs that move off leaving engines, without the run itself: a
+    /// caller may have sent the id of a moving run again.
+    fn count_moving(&self, now: Timestamp, key: RunKey) -> usize {
+        let is_moving = |(other, run): &(&RunKey, &WaitingRun)| {
+            **other != key
+                && run.class == WaitingClass::Moving
+                && now.since(run.asked_at) < self.params.ask_timeout
+        };
+        self.runs.iter().filter(is_moving).count()
     }
 
     /// Returns the number of waiting runs that are served before a run, without the run itself.
@@ -186,6 +217,11 @@
         *waiting = WaitingRun { first_asked_at: waiting.first_asked_at, ..run };
     }
 
+    /// Returns whether a run has asked before and still waits.
+    pub fn contains(&self, key: RunKey) -> bool {
+        self.runs.contains_key(&key)
+    }
+
     /// Removes a run that was placed.
     pub fn remove(&mut self, key: RunKey) {
         self.runs.swap_remove(&key);
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -6,9 +6,12 @@
 use std::sync::Arc;
 
 use medlarlanding_core::forwarding::{
-    DirectoryChange, LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams,
-    RelayedMessage, ServerChanges, ServerEntry, ServerPhase,
+    AnswerOutcome, AnswerReport, ColdQuestion, ColdReport, DirectoryChange, EvacuationSync,
+    EvacuationTable, FleetNote, LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams,
+    RelayedMessage, ServerChanges, ServerEntry, ServerPace, ServerPhase, SpeedReport, SpeedSums,
+    SyncPurpose, ZoneEntry, ZoneEntryState, ZoneKey,
 };
+use medlarlanding_core::pacing::AnswerPart;
 use medlarlanding_core::time::Timestamp;
 
 use quickcheck::TestResult;
@@ -20,6 +23,15 @@
     SocketAddr::from(([10, 1, 0, number], 7200))
 }
 
+fn evacuations() -> EvacuationSync {
+    let zone = Arc::from("regina");
+    let entry = ZoneEntry { zone, revision: 5, state: ZoneEntryState::Evacuated };
+    let mut table = EvacuationTable::default();
+    table.read_snapshot(&[entry], 8);
+    EvacuationSync { table, purpose: SyncPurpose::Ask(3) }
+}
+const COLD: ColdReport = ColdReport { server: 7, remaining_ms: 900 };
+
 fn messages() -> Vec<PeerMessage> {
     let entry = ServerEntry {
         id: Arc::from("i-1"),
@@ -31,9 +43,18 @@
         born_millis: 1,
     };
     let changes = vec![DirectoryChange::Written(entry), DirectoryChange::Removed(Arc::from("i-2"))];
-    let servers = PeerMessage::Servers(ServerChanges { after: 3, revision: 9, changes });
-    let load =
-        LoadReport { server: 7, requests: 1, tokens: 2_000, waiting_tokens: 100, growth: 50 };
+    let servers =
+        PeerMessage::Servers(ServerChanges { after: 3, revision: 9, changes, cold: vec![COLD] });
+    let sums = SpeedSums { weight: 16, log_sum: -40 };
+    let speed = SpeedReport { start: 9, token: sums, first: SpeedSums::default() };
+    let load = LoadReport {
+        server: 7,
+        requests: 1,
+        tokens: 2_000,
+        waiting_tokens: 100,
+        growth: 50,
+        speed: Some(speed),
+    };
     let digest = PeerDigest {
         sender: address(2),
         boot: 5,
@@ -42,9 +63,12 @@
         reaches_store: true,
         config_version: 3,
         servers_revision: 9,
+        evacuations: 0,
         peers: vec![address(3), address(4)],
         granted: 8,
         loads: vec![load],
+        fleet: Some(FleetNote { instances: 60, coordinator: 7 }),
+        zone: ZoneKey::of("z"),
     };
     let relayed = RelayedMessage {
         targets: vec![address(5)],
@@ -57,6 +81,15 @@
         PeerMessage::Fault(4),
         PeerMessage::Relayed(relayed),
         PeerMessage::Unresponsive(4),
+        PeerMessage::Evacuations(evacuations()),
+        PeerMessage::Cold(vec![COLD]),
+        PeerMessage::ColdQuestion(ColdQuestion { number: 4, server: 7 }),
+        PeerMessage::Speeds(vec![ServerPace { server: 7, start: 9, percent: 500 }]),
+        PeerMessage::Answered(AnswerReport {
+            server: 7,
+            age_ms: 250,
+            outcome: AnswerOutcome::Answered(AnswerPart::First, 104),
+        }),
     ]
 }
 
@@ -77,6 +110,9 @@
         };
         let again = postcard::to_stdvec(&message).expect("a decoded message can be encoded");
         let has_bounded_size = again.len() <= bytes.len() + 64;
+        if let PeerMessage::Evacuations(sync) = &message {
+            evacuations().table.merge(&sync.table);
+        }
         if let PeerMessage::Digest(digest) = message {
             let mut table =
                 PeerTable::new(PeerTableParams::default(), address(1), 100, vec![address(2)]);
--- a/medlarlanding-core/tests/forwarding_decisions.rs
+++ b/medlarlanding-core/tests/forwarding_decisions.rs
@@ -5,9 +5,9 @@
 
 use medlarlanding_core::cases;
 use medlarlanding_core::forwarding::{
-    CustomerRecord, DirectoryChange, DrainParams, ForwardConfig, KeyCheck, MoveParams, MovePlan,
-    MoveStep, RequestKind, RequestLimits, RouteRule, RouteTarget, RunWeight, ServerDirectory,
-    ServerEntry, ServerPhase, ServicePolicy, can_finish,
+    ColdPolicy, CustomerRecord, DirectoryChange, DrainParams, ForwardConfig, KeyCheck, MoveParams,
+    MovePlan, MoveStep, RegionLimit, RequestKind, RequestLimits, RouteRule, RouteTarget, RunWeight,
+    ServerDirectory, ServerEntry, ServerPhase, ServicePolicy, can_finish,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -23,6 +23,7 @@
         kind: RequestKind::Safe,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
+        gap_objective: None,
         priority: 1,
         targets: vec![
             RouteTarget { service: Arc::from("a"), weight: 90 },
@@ -30,14 +31,21 @@
         ],
         max_servers: 1,
         is_public,
+        regions: RegionLimit::Any,
     }
 }
 
 fn config() -> ForwardConfig {
     let limits = RequestLimits { header_bytes: 1, body_bytes: 1, idle: Duration::ZERO };
-    let record = CustomerRecord { name: Arc::from("museum"), priority: Some(0) };
-    let policy =
-        ServicePolicy { name: Arc::from("a"), max_connections: 1, health_path: None, engine: None };
+    let record =
+        CustomerRecord { name: Arc::from("museum"), priority: Some(0), regions: RegionLimit::Any };
+    let policy = ServicePolicy {
+        name: Arc::from("a"),
+        max_connections: 1,
+        health_path: None,
+        engine: None,
+        cold: ColdPolicy::default(),
+    };
     let rules =
         vec![rule("short", "/a/", false), rule("long", "/a/b/", false), rule("open", "/o/", true)];
     let customers = Some(vec![(record, vec!["key".to_owned()])]);
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use medlarlanding_core::forwarding::{
-    BudgetParams, DirectoryChange, LoadReport, PeerDigest, PeerTable, PeerTableParams,
-    PlacementPolicy, PlacementRequest, RemoteLoad, RepeatBudget, RepeatPurpose, RunWeight,
-    ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
+    BudgetParams, DirectoryChange, LatencyClass, LoadReport, PeerDigest, PeerTable,
+    PeerTableParams, PlacementPolicy, PlacementRequest, RegionLimit, RemoteLoad, RepeatBudget,
+    RepeatPurpose, RunWeight, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
+    ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -37,9 +38,12 @@
         reaches_store: true,
         config_version: 3,
         servers_revision: 9,
+        evacuations: 0,
         peers: Vec::new(),
         granted: 0,
         loads: Vec::new(),
+        fleet: None,
+        zone: ZoneKey::UNKNOWN,
     }
 }
 
@@ -230,6 +234,7 @@
         tokens: 3_000,
         waiting_tokens: 3_000,
         growth: 400,
+        speed: None,
     }];
     table.receive(at(350), reported);
     assert_eq!(table.remote_load(at(350), 77).requests, 1.0);
@@ -276,10 +281,13 @@
         memory_tokens: Some(MEMORY),
         weight: RunWeight { prompt, output: 400 },
         excluded: &[],
+        regions: &RegionLimit::Any,
         zone: "z0",
         due,
         is_urgent: false,
         drain_limit: Duration::ZERO,
+        reserve: None,
+        latency: LatencyClass::Uniform,
     }
 }
 
--- a/medlarlanding-core/tests/forwarding_relays.rs
+++ b/medlarlanding-core/tests/forwarding_relays.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use medlarlanding_core::cases;
-use medlarlanding_core::forwarding::{PeerDigest, PeerTable, PeerTableParams, RelayParams};
+use medlarlanding_core::forwarding::{
+    PeerDigest, PeerTable, PeerTableParams, RelayGroup, RelayParams, ZoneKey,
+};
 use medlarlanding_core::time::Timestamp;
 
 fn at(millis: u64) -> Timestamp {
@@ -29,9 +31,12 @@
             reaches_store: true,
             config_version: 1,
             servers_revision: 1,
+            evacuations: 0,
             peers: silent.iter().map(|number| address(*number)).collect(),
             granted: 0,
             loads: Vec::new(),
+            fleet: None,
+            zone: ZoneKey::UNKNOWN,
         };
         if !silent.contains(&number) {
             table.receive(at(0), digest);
@@ -44,7 +49,9 @@
 /// that sends each change to the whole fleet.
 fn reaches_every_peer_once((count, silent, sends): (u16, &[u16], usize)) {
     let table = table(count, silent);
-    let groups = RelayParams::default().groups(at(10), &table);
+    let routes = RelayParams::default().routes(at(10), &table);
+    assert!(routes.iter().all(|route| route.groups.len() == 1), "zones are not known");
+    let groups: Vec<RelayGroup> = routes.into_iter().flat_map(|route| route.groups).collect();
     let reached: Vec<SocketAddr> = groups
         .iter()
         .flat_map(|group| group.relays.iter().chain(&group.members))
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -12,7 +12,8 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    DrainParams, EngineLimits, KeyCheck, RequestKind, RouteRule, RunWeight, can_finish,
+    DrainParams, EngineLimits, KeyCheck, LatencyClass, RegionLimit, RequestKind, RouteRule,
+    RunWeight, can_finish,
 };
 use medlarlanding_core::prompts::{BLOCK_TIME, PromptParts};
 use medlarlanding_core::time::Timestamp;
@@ -26,9 +27,12 @@
 
 /// All request bodies together may occupy the process's memory divided by this.
 const BODY_MEMORY_DIVISOR: u64 = 4;
-/// Retry delay sent to callers while no configuration is in force. The store is read immediately
-/// after a start and answers in milliseconds.
+/// Shortest retry delay sent to callers while no configuration is in force. The store is read
+/// immediately after a start and answers in milliseconds.
 const RETRY_NOT_CONFIGURED: Duration = Duration::from_millis(300);
+/// Longest retry delay sent to callers while no configuration is in force. Most of them still get an
+/// answer within their deadlines after it.
+const RETRY_NOT_CONFIGURED_MAX: Duration = Duration::from_millis(1500);
 /// Retry delay sent if no server accepts requests. A new server is known here as soon as it
 /// registers.
 const RETRY_NO_SERVER: Duration = Duration::from_millis(500);
@@ -61,8 +65,12 @@
     pub engine: Option<EngineLimits>,
     /// Name of the customer; `None` for an anonymous request.
     pub customer: Option<Arc<str>>,
+    /// Regions whose servers may get the request.
+    pub regions: RegionLimit,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// How the objective compares with those of other requests to the service.
+    pub latency: LatencyClass,
     /// Size of the generation.
     pub weight: RunWeight,
     /// Parts of the prompt; empty for requests that no engine runs.
@@ -139,16 +147,21 @@
 }
 
 /// Returns the delay after which the caller should retry; `None` for errors that a retry does not
-/// resolve and for requests that may have run. A request for a `service` all of whose servers want
-/// none for a while comes back after the shortest of these periods.
+/// resolve and for requests that may have run. An admitted request that all servers want none of for a
+/// while comes back after the shortest of these periods.
 pub fn retry_after(
     error: ErrorAnswer,
     state: &ForwardState,
-    service: Option<&str>,
+    admitted: Option<&AdmittedRequest>,
 ) -> Option<Duration> {
-    let hold = service.and_then(|service| state.shortest_hold(service)).unwrap_or_default();
+    let hold = admitted.and_then(|it| state.shortest_hold(&it.service, &it.regions));
+    let hold = hold.unwrap_or_default();
     let delay = match error {
-        ErrorAnswer::NotConfigured => RETRY_NOT_CONFIGURED,
+        // A store that has not answered for a while is likely to be away for about as long again, and a
+        // caller that is refused a second time is lost.
+        ErrorAnswer::NotConfigured => {
+            state.uptime().clamp(RETRY_NOT_CONFIGURED, RETRY_NOT_CONFIGURED_MAX)
+        },
         ErrorAnswer::NoServer => hold.max(RETRY_NO_SERVER),
         ErrorAnswer::ServersFull => hold.max(RETRY_FULL),
         ErrorAnswer::OutOfMemory => RETRY_FULL,
@@ -163,8 +176,12 @@
         | ErrorAnswer::LateSent
         | ErrorAnswer::AnswerLost => return None,
     };
-    // A random part of up to half the delay spreads the retries of callers refused at once.
-    Some(delay.mul_f64(1.0 + state.draw() / 2.0))
+    Some(spread_delay(delay, state))
+}
+
+/// Adds a random part of up to half a delay, which spreads the retries of callers refused at once.
+fn spread_delay(delay: Duration, state: &ForwardState) -> Duration {
+    delay.mul_f64(1.0 + state.draw() / 2.0)
 }
 
 /// Serves one request of a caller.
@@ -217,6 +234,8 @@
         KeyCheck::Unknown => return Err(ErrorAnswer::UnknownKey),
     };
     let rule = Arc::clone(rule);
+    let customer_regions = customer.as_ref().map(|record| &record.regions);
+    let regions = rule.regions.intersect(customer_regions.unwrap_or(&RegionLimit::Any));
     if state.check_prompt(&caller.parts).is_some() {
         return Err(ErrorAnswer::FatalPrompt);
     }
@@ -248,8 +267,10 @@
         uri: uri.parse().map_err(|_| ErrorAnswer::Malformed)?,
         headers: parts.headers,
         body,
+        latency: config.latency_class(&rule, &service),
         service,
         engine,
+        regions,
         priority: customer.as_ref().and_then(|record| record.priority).unwrap_or(rule.priority),
         customer: customer.map(|record| record.name),
         weight: caller.weight,
--- a/medlarlanding/src/forwarding/engine_probe.rs
+++ b/medlarlanding/src/forwarding/engine_probe.rs
@@ -10,7 +10,8 @@
 
 use super::engine_calls::{self, CallAnswer};
 use super::peer_link::PeerLink;
-use super::shared::{SharedState, start_hash};
+use super::servers::start_hash;
+use super::shared::SharedState;
 use crate::exchange::ExchangeFault;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -64,7 +65,7 @@
         for (key, address) in state.engines() {
             let (state, link) = (Rc::clone(&state), Rc::clone(&link));
             tokio::task::spawn_local(async move {
-                let answer = probe_engine(address).await;
+                let answer = probe_engine(&state, key, address).await;
                 apply_answer(&state, &link, key, &answer);
             });
         }
@@ -85,13 +86,14 @@
     }
 }
 
-async fn probe_engine(address: SocketAddr) -> ProbeAnswer {
+async fn probe_engine(state: &SharedState, key: ServerKey, address: SocketAddr) -> ProbeAnswer {
     let CallAnswer { status, headers, body } =
         match engine_calls::read_report(address, PROBE_TIMEOUT).await {
             Ok(answer) => answer,
             Err(ExchangeFault::NotConnected) => return ProbeAnswer::Unreachable,
             Err(_) => return ProbeAnswer::Unknown,
         };
+    state.note_cold_answer(key, &headers);
     if announces_leaving(&headers) {
         return ProbeAnswer::Leaves;
     }
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -3,6 +3,7 @@
 mod moving;
 mod start;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
 use super::server_liveness::BrokenAnswer;
+use super::server_pace::AnswerClock;
 use super::shared::SharedState;
 use super::stream_events::{EventSplitter, StreamEvent};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
@@ -24,6 +26,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     EndVerdict, EngineFault, RunStop, RunWeight, ServerEntry, ServerKey, ServerLiveness,
+    StreamSampler, TOKENS_PER_EVENT,
 };
 use medlarlanding_core::prompts::{RunPhase, SURVIVAL_TIME};
 use medlarlanding_core::time::Timestamp;
@@ -32,9 +35,6 @@
 use hyper::{Response, StatusCode};
 use tokio::sync::{mpsc, oneshot, watch};
 
-/// Number of tokens in one event: engines of current installations put four into each, and the
-/// configuration does not state it.
-const TOKENS_PER_EVENT: u64 = 4;
 /// Number of events that are buffered for a slow caller.
 const EVENT_BACKLOG: usize = 16;
 
@@ -81,8 +81,12 @@
     is_settled: bool,
     /// Whether a call has stopped the run at this engine.
     run_stop: RunStop,
+    /// Measures how fast the engine writes.
+    sampler: StreamSampler,
     _exchange: Exchange,
     load: LoadGuard,
+    /// Measures the answer; `None` for a run that was moved here, and without slow start.
+    clock: Option<AnswerClock>,
 }
 
 struct GenerationRun {
@@ -103,6 +107,8 @@
     longest_gap: Duration,
     /// Time from the request's arrival to its first event.
     first_event_after: Option<Duration>,
+    /// Time after which the caller should return, from the forecast at the refusal of the run.
+    return_delay: Cell<Option<Duration>>,
     /// Call that is to stop the run and has not yet copied its remainder.
     final_call: Option<MoveCall>,
     /// The end of the request was logged.
@@ -134,6 +140,7 @@
             last_event_at: now,
             longest_gap: Duration::ZERO,
             first_event_after: None,
+            return_delay: Cell::default(),
             final_call: None,
             is_finished: false,
         }
@@ -145,7 +152,15 @@
         let (stream, status, server_headers) = match self.start().await {
             Ok(started) => started,
             Err(StartFailure::Error(error)) => {
-                let delay = retry_after(error, &self.state, Some(&self.admitted.service));
+                let delay = match (error, self.return_delay.get()) {
+                    (ErrorAnswer::Overloaded, Some(delay)) => Some(delay),
+                    _ => retry_after(error, &self.state, Some(&self.admitted)),
+                };
+                if let (ErrorAnswer::Overloaded, Some(delay)) = (error, delay) {
+                    let labels = [self.admitted.latency.name()];
+                    let return_time = &self.state.telemetry.return_time;
+                    return_time.with_label_values(&labels).observe(delay.as_secs_f64());
+                }
                 let answer = error.to_answer(&self.admitted.id, delay);
                 self.finish(error.code(), answer.status().as_u16(), "");
                 // Sending fails if the caller has disconnected; it then needs no answer.
@@ -180,6 +195,8 @@
             let server = stream.entry.id.to_string();
             let outcome = match end {
                 StreamEnd::Complete => {
+                    let sample = stream.sampler.finish();
+                    self.state.record_stream_sample(stream.key, sample);
                     self.state.record_survival(stream.begun_at, &self.admitted.parts);
                     "complete"
                 },
@@ -320,6 +337,11 @@
             self.state.telemetry.event_gap.observe(gap.as_secs_f64());
             self.longest_gap = self.longest_gap.max(gap);
         }
+        let sample = stream.sampler.record_event(now);
+        self.state.record_stream_sample(stream.key, sample);
+        if let Some(clock) = &mut stream.clock {
+            clock.count_event(&self.state, &self.link);
+        }
         stream.load.answer_begun();
         stream.load.add_output(TOKENS_PER_EVENT);
         self.last_event_at = now;
@@ -331,6 +353,10 @@
         if event.id.is_some() {
             self.last_event = event.id;
         }
+        if sender.capacity() == 0 {
+            // The caller reads more slowly than the engine writes.
+            stream.sampler.interrupt();
+        }
         self.send_piece(sender, StreamPiece::Data(event.bytes)).await
     }
 
@@ -369,13 +395,14 @@
     }
 }
 
-/// Outcome of sending a request to an engine.
-type SentRequest = Result<(Response<Incoming>, Exchange), ExchangeFault>;
+/// Outcome of sending a request to an engine; `None` if the engine may no longer get it.
+type SentRequest = Result<Option<(Response<Incoming>, Exchange)>, ExchangeFault>;
 
 /// Returns the name of an outcome in logs: the status, or the name of the fault.
 fn outcome_name(sent: &SentRequest) -> String {
     match sent {
-        Ok((response, _)) => response.status().as_str().to_owned(),
+        Ok(Some((response, _))) => response.status().as_str().to_owned(),
+        Ok(None) => "withheld".to_owned(),
         Err(fault) => fault.name().to_owned(),
     }
 }
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -7,15 +7,17 @@
 use crate::answer_body::StreamPiece;
 use crate::exchange::{self, BodyFraming, ExchangeFault};
 use crate::forwarding::engine_calls::{MOVE_TIMEOUT, MoveAnswer, MoveCall, release_copy};
+use crate::forwarding::evacuations::SendPurpose;
 use crate::forwarding::load_guard::LoadGuard;
+use crate::forwarding::placing::Placement;
 use crate::forwarding::relay::server_request;
-use crate::forwarding::shared::{Placement, SharedState};
+use crate::forwarding::shared::SharedState;
 use crate::forwarding::stream_events::{EventSplitter, has_events};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, EngineFault, MovePlan, MoveStep, PlacePurpose, RunStop, ServerEntry, ServerKey,
-    ServerLiveness, StopOutcome,
+    EndVerdict, EngineFault, LatencyClass, MovePlan, MoveStep, PlacePurpose, RunStop, ServerEntry,
+    ServerKey, ServerLiveness, StopOutcome, StreamSampler,
 };
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{AnswerCheck, RunContinuation, check_answer};
@@ -115,6 +117,11 @@
             }
             if plan.is_none() {
                 plan = self.plan_move(stream);
+                if plan.is_some() {
+                    // Copies share the engine and its link with the events.
+                    let sample = stream.sampler.stop();
+                    self.state.record_stream_sample(stream.key, sample);
+                }
             }
             let mut wake_at = self.admitted.deadline;
             if let (Some(plan), None) = (&mut plan, &call) {
@@ -122,9 +129,17 @@
                     MoveStep::Copy | MoveStep::Finish if self.is_fatal() => {},
                     MoveStep::Stay => {},
                     MoveStep::Wait(until) => wake_at = wake_at.min(until),
+                    MoveStep::Finish if self.is_barred(destination) => {
+                        // The first copy went to a zone that has been evacuated since.
+                        refused.extend(destination.take().map(|target| target.key));
+                        plan.copy_lost();
+                        continue;
+                    },
                     MoveStep::Copy => {
                         call = self.begin_copy(stream, destination, &refused).await;
-                        plan.copy_begun();
+                        if call.is_some() || self.admitted.latency == LatencyClass::Uniform {
+                            plan.copy_begun();
+                        }
                         if call.is_none() {
                             self.record_move(stream, destination, "no_room");
                             plan.refused(now);
@@ -299,6 +314,12 @@
         Some(self.move_call(stream, address, false))
     }
 
+    /// Returns whether the engine with the copy no longer takes the run because its zone is evacuated.
+    fn is_barred(&self, destination: &Option<RunDestination>) -> bool {
+        let target = destination.as_ref();
+        target.is_some_and(|target| self.state.is_evacuated_for_long(target.key))
+    }
+
     fn move_call(&self, stream: &EngineStream, to: SocketAddr, is_final: bool) -> MoveCall {
         MoveCall::begin(stream.entry.address, &self.admitted.id, to, is_final)
     }
@@ -417,18 +438,25 @@
         for _ in 0..RESUME_LIMIT {
             let (key, entry) = &targets[next_target % targets.len()];
             next_target += 1;
+            self.state.wait_for_news().await;
             let now = self.state.now();
             let time_left = self.admitted.time_left(now);
             if time_left.is_zero() || self.is_fatal() {
                 return ResumeOutcome::Failed;
             }
-            let delay = self.state.send_delay(*key, self.admitted.arrived_at);
+            let delay =
+                self.state.resume_delay(*key, self.admitted.arrived_at, &self.admitted.regions);
             if delay > RESUME_DELAY_LIMIT.min(time_left) {
                 continue;
             }
             if !delay.is_zero() {
                 tokio::time::sleep(delay).await;
             }
+            let limit = RESUME_DELAY_LIMIT.min(time_left - delay);
+            let Some(waited) = self.link.await_cold_share(&self.state, *key, limit).await else {
+                continue;
+            };
+            let delay = (delay + waited).min(time_left);
             let (now, time_left) = (now + delay, time_left - delay);
             let load = LoadGuard::begin(&self.state, *key, self.run_weight());
             let request = server_request(
@@ -438,7 +466,8 @@
                 Some(self.admitted.priority),
                 Some(&continuation),
             );
-            let sending = exchange::send(entry.address, request, time_left);
+            let may_send = async || self.state.may_send(*key, SendPurpose::Resumed).await;
+            let sending = exchange::send_checked(entry.address, request, time_left, may_send);
             let fault = EngineFault::Unresponsive;
             let sent = self.report_silence(*key, RESUME_SILENCE, fault, sending).await;
             let outcome = outcome_name(&sent);
@@ -454,7 +483,8 @@
                 ],
             );
             match sent {
-                Ok((response, exchange)) => {
+                Ok(None) => continue,
+                Ok(Some((response, exchange))) => {
                     self.note_answer(*key, &response);
                     let framing = BodyFraming::of_response(&response);
                     let (parts, body) = response.into_parts();
@@ -474,6 +504,7 @@
                             has_events: has_events(&parts.headers),
                             begun_at: self.state.now(),
                             is_settled: false,
+                            sampler: StreamSampler::disabled(),
                             // A call without an answer may still reach the source.
                             run_stop: match run_stop {
                                 RunStop::Possible if *key == source_key => RunStop::Possible,
@@ -481,6 +512,7 @@
                             },
                             _exchange: exchange,
                             load,
+                            clock: None,
                         }));
                     }
                     if check != AnswerCheck::NotRun {
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -10,19 +10,23 @@
 use crate::exchange::{self, BodyFraming, ExchangeFault};
 use crate::forwarding::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use crate::forwarding::answer_end::EndingAnswer;
+use crate::forwarding::evacuations::SendPurpose;
 use crate::forwarding::load_guard::LoadGuard;
+use crate::forwarding::placing::Placement;
 use crate::forwarding::relay::server_request;
 use crate::forwarding::server_liveness::examine_unreachable;
-use crate::forwarding::shared::Placement;
+use crate::forwarding::server_pace::AnswerClock;
 use crate::forwarding::stream_events::has_events;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, EngineFault, PlacePurpose, PlacementRequest, RepeatPurpose, RunStop, ServerEntry,
-    ServerKey, WaitDecision, WaitLimit, WaitLimitParams,
+    EndVerdict, EngineFault, EngineQueue, LatencyClass, PlacePurpose, PlacementRequest,
+    RepeatPurpose, RunBacklog, RunStop, ServerEntry, ServerKey, StreamSampler, WaitDecision,
+    WaitLimit, WaitLimitParams,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::prompts::RunPhase;
+use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{AnswerCheck, check_answer, status_implies_not_run};
 
 use http_body_util::{BodyExt, Limited};
@@ -39,6 +43,9 @@
 /// Largest answer in bytes that an engine sends instead of a stream.
 const WHOLE_ANSWER_LIMIT: usize = 64 << 10;
 
+/// Reason in logs for a run that is refused because this process ends.
+const STOPPING: &str = "stopping";
+
 /// Why a run did not start.
 pub(super) enum StartFailure {
     Error(ErrorAnswer),
@@ -69,7 +76,10 @@
                 return Err(StartFailure::Error(ErrorAnswer::ServersFull));
             }
             tried.push(key);
+            let queue = self.state.queue_at(key);
+            self.log_choice(&entry, queue);
             let load = LoadGuard::begin(&self.state, key, self.admitted.weight);
+            let clock = AnswerClock::start(&self.state, key, &self.admitted);
             let request = server_request(
                 &self.admitted,
                 &entry.id,
@@ -78,7 +88,9 @@
                 None,
             );
             let silence = self.admitted.rule.objective * SILENCE_FACTOR;
-            let sending = exchange::send(entry.address, request, time_left);
+            let state = Rc::clone(&self.state);
+            let may_send = async move || state.may_send(key, SendPurpose::New).await;
+            let sending = exchange::send_checked(entry.address, request, time_left, may_send);
             let sending = self.report_silence(key, silence, EngineFault::Failed, sending);
             // Closing the connection keeps the engine from writing on a prompt that is blocked while
             // it waits there.
@@ -110,7 +122,13 @@
                 return Err(StartFailure::Error(ErrorAnswer::AnswerLost));
             };
             let (response, exchange) = match sent {
-                Ok(sent) => sent,
+                Ok(Some(sent)) => sent,
+                Ok(None) => {
+                    if tried.len() as u32 >= NOT_RUN_LIMIT {
+                        return Err(StartFailure::Error(ErrorAnswer::ServersFull));
+                    }
+                    continue;
+                },
                 Err(ExchangeFault::NotConnected) => {
                     self.record_failure(key, &entry, "not_connected");
                     let (state, link) = (Rc::clone(&self.state), Rc::clone(&self.link));
@@ -137,6 +155,7 @@
             let (parts, body) = response.into_parts();
             match check_answer(parts.status, &parts.headers, &self.admitted.id) {
                 AnswerCheck::NotRun => {
+                    self.state.note_engine_refusal(&self.link, key, now);
                     if tried.len() as u32 >= NOT_RUN_LIMIT {
                         return Err(StartFailure::Error(ErrorAnswer::ServersFull));
                     }
@@ -170,14 +189,42 @@
                 has_events: has_events(&parts.headers),
                 begun_at,
                 is_settled: false,
+                sampler: self.sampler(now, queue),
                 run_stop: RunStop::NotStopped,
                 _exchange: exchange,
                 load,
+                clock,
             };
             return Ok((stream, parts.status, parts.headers));
         }
     }
 
+    /// Creates the sampler for a run that was sent at `sent_at` to an engine with other work.
+    fn sampler(&self, sent_at: Timestamp, queue: EngineQueue) -> StreamSampler {
+        if self.state.compares_speeds() {
+            StreamSampler::new(sent_at, self.admitted.weight.prompt, queue)
+        } else {
+            StreamSampler::disabled()
+        }
+    }
+
+    /// Logs on which engine the run was placed, and why.
+    fn log_choice(&self, entry: &ServerEntry, queue: EngineQueue) {
+        if self.state.compares_speeds() {
+            event(
+                EventKind::EngineChosen,
+                &[
+                    &self.admitted.id,
+                    &entry.id,
+                    &queue.running,
+                    &queue.ahead,
+                    &queue.token_percent,
+                    &queue.first_percent,
+                ],
+            );
+        }
+    }
+
     /// Receives an answer that is not a stream. Returns `None` if it cannot be received completely.
     async fn read_whole_answer(
         &self,
@@ -236,34 +283,41 @@
         let arrived_at = self.admitted.arrived_at;
         let limit = WaitLimit::new(
             WaitLimitParams::default(),
+            self.admitted.latency,
             arrived_at,
             self.admitted.rule.objective,
             self.admitted.time_left(arrived_at),
             self.admitted.weight.prompt,
         );
         loop {
+            self.state.wait_for_news().await;
             if !self.admitted.fits_stop(&self.state) {
-                self.log_refusal("stopping", 0);
+                self.log_refusal(STOPPING, 0);
                 return Err(ErrorAnswer::Stopping);
             }
             let (purpose, due) = limit.purpose_and_due(self.state.now());
             match self.choose(purpose, tried, zone, due).await {
                 Placement::Server(key) => {
+                    self.record_wait("placed");
                     return self.entry_of(key).ok_or(ErrorAnswer::NoServer);
                 },
                 Placement::Nowhere if tried.is_empty() => return Err(ErrorAnswer::NoServer),
                 Placement::Nowhere => return Err(ErrorAnswer::ServersFull),
-                Placement::Full(ahead) => match limit.decide(self.state.now(), ahead) {
+                // `PeerLink::place` lets a run wait for the share of a cold engine.
+                Placement::Limited => return Err(ErrorAnswer::ServersFull),
+                Placement::Full(backlog) => match limit.decide(self.state.now(), backlog) {
                     WaitDecision::Wait => {
                         let pause = ASK_PERIOD.mul_f64(0.75 + self.state.draw() / 2.0);
                         tokio::time::sleep(pause).await;
                     },
                     WaitDecision::RefuseEarly => {
-                        self.log_refusal("others_first", ahead);
+                        self.log_refusal("others_first", backlog.ahead);
+                        self.record_refusal("others_first", &limit, backlog, due);
                         return Err(ErrorAnswer::Overloaded);
                     },
                     WaitDecision::RefuseLate => {
-                        self.log_refusal("waited", ahead);
+                        self.log_refusal("waited", backlog.ahead);
+                        self.record_refusal("waited", &limit, backlog, due);
                         return Err(ErrorAnswer::Overloaded);
                     },
                 },
@@ -271,7 +325,50 @@
         }
     }
 
+    /// Records the wait of the run since its arrival.
+    fn record_wait(&self, outcome: &str) {
+        let waited = self.state.now().since(self.admitted.arrived_at);
+        let labels = [self.admitted.latency.name(), outcome];
+        self.state.telemetry.run_wait.with_label_values(&labels).observe(waited.as_secs_f64());
+    }
+
+    /// Sets the time after which the caller of the refused run is asked to return, and records what the
+    /// refusal was decided from. `due` is the time until the first event was due.
+    fn record_refusal(
+        &self,
+        reason: &'static str,
+        limit: &WaitLimit,
+        backlog: RunBacklog,
+        due: Duration,
+    ) {
+        self.record_wait("refused");
+        let (now, draw) = (self.state.now(), self.state.draw());
+        let delay = limit.return_delay(now, backlog, draw);
+        self.return_delay.set(delay);
+        if self.admitted.latency != LatencyClass::Uniform {
+            let weight = self.admitted.weight;
+            event(
+                EventKind::WaitRefused,
+                &[
+                    &self.admitted.id,
+                    &self.admitted.customer.as_deref().unwrap_or_default(),
+                    &self.admitted.latency.name(),
+                    &reason,
+                    &backlog.ahead,
+                    &backlog.wait_ms,
+                    &due.as_millis(),
+                    &weight.prompt,
+                    &weight.output,
+                    &delay.unwrap_or_default().as_millis(),
+                ],
+            );
+        }
+    }
+
     fn log_refusal(&self, reason: &'static str, ahead: u16) {
+        if reason != STOPPING {
+            self.state.log_cold_refusal(&self.admitted.id, &self.admitted.service, &[]);
+        }
         let now = self.state.now();
         let coordinator =
             self.state.peers.borrow().coordinator(now).unwrap_or(self.state.settings.peers);
@@ -306,10 +403,13 @@
             memory_tokens: self.admitted.engine.map(|engine| engine.memory_tokens),
             weight: self.run_weight(),
             excluded: &excluded,
+            regions: &self.admitted.regions,
             zone,
             due: (purpose == PlacePurpose::Start).then_some(due),
             is_urgent: self.admitted.priority == 0,
             drain_limit: self.state.settings.drain_limit,
+            reserve: None,
+            latency: self.admitted.latency,
         };
         let run = stable_hash(self.admitted.id.as_bytes());
         self.link.place(&self.state, purpose, run, &self.admitted.service, &request).await
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -6,14 +6,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::peer_fetch::fetch_if_behind;
-use super::shared::{ForwardState, Placement, SharedState, start_hash};
+use super::placing::Placement;
+use super::servers::start_hash;
+use super::shared::{ForwardState, SharedState};
+use super::zone_link::send_zone_messages;
 use medlarlanding_core::forwarding::{
-    ChangeSource, DirectoryChange, EngineFault, LedgerSync, PeerDigest, PeerLag, PeerMessage,
-    PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlacementRequest, RelayGroup,
-    RelayParams, RelayedMessage, RepeatPurpose, RunKey, ServerChanges, ServerKey, SuspicionParams,
+    AnswerReport, ChangeSource, ColdQuestion, ColdReport, DirectoryChange, EngineFault, LedgerSync,
+    PeerDigest, PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict,
+    PlacementRequest, RelayParams, RelayRoute, RelayedMessage, RepeatPurpose, RunBacklog, RunKey,
+    ServerChanges, ServerKey, SuspicionParams, ZoneDuty, ZoneRelayedMessage,
 };
 use medlarlanding_core::prompts::LedgerNews;
+use medlarlanding_core::time::Timestamp;
 
 use indexmap::IndexMap;
 use tokio::net::UdpSocket;
@@ -24,6 +28,8 @@
 const DATAGRAM_LIMIT: usize = 4096;
 /// Time limit for the answer to a question; a packet takes about a millisecond each way.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Age of an answer after which it does not allow a request to a cold server.
+const LATE_ANSWER: Duration = Duration::from_millis(60);
 /// Most bytes of changes in one datagram.
 const CHANGES_LIMIT: usize = 1100;
 /// Most servers that a question excludes, so that it fits into a datagram. The answer may name another
@@ -31,6 +37,10 @@
 const EXCLUDED_LIMIT: usize = 200;
 /// Size in bytes of an encoded entry without its strings.
 const ENTRY_LENGTH: usize = 32;
+/// Size in bytes of an encoded cold time.
+const COLD_LENGTH: usize = 15;
+/// Pause before the coordinator is asked again for a share of a cold server.
+const COLD_PAUSE: Duration = Duration::from_millis(40);
 /// Interval at which the coordinator logs the load of the fleet.
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
 /// One in so many digests is followed by the fingerprint of the ledger.
@@ -51,32 +61,41 @@
         Self { socket, questions: RefCell::default(), next_question: Cell::new(1) }
     }
 
-    fn send(&self, state: &ForwardState, message: &PeerMessage, targets: &[SocketAddr]) {
+    pub(super) fn send(&self, state: &ForwardState, message: &PeerMessage, targets: &[SocketAddr]) {
         if let Some(bytes) = encode(message) {
             self.send_bytes(state, message.kind(), &bytes, targets);
         }
     }
 
     /// Sends a message to the relays of each group, which pass it on to the members.
-    fn send_to_groups(&self, state: &ForwardState, message: &PeerMessage, groups: &[RelayGroup]) {
+    pub(super) fn send_to_groups(
+        &self,
+        state: &ForwardState,
+        message: &PeerMessage,
+        routes: &[RelayRoute],
+    ) {
         let Some(bytes) = encode(message) else { return };
-        for group in groups {
-            if group.relays.is_empty() {
-                self.send_bytes(state, message.kind(), &bytes, &group.members);
-                continue;
+        for (targets, relayed) in routes.iter().flat_map(|route| route.sends(&bytes)) {
+            match relayed {
+                Some(relayed) => self.send(state, &relayed, &targets),
+                None => self.send_bytes(state, message.kind(), &bytes, &targets),
             }
-            let relayed = RelayedMessage { targets: group.members.clone(), message: bytes.clone() };
-            self.send(state, &PeerMessage::Relayed(relayed), &group.relays);
         }
     }
 
     /// Passes a message on. Returns the message if it may be relayed.
-    fn relay(&self, state: &ForwardState, relayed: &RelayedMessage) -> Option<PeerMessage> {
-        let message =
-            postcard::from_bytes(&relayed.message).ok().filter(PeerMessage::may_be_relayed);
-        match message {
-            Some(_) => self.send_bytes(state, "passed_on", &relayed.message, &relayed.targets),
-            None => state.telemetry.dropped_datagrams.inc(),
+    fn relay(&self, state: &ForwardState, relayed: ZoneRelayedMessage) -> Option<PeerMessage> {
+        let bytes = relayed.message.clone();
+        let message = postcard::from_bytes(&bytes).ok().filter(PeerMessage::may_be_relayed);
+        if message.is_none() {
+            state.telemetry.dropped_datagrams.inc();
+            return None;
+        }
+        for (targets, relayed) in relayed.sends() {
+            match relayed {
+                Some(relayed) => self.send(state, &relayed, &targets),
+                None => self.send_bytes(state, "passed_on", &bytes, &targets),
+            }
         }
         message
     }
@@ -90,7 +109,8 @@
     ) {
         let sent = bytes.len() * targets.len();
         state.telemetry.control_bytes.with_label_values(&[kind, "sent"]).inc_by(sent as u64);
-        for target in targets {
+        state.count_zone_bytes(kind, bytes.len(), targets);
+        for target in targets.iter().filter(|target| !state.peer_cut.drops(target)) {
             // An unsent datagram has the same effect as a lost one; later digests make up for it.
             if self.socket.try_send_to(bytes, *target).is_err() {
                 state.telemetry.unsent_datagrams.inc();
@@ -109,8 +129,9 @@
         revision: u64,
         changed: Vec<(Arc<str>, u64)>,
     ) {
-        let groups = relay_groups(state);
-        let mut pending = ServerChanges { after, revision: after, changes: Vec::new() };
+        let routes = relay_routes(state);
+        let mut pending =
+            ServerChanges { after, revision: after, changes: Vec::new(), cold: Vec::new() };
         let mut size = 0;
         for (id, changed_at) in changed {
             let Some(change) = state.entries.borrow().change(&id) else { continue };
@@ -122,17 +143,20 @@
             };
             if size > 0 && size + length > CHANGES_LIMIT {
                 let after = pending.revision;
-                let next = ServerChanges { after, revision: after, changes: Vec::new() };
+                let next =
+                    ServerChanges { after, revision: after, changes: Vec::new(), cold: Vec::new() };
                 let full = std::mem::replace(&mut pending, next);
-                self.send_to_groups(state, &PeerMessage::Servers(full), &groups);
+                self.send_to_groups(state, &PeerMessage::Servers(full), &routes);
                 size = 0;
             }
-            size += length;
+            let cold = state.cold_report_of(&id);
+            size += length + if cold.is_some() { COLD_LENGTH } else { 0 };
+            pending.cold.extend(cold);
             pending.revision = pending.revision.max(changed_at);
             pending.changes.push(change);
         }
         pending.revision = pending.revision.max(revision);
-        self.send_to_groups(state, &PeerMessage::Servers(pending), &groups);
+        self.send_to_groups(state, &PeerMessage::Servers(pending), &routes);
     }
 
     /// Reports that a server said itself that it is leaving: to the coordinator, which tells all peers.
@@ -150,7 +174,70 @@
 
     /// Reports to all peers which servers are leaving. `servers` are the hashes of their starts.
     pub fn send_leaving(&self, state: &ForwardState, servers: Vec<u64>) {
-        self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_groups(state));
+        self.send_to_groups(state, &PeerMessage::Leaving(servers), &relay_routes(state));
+    }
+
+    /// Passes on what servers said themselves of their cold times: to the coordinator, or as the
+    /// coordinator to all peers.
+    fn send_cold_reports(&self, state: &ForwardState, reports: Vec<ColdReport>) {
+        if reports.is_empty() {
+            return;
+        }
+        let message = PeerMessage::Cold(reports);
+        match state.peers.borrow().coordinator(state.now()) {
+            Some(coordinator) => self.send(state, &message, &[coordinator]),
+            None => self.send_to_groups(state, &message, &relay_routes(state)),
+        }
+    }
+
+    /// Waits until a run may be resumed at a server, which takes time only if the server is cold, and
+    /// counts the request. Returns the time waited; `None` if the server may not get the request within
+    /// `limit`.
+    pub async fn await_cold_share(
+        &self,
+        state: &ForwardState,
+        key: ServerKey,
+        limit: Duration,
+    ) -> Option<Duration> {
+        if state.try_record_send(key) {
+            return Some(Duration::ZERO);
+        }
+        let started = state.now();
+        loop {
+            if self.ask_cold_share(state, key).await || state.try_record_send(key) {
+                return Some(state.now().since(started));
+            }
+            if state.now().since(started) + COLD_PAUSE >= limit {
+                return None;
+            }
+            tokio::time::sleep(COLD_PAUSE).await;
+        }
+    }
+
+    /// Asks the coordinator to count a request to a cold server towards its own share.
+    async fn ask_cold_share(&self, state: &ForwardState, key: ServerKey) -> bool {
+        let coordinator = state.peers.borrow().coordinator(state.now());
+        let server = state.directory.borrow().get(key).map(|record| start_hash(&record.entry));
+        let (Some(coordinator), Some(server)) = (coordinator, server) else { return false };
+        let (number, answer) = self.expect_answer();
+        let question = PeerMessage::ColdQuestion(ColdQuestion { number, server });
+        self.send(state, &question, &[coordinator]);
+        let asked_at = state.now();
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        self.questions.borrow_mut().swap_remove(&number);
+        // A process that was paused meanwhile takes an answer that is too old.
+        let is_late = state.now().since(asked_at) > LATE_ANSWER;
+        matches!(answer, Ok(Ok(answer)) if answer.verdict == PlaceVerdict::Server(server))
+            && !is_late
+    }
+
+    /// Returns the number of a new question and the channel on which its answer arrives.
+    fn expect_answer(&self) -> (u64, oneshot::Receiver<PlaceAnswer>) {
+        let number = self.next_question.get();
+        self.next_question.set(number + 1);
+        let (sender, answer) = oneshot::channel();
+        self.questions.borrow_mut().insert(number, sender);
+        (number, answer)
     }
 
     /// Avoids an engine that has ended, here and at the coordinator.
@@ -177,6 +264,24 @@
         }
     }
 
+    /// Tells all peers as the coordinator which plain servers are not of average speed.
+    fn send_paces(&self, state: &ForwardState) {
+        let paces = state.paces();
+        if !paces.is_empty() {
+            self.send_to_groups(state, &PeerMessage::Speeds(paces), &relay_routes(state));
+        }
+    }
+
+    /// Reports to the coordinator how an engine in slow start answers.
+    pub fn report_answer(&self, state: &ForwardState, report: AnswerReport) {
+        match state.peers.borrow().coordinator(state.now()) {
+            Some(coordinator) => {
+                self.send(state, &PeerMessage::Answered(report), &[coordinator]);
+            },
+            None => state.take_answer_report(&report),
+        }
+    }
+
     /// Sends new entries of the ledger to the coordinator, or as the coordinator to all peers.
     fn send_ledger_news(&self, state: &ForwardState, news: LedgerNews) {
         let coordinator = state.peers.borrow().coordinator(state.now());
@@ -184,7 +289,7 @@
             let message = PeerMessage::LedgerNews(part);
             match coordinator {
                 Some(coordinator) => self.send(state, &message, &[coordinator]),
-                None => self.send_to_groups(state, &message, &relay_groups(state)),
+                None => self.send_to_groups(state, &message, &relay_routes(state)),
             }
         }
     }
@@ -218,12 +323,13 @@
         let coordinator = state.peers.borrow().coordinator(state.now());
         let Some(coordinator) = coordinator else {
             let key = RunKey { instance: state.settings.peers, run };
-            return state.place_as_coordinator(purpose, key, service, request);
+            return match state.place_as_coordinator(purpose, key, service, request) {
+                // The share of the coordinator includes its own.
+                Placement::Limited => Placement::Full(RunBacklog::default()),
+                placement => placement,
+            };
         };
-        let number = self.next_question.get();
-        self.next_question.set(number + 1);
-        let (sender, answer) = oneshot::channel();
-        self.questions.borrow_mut().insert(number, sender);
+        let (number, answer) = self.expect_answer();
         let question = PlaceQuestion {
             number,
             run,
@@ -233,6 +339,7 @@
             output: request.weight.output,
             due_ms: request.due.map_or(0, |due| due.as_millis().min(u32::MAX.into()) as u32),
             priority: u8::from(!request.is_urgent),
+            latency: request.latency,
             excluded: request
                 .excluded
                 .iter()
@@ -240,28 +347,42 @@
                 .take(EXCLUDED_LIMIT)
                 .collect(),
             zone: request.zone.to_owned(),
+            regions: request.regions.clone(),
         };
         self.send(state, &PeerMessage::Question(question), &[coordinator]);
+        let asked_at = state.now();
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
         self.questions.borrow_mut().swap_remove(&number);
         match answer {
             Ok(Ok(answer)) => {
-                state.granted.set(state.granted.get().max(answer.grant));
+                state.placing.granted.set(state.placing.granted.get().max(answer.grant));
                 match answer.verdict {
-                    PlaceVerdict::Server(hash) => match state.find_server(hash) {
-                        Some(key)
-                            if !request.excluded.contains(&key)
-                                && state.send_delay(key, state.now()).is_zero() =>
-                        {
-                            Placement::Server(key)
-                        },
-                        // This instance and the coordinator know different servers at the moment.
-                        Some(_) | None => state.place(purpose, request),
+                    PlaceVerdict::Server(hash) | PlaceVerdict::Ramping(hash) => {
+                        match state.find_server(hash) {
+                            Some(key)
+                                if !request.excluded.contains(&key)
+                                    && state
+                                        .send_delay(key, state.now(), request.regions)
+                                        .is_zero()
+                                    && !is_outdated(state, key, asked_at) =>
+                            {
+                                if let Some(queue) = answer.queue {
+                                    state.note_queue(key, queue);
+                                }
+                                if let PlaceVerdict::Ramping(_) = answer.verdict {
+                                    state.report_answers_of(key);
+                                }
+                                Placement::Server(key)
+                            },
+                            // This instance and the coordinator know different servers at the moment.
+                            Some(_) | None => state.place_alone(purpose, request),
+                        }
                     },
-                    PlaceVerdict::Full(ahead) => Placement::Full(ahead),
+                    PlaceVerdict::Full(backlog) => Placement::Full(backlog),
+                    PlaceVerdict::Limited => state.place_cold(purpose, request),
                     PlaceVerdict::Nowhere => match purpose {
                         PlacePurpose::Start | PlacePurpose::StartLate => {
-                            state.place(purpose, request)
+                            state.place_alone(purpose, request)
                         },
                         // The coordinator found no engine with room, or the budget for moves is
                         // used up.
@@ -273,26 +394,33 @@
                 state.telemetry.lost_questions.inc();
                 let may_move =
                     purpose != PlacePurpose::Move || state.try_repeat(service, RepeatPurpose::Move);
-                if may_move { state.place(purpose, request) } else { Placement::Nowhere }
+                if may_move { state.place_alone(purpose, request) } else { Placement::Nowhere }
             },
         }
     }
 }
 
+/// Returns whether a server is cold and the coordinator's answer that names it is so old that the request
+/// would count towards another second. That happens only to a process that was paused.
+fn is_outdated(state: &ForwardState, key: ServerKey, asked_at: Timestamp) -> bool {
+    let (now, directory) = (state.now(), state.directory.borrow());
+    now.since(asked_at) > LATE_ANSWER
+        && directory.get(key).is_some_and(|record| record.cold().is_cold(now))
+}
+
 fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
     postcard::to_stdvec(message)
         .inspect_err(|error| log::warn!("cannot encode a datagram: {error}"))
         .ok()
 }
 
-fn relay_groups(state: &ForwardState) -> Vec<RelayGroup> {
-    RelayParams::default().groups(state.now(), &state.peers.borrow())
+pub(super) fn relay_routes(state: &ForwardState) -> Vec<RelayRoute> {
+    RelayParams::default().routes(state.now(), &state.peers.borrow())
 }
 
 /// Sends digests periodically, and without delay after `digest_wanted` is notified.
 pub async fn send_digests(link: Rc<PeerLink>, state: SharedState) -> anyhow::Result<()> {
     let mut sequence = 0u64;
-    let mut lag = PeerLag::default();
     let mut coordinator = None;
     let mut logged_at = state.now();
     loop {
@@ -301,15 +429,23 @@
         let current = state.peers.borrow().coordinator(now);
         if current != coordinator {
             // Each coordinator numbers its own grants.
-            state.granted.set(0);
+            state.placing.granted.set(0);
+            // Only the coordinator keeps room; a value from before would stay.
+            state.telemetry.kept_engines.reset();
             coordinator = current;
         }
+        state.peer_cut.update();
+        state.update_cold_shares();
+        link.send_cold_reports(&state, state.take_cold_reports());
+        if state.update_speeds() && current.is_none() {
+            link.send_paces(&state);
+        }
         send_digest(&link, &state, sequence);
         if current.is_none() && now.since(logged_at) >= LOAD_PERIOD {
             logged_at = now;
             state.log_fleet_load();
+            state.report_kept_room();
         }
-        fetch_if_behind(&state, &mut lag);
         let wanted = async {
             tokio::time::sleep(DIGEST_PAUSE).await;
             state.digest_wanted.notified().await;
@@ -352,15 +488,21 @@
         reaches_store: state.reaches_store.get(),
         config_version: state.config_version(),
         servers_revision: state.entries.borrow().changed_revision(),
+        evacuations: state.evacuation_fingerprint(),
         peers: state.peers.borrow().sample(now, sequence),
-        granted: state.granted.get(),
+        granted: state.placing.granted.get(),
         loads: Vec::new(),
+        fleet: state.fleet_note(),
+        zone: state.peers.borrow().own_zone(),
     };
+    send_zone_messages(link, state, &digest);
+    let route = state.zone.planner.borrow_mut().route(sequence, digest.config_version, &targets);
     let addresses = |with_loads: bool| -> Vec<SocketAddr> {
-        let selected = targets.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
+        let selected = route.direct.iter().filter(|(_, gets_loads)| *gets_loads == with_loads);
         selected.map(|(address, _)| *address).collect()
     };
     link.send(state, &PeerMessage::Digest(digest.clone()), &addresses(false));
+    link.send(state, &PeerMessage::ZoneDigest(digest.clone()), &route.relays);
     digest.loads = state.own_loads();
     link.send(state, &PeerMessage::Digest(digest), &addresses(true));
     if sequence.is_multiple_of(LEDGER_STATE_PERIOD) {
@@ -375,7 +517,10 @@
         // The socket reports errors for datagrams sent earlier to a peer that does not listen; they
         // need no handling.
         let Ok((length, source)) = link.socket.recv_from(&mut buffer).await else { continue };
-        match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
+        if state.peer_cut.drops(&source) {
+            continue;
+        }
+        match PeerMessage::decode(&buffer[..length]) {
             Ok(message) => {
                 let received = &state.telemetry.control_bytes;
                 let labels = [message.kind(), "received"];
@@ -387,23 +532,54 @@
     }
 }
 
+fn receive_digest(link: &PeerLink, state: &SharedState, digest: PeerDigest) {
+    let sender = digest.sender;
+    let has_started = state.peers.borrow().boot(sender) != Some(digest.boot);
+    let has_newer_config = digest.config_version > state.config_version();
+    let evacuations = digest.evacuations;
+    let loads = digest.loads.clone();
+    if state.peers.borrow_mut().receive(state.now(), digest) {
+        link.compare_evacuations(state, sender, evacuations);
+        state.merge_speed_reports(&loads);
+    }
+    if has_started && state.ledger_fingerprint().is_some() {
+        // The sender takes requests as soon as it knows the servers.
+        link.send_ledger(state, sender, false);
+    }
+    if state.entries.borrow().revision() == 0 {
+        // The sender may have the list of servers, which is then fetched without delay.
+        state.digest_wanted.notify_one();
+        state.zone.fetch_wanted.notify_one();
+    } else if has_newer_config && state.zone_duty() != ZoneDuty::Unassigned {
+        state.zone.fetch_wanted.notify_one();
+    }
+}
+
 fn handle_message(link: &PeerLink, state: &SharedState, source: SocketAddr, message: PeerMessage) {
     match message {
-        PeerMessage::Digest(digest) if digest.sender != source => {
+        PeerMessage::Digest(digest) | PeerMessage::ZoneDigest(digest)
+            if digest.sender != source =>
+        {
             state.telemetry.dropped_datagrams.inc();
         },
-        PeerMessage::Digest(digest) => {
-            let has_started = state.peers.borrow().boot(source) != Some(digest.boot);
-            state.peers.borrow_mut().receive(state.now(), digest);
-            if has_started && state.ledger_fingerprint().is_some() {
-                // The sender takes requests as soon as it knows the servers.
-                link.send_ledger(state, source, false);
-            }
-            if state.entries.borrow().revision() == 0 {
-                // The sender may have the list of servers, which is then fetched without delay.
-                state.digest_wanted.notify_one();
+        PeerMessage::Digest(digest) => receive_digest(link, state, digest),
+        PeerMessage::ZoneDigest(digest) => {
+            let receivers = state.digest_receivers(source);
+            link.send(state, &PeerMessage::PassedDigest(digest.clone()), &receivers);
+            receive_digest(link, state, digest);
+        },
+        PeerMessage::PassedDigest(digest) => {
+            let peers = state.peers.borrow();
+            let is_foreign = peers.zone(source).is_apart(peers.own_zone());
+            drop(peers);
+            if is_foreign {
+                // Relays pass on within their zone only.
+                state.telemetry.dropped_datagrams.inc();
+            } else {
+                receive_digest(link, state, digest);
             }
         },
+        PeerMessage::ZonePlan(plan) => state.receive_plan(link, source, plan),
         PeerMessage::Servers(changes) => {
             let known = state.entries.borrow().revision();
             // Older changes are known already. After a gap, the peers' digests cause a fetch.
@@ -413,6 +589,7 @@
             for change in changes.changes {
                 state.change_server(change, changes.revision, ChangeSource::Peer);
             }
+            state.apply_cold_reports(&changes.cold, Some(changes.revision));
             state.entries.borrow_mut().advance_with_changes(changes.revision);
         },
         PeerMessage::Leaving(servers) => {
@@ -426,6 +603,7 @@
         },
         PeerMessage::Fault(engine) => state.record_fault(engine, EngineFault::Failed),
         PeerMessage::Ended(engine) => state.record_fault(engine, EngineFault::Ended),
+        PeerMessage::Answered(report) => state.take_answer_report(&report),
         PeerMessage::Unresponsive(engine) => state.record_fault(engine, EngineFault::Unresponsive),
         PeerMessage::LedgerNews(news) => state.merge_ledger(source, news),
         PeerMessage::LedgerState(fingerprint) => {
@@ -442,12 +620,36 @@
                 link.send_ledger(state, source, false);
             }
         },
+        PeerMessage::Evacuations(sync) => link.receive_evacuations(state, source, &sync),
+        PeerMessage::Speeds(paces) => state.note_paces(&paces),
         PeerMessage::Question(question) => {
             let answer = state.answer_question(source, &question);
             link.send(state, &PeerMessage::Answer(answer), &[source]);
         },
+        PeerMessage::Cold(reports) => {
+            let news = state.apply_cold_reports(&reports, None);
+            if state.peers.borrow().coordinator(state.now()).is_none() {
+                link.send_cold_reports(state, news);
+            }
+        },
+        PeerMessage::ColdQuestion(question) => {
+            let key = state.find_start(question.server);
+            let verdict = match key.filter(|key| state.try_record_send(*key)) {
+                Some(_) => PlaceVerdict::Server(question.server),
+                None => PlaceVerdict::Limited,
+            };
+            let answer = PlaceAnswer { number: question.number, verdict, grant: 0, queue: None };
+            link.send(state, &PeerMessage::Answer(answer), &[source]);
+        },
         PeerMessage::Relayed(relayed) => {
-            if let Some(message) = link.relay(state, &relayed) {
+            let RelayedMessage { targets, message } = relayed;
+            let relayed = ZoneRelayedMessage { targets, onward: Vec::new(), message };
+            if let Some(message) = link.relay(state, relayed) {
+                handle_message(link, state, source, message);
+            }
+        },
+        PeerMessage::ZoneRelayed(relayed) => {
+            if let Some(message) = link.relay(state, relayed) {
                 handle_message(link, state, source, message);
             }
         },
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -7,18 +7,23 @@
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::answer_end::EndingAnswer;
+use super::evacuations::SendPurpose;
+use super::hedging::{self, RequestTarget, ServerResult};
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
+use super::placing::Placement;
 use super::server_liveness::BrokenAnswer;
-use super::shared::{Placement, SharedState};
+use super::server_pace::answer_kind;
+use super::shared::SharedState;
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
 use crate::exchange::{self, BodyFraming, Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EndVerdict, PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, RunStop, ServerKey,
-    ServerLiveness,
+    EndVerdict, LatencyClass, PlacePurpose, PlacementRequest, RepeatPurpose, RequestKind, RunStop,
+    ServerKey, ServerLiveness,
 };
+use medlarlanding_core::pacing::{AnswerPart, AnswerSample};
 use medlarlanding_core::prompts::RunPhase;
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::{
@@ -47,10 +52,10 @@
 const SAFE_TIME_FACTOR: u32 = 3;
 
 /// Outcome of sending a request to one server.
-enum SendOutcome {
+pub(super) enum SendOutcome {
     /// The server sent a complete answer, or the beginning of a long one.
     Answered(StatusCode, HeaderMap, AnswerBody),
-    /// The server did not run the request and never will.
+    /// The server did not run the request and never will, or was not sent it.
     NotRun,
     /// No connection was established, so nothing was sent.
     NotConnected,
@@ -65,7 +70,17 @@
 }
 
 impl SendOutcome {
-    fn name(&self) -> &'static str {
+    /// Returns whether a server answered without an error of its own.
+    pub(super) fn is_success(&self) -> bool {
+        matches!(self, Self::Answered(status, ..) if !status.is_server_error())
+    }
+
+    /// Returns whether the outcome decides the request although another server may still answer.
+    pub(super) fn is_final(&self) -> bool {
+        self.is_success() || matches!(self, Self::Blocked | Self::Stopping)
+    }
+
+    pub(super) fn name(&self) -> &'static str {
         match self {
             Self::Answered(..) => "answered",
             Self::NotRun => "not_run",
@@ -118,6 +133,7 @@
     let mut last_server = String::new();
     state.record_request(&admitted.service);
     let (outcome, answer) = loop {
+        state.wait_for_news().await;
         let now = state.now();
         let time_left = admitted.time_left(now);
         if time_left < SEND_TIME_MIN {
@@ -131,20 +147,9 @@
             break fallback_or_error(fallback, error);
         }
         let excluded = state.with_held(&admitted.service, &tried);
-        let placed = state.place(
-            PlacePurpose::Start,
-            &PlacementRequest {
-                service: &admitted.service,
-                memory_tokens: None,
-                weight: admitted.weight,
-                excluded: &excluded,
-                zone: &state.settings.zone,
-                due: None,
-                is_urgent: admitted.priority == 0,
-                drain_limit: state.settings.drain_limit,
-            },
-        );
+        let placed = state.place(PlacePurpose::Start, &plain_request(state, &admitted, &excluded));
         let Placement::Server(key) = placed else {
+            state.log_cold_refusal(&admitted.id, &admitted.service, &excluded);
             let error = match (run_count, not_run_count) {
                 (0, 0) => ErrorAnswer::NoServer,
                 (0, _) => ErrorAnswer::ServersFull,
@@ -168,21 +173,20 @@
         } else {
             time_left
         };
-        let (server, outcome) =
-            send_to_server(state, &link, &admitted, key, time_left, limit).await;
-        event(
-            EventKind::RequestSent,
-            &[
-                &admitted.id,
-                &admitted.rule.name,
-                &server,
-                &tried.len(),
-                &(time_left.as_millis()),
-                &outcome.name(),
-                &(state.now().since(now).as_millis()),
-                &admitted.config_version,
-            ],
-        );
+        let target = RequestTarget { key, time_left, limit };
+        let may_hedge = is_safe && run_count + 2 <= admitted.rule.max_servers;
+        let sent = hedging::send(state, &link, &admitted, target, &mut tried, may_hedge).await;
+        run_count += u32::from(sent.is_abandoned);
+        match sent.failure.map(|failure| failure.outcome) {
+            Some(SendOutcome::Answered(status, server_headers, body)) => {
+                run_count += 1;
+                fallback = Some((status, server_headers, body));
+            },
+            Some(SendOutcome::NotRun | SendOutcome::NotConnected) => not_run_count += 1,
+            Some(_) => run_count += 1,
+            None => {},
+        }
+        let ServerResult { key, server, outcome } = sent.last;
         last_server = server;
         match outcome {
             SendOutcome::Answered(status, server_headers, body) => {
@@ -228,7 +232,7 @@
     let answer = match answer {
         Answer::Server(answer) => answer,
         Answer::Error(error) => {
-            error.to_answer(&admitted.id, retry_after(error, state, Some(&admitted.service)))
+            error.to_answer(&admitted.id, retry_after(error, state, Some(&admitted)))
         },
     };
     record.finish(outcome, answer.status().as_u16(), &last_server);
@@ -321,7 +325,28 @@
     }
 }
 
-async fn send_to_server(
+/// Describes a request to a plain service for the choice of a server.
+pub(super) fn plain_request<'a>(
+    state: &'a SharedState,
+    admitted: &'a AdmittedRequest,
+    excluded: &'a [ServerKey],
+) -> PlacementRequest<'a> {
+    PlacementRequest {
+        service: &admitted.service,
+        memory_tokens: None,
+        weight: admitted.weight,
+        excluded,
+        regions: &admitted.regions,
+        zone: &state.settings.zone,
+        due: None,
+        is_urgent: admitted.priority == 0,
+        drain_limit: state.settings.drain_limit,
+        latency: LatencyClass::Uniform,
+        reserve: None,
+    }
+}
+
+pub(super) async fn send_to_server(
     state: &SharedState,
     link: &Rc<PeerLink>,
     admitted: &AdmittedRequest,
@@ -331,12 +356,16 @@
 ) -> (String, SendOutcome) {
     let target = state.directory.borrow().get(key).map(|record| record.entry.clone());
     let Some(entry) = target else { return (String::new(), SendOutcome::NotConnected) };
+    state.record_send(key);
     let load = LoadGuard::begin(state, key, admitted.weight);
+    let open = state.directory.borrow().get(key).map_or(1, |record| record.open_requests);
     let request = server_request(admitted, &entry.id, time_left, None, None);
     let started = state.now();
     let answering = async {
-        match exchange::send(entry.address, request, limit).await {
-            Ok((response, exchange)) => {
+        let may_send = async || state.may_send(key, SendPurpose::New).await;
+        match exchange::send_checked(entry.address, request, limit, may_send).await {
+            Ok(None) => SendOutcome::NotRun,
+            Ok(Some((response, exchange))) => {
                 if state.note_answer(key, &admitted.id, response.status(), response.headers()) {
                     link.report_leaving(state, key);
                 }
@@ -378,6 +407,11 @@
         () = state.wait_for_block(&admitted.parts) => SendOutcome::Blocked,
         () = state.stop_within(Duration::ZERO) => SendOutcome::Stopping,
     };
+    if let SendOutcome::Answered(status, _, AnswerBody::Whole(_)) = &outcome
+        && status.is_success()
+    {
+        state.record_answer_time(key, &admitted.rule, state.now().since(started), open);
+    }
     let mut directory = state.directory.borrow_mut();
     match &outcome {
         SendOutcome::Answered(status, ..) if !status.is_server_error() => {
@@ -394,6 +428,21 @@
             }
         },
     }
+    drop(directory);
+    match &outcome {
+        SendOutcome::Answered(status, ..) if !status.is_server_error() => {
+            let time = state.now().since(started);
+            let (kind, part) = (answer_kind(&admitted.rule), AnswerPart::First);
+            let sample = AnswerSample { kind, part, sent_at: started, time };
+            state.note_answer_time(link, &admitted.service, key, &sample);
+        },
+        SendOutcome::Answered(..)
+        | SendOutcome::NotRun
+        | SendOutcome::NotConnected
+        | SendOutcome::Lost(_)
+        | SendOutcome::Incomplete(_) => state.note_pace_failure(key),
+        SendOutcome::Blocked | SendOutcome::Stopping => {},
+    }
     (entry.id.to_string(), outcome)
 }
 
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -1,22 +1,22 @@
 //! Starts the forwarding role, applies changed settings, and stops the role on SIGTERM.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::engine_probe;
-use super::listener;
 use super::log_output::LogWriter;
-use super::peer_fetch;
+use super::peer_cut::PeerCut;
 use super::peer_link::{self, PeerLink};
 use super::shared::{ForwardState, SharedState};
 use super::store_watch::{self, WatchedPart};
 use super::telemetry::Telemetry;
+use super::{engine_probe, evacuations, listener, peer_fetch};
 use crate::clock::wall_millis;
 use crate::listener::bind;
 use crate::logging::{self, event};
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{PeerTable, PeerTableParams};
+use medlarlanding_core::forwarding::{PeerTable, PeerTableParams, ZoneKey};
 use medlarlanding_platform::settings::PlatformSettings;
 
 use anyhow::Context;
@@ -44,10 +44,12 @@
 const LOG_FLUSH: Duration = Duration::from_millis(30);
 
 /// Command-line options of the role.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct RoleOptions {
     /// Port of the metrics endpoint on the address for peers; 0 disables the endpoint.
     pub metrics_port: u16,
+    /// File with addresses of peers whose messages are dropped, for drills.
+    pub drill_cut: Option<PathBuf>,
 }
 
 /// Runs the role until it is stopped.
@@ -87,9 +89,13 @@
     let grace = settings.stop_grace;
     let strength = machine_strength(&settings);
     let seeds = settings.seeds.clone();
-    let peers = PeerTable::new(PeerTableParams::default(), settings.peers, strength, seeds);
+    let peers = PeerTable::new(PeerTableParams::default(), settings.peers, strength, seeds)
+        .in_zone(ZoneKey::of(&settings.zone));
     let (ledger_sender, ledger_news) = mpsc::unbounded_channel();
-    let state = Rc::new(ForwardState::new(settings, boot, Telemetry::new()?, peers, ledger_sender));
+    let state = Rc::new(
+        ForwardState::new(settings, boot, Telemetry::new()?, peers, ledger_sender)
+            .with_cut(PeerCut::new(options.drill_cut)),
+    );
     let link = Rc::new(PeerLink::new(digests));
     let (stop, stopping) = watch::channel(false);
     let tasks = RoleTasks::new();
@@ -105,6 +111,7 @@
         tasks.spawn("metrics", listener::serve_metrics(metrics, Rc::clone(&state)));
     }
     tasks.spawn("digests", peer_link::send_digests(Rc::clone(&link), Rc::clone(&state)));
+    tasks.spawn("following", peer_fetch::follow_peers(Rc::clone(&state)));
     tasks.spawn("datagrams", peer_link::read_datagrams(Rc::clone(&link), Rc::clone(&state)));
     tasks.spawn(
         "ledger",
@@ -120,6 +127,7 @@
         store_watch::run(Rc::clone(&state), Rc::clone(&link), WatchedPart::Servers),
     );
     tasks.spawn("probes", engine_probe::run(Rc::clone(&state), Rc::clone(&link)));
+    tasks.spawn("pauses", evacuations::watch_pauses(Rc::clone(&link), Rc::clone(&state)));
     tasks.spawn("settings", watch_settings(Rc::clone(&state)));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut failures = tasks.failures;
@@ -186,11 +194,12 @@
     event(EventKind::DrainFinished, &[&started.elapsed().as_millis()]);
 }
 
-/// Applies changed seeds from the settings file, on SIGHUP and periodically.
+/// Applies changed seeds and regions of zones from the settings file, on SIGHUP and periodically.
 async fn watch_settings(state: SharedState) -> anyhow::Result<()> {
     let mut reload = signal(SignalKind::hangup())?;
     let path = PlatformSettings::path();
     let mut seeds = state.settings.seeds.clone();
+    let mut zone_regions = state.settings.zone_regions.clone();
     loop {
         let is_signalled = tokio::select! {
             _ = reload.recv() => true,
@@ -201,9 +210,15 @@
                 if is_signalled || settings.seeds != seeds {
                     event(EventKind::SettingsRead, &[&settings.seeds.len()]);
                 }
+                state.apply_cold_settings(&settings);
                 if settings.seeds != seeds {
                     state.peers.borrow_mut().set_seeds(settings.seeds.clone());
-                    seeds = settings.seeds;
+                    seeds = settings.seeds.clone();
+                }
+                if settings.zone_regions != zone_regions {
+                    let regions = evacuations::zone_regions(&settings);
+                    state.directory.borrow_mut().set_zone_regions(regions);
+                    zone_regions = settings.zone_regions;
                 }
             },
             Err(error) => event(EventKind::SettingsRefused, &[&format!("{error:#}")]),
