Split reports about servers, the record of a request and the access of servers into files of their own

Speeds of plain servers in messages are PlainSpeed, because pacing has a ServerPace. Behaviour is unchanged.

--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -60,7 +60,7 @@
         /// Digest of a hub from a relay.
         PassedDigest(PeerDigest),
         /// Plain servers that are not of average speed now: from the coordinator to all others.
-        Speeds(Vec<ServerPace>),
+        Speeds(Vec<PlainSpeed>),
         /// How an engine in slow start answers; sent to the coordinator.
         Answered(AnswerReport),
     }
@@ -122,7 +122,7 @@
 
 value_type! { copy
     /// Speed of a plain server.
-    pub struct ServerPace {
+    pub struct PlainSpeed {
         /// Hash of the server's id.
         pub server: u64,
         /// Part of the hash of the server's start, as in `SpeedReport`.
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -29,6 +29,7 @@
 mod regions;
 mod relays;
 mod room_reserve;
+mod server_access;
 mod server_speed;
 mod speed_samples;
 mod suspicion;
@@ -58,8 +59,7 @@
 pub use config_delta::{ConfigDelta, ConfigHistory};
 pub use config_parts::{ConfigParts, StatedCustomer, StatedRoute};
 pub use directory::{
-    DirectoryChange, ServerAccess, ServerDirectory, ServerEntry, ServerKey, ServerPhase,
-    ServerRecord,
+    DirectoryChange, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
 };
 pub use drain::{DrainParams, can_finish};
 pub use entries::{EntryDelta, EntryLog};
@@ -67,8 +67,8 @@
 pub use load::{LatencyClass, LoadReport, RemoteLoad, RunWeight};
 pub use messages::{
     AnswerOutcome, AnswerReport, ColdQuestion, EvacuationSync, LedgerSync, OnwardGroup,
-    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, RelayedMessage,
-    RunBacklog, ServerChanges, ServerPace, SyncPurpose, ZoneRelayedMessage,
+    PeerMessage, PlaceAnswer, PlacePurpose, PlaceQuestion, PlaceVerdict, PlainSpeed,
+    RelayedMessage, RunBacklog, ServerChanges, SyncPurpose, ZoneRelayedMessage,
 };
 pub use moves::{MoveParams, MovePlan, MoveStep, RunStop, StopOutcome};
 pub use pause_gate::{PauseGate, PauseParams};
@@ -81,6 +81,7 @@
 pub use regions::{RegionKey, RegionLimit, ZoneRegions};
 pub use relays::{RelayGroup, RelayParams, RelayRoute};
 pub use room_reserve::{CriticalDemand, ReserveParams, RoomReserve};
+pub use server_access::ServerAccess;
 pub use server_speed::{
     SampleSource, SpeedChange, SpeedParams, SpeedRatios, SpeedTable, SpeedTarget,
 };
--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -12,11 +12,12 @@
 use std::cmp::Ordering;
 use std::time::Duration;
 
-use super::directory::{ServerAccess, ServerDirectory, ServerKey, ServerRecord};
+use super::directory::{ServerDirectory, ServerKey, ServerRecord};
 use super::drain::DrainParams;
 use super::load::{LatencyClass, RemoteLoad, RunWeight};
 use super::regions::RegionLimit;
 use super::room_reserve::RoomReserve;
+use super::server_access::ServerAccess;
 use super::server_speed::SpeedRatios;
 use super::speed_samples::TOKENS_PER_EVENT;
 use crate::time::Timestamp;
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -8,7 +8,7 @@
 use medlarlanding_core::forwarding::{
     AnswerOutcome, AnswerReport, ColdQuestion, ColdReport, DirectoryChange, EvacuationSync,
     EvacuationTable, FleetNote, LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams,
-    RelayedMessage, ServerChanges, ServerEntry, ServerPace, ServerPhase, SpeedReport, SpeedSums,
+    PlainSpeed, RelayedMessage, ServerChanges, ServerEntry, ServerPhase, SpeedReport, SpeedSums,
     SyncPurpose, ZoneEntry, ZoneEntryState, ZoneKey,
 };
 use medlarlanding_core::pacing::AnswerPart;
@@ -84,7 +84,7 @@
         PeerMessage::Evacuations(evacuations()),
         PeerMessage::Cold(vec![COLD]),
         PeerMessage::ColdQuestion(ColdQuestion { number: 4, server: 7 }),
-        PeerMessage::Speeds(vec![ServerPace { server: 7, start: 9, percent: 500 }]),
+        PeerMessage::Speeds(vec![PlainSpeed { server: 7, start: 9, percent: 500 }]),
         PeerMessage::Answered(AnswerReport {
             server: 7,
             age_ms: 250,
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -12,6 +12,7 @@
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
 use super::placing::Placement;
+use super::request_record::RequestRecord;
 use super::server_liveness::BrokenAnswer;
 use super::server_pace::answer_kind;
 use super::shared::SharedState;
@@ -123,7 +124,7 @@
     admitted: AdmittedRequest,
 ) -> CallerAnswer {
     let is_safe = admitted.rule.kind.is_repeatable();
-    let mut record = RequestRecord { state, admitted: &admitted, is_finished: false };
+    let mut record = RequestRecord::new(state, &admitted);
     let mut tried: Vec<ServerKey> = Vec::new();
     // Number of servers on which the request may have run.
     let mut run_count = 0;
@@ -270,48 +271,6 @@
     if run_count == 0 { ErrorAnswer::ServersFull } else { ErrorAnswer::AnswerLost }
 }
 
-/// Logs the end of a request, including one whose caller disconnects before the answer.
-struct RequestRecord<'a> {
-    state: &'a SharedState,
-    admitted: &'a AdmittedRequest,
-    is_finished: bool,
-}
-
-impl RequestRecord<'_> {
-    fn finish(&mut self, outcome: &str, status: u16, server: &str) {
-        self.is_finished = true;
-        let elapsed = self.state.now().since(self.admitted.arrived_at);
-        let kind = match self.admitted.rule.kind {
-            RequestKind::Safe => "safe",
-            RequestKind::Unsafe => "unsafe",
-            RequestKind::Stream => "stream",
-        };
-        self.state.telemetry.first_answer.observe(elapsed.as_secs_f64());
-        self.state.telemetry.requests.with_label_values(&[kind, outcome]).inc();
-        event(
-            EventKind::RequestFinished,
-            &[
-                &self.admitted.id,
-                &self.admitted.rule.name,
-                &kind,
-                &outcome,
-                &status,
-                &server,
-                &elapsed.as_millis(),
-            ],
-        );
-    }
-}
-
-impl Drop for RequestRecord<'_> {
-    fn drop(&mut self) {
-        // The future is dropped when the caller's connection closes.
-        if !self.is_finished {
-            self.finish("caller_gone", 0, "");
-        }
-    }
-}
-
 /// Returns a server's earlier answer if there is one, or else the error.
 fn fallback_or_error(
     fallback: Option<(StatusCode, HeaderMap, AnswerBody)>,
--- a/medlarlanding/src/forwarding/speeds.rs
+++ b/medlarlanding/src/forwarding/speeds.rs
@@ -14,8 +14,8 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    EngineQueue, FIRST_EVENT_WEIGHT, ForwardConfig, LoadReport, RouteRule, SampleSource,
-    ServerEntry, ServerKey, ServerPace, ServerRecord, SpeedChange, SpeedRatios, SpeedSums,
+    EngineQueue, FIRST_EVENT_WEIGHT, ForwardConfig, LoadReport, PlainSpeed, RouteRule,
+    SampleSource, ServerEntry, ServerKey, ServerRecord, SpeedChange, SpeedRatios, SpeedSums,
     SpeedTable, SpeedTarget, StreamSample,
 };
 use medlarlanding_core::time::Timestamp;
@@ -152,7 +152,7 @@
     }
 
     /// Records the speeds of plain servers that the coordinator told.
-    pub fn note_paces(&self, paces: &[ServerPace]) {
+    pub fn note_paces(&self, paces: &[PlainSpeed]) {
         if !self.compares_speeds() {
             return;
         }
@@ -172,11 +172,11 @@
 
     /// Returns the plain servers that are not of average speed by the samples of all instances, which
     /// this instance has while it is the coordinator.
-    pub fn paces(&self) -> Vec<ServerPace> {
+    pub fn paces(&self) -> Vec<PlainSpeed> {
         let (directory, table) = (self.directory.borrow(), self.speeds.table.borrow());
         let paces = table.iter().filter_map(|(key, ratios)| {
             let record = directory.get(key).filter(|record| !self.is_engine(record))?;
-            (ratios.first != 1.0).then(|| ServerPace {
+            (ratios.first != 1.0).then(|| PlainSpeed {
                 server: server_hash(&record.entry.id),
                 start: start_mark(&record.entry),
                 percent: percent(ratios.first),
