--- a/medlarlanding/src/forwarding/cold_limit.rs
+++ b/medlarlanding/src/forwarding/cold_limit.rs
@@ -68,14 +68,14 @@
     pub fn apply_cold_settings(&self, settings: &PlatformSettings) {
         let (mut params, default) = (self.cold.params.get(), ColdLimitParams::default());
         let values = [
-            ("coldOvershoot", &settings.cold_overshoot, &mut params.overshoot, default.overshoot),
-            ("coldSlack", &settings.cold_slack, &mut params.slack, default.slack),
+            (&settings.cold_overshoot, &mut params.overshoot, default.overshoot),
+            (&settings.cold_slack, &mut params.slack, default.slack),
         ];
-        for (name, stated, param, default) in values {
+        for (stated, param, default) in values {
             match stated {
                 Ok(value) => *param = value.unwrap_or(default),
                 Err(reason) => {
-                    let reason = format!("{name}: {reason}; {param} stays in effect");
+                    let reason = format!("{reason}; {param} stays in effect");
                     if self.cold.is_first(reason.clone()) {
                         event(EventKind::SettingsRefused, &[&reason]);
                     }
--- a/medlarlanding/src/forwarding/evacuations.rs
+++ b/medlarlanding/src/forwarding/evacuations.rs
@@ -22,11 +22,11 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
-/// A run that is being moved may still be resumed in a zone for `evacuateMs` divided by this after this
-/// instance has learned of the evacuation. The copy of a run takes about a second, and 3 s are left for
-/// the news to arrive.
+/// A run that is being moved may still be resumed in a zone for the limit of evacuations divided by this
+/// after this instance has learned of the evacuation. The copy of a run takes about a second, and 3 s are
+/// left for the news to arrive.
 const RESUME_DIVISOR: u32 = 4;
-/// `evacuateMs` where the settings do not state it.
+/// Limit of evacuations where the settings do not state it.
 const DEFAULT_LIMIT: Duration = Duration::from_secs(5);
 /// Interval at which a request that may not be sent yet checks again.
 const GATE_PERIOD: Duration = Duration::from_millis(10);
