Apply the limit of cold servers to draining fallbacks

A draining server is chosen while no other server of its service accepts requests. The fallback now leaves out servers whose share is used up.

draining_fallback_keeps_the_limit_of_a_cold_server failed before the change.

--- a/medlarlanding-core/src/forwarding/placement.rs
+++ b/medlarlanding-core/src/forwarding/placement.rs
@@ -157,7 +157,8 @@
     }
 
     /// Iterates over the draining servers that may get a new request because no other server of the
-    /// service may. A run must be expected to end before the server does.
+    /// service may, without the cold ones for which this instance's share of the rate limit is used up. A
+    /// run must be expected to end before the server does.
     fn draining_fallbacks(
         &self,
         now: Timestamp,
@@ -175,6 +176,7 @@
                 && &*record.entry.service == service
                 && !excluded.contains(key)
                 && record.access_for(now, regions) == ServerAccess::Leaving
+                && !record.cold().is_used_up(now)
                 && record.is_draining_within(now, limit)
                 && record.leaving_since.is_some_and(|at| now.since(at) + duration < drain_limit)
         })
--- a/medlarlanding-core/src/forwarding/wait_limit.rs
+++ b/medlarlanding-core/src/forwarding/wait_limit.rs
@@ -34,8 +34,8 @@
     /// Shortest time after which the caller of a refused run is asked to return. A run that finds room
     /// sooner waits instead, and a caller that returns within the same burst is refused again.
     pub return_min: Duration,
-    /// Longest such time before it is spread, and that where more runs arrive than are placed. Bursts last 3 to 10 s on the
-    /// measured installations.
+    /// Longest such time before it is spread, and that where more runs arrive than are placed. Bursts
+    /// last 3 to 10 s on the measured installations.
     pub return_max: Duration,
     /// Part of a return time by which it is lengthened at random, so that callers which are refused at
     /// once do not return at once.
--- a/medlarlanding-core/tests/forwarding_cold_share.rs
+++ b/medlarlanding-core/tests/forwarding_cold_share.rs
@@ -641,6 +641,26 @@
     late_reader_of_a_server_that_is_cold_again => (1_000, &[(900, 1_000, true), (4_000, 1_000, true)]),
 }
 
+/// Chooses a server for a request to a plain service.
+fn place(directory: &ServerDirectory, millis: u64, excluded: &[ServerKey]) -> Option<ServerKey> {
+    let request = PlacementRequest {
+        service: "s",
+        memory_tokens: None,
+        weight: RunWeight::default(),
+        excluded,
+        zone: "z",
+        due: None,
+        is_urgent: false,
+        drain_limit: Duration::from_secs(2),
+        reserve: None,
+        latency: LatencyClass::Uniform,
+        regions: &RegionLimit::Any,
+    };
+    let policy = PlacementPolicy::default();
+    let remote = |_: &ServerRecord| RemoteLoad::default();
+    policy.choose(at(millis), directory, &request, remote, || 0.5).map(|choice| choice.key)
+}
+
 /// Guards against requests to a server whose share is used up, against a cold server that is passed over
 /// before, and against one reason that hides another that lasts longer.
 #[test]
@@ -648,24 +668,6 @@
     let mut instance = Instance::new(0, 0, 1, 2);
     let [cold, other] = instance.keys[..] else { unreachable!("two servers") };
     let directory = &mut instance.directory;
-    let place = |directory: &ServerDirectory, millis: u64, excluded: &[ServerKey]| {
-        let request = PlacementRequest {
-            service: "s",
-            memory_tokens: None,
-            weight: RunWeight::default(),
-            excluded,
-            zone: "z",
-            due: None,
-            is_urgent: false,
-            drain_limit: Duration::from_secs(2),
-            reserve: None,
-            latency: LatencyClass::Uniform,
-            regions: &RegionLimit::Any,
-        };
-        let policy = PlacementPolicy::default();
-        let remote = |_: &ServerRecord| RemoteLoad::default();
-        policy.choose(at(millis), directory, &request, remote, || 0.5).map(|choice| choice.key)
-    };
     let access = |directory: &ServerDirectory, millis: u64| {
         directory.get(cold).expect("a server").access(at(millis))
     };
@@ -702,6 +704,20 @@
     assert_eq!(directory.get(next).expect("a server").access(at(1_117)), ServerAccess::Open);
 }
 
+/// Guards against a draining server that is cold and gets requests beyond its limit because no other
+/// server accepts any.
+#[test]
+fn draining_fallback_keeps_the_limit_of_a_cold_server() {
+    let mut instance = Instance::new(0, 0, 1, 1);
+    let (server, directory) = (instance.keys[0], &mut instance.directory);
+    directory.extend_cold(at(0), server, Duration::from_secs(3), Duration::ZERO);
+    directory.set_cold_shares(|_| Some(ColdShare { direct: 1, coordinated: 0 }));
+    directory.mark_leaving(at(0), server);
+    assert_eq!(place(directory, 10, &[]), Some(server));
+    directory.record_send(at(10), server);
+    assert_eq!(place(directory, 20, &[]), None);
+}
+
 /// Guards against notes that grow beyond what a digest has room for.
 #[test]
 fn fleet_note_is_short() {
