Keep the cold time in entries that the soak's stand-in writes again

The stand-in wrote the entry of a cold server without its cold time when it turned draining or ready, and a shorter one when the server turned cold again. An instance that started afterwards could not know that the server was cold, and the soak reported its requests. Entries now state the rest of the cold time. The check itself is unchanged.

--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -12,12 +12,13 @@
 mod store;
 mod zones;
 
+use std::collections::HashMap;
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use self::zones::EvacuationLog;
@@ -92,6 +93,8 @@
     /// Links from the instances to the store.
     store_links: Vec<LinkSwitch>,
     version: u64,
+    /// Until when servers are cold. Their entries state the rest whenever they are written.
+    cold_until: Mutex<HashMap<String, Instant>>,
 }
 
 const CALLER_PORT: u16 = 18_740;
@@ -135,6 +138,7 @@
             evacuations: EvacuationLog::default(),
             store_links: Vec::new(),
             version: 0,
+            cold_until: Mutex::default(),
         };
         for index in 0..params.plain_servers {
             running.add_server("orders", index)?;
@@ -290,7 +294,10 @@
     }
 
     fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
-        self.put_entry(id, service, address, state, Duration::ZERO);
+        let cold_until = self.cold_until.lock().unwrap_or_else(PoisonError::into_inner);
+        let until = cold_until.get(id);
+        let cold = until.map_or(Duration::ZERO, |it| it.saturating_duration_since(Instant::now()));
+        self.put_entry(id, service, address, state, cold);
     }
 
     fn put_entry(&self, id: &str, service: &str, address: SocketAddr, state: &str, cold: Duration) {
@@ -304,6 +311,8 @@
     /// Writes the entry of a ready server that stays cold for `remaining`.
     pub fn mark_server_cold(&self, id: &str, remaining: Duration) {
         let (service, address) = self.link_of(id);
+        let mut cold_until = self.cold_until.lock().unwrap_or_else(PoisonError::into_inner);
+        cold_until.insert(id.to_owned(), Instant::now() + remaining);
         self.put_entry(id, service, address, "ready", remaining);
     }
 
--- a/medlarlanding-bench/src/soak/cold_servers.rs
+++ b/medlarlanding-bench/src/soak/cold_servers.rs
@@ -84,8 +84,12 @@
             candidates = (0..site.links().len()).collect();
         }
         let server = candidates[self.random.random_range(0..candidates.len())];
-        let remaining = Duration::from_millis(self.random.random_range(COLD_MS));
+        let drawn = Duration::from_millis(self.random.random_range(COLD_MS));
         let from = Instant::now();
+        // A cold time does not end early because the server turns cold again.
+        let earlier = self.periods.iter().filter(|period| period.server == server);
+        let left = earlier.map(|period| period.until.saturating_duration_since(from)).max();
+        let remaining = drawn.max(left.unwrap_or_default());
         site.mark_server_cold(servers[server], remaining);
         self.periods.push(ColdPeriod { server, from, until: from + remaining });
     }
