--- a/medlarlanding-core/src/forwarding/room_reserve.rs
+++ b/medlarlanding-core/src/forwarding/room_reserve.rs
@@ -1,9 +1,10 @@
 //! Keeps room on engines for latency-critical runs while others compete for it.
 //!
 //! Load pattern: long latency-tolerant runs fill the memory of all engines, and short urgent ones keep
-//! arriving. Room appears only as long runs end, some twenty times a second over all engines, and an
-//! latency-critical run that has to wait for it misses its objective. Latency-tolerant runs may therefore take
-//! room only while enough engines can still begin an latency-critical run of usual size in time.
+//! arriving. Room appears only as long runs end, some twenty times a second over all engines, and a
+//! latency-critical run that has to wait for it misses its objective. Latency-tolerant runs may
+//! therefore take room only while enough engines can still begin a latency-critical run of usual size
+//! in time.
 
 use std::time::Duration;
 
@@ -13,10 +14,10 @@
 /// Parameters of the reserve.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReserveParams {
-    /// Time in which room that an latency-critical run has taken is replaced by the end of another run. Room for
-    /// the latency-critical runs of this time is kept.
+    /// Time in which room that a latency-critical run has taken is replaced by the end of another run.
+    /// Room for the latency-critical runs of this time is kept.
     pub refill_time: Duration,
-    /// Fewest engines with room for an latency-critical run that are kept while any arrive.
+    /// Fewest engines with room for a latency-critical run that are kept while any arrive.
     pub engines_min: usize,
     /// Time over which the rate of arrivals is measured, and after which it has fallen to a third once
     /// none arrive.
@@ -51,7 +52,7 @@
 pub struct RoomReserve {
     /// Size of the latency-critical run for which the room is kept.
     pub weight: RunWeight,
-    /// Time until the first event of an latency-critical run is due.
+    /// Time until the first event of a latency-critical run is due.
     pub due: Duration,
     /// Engines that must be able to begin such a run in time.
     pub engines: usize,
@@ -74,7 +75,7 @@
 }
 
 impl CriticalDemand {
-    /// Records the arrival of an latency-critical run whose first event is due after `due`.
+    /// Records the arrival of a latency-critical run whose first event is due after `due`.
     pub fn record(&mut self, now: Timestamp, weight: RunWeight, due: Duration) {
         self.arrivals = self.arrivals_at(now) + 1.0;
         self.updated_at = now;
