--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -35,6 +35,7 @@
     let has_trouble = trouble != "0";
     let run: fn(&Path, bool) -> Result<Verdict, AnyError> = match case.as_str() {
         "crashes" => crashes::run,
+        "slow_reader" => slow_reader::run,
         _ => {
             eprintln!("unknown case {case}");
             std::process::exit(2);
@@ -178,6 +179,15 @@
 }
 
 impl Store {
+    fn start() -> io::Result<(Arc<Self>, SocketAddr)> {
+        let store = Arc::new(Self::default());
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let serving = Arc::clone(&store);
+        thread::spawn(move || serving.serve(listener));
+        Ok((store, address))
+    }
+
     fn put(&self, key: &str, value: Option<String>) {
         let mut items = self.items.lock().unwrap();
         items.revision += 1;
@@ -301,6 +311,24 @@
     }
 }
 
+/// Returns a configuration with one stream route to the service `huvo11a`.
+fn stream_config(prefix: &str, timeout_ms: u64, goal_ms: u64) -> String {
+    format!(
+        "{{\"version\":7,\"routes\":[{{\"name\":\"r-px5pa2y\",\"host\":\"{HOST}\",\
+         \"prefix\":\"{prefix}\",\"routeType\":\"stream\",\"timeoutMs\":{timeout_ms},\
+         \"goalMs\":{goal_ms},\"priority\":0,\"service\":\"huvo11a\",\"maxAttempts\":1,\
+         \"public\":false,\"sticky\":true,\"resumable\":false,\"gapGoalMs\":180}}],\
+         \"services\":[{{\"name\":\"huvo11a\",\"healthPath\":\"/healthz\",\
+         \"maxConnections\":362,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":48,\
+         \"kvCapacity\":34462,\"kvBytes\":18432,\"linkMbps\":2700.0,\"moves\":true,\
+         \"backups\":true,\"stride\":4,\"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\
+         \"handleS\":5.0,\"models\":[{{\"name\":\"m\"}}]}}}}],\"limits\":{{\
+         \"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
+         \"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"huka270\",\
+         \"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}"
+    )
+}
+
 // Engines ---------------------------------------------------------------------------------------
 
 /// How an engine works.
@@ -314,6 +342,8 @@
     /// Time between events.
     step: Duration,
     events: u32,
+    /// Bytes of data in an event beside its id.
+    event_bytes: usize,
     /// Part of prompts on which the engine crashes when it begins to write.
     fatal_part: Option<&'static str>,
     /// Time from a crash to the next start.
@@ -330,6 +360,8 @@
     boot: Mutex<Arc<EngineBoot>>,
     /// Crashes because of the fatal part.
     fatal_crashes: Arc<AtomicU64>,
+    /// Requests whose answers were written to the end.
+    finished: Mutex<Vec<String>>,
 }
 
 /// One start of an engine.
@@ -373,6 +405,7 @@
             record: Arc::clone(record),
             boot: Mutex::new(EngineBoot::new(name, 1)),
             fatal_crashes: Arc::clone(fatal_crashes),
+            finished: Mutex::default(),
         });
         let running = Arc::clone(&engine);
         thread::spawn(move || running.run(listener));
@@ -514,7 +547,8 @@
             boot.id
         );
         let chunk = |number: u32| {
-            let event = format!("id: {number}\ndata: {request} {number}\n\n");
+            let padding = ".".repeat(self.params.event_bytes);
+            let event = format!("id: {number}\ndata: {request} {number} {padding}\n\n");
             format!("{:x}\r\n{event}\r\n", event.len())
         };
         text += &chunk(1);
@@ -532,7 +566,10 @@
             wait(self.params.step)?;
             writer.write_all(chunk(number).as_bytes())?;
         }
-        writer.write_all(b"0\r\n\r\n")
+        writer.write_all(b"0\r\n\r\n")?;
+        self.record.add(&format!("server {} has written all of {request}", boot.id));
+        self.finished.lock().unwrap().push(request);
+        Ok(())
     }
 }
 
@@ -871,26 +908,8 @@
 
     pub fn run(directory: &Path, has_trouble: bool) -> Result<Verdict, AnyError> {
         let record = Record::new();
-        let store = Arc::new(Store::default());
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let store_address = listener.local_addr()?;
-        thread::spawn({
-            let store = Arc::clone(&store);
-            move || store.serve(listener)
-        });
-        let config = format!(
-            "{{\"version\":7,\"routes\":[{{\"name\":\"r-px5pa2y\",\"host\":\"{HOST}\",\
-             \"prefix\":\"/lohu930/\",\"routeType\":\"stream\",\"timeoutMs\":6000,\"goalMs\":1500,\
-             \"priority\":0,\"service\":\"huvo11a\",\"maxAttempts\":1,\"public\":false,\
-             \"sticky\":true,\"resumable\":false,\"gapGoalMs\":180}}],\"services\":[{{\
-             \"name\":\"huvo11a\",\"healthPath\":\"/healthz\",\"maxConnections\":362,\
-             \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":48,\"kvCapacity\":34462,\
-             \"kvBytes\":18432,\"linkMbps\":2700.0,\"moves\":true,\"backups\":true,\"stride\":4,\
-             \"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handleS\":5.0,\
-             \"models\":[{{\"name\":\"m\"}}]}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\
-             \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
-             \"tenants\":[{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}"
-        );
+        let (store, store_address) = Store::start()?;
+        let config = stream_config("/lohu930/", 6000, 1500);
         store.put("op/config", Some(config));
         let fatal_crashes = Arc::new(AtomicU64::new(0));
         let engines: Vec<Arc<Engine>> = (0..ENGINES)
@@ -902,6 +921,7 @@
                     prefill: Duration::from_millis(60),
                     step: Duration::from_millis(40),
                     events: 8,
+                    event_bytes: 0,
                     fatal_part: has_trouble.then_some(FATAL_PART),
                     down: Duration::from_millis(4500),
                 };
@@ -1027,3 +1047,238 @@
         Ok(Verdict { is_broken, text })
     }
 }
+
+/// Case 7: a requester that pauses its reading loses its answer while the machine is stopped as planned.
+mod slow_reader {
+    use super::*;
+    use std::ffi::c_void;
+    use std::os::fd::FromRawFd;
+
+    const ZONES: [&str; 3] = ["houston-a", "galveston-b", "freeport-c"];
+    const REQUESTERS: usize = 12;
+    /// Events of a stream, the mean of the site's `customs-narrative`.
+    const EVENTS: u32 = 232;
+    /// Receive buffer of a requester in bytes.
+    const WINDOW: i32 = 16 << 10;
+    /// Time after the request at which the machine gets SIGTERM.
+    const TERM_AT: Duration = Duration::from_millis(400);
+    /// Time after the request at which the requester stops reading, and that at which it goes on.
+    const PAUSE_FROM: Duration = Duration::from_millis(600);
+    const PAUSE: Duration = Duration::from_millis(4200);
+
+    extern "C" {
+        fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const c_void, length: u32) -> i32;
+        fn connect(socket: i32, address: *const c_void, length: u32) -> i32;
+        fn kill(process: i32, signal: i32) -> i32;
+    }
+
+    const SIGTERM: i32 = 15;
+
+    /// Connects with a small receive buffer and segments of the usual size, as over a network; the
+    /// standard library can set neither before it connects.
+    fn connect_small(address: SocketAddr) -> io::Result<TcpStream> {
+        const AF_INET: i32 = 2;
+        const SOCK_STREAM_CLOEXEC: i32 = 1 | 0o2000000;
+        const SOL_SOCKET: i32 = 1;
+        const SO_RCVBUF: i32 = 8;
+        const IPPROTO_TCP: i32 = 6;
+        const TCP_MAXSEG: i32 = 2;
+        let SocketAddr::V4(address) = address else { return Err(io::ErrorKind::Unsupported.into()) };
+        let mut raw = [0u8; 16];
+        raw[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
+        raw[2..4].copy_from_slice(&address.port().to_be_bytes());
+        raw[4..8].copy_from_slice(&address.ip().octets());
+        let segment: i32 = 1460;
+        // SAFETY: the pointers are to values that live during the calls, with their lengths, and the
+        // descriptor is owned by the stream alone.
+        unsafe {
+            let descriptor = socket(AF_INET, SOCK_STREAM_CLOEXEC, 0);
+            if descriptor < 0 {
+                return Err(io::Error::last_os_error());
+            }
+            let stream = TcpStream::from_raw_fd(descriptor);
+            setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, (&raw const WINDOW_VALUE).cast(), 4);
+            setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, (&raw const segment).cast(), 4);
+            if connect(descriptor, raw.as_ptr().cast(), 16) != 0 {
+                return Err(io::Error::last_os_error());
+            }
+            Ok(stream)
+        }
+    }
+
+    static WINDOW_VALUE: i32 = WINDOW;
+
+    /// What a requester saw.
+    #[derive(Clone, Default)]
+    struct Seen {
+        id: String,
+        status: String,
+        events: u32,
+        is_complete: bool,
+        end: String,
+        ended_after: Duration,
+    }
+
+    fn request_text(id: &str, deadline_ms: u64) -> String {
+        let body = "x".repeat(200);
+        format!(
+            "POST /lohu930/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: m\r\n\
+             X-Token-Count: 300,928\r\nX-Prefix-Hash: 5c1e07a2:200,{id}:100\r\n\
+             X-Deadline-Ms: {deadline_ms}\r\nAuthorization: Token {KEY}\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    }
+
+    /// Reads one answer. Pauses once, `pause_from` after `began`.
+    fn read_answer(
+        reader: &mut BufReader<TcpStream>,
+        began: Instant,
+        pause_from: Option<Duration>,
+        seen: &mut Seen,
+    ) -> io::Result<()> {
+        let mut pause_from = pause_from;
+        let Some(head) = Head::read(reader)? else { return Ok(()) };
+        seen.status = head.second().to_owned();
+        if head.get("transfer-encoding").is_none() {
+            skip_body(reader, head.length())?;
+            seen.is_complete = true;
+            return Ok(());
+        }
+        loop {
+            if pause_from.is_some_and(|from| began.elapsed() >= from) {
+                pause_from = None;
+                thread::sleep(PAUSE);
+            }
+            let mut line = String::new();
+            if reader.read_line(&mut line)? == 0 {
+                return Ok(());
+            }
+            let Ok(length) = usize::from_str_radix(line.trim(), 16) else { return Ok(()) };
+            let chunk = skip_body(reader, length + 2)?;
+            if length == 0 {
+                seen.is_complete = true;
+                return Ok(());
+            }
+            seen.events += String::from_utf8_lossy(&chunk).matches("id: ").count() as u32;
+        }
+    }
+
+    pub fn run(directory: &Path, has_trouble: bool) -> Result<Verdict, AnyError> {
+        let record = Record::new();
+        let (store, store_address) = Store::start()?;
+        store.put("op/config", Some(stream_config("/lohu930/", 39_000, 1800)));
+        let none = Arc::new(AtomicU64::new(0));
+        let engines: Vec<Arc<Engine>> = (0..4)
+            .map(|index| {
+                let params = EngineParams {
+                    service: "huvo11a",
+                    zone: ZONES[index % ZONES.len()],
+                    slots: 48,
+                    prefill: Duration::from_millis(100),
+                    step: Duration::from_millis(8),
+                    events: EVENTS,
+                    event_bytes: 190,
+                    fatal_part: None,
+                    down: Duration::from_secs(4),
+                };
+                Engine::start(&format!("{index:02}"), "127.0.0.1", params, &store, &record, &none)
+            })
+            .collect::<Result<_, _>>()?;
+        let machines = [
+            MachineParams { name: "edge-houston-a-1", zone: ZONES[0] },
+            MachineParams { name: "edge-galveston-b-1", zone: ZONES[1] },
+            MachineParams { name: "edge-freeport-c-1", zone: ZONES[2] },
+        ];
+        let fleet = Fleet::start("slow_reader", &machines, &ZONES, store_address)?;
+        let frontend = fleet.machines[0].frontend;
+        let process = fleet.machines[0].child.id() as i32;
+        let mut random = Random::new();
+        let ids: Vec<(String, String)> = (0..REQUESTERS)
+            .map(|_| (format!("{:016x}", random.next()), format!("{:016x}", random.next())))
+            .collect();
+        // Requesters whose first answer is read, so that their channels are kept ones.
+        let mut channels = Vec::new();
+        for (first, _) in &ids {
+            let mut stream = connect_small(frontend)?;
+            stream.set_nodelay(true)?;
+            stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+            stream.write_all(request_text(first, 39_000).as_bytes())?;
+            record.add(&format!("requester sends {first} on a new channel"));
+            channels.push((stream.try_clone()?, BufReader::new(stream)));
+        }
+        let readers: Vec<_> = channels
+            .into_iter()
+            .map(|(stream, mut reader)| {
+                thread::spawn(move || {
+                    let mut seen = Seen::default();
+                    let result = read_answer(&mut reader, Instant::now(), None, &mut seen);
+                    result.map(|()| (stream, reader, seen.is_complete))
+                })
+            })
+            .collect();
+        let mut kept = Vec::new();
+        for reader in readers {
+            let (stream, reader, is_complete) =
+                reader.join().map_err(|_| "a requester panicked")??;
+            if !is_complete {
+                return Err("an answer before the trouble was incomplete".into());
+            }
+            kept.push((stream, reader));
+        }
+        let began = Instant::now();
+        let mut readers = Vec::new();
+        for ((mut stream, mut reader), (_, second)) in kept.into_iter().zip(&ids) {
+            stream.write_all(request_text(second, 39_000).as_bytes())?;
+            record.add(&format!("requester sends {second} on its kept channel"));
+            let (id, record) = (second.clone(), Arc::clone(&record));
+            readers.push(thread::spawn(move || {
+                let mut seen = Seen { id, ..Seen::default() };
+                let pause_from = has_trouble.then_some(PAUSE_FROM);
+                let result = read_answer(&mut reader, began, pause_from, &mut seen);
+                seen.ended_after = began.elapsed();
+                seen.end = result.map_or_else(|error| error.to_string(), |()| "end".to_owned());
+                record.add(&format!(
+                    "requester of {}: status {} events {} of {EVENTS} {} after {} ms ({})",
+                    seen.id,
+                    seen.status,
+                    seen.events,
+                    if seen.is_complete { "complete" } else { "incomplete" },
+                    seen.ended_after.as_millis(),
+                    seen.end
+                ));
+                seen
+            }));
+        }
+        thread::sleep(TERM_AT.saturating_sub(began.elapsed()));
+        record.add("the machine gets SIGTERM");
+        // SAFETY: sends a signal to a process that this one started and has not waited for.
+        unsafe { kill(process, SIGTERM) };
+        let seen: Vec<Seen> = readers
+            .into_iter()
+            .map(|reader| reader.join().map_err(|_| "a requester panicked"))
+            .collect::<Result<_, _>>()?;
+        let is_written = |id: &str| {
+            engines.iter().any(|engine| engine.finished.lock().unwrap().iter().any(|it| it == id))
+        };
+        // Of the requests that were passed on, those without a complete answer. An answer that its
+        // server had not written to the end may have been broken off at the end of `graceS`.
+        let lost = seen.iter().filter(|it| !it.is_complete && is_written(&it.id)).count();
+        let other = seen.iter().filter(|it| !it.is_complete && !is_written(&it.id)).count();
+        let first_end = seen.iter().filter(|it| !it.is_complete).map(|it| it.ended_after).min();
+        let is_broken = lost > 0;
+        let text = format!(
+            "requests passed on: {}; channels that ended without a complete answer though its server had \
+             written all of it: {lost}; other incomplete ones: {other}; first seen after {:?}\nLOST is {}",
+            seen.len(),
+            first_end.unwrap_or_default(),
+            if is_broken { "broken" } else { "kept" }
+        );
+        fleet.add_logs(&record, &["drain_", "generation_finished"])?;
+        drop(fleet);
+        record.add(&text);
+        record.write(directory)?;
+        Ok(Verdict { is_broken, text })
+    }
+}
