--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -1056,8 +1056,8 @@
 
     const ZONES: [&str; 3] = ["houston-a", "galveston-b", "freeport-c"];
     const REQUESTERS: usize = 12;
-    /// Events of a stream, the mean of the site's `customs-narrative`.
-    const EVENTS: u32 = 232;
+    /// Events of a stream; at most 546 on the site.
+    const EVENTS: u32 = 72;
     /// Receive buffer of a requester in bytes.
     const WINDOW: i32 = 16 << 10;
     /// Time after the request at which the machine gets SIGTERM.
@@ -1124,7 +1124,7 @@
         let body = "x".repeat(200);
         format!(
             "POST /lohu930/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: m\r\n\
-             X-Token-Count: 300,928\r\nX-Prefix-Hash: 5c1e07a2:200,{id}:100\r\n\
+             X-Token-Count: 300,288\r\nX-Prefix-Hash: 5c1e07a2:200,{id}:100\r\n\
              X-Deadline-Ms: {deadline_ms}\r\nAuthorization: Token {KEY}\r\n\
              Content-Length: {}\r\n\r\n{body}",
             body.len()
@@ -1177,9 +1177,11 @@
                     zone: ZONES[index % ZONES.len()],
                     slots: 48,
                     prefill: Duration::from_millis(100),
-                    step: Duration::from_millis(8),
+                    // Four tokens, with 7 ms for each.
+                    step: Duration::from_millis(28),
                     events: EVENTS,
-                    event_bytes: 190,
+                    // At most 1,300 on the site.
+                    event_bytes: 1240,
                     fatal_part: None,
                     down: Duration::from_secs(4),
                 };
