--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -36,6 +36,7 @@
     let run: fn(&Path, bool) -> Result<Verdict, AnyError> = match case.as_str() {
         "crashes" => crashes::run,
         "slow_reader" => slow_reader::run,
+        "short_answers" => short_answers::run,
         _ => {
             eprintln!("unknown case {case}");
             std::process::exit(2);
@@ -346,6 +347,8 @@
     event_bytes: usize,
     /// Part of prompts on which the engine crashes when it begins to write.
     fatal_part: Option<&'static str>,
+    /// Time from the first byte that the engine writes on the fatal part to its crash.
+    crash_delay: Duration,
     /// Time from a crash to the next start.
     down: Duration,
 }
@@ -556,18 +559,29 @@
         let is_fatal = self.params.fatal_part.is_some_and(|fatal| {
             parts.split(',').any(|part| part.split(':').next() == Some(fatal))
         });
-        if is_fatal {
-            wait(Duration::from_millis(20))?;
+        let crash_at = Instant::now() + self.params.crash_delay;
+        let crash = || {
+            wait(crash_at.saturating_duration_since(Instant::now()))?;
             self.fatal_crashes.fetch_add(1, Ordering::SeqCst);
             self.crash(&format!("request {request} contains the fatal part"));
-            return wait(Duration::from_secs(60));
-        }
-        for number in 2..=self.params.events {
+            wait(Duration::from_secs(60))
+        };
+        // The second number of `X-Token-Count`, with four tokens in an event.
+        let tokens = head.get("x-token-count").and_then(|counts| counts.split(',').nth(1));
+        let most = tokens.and_then(|most| most.trim().parse::<u32>().ok()).unwrap_or(u32::MAX);
+        let events = self.params.events.min(most.div_ceil(4));
+        for number in 2..=events {
+            if is_fatal && Instant::now() + self.params.step >= crash_at {
+                return crash();
+            }
             wait(self.params.step)?;
             writer.write_all(chunk(number).as_bytes())?;
         }
         writer.write_all(b"0\r\n\r\n")?;
         self.record.add(&format!("server {} has written all of {request}", boot.id));
+        if is_fatal {
+            return crash();
+        }
         self.finished.lock().unwrap().push(request);
         Ok(())
     }
@@ -923,6 +937,7 @@
                     events: 8,
                     event_bytes: 0,
                     fatal_part: has_trouble.then_some(FATAL_PART),
+                    crash_delay: Duration::from_millis(20),
                     down: Duration::from_millis(4500),
                 };
                 let name = format!("{index:02}");
@@ -1183,6 +1198,7 @@
                     // At most 1,300 on the site.
                     event_bytes: 1240,
                     fatal_part: None,
+                    crash_delay: Duration::ZERO,
                     down: Duration::from_secs(4),
                 };
                 Engine::start(&format!("{index:02}"), "127.0.0.1", params, &store, &record, &none)
@@ -1284,3 +1300,133 @@
         Ok(Verdict { is_broken, text })
     }
 }
+
+/// Case 8: the fatal part of prompts whose answers are so short that they end before the engine does.
+mod short_answers {
+    use super::*;
+
+    const ZONES: [&str; 3] = ["houston-a", "galveston-b", "freeport-c"];
+    const FIRST_PART: &str = "5c1e07a2";
+    const FATAL_PART: &str = "91bd3f06";
+    /// `contactMs` of the settings.
+    const CONTACT_S: f64 = 3.0;
+    /// Sound requests a second.
+    const RATE: f64 = 60.0;
+    const FATAL_FROM_S: f64 = 5.0;
+    const FATAL_PAUSE: Duration = Duration::from_millis(1500);
+    const END_S: f64 = 45.0;
+
+    pub fn run(directory: &Path, has_trouble: bool) -> Result<Verdict, AnyError> {
+        let record = Record::new();
+        let (store, store_address) = Store::start()?;
+        store.put("op/config", Some(stream_config("/lohu930/", 6000, 1500)));
+        let fatal_crashes = Arc::new(AtomicU64::new(0));
+        let engines: Vec<Arc<Engine>> = (0..9)
+            .map(|index| {
+                let params = EngineParams {
+                    service: "huvo11a",
+                    zone: ZONES[index % ZONES.len()],
+                    slots: 48,
+                    prefill: Duration::from_millis(60),
+                    step: Duration::from_millis(28),
+                    events: 10,
+                    event_bytes: 0,
+                    fatal_part: has_trouble.then_some(FATAL_PART),
+                    crash_delay: Duration::from_millis(100),
+                    down: Duration::from_millis(4000),
+                };
+                let name = format!("{index:02}");
+                Engine::start(&name, "127.0.0.1", params, &store, &record, &fatal_crashes)
+            })
+            .collect::<Result<_, _>>()?;
+        let machines = [
+            MachineParams { name: "edge-houston-a-1", zone: ZONES[0] },
+            MachineParams { name: "edge-galveston-b-1", zone: ZONES[1] },
+            MachineParams { name: "edge-freeport-c-1", zone: ZONES[2] },
+        ];
+        let fleet = Fleet::start("short_answers", &machines, &ZONES, store_address)?;
+        let frontends: Vec<SocketAddr> =
+            fleet.machines.iter().map(|machine| machine.frontend).collect();
+        let mut random = Random::new();
+        let began = Instant::now();
+        let mut next_sound = began;
+        let mut next_fatal = began + Duration::from_secs_f64(FATAL_FROM_S);
+        let mut fifth_crash: Option<f64> = None;
+        let (mut number, mut turn, mut sound, mut fatal) = (0u64, 0usize, 0u64, 0u64);
+        let complete = Arc::new(AtomicU64::new(0));
+        while began.elapsed().as_secs_f64() < END_S {
+            if fatal_crashes.load(Ordering::SeqCst) >= 5 && fifth_crash.is_none() {
+                fifth_crash = Some(record.now());
+                record.add("the fifth crash on the fatal part");
+            }
+            let is_fatal = Instant::now() >= next_fatal;
+            if is_fatal {
+                next_fatal += FATAL_PAUSE;
+                fatal += 1;
+            } else if Instant::now() < next_sound {
+                thread::sleep(Duration::from_micros(500));
+                continue;
+            } else {
+                next_sound += Duration::from_secs_f64(-(1.0 - random.unit()).ln() / RATE);
+                sound += 1;
+            }
+            number += 1;
+            turn += usize::from(is_fatal);
+            let drawn = (random.next() % frontends.len() as u64) as usize;
+            let frontend = frontends[if is_fatal { turn % frontends.len() } else { drawn }];
+            let id = format!("{:016x}", random.next());
+            let (parts, tokens) = match is_fatal {
+                true => (format!("{FIRST_PART}:200,{FATAL_PART}:100,{number:x}f:60"), "360,8"),
+                false => (format!("{FIRST_PART}:200,b2:100,{number:x}e:60"), "360,40"),
+            };
+            let (record, complete) = (Arc::clone(&record), Arc::clone(&complete));
+            thread::Builder::new().stack_size(128 << 10).spawn(move || {
+                let (id, parts) = (id.as_str(), parts.as_str());
+                let request =
+                    StreamRequest { path: "/lohu930/2f", id, parts, tokens, deadline_ms: 6000 };
+                let answer = request.send(frontend);
+                if !is_fatal && answer.is_complete && answer.status == 200 {
+                    complete.fetch_add(1, Ordering::SeqCst);
+                }
+                record.add(&format!(
+                    "requester {} {id} to {frontend}: status {} events {} {} took {} ms {}",
+                    if is_fatal { "fatal" } else { "sound" },
+                    answer.status,
+                    answer.events,
+                    if answer.is_complete { "complete" } else { "broken off" },
+                    answer.took.as_millis(),
+                    answer.text
+                ));
+            })?;
+        }
+        thread::sleep(Duration::from_secs(7));
+        let crashes = fatal_crashes.load(Ordering::SeqCst);
+        let fatal_runs: Vec<f64> = record
+            .lines
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|line| line.contains(" runs ") && line.contains(FATAL_PART))
+            .filter_map(|line| line.trim().split(' ').next()?.parse().ok())
+            .collect();
+        let from = fifth_crash.map_or(f64::INFINITY, |at| at + CONTACT_S);
+        let late = fatal_runs.iter().filter(|at| **at > from).count();
+        let is_broken = late > 3;
+        let text = format!(
+            "requests with the fatal part: {fatal}, that reached servers: {}, crashes: {crashes}, \
+             that reached servers later than contactMs after the fifth crash: {late}\n\
+             sound requests: {sound}, answered completely: {}\nBUDGET is {}",
+            fatal_runs.len(),
+            complete.load(Ordering::SeqCst),
+            if is_broken { "broken" } else { "kept" }
+        );
+        fleet.add_logs(&record, &["part_blocked", "answer_broken"])?;
+        drop((fleet, engines));
+        record.add(&text.replace('\n', "\n          "));
+        record.write(directory)?;
+        if complete.load(Ordering::SeqCst) < sound / 2 {
+            return Err(format!("the deployment did not serve\n{text}").into());
+        }
+        Ok(Verdict { is_broken, text })
+    }
+}
