--- a/review/standins-3.rs
+++ b/review/standins-3.rs
@@ -372,6 +372,12 @@
     IpAddr::V4(Ipv4Addr::new(127, network[0], network[1], host))
 }
 
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+const SIGTERM: i32 = 15;
+
 pub struct Instance {
     pub host: u8,
     pub child: Child,
@@ -383,11 +389,10 @@
     pub fn is_ready(&self) -> bool {
         is_ready(self.ready)
     }
-    pub fn signal(&self, name: &str) {
-        Command::new("kill")
-            .args([&format!("-{name}"), &self.child.id().to_string()])
-            .status()
-            .expect("kill");
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        // SAFETY: the call takes two numbers; the process is a child that has not been waited for.
+        unsafe { kill(self.child.id() as i32, SIGTERM) };
     }
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -751,7 +756,7 @@
         for index in 0..2 {
             let due = Duration::from_millis(2000 + 1000 * index as u64);
             if is_trouble() && stops[index].is_none() && begun.elapsed() >= due {
-                instances[index].signal("TERM");
+                instances[index].terminate();
                 (stops[index], is_stopping[index]) = (Some(Instant::now()), true);
                 record.note(&format!("SIGTERM to instance {}", index + 1));
             }
