--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -8,21 +8,24 @@
 folder=$(mktemp -d) || exit 2
 child=
 finish() {
-  [ -n "$child" ] && kill "$child" 2>/dev/null
+  if [ -n "$child" ]; then
+    kill "$child" 2>/dev/null
+    wait "$child" 2>/dev/null
+  fi
   # Instances that the stand-ins left running.
   for pid in $(cat "$folder/pids" 2>/dev/null); do
-    grep -qs "medlarlanding.forward" "/proc/$pid/cmdline" && kill -KILL "$pid" 2>/dev/null
+    [ -r "/proc/$pid/cmdline" ] || continue
+    case "$(tr '\0' ' ' < "/proc/$pid/cmdline")" in
+      *"medlarlanding forward"*) kill -KILL "$pid" ;;
+    esac
   done
   rm -rf "$folder"
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-"$standins" stop-streams "$program" "$folder" "$PWD/review/9/record.txt" &
+timeout -k 2 112 "$standins" stop-streams "$program" "$folder" "$PWD/review/9/record.txt" &
 child=$!
-(sleep 115; kill "$child" 2>/dev/null) > /dev/null 2>&1 &
-guard=$!
 wait "$child"
 code=$?
 child=
-kill "$guard" 2>/dev/null
 case $code in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
