Take an answer of unstated length for one that may last until its deadline

Cause: DrainParams::longest_time returned zero for a stream of a service without engines, whose size nobody states, so that it was passed on up to the end of the process.

The comparison is made once more when the connection to the server is open.

Why it works: what is not known to fit is refused as not run while it has not run, and another instance serves it; what is known to fit is still served, which the same tests count.

--- a/medlarlanding-bench/tests/forwarding_stops.rs
+++ b/medlarlanding-bench/tests/forwarding_stops.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use medlarlanding_bench::site::{
-    BodyDelimiter, EndMode, INTERVAL_HEADER, PARTS_HEADER, ServerMode, SiteAnswer, SiteCall,
-    SiteParams, TestSite,
+    BodyDelimiter, EndMode, INTERVAL_HEADER, PART_BYTES_HEADER, PARTS_HEADER, ServerMode,
+    SiteAnswer, SiteCall, SiteParams, TestSite,
 };
 use medlarlanding_core::cases;
 
@@ -352,3 +352,161 @@
     assert!(served >= 20 && refused > 0, "{served} served, {refused} refused");
     assert!(site.wait_exit(0).expect("an exit").success());
 }
+
+/// Streams or long answers of a plain service, whose length nobody states, around a stop.
+#[derive(Clone, Copy)]
+struct UnstatedCase {
+    path: &'static str,
+    delimiter: BodyDelimiter,
+    /// Parts of an answer, one each 100 ms.
+    parts: u64,
+    /// Bytes of a part of an answer that is no stream.
+    part_bytes: usize,
+    /// Time until the deadline of a request.
+    deadline: Duration,
+    /// Answers that the instance has forwarded completely before the stop.
+    known: usize,
+    /// Fewest requests sent during the stop that are served.
+    served_min: usize,
+}
+
+/// Guards against requests for answers of unstated length that a stopping instance passes on and cuts when
+/// it ends (review case 9), and against refusing those that earlier answers or their deadline show to fit.
+fn unstated_answers_are_whole_or_not_begun(case: UnstatedCase) {
+    const PERIOD: Duration = Duration::from_millis(150);
+    let params = SiteParams { plain_servers: 0, engines: 0, ..SiteParams::default() };
+    let mut site = TestSite::start(params).expect("a deployment");
+    let servers = site.add_ending_servers(&[(case.delimiter, EndMode::Lives)]);
+    let server = servers.expect("a server").remove(0);
+    server.release();
+    publish_routes(&mut site, 1, |route| {
+        (route["goalMs"], route["timeoutMs"]) = (100.into(), 20_000.into());
+        route["service"] = "orders".into();
+    });
+    site.register_ending_server(&server, "orders", "ready");
+    let known = format!("server={} service=orders ", server.id());
+    site.wait_until("the server", || site.log(0).contains(&known)).expect("an entry");
+    let address = site.caller_address(0);
+    let call = |id: &str| {
+        SiteCall::new(Method::POST, case.path, id)
+            .header(PARTS_HEADER, &case.parts.to_string())
+            .header(PART_BYTES_HEADER, &case.part_bytes.to_string())
+            .header(INTERVAL_HEADER, "100")
+            .header("x-deadline-ms", &case.deadline.as_millis().to_string())
+    };
+    let earlier: Vec<_> = (0..case.known)
+        .map(|number| {
+            let call = call(&format!("known-{number}"));
+            std::thread::spawn(move || call.send(address))
+        })
+        .collect();
+    for caller in earlier {
+        let answer = caller.join().expect("a caller").expect("an answer");
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+    }
+    site.signal(0, Signal::TERM).expect("a signal");
+    let started = Instant::now();
+    let mut callers = Vec::new();
+    while started.elapsed() < Duration::from_millis(7_200) {
+        let id = format!("id-{}", callers.len());
+        let call = call(&id);
+        callers.push(std::thread::spawn(move || (id, call.send(address))));
+        std::thread::sleep(PERIOD);
+    }
+    let (mut served, mut refused) = (0, 0);
+    for caller in callers {
+        let (id, answer) = caller.join().expect("a caller");
+        check_answer(&site, &id, &answer);
+        match answer.expect("an answer").status {
+            200 => served += 1,
+            _ => refused += 1,
+        }
+    }
+    println!("{served} served, {refused} refused");
+    assert!(served >= case.served_min, "{served} served, {refused} refused");
+    assert!(refused > 0, "none was sent too late");
+    assert!(site.wait_exit(0).expect("an exit").success());
+}
+
+const UNSTATED_STREAM: UnstatedCase = UnstatedCase {
+    path: "/draft/a",
+    delimiter: BodyDelimiter::Chunks,
+    parts: 40,
+    part_bytes: 16,
+    deadline: Duration::from_secs(20),
+    known: 0,
+    served_min: 0,
+};
+
+/// 300 kB, which are forwarded as they arrive.
+const UNSTATED_BODY: UnstatedCase = UnstatedCase {
+    path: "/order/a",
+    delimiter: BodyDelimiter::Length,
+    parts: 30,
+    part_bytes: 10_000,
+    known: 60,
+    served_min: 5,
+    ..UNSTATED_STREAM
+};
+
+cases! { unstated_answers_are_whole_or_not_begun;
+    streams_in_chunks_of_a_plain_service => UNSTATED_STREAM,
+    streams_with_a_length_of_a_plain_service => UnstatedCase {
+        delimiter: BodyDelimiter::Length, ..UNSTATED_STREAM
+    },
+    streams_without_framing_of_a_plain_service => UnstatedCase {
+        delimiter: BodyDelimiter::Connection, ..UNSTATED_STREAM
+    },
+    streams_that_earlier_ones_show_to_be_long => UnstatedCase { known: 60, ..UNSTATED_STREAM },
+    streams_that_earlier_ones_show_to_be_short => UnstatedCase {
+        parts: 10, known: 60, served_min: 25, ..UNSTATED_STREAM
+    },
+    streams_with_an_early_deadline => UnstatedCase {
+        parts: 10, deadline: Duration::from_millis(2_500), served_min: 20, ..UNSTATED_STREAM
+    },
+    long_orders_that_earlier_ones_show_to_be_slow => UNSTATED_BODY,
+    long_lookups_that_earlier_ones_show_to_be_slow => UnstatedCase {
+        path: "/lookup/a", ..UNSTATED_BODY
+    },
+    long_orders_without_framing_that_earlier_ones_show_to_be_slow => UnstatedCase {
+        delimiter: BodyDelimiter::Connection, ..UNSTATED_BODY
+    },
+    slow_orders_that_earlier_ones_show_to_be_slow => UnstatedCase {
+        part_bytes: 16, ..UNSTATED_BODY
+    },
+}
+
+/// Guards against uploads for answers of unstated length that a stopping instance reads to their end and
+/// then passes on (review case 9, for requests whose bodies arrive slowly).
+#[test]
+fn uploads_for_streams_of_a_plain_service_are_refused_in_a_stop() {
+    let params = SiteParams { plain_servers: 0, engines: 0, ..SiteParams::default() };
+    let mut site = TestSite::start(params).expect("a deployment");
+    let servers = site.add_ending_servers(&[(BodyDelimiter::Chunks, EndMode::Lives)]);
+    let server = servers.expect("a server").remove(0);
+    server.release();
+    publish_routes(&mut site, 1, |route| {
+        (route["goalMs"], route["timeoutMs"]) = (100.into(), 20_000.into());
+        route["service"] = "orders".into();
+    });
+    site.register_ending_server(&server, "orders", "ready");
+    let known = format!("server={} service=orders ", server.id());
+    site.wait_until("the server", || site.log(0).contains(&known)).expect("an entry");
+    let address = site.caller_address(0);
+    let mut streams: Vec<TcpStream> = (0..6).map(|_| connect(address)).collect();
+    for (number, stream) in streams.iter_mut().enumerate() {
+        let is_chunked = number % 2 == 0;
+        let case = BodyCase { path: "/draft/a", is_chunked, complete_at: None, is_served: false };
+        write_beginning(stream, case, &format!("id-{number}"));
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    site.signal(0, Signal::TERM).expect("a signal");
+    for (number, stream) in streams.iter_mut().enumerate() {
+        let started = Instant::now();
+        assert_eq!(read_status(stream), Ok(503), "{}", site.log(0));
+        // Nothing that the caller could still send would make the answer fit.
+        assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+        assert!(site.state.runs(&format!("id-{number}")).is_empty());
+    }
+    assert!(site.wait_exit(0).expect("an exit").success());
+}
--- a/medlarlanding-core/src/forwarding/drain.rs
+++ b/medlarlanding-core/src/forwarding/drain.rs
@@ -4,7 +4,8 @@
 //! stop, and most generations take longer than the time left until it is killed. A caller that is
 //! refused at once is served by another instance; a caller whose answer is cut off loses it. Requests
 //! whose bodies are still read, or that wait for room on a full engine, have less time left at each
-//! moment, so the decision is made again whenever one has waited.
+//! moment, so the decision is made again whenever one has waited. A stream of a plain service has no
+//! stated length and may last until its deadline.
 
 use std::time::Duration;
 
@@ -18,7 +19,8 @@
     pub token_time: Duration,
     /// Time that a busy engine takes for one prompt token.
     pub prompt_time: Duration,
-    /// Factor applied to the time of a generation, for an engine that is slower than usual.
+    /// Factor applied to the time of a generation, for an engine that is slower than usual, and to the
+    /// longest observed time of an answer.
     pub time_factor: f64,
     /// Longest time assumed for the answer of a plain service, as a multiple of its route's objective.
     /// Servers that are slow after their start or nearly full take several objectives.
@@ -37,22 +39,27 @@
 }
 
 impl DrainParams {
-    /// Returns the time within which a server that is sound answers a request completely.
+    /// Returns the time within which a server that is sound answers a request completely;
+    /// `Duration::MAX` if nothing bounds it.
     ///
     /// `longest` is the size of a generation with the highest output that it is allowed, because
-    /// callers' estimates are often far too low; `None` for plain services.
+    /// callers' estimates are often far too low; `None` for plain services. `observed` is the longest
+    /// time that answers of the route took lately; `None` if too few are known.
     pub fn longest_time(
         &self,
         kind: RequestKind,
         longest: Option<RunWeight>,
         objective: Duration,
+        observed: Option<Duration>,
     ) -> Duration {
-        let generating = longest.map_or(Duration::ZERO, |size| self.expected_time(size));
+        let generating = longest.map(|size| self.expected_time(size));
+        let observed = observed.map(|time| time.mul_f64(self.time_factor));
         match kind {
             RequestKind::Safe | RequestKind::Unsafe => {
-                generating.max(objective * self.objective_factor)
+                let objectives = objective * self.objective_factor;
+                objectives.max(generating.or(observed).unwrap_or_default())
             },
-            RequestKind::Stream => generating,
+            RequestKind::Stream => generating.or(observed).unwrap_or(Duration::MAX),
         }
     }
 
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -4,6 +4,7 @@
 //! names of the platform's protocol to itself and decodes into the types defined here.
 
 mod answer_end;
+mod answer_times;
 mod backlog;
 mod budget;
 mod cold_read;
@@ -40,6 +41,7 @@
 mod zone_plan;
 
 pub use answer_end::{BodyDelimiter, EndVerdict, ProcessIdentity, ServerLiveness};
+pub use answer_times::{AnswerTimes, AnswerTimesParams};
 pub use backlog::{BacklogForecast, BacklogParams};
 pub use budget::{BudgetParams, RepeatBudget, RepeatPurpose};
 pub use cold_read::ColdReadParams;
--- a/medlarlanding-core/tests/forwarding_decisions.rs
+++ b/medlarlanding-core/tests/forwarding_decisions.rs
@@ -197,6 +197,8 @@
     kind: RequestKind,
     /// Highest output in tokens; `None` for plain services.
     output: Option<u32>,
+    /// Longest time that answers of the route took lately; `None` if too few are known.
+    observed: Option<u64>,
     /// Time until the deadline of the request.
     time_left: u64,
     /// Time until the instance ends.
@@ -209,7 +211,12 @@
 fn accepts_while_stopping(case: StopCase) {
     let longest = case.output.map(|output| RunWeight { prompt: 2_000, output });
     let objective = Duration::from_millis(100);
-    let longest = DrainParams::default().longest_time(case.kind, longest, objective);
+    let longest = DrainParams::default().longest_time(
+        case.kind,
+        longest,
+        objective,
+        case.observed.map(Duration::from_millis),
+    );
     let time_left = Duration::from_millis(case.time_left);
     let stop_left = Duration::from_millis(case.stop_left);
     assert_eq!(can_finish(longest, time_left, stop_left), case.is_accepted);
@@ -217,42 +224,72 @@
 
 cases! { accepts_while_stopping;
     short_generation_early => StopCase {
-        kind: RequestKind::Stream, output: Some(20), time_left: 39_000, stop_left: 7_000,
+        kind: RequestKind::Stream, output: Some(20), observed: None, time_left: 39_000, stop_left: 7_000,
         is_accepted: true,
     },
     long_generation_early => StopCase {
-        kind: RequestKind::Stream, output: Some(1_000), time_left: 39_000, stop_left: 7_000,
+        kind: RequestKind::Stream, output: Some(1_000), observed: None, time_left: 39_000, stop_left: 7_000,
         is_accepted: false,
     },
     long_generation_with_an_early_deadline => StopCase {
-        kind: RequestKind::Stream, output: Some(1_000), time_left: 6_000, stop_left: 7_000,
+        kind: RequestKind::Stream, output: Some(1_000), observed: None, time_left: 6_000, stop_left: 7_000,
         is_accepted: true,
     },
     short_generation_at_the_end => StopCase {
-        kind: RequestKind::Stream, output: Some(20), time_left: 39_000, stop_left: 1_000,
+        kind: RequestKind::Stream, output: Some(20), observed: None, time_left: 39_000, stop_left: 1_000,
         is_accepted: false,
     },
     unsafe_generation_at_the_end => StopCase {
-        kind: RequestKind::Unsafe, output: Some(300), time_left: 39_000, stop_left: 5_000,
+        kind: RequestKind::Unsafe, output: Some(300), observed: None, time_left: 39_000, stop_left: 5_000,
         is_accepted: false,
     },
     // A sound server may need more than four objectives.
     slow_plain_answer_late => StopCase {
-        kind: RequestKind::Unsafe, output: None, time_left: 2_500, stop_left: 500,
+        kind: RequestKind::Unsafe, output: None, observed: None, time_left: 2_500, stop_left: 500,
         is_accepted: false,
     },
     plain_request_with_an_early_deadline_late => StopCase {
-        kind: RequestKind::Unsafe, output: None, time_left: 450, stop_left: 500,
+        kind: RequestKind::Unsafe, output: None, observed: None, time_left: 450, stop_left: 500,
         is_accepted: true,
     },
     plain_request_with_a_late_deadline_early => StopCase {
-        kind: RequestKind::Safe, output: None, time_left: 39_000, stop_left: 4_000,
+        kind: RequestKind::Safe, output: None, observed: None, time_left: 39_000, stop_left: 4_000,
         is_accepted: true,
     },
     plain_request_at_the_end => StopCase {
-        kind: RequestKind::Safe, output: None, time_left: 39_000, stop_left: 300,
+        kind: RequestKind::Safe, output: None, observed: None, time_left: 39_000, stop_left: 300,
         is_accepted: false,
     },
+    // Streams of plain services state no size (review case 9).
+    stream_of_unknown_length_early => StopCase {
+        kind: RequestKind::Stream, output: None, observed: None, time_left: 39_000, stop_left: 7_000,
+        is_accepted: false,
+    },
+    stream_of_unknown_length_with_an_early_deadline => StopCase {
+        kind: RequestKind::Stream, output: None, observed: None, time_left: 3_000, stop_left: 4_000,
+        is_accepted: true,
+    },
+    stream_of_a_route_with_short_answers => StopCase {
+        kind: RequestKind::Stream, output: None, observed: Some(1_000), time_left: 39_000,
+        stop_left: 2_500, is_accepted: true,
+    },
+    stream_of_a_route_with_long_answers => StopCase {
+        kind: RequestKind::Stream, output: None, observed: Some(4_000), time_left: 39_000,
+        stop_left: 7_000, is_accepted: false,
+    },
+    plain_request_of_a_route_with_long_answers => StopCase {
+        kind: RequestKind::Unsafe, output: None, observed: Some(3_000), time_left: 39_000,
+        stop_left: 5_000, is_accepted: false,
+    },
+    plain_request_of_a_route_with_short_answers => StopCase {
+        kind: RequestKind::Unsafe, output: None, observed: Some(50), time_left: 39_000,
+        stop_left: 4_000, is_accepted: true,
+    },
+    // The stated size of a generation goes before what others took.
+    short_generation_of_a_route_with_long_ones => StopCase {
+        kind: RequestKind::Stream, output: Some(20), observed: Some(30_000), time_left: 39_000,
+        stop_left: 7_000, is_accepted: true,
+    },
 }
 
 /// Guards against a final copy before the first one is complete, against retries without a pause,
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -246,7 +246,9 @@
     // A generation without a limit may take any time.
     let output = caller.output_limit.unwrap_or(u32::MAX);
     let longest = engine.map(|_| RunWeight { output, ..caller.weight });
-    let longest_time = DrainParams::default().longest_time(rule.kind, longest, rule.objective);
+    let observed = state.longest_answer(&rule, &service);
+    let longest_time =
+        DrainParams::default().longest_time(rule.kind, longest, rule.objective, observed);
     if !fits_stop(state, longest_time, wait) {
         return Err(ErrorAnswer::Stopping);
     }
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -13,6 +13,7 @@
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::answer_end::EndingAnswer;
+use super::answer_lengths::AnswerLength;
 use super::engine_calls::MoveCall;
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
@@ -376,6 +377,13 @@
 
     fn finish(&mut self, outcome: &str, status: u16, server: &str) {
         self.is_finished = true;
+        if let Some(length) = AnswerLength::of(&self.state, &self.admitted) {
+            match outcome {
+                "complete" => length.record(true),
+                "caller_gone" | "late" if self.events > 0 => length.record(false),
+                _ => {},
+            }
+        }
         self.state.telemetry.requests.with_label_values(&["stream", outcome]).inc();
         event(
             EventKind::GenerationFinished,
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -89,7 +89,11 @@
             );
             let silence = self.admitted.rule.objective * SILENCE_FACTOR;
             let state = Rc::clone(&self.state);
-            let may_send = async move || state.may_send(key, SendPurpose::New).await;
+            let admitted = &self.admitted;
+            // Placement and connecting may have taken a while.
+            let may_send = async move || {
+                state.may_send(key, SendPurpose::New).await && admitted.fits_stop(&state)
+            };
             let sending = exchange::send_checked(entry.address, request, time_left, may_send);
             let sending = self.report_silence(key, silence, EngineFault::Failed, sending);
             // Closing the connection keeps the engine from writing on a prompt that is blocked while
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -8,6 +8,7 @@
 mod admit;
 mod answer;
 mod answer_end;
+mod answer_lengths;
 mod caller_stream;
 mod cold_limit;
 mod engine_calls;
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -7,6 +7,7 @@
 use super::admit::{AdmittedRequest, retry_after};
 use super::answer::{CallerAnswer, ErrorAnswer, forward_answer};
 use super::answer_end::EndingAnswer;
+use super::answer_lengths::AnswerLength;
 use super::evacuations::SendPurpose;
 use super::hedging::{self, RequestTarget, ServerResult};
 use super::load_guard::LoadGuard;
@@ -231,7 +232,14 @@
         }
     };
     let answer = match answer {
-        Answer::Server(answer) => answer,
+        Answer::Server(answer) => {
+            if matches!(answer.body(), AnswerBody::Whole(_))
+                && let Some(length) = AnswerLength::of(state, &admitted)
+            {
+                length.record(true);
+            }
+            answer
+        },
         Answer::Error(error) => {
             error.to_answer(&admitted.id, retry_after(error, state, Some(&admitted)))
         },
@@ -321,7 +329,8 @@
     let request = server_request(admitted, &entry.id, time_left, None, None);
     let started = state.now();
     let answering = async {
-        let may_send = async || state.may_send(key, SendPurpose::New).await;
+        let may_send =
+            async || state.may_send(key, SendPurpose::New).await && admitted.fits_stop(state);
         match exchange::send_checked(entry.address, request, limit, may_send).await {
             Ok(None) => SendOutcome::NotRun,
             Ok(Some((response, exchange))) => {
@@ -479,8 +488,9 @@
         if collected.len() > BUFFERED_ANSWER_LIMIT {
             let (sender, pieces) = mpsc::channel(CHUNK_BACKLOG);
             let rest = LongAnswer {
-                source,
                 request: admitted.id.clone(),
+                length: AnswerLength::of(&source.state, admitted),
+                source,
                 deadline: admitted.deadline,
                 bytes: 0,
             };
@@ -500,6 +510,8 @@
     source: AnswerSource,
     /// Id of the request.
     request: String,
+    /// Measures the answer of a plain service.
+    length: Option<AnswerLength>,
     /// Deadline of the request, after which the answer is cut. A server may send bytes, or one byte
     /// now and then, without end.
     deadline: Timestamp,
@@ -516,11 +528,15 @@
     ) {
         let left = self.deadline.since(self.source.state.now());
         let forwarding = self.forward_pieces(beginning, body, &sender);
-        let cut = match tokio::time::timeout(left, forwarding).await {
-            Ok(Ok(())) => return,
-            Ok(Err(reason)) => reason,
-            Err(_) => "late",
+        let (cut, is_complete) = match tokio::time::timeout(left, forwarding).await {
+            Ok(Ok(is_complete)) => (None, Some(is_complete)),
+            Ok(Err(reason)) => (Some(reason), None),
+            Err(_) => (Some("late"), Some(false)),
         };
+        if let (Some(length), Some(is_complete)) = (&self.length, is_complete) {
+            length.record(is_complete);
+        }
+        let Some(cut) = cut else { return };
         let AnswerSource { state, link, server, broken, .. } = &mut self.source;
         state.telemetry.faults.with_label_values(&["answer_cut"]).inc();
         event(EventKind::AnswerCut, &[&self.request, server, &cut, &self.bytes]);
@@ -529,7 +545,7 @@
         }
     }
 
-    /// Forwards the body up to its end, or until the caller disconnects.
+    /// Forwards the body up to its end, or until the caller disconnects. Returns whether it is complete.
     ///
     /// # Errors
     ///
@@ -539,12 +555,12 @@
         beginning: Bytes,
         mut body: Incoming,
         sender: &mpsc::Sender<StreamPiece>,
-    ) -> Result<(), &'static str> {
+    ) -> Result<bool, &'static str> {
         let mut next = Some(beginning);
         while let Some(data) = next {
             let length = data.len() as u64;
             if sender.send(StreamPiece::Data(data)).await.is_err() {
-                return Ok(());
+                return Ok(false);
             }
             self.bytes += length;
             next = loop {
@@ -566,6 +582,6 @@
         }
         // Sending fails if the caller has disconnected.
         let _ = sender.send(StreamPiece::End).await;
-        Ok(())
+        Ok(true)
     }
 }
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::answer_lengths::AnswerLengths;
 use super::cold_limit::ColdLimitState;
 use super::evacuations::{EvacuationState, zone_regions};
 use super::ledger::LedgerState;
@@ -59,6 +60,8 @@
     accepted_connections: Cell<u64>,
     /// Bytes of the buffers of request bodies that are read or held.
     pub body_bytes: Cell<u64>,
+    /// Times that answers of plain services took.
+    pub(super) answer_lengths: AnswerLengths,
     /// Servers with their load and health.
     pub directory: RefCell<ServerDirectory>,
     /// Peers known to this instance.
@@ -127,6 +130,7 @@
             open_connections: Rc::default(),
             accepted_connections: Cell::new(0),
             body_bytes: Cell::new(0),
+            answer_lengths: AnswerLengths::default(),
             directory: RefCell::new(directory),
             peers: RefCell::new(peers),
             entries: RefCell::default(),
