Hear the evidence for a part that runs survived before it is blocked

Cause: the ledger counted the ends at which a part was in a run that had just begun, and never the runs that survived the part at the same time, so a part of all prompts reached the limit as soon as three engines ended together. Only runs that begin after the ends clear a part, and the block let none begin, so it ended by time alone.

Change: a part that runs survived before is blocked 2 s after the first end held against it. Runs that begin after that end and survive it clear the end within this time. While it is blocked, runs in progress are not taken back, and the refusal is suspect_prompt with a Retry-After of 1.5 to 2.3 s. The coordinator (own interface: the live instance with the lowest id) tries one request at a time with a blocked part (E625), fewer the more incidents there were. A part that no run survived is blocked at once, as before.

Why it works: a fatal part is survived by no run that begins after it has become fatal, a sound one by every run at an engine that lives. The block waits for that difference instead of counting ends alone, and trials bring it about where the block itself prevents it. Trials end a fatal block's engines at most twice in ten minutes.

ledgers_agree_whatever_the_order_of_entries asks 10 s after the last merge now: its ledgers take the same entries at different times, from which a block counts. What it compares is unchanged.

--- a/medlarlanding-bench/src/site/crashing_engine.rs
+++ b/medlarlanding-bench/src/site/crashing_engine.rs
@@ -56,16 +56,17 @@
 /// One start of an engine.
 struct EngineBoot {
     id: String,
+    index: usize,
     born: u64,
     framing: AnswerFraming,
     state: Arc<SiteState>,
     ended: watch::Sender<bool>,
 }
 
-/// Starts an engine at an address on its own thread. Its ids are `id` and the number of the start.
+/// Starts an engine at an address on its own thread. Its ids contain `index` and the number of the start.
 pub(super) fn start(
     address: SocketAddr,
-    id: String,
+    index: usize,
     framing: AnswerFraming,
     state: Arc<SiteState>,
 ) -> anyhow::Result<()> {
@@ -75,7 +76,8 @@
             let mut stopped = state.stopped.subscribe();
             for number in 1.. {
                 let boot = Arc::new(EngineBoot {
-                    id: format!("{id}-{number}"),
+                    id: format!("engines-{index}-{number}"),
+                    index,
                     born: number,
                     framing,
                     state: Arc::clone(&state),
@@ -109,10 +111,17 @@
     boot.state.put(&format!("servers/{}", boot.id), text.as_bytes());
     let mut connections = JoinSet::new();
     let mut ended = boot.ended.subscribe();
+    let mut ended_together = boot.state.ended_together.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = ended.wait_for(|ended| *ended) => return Ok(()),
+            Ok(()) = ended_together.changed() => {
+                if ended_together.borrow_and_update().contains(&boot.index) {
+                    return Ok(());
+                }
+                continue;
+            },
         };
         let (stream, _) = accepted?;
         let boot = Arc::clone(boot);
--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -205,12 +205,7 @@
     /// Fails if no runtime can be created for the engine.
     pub fn add_crashing_engine(&self, index: usize, framing: AnswerFraming) -> anyhow::Result<()> {
         let address = self.server_address("engines", index as u8);
-        crashing_engine::start(
-            address,
-            format!("engines-{index}"),
-            framing,
-            Arc::clone(&self.state),
-        )
+        crashing_engine::start(address, index, framing, Arc::clone(&self.state))
     }
 
     /// Starts servers that end as their modes say, each for a service `end-N` of its own, and registers
--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -117,6 +117,8 @@
 pub struct SiteState {
     inner: Mutex<SiteInner>,
     pub(super) changes: watch::Sender<u64>,
+    /// Indexes of the crashing engines that ended together last.
+    pub(super) ended_together: watch::Sender<Vec<usize>>,
     /// Set when the deployment is dropped.
     pub(super) stopped: watch::Sender<bool>,
 }
@@ -128,6 +130,7 @@
         Self {
             inner: Mutex::new(inner),
             changes: watch::Sender::new(0),
+            ended_together: watch::Sender::new(Vec::new()),
             stopped: watch::Sender::new(false),
         }
     }
@@ -230,7 +233,12 @@
         self.lock().fatal_part = part.map(str::to_owned);
     }
 
-    /// Returns the ends of crashing engines so far, in order.
+    /// Ends crashing engines, given with their indexes, at the same moment and for no request.
+    pub fn end_engines(&self, indexes: &[usize]) {
+        self.ended_together.send_replace(indexes.to_vec());
+    }
+
+    /// Returns the ends of crashing engines on the fatal part so far, in order.
     pub fn crashes(&self) -> Vec<ServerCrash> {
         self.lock().crashes.clone()
     }
--- a/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
+++ b/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
@@ -85,6 +85,19 @@
         shape: PromptShape,
         is_fatal: bool,
         targets: &[SocketAddr],
+    ) -> Self {
+        let parts = move |own| shape.parts(is_fatal, own);
+        Self::start_with(count, path, parts, is_fatal, CALL_PAUSE, targets)
+    }
+
+    /// Starts callers whose prompts consist of the parts that `parts` returns for the number of a request.
+    fn start_with(
+        count: usize,
+        path: &'static str,
+        parts: impl Fn(u64) -> Vec<String> + Copy + Send + 'static,
+        is_fatal: bool,
+        pause: Duration,
+        targets: &[SocketAddr],
     ) -> Self {
         let mut group =
             Self { records: Arc::default(), is_over: Arc::default(), threads: Vec::new() };
@@ -98,8 +111,7 @@
                     }
                     let own = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
                     let request = format!("id-{own}");
-                    let parts = shape.parts(is_fatal, own);
-                    let call = call(path, &request, &parts, 0x1000_0000 + own);
+                    let call = call(path, &request, &parts(own), 0x1000_0000 + own);
                     let sent_at = Instant::now();
                     let answer = call.send(*target).ok();
                     records.lock().unwrap_or_else(PoisonError::into_inner).push(CallRecord {
@@ -108,7 +120,7 @@
                         request,
                         answer,
                     });
-                    std::thread::sleep(CALL_PAUSE);
+                    std::thread::sleep(pause);
                 }
             }));
         }
@@ -365,3 +377,107 @@
     println!("{} KiB at the peak", peak >> 10);
     assert!(peak < MEMORY_LIMIT, "{peak} bytes");
 }
+
+/// Engines that end together while sound requests begin at all of them.
+#[derive(Clone, Copy)]
+struct TogetherCase {
+    path: &'static str,
+    framing: AnswerFraming,
+    /// Shared parts of the sound prompts: those of all prompts, and one that few share.
+    has_rare_part: bool,
+    /// Requests with a fatal part come all the time.
+    has_fatal: bool,
+    /// Events of a stream, and the time between them in milliseconds.
+    events: (u64, u64),
+    callers: usize,
+    pause: Duration,
+    /// Times at which engines end together.
+    ends: u32,
+}
+
+/// Guards against a part of sound prompts that is blocked because engines end together for a reason of
+/// their own while each has just begun a run with it (review case 6), and against a fatal part that comes
+/// free with it.
+fn engines_that_end_together_block_no_sound_part(case: TogetherCase) {
+    /// Time from an end until the engines are back and instances have heard of it.
+    const SETTLE_TIME: Duration = Duration::from_secs(5);
+    const CALM_TIME: Duration = Duration::from_secs(6);
+    let site = start_site(case.framing);
+    site.state.set_generation(case.events.0, case.events.1);
+    let targets: Vec<SocketAddr> = (0..INSTANCES).map(|it| site.caller_address(it)).collect();
+    let started = Instant::now();
+    let parts = move |own: u64| match case.has_rare_part {
+        true => vec![FIRST_PART.to_owned(), format!("e{:x}", own / 40)],
+        false => vec![FIRST_PART.to_owned()],
+    };
+    let sound =
+        CallerGroup::start_with(case.callers, case.path, parts, false, case.pause, &targets);
+    std::thread::sleep(SOUND_TIME);
+    let fatal_from = Instant::now();
+    let fatal = case.has_fatal.then(|| {
+        site.state.set_fatal_part(Some(FATAL_PART));
+        let fatal = CallerGroup::start(1, case.path, SHORT, true, &targets);
+        std::thread::sleep(CONTACT * 2 + SOUND_TIME);
+        fatal
+    });
+    let mut ended_at = Instant::now();
+    for round in 0..case.ends as usize {
+        ended_at = Instant::now();
+        // Four of six.
+        let ended: Vec<usize> = (0..4).map(|engine| (engine + round) % ENGINES).collect();
+        site.state.end_engines(&ended);
+        std::thread::sleep(SETTLE_TIME);
+    }
+    std::thread::sleep(CALM_TIME);
+    let until = Instant::now();
+    if let Some(fatal) = fatal {
+        drop(fatal.stop());
+    }
+    let records = sound.stop();
+    check_fatal_runs(&site);
+    let usual = share(&records, started, fatal_from, is_begun);
+    let settled = share(&records, ended_at + SETTLE_TIME, until, is_begun);
+    let blocked = |line: &&str| line.contains(" E621 ") && !line.contains(FATAL_PART);
+    let lines = ledger_lines(&site);
+    let blocks = lines.lines().filter(blocked).count();
+    println!("{usual} began before, {settled} after; sound parts were blocked {blocks} times");
+    assert!(usual > 0.9, "{usual} began before\n{lines}");
+    assert!(settled >= usual * 0.9, "{settled} began afterwards, {usual} before\n{lines}");
+    let refused = |record: &&CallRecord| {
+        record.answer.as_ref().is_some_and(|it| it.status == 503 && it.body.contains("prompt"))
+    };
+    let refused = records.iter().filter(refused).count();
+    println!("{refused} of {} sound requests were refused for their prompts", records.len());
+    assert!(refused * 20 <= records.len(), "{refused} of {}\n{lines}", records.len());
+}
+
+const TOGETHER: TogetherCase = TogetherCase {
+    path: "/draft/a",
+    framing: AnswerFraming::Delimited,
+    has_rare_part: false,
+    has_fatal: false,
+    events: (8, 20),
+    callers: 24,
+    pause: CALL_PAUSE,
+    ends: 1,
+};
+
+cases! { engines_that_end_together_block_no_sound_part;
+    engines_end_together_beside_streams => TOGETHER,
+    engines_end_together_beside_long_streams => TogetherCase { events: (60, 30), ..TOGETHER },
+    engines_end_together_beside_unframed_streams => TogetherCase {
+        framing: AnswerFraming::CutAfterEvent, ..TOGETHER
+    },
+    engines_end_together_beside_whole_answers => TogetherCase { path: "/note/a", ..TOGETHER },
+    engines_end_together_beside_repeatable_answers => TogetherCase {
+        path: "/assess/a", framing: AnswerFraming::CutAfterEvent, ..TOGETHER
+    },
+    engines_end_together_beside_a_fatal_part => TogetherCase { has_fatal: true, ..TOGETHER },
+    engines_end_together_beside_prompts_that_few_share => TogetherCase {
+        has_rare_part: true, ..TOGETHER
+    },
+    engines_end_together_beside_few_requests => TogetherCase {
+        callers: 3, pause: Duration::from_millis(150), ..TOGETHER
+    },
+    engines_end_together_again => TogetherCase { ends: 3, ..TOGETHER },
+}
--- a/medlarlanding-core/src/errors.rs
+++ b/medlarlanding-core/src/errors.rs
@@ -105,6 +105,8 @@
     NoBackend = "no_backend", 503, NotRun, SOON, "no backend server can take the request";
     /// Engines ended when they ran prompts that share a part with this one.
     FatalPrompt = "fatal_prompt", 503, NotRun, UNBLOCKED, "engines ended on a part of the prompt";
+    /// The same, but runs survived all of these parts before.
+    SuspectPrompt = "suspect_prompt", 503, NotRun, SOON, "engines ended on a part of the prompt, which may have another reason";
     /// Too few replicas of the order's partition could be reached.
     NoQuorum = "no_quorum", 503, NotRun, SOON, "too few replicas can be reached to accept the order";
     /// The store of order claims is full.
--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -141,6 +141,8 @@
     623 AnswerEnd Info "answer_end" ["request", "route", "server", "framing", "known", "state", "took_ms", "verdict"];
     /// A server refused a request and wants no further ones from this instance for a while.
     624 ServerHold Info "server_hold" ["request", "server", "hold_ms"];
+    /// A request is tried although a part of its prompt is blocked.
+    625 PartTried Info "part_tried" ["request", "part", "ends"];
     /// An availability zone was evacuated: its servers get no more requests.
     630 ZoneEvacuated Warn "zone_emptied" ["zone", "revision", "source"];
     /// An availability zone was restored: its servers get requests again.
--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -24,6 +24,7 @@
 use crate::orders::{OrderCoordinator, OrderDump, OrderEffect, OrderInput, OrderParams};
 use crate::prompts::{
     BlockedPart, CrashLedger, LedgerNews, LedgerSharing, PartId, PromptInput, PromptParts,
+    PromptVerdict,
 };
 use crate::time::Timestamp;
 use crate::views::InstanceEntry;
@@ -606,6 +607,13 @@
         self.ledger.check(now, parts)
     }
 
+    /// Decides on a new request with a prompt. Only the live instance with the lowest id tries requests
+    /// with a blocked part.
+    pub fn admit_prompt(&mut self, now: Timestamp, parts: &PromptParts) -> PromptVerdict {
+        let may_try = self.live_identities().iter().all(|other| self.own.id < other.id);
+        self.ledger.admit(now, parts, may_try)
+    }
+
     /// Returns the number of blocked parts of prompts.
     pub fn blocked_part_count(&self, now: Timestamp) -> usize {
         self.ledger.blocked(now).len()
--- a/medlarlanding-core/src/prompts/crash_ledger.rs
+++ b/medlarlanding-core/src/prompts/crash_ledger.rs
@@ -14,15 +14,13 @@
 
 use std::time::Duration;
 
+use super::block_rule::{BlockParams, BlockRule, BlockedPart, PromptVerdict};
 use super::parts::{PartId, PromptParts, RunPhase};
 use crate::ids::stable_hash;
 use crate::time::Timestamp;
 
 use indexmap::{IndexMap, IndexSet};
 
-/// Time since the last end for which a part stays blocked.
-pub const BLOCK_TIME: Duration = Duration::from_secs(600);
-
 /// Parameters of the ledger.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LedgerParams {
@@ -37,9 +35,11 @@
     pub familiar_blame: f64,
     /// Weight of such a run beside others that the same end broke off.
     pub familiar_weight: f64,
-    /// Time since the last end for which a part stays blocked. Afterwards one more end blocks it
-    /// again, as long as the earlier ones are retained.
-    pub hold: Duration,
+    /// Ends with a suspect run some of whose parts no run survived before, from which a part does not
+    /// count as familiar.
+    pub unfamiliar_ends_min: usize,
+    /// When requests with a suspected part are blocked and tried.
+    pub block: BlockParams,
     /// Time for which the record of a broken run is kept.
     pub retention: Duration,
     /// Time for which a part counts as familiar after a run has survived it.
@@ -67,7 +67,8 @@
             remote_blame: 0.4,
             familiar_blame: 0.85,
             familiar_weight: 0.25,
-            hold: BLOCK_TIME,
+            unfamiliar_ends_min: 2,
+            block: BlockParams::default(),
             retention: Duration::from_secs(1800),
             familiarity: Duration::from_secs(300),
             end_span: Duration::from_secs(1),
@@ -253,31 +254,13 @@
     blame: f64,
     /// Weight among the suspects of the end.
     weight: f64,
+    /// Runs survived all of the parts before the end.
+    is_familiar: bool,
     /// The run had not been writing for a while, none of its suspected parts was survived before, and
     /// other parts were survived since.
     is_telling: bool,
 }
 
-/// Requests that are blocked because of a part.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct BlockRule {
-    /// Parts that all suspect runs with the part have in common; a request must contain all of them
-    /// to be blocked. Always includes the part itself.
-    common: Vec<PartId>,
-    until: Timestamp,
-}
-
-/// Part of prompts for which requests are blocked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BlockedPart {
-    /// The part.
-    pub part: PartId,
-    /// Ends with a broken run whose prompt contains the part.
-    pub ends: usize,
-    /// Time until requests with it are tried again.
-    pub remaining: Duration,
-}
-
 /// Broken runs that all instances reported, and the blocked parts that follow from them.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
@@ -287,6 +270,8 @@
     survivals: IndexMap<PartId, Timestamp>,
     /// Derived from `records` at each change.
     rules: IndexMap<PartId, BlockRule>,
+    /// When this instance last tried a request with each blocked part.
+    trials: IndexMap<PartId, Timestamp>,
 }
 
 impl CrashLedger {
@@ -302,16 +287,43 @@
 
     /// Returns the part for which a request is blocked, if any.
     pub fn check(&self, now: Timestamp, parts: &PromptParts) -> Option<BlockedPart> {
-        if self.rules.is_empty() {
-            return None;
+        let (part, rule) = self.rules_for(now, parts).next()?;
+        Some(self.blocked_part(now, part, rule))
+    }
+
+    /// Decides on a new request. Only one instance of the fleet at a time may be the one that tries
+    /// requests with blocked parts.
+    pub fn admit(&mut self, now: Timestamp, parts: &PromptParts, may_try: bool) -> PromptVerdict {
+        let Some(blocked) = self.check(now, parts) else { return PromptVerdict::Free };
+        let pause = self.params.block.trial_pause;
+        let is_due = |(part, rule): (PartId, &BlockRule)| {
+            let last = self.trials.get(&part);
+            rule.trial_at.is_some_and(|at| at <= now)
+                && last.is_none_or(|last| now.since(*last) >= pause)
+        };
+        if !may_try || !self.rules_for(now, parts).all(is_due) {
+            return PromptVerdict::Refused(blocked);
         }
+        let tried: Vec<PartId> = self.rules_for(now, parts).map(|(part, _)| part).collect();
+        self.trials.retain(|part, _| self.rules.contains_key(part));
+        self.trials.extend(tried.into_iter().map(|part| (part, now)));
+        PromptVerdict::Trial(blocked)
+    }
+
+    /// Returns the rules that block a prompt.
+    fn rules_for<'a>(
+        &'a self,
+        now: Timestamp,
+        parts: &'a PromptParts,
+    ) -> impl Iterator<Item = (PartId, &'a BlockRule)> {
         // Searched for each common part, of which long prompts have thousands.
         let mut named: Option<IndexSet<PartId>> = None;
-        parts.all().iter().find_map(|part| {
-            let rule = self.rules.get(part).filter(|rule| now < rule.until)?;
+        let all = if self.rules.is_empty() { &[] } else { parts.all() };
+        all.iter().filter_map(move |part| {
+            let rule = self.rules.get(part).filter(|rule| rule.is_in_force(now))?;
             let named = named.get_or_insert_with(|| parts.all().iter().copied().collect());
             let is_blocked = rule.common.iter().all(|common| named.contains(common));
-            is_blocked.then(|| self.blocked_part(now, *part, rule))
+            is_blocked.then_some((*part, rule))
         })
     }
 
@@ -362,7 +374,7 @@
             }
         }
         if !news.is_empty() {
-            self.derive_rules(now);
+            self.derive_rules();
         }
         news
     }
@@ -423,7 +435,7 @@
         }
         self.enforce_limits();
         if !news.is_empty() {
-            self.derive_rules(now);
+            self.derive_rules();
         }
         MergedNews { received: news, own }
     }
@@ -501,12 +513,17 @@
 
     /// Returns the blocked parts.
     pub fn blocked(&self, now: Timestamp) -> Vec<BlockedPart> {
-        let in_force = self.rules.iter().filter(|(_, rule)| now < rule.until);
+        let in_force = self.rules.iter().filter(|(_, rule)| rule.is_in_force(now));
         in_force.map(|(part, rule)| self.blocked_part(now, *part, rule)).collect()
     }
 
     fn blocked_part(&self, now: Timestamp, part: PartId, rule: &BlockRule) -> BlockedPart {
-        BlockedPart { part, ends: self.ends_with(part), remaining: rule.until.since(now) }
+        BlockedPart {
+            part,
+            ends: self.ends_with(part),
+            remaining: rule.until.since(now),
+            is_familiar: rule.is_familiar,
+        }
     }
 
     /// Groups the broken runs by the end that broke them off: those of one server at about the same
@@ -540,7 +557,7 @@
         let count = self.records.len();
         self.records.retain(|_, record| now.since(record.at) < retention);
         if self.records.len() < count {
-            self.derive_rules(now);
+            self.derive_rules();
         }
     }
 
@@ -550,7 +567,7 @@
     /// the other parts are judged by the ends that are left. Of parts with the same blame the one that
     /// fewer broken runs contain is blocked, because a part that many prompts share is in the runs
     /// beside the fatal one too. The same holds for parts that are blocked because they recur.
-    fn derive_rules(&mut self, now: Timestamp) {
+    fn derive_rules(&mut self) {
         let mut own_ends: IndexMap<PartId, usize> = IndexMap::new();
         let all_ends = self.ends();
         for end in &all_ends {
@@ -579,15 +596,26 @@
                     None => run.parts.clone(),
                 });
             }
-            let last =
-                with_part().filter_map(|run| self.records.get(&run.key)).map(|it| it.at).max();
-            let until = last.unwrap_or(now) + self.params.hold;
-            rules.insert(part, BlockRule { common: common.unwrap_or_default(), until });
+            let rule = self.block_rule(part, common.unwrap_or_default(), &ends);
+            rules.insert(part, rule);
             ends.retain(|runs| runs.iter().all(|run| !run.contains(part)));
         }
         self.rules = rules;
     }
 
+    /// Creates the rule for a part that is suspected of some of these ends.
+    fn block_rule(&self, part: PartId, common: Vec<PartId>, ends: &[Vec<SuspectRun>]) -> BlockRule {
+        let (mut times, mut unfamiliar_ends) = (Vec::new(), 0);
+        for runs in ends {
+            let mut with_part = runs.iter().filter(|run| run.contains(part)).peekable();
+            let at = with_part.peek().and_then(|run| self.records.get(&run.key)).map(|it| it.at);
+            times.extend(at);
+            unfamiliar_ends += usize::from(with_part.any(|run| !run.is_familiar));
+        }
+        let is_familiar = unfamiliar_ends < self.params.unfamiliar_ends_min;
+        BlockRule::new(&self.params.block, common, is_familiar, times)
+    }
+
     /// Returns the parts of a broken run that are suspected; `None` if there are none.
     fn suspect_run(
         &self,
@@ -622,6 +650,7 @@
             parts,
             blame: progress * familiar_blame,
             weight: progress * familiar_weight,
+            is_familiar,
             is_telling: has_survivors && !is_familiar && record.phase != RunPhase::Writing,
         })
     }
--- a/medlarlanding-core/src/prompts/mod.rs
+++ b/medlarlanding-core/src/prompts/mod.rs
@@ -1,12 +1,14 @@
 //! Prompts on which engines end: their parts, and the ledger of broken runs that blocks some of them.
 
+mod block_rule;
 mod crash_ledger;
 mod parts;
 mod sharing;
 
+pub use block_rule::{BLOCK_TIME, BlockParams, BlockedPart, PromptVerdict};
 pub use crash_ledger::{
-    BLOCK_TIME, BlockedPart, ClearReason, ClearReport, CrashKey, CrashLedger, CrashReport,
-    LedgerNews, LedgerParams, MergedNews,
+    ClearReason, ClearReport, CrashKey, CrashLedger, CrashReport, LedgerNews, LedgerParams,
+    MergedNews,
 };
 pub use parts::{PartId, PromptParts, RunPhase, SURVIVAL_TIME};
 pub use sharing::LedgerSharing;
--- a/medlarlanding-core/tests/prompts_crash_ledger.rs
+++ b/medlarlanding-core/tests/prompts_crash_ledger.rs
@@ -4,7 +4,7 @@
 
 use medlarlanding_core::cases;
 use medlarlanding_core::prompts::{
-    CrashKey, CrashLedger, LedgerNews, LedgerParams, PartId, PromptParts, RunPhase,
+    CrashKey, CrashLedger, LedgerNews, LedgerParams, PartId, PromptParts, PromptVerdict, RunPhase,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -216,7 +216,7 @@
         (300, 3, BEGINNING, &[FIRST, FATAL]),
     ];
     let mut ledger = ledger_of(runs, &[FIRST]);
-    let hold = LedgerParams::default().hold.as_millis() as u64;
+    let hold = LedgerParams::default().block.hold.as_millis() as u64;
     let fatal = prompt(&[FIRST, FATAL], 0x42);
     let remaining = ledger.check(at(1_300), &fatal).expect("a block").remaining;
     assert_eq!(remaining, Duration::from_millis(hold - 1_000));
@@ -256,8 +256,10 @@
                 backward.merge(now, part);
             }
         }
+        // The ledgers took the entries at different times, from which the block of a familiar part counts.
+        let later = at(110_000);
         let is_blocked = |ledger: &CrashLedger| {
-            (0..5).map(|part| ledger.check(now, &prompt(&[FIRST, part], 1)).is_some()).collect()
+            (0..5).map(|part| ledger.check(later, &prompt(&[FIRST, part], 1)).is_some()).collect()
         };
         let blocked: Vec<bool> = is_blocked(&source);
         let fingerprint = source.fingerprint();
@@ -463,3 +465,203 @@
         first_survives: true, blocked: (false, false, false),
     },
 }
+
+/// Engines that end at some times while each runs prompts with a part that all share, and a run that
+/// survives the part. Times are in milliseconds.
+struct SharedEnds<'a> {
+    /// When engines end.
+    ends: &'a [u64],
+    phase: RunPhase,
+    /// Runs survived the part before.
+    is_familiar: bool,
+    /// When a run with the part began, and when it had survived it.
+    survivor: Option<(u64, u64)>,
+    /// Whether the part is blocked at some times.
+    checks: &'a [(u64, bool)],
+}
+
+/// Guards against a part of all prompts that is blocked because engines end together for another reason
+/// (review case 6), one that stays blocked though runs survive it, and a fatal part that is not blocked.
+fn judges_shared_part(case: SharedEnds<'_>) {
+    let familiar: &[u64] = if case.is_familiar { &[FIRST] } else { &[] };
+    let mut ledger = ledger_of(&[], familiar);
+    let mut steps: Vec<(u64, Option<u64>)> =
+        case.ends.iter().enumerate().map(|(engine, end)| (*end, Some(engine as u64))).collect();
+    steps.extend(case.survivor.map(|(_, survived)| (survived, None)));
+    steps.sort_unstable();
+    let mut checks = case.checks.iter().peekable();
+    let check = |ledger: &CrashLedger, (millis, is_blocked): (u64, bool)| {
+        let found = ledger.check(at(millis), &prompt(&[FIRST], 0x77));
+        assert_eq!(found.is_some(), is_blocked, "after {millis} ms: {found:?}");
+    };
+    for (millis, engine) in steps {
+        while let Some(due) = checks.next_if(|(due, _)| *due < millis) {
+            check(&ledger, *due);
+        }
+        match engine {
+            Some(engine) => {
+                let key = CrashKey { server: engine, run: engine };
+                ledger.record_crash(at(millis), key, case.phase, prompt(&[FIRST], 0x100 + engine));
+            },
+            None => {
+                let (begun, _) = case.survivor.expect("a survivor");
+                ledger.record_survival(at(millis), at(begun), &prompt(&[FIRST], 0x99));
+            },
+        }
+    }
+    checks.for_each(|due| check(&ledger, *due));
+}
+
+cases! { judges_shared_part;
+    ends_together_do_not_block_a_part_that_runs_survive => SharedEnds {
+        ends: &[100, 101, 103, 110], phase: BEGINNING, is_familiar: true,
+        survivor: Some((300, 1_400)),
+        checks: &[(200, false), (1_300, false), (2_200, false), (60_000, false)],
+    },
+    ends_together_of_whole_answers_do_not_block_a_part_that_runs_survive => SharedEnds {
+        ends: &[100, 101, 103, 110], phase: HIDDEN, is_familiar: true,
+        survivor: Some((300, 1_400)),
+        checks: &[(200, false), (1_300, false), (2_200, false), (60_000, false)],
+    },
+    late_evidence_releases_the_part => SharedEnds {
+        ends: &[100, 101, 103, 110], phase: HIDDEN, is_familiar: true,
+        survivor: Some((300, 4_000)),
+        checks: &[(2_000, false), (2_200, true), (3_900, true), (4_100, false), (60_000, false)],
+    },
+    run_from_before_the_ends_is_no_evidence => SharedEnds {
+        ends: &[100, 101, 103, 110], phase: BEGINNING, is_familiar: true,
+        survivor: Some((90, 1_100)),
+        checks: &[(200, false), (2_200, true), (60_000, true)],
+    },
+    familiar_part_that_engines_end_on_in_turn_is_blocked => SharedEnds {
+        ends: &[100, 1_600, 3_100], phase: BEGINNING, is_familiar: true, survivor: None,
+        checks: &[(3_000, false), (3_200, true), (60_000, true)],
+    },
+    familiar_part_that_engines_end_on_together_is_blocked_after_a_while => SharedEnds {
+        ends: &[100, 150, 200, 250, 300], phase: BEGINNING, is_familiar: true, survivor: None,
+        checks: &[(400, false), (2_200, true), (60_000, true)],
+    },
+    unfamiliar_part_is_blocked_at_once => SharedEnds {
+        ends: &[100, 150, 200], phase: BEGINNING, is_familiar: false, survivor: None,
+        checks: &[(160, false), (210, true), (60_000, true)],
+    },
+    unfamiliar_part_that_a_run_survives_is_released => SharedEnds {
+        ends: &[100, 101, 103], phase: BEGINNING, is_familiar: false,
+        survivor: Some((200, 1_300)),
+        checks: &[(210, true), (1_200, true), (1_400, false), (60_000, false)],
+    },
+    ends_that_runs_survived_between_them_do_not_add_up => SharedEnds {
+        ends: &[100, 101, 5_000, 5_001], phase: BEGINNING, is_familiar: true,
+        survivor: Some((300, 1_400)),
+        checks: &[(2_200, false), (5_100, false), (7_200, false), (60_000, false)],
+    },
+}
+
+/// Guards against a fatal part that stays blocked after other parts of its prompts were suspected with it
+/// and released, when engines end together besides.
+#[test]
+fn fatal_part_stays_blocked_beside_ends_for_another_reason() {
+    let mut ledger = ledger_of(
+        &[
+            (100, 1, BEGINNING, &[FIRST, FATAL]),
+            (1_600, 2, BEGINNING, &[FIRST, FATAL]),
+            (3_100, 3, BEGINNING, &[FIRST, FATAL]),
+        ],
+        &[FIRST],
+    );
+    for engine in 10..14 {
+        let key = CrashKey { server: engine, run: engine };
+        ledger.record_crash(at(20_000 + engine), key, BEGINNING, prompt(&[FIRST], engine));
+    }
+    ledger.record_survival(at(21_300), at(20_200), &prompt(&[FIRST], 0x99));
+    for millis in [20_100, 21_400, 22_500, 60_000] {
+        assert!(ledger.check(at(millis), &prompt(&[FIRST, FATAL], 0x77)).is_some());
+        assert!(ledger.check(at(millis), &prompt(&[FIRST], 0x78)).is_none());
+    }
+}
+
+/// Guards against a part that was blocked wrongly and comes free by time alone, because no run with it
+/// begins any more.
+fn trial_releases_sound_part(is_familiar: bool) {
+    let familiar: &[u64] = if is_familiar { &[FIRST] } else { &[] };
+    let runs: &[BrokenRun<'_>] =
+        &[(100, 1, HIDDEN, &[FIRST]), (101, 2, HIDDEN, &[FIRST]), (102, 3, HIDDEN, &[FIRST])];
+    let mut ledger = ledger_of(runs, familiar);
+    let sound = prompt(&[FIRST], 0x77);
+    let (mut refused, mut tried_at) = (0, None);
+    for millis in (2_200..120_000).step_by(500) {
+        // Another instance may try.
+        assert!(!matches!(ledger.admit(at(millis), &sound, false), PromptVerdict::Trial(_)));
+        match ledger.admit(at(millis), &sound, true) {
+            PromptVerdict::Trial(_) => tried_at = tried_at.or(Some(millis)),
+            PromptVerdict::Refused(_) => refused += 1,
+            PromptVerdict::Free => break,
+        }
+        // A long answer.
+        if let Some(tried) = tried_at.filter(|tried| millis >= tried + 5_000) {
+            ledger.record_survival(at(millis), at(tried), &sound);
+        }
+    }
+    let tried_at = tried_at.expect("a trial");
+    assert!(tried_at < if is_familiar { 3_000 } else { 40_000 }, "tried after {tried_at} ms");
+    assert!(refused > 0);
+    assert_eq!(ledger.check(at(120_000), &sound), None);
+}
+
+cases! { trial_releases_sound_part;
+    trial_releases_a_familiar_part => true,
+    trial_releases_an_unfamiliar_part => false,
+}
+
+/// A fatal part on which engines have ended.
+struct FatalTrials {
+    /// Engines that ended before requests with the part are refused, and the time between two ends.
+    ends: u64,
+    gap: u64,
+    is_familiar: bool,
+}
+
+/// Guards against trials that end one engine after the other: at most three requests with a fatal part may
+/// reach engines later than 3 s after the fifth end.
+fn trials_of_fatal_part_are_few(case: FatalTrials) {
+    let familiar: &[u64] = if case.is_familiar { &[FIRST, FATAL] } else { &[FIRST] };
+    let mut ledger = ledger_of(&[], familiar);
+    let fatal = prompt(&[FIRST, FATAL], 0x77);
+    let mut ends = Vec::new();
+    let mut crash = |ledger: &mut CrashLedger, millis: u64| {
+        let engine = ends.len() as u64;
+        ends.push(millis);
+        let key = CrashKey { server: engine, run: engine };
+        let parts = prompt(&[FIRST, FATAL], 0x1000 + engine);
+        ledger.record_crash(at(millis), key, BEGINNING, parts);
+    };
+    for end in 0..case.ends {
+        crash(&mut ledger, 100 + case.gap * end);
+    }
+    let begin = 2_200 + case.gap * case.ends;
+    for millis in (begin..begin + 590_000).step_by(100) {
+        match ledger.admit(at(millis), &fatal, true) {
+            PromptVerdict::Trial(_) => crash(&mut ledger, millis + 150),
+            PromptVerdict::Refused(_) => {},
+            PromptVerdict::Free => panic!("free after {millis} ms"),
+        }
+    }
+    let late = ends.iter().filter(|end| **end > ends[4.min(ends.len() - 1)] + 3_000).count();
+    println!("{} ends, {late} of them late", ends.len());
+    assert!(late <= 2, "{late} late trials: {ends:?}");
+}
+
+cases! { trials_of_fatal_part_are_few;
+    trials_of_a_familiar_part_after_ends_in_turn => FatalTrials {
+        ends: 3, gap: 1_500, is_familiar: true,
+    },
+    trials_of_a_familiar_part_after_ends_together => FatalTrials {
+        ends: 8, gap: 50, is_familiar: true,
+    },
+    trials_of_an_unfamiliar_part_after_ends_in_turn => FatalTrials {
+        ends: 3, gap: 1_500, is_familiar: false,
+    },
+    trials_of_an_unfamiliar_part_after_ends_together => FatalTrials {
+        ends: 5, gap: 50, is_familiar: false,
+    },
+}
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -18,7 +18,9 @@
 };
 use medlarlanding_core::handles::ResumeHandle;
 use medlarlanding_core::ids::{CustomerId, DeskId, RequestId, ServerId, stable_hash};
-use medlarlanding_core::prompts::{CrashKey, PromptInput, PromptParts, RunPhase, SURVIVAL_TIME};
+use medlarlanding_core::prompts::{
+    BlockedPart, CrashKey, PromptInput, PromptParts, RunPhase, SURVIVAL_TIME,
+};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, ServeError};
 
@@ -46,6 +48,8 @@
     pub after: u64,
     /// Parts of the prompt; empty when resuming.
     pub parts: PromptParts,
+    /// The request shows whether engines survive a part that is blocked.
+    pub is_trial: bool,
 }
 
 /// Serves one request until its response has ended.
@@ -137,17 +141,16 @@
             Some(input) = self.inputs.recv() => input,
             outcome = self.permit.decided() => match outcome {
                 // The part may have been blocked while the request waited.
-                PermitOutcome::Start(_) if self.shared.is_fatal(&self.plan.parts) => {
-                    let is_opened = self.opened_at.is_some();
-                    SessionInput::Refused(match is_opened {
-                        true => ErrorKind::BackendFailed,
-                        false => ErrorKind::FatalPrompt,
-                    })
-                },
-                PermitOutcome::Start(server) => {
-                    let name = self.shared.server_name(server);
-                    self.trace(TraceStep::PermitGranted { server: name });
-                    SessionInput::Start { server }
+                PermitOutcome::Start(server) => match self.blocked_part() {
+                    Some(blocked) => SessionInput::Refused(match self.opened_at {
+                        Some(_) => ErrorKind::BackendFailed,
+                        None => blocked.error_kind(),
+                    }),
+                    None => {
+                        let name = self.shared.server_name(server);
+                        self.trace(TraceStep::PermitGranted { server: name });
+                        SessionInput::Start { server }
+                    },
                 },
                 PermitOutcome::Refused(kind) => SessionInput::Refused(kind),
             },
@@ -226,7 +229,8 @@
                 self.trace(TraceStep::ServerFailed { server, reason });
             },
             SessionEffect::RequestServer { .. } => {
-                let is_fatal = self.shared.is_fatal(&self.plan.parts);
+                // A trial is one run.
+                let is_fatal = self.plan.is_trial || self.blocked_part().is_some();
                 if !is_fatal && self.shared.spend_retry() {
                     event(EventKind::GenerationRetried, &[&self.plan.request]);
                     self.trace(TraceStep::Retried);
@@ -244,6 +248,11 @@
         }
     }
 
+    /// Returns the part for which the generation must not be started on an engine.
+    fn blocked_part(&self) -> Option<BlockedPart> {
+        self.shared.blocked_part(&self.plan.parts).filter(|_| !self.plan.is_trial)
+    }
+
     /// Records the run if its engine has ended before it survived the prompt.
     async fn examine_engine(&self, server: ServerId) {
         if self.opened_at.is_none() || self.is_settled || self.plan.parts.is_empty() {
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -15,7 +15,7 @@
     DrainParams, EngineLimits, KeyCheck, LatencyClass, RegionLimit, RequestKind, RouteRule,
     RunWeight, can_finish,
 };
-use medlarlanding_core::prompts::{BLOCK_TIME, PromptParts};
+use medlarlanding_core::prompts::{BLOCK_TIME, BlockedPart, PromptParts, PromptVerdict};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::headers::CallerHeaders;
 
@@ -42,6 +42,9 @@
 /// Retry delay sent if a generation found no room. Bursts last 3 to 10 s on the measured
 /// installations, and a generation that is refused again is lost.
 const RETRY_OVERLOADED: Duration = Duration::from_secs(10);
+/// Retry delay sent if a part of the prompt may be sound, which runs in progress and trials show within
+/// seconds.
+const RETRY_SUSPECT: Duration = Duration::from_millis(1500);
 /// Time until the deadline for a caller that does not state one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -75,6 +78,8 @@
     pub weight: RunWeight,
     /// Parts of the prompt; empty for requests that no engine runs.
     pub parts: PromptParts,
+    /// The request shows whether engines survive a part that is blocked.
+    is_trial: bool,
     /// When the request's head was read.
     pub arrived_at: Timestamp,
     /// When the caller stops waiting or the route's timeout passes, whichever is earlier.
@@ -92,12 +97,34 @@
         self.deadline.since(now)
     }
 
+    /// Returns why the request may not be sent to a server because of its prompt, if so.
+    pub fn prompt_error(&self, state: &ForwardState) -> Option<ErrorAnswer> {
+        let blocked = state.check_prompt(&self.parts).filter(|_| !self.is_trial)?;
+        Some(prompt_error(&blocked))
+    }
+
+    /// Waits until a server that has the request must not go on with its prompt.
+    pub async fn wait_for_block(&self, state: &ForwardState) {
+        if self.is_trial {
+            return std::future::pending().await;
+        }
+        state.wait_for_block(&self.parts).await;
+    }
+
     /// Returns whether a server that is sent the request now answers before this process ends.
     pub fn fits_stop(&self, state: &ForwardState) -> bool {
         fits_stop(state, self.longest_time, self.time_left(state.now()))
     }
 }
 
+/// Returns the refusal of a request with a blocked part.
+fn prompt_error(blocked: &BlockedPart) -> ErrorAnswer {
+    match blocked.is_familiar {
+        true => ErrorAnswer::SuspectPrompt,
+        false => ErrorAnswer::FatalPrompt,
+    }
+}
+
 /// Returns whether an answer that may take `longest` is complete before this process ends, or its caller
 /// gives up until then, in `time_left`.
 fn fits_stop(state: &ForwardState, longest: Duration, time_left: Duration) -> bool {
@@ -167,6 +194,7 @@
         ErrorAnswer::OutOfMemory => RETRY_FULL,
         ErrorAnswer::Overloaded => RETRY_OVERLOADED,
         ErrorAnswer::FatalPrompt => BLOCK_TIME,
+        ErrorAnswer::SuspectPrompt => RETRY_SUSPECT,
         ErrorAnswer::Stopping | ErrorAnswer::LateUnsent => Duration::ZERO,
         ErrorAnswer::NoRoute
         | ErrorAnswer::UnknownKey
@@ -236,9 +264,11 @@
     let rule = Arc::clone(rule);
     let customer_regions = customer.as_ref().map(|record| &record.regions);
     let regions = rule.regions.intersect(customer_regions.unwrap_or(&RegionLimit::Any));
-    if state.check_prompt(&caller.parts).is_some() {
-        return Err(ErrorAnswer::FatalPrompt);
-    }
+    let is_trial = match state.admit_prompt(&caller.request_id, &caller.parts) {
+        PromptVerdict::Free => false,
+        PromptVerdict::Trial(_) => true,
+        PromptVerdict::Refused(blocked) => return Err(prompt_error(&blocked)),
+    };
     let service = Arc::clone(rule.target(state.draw()));
     let engine = config.service(&service).and_then(|policy| policy.engine);
     let wait = caller.time_left.unwrap_or(DEFAULT_DEADLINE).min(rule.timeout);
@@ -277,6 +307,7 @@
         customer: customer.map(|record| record.name),
         weight: caller.weight,
         parts: caller.parts,
+        is_trial,
         arrived_at,
         deadline,
         config_version: config.version,
--- a/medlarlanding/src/forwarding/answer.rs
+++ b/medlarlanding/src/forwarding/answer.rs
@@ -39,6 +39,9 @@
     Overloaded,
     /// Engines ended when they wrote on a part of the prompt; the request has not run and never will.
     FatalPrompt,
+    /// Engines ended when they wrote on a part of the prompt that runs survived before; the request has
+    /// not run and never will.
+    SuspectPrompt,
     /// The process would stop before the request finishes; it has not run and never will.
     Stopping,
     /// The process holds too many bytes of request bodies; the request has not run and never will.
@@ -60,6 +63,7 @@
             | Self::ServersFull
             | Self::Overloaded
             | Self::FatalPrompt
+            | Self::SuspectPrompt
             | Self::Stopping
             | Self::OutOfMemory
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -86,6 +90,7 @@
             Self::ServersFull => "servers_full",
             Self::Overloaded => "overloaded",
             Self::FatalPrompt => "fatal_prompt",
+            Self::SuspectPrompt => "suspect_prompt",
             Self::Stopping => "stopping",
             Self::OutOfMemory => "out_of_memory",
             Self::LateUnsent => "late_unsent",
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -295,7 +295,7 @@
 
     /// Returns whether engines end on the prompt of this run.
     fn is_fatal(&self) -> bool {
-        self.state.check_prompt(&self.admitted.parts).is_some()
+        self.admitted.prompt_error(&self.state).is_some()
     }
 
     fn is_leaving(&self, key: ServerKey) -> bool {
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -67,8 +67,8 @@
             let zone = Arc::from(self.state.settings.zone.as_str());
             let (key, entry) =
                 self.choose_start(&tried, &zone).await.map_err(StartFailure::Error)?;
-            if self.is_fatal() {
-                return Err(StartFailure::Error(ErrorAnswer::FatalPrompt));
+            if let Some(refusal) = self.admitted.prompt_error(&self.state) {
+                return Err(StartFailure::Error(refusal));
             }
             if !tried.is_empty()
                 && !self.state.try_repeat(&self.admitted.service, RepeatPurpose::Restart)
@@ -100,7 +100,7 @@
             // it waits there.
             let sent = tokio::select! {
                 sent = sending => Ok(sent),
-                () = self.state.wait_for_block(&self.admitted.parts) => Err("blocked"),
+                () = self.admitted.wait_for_block(&self.state) => Err("blocked"),
                 () = self.state.stop_within(Duration::ZERO) => Err("stopping"),
             };
             let elapsed = self.state.now().since(now);
--- a/medlarlanding/src/forwarding/ledger.rs
+++ b/medlarlanding/src/forwarding/ledger.rs
@@ -10,7 +10,7 @@
 use medlarlanding_core::forwarding::ServerEntry;
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::prompts::{
-    BlockedPart, CrashKey, CrashLedger, LedgerNews, PartId, PromptParts, RunPhase,
+    BlockedPart, CrashKey, CrashLedger, LedgerNews, PartId, PromptParts, PromptVerdict, RunPhase,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -47,11 +47,24 @@
         self.ledger.entries.borrow().check(self.now(), parts)
     }
 
-    /// Waits until requests with this prompt are refused.
+    /// Decides on a new request with a prompt. Only the coordinator tries requests with a blocked part.
+    pub fn admit_prompt(&self, request: &str, parts: &PromptParts) -> PromptVerdict {
+        let now = self.now();
+        let is_coordinator = self.peers.borrow().coordinator(now).is_none();
+        let verdict = self.ledger.entries.borrow_mut().admit(now, parts, is_coordinator);
+        if let PromptVerdict::Trial(blocked) = verdict {
+            event(EventKind::PartTried, &[&request, &blocked.part, &blocked.ends]);
+        }
+        verdict
+    }
+
+    /// Waits until engines are taken to end on this prompt. A part that runs survived before may be
+    /// sound, which those in progress show.
     pub async fn wait_for_block(&self, parts: &PromptParts) {
+        let is_fatal = || self.check_prompt(parts).is_some_and(|blocked| !blocked.is_familiar);
         let mut changes = self.ledger.block_changes.subscribe();
         // The sender lives as long as this state.
-        let _ = changes.wait_for(|_| self.check_prompt(parts).is_some()).await;
+        let _ = changes.wait_for(|_| is_fatal()).await;
     }
 
     /// Records a run that the end of its engine broke off, and tells the peers.
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -163,9 +163,8 @@
         if is_repeat && !state.try_repeat(&admitted.service, RepeatPurpose::Retry) {
             break fallback_or_error(fallback, error_without_answer(run_count));
         }
-        if state.check_prompt(&admitted.parts).is_some() {
-            let error =
-                if run_count == 0 { ErrorAnswer::FatalPrompt } else { ErrorAnswer::AnswerLost };
+        if let Some(refusal) = admitted.prompt_error(state) {
+            let error = if run_count == 0 { refusal } else { ErrorAnswer::AnswerLost };
             break fallback_or_error(fallback, error);
         }
         tried.push(key);
@@ -372,7 +371,7 @@
     // there.
     let outcome = tokio::select! {
         outcome = answering => outcome,
-        () = state.wait_for_block(&admitted.parts) => SendOutcome::Blocked,
+        () = admitted.wait_for_block(state) => SendOutcome::Blocked,
         () = state.stop_within(Duration::ZERO) => SendOutcome::Stopping,
     };
     if let SendOutcome::Answered(status, _, AnswerBody::Whole(_)) = &outcome
--- a/medlarlanding/src/http/generations.rs
+++ b/medlarlanding/src/http/generations.rs
@@ -17,7 +17,7 @@
 use medlarlanding_core::generations::{GenerationSession, SessionInput, SessionParams};
 use medlarlanding_core::handles::ResumeHandle;
 use medlarlanding_core::ids::{RequestId, stable_hash};
-use medlarlanding_core::prompts::{PartId, PromptParts};
+use medlarlanding_core::prompts::{PartId, PromptParts, PromptVerdict};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
@@ -151,19 +151,21 @@
         let body: GenerationBody = parse_json(&body)?;
         let route = accepted.access.desk().generations.ok_or(ErrorKind::NotFound)?;
         let parts = prompt_parts(&accepted, &body.prompt);
-        if context.shared.is_fatal(&parts) {
-            return Err(ErrorKind::FatalPrompt.into());
-        }
-        Ok((guard, body, route, parts))
+        let is_trial = match context.shared.admit_prompt(accepted.id, &parts) {
+            PromptVerdict::Free => false,
+            PromptVerdict::Trial(_) => true,
+            PromptVerdict::Refused(blocked) => return Err(blocked.error_kind().into()),
+        };
+        Ok((guard, body, route, parts, is_trial))
     };
-    let (guard, body, route, parts) =
+    let (guard, body, route, parts, is_trial) =
         reading.await.inspect_err(|error| context.count_refusal(ENDPOINT, error, accepted.id))?;
     let delivery = body.delivery.unwrap_or(accepted.access.desk().delivery);
     let request = admission_request(context, &accepted, route, &body);
     let generation = generation_request(&accepted, route, &body, &request, context);
     let session = session(context, &accepted, delivery, request.deadline);
     let permit = RequestPermit::request(context.shared.clone(), request);
-    let plan = plan(&accepted, Some(Arc::new(generation)), 0, parts);
+    let plan = DeliveryPlan { is_trial, ..plan(&accepted, Some(Arc::new(generation)), 0, parts) };
     deliver(context, plan, session, permit, guard, delivery, None).await
 }
 
@@ -230,6 +232,7 @@
         generation,
         after,
         parts,
+        is_trial: false,
     }
 }
 
--- a/medlarlanding/src/instance.rs
+++ b/medlarlanding/src/instance.rs
@@ -23,7 +23,7 @@
 use medlarlanding_core::handles::HandleSigner;
 use medlarlanding_core::ids::{Incarnation, InstanceId, InstanceIdentity, RequestId, ServerId};
 use medlarlanding_core::node::{EntryNode, NodeDump, NodeInput};
-use medlarlanding_core::prompts::{PromptInput, PromptParts};
+use medlarlanding_core::prompts::{BlockedPart, PromptInput, PromptParts, PromptVerdict};
 use medlarlanding_core::{ErrorKind, Result, ServeError};
 
 use rand::Rng;
@@ -278,9 +278,18 @@
         let _ = self.apply(NodeInput::Admission(AdmissionInput::ServerSuspect(server)));
     }
 
-    /// Returns whether requests with a prompt are refused because engines ended on a part of it.
-    pub fn is_fatal(&self, parts: &PromptParts) -> bool {
-        self.node().check_prompt(self.clock.now(), parts).is_some()
+    /// Returns the part for which requests with a prompt are refused because engines ended on it.
+    pub fn blocked_part(&self, parts: &PromptParts) -> Option<BlockedPart> {
+        self.node().check_prompt(self.clock.now(), parts)
+    }
+
+    /// Decides on a new request with a prompt.
+    pub fn admit_prompt(&self, request: RequestId, parts: &PromptParts) -> PromptVerdict {
+        let verdict = self.node().admit_prompt(self.clock.now(), parts);
+        if let PromptVerdict::Trial(blocked) = verdict {
+            event(EventKind::PartTried, &[&request, &blocked.part, &blocked.ends]);
+        }
+        verdict
     }
 
     /// Records what a run showed about its prompt, and tells the peers.
