Count a prompt as survived once its engine has lived on

Cause: an answer counted as survived at its last byte, while the end of an engine is known only later. An end breaks off runs in progress only, so the run that caused it was in no record, and its part counted as familiar. The runs of callers that leave, and of connections that break while the engine still listens, were lost in the same way.

Change: a run whose answer has ended is kept until its engine gives a sign of life 1 s after it began to write; only then has it survived its parts. If the engine ends before, the run is recorded like those that the end broke off. An engine that shows nothing is asked, if a part of the prompt was not survived lately or is suspected. The ledger tells all instances of an end, since each keeps its own finished runs, and weighs the parts once for a burst of messages.

Why it works: survival and end now speak of the same time, the second after an engine begins to write, so a fatal part is never survived and always in the record of the end, however short the answer.

--- a/medlarlanding-core/src/node.rs
+++ b/medlarlanding-core/src/node.rs
@@ -614,6 +614,11 @@
         self.ledger.admit(now, parts, may_try)
     }
 
+    /// Returns whether it matters that a run with a prompt survives it.
+    pub fn wants_evidence(&self, now: Timestamp, parts: &PromptParts) -> bool {
+        self.ledger.wants_evidence(now, parts)
+    }
+
     /// Returns the number of blocked parts of prompts.
     pub fn blocked_part_count(&self, now: Timestamp) -> usize {
         self.ledger.blocked(now).len()
--- a/medlarlanding-core/src/prompts/crash_ledger.rs
+++ b/medlarlanding-core/src/prompts/crash_ledger.rs
@@ -268,8 +268,9 @@
     records: IndexMap<CrashKey, CrashRecord>,
     /// When a run last survived each part; no part belongs to a single request.
     survivals: IndexMap<PartId, Timestamp>,
-    /// Derived from `records` at each change.
+    /// Derived from `records` at each change, unless `is_stale` is set.
     rules: IndexMap<PartId, BlockRule>,
+    is_stale: bool,
     /// When this instance last tried a request with each blocked part.
     trials: IndexMap<PartId, Timestamp>,
 }
@@ -340,21 +341,15 @@
         self.merge(now, LedgerNews { crashes: vec![crash], clears: Vec::new() }).into_all()
     }
 
-    /// Records that a run which began at `begun_at` survived its parts: its answer is complete, or the
-    /// engine has written for `SURVIVAL_TIME`. Returns what is new.
+    /// Records that a run which began at `begun_at` survived its parts: its engine has lived for
+    /// `SURVIVAL_TIME` since it began to write. Returns what is new.
     pub fn record_survival(
         &mut self,
         now: Timestamp,
         begun_at: Timestamp,
         parts: &PromptParts,
     ) -> LedgerNews {
-        for part in parts.shared() {
-            self.survivals.insert(*part, now);
-        }
-        if self.survivals.len() > self.params.survival_limit {
-            self.survivals.sort_by(|_, earlier, _, later| earlier.cmp(later));
-            self.survivals.drain(..self.params.survival_limit / 2);
-        }
+        self.record_writing(now, parts);
         let mut news = LedgerNews::default();
         for (key, record) in &mut self.records {
             if begun_at <= record.learned_at {
@@ -379,8 +374,66 @@
         news
     }
 
+    /// Records that an engine has written on a prompt for longer than a fatal part allows, though not
+    /// long enough to clear its parts.
+    pub fn record_writing(&mut self, now: Timestamp, parts: &PromptParts) {
+        for part in parts.shared() {
+            self.survivals.insert(*part, now);
+        }
+        self.limit_survivals();
+    }
+
+    /// Returns whether it matters that a run with this prompt survives it: a part is suspected, or was
+    /// not survived lately.
+    pub fn wants_evidence(&self, now: Timestamp, parts: &PromptParts) -> bool {
+        let is_recent = |at: &Timestamp| now.since(*at) < self.params.familiarity / 2;
+        parts.shared().iter().any(|part| {
+            let is_suspected = |record: &CrashRecord| {
+                record.shared.get(part).is_some_and(|marks| !marks.is_survived)
+            };
+            !self.survivals.get(part).is_some_and(is_recent)
+                || self.records.values().any(is_suspected)
+        })
+    }
+
+    /// Returns whether an engine, given with the hash of its start, has ended since `from`.
+    pub fn has_end_since(&self, from: Timestamp, server: u64) -> bool {
+        let has_ended =
+            |(key, record): (&CrashKey, &CrashRecord)| key.server == server && record.at >= from;
+        self.records.iter().any(has_ended)
+    }
+
+    /// Records that an engine ended, without a run. Returns what is new.
+    pub fn record_end(&mut self, now: Timestamp, server: u64) -> LedgerNews {
+        let key = CrashKey { server, run: 0 };
+        self.record_crash(now, key, RunPhase::Waiting, PromptParts::default())
+    }
+
+    /// Drops the oldest of too many survivals.
+    fn limit_survivals(&mut self) {
+        if self.survivals.len() > self.params.survival_limit {
+            self.survivals.sort_by(|_, earlier, _, later| earlier.cmp(later));
+            self.survivals.drain(..self.params.survival_limit / 2);
+        }
+    }
+
     /// Adds entries of a peer and marks the parts that runs of this instance survived earlier.
     pub fn merge(&mut self, now: Timestamp, received: LedgerNews) -> MergedNews {
+        let merged = self.absorb(now, received);
+        self.refresh();
+        merged
+    }
+
+    /// Derives the blocked parts again if entries were absorbed since the last time.
+    pub fn refresh(&mut self) {
+        if std::mem::take(&mut self.is_stale) {
+            self.derive_rules();
+        }
+    }
+
+    /// Adds entries like `merge`, but keeps the blocked parts until `refresh`. Entries of long prompts
+    /// arrive in many messages, for each of which all parts would be weighed.
+    pub fn absorb(&mut self, now: Timestamp, received: LedgerNews) -> MergedNews {
         self.evict(now);
         let mut news = LedgerNews::default();
         let mut own = LedgerNews::default();
@@ -434,9 +487,7 @@
             }
         }
         self.enforce_limits();
-        if !news.is_empty() {
-            self.derive_rules();
-        }
+        self.is_stale |= !news.is_empty();
         MergedNews { received: news, own }
     }
 
@@ -556,9 +607,7 @@
         let retention = self.params.retention;
         let count = self.records.len();
         self.records.retain(|_, record| now.since(record.at) < retention);
-        if self.records.len() < count {
-            self.derive_rules();
-        }
+        self.is_stale |= self.records.len() < count;
     }
 
     /// Derives the blocked parts from the records.
@@ -568,6 +617,7 @@
     /// fewer broken runs contain is blocked, because a part that many prompts share is in the runs
     /// beside the fatal one too. The same holds for parts that are blocked because they recur.
     fn derive_rules(&mut self) {
+        self.is_stale = false;
         let mut own_ends: IndexMap<PartId, usize> = IndexMap::new();
         let all_ends = self.ends();
         for end in &all_ends {
--- a/medlarlanding-core/src/prompts/mod.rs
+++ b/medlarlanding-core/src/prompts/mod.rs
@@ -2,6 +2,7 @@
 
 mod block_rule;
 mod crash_ledger;
+mod finished_runs;
 mod parts;
 mod sharing;
 
@@ -10,6 +11,7 @@
     ClearReason, ClearReport, CrashKey, CrashLedger, CrashReport, LedgerNews, LedgerParams,
     MergedNews,
 };
+pub use finished_runs::{FinishedRun, FinishedRuns};
 pub use parts::{PartId, PromptParts, RunPhase, SURVIVAL_TIME};
 pub use sharing::LedgerSharing;
 
--- a/medlarlanding-core/src/prompts/parts.rs
+++ b/medlarlanding-core/src/prompts/parts.rs
@@ -112,7 +112,7 @@
 impl RunPhase {
     /// Time for which a stream counts as just begun. Engines end about 0.1 s after they begin to write
     /// on a fatal part.
-    const BEGINNING: Duration = Duration::from_millis(300);
+    pub const BEGINNING: Duration = Duration::from_millis(300);
 
     /// Returns the phase of a stream that the server has written for this time.
     pub fn of_stream(writing: Duration) -> Self {
--- a/medlarlanding/src/delivery/task.rs
+++ b/medlarlanding/src/delivery/task.rs
@@ -205,7 +205,7 @@
             SessionEffect::Complete { tokens, finish, text } => {
                 self.permit.progress(tokens);
                 self.permit.release(true);
-                self.record_survival();
+                self.settle_later();
                 self.shared.credit_retry_budget();
                 self.trace(TraceStep::Completed { tokens });
                 self.shared.count_result(ENDPOINT, "whole");
@@ -263,8 +263,7 @@
         if is_leaving || exchange::probe_listener_again(address).await != ListenerState::Absent {
             return;
         }
-        let run = stable_hash(self.plan.request.to_string().as_bytes());
-        let key = CrashKey { server: server.0, run };
+        let key = CrashKey { server: server.0, run: self.run_hash() };
         let phase = match self.first_token_at {
             Some(first) => RunPhase::of_stream(self.shared.clock.now().since(first)),
             None => RunPhase::Hidden,
@@ -273,6 +272,31 @@
         self.shared.record_prompt(PromptInput::Broken { key, phase, parts });
     }
 
+    /// Finds out later whether the engine has survived the prompt of a complete answer, unless that is
+    /// known or does not matter. An engine ends only a while after it has begun to write.
+    fn settle_later(&self) {
+        let server = self.session.generation().map(|(server, _)| server);
+        let (Some(server), Some(begun_at)) = (server, self.opened_at) else { return };
+        if self.is_settled || self.plan.parts.is_empty() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let written_at = self.first_token_at.unwrap_or(now);
+        let run = CompleteRun {
+            shared: Arc::clone(&self.shared),
+            server,
+            key: CrashKey { server: server.0, run: self.run_hash() },
+            phase: RunPhase::of_stream(now.since(written_at)),
+            parts: self.plan.parts.clone(),
+            begun_at,
+        };
+        tokio::task::spawn_local(run.settle(written_at + SURVIVAL_TIME));
+    }
+
+    fn run_hash(&self) -> u64 {
+        stable_hash(self.plan.request.to_string().as_bytes())
+    }
+
     /// Records that the engine survives the prompt.
     fn record_survival(&mut self) {
         let Some(begun_at) = self.opened_at.filter(|_| !self.plan.parts.is_empty()) else { return };
@@ -408,6 +432,36 @@
     }
 }
 
+/// A generation whose answer is complete and whose engine may still end on its prompt.
+struct CompleteRun {
+    shared: Arc<InstanceShared>,
+    server: ServerId,
+    key: CrashKey,
+    phase: RunPhase,
+    parts: PromptParts,
+    begun_at: Timestamp,
+}
+
+impl CompleteRun {
+    async fn settle(self, settles_at: Timestamp) {
+        let Self { shared, server, key, phase, parts, begun_at } = self;
+        tokio::time::sleep(settles_at.since(shared.clock.now())).await;
+        if !shared.wants_evidence(&parts) {
+            return;
+        }
+        let Some(address) = shared.server_address(server) else { return };
+        match exchange::probe_listener(address).await {
+            ListenerState::Listening => {
+                shared.record_prompt(PromptInput::Survived { begun_at, parts });
+            },
+            ListenerState::Absent if !shared.server_leaving(server) => {
+                shared.record_prompt(PromptInput::Broken { key, phase, parts });
+            },
+            ListenerState::Absent | ListenerState::Unknown => {},
+        }
+    }
+}
+
 /// Returns whether an input shows that a connection to the engine was established.
 fn shows_connection(input: &SessionInput) -> bool {
     match input {
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -17,6 +17,7 @@
 use super::engine_calls::MoveCall;
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
+use super::prompt_runs::PromptRun;
 use super::server_liveness::BrokenAnswer;
 use super::server_pace::AnswerClock;
 use super::shared::SharedState;
@@ -29,7 +30,7 @@
     EndVerdict, EngineFault, RunStop, RunWeight, ServerEntry, ServerKey, ServerLiveness,
     StreamSampler, TOKENS_PER_EVENT,
 };
-use medlarlanding_core::prompts::{RunPhase, SURVIVAL_TIME};
+use medlarlanding_core::prompts::RunPhase;
 use medlarlanding_core::time::Timestamp;
 
 use hyper::body::Incoming;
@@ -78,8 +79,8 @@
     has_events: bool,
     /// When the head of the answer arrived, at which the engine began to write.
     begun_at: Timestamp,
-    /// The engine has written for long enough to show that it survives the prompt.
-    is_settled: bool,
+    /// Whether the engine survives the prompt; `None` without one.
+    prompt_run: Option<PromptRun>,
     /// Whether a call has stopped the run at this engine.
     run_stop: RunStop,
     /// Measures how fast the engine writes.
@@ -198,7 +199,9 @@
                 StreamEnd::Complete => {
                     let sample = stream.sampler.finish();
                     self.state.record_stream_sample(stream.key, sample);
-                    self.state.record_survival(stream.begun_at, &self.admitted.parts);
+                    if let Some(run) = &mut stream.prompt_run {
+                        run.complete();
+                    }
                     "complete"
                 },
                 StreamEnd::CallerGone => "caller_gone",
@@ -347,9 +350,8 @@
         stream.load.add_output(TOKENS_PER_EVENT);
         self.last_event_at = now;
         self.events += 1;
-        if !stream.is_settled && now.since(stream.begun_at) >= SURVIVAL_TIME {
-            stream.is_settled = true;
-            self.state.record_survival(stream.begun_at, &self.admitted.parts);
+        if let Some(run) = &mut stream.prompt_run {
+            run.part_arrived();
         }
         if event.id.is_some() {
             self.last_event = event.id;
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -10,6 +10,7 @@
 use crate::forwarding::evacuations::SendPurpose;
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::placing::Placement;
+use crate::forwarding::prompt_runs::PromptRun;
 use crate::forwarding::relay::server_request;
 use crate::forwarding::shared::SharedState;
 use crate::forwarding::stream_events::{EventSplitter, has_events};
@@ -466,6 +467,8 @@
                 Some(self.admitted.priority),
                 Some(&continuation),
             );
+            let mut prompt_run =
+                PromptRun::begin(&self.state, &self.link, &self.admitted, (*key, entry), true);
             let may_send = async || self.state.may_send(*key, SendPurpose::Resumed).await;
             let sending = exchange::send_checked(entry.address, request, time_left, may_send);
             let fault = EngineFault::Unresponsive;
@@ -483,7 +486,10 @@
                 ],
             );
             match sent {
-                Ok(None) => continue,
+                Ok(None) => {
+                    PromptRun::discard(prompt_run);
+                    continue;
+                },
                 Ok(Some((response, exchange))) => {
                     self.note_answer(*key, &response);
                     let framing = BodyFraming::of_response(&response);
@@ -496,6 +502,9 @@
                             call.detach();
                         }
                         let entry = entry.clone();
+                        if let Some(run) = &mut prompt_run {
+                            run.answer_begun();
+                        }
                         return ResumeOutcome::Resumed(Box::new(EngineStream {
                             key: *key,
                             entry,
@@ -503,7 +512,7 @@
                             framing,
                             has_events: has_events(&parts.headers),
                             begun_at: self.state.now(),
-                            is_settled: false,
+                            prompt_run,
                             sampler: StreamSampler::disabled(),
                             // A call without an answer may still reach the source.
                             run_stop: match run_stop {
@@ -518,8 +527,11 @@
                     if check != AnswerCheck::NotRun {
                         return ResumeOutcome::Failed;
                     }
+                    PromptRun::discard(prompt_run);
+                },
+                Err(ExchangeFault::NotConnected) => {
+                    PromptRun::discard(prompt_run);
                 },
-                Err(ExchangeFault::NotConnected) => {},
                 Err(_) => return ResumeOutcome::Failed,
             }
             // The destination accepts the run only after its remainder has arrived. The next attempt
--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -13,6 +13,7 @@
 use crate::forwarding::evacuations::SendPurpose;
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::placing::Placement;
+use crate::forwarding::prompt_runs::PromptRun;
 use crate::forwarding::relay::server_request;
 use crate::forwarding::server_liveness::examine_unreachable;
 use crate::forwarding::server_pace::AnswerClock;
@@ -80,6 +81,8 @@
             self.log_choice(&entry, queue);
             let load = LoadGuard::begin(&self.state, key, self.admitted.weight);
             let clock = AnswerClock::start(&self.state, key, &self.admitted);
+            let mut prompt_run =
+                PromptRun::begin(&self.state, &self.link, &self.admitted, (key, &entry), true);
             let request = server_request(
                 &self.admitted,
                 &entry.id,
@@ -128,12 +131,14 @@
             let (response, exchange) = match sent {
                 Ok(Some(sent)) => sent,
                 Ok(None) => {
+                    PromptRun::discard(prompt_run);
                     if tried.len() as u32 >= NOT_RUN_LIMIT {
                         return Err(StartFailure::Error(ErrorAnswer::ServersFull));
                     }
                     continue;
                 },
                 Err(ExchangeFault::NotConnected) => {
+                    PromptRun::discard(prompt_run);
                     self.record_failure(key, &entry, "not_connected");
                     let (state, link) = (Rc::clone(&self.state), Rc::clone(&self.link));
                     tokio::task::spawn_local(async move {
@@ -159,6 +164,7 @@
             let (parts, body) = response.into_parts();
             match check_answer(parts.status, &parts.headers, &self.admitted.id) {
                 AnswerCheck::NotRun => {
+                    PromptRun::discard(prompt_run);
                     self.state.note_engine_refusal(&self.link, key, now);
                     if tried.len() as u32 >= NOT_RUN_LIMIT {
                         return Err(StartFailure::Error(ErrorAnswer::ServersFull));
@@ -185,6 +191,9 @@
             }
             self.state.directory.borrow_mut().record_success(key);
             let begun_at = self.state.now();
+            if let Some(run) = &mut prompt_run {
+                run.answer_begun();
+            }
             let stream = EngineStream {
                 key,
                 entry,
@@ -192,7 +201,7 @@
                 framing,
                 has_events: has_events(&parts.headers),
                 begun_at,
-                is_settled: false,
+                prompt_run,
                 sampler: self.sampler(now, queue),
                 run_stop: RunStop::NotStopped,
                 _exchange: exchange,
--- a/medlarlanding/src/forwarding/ledger.rs
+++ b/medlarlanding/src/forwarding/ledger.rs
@@ -2,27 +2,51 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::servers::start_hash;
-use super::shared::ForwardState;
+use super::shared::{ForwardState, SharedState};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::ServerEntry;
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::prompts::{
-    BlockedPart, CrashKey, CrashLedger, LedgerNews, PartId, PromptParts, PromptVerdict, RunPhase,
+    BlockedPart, CrashKey, CrashLedger, CrashReport, FinishedRun, FinishedRuns, LedgerNews, PartId,
+    PromptParts, PromptVerdict, RunPhase,
 };
 use medlarlanding_core::time::Timestamp;
 
 use indexmap::IndexSet;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
+
+/// Time for which the end of an engine is news: runs that finish there meanwhile may have caused it.
+const END_NEWS_TIME: Duration = Duration::from_secs(2);
+
+/// Most finished runs of an engine that are blamed for its end although all their parts were survived
+/// lately.
+const FAMILIAR_RUNS_LIMIT: usize = 2;
+/// Pause in which entries of the same end arrive, before the blocked parts are derived from them.
+const REFRESH_PAUSE: Duration = Duration::from_millis(3);
+
+/// Keeps the blocked parts up to date with the entries until the process ends.
+pub async fn refresh_blocked_parts(state: SharedState) -> anyhow::Result<()> {
+    loop {
+        state.ledger.refresh_wanted.notified().await;
+        tokio::time::sleep(REFRESH_PAUSE).await;
+        state.update_blocked_parts();
+    }
+}
 
 /// The ledger of this instance.
 pub struct LedgerState {
     /// Runs that the ends of engines broke off, as all instances reported them.
     entries: RefCell<CrashLedger>,
+    /// Runs of this instance whose answers ended before their engines had survived the prompts.
+    finished: RefCell<FinishedRuns>,
     /// Parts of prompts that were blocked when the ledger last changed.
     blocked_parts: RefCell<IndexSet<PartId>>,
+    /// Notified when entries were added.
+    refresh_wanted: Notify,
     /// Notified when a part is blocked.
     block_changes: watch::Sender<u64>,
     /// Entries of the ledger that are to be sent to peers.
@@ -34,7 +58,9 @@
     pub fn new(news: mpsc::UnboundedSender<LedgerNews>) -> Self {
         Self {
             entries: RefCell::default(),
+            finished: RefCell::default(),
             blocked_parts: RefCell::default(),
+            refresh_wanted: Notify::new(),
             block_changes: watch::Sender::new(0),
             news,
         }
@@ -89,15 +115,81 @@
         self.apply_ledger_change(news);
     }
 
+    /// Records that an engine has written on a prompt for longer than it does on a fatal part.
+    pub fn record_writing(&self, parts: &PromptParts) {
+        self.ledger.entries.borrow_mut().record_writing(self.now(), parts);
+    }
+
+    /// Records a sign of life of an engine, given with the hash of its start.
+    pub fn hear_engine(&self, engine: u64) {
+        let survivors = self.ledger.finished.borrow_mut().hear(self.now(), engine);
+        for run in survivors {
+            self.record_survival(run.begun_at, &run.parts);
+        }
+    }
+
+    /// Keeps a run whose answer has ended. Returns false if its engine has just ended, which counts
+    /// against the run at once.
+    pub fn finish_run(&self, engine: u64, run: FinishedRun) -> bool {
+        let now = self.now();
+        self.ledger.finished.borrow_mut().add(now, engine, run);
+        let has_ended = self.ledger.entries.borrow().has_end_since(now - END_NEWS_TIME, engine);
+        if has_ended {
+            self.blame_finished_runs(engine);
+        }
+        !has_ended
+    }
+
+    /// Returns whether it is worth asking an engine for a sign of life because of a finished run.
+    pub fn wants_proof(&self, engine: u64, run: u64, parts: &PromptParts) -> bool {
+        self.ledger.finished.borrow().is_open(engine, run)
+            && self.ledger.entries.borrow().wants_evidence(self.now(), parts)
+    }
+
+    /// Records that an engine has ended, and tells the peers, which may have finished runs there.
+    pub fn record_engine_end(&self, engine: u64) {
+        self.blame_finished_runs(engine);
+        let now = self.now();
+        if !self.ledger.entries.borrow().has_end_since(now - END_NEWS_TIME, engine) {
+            let news = self.ledger.entries.borrow_mut().record_end(now, engine);
+            self.apply_ledger_change(news);
+        }
+    }
+
+    /// Records the finished runs on which an engine may have ended.
+    fn blame_finished_runs(&self, engine: u64) {
+        let now = self.now();
+        let runs = self.ledger.finished.borrow_mut().end(engine);
+        let is_familiar =
+            |run: &FinishedRun| !self.ledger.entries.borrow().wants_evidence(now, &run.parts);
+        let (familiar, others): (Vec<FinishedRun>, Vec<FinishedRun>) =
+            runs.into_iter().partition(is_familiar);
+        // The run on which an engine ended is among the last ones.
+        let last = familiar.into_iter().rev().take(FAMILIAR_RUNS_LIMIT);
+        let mut news = LedgerNews::default();
+        for run in others.into_iter().chain(last) {
+            let key = CrashKey { server: engine, run: run.run };
+            let mut entries = self.ledger.entries.borrow_mut();
+            let added = entries.record_crash(now, key, run.phase, run.parts);
+            news.crashes.extend(added.crashes);
+            news.clears.extend(added.clears);
+        }
+        self.apply_ledger_change(news);
+    }
+
     /// Adds the entries of a peer's ledger. What the coordinator may not know is told to the peers.
     pub fn merge_ledger(&self, source: SocketAddr, received: LedgerNews) {
-        let merged = self.ledger.entries.borrow_mut().merge(self.now(), received);
+        let is_new = |crash: &&CrashReport| u128::from(crash.age_ms) < END_NEWS_TIME.as_millis();
+        let ended: IndexSet<u64> =
+            received.crashes.iter().filter(is_new).map(|crash| crash.key.server).collect();
+        let merged = self.ledger.entries.borrow_mut().absorb(self.now(), received);
         if !merged.received.is_empty() {
-            self.update_blocked_parts();
+            self.ledger.refresh_wanted.notify_one();
         }
         let is_from_coordinator = self.peers.borrow().coordinator(self.now()) == Some(source);
         let news = if is_from_coordinator { merged.own } else { merged.into_all() };
         self.apply_ledger_change(news);
+        ended.into_iter().for_each(|engine| self.blame_finished_runs(engine));
     }
 
     /// Returns all entries of the ledger and its fingerprint.
@@ -112,17 +204,19 @@
         (!ledger.is_empty()).then(|| ledger.fingerprint())
     }
 
+    /// Shares what is new and lets `refresh_blocked_parts` take notice of it.
     fn apply_ledger_change(&self, news: LedgerNews) {
         if news.is_empty() {
             return;
         }
-        self.update_blocked_parts();
+        self.ledger.refresh_wanted.notify_one();
         // Sending fails only while the process ends.
         let _ = self.ledger.news.send(news);
     }
 
     /// Logs which parts were blocked or released since the last call.
     pub fn update_blocked_parts(&self) {
+        self.ledger.entries.borrow_mut().refresh();
         let blocked = self.ledger.entries.borrow().blocked(self.now());
         let current: IndexSet<PartId> = blocked.iter().map(|rule| rule.part).collect();
         let known = self.ledger.blocked_parts.replace(current.clone());
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -24,6 +24,7 @@
 mod peer_fetch;
 mod peer_link;
 mod placing;
+mod prompt_runs;
 mod relay;
 mod request_record;
 mod role;
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -13,6 +13,7 @@
 use super::load_guard::LoadGuard;
 use super::peer_link::PeerLink;
 use super::placing::Placement;
+use super::prompt_runs::PromptRun;
 use super::request_record::RequestRecord;
 use super::server_liveness::BrokenAnswer;
 use super::server_pace::answer_kind;
@@ -327,11 +328,15 @@
     let open = state.directory.borrow().get(key).map_or(1, |record| record.open_requests);
     let request = server_request(admitted, &entry.id, time_left, None, None);
     let started = state.now();
+    let prompt_run = PromptRun::begin(state, link, admitted, (key, &entry), false);
     let answering = async {
         let may_send =
             async || state.may_send(key, SendPurpose::New).await && admitted.fits_stop(state);
         match exchange::send_checked(entry.address, request, limit, may_send).await {
-            Ok(None) => SendOutcome::NotRun,
+            Ok(None) => {
+                PromptRun::discard(prompt_run);
+                SendOutcome::NotRun
+            },
             Ok(Some((response, exchange))) => {
                 if state.note_answer(key, &admitted.id, response.status(), response.headers()) {
                     link.report_leaving(state, key);
@@ -345,8 +350,8 @@
                     framing: BodyFraming::of_response(&response),
                     run_stop: RunStop::NotStopped,
                 };
-                let source = AnswerSource {
-                    ending: ending.clone(),
+                let mut source = Some(AnswerSource {
+                    ending,
                     state: Rc::clone(state),
                     link: Rc::clone(link),
                     server: Arc::clone(&entry.id),
@@ -357,13 +362,17 @@
                         RunPhase::Hidden,
                         Duration::ZERO,
                     ),
+                    prompt_run,
                     _exchange: exchange,
                     _load: load,
-                };
-                let outcome = read_answer(admitted, response, source, left).await;
-                check_end(state, admitted, &ending, started, outcome).await
+                });
+                let outcome = read_answer(admitted, response, &mut source, left).await;
+                check_end(state, admitted, source, outcome).await
+            },
+            Err(ExchangeFault::NotConnected) => {
+                PromptRun::discard(prompt_run);
+                SendOutcome::NotConnected
             },
-            Err(ExchangeFault::NotConnected) => SendOutcome::NotConnected,
             Err(fault) => SendOutcome::Lost(fault),
         }
     };
@@ -413,22 +422,29 @@
     (entry.id.to_string(), outcome)
 }
 
-/// Checks the end of a whole answer. A complete one to a prompt shows that the engine survives it.
+/// Checks the end of an answer. `source` is `None` if the answer is still forwarded.
 async fn check_end(
     state: &SharedState,
     admitted: &AdmittedRequest,
-    ending: &EndingAnswer,
-    begun_at: Timestamp,
+    source: Option<AnswerSource>,
     outcome: SendOutcome,
 ) -> SendOutcome {
-    let SendOutcome::Answered(status, _, AnswerBody::Whole(_)) = &outcome else { return outcome };
-    let left = admitted.time_left(state.now());
-    let verdict = ending.judge(state, false, left).await;
-    if verdict != EndVerdict::Complete {
-        return SendOutcome::Incomplete(verdict);
-    }
-    if status.is_success() && !admitted.parts.is_empty() {
-        state.record_survival(begun_at, &admitted.parts);
+    let Some(AnswerSource { ending, mut prompt_run, .. }) = source else { return outcome };
+    match &outcome {
+        SendOutcome::Answered(status, ..) => {
+            let left = admitted.time_left(state.now());
+            let verdict = ending.judge(state, false, left).await;
+            if verdict != EndVerdict::Complete {
+                return SendOutcome::Incomplete(verdict);
+            }
+            if let Some(run) = prompt_run.as_mut().filter(|_| status.is_success()) {
+                run.complete();
+            }
+        },
+        SendOutcome::NotRun => {
+            PromptRun::discard(prompt_run);
+        },
+        _ => {},
     }
     outcome
 }
@@ -442,6 +458,8 @@
     ending: EndingAnswer,
     /// What to examine if the answer breaks off; `None` if the request has no prompt.
     broken: Option<BrokenAnswer>,
+    /// Whether the engine survives the prompt; `None` without one.
+    prompt_run: Option<PromptRun>,
     _exchange: Exchange,
     _load: LoadGuard,
 }
@@ -449,7 +467,7 @@
 async fn read_answer(
     admitted: &AdmittedRequest,
     response: Response<Incoming>,
-    source: AnswerSource,
+    source: &mut Option<AnswerSource>,
     limit: Duration,
 ) -> SendOutcome {
     let (parts, body) = response.into_parts();
@@ -473,10 +491,11 @@
     }
 }
 
-/// Receives a short body completely; forwards the rest of a long one as it arrives.
+/// Receives a short body completely; forwards the rest of a long one as it arrives, for which it takes
+/// the source.
 async fn collect(
     mut body: Incoming,
-    source: AnswerSource,
+    source: &mut Option<AnswerSource>,
     admitted: &AdmittedRequest,
 ) -> Result<AnswerBody, hyper::Error> {
     let mut collected = BytesMut::new();
@@ -484,7 +503,9 @@
         if let Ok(data) = frame?.into_data() {
             collected.extend_from_slice(&data);
         }
-        if collected.len() > BUFFERED_ANSWER_LIMIT {
+        if collected.len() > BUFFERED_ANSWER_LIMIT
+            && let Some(source) = source.take()
+        {
             let (sender, pieces) = mpsc::channel(CHUNK_BACKLOG);
             let rest = LongAnswer {
                 request: admitted.id.clone(),
@@ -535,6 +556,9 @@
         if let (Some(length), Some(is_complete)) = (&self.length, is_complete) {
             length.record(is_complete);
         }
+        if let Some(run) = self.source.prompt_run.as_mut().filter(|_| is_complete == Some(true)) {
+            run.complete();
+        }
         let Some(cut) = cut else { return };
         let AnswerSource { state, link, server, broken, .. } = &mut self.source;
         state.telemetry.faults.with_label_values(&["answer_cut"]).inc();
--- a/medlarlanding/src/forwarding/role.rs
+++ b/medlarlanding/src/forwarding/role.rs
@@ -11,7 +11,7 @@
 use super::shared::{ForwardState, SharedState};
 use super::store_watch::{self, WatchedPart};
 use super::telemetry::Telemetry;
-use super::{engine_probe, evacuations, listener, peer_fetch};
+use super::{engine_probe, evacuations, ledger, listener, peer_fetch};
 use crate::clock::wall_millis;
 use crate::listener::bind;
 use crate::logging::{self, event};
@@ -117,6 +117,7 @@
         "ledger",
         peer_link::send_ledger_news(Rc::clone(&link), Rc::clone(&state), ledger_news),
     );
+    tasks.spawn("blocked parts", ledger::refresh_blocked_parts(Rc::clone(&state)));
     tasks.spawn("fetches", peer_fetch::serve_fetches(fetches, Rc::clone(&state)));
     tasks.spawn(
         "config",
--- a/medlarlanding/src/forwarding/server_liveness.rs
+++ b/medlarlanding/src/forwarding/server_liveness.rs
@@ -208,10 +208,10 @@
             None => probe_process(state, &self.entry).await,
         };
         if liveness == ServerLiveness::Ended {
-            link.report_end(state, self.key);
             if !self.is_settled {
                 state.record_broken_run(&self.entry, &self.request, self.phase, &self.parts);
             }
+            link.report_end(state, self.key);
         }
         let labels = [self.phase.name(), liveness.name()];
         state.telemetry.broken_answers.with_label_values(&labels).inc();
--- a/medlarlanding/src/forwarding/server_reports.rs
+++ b/medlarlanding/src/forwarding/server_reports.rs
@@ -43,6 +43,10 @@
     pub fn report_end(&self, state: &ForwardState, key: ServerKey) {
         let until = state.now() + SuspicionParams::default().avoid_ended;
         state.directory.borrow_mut().avoid(key, until);
+        let engine = state.directory.borrow().get(key).map(|record| start_hash(&record.entry));
+        if let Some(engine) = engine {
+            state.record_engine_end(engine);
+        }
         self.report_fault(state, key, EngineFault::Ended);
     }
 
--- a/medlarlanding/src/forwarding/servers.rs
+++ b/medlarlanding/src/forwarding/servers.rs
@@ -195,6 +195,12 @@
         found.max_by_key(|(key, record)| (!record.is_removed, *key)).map(|(key, _)| key)
     }
 
+    /// Returns whether a server is known and is not leaving.
+    pub fn is_staying(&self, key: ServerKey) -> bool {
+        let directory = self.directory.borrow();
+        directory.get(key).is_some_and(|record| record.leaving_since.is_none())
+    }
+
     /// Returns the hash of a server's id, which identifies the server in messages between instances.
     pub fn hash_of(&self, key: ServerKey) -> Option<u64> {
         Some(server_hash(&self.directory.borrow().get(key)?.entry.id))
--- a/medlarlanding/src/instance.rs
+++ b/medlarlanding/src/instance.rs
@@ -283,6 +283,11 @@
         self.node().check_prompt(self.clock.now(), parts)
     }
 
+    /// Returns whether it matters that a run with a prompt survives it.
+    pub fn wants_evidence(&self, parts: &PromptParts) -> bool {
+        self.node().wants_evidence(self.clock.now(), parts)
+    }
+
     /// Decides on a new request with a prompt.
     pub fn admit_prompt(&self, request: RequestId, parts: &PromptParts) -> PromptVerdict {
         let verdict = self.node().admit_prompt(self.clock.now(), parts);
