Take a response whose status is no status for no answer

Reported by operators of similar systems for 000; 000 to 099 were told as lost here already, because the HTTP library takes them for no status.

Cause: the library accepts any number of three digits from 100 on, and nothing here looked at the number. A call to a server about itself with such a status proved that the server lives, so that an answer without framing counted as complete.

Change: exchange::send_checked, through which all requests and calls to servers of both interfaces pass, takes a status above 599 for bytes that are no answer.

Why it works: the request counts as possibly run and nothing is known of the server, wherever the response came from.

--- a/medlarlanding-bench/src/site/ending_server.rs
+++ b/medlarlanding-bench/src/site/ending_server.rs
@@ -126,6 +126,8 @@
     /// Milliseconds for which the server says that it is cold in answers about itself; 0 if it says
     /// nothing.
     cold_ms: AtomicU64,
+    /// Status of answers about itself, which need not be one; `None` for the usual one.
+    call_status: Mutex<Option<String>>,
     /// Requests that reached the server, with the times at which they did.
     arrivals: Mutex<Vec<(String, Instant)>>,
     /// Request whose run is to stop for a move.
@@ -175,6 +177,7 @@
             says_leaving: AtomicBool::new(false),
             hold_ms: AtomicU64::new(0),
             cold_ms: AtomicU64::new(0),
+            call_status: Mutex::default(),
             arrivals: Mutex::default(),
             stopped_run: watch::Sender::new(None),
             completes_on_move: AtomicBool::new(false),
@@ -225,6 +228,13 @@
         self.shared.cold_ms.store(remaining.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Gives answers about itself this status.
+    pub fn set_call_status(&self, status: &str) {
+        let mut call_status =
+            self.shared.call_status.lock().unwrap_or_else(PoisonError::into_inner);
+        *call_status = Some(status.to_owned());
+    }
+
     /// Returns the ids of the requests that reached the server, with the times at which they did.
     pub fn arrivals(&self) -> Vec<(String, Instant)> {
         self.shared.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -319,6 +329,8 @@
                 0 => String::new(),
                 millis => format!("X-Cold-Ms: {millis}\r\n"),
             };
+            let odd = self.call_status.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            let status = odd.unwrap_or_else(|| status.to_string());
             let answer = format!(
                 "HTTP/1.1 {status} Status\r\n{leaving}{cold}X-Instance-Id: {}\r\nContent-Length: {}\r\n\r\n\
                  {body}",
--- a/medlarlanding-bench/src/site/faulty_server.rs
+++ b/medlarlanding-bench/src/site/faulty_server.rs
@@ -70,12 +70,16 @@
     /// The beginning of an answer, of which `CUT_HEADER` gives the length in bytes and `FRAMING_HEADER`
     /// the framing. The connection then closes.
     CutAnswer,
+    /// A complete answer with the status that `STATUS_HEADER` gives.
+    StatusText,
 }
 
 /// Header of a request: number of bytes of an answer after which the server closes the connection.
 pub const CUT_HEADER: &str = "x-test-cut";
 /// Header of a request: lines of the answer's head that state its framing.
 pub const FRAMING_HEADER: &str = "x-test-framing";
+/// Header of a request: status of the answer, which need not be one.
+pub const STATUS_HEADER: &str = "x-test-status";
 /// Answer to a request that was not run, in which the server names another request.
 const EARLIER_REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: earlier\r\n\
                                X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -212,6 +216,12 @@
             let text = head("Content-Length: 5\r\n\r\nfirst");
             Ok(stream.write_all(text.as_bytes()).await?)
         },
+        FaultyAnswer::StatusText => {
+            let status = field(STATUS_HEADER);
+            let text = head("Content-Length: 4\r\n\r\nbody");
+            let text = text.replacen("200 OK", &format!("{status} Text"), 1);
+            Ok(stream.write_all(text.as_bytes()).await?)
+        },
         FaultyAnswer::CutAnswer => {
             let framing = field(FRAMING_HEADER).replace(';', "\r\n");
             let text = head(&format!("{framing}\r\n"));
--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -34,7 +34,7 @@
     BodyDelimiter, EndMode, EndingServer, HEALTH_PATH, INTERVAL_HEADER, PART_BYTES_HEADER,
     PARTS_HEADER,
 };
-pub use faulty_server::{CUT_HEADER, FRAMING_HEADER, FaultyAnswer};
+pub use faulty_server::{CUT_HEADER, FRAMING_HEADER, FaultyAnswer, STATUS_HEADER};
 pub use move_script::{MoveScript, ResumeMode, StopFault, StreamClose};
 pub use proxy::{LinkMode, LinkSwitch};
 pub use state::{RunRecord, ServerCrash, ServerMode, SiteState, StoreMode};
--- a/medlarlanding-bench/tests/forwarding_faulty_servers.rs
+++ b/medlarlanding-bench/tests/forwarding_faulty_servers.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use medlarlanding_bench::site::{
-    CUT_HEADER, FRAMING_HEADER, FaultyAnswer, SiteAnswer, SiteCall, SiteParams, TestSite,
+    BodyDelimiter, CUT_HEADER, EndMode, FRAMING_HEADER, FaultyAnswer, STATUS_HEADER, SiteAnswer,
+    SiteCall, SiteParams, TestSite,
 };
 use medlarlanding_core::cases;
 
@@ -276,3 +277,86 @@
         assert!((1..MEMORY_LIMIT).contains(&peak), "{answer:?}: {peak} bytes at the peak");
     }
 }
+
+/// Guards against an answer whose status is no status, such as 000, which the caller gets as an answer; and
+/// against answers with an unusual status that are withheld.
+fn odd_status_is_told_as_lost(path: &'static str) {
+    let (site, _) = start(FaultyAnswer::StatusText);
+    let address = site.caller_address(0);
+    let odd = ["000", "001", "099", "600", "700", "999", "0", "20", "2000", "-20", "2x0", "+20"];
+    let mut told = 0;
+    for (number, status) in odd.into_iter().enumerate() {
+        let id = format!("odd-{number}");
+        let answer = call(path, &id).header(STATUS_HEADER, status).send(address);
+        let answer = answer.expect("an answer");
+        let runs = site.state.runs(&id).len();
+        match answer.status {
+            502 if answer.is_complete && runs == 1 => told += 1,
+            // The server is avoided for a while after faults.
+            503 if answer.is_complete && runs == 0 => {},
+            other => panic!("{status}: {other}, {runs} runs: {answer:?}"),
+        }
+        // Until the server is no longer avoided.
+        for attempt in 0.. {
+            let id = format!("sound-{number}-{attempt}");
+            let answer = call(path, &id).header(STATUS_HEADER, "451").send(address);
+            let answer = answer.expect("an answer");
+            if answer.status == 451 {
+                assert!(answer.is_complete && answer.body == "body", "{answer:?}");
+                break;
+            }
+            assert!(answer.status == 503 && attempt < 100, "{answer:?}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+    assert_eq!(told, odd.len(), "answers that were told as lost");
+}
+
+cases! { odd_status_is_told_as_lost;
+    order_with_an_odd_status => "/order/a",
+    lookup_with_an_odd_status => "/lookup/a",
+    note_with_an_odd_status => "/note/a",
+    assessment_with_an_odd_status => "/assess/a",
+    generation_with_an_odd_status => "/draft/a",
+}
+
+/// Guards against an answer about itself that is taken for a server's word though its status is no status:
+/// the end of an unframed answer is then not proved. A server that gives none is used for other answers.
+fn odd_status_of_a_call_proves_nothing((path, status): (&'static str, &'static str)) {
+    let params = SiteParams { plain_servers: 0, engines: 0, ..SiteParams::default() };
+    let mut site = TestSite::start(params).expect("a deployment");
+    let servers = site.add_ending_servers(&[
+        (BodyDelimiter::Connection, EndMode::Lives),
+        (BodyDelimiter::Length, EndMode::Lives),
+    ]);
+    let servers = servers.expect("servers");
+    let version = site.publish_config(|config| {
+        for route in config["routes"].as_array_mut().expect("routes") {
+            let is_framed = matches!(route["name"].as_str(), Some("order" | "note"));
+            route["service"] = (if is_framed { "end-1" } else { "end-0" }).into();
+        }
+    });
+    site.wait_until("a configuration", || site.log(0).contains(&format!("version={version} ")))
+        .expect("a line");
+    for server in &servers {
+        server.release();
+        let known = format!("server={} ", server.id());
+        site.wait_until("the server", || site.log(0).contains(&known)).expect("an entry");
+    }
+    let address = site.caller_address(0);
+    let proved = call(path, "proved").send(address).expect("an answer");
+    assert_eq!((proved.status, proved.is_complete), (200, true), "{proved:?}");
+    servers.iter().for_each(|server| server.set_call_status(status));
+    let unproved = call(path, "unproved").send(address).expect("an answer");
+    let is_whole = unproved.status == 200 && unproved.is_complete;
+    assert!(!is_whole && site.state.runs("unproved").len() == 1, "{unproved:?}");
+    let framed = call("/order/a", "framed").send(address).expect("an answer");
+    assert_eq!((framed.status, framed.is_complete), (200, true), "{framed:?}");
+}
+
+cases! { odd_status_of_a_call_proves_nothing;
+    status_000_of_a_call_proves_nothing_of_a_lookup => ("/lookup/a", "000"),
+    status_999_of_a_call_proves_nothing_of_a_lookup => ("/lookup/a", "999"),
+    status_000_of_a_call_proves_nothing_of_a_stream => ("/draft/a", "000"),
+    status_999_of_a_call_proves_nothing_of_a_stream => ("/draft/a", "999"),
+}
--- a/medlarlanding/src/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -38,6 +38,9 @@
 /// memory of the smallest machine, 88 MB.
 const READ_BUFFER_LIMIT: usize = HEAD_LIMIT;
 
+/// Highest number that is the status of an HTTP response (RFC 9110, section 15).
+const STATUS_MAX: u16 = 599;
+
 /// Why an exchange failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExchangeFault {
@@ -218,6 +221,11 @@
         return Ok(None);
     }
     match tokio::time::timeout(limit, exchange.request(&mut sender, request)).await {
+        // The HTTP library takes only numbers below 100 for no status.
+        Ok(Ok(response)) if response.status().as_u16() > STATUS_MAX => {
+            log::debug!("no answer from {address}: status {}", response.status());
+            Err(ExchangeFault::Broken)
+        },
         Ok(Ok(response)) => Ok(Some((response, exchange))),
         Ok(Err(error)) => {
             log::debug!("no usable head of a response from {address}: {error}");
