Count what waits for slow callers in bytes

Cause: what waits for a slow caller was counted in events (16) and chunks (8), each of which may be large, 4 MiB for a stream of 250 kB events. An event kept the buffer that it was cut from, and nothing bounded the sum over all answers.

Sockets to servers buffer 64 KiB, answers to calls have at most 64 KiB.

Why it works: reading stops when the caller does, whatever the size of events, and what cannot be forwarded before it is complete is bounded in sum.

--- a/medlarlanding-bench/src/site/faulty_server.rs
+++ b/medlarlanding-bench/src/site/faulty_server.rs
@@ -49,6 +49,8 @@
     RepeatedEvent,
     /// Different events without end.
     EndlessEvents,
+    /// Events of 250 kB without end.
+    EndlessLongEvents,
     /// Two events and a part of a third; the connection then ends, which is also the end of the
     /// body.
     PartialEvent,
@@ -177,6 +179,10 @@
             // Without an id, every event is new.
             repeat(&mut stream, &head("\r\n"), "data: 0123456789\n\n").await
         },
+        FaultyAnswer::EndlessLongEvents => {
+            let event = format!("{:x}\r\n{}\n\n\r\n", 250_002, "#".repeat(250_000));
+            repeat(&mut stream, &chunked, &event).await
+        },
         FaultyAnswer::PartialEvent => {
             let text = head("\r\n") + "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
             Ok(stream.write_all(text.as_bytes()).await?)
--- a/medlarlanding-bench/tests/forwarding_faulty_servers.rs
+++ b/medlarlanding-bench/tests/forwarding_faulty_servers.rs
@@ -360,3 +360,85 @@
     status_000_of_a_call_proves_nothing_of_a_stream => ("/draft/a", "000"),
     status_999_of_a_call_proves_nothing_of_a_stream => ("/draft/a", "999"),
 }
+
+/// Answers without end whose callers read slowly.
+struct SlowReaders {
+    path: &'static str,
+    answer: FaultyAnswer,
+    /// Bytes that a caller reads every 20 ms.
+    rate: usize,
+}
+
+/// Guards against memory that grows with the number of endless answers while their callers read slowly
+/// (review case 10), and against an instance that ends with the requests of others.
+fn slow_readers_take_bounded_memory(case: SlowReaders) {
+    const CALLS: usize = 100;
+    /// Memory of the smallest machine of the platform, in bytes, by which the process is killed.
+    const MEMORY_LIMIT: u64 = 88 << 20;
+    const TIME: Duration = Duration::from_secs(6);
+    let (site, _) = start(case.answer);
+    let address = site.caller_address(0);
+    let callers: Vec<_> = (0..CALLS)
+        .map(|number| {
+            let request = format!(
+                "POST {} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: id-{number}\r\n\
+                 Authorization: Token key-1\r\nX-Deadline-Ms: 5000\r\nX-Token-Count: 100,80\r\n\
+                 Content-Length: 0\r\n\r\n",
+                case.path
+            );
+            std::thread::spawn(move || {
+                let mut stream = TcpStream::connect(address).expect("a connection");
+                stream.write_all(request.as_bytes()).expect("a request");
+                stream.set_read_timeout(Some(Duration::from_secs(2))).expect("a time limit");
+                let started = Instant::now();
+                let mut buffer = vec![0; case.rate.max(1)];
+                let mut received = 0;
+                while started.elapsed() < TIME {
+                    std::thread::sleep(Duration::from_millis(20));
+                    if case.rate == 0 {
+                        continue;
+                    }
+                    match stream.read(&mut buffer) {
+                        Ok(length @ 1..) => received += length,
+                        _ => break,
+                    }
+                }
+                received
+            })
+        })
+        .collect();
+    let received: usize = callers.into_iter().map(|it| it.join().expect("a caller")).sum();
+    let peak = site.peak_memory(0);
+    let runs = site.state.runs("").len();
+    println!("{} kB at the peak, {runs} runs, {} kB received", peak >> 10, received >> 10);
+    assert!((1..MEMORY_LIMIT).contains(&peak), "{peak} bytes at the peak");
+    assert!(runs >= 10, "only {runs} requests reached the server");
+    assert!(site.is_ready(0), "the instance does not serve any more");
+}
+
+cases! { slow_readers_take_bounded_memory;
+    long_events_at_10_mbit_take_bounded_memory => SlowReaders {
+        path: "/draft/a", answer: FaultyAnswer::EndlessLongEvents, rate: 25_000,
+    },
+    long_events_of_silent_callers_take_bounded_memory => SlowReaders {
+        path: "/draft/a", answer: FaultyAnswer::EndlessLongEvents, rate: 0,
+    },
+    events_at_10_mbit_take_bounded_memory => SlowReaders {
+        path: "/draft/a", answer: FaultyAnswer::EndlessEvents, rate: 25_000,
+    },
+    endless_event_at_10_mbit_takes_bounded_memory => SlowReaders {
+        path: "/draft/a", answer: FaultyAnswer::EndlessEvent, rate: 25_000,
+    },
+    unframed_bodies_at_10_mbit_take_bounded_memory => SlowReaders {
+        path: "/order/a", answer: FaultyAnswer::EndlessBody, rate: 25_000,
+    },
+    chunked_bodies_at_10_mbit_take_bounded_memory => SlowReaders {
+        path: "/order/a", answer: FaultyAnswer::EndlessChunks, rate: 25_000,
+    },
+    bodies_of_engines_at_10_mbit_take_bounded_memory => SlowReaders {
+        path: "/note/a", answer: FaultyAnswer::EndlessBody, rate: 25_000,
+    },
+    bodies_of_silent_callers_take_bounded_memory => SlowReaders {
+        path: "/order/a", answer: FaultyAnswer::EndlessBody, rate: 0,
+    },
+}
--- a/medlarlanding/src/exchange.rs
+++ b/medlarlanding/src/exchange.rs
@@ -34,6 +34,9 @@
 /// Time within which a process that ends has closed its listener too.
 const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(100);
 
+/// Receive buffer of a socket in bytes, which counts towards the memory of the machine while the caller
+/// of an answer reads slowly. The kernel doubles it.
+const RECEIVE_BUFFER: usize = 64 << 10;
 /// Largest read buffer of a connection in bytes. 200 connections with full buffers fit into the
 /// memory of the smallest machine, 88 MB.
 const READ_BUFFER_LIMIT: usize = HEAD_LIMIT;
@@ -173,6 +176,9 @@
     limit: Duration,
 ) -> Result<(RequestSender, Exchange), ExchangeFault> {
     let stream = connect(address, limit).await?;
+    if let Err(error) = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER) {
+        log::debug!("cannot set the receive buffer of a socket: {error}");
+    }
     let head_limit = HeadLimit::default();
     let stream = LimitedStream::new(stream, head_limit.clone());
     let handshake =
--- a/medlarlanding/src/forwarding/engine_calls.rs
+++ b/medlarlanding/src/forwarding/engine_calls.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 
 /// Largest answer to a call, in bytes.
-const ANSWER_LIMIT: usize = 256 << 10;
+const ANSWER_LIMIT: usize = 64 << 10;
 /// Time limit of a move call. The engine processes the copies requested earlier first, and copying
 /// an engine's whole memory to another zone takes about 4 s.
 pub const MOVE_TIMEOUT: Duration = Duration::from_secs(5);
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -23,6 +23,7 @@
 use super::shared::SharedState;
 use super::stream_events::{EventSplitter, StreamEvent};
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
+use crate::answer_buffer::AnswerBuffer;
 use crate::exchange::{BodyFraming, Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -39,6 +40,8 @@
 
 /// Number of events that are buffered for a slow caller.
 const EVENT_BACKLOG: usize = 16;
+/// Bytes of a stream that are scanned for events at a time.
+const SCANNED_BYTES: usize = 8 << 10;
 
 /// Serves a request for a generation.
 pub async fn serve(
@@ -98,6 +101,8 @@
     /// Notified when a server entry changes or a server starts to leave.
     directory_changes: watch::Receiver<u64>,
     splitter: EventSplitter,
+    /// Counts the bytes of the answer.
+    buffer: AnswerBuffer,
     /// Id of the last event that was forwarded.
     last_event: Option<String>,
     /// Number of events forwarded to the caller.
@@ -130,7 +135,9 @@
     fn new(state: SharedState, link: Rc<PeerLink>, admitted: AdmittedRequest) -> Self {
         let directory_changes = state.directory_changes();
         let now = state.now();
+        let buffer = AnswerBuffer::new(&state.answer_memory);
         Self {
+            buffer,
             state,
             link,
             admitted,
@@ -314,6 +321,33 @@
         RunWeight { prompt: prompt + generated, output: output.saturating_sub(generated) }
     }
 
+    /// Forwards the events that some bytes of the stream complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the stream ends if the caller does not take an event, or if an event exceeds the limit
+    /// or the memory that is left.
+    async fn forward_data(
+        &mut self,
+        stream: &mut EngineStream,
+        sender: &mpsc::Sender<StreamPiece>,
+        data: &[u8],
+    ) -> Result<(), StreamEnd> {
+        // While a caller reads slowly, much data arrives at once; only what is scanned is copied.
+        for part in data.chunks(SCANNED_BYTES) {
+            let fits = self.splitter.push(part) && self.buffer.set_pending(self.splitter.memory());
+            if !fits {
+                return Err(StreamEnd::Broken(None));
+            }
+            while let Some(event) = self.splitter.next_event() {
+                self.forward_event(stream, sender, event).await?;
+            }
+        }
+        self.splitter.compact();
+        self.buffer.set_pending(self.splitter.memory());
+        Ok(())
+    }
+
     /// Forwards one event unless its id shows that it was forwarded before.
     ///
     /// # Errors
@@ -356,7 +390,7 @@
         if event.id.is_some() {
             self.last_event = event.id;
         }
-        if sender.capacity() == 0 {
+        if sender.capacity() == 0 || self.buffer.is_full(event.bytes.len()) {
             // The caller reads more slowly than the engine writes.
             stream.sampler.interrupt();
         }
@@ -370,7 +404,14 @@
         piece: StreamPiece,
     ) -> Result<(), StreamEnd> {
         let left = self.admitted.time_left(self.state.now());
-        match tokio::time::timeout(left, sender.send(piece)).await {
+        let sending = async {
+            let piece = match piece {
+                StreamPiece::Data(bytes) => StreamPiece::Data(self.buffer.hold(&bytes).await),
+                StreamPiece::End => StreamPiece::End,
+            };
+            sender.send(piece).await
+        };
+        match tokio::time::timeout(left, sending).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(StreamEnd::CallerGone),
             Err(_) => Err(StreamEnd::Late),
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -160,13 +160,8 @@
                     match frame {
                         Some(Ok(frame)) => {
                             let Ok(data) = frame.into_data() else { continue };
-                            if !self.splitter.push(&data) {
-                                return StreamEnd::Broken(None);
-                            }
-                            while let Some(event) = self.splitter.next_event() {
-                                if let Err(end) = self.forward_event(stream, sender, event).await {
-                                    return end;
-                                }
+                            if let Err(end) = self.forward_data(stream, sender, &data).await {
+                                return end;
                             }
                             continue;
                         },
@@ -392,13 +387,10 @@
         let draining = async {
             while let Some(Ok(frame)) = stream.body.frame().await {
                 let Ok(data) = frame.into_data() else { continue };
-                if !self.splitter.push(&data) {
-                    break;
-                }
-                while let Some(event) = self.splitter.next_event() {
-                    if let Err(end) = self.forward_event(stream, sender, event).await {
-                        return end;
-                    }
+                match self.forward_data(stream, sender, &data).await {
+                    Ok(()) => {},
+                    Err(StreamEnd::Broken(_)) => break,
+                    Err(end) => return end,
                 }
             }
             StreamEnd::Stopped { may_be_complete: false }
--- a/medlarlanding/src/forwarding/relay.rs
+++ b/medlarlanding/src/forwarding/relay.rs
@@ -19,6 +19,7 @@
 use super::server_pace::answer_kind;
 use super::shared::SharedState;
 use crate::answer_body::{AnswerBody, StreamPiece, TaskGuard};
+use crate::answer_buffer::AnswerBuffer;
 use crate::exchange::{self, BodyFraming, Exchange, ExchangeFault};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -510,6 +511,7 @@
             let rest = LongAnswer {
                 request: admitted.id.clone(),
                 length: AnswerLength::of(&source.state, admitted),
+                buffer: AnswerBuffer::new(&source.state.answer_memory),
                 source,
                 deadline: admitted.deadline,
                 bytes: 0,
@@ -535,6 +537,8 @@
     /// Deadline of the request, after which the answer is cut. A server may send bytes, or one byte
     /// now and then, without end.
     deadline: Timestamp,
+    /// Counts the bytes that the caller has not read.
+    buffer: AnswerBuffer,
     /// Bytes forwarded so far.
     bytes: u64,
 }
@@ -582,7 +586,9 @@
         let mut next = Some(beginning);
         while let Some(data) = next {
             let length = data.len() as u64;
-            if sender.send(StreamPiece::Data(data)).await.is_err() {
+            let piece = self.buffer.hold(&data).await;
+            drop(data);
+            if sender.send(StreamPiece::Data(piece)).await.is_err() {
                 return Ok(false);
             }
             self.bytes += length;
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -15,6 +15,7 @@
 use super::speeds::SpeedState;
 use super::telemetry::Telemetry;
 use super::zone_link::ZoneState;
+use crate::answer_buffer::AnswerMemory;
 use crate::clock::ProcessClock;
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
@@ -62,6 +63,8 @@
     pub body_bytes: Cell<u64>,
     /// Times that answers of plain services took.
     pub(super) answer_lengths: AnswerLengths,
+    /// Memory of answers that callers read slowly.
+    pub answer_memory: Arc<AnswerMemory>,
     /// Servers with their load and health.
     pub directory: RefCell<ServerDirectory>,
     /// Peers known to this instance.
@@ -122,7 +125,9 @@
         let clock = ProcessClock::start();
         let mut directory = ServerDirectory::default();
         directory.set_zone_regions(zone_regions(&settings));
+        let answer_memory = AnswerMemory::new(settings.memory_bytes);
         let state = Self {
+            answer_memory,
             settings,
             boot,
             telemetry,
--- a/medlarlanding/src/lib.rs
+++ b/medlarlanding/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod answer_body;
+pub mod answer_buffer;
 pub mod backends;
 pub mod check;
 pub mod cli;
