Take the time left after the wait for room

What callers saw: a generation that waited for room at an engine which then did not answer got its 504 later than its time limit by as long as it had waited, and the engine was told the longer time.

Cause: GenerationRun::start took the time left before the wait for room and used it after it, as the limit of the exchange and in the header for the engine.

Change: the time left is taken once the engine is chosen. Why it works: nothing waits between that moment and the send but the connection, which has a limit of its own.

--- a/medlarlanding/src/forwarding/generation/start.rs
+++ b/medlarlanding/src/forwarding/generation/start.rs
@@ -60,14 +60,18 @@
     ) -> Result<(EngineStream, StatusCode, hyper::HeaderMap), StartFailure> {
         let mut tried: Vec<ServerKey> = Vec::new();
         loop {
-            let now = self.state.now();
-            let time_left = self.admitted.time_left(now);
-            if time_left.is_zero() {
+            if self.admitted.time_left(self.state.now()).is_zero() {
                 return Err(StartFailure::Error(ErrorAnswer::LateUnsent));
             }
             let zone = Arc::from(self.state.settings.zone.as_str());
             let (key, entry) =
                 self.choose_start(&tried, &zone).await.map_err(StartFailure::Error)?;
+            // The wait for room has used some of it.
+            let now = self.state.now();
+            let time_left = self.admitted.time_left(now);
+            if time_left.is_zero() {
+                return Err(StartFailure::Error(ErrorAnswer::LateUnsent));
+            }
             if let Some(refusal) = self.admitted.prompt_error(&self.state) {
                 return Err(StartFailure::Error(refusal));
             }
