--- a/medlarlanding-core/src/prompts/finished_runs.rs
+++ b/medlarlanding-core/src/prompts/finished_runs.rs
@@ -26,7 +26,8 @@
     pub parts: PromptParts,
     /// Progress of the run when its answer ended.
     pub phase: RunPhase,
-    /// When the run began at the latest: no part of its answer was written before.
+    /// When the head of its stream arrived, or else when the request was sent: nothing of the answer was
+    /// written before.
     pub begun_at: Timestamp,
     /// When its engine had begun to write at the latest.
     pub written_at: Timestamp,
--- a/medlarlanding-core/src/prompts/mod.rs
+++ b/medlarlanding-core/src/prompts/mod.rs
@@ -3,15 +3,14 @@
 mod block_rule;
 mod crash_ledger;
 mod finished_runs;
+mod ledger_news;
 mod parts;
 mod sharing;
 
 pub use block_rule::{BLOCK_TIME, BlockParams, BlockedPart, PromptVerdict};
-pub use crash_ledger::{
-    ClearReason, ClearReport, CrashKey, CrashLedger, CrashReport, LedgerNews, LedgerParams,
-    MergedNews,
-};
+pub use crash_ledger::{CrashLedger, LedgerParams};
 pub use finished_runs::{FinishedRun, FinishedRuns};
+pub use ledger_news::{ClearReason, ClearReport, CrashKey, CrashReport, LedgerNews, MergedNews};
 pub use parts::{PartId, PromptParts, RunPhase, SURVIVAL_TIME};
 pub use sharing::LedgerSharing;
 
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -344,6 +344,7 @@
             }
         }
         self.splitter.compact();
+        // Not more than before, so that it fits.
         self.buffer.set_pending(self.splitter.memory());
         Ok(())
     }
--- a/medlarlanding/src/forwarding/prompt_runs.rs
+++ b/medlarlanding/src/forwarding/prompt_runs.rs
@@ -30,9 +30,9 @@
     NotRun,
 }
 
-/// A request with a prompt at an engine. When it is dropped before the engine has shown that it survives
-/// the prompt, the run is kept for a while, in case the engine ends.
-pub struct PromptRun {
+/// A request with a prompt, and the engine that it was sent to.
+#[derive(Clone)]
+struct SentRun {
     state: SharedState,
     link: Rc<PeerLink>,
     key: ServerKey,
@@ -42,6 +42,12 @@
     /// Hash of the request's id.
     run: u64,
     parts: PromptParts,
+}
+
+/// A request with a prompt at an engine. When it is dropped before the engine has shown that it survives
+/// the prompt, the run is kept for a while, in case the engine ends.
+pub struct PromptRun {
+    sent: SentRun,
     is_stream: bool,
     sent_at: Timestamp,
     /// When the head of a stream arrived, at which the engine began to write.
@@ -61,13 +67,15 @@
         is_stream: bool,
     ) -> Option<Self> {
         (!admitted.parts.is_empty()).then(|| Self {
-            state: Rc::clone(state),
-            link: Rc::clone(link),
-            key,
-            entry: entry.clone(),
-            engine: start_hash(entry),
-            run: stable_hash(admitted.id.as_bytes()),
-            parts: admitted.parts.clone(),
+            sent: SentRun {
+                state: Rc::clone(state),
+                link: Rc::clone(link),
+                key,
+                entry: entry.clone(),
+                engine: start_hash(entry),
+                run: stable_hash(admitted.id.as_bytes()),
+                parts: admitted.parts.clone(),
+            },
             is_stream,
             sent_at: state.now(),
             begun_at: None,
@@ -78,24 +86,24 @@
 
     /// Records that the head of a success arrived.
     pub fn answer_begun(&mut self) {
-        self.state.hear_engine(self.engine);
-        self.begun_at = Some(self.state.now()).filter(|_| self.is_stream);
+        self.sent.state.hear_engine(self.sent.engine);
+        self.begun_at = Some(self.sent.state.now()).filter(|_| self.is_stream);
     }
 
     /// Records that a part of the stream arrived.
     pub fn part_arrived(&mut self) {
-        self.state.hear_engine(self.engine);
-        let now = self.state.now();
+        self.sent.state.hear_engine(self.sent.engine);
+        let now = self.sent.state.now();
         let Some(begun_at) = self.begun_at else { return };
         let writing = now.since(begun_at);
         match self.evidence {
             RunEvidence::None if RunPhase::of_stream(writing) == RunPhase::Writing => {
                 self.evidence = RunEvidence::Writing;
-                self.state.record_writing(&self.parts);
+                self.sent.state.record_writing(&self.sent.parts);
             },
             RunEvidence::Writing if writing >= SURVIVAL_TIME => {
                 self.evidence = RunEvidence::Survived;
-                self.state.record_survival(begun_at, &self.parts);
+                self.sent.state.record_survival(begun_at, &self.sent.parts);
             },
             _ => {},
         }
@@ -119,48 +127,35 @@
             (true, None) => (RunPhase::Waiting, self.sent_at, now),
             (false, _) => (RunPhase::Hidden, self.sent_at, now),
         };
-        let (run, is_complete) = (self.run, self.is_complete);
-        FinishedRun { run, parts: self.parts.clone(), phase, begun_at, written_at, is_complete }
+        let (run, is_complete) = (self.sent.run, self.is_complete);
+        FinishedRun {
+            run,
+            parts: self.sent.parts.clone(),
+            phase,
+            begun_at,
+            written_at,
+            is_complete,
+        }
     }
 }
 
 impl Drop for PromptRun {
     fn drop(&mut self) {
         if matches!(self.evidence, RunEvidence::Survived | RunEvidence::NotRun)
-            || !self.state.is_staying(self.key)
+            || !self.sent.state.is_staying(self.sent.key)
         {
             return;
         }
-        let run = self.finished(self.state.now());
+        let run = self.finished(self.sent.state.now());
         let settles_at = run.settles_at();
-        if !self.state.finish_run(self.engine, run) {
+        if !self.sent.state.finish_run(self.sent.engine, run) {
             return;
         }
-        let settling = SettlingRun {
-            state: Rc::clone(&self.state),
-            link: Rc::clone(&self.link),
-            key: self.key,
-            entry: self.entry.clone(),
-            engine: self.engine,
-            run: self.run,
-            parts: self.parts.clone(),
-        };
-        tokio::task::spawn_local(settling.settle(settles_at));
+        tokio::task::spawn_local(self.sent.clone().settle(settles_at));
     }
 }
 
-/// A finished run whose engine may be asked whether it lives.
-struct SettlingRun {
-    state: SharedState,
-    link: Rc<PeerLink>,
-    key: ServerKey,
-    entry: ServerEntry,
-    engine: u64,
-    run: u64,
-    parts: PromptParts,
-}
-
-impl SettlingRun {
+impl SentRun {
     /// Finds out whether the engine has survived the run, unless other answers show it or it does not
     /// matter.
     async fn settle(self, settles_at: Timestamp) {
@@ -174,6 +169,7 @@
             ServerLiveness::Ended if self.state.is_staying(self.key) => {
                 self.link.report_end(&self.state, self.key);
             },
+            // A server that leaves is expected to end.
             ServerLiveness::Ended | ServerLiveness::Unknown => {},
         }
     }
