Judge the own part of a repeated request by itself

Cause: a repeatable request that breaks off at two engines which end together has its own part in the runs of two ends, so that part is suspected. The run as a whole then counted as unfamiliar, and its shared parts with it: two such requests made the part of all prompts unfamiliar, and it was blocked at once, without the 2 s in which runs can survive it. With many such requests each was a suspect of its own, and a part that was fatal got too little blame to be blocked at all.

What callers saw: 503 for every prompt of the route for 30 s and more after engines had ended together for a reason of their own.

Change: the ledger weighs the shared parts of a run whatever its own part is, and the own part by itself.

--- a/medlarlanding-core/src/prompts/crash_ledger.rs
+++ b/medlarlanding-core/src/prompts/crash_ledger.rs
@@ -107,16 +107,20 @@
 #[derive(Debug)]
 struct SuspectRun {
     key: CrashKey,
-    /// In ascending order; never empty.
-    parts: Vec<PartId>,
-    /// Blame of the parts if the end has no other suspect.
+    /// Parts that the prompt shares with others, in ascending order.
+    shared: Vec<PartId>,
+    /// The request's own part, if a further engine ended on it. It is judged by itself: repeated requests
+    /// of sound prompts have one when several engines end together.
+    own: Option<PartId>,
+    /// Blame of its own part if the end has no other suspect.
     blame: f64,
-    /// Weight among the suspects of the end.
-    weight: f64,
-    /// Runs survived all of the parts before the end.
+    /// Blame of the shared parts in the same case.
+    shared_blame: f64,
+    /// Weight of the shared parts among the suspects of the end.
+    shared_weight: f64,
+    /// Runs survived all of the shared parts before the end.
     is_familiar: bool,
-    /// The run had not been writing for a while, none of its suspected parts was survived before, and
-    /// other parts were survived since.
+    /// The run had not been writing for a while, and some of its parts were survived since.
     is_telling: bool,
 }
 
@@ -499,15 +503,11 @@
         while let Some(part) =
             self.most_blamed(&ends, &recurring).or_else(|| self.most_recurring(&ends, &recurring))
         {
-            let with_part = || ends.iter().flatten().filter(|run| run.contains(part));
-            let mut common: Option<Vec<PartId>> = None;
-            for run in with_part() {
-                common = Some(match common {
-                    Some(common) => common.into_iter().filter(|part| run.contains(*part)).collect(),
-                    None => run.parts.clone(),
-                });
-            }
-            let rule = self.block_rule(part, common.unwrap_or_default(), &ends);
+            let mut with_part = ends.iter().flatten().filter(|run| run.contains(part));
+            let mut common: Vec<PartId> =
+                with_part.next().into_iter().flat_map(SuspectRun::parts).collect();
+            with_part.for_each(|run| common.retain(|part| run.contains(*part)));
+            let rule = self.block_rule(part, common, &ends);
             rules.insert(part, rule);
             ends.retain(|runs| runs.iter().all(|run| !run.contains(part)));
         }
@@ -521,7 +521,7 @@
             let mut with_part = runs.iter().filter(|run| run.contains(part)).peekable();
             let at = with_part.peek().and_then(|run| self.records.get(&run.key)).map(|it| it.at);
             times.extend(at);
-            unfamiliar_ends += usize::from(with_part.any(|run| !run.is_familiar));
+            unfamiliar_ends += usize::from(with_part.any(|run| !run.is_familiar_with(part)));
         }
         let is_familiar = unfamiliar_ends < self.params.unfamiliar_ends_min;
         BlockRule::new(&self.params.block, common, is_familiar, times)
@@ -536,33 +536,32 @@
     ) -> Option<SuspectRun> {
         let open = record.shared.iter().filter(|(_, marks)| !marks.is_survived);
         let unfamiliar = open.clone().filter(|(_, marks)| !marks.is_familiar);
-        let mut parts: Vec<PartId> = unfamiliar.map(|(part, _)| *part).collect();
-        let is_familiar = parts.is_empty();
+        let mut shared: Vec<PartId> = unfamiliar.map(|(part, _)| *part).collect();
+        let is_familiar = shared.is_empty();
         if is_familiar {
-            parts.extend(open.map(|(part, _)| part));
+            shared.extend(open.map(|(part, _)| part));
         }
-        // The request's own part is suspected only if a further engine ended on it.
         let own = record.own.filter(recurs);
-        parts.extend(own);
-        if parts.is_empty() {
+        if shared.is_empty() && own.is_none() {
             return None;
         }
-        parts.sort_unstable();
+        shared.sort_unstable();
         let progress = match record.phase {
             RunPhase::Waiting | RunPhase::Writing => self.params.remote_blame,
             RunPhase::Beginning | RunPhase::Hidden => 1.0,
         };
-        let is_familiar = is_familiar && own.is_none();
         let familiar_blame = if is_familiar { self.params.familiar_blame } else { 1.0 };
         let familiar_weight = if is_familiar { self.params.familiar_weight } else { 1.0 };
         let has_survivors = record.shared.values().any(|marks| marks.is_survived);
         Some(SuspectRun {
             key,
-            parts,
-            blame: progress * familiar_blame,
-            weight: progress * familiar_weight,
+            shared,
+            own,
+            blame: progress,
+            shared_blame: progress * familiar_blame,
+            shared_weight: progress * familiar_weight,
             is_familiar,
-            is_telling: has_survivors && !is_familiar && record.phase != RunPhase::Writing,
+            is_telling: has_survivors && record.phase != RunPhase::Writing,
         })
     }
 
@@ -573,7 +572,7 @@
         if ends.len() < fewest {
             return IndexSet::new();
         }
-        let counts = count_ends(ends, |_| true, |_| true);
+        let counts = count_ends(ends, |_, _| true);
         counts.into_iter().filter(|(_, ends)| *ends >= fewest).map(|(part, _)| part).collect()
     }
 
@@ -584,7 +583,10 @@
         ends: &[Vec<SuspectRun>],
         recurring: &IndexSet<PartId>,
     ) -> Option<PartId> {
-        let counts = count_ends(ends, |run| run.is_telling, |part| recurring.contains(&part));
+        let is_telling = |run: &SuspectRun, part| {
+            run.is_telling && !run.is_familiar_with(part) && recurring.contains(&part)
+        };
+        let counts = count_ends(ends, is_telling);
         let reached = counts.into_iter().filter(|(_, ends)| *ends >= self.params.recurrence_limit);
         let runs_with =
             |part: PartId| ends.iter().flatten().filter(|run| run.contains(part)).count();
@@ -606,25 +608,10 @@
         }
         let mut blames: IndexMap<PartId, (f64, usize)> = IndexMap::new();
         for runs in ends {
-            // Runs with the same suspected parts are one suspect, which fatal requests that reach an
-            // engine together would otherwise weaken.
-            let mut suspects: IndexMap<&[PartId], (f64, f64)> = IndexMap::new();
-            for run in runs {
-                let (blame, weight) = suspects.entry(&run.parts).or_default();
-                *blame = blame.max(run.blame);
-                *weight = weight.max(run.weight);
-            }
-            let total: f64 = suspects.values().map(|(_, weight)| weight).sum();
-            let mut of_end: IndexMap<PartId, f64> = IndexMap::new();
-            for (parts, (blame, weight)) in suspects {
-                for part in parts.iter().filter(|part| recurring.contains(*part)) {
-                    let highest = of_end.entry(*part).or_default();
-                    *highest = highest.max(blame * weight / total);
-                }
-            }
-            let all_parts = runs.iter().flat_map(|run| &run.parts);
-            for part in all_parts.filter(|part| recurring.contains(*part)) {
-                blames.entry(*part).or_default().1 += 1;
+            let of_end = blames_of_end(runs, recurring);
+            let all_parts = runs.iter().flat_map(SuspectRun::parts);
+            for part in all_parts.filter(|part| recurring.contains(part)) {
+                blames.entry(part).or_default().1 += 1;
             }
             for (part, blame) in of_end {
                 blames.entry(part).or_default().0 += blame;
@@ -641,11 +628,48 @@
     }
 }
 
-/// Counts for each part that `selects` the ends with a suspected run that contains it and that `fits`.
+/// Runs of one end with the same suspected parts. They are one suspect, which fatal requests that reach
+/// an engine together would otherwise weaken.
+#[derive(Default)]
+struct Suspect {
+    blame: f64,
+    weight: f64,
+    /// Weight without the runs whose own parts are suspected.
+    weight_of_others: f64,
+}
+
+/// Returns the blame that one end gives to the parts of its runs that `recurring` contains.
+fn blames_of_end(runs: &[SuspectRun], recurring: &IndexSet<PartId>) -> IndexMap<PartId, f64> {
+    let mut suspects: IndexMap<&[PartId], Suspect> = IndexMap::new();
+    for run in runs {
+        let suspect = suspects.entry(&run.shared).or_default();
+        suspect.blame = suspect.blame.max(run.shared_blame);
+        suspect.weight = suspect.weight.max(run.shared_weight);
+        if run.own.is_none() {
+            suspect.weight_of_others = suspect.weight_of_others.max(run.shared_weight);
+        }
+    }
+    // Runs without suspected shared parts say nothing of those of the others.
+    suspects.shift_remove(&[][..]);
+    let total: f64 = suspects.values().map(|suspect| suspect.weight).sum();
+    let own_total: f64 = suspects.values().map(|suspect| suspect.weight_of_others).sum::<f64>()
+        + runs.iter().filter(|run| run.own.is_some()).map(|run| run.blame).sum::<f64>();
+    let of_shared = suspects.iter().flat_map(|(parts, suspect)| {
+        parts.iter().map(|part| (*part, suspect.blame * suspect.weight / total))
+    });
+    let of_own = runs.iter().filter_map(|run| Some((run.own?, run.blame * run.blame / own_total)));
+    let mut blames: IndexMap<PartId, f64> = IndexMap::new();
+    for (part, blame) in of_shared.chain(of_own).filter(|(part, _)| recurring.contains(part)) {
+        let highest = blames.entry(part).or_default();
+        *highest = highest.max(blame);
+    }
+    blames
+}
+
+/// Counts for each part the ends with a suspected run that contains it and for which it `fits`.
 fn count_ends(
     ends: &[Vec<SuspectRun>],
-    fits: impl Fn(&SuspectRun) -> bool,
-    selects: impl Fn(PartId) -> bool,
+    fits: impl Fn(&SuspectRun, PartId) -> bool,
 ) -> IndexMap<PartId, usize> {
     /// Ends that contain a part, and the last one that was counted.
     #[derive(Clone, Copy)]
@@ -655,11 +679,9 @@
     }
     let mut counts: IndexMap<PartId, EndCount> = IndexMap::new();
     for (number, runs) in ends.iter().enumerate() {
-        for part in runs.iter().filter(|run| fits(run)).flat_map(|run| &run.parts) {
-            if !selects(*part) {
-                continue;
-            }
-            let count = counts.entry(*part).or_insert(EndCount { ends: 0, last: usize::MAX });
+        let parts = runs.iter().flat_map(|run| run.parts().map(move |part| (run, part)));
+        for (_, part) in parts.filter(|(run, part)| fits(run, *part)) {
+            let count = counts.entry(part).or_insert(EndCount { ends: 0, last: usize::MAX });
             if count.last != number {
                 *count = EndCount { ends: count.ends + 1, last: number };
             }
@@ -675,7 +697,16 @@
 
 impl SuspectRun {
     fn contains(&self, part: PartId) -> bool {
-        self.parts.binary_search(&part).is_ok()
+        self.own == Some(part) || self.shared.binary_search(&part).is_ok()
+    }
+
+    fn parts(&self) -> impl Iterator<Item = PartId> {
+        self.shared.iter().copied().chain(self.own)
+    }
+
+    /// Returns whether a part of this run was survived before the end.
+    fn is_familiar_with(&self, part: PartId) -> bool {
+        self.is_familiar && self.own != Some(part)
     }
 }
 
--- a/medlarlanding-core/tests/prompts_crash_ledger.rs
+++ b/medlarlanding-core/tests/prompts_crash_ledger.rs
@@ -557,6 +557,60 @@
     },
 }
 
+/// Repeatable requests that break off at two of the engines that end together.
+struct RepeatedRequests {
+    /// How many of them.
+    count: u64,
+    phase: RunPhase,
+    /// Runs survived the part that all prompts share before the ends.
+    is_familiar: bool,
+    /// Whether the part is blocked at some times.
+    checks: &'static [(u64, bool)],
+}
+
+/// Guards against a familiar part that is blocked at once because requests that are sent again break off
+/// at a second engine, so that each one's own part is in the runs of two ends.
+fn judges_shared_part_of_repeated_requests(case: RepeatedRequests) {
+    let familiar: &[u64] = if case.is_familiar { &[FIRST] } else { &[] };
+    let mut ledger = ledger_of(&[], familiar);
+    for engine in 0..4 {
+        for repeated in 0..case.count {
+            let first = repeated % 4;
+            let own = match engine {
+                engine if engine == first || engine == (first + 1) % 4 => 0x100 + repeated,
+                engine => 0x200 + 4 * repeated + engine,
+            };
+            let key = CrashKey { server: engine, run: own };
+            ledger.record_crash(at(100 + engine), key, case.phase, prompt(&[FIRST], own));
+        }
+    }
+    for (millis, is_blocked) in case.checks {
+        let found = ledger.check(at(*millis), &prompt(&[FIRST], 0x77));
+        assert_eq!(found.is_some(), *is_blocked, "after {millis} ms: {found:?}");
+    }
+    ledger.record_survival(at(3_500), at(2_400), &prompt(&[FIRST], 0x78));
+    let found = ledger.check(at(3_600), &prompt(&[FIRST], 0x77));
+    assert_eq!(found, None, "after a run that survived it");
+}
+
+cases! { judges_shared_part_of_repeated_requests;
+    one_repeated_request_keeps_its_part_familiar => RepeatedRequests {
+        count: 1, phase: HIDDEN, is_familiar: true, checks: &[(200, false), (2_200, true)],
+    },
+    two_repeated_requests_keep_their_part_familiar => RepeatedRequests {
+        count: 2, phase: HIDDEN, is_familiar: true, checks: &[(200, false), (2_200, true)],
+    },
+    repeated_requests_keep_their_part_familiar => RepeatedRequests {
+        count: 8, phase: HIDDEN, is_familiar: true, checks: &[(200, false), (2_200, true)],
+    },
+    repeated_streams_keep_their_part_familiar => RepeatedRequests {
+        count: 8, phase: BEGINNING, is_familiar: true, checks: &[(200, false), (2_200, true)],
+    },
+    repeated_requests_with_an_unfamiliar_part_block_it => RepeatedRequests {
+        count: 8, phase: HIDDEN, is_familiar: false, checks: &[(200, true), (2_200, true)],
+    },
+}
+
 /// Guards against a fatal part that stays blocked after other parts of its prompts were suspected with it
 /// and released, when engines end together besides.
 #[test]
