Doubt a part that recurs although nothing survives beside it

Cause: a part in the runs of four ends is blocked beside many other suspects if other parts of its prompts were survived since. When all engines end on it together, and again as soon as they are back, nothing is survived in between, and only blame is left, which each end divides among all its suspects.

What callers saw: all engines ended three times in 5 s; 5 or 6 requests with the part reached engines later than 3 s after the fifth end.

Change: if the other parts were survived only before the ends, and no other part explains as many of them, the part is doubtful: blocked 2 s after the first end, runs in progress go on, single requests are tried. A sound part is released by the first trial.

--- a/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
+++ b/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
@@ -442,7 +442,9 @@
     events: (u64, u64),
     callers: usize,
     pause: Duration,
-    /// Times at which engines end together.
+    /// Engines that end together.
+    engines: usize,
+    /// Times at which they do.
     ends: u32,
 }
 
@@ -474,8 +476,8 @@
     let mut ended_at = Instant::now();
     for round in 0..case.ends as usize {
         ended_at = Instant::now();
-        // Four of six.
-        let ended: Vec<usize> = (0..4).map(|engine| (engine + round) % ENGINES).collect();
+        let ended: Vec<usize> =
+            (0..case.engines).map(|engine| (engine + round) % ENGINES).collect();
         site.state.end_engines(&ended);
         std::thread::sleep(SETTLE_TIME);
     }
@@ -510,6 +512,7 @@
     events: (8, 20),
     callers: 24,
     pause: CALL_PAUSE,
+    engines: 4,
     ends: 1,
 };
 
@@ -527,6 +530,12 @@
     engines_end_together_beside_prompts_that_few_share => TogetherCase {
         has_rare_part: true, ..TOGETHER
     },
+    all_engines_end_together_beside_prompts_that_few_share => TogetherCase {
+        has_rare_part: true, engines: ENGINES, ..TOGETHER
+    },
+    all_engines_end_together_beside_silent_answers_that_few_share => TogetherCase {
+        path: "/note/a", has_rare_part: true, engines: ENGINES, ends: 2, ..TOGETHER
+    },
     engines_end_together_beside_few_requests => TogetherCase {
         callers: 3, pause: Duration::from_millis(150), ..TOGETHER
     },
--- a/medlarlanding-core/src/prompts/block_rule.rs
+++ b/medlarlanding-core/src/prompts/block_rule.rs
@@ -5,6 +5,9 @@
 //! it before, and whether it has become fatal since shows only in runs that begin after the ends. So such
 //! a part is refused only after a while in which these can survive it, and runs in progress go on.
 //!
+//! A part that no run survived is refused at once. If it only recurs, and nothing survived beside it that
+//! would set it apart from the other parts of its prompts, it is in doubt like a part that was survived.
+//!
 //! Once it is refused no run begins that could survive it, so now and then a single request is tried.
 //! Each trial of a fatal part ends an engine; three requests may reach engines after the fifth end.
 
@@ -20,25 +23,25 @@
     /// Time since the last end for which a part stays blocked. Afterwards one more end blocks it
     /// again, as long as the earlier ones are retained.
     pub hold: Duration,
-    /// Time since the first end after which a familiar part is blocked. Runs that begin after that end
+    /// Time since the first end after which a doubtful part is blocked. Runs that begin after that end
     /// survive it within this time, and requests with a fatal part must be known 3 s after the fifth
     /// end.
     pub evidence_time: Duration,
     /// Longest time between two ends that count as one incident.
     pub incident_gap: Duration,
-    /// Time from the last end to the trial of a familiar part, by the number of incidents, from 1;
+    /// Time from the last end to the trial of a doubtful part, by the number of incidents, from 1;
     /// there is none after more incidents.
-    pub familiar_trials: &'static [Duration],
-    /// The same for a part that no run survived before.
-    pub unfamiliar_trials: &'static [Duration],
+    pub doubtful_trials: &'static [Duration],
+    /// The same for other parts.
+    pub trials: &'static [Duration],
     /// Shortest time between two trials of a part. The end of an engine is known sooner.
     pub trial_pause: Duration,
 }
 
 impl BlockParams {
-    const FAMILIAR_TRIALS: [Duration; 3] =
+    const DOUBTFUL_TRIALS: [Duration; 3] =
         [Duration::ZERO, Duration::from_secs(10), Duration::from_secs(60)];
-    const UNFAMILIAR_TRIALS: [Duration; 2] = [Duration::from_secs(30), Duration::from_secs(120)];
+    const TRIALS: [Duration; 2] = [Duration::from_secs(30), Duration::from_secs(120)];
 }
 
 impl Default for BlockParams {
@@ -47,8 +50,8 @@
             hold: BLOCK_TIME,
             evidence_time: Duration::from_secs(2),
             incident_gap: Duration::from_secs(1),
-            familiar_trials: &Self::FAMILIAR_TRIALS,
-            unfamiliar_trials: &Self::UNFAMILIAR_TRIALS,
+            doubtful_trials: &Self::DOUBTFUL_TRIALS,
+            trials: &Self::TRIALS,
             trial_pause: Duration::from_secs(3),
         }
     }
@@ -63,8 +66,8 @@
     /// Parts that all suspect runs with the part have in common; a request must contain all of them
     /// to be blocked. Always includes the part itself.
     pub common: Vec<PartId>,
-    /// Runs survived the part before the ends, which are as likely to have another reason.
-    pub is_familiar: bool,
+    /// The part may well be sound: runs survived it before the ends, or nothing survived beside it since.
+    pub is_doubtful: bool,
     /// When the block begins.
     pub from: Timestamp,
     /// When it ends.
@@ -78,7 +81,7 @@
     pub fn new(
         params: &BlockParams,
         common: Vec<PartId>,
-        is_familiar: bool,
+        is_doubtful: bool,
         mut ends: Vec<Timestamp>,
     ) -> Self {
         ends.sort_unstable();
@@ -88,13 +91,13 @@
         };
         let gaps = ends.windows(2).filter(|pair| pair[1].since(pair[0]) > params.incident_gap);
         let incidents = gaps.count() + 1;
-        let (trials, from) = if is_familiar {
-            (params.familiar_trials, first + params.evidence_time)
+        let (trials, from) = if is_doubtful {
+            (params.doubtful_trials, first + params.evidence_time)
         } else {
-            (params.unfamiliar_trials, Timestamp::default())
+            (params.trials, Timestamp::default())
         };
         let trial_at = trials.get(incidents - 1).map(|delay| (last + *delay).max(from));
-        Self { common, is_familiar, from, until: last + params.hold, trial_at }
+        Self { common, is_doubtful, from, until: last + params.hold, trial_at }
     }
 
     /// Returns whether the block is in force.
@@ -112,8 +115,8 @@
     pub ends: usize,
     /// Time until requests with it are tried again.
     pub remaining: Duration,
-    /// Runs survived the part before the ends, so that it may be sound. Runs in progress go on.
-    pub is_familiar: bool,
+    /// The part may well be sound. Runs in progress go on.
+    pub is_doubtful: bool,
 }
 
 /// What becomes of a request with a prompt.
@@ -130,7 +133,7 @@
 impl BlockedPart {
     /// Returns the refusal of a request on the product's own interface.
     pub fn error_kind(&self) -> ErrorKind {
-        match self.is_familiar {
+        match self.is_doubtful {
             true => ErrorKind::SuspectPrompt,
             false => ErrorKind::FatalPrompt,
         }
--- a/medlarlanding-core/src/prompts/crash_ledger.rs
+++ b/medlarlanding-core/src/prompts/crash_ledger.rs
@@ -9,6 +9,8 @@
 //! broke off soon after they had begun, and of their parts against those that no run survives. An end
 //! beside many other runs says little of each, but a part that is in the runs of several ends and in none
 //! that survives is suspected however many others there are.
+//! When all engines end again as soon as they are back, nothing survives to compare with, and such a part
+//! is in doubt until a single request is tried.
 //!
 //! Prompts name as many parts as the limit of a request's head allows, and each may be the fatal one.
 
@@ -91,6 +93,16 @@
     is_familiar: bool,
 }
 
+impl PartMarks {
+    fn survival(&self) -> Option<PartSurvival> {
+        match (self.is_survived, self.is_familiar) {
+            (true, _) => Some(PartSurvival::SinceEnd),
+            (false, true) => Some(PartSurvival::BeforeEnd),
+            (false, false) => None,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct CrashRecord {
     phase: RunPhase,
@@ -120,8 +132,15 @@
     shared_weight: f64,
     /// Runs survived all of the shared parts before the end.
     is_familiar: bool,
-    /// The run had not been writing for a while, and some of its parts were survived since.
-    is_telling: bool,
+    /// The run had not been writing for a while, and some of its parts were survived.
+    survived: Option<PartSurvival>,
+}
+
+/// When other parts of a run's prompt were last survived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum PartSurvival {
+    BeforeEnd,
+    SinceEnd,
 }
 
 /// Broken runs that all instances reported, and the blocked parts that follow from them.
@@ -438,7 +457,7 @@
             part,
             ends: self.ends_with(part),
             remaining: rule.until.since(now),
-            is_familiar: rule.is_familiar,
+            is_doubtful: rule.is_doubtful,
         }
     }
 
@@ -500,22 +519,43 @@
         let mut ends: Vec<Vec<SuspectRun>> = suspects.filter(|runs| !runs.is_empty()).collect();
         let mut rules = IndexMap::new();
         let recurring = self.recurring_parts(&ends);
-        while let Some(part) =
-            self.most_blamed(&ends, &recurring).or_else(|| self.most_recurring(&ends, &recurring))
-        {
+        while let Some((part, is_doubtful)) = self.next_part(&ends, &recurring) {
             let mut with_part = ends.iter().flatten().filter(|run| run.contains(part));
             let mut common: Vec<PartId> =
                 with_part.next().into_iter().flat_map(SuspectRun::parts).collect();
             with_part.for_each(|run| common.retain(|part| run.contains(*part)));
-            let rule = self.block_rule(part, common, &ends);
+            let rule = self.block_rule(part, is_doubtful, common, &ends);
             rules.insert(part, rule);
             ends.retain(|runs| runs.iter().all(|run| !run.contains(part)));
         }
         self.rules = rules;
     }
 
+    /// Returns the part to block next, and whether it may well be sound; `None` if there is none.
+    fn next_part(
+        &self,
+        ends: &[Vec<SuspectRun>],
+        recurring: &IndexSet<PartId>,
+    ) -> Option<(PartId, bool)> {
+        let part = self
+            .most_blamed(ends, recurring)
+            .or_else(|| self.most_recurring(ends, recurring, PartSurvival::SinceEnd));
+        if let Some(part) = part {
+            return Some((part, false));
+        }
+        // When all engines end again as soon as they are back, no run survives the other parts in between.
+        let part = self.most_recurring(ends, recurring, PartSurvival::BeforeEnd)?;
+        is_only_explanation(part, ends).then_some((part, true))
+    }
+
     /// Creates the rule for a part that is suspected of some of these ends.
-    fn block_rule(&self, part: PartId, common: Vec<PartId>, ends: &[Vec<SuspectRun>]) -> BlockRule {
+    fn block_rule(
+        &self,
+        part: PartId,
+        is_doubtful: bool,
+        common: Vec<PartId>,
+        ends: &[Vec<SuspectRun>],
+    ) -> BlockRule {
         let (mut times, mut unfamiliar_ends) = (Vec::new(), 0);
         for runs in ends {
             let mut with_part = runs.iter().filter(|run| run.contains(part)).peekable();
@@ -523,8 +563,8 @@
             times.extend(at);
             unfamiliar_ends += usize::from(with_part.any(|run| !run.is_familiar_with(part)));
         }
-        let is_familiar = unfamiliar_ends < self.params.unfamiliar_ends_min;
-        BlockRule::new(&self.params.block, common, is_familiar, times)
+        let is_doubtful = is_doubtful || unfamiliar_ends < self.params.unfamiliar_ends_min;
+        BlockRule::new(&self.params.block, common, is_doubtful, times)
     }
 
     /// Returns the parts of a broken run that are suspected; `None` if there are none.
@@ -552,7 +592,7 @@
         };
         let familiar_blame = if is_familiar { self.params.familiar_blame } else { 1.0 };
         let familiar_weight = if is_familiar { self.params.familiar_weight } else { 1.0 };
-        let has_survivors = record.shared.values().any(|marks| marks.is_survived);
+        let survivals = record.shared.values().filter_map(PartMarks::survival);
         Some(SuspectRun {
             key,
             shared,
@@ -561,7 +601,7 @@
             shared_blame: progress * familiar_blame,
             shared_weight: progress * familiar_weight,
             is_familiar,
-            is_telling: has_survivors && record.phase != RunPhase::Writing,
+            survived: survivals.max().filter(|_| record.phase != RunPhase::Writing),
         })
     }
 
@@ -577,14 +617,16 @@
     }
 
     /// Returns the part to block next because it recurs, though the ends have many other suspects;
-    /// `None` if there is none.
+    /// `None` if there is none. Counts runs with other parts that were survived at `survived` or later.
     fn most_recurring(
         &self,
         ends: &[Vec<SuspectRun>],
         recurring: &IndexSet<PartId>,
+        survived: PartSurvival,
     ) -> Option<PartId> {
         let is_telling = |run: &SuspectRun, part| {
-            run.is_telling && !run.is_familiar_with(part) && recurring.contains(&part)
+            let is_survived = run.survived.is_some_and(|it| it >= survived);
+            is_survived && !run.is_familiar_with(part) && recurring.contains(&part)
         };
         let counts = count_ends(ends, is_telling);
         let reached = counts.into_iter().filter(|(_, ends)| *ends >= self.params.recurrence_limit);
@@ -666,6 +708,16 @@
     blames
 }
 
+/// Returns whether no other part is in runs of as many ends, unless it is in all runs with this one.
+fn is_only_explanation(part: PartId, ends: &[Vec<SuspectRun>]) -> bool {
+    let counts = count_ends(ends, |_, _| true);
+    let most = counts.get(&part).copied().unwrap_or_default();
+    let mut with_part = ends.iter().flatten().filter(|run| run.contains(part));
+    let rivals = counts.into_iter().filter(|(other, ends)| *other != part && *ends >= most);
+    let rivals: Vec<PartId> = rivals.map(|(other, _)| other).collect();
+    with_part.all(|run| rivals.iter().all(|rival| run.contains(*rival)))
+}
+
 /// Counts for each part the ends with a suspected run that contains it and for which it `fits`.
 fn count_ends(
     ends: &[Vec<SuspectRun>],
--- a/medlarlanding-core/tests/prompts_crash_ledger.rs
+++ b/medlarlanding-core/tests/prompts_crash_ledger.rs
@@ -466,6 +466,120 @@
     },
 }
 
+/// Six engines that end together, and again as soon as they are back, so that no run can survive an end.
+#[derive(Clone, Copy)]
+struct LostEngines {
+    engines: u64,
+    phase: RunPhase,
+    /// Sound runs beside the fatal one, each with a part that no other has.
+    beside: u64,
+    /// Runs survived the part that all prompts share before the ends.
+    is_first_familiar: bool,
+    /// Another part of the fatal prompt is in sound ones as well.
+    has_common: bool,
+    /// Another part is in a sound run of each end.
+    has_unlucky: bool,
+    /// The suspected part is sound: engines end on it only once.
+    is_sound: bool,
+    /// Whether the suspected part is blocked at some times.
+    checks: &'static [(u64, bool)],
+}
+
+/// Guards against a fatal part that is never blocked because all engines end on it together and again at
+/// once, so that nothing survives beside it, and against blocking a sound part that was in their runs.
+fn judges_part_without_survivors(case: LostEngines) {
+    const UNLUCKY: u64 = 0xbad;
+    const COMMON: u64 = 0xc0;
+    let mut ledger = CrashLedger::default();
+    if case.is_first_familiar {
+        ledger.record_survival(at(0), at(0), &prompt(&[FIRST], 0x9999));
+    }
+    let common: &[u64] = if case.has_common { &[FIRST, COMMON] } else { &[FIRST] };
+    let fatal = [common, &[FATAL]].concat();
+    let mut run = 0;
+    let mut crash = |ledger: &mut CrashLedger, millis: u64, engine: u64, phase, parts: &[u64]| {
+        run += 1;
+        let key = CrashKey { server: engine, run };
+        ledger.record_crash(at(millis), key, phase, prompt(parts, 0x10_0000 + run));
+    };
+    let mut checks = case.checks.iter().peekable();
+    let begins: &[u64] = if case.is_sound { &[100, u64::MAX] } else { &[100, 2_300, 4_500] };
+    for (round, begin) in begins.iter().copied().enumerate() {
+        while let Some((millis, is_blocked)) = checks.next_if(|(millis, _)| *millis < begin) {
+            let found = ledger.check(at(*millis), &prompt(&fatal, 0x77));
+            assert_eq!(found.is_some(), *is_blocked, "after {millis} ms: {found:?}");
+            let sound = [common, &[SOUND]].concat();
+            assert_eq!(ledger.check(at(*millis), &prompt(&sound, 0x78)), None);
+            assert_eq!(ledger.check(at(*millis), &prompt(&[FIRST, UNLUCKY], 0x79)), None);
+        }
+        if begin == u64::MAX {
+            break;
+        }
+        for number in 0..case.engines {
+            let (millis, engine) = (begin + number, 100 * round as u64 + number);
+            crash(&mut ledger, millis, engine, case.phase, &fatal);
+            for beside in 0..case.beside {
+                let phase = if beside % 2 == 0 { WAITING } else { BEGINNING };
+                let parts = [common, &[0x5000 + 100 * engine + beside]].concat();
+                crash(&mut ledger, millis, engine, phase, &parts);
+            }
+            if case.has_unlucky {
+                crash(&mut ledger, millis, engine, BEGINNING, &[FIRST, UNLUCKY]);
+            }
+        }
+    }
+    if case.is_sound {
+        let verdict = ledger.admit(at(2_500), &prompt(&fatal, 0x77), true);
+        assert!(matches!(verdict, PromptVerdict::Trial(_)), "{verdict:?}");
+        ledger.record_survival(at(3_900), at(2_600), &prompt(&fatal, 0x77));
+        assert_eq!(ledger.check(at(4_000), &prompt(&fatal, 0x77)), None);
+    }
+}
+
+const LOST_ENGINES: LostEngines = LostEngines {
+    engines: 6,
+    phase: BEGINNING,
+    beside: 6,
+    is_first_familiar: true,
+    has_common: false,
+    has_unlucky: false,
+    is_sound: false,
+    checks: &[(200, false), (2_000, false), (2_200, true), (2_400, true)],
+};
+/// For parts that are not blocked.
+const NEVER: &[(u64, bool)] = &[(200, false), (2_200, false), (4_400, false)];
+
+cases! { judges_part_without_survivors;
+    part_on_which_all_engines_end_is_blocked_after_a_while => LOST_ENGINES,
+    part_on_which_all_engines_end_silently_is_blocked_after_a_while => LostEngines {
+        phase: WAITING, beside: 14, ..LOST_ENGINES
+    },
+    part_on_which_all_engines_end_after_their_answers_is_blocked_after_a_while => LostEngines {
+        phase: HIDDEN, beside: 20, ..LOST_ENGINES
+    },
+    sound_part_in_runs_of_all_engines_is_released_by_a_trial => LostEngines {
+        is_sound: true, ..LOST_ENGINES
+    },
+    sound_part_in_silent_runs_of_all_engines_is_released_by_a_trial => LostEngines {
+        phase: WAITING, beside: 14, is_sound: true, ..LOST_ENGINES
+    },
+    part_beside_a_common_one_is_blocked_with_it => LostEngines {
+        has_common: true, ..LOST_ENGINES
+    },
+    two_parts_that_recur_alike_are_not_blocked => LostEngines {
+        phase: WAITING, beside: 14, has_unlucky: true, checks: NEVER, ..LOST_ENGINES
+    },
+    part_on_which_three_engines_end_is_blocked_when_they_end_again => LostEngines {
+        engines: 3, beside: 14, checks: &[(200, false), (2_200, false), (2_400, true)], ..LOST_ENGINES
+    },
+    writing_runs_of_all_engines_block_nothing => LostEngines {
+        phase: WRITING, checks: NEVER, ..LOST_ENGINES
+    },
+    prompts_without_a_familiar_part_are_not_blocked => LostEngines {
+        beside: 40, is_first_familiar: false, checks: NEVER, ..LOST_ENGINES
+    },
+}
+
 /// Engines that end at some times while each runs prompts with a part that all share, and a run that
 /// survives the part. Times are in milliseconds.
 struct SharedEnds<'a> {
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -119,7 +119,7 @@
 
 /// Returns the refusal of a request with a blocked part.
 fn prompt_error(blocked: &BlockedPart) -> ErrorAnswer {
-    match blocked.is_familiar {
+    match blocked.is_doubtful {
         true => ErrorAnswer::SuspectPrompt,
         false => ErrorAnswer::FatalPrompt,
     }
--- a/medlarlanding/src/forwarding/ledger.rs
+++ b/medlarlanding/src/forwarding/ledger.rs
@@ -87,7 +87,7 @@
     /// Waits until engines are taken to end on this prompt. A part that runs survived before may be
     /// sound, which those in progress show.
     pub async fn wait_for_block(&self, parts: &PromptParts) {
-        let is_fatal = || self.check_prompt(parts).is_some_and(|blocked| !blocked.is_familiar);
+        let is_fatal = || self.check_prompt(parts).is_some_and(|blocked| !blocked.is_doubtful);
         let mut changes = self.ledger.block_changes.subscribe();
         // The sender lives as long as this state.
         let _ = changes.wait_for(|_| is_fatal()).await;
