Count only requests that began or not before the engines ended

Cause: a fault of the test. It counted all requests that were sent before the engines ended, also those that still waited at them: E620 shows the last request of each of the three callers, phase=waiting, at the moment of the ends.

Change: the time without ends stops 0.5 s before the first end.

--- a/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
+++ b/medlarlanding-bench/tests/forwarding_fatal_prompts.rs
@@ -455,6 +455,8 @@
     /// Time from an end until the engines are back and instances have heard of it.
     const SETTLE_TIME: Duration = Duration::from_secs(5);
     const CALM_TIME: Duration = Duration::from_secs(6);
+    /// Time before the first end in which a request may still wait for its answer to begin.
+    const BEGIN_TIME: Duration = Duration::from_millis(500);
     let site = start_site(case.framing);
     site.state.set_generation(case.events.0, case.events.1);
     let targets: Vec<SocketAddr> = (0..INSTANCES).map(|it| site.caller_address(it)).collect();
@@ -466,7 +468,8 @@
     };
     let sound = CallerGroup::start_with(case.callers, sound_call, false, case.pause, &targets);
     std::thread::sleep(SOUND_TIME);
-    let fatal_from = Instant::now();
+    let calm_until = Instant::now();
+    std::thread::sleep(BEGIN_TIME);
     let fatal = case.has_fatal.then(|| {
         site.state.set_fatal_part(Some(FATAL_PART));
         let fatal = CallerGroup::start(1, case.path, SHORT, true, &targets);
@@ -488,7 +491,7 @@
     }
     let records = sound.stop();
     check_fatal_runs(&site);
-    let usual = share(&records, started, fatal_from, is_begun);
+    let usual = share(&records, started, calm_until, is_begun);
     let settled = share(&records, ended_at + SETTLE_TIME, until, is_begun);
     let blocked = |line: &&str| line.contains(" E621 ") && !line.contains(FATAL_PART);
     let lines = ledger_lines(&site);
