--- a/medlarlanding-core/src/prompts/mod.rs
+++ b/medlarlanding-core/src/prompts/mod.rs
@@ -6,6 +6,7 @@
 mod ledger_news;
 mod parts;
 mod sharing;
+mod suspects;
 
 pub use block_rule::{BLOCK_TIME, BlockParams, BlockedPart, PromptVerdict};
 pub use crash_ledger::{CrashLedger, LedgerParams};
