Count an event as forwarded once it is handed over

Cause: forward_event recorded an event's id and then waited for room in the caller's buffer. After a run was stopped for a move, drain_stopped gives this wait up after 500 ms, and the run goes on behind the recorded event at the other engine.

Change: the id is recorded after the event is handed over, in the same poll, so that an event whose sending is given up comes from the other engine. Nothing else gives up a send and goes on with the run.

--- a/medlarlanding-bench/src/site/client.rs
+++ b/medlarlanding-bench/src/site/client.rs
@@ -8,9 +8,14 @@
 use anyhow::Context;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Frame;
 use hyper::client::conn::http1;
 use hyper::{HeaderMap, Method, Request};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+
+/// Receive buffer of a caller that reads in bursts, so that little is under way beside it.
+const BURST_RECEIVE_BUFFER: usize = 256 << 10;
 
 /// One request of a caller.
 #[derive(Clone, Debug)]
@@ -20,6 +25,7 @@
     headers: Vec<(String, String)>,
     body: Vec<u8>,
     disconnect_after: Option<Duration>,
+    bursts: Option<(usize, Duration)>,
 }
 
 /// What a caller received.
@@ -67,6 +73,7 @@
             headers,
             body: Vec::new(),
             disconnect_after: None,
+            bursts: None,
         }
     }
 
@@ -89,6 +96,12 @@
         self
     }
 
+    /// Reads the answer in bursts of about this many bytes, with a pause before each.
+    pub fn read_in_bursts(mut self, bytes: usize, pause: Duration) -> Self {
+        self.bursts = Some((bytes, pause));
+        self
+    }
+
     /// Sends the request on a new connection and reads the answer.
     ///
     /// # Errors
@@ -106,6 +119,9 @@
     async fn exchange(&self, address: SocketAddr) -> anyhow::Result<SiteAnswer> {
         let started = Instant::now();
         let stream = tokio::net::TcpStream::connect(address).await?;
+        if self.bursts.is_some() {
+            SockRef::from(&stream).set_recv_buffer_size(BURST_RECEIVE_BUFFER)?;
+        }
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(connection);
         let mut request = Request::builder().method(self.method.clone()).uri(self.path.as_str());
@@ -118,7 +134,16 @@
         let mut received = Vec::new();
         let mut is_complete = true;
         let reading = async {
+            let mut burst = 0;
             while let Some(frame) = body.frame().await {
+                if let Some((bytes, pause)) = self.bursts {
+                    burst += frame.as_ref().ok().and_then(Frame::data_ref).map_or(0, Bytes::len);
+                    if burst >= bytes {
+                        burst = 0;
+                        // Stops the connection's task as well.
+                        std::thread::sleep(pause);
+                    }
+                }
                 match frame.map(|frame| frame.into_data()) {
                     Ok(Ok(data)) => received.extend_from_slice(&data),
                     Ok(Err(_)) => {},
--- a/medlarlanding-bench/src/site/ending_server.rs
+++ b/medlarlanding-bench/src/site/ending_server.rs
@@ -23,8 +23,11 @@
 const CONTINUED_PARTS: usize = 5;
 /// Header of a request: number of parts of the answer, 6 if it is missing.
 pub const PARTS_HEADER: &str = "x-test-parts";
-/// Header of a request: bytes of a part of a whole answer, 16 if it is missing.
+/// Header of a request: bytes of a part of a whole answer, or of the text of an event if these are more
+/// than usual; 16 if it is missing.
 pub const PART_BYTES_HEADER: &str = "x-test-part-bytes";
+/// Bytes of the text of an event that are not padded.
+const EVENT_BYTES: usize = 16;
 /// Header of a request: milliseconds between two parts, 0 if it is missing.
 pub const INTERVAL_HEADER: &str = "x-test-interval-ms";
 
@@ -373,12 +376,13 @@
             at: Instant::now(),
         });
         let first = 1 + if is_continued { number("last-event-id", 0) } else { 0 };
-        let (count, part_bytes) = (number(PARTS_HEADER, 6), number(PART_BYTES_HEADER, 16));
+        let (count, part_bytes) = (number(PARTS_HEADER, 6), number(PART_BYTES_HEADER, EVENT_BYTES));
         let interval = Duration::from_millis(number(INTERVAL_HEADER, 0) as u64);
         let is_stream = path.starts_with("/draft");
+        let padding = " ".repeat(part_bytes.saturating_sub(EVENT_BYTES));
         let parts: Vec<String> = (first..=count)
             .map(|number| match is_stream {
-                true => format!("id: {number}\ndata: {request} {number}\n\n"),
+                true => format!("id: {number}\ndata: {request} {number}{padding}\n\n"),
                 false => format!("{number:0>part_bytes$}"),
             })
             .collect();
@@ -560,7 +564,7 @@
         let (delay, answer) = script.stop_fault.answer(copied);
         tokio::time::sleep(delay).await;
         if script.stop_fault == StopFault::None {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep(script.stop_time).await;
         }
         answer
     }
--- a/medlarlanding-bench/src/site/move_script.rs
+++ b/medlarlanding-bench/src/site/move_script.rs
@@ -96,6 +96,8 @@
     pub stream_close: StreamClose,
     /// The stream breaks off during the first copy, and the server works on.
     pub breaks_in_copy: bool,
+    /// Time until the call that is to stop a run is answered.
+    pub stop_time: Duration,
 }
 
 impl Default for MoveScript {
@@ -105,6 +107,7 @@
             resume_mode: ResumeMode::Accepts,
             stream_close: StreamClose::Closed,
             breaks_in_copy: false,
+            stop_time: Duration::from_millis(20),
         }
     }
 }
--- a/medlarlanding-bench/tests/forwarding_run_stops.rs
+++ b/medlarlanding-bench/tests/forwarding_run_stops.rs
@@ -10,7 +10,7 @@
 };
 use medlarlanding_bench::site::{
     BodyDelimiter, EndMode, EndingServer, INTERVAL_HEADER, MoveScript, ResumeMode, SiteAnswer,
-    StopFault, StreamClose, TestSite,
+    SiteCall, StopFault, StreamClose, TestSite,
 };
 use medlarlanding_core::cases;
 
@@ -41,11 +41,24 @@
 
 /// Starts a run for each delimiter and script and makes all their engines leave at the same time.
 fn move_runs(site: &mut TestSite, specs: Vec<(BodyDelimiter, MoveScript)>) -> Vec<MovedRun> {
+    let shape = |call: SiteCall| call.header(INTERVAL_HEADER, EVENT_INTERVAL_MS);
+    move_runs_of(site, specs, DRAFT, Duration::ZERO, shape)
+}
+
+/// The same for runs of a kind whose engines leave a while after the last run has begun. Callers send what
+/// `shape` makes of the usual call.
+fn move_runs_of(
+    site: &mut TestSite,
+    specs: Vec<(BodyDelimiter, MoveScript)>,
+    kind: KindCase,
+    leave_after: Duration,
+    shape: impl Fn(SiteCall) -> SiteCall,
+) -> Vec<MovedRun> {
     let servers: Vec<_> =
         specs.iter().flat_map(|(delimiter, _)| [(*delimiter, EndMode::Lives); 2]).collect();
     let servers = site.add_ending_servers(&servers).expect("servers");
     let services: Vec<String> = (0..specs.len()).map(|pair| format!("pair-{pair}")).collect();
-    publish_services(site, &services, DRAFT, true);
+    publish_services(site, &services, kind, true);
     // Nothing was registered as draining before.
     wait_for_entries(site, INSTANCES, "ready", servers.len());
     for ((pair, service), (_, script)) in servers.chunks(2).zip(&services).zip(&specs) {
@@ -57,11 +70,12 @@
     wait_for_entries(site, INSTANCES, "ready", servers.len() + specs.len());
     let mut callers = Vec::new();
     for (number, service) in services.iter().enumerate() {
-        let call = call(DRAFT, service, number).header(INTERVAL_HEADER, EVENT_INTERVAL_MS);
+        let call = shape(call(kind, service, number));
         let address = site.caller_address(number % INSTANCES);
         callers.push(std::thread::spawn(move || call.send(address).expect("an answer")));
     }
     site.wait_until("the runs", || site.state.runs("").len() == specs.len()).expect("runs");
+    std::thread::sleep(leave_after);
     for (pair, service) in servers.chunks(2).zip(&services) {
         site.register_ending_server(&pair[1], service, "ready");
     }
@@ -193,3 +207,53 @@
         }
     });
 }
+
+/// A caller that pauses again and again, and the time in which its run is stopped.
+struct PausingCaller {
+    /// Bytes that the caller reads between two pauses, and the length of a pause.
+    bytes: usize,
+    pause: Duration,
+    stop_time: Duration,
+}
+
+/// Guards against an event that a caller misses because it took nothing while the remaining events of a
+/// stopped run were forwarded, and that counted as forwarded when the run went on elsewhere.
+fn pausing_callers_miss_no_event(case: PausingCaller) {
+    const LONG_EVENTS: KindCase = KindCase { parts: 400, part_bytes: 16_000, ..DRAFT };
+    const RUNS: usize = 4;
+    /// What is under way to a caller that pauses has filled all buffers after this time.
+    const FILL_TIME: Duration = Duration::from_secs(1);
+    let script = MoveScript { stop_time: case.stop_time, ..MoveScript::default() };
+    let delimiters = BodyDelimiter::ALL.into_iter().cycle();
+    let specs: Vec<_> =
+        delimiters.take(RUNS * BodyDelimiter::ALL.len()).map(|it| (it, script)).collect();
+    let mut site = start_site();
+    let runs = move_runs_of(&mut site, specs, LONG_EVENTS, FILL_TIME, |call| {
+        let call = call.header(INTERVAL_HEADER, "1").header("x-deadline-ms", "30000");
+        call.read_in_bursts(case.bytes, case.pause)
+    });
+    let moved = runs
+        .iter()
+        .filter(|run| site.state.runs(&run.request).iter().any(|record| record.is_continued));
+    println!("{} of {} runs went on elsewhere", moved.count(), runs.len());
+    check(&site, &runs, |run| match is_whole(LONG_EVENTS, &run.answer) {
+        _ if has_gaps(&run.answer) => Some("wrong pieces"),
+        false => Some("lost although the run can go on"),
+        true => None,
+    });
+}
+
+cases! { pausing_callers_miss_no_event;
+    callers_with_short_pauses_miss_no_event => PausingCaller {
+        bytes: 500_000, pause: Duration::from_millis(700), stop_time: Duration::ZERO,
+    },
+    callers_with_long_pauses_miss_no_event => PausingCaller {
+        bytes: 900_000, pause: Duration::from_millis(1_500), stop_time: Duration::ZERO,
+    },
+    callers_that_pause_while_the_stop_takes_long_miss_no_event => PausingCaller {
+        bytes: 500_000, pause: Duration::from_millis(900), stop_time: Duration::from_millis(300),
+    },
+    callers_that_do_not_pause_for_long_miss_no_event => PausingCaller {
+        bytes: 500_000, pause: Duration::from_millis(100), stop_time: Duration::ZERO,
+    },
+}
--- a/medlarlanding/src/forwarding/generation/mod.rs
+++ b/medlarlanding/src/forwarding/generation/mod.rs
@@ -384,18 +384,20 @@
         stream.load.answer_begun();
         stream.load.add_output(TOKENS_PER_EVENT);
         self.last_event_at = now;
-        self.events += 1;
         if let Some(run) = &mut stream.prompt_run {
             run.part_arrived();
         }
-        if event.id.is_some() {
-            self.last_event = event.id;
-        }
         if sender.capacity() == 0 || self.buffer.is_full(event.bytes.len()) {
             // The caller reads more slowly than the engine writes.
             stream.sampler.interrupt();
         }
-        self.send_piece(sender, StreamPiece::Data(event.bytes)).await
+        self.send_piece(sender, StreamPiece::Data(event.bytes)).await?;
+        // Not before: if sending is given up, the run goes on with this event elsewhere.
+        self.events += 1;
+        if event.id.is_some() {
+            self.last_event = event.id;
+        }
+        Ok(())
     }
 
     /// Passes a part of the body on to the caller, who may read slowly, until the deadline.
