Let the memory of a moved run arrive when the source says so

Cause: a fault of the stand-in. With AcceptsLate the destination refused a run for 250 ms from its first attempt, while the source said 250 ms after the stop that the copy is complete. On a busy machine the first attempt comes 50 ms after the stop, so the remaining attempts met a refusal that the protocol rules out.

Change: both count from the stop. The destination still refuses the run for 250 ms, as long as the source says that it copies.

--- a/medlarlanding-bench/src/site/ending_server.rs
+++ b/medlarlanding-bench/src/site/ending_server.rs
@@ -362,7 +362,9 @@
             return Ok(stream.write_all(answer.as_bytes()).await?);
         }
         let is_continued = field("kv-from").is_some();
-        if is_continued && (self.completes_on_move.load(Ordering::Relaxed) || self.refuses_run()) {
+        if is_continued
+            && (self.completes_on_move.load(Ordering::Relaxed) || self.refuses_run(&request))
+        {
             // The remainder of the run has not arrived; that of a run that completed never does.
             let answer = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             return Ok(stream.write_all(answer.as_bytes()).await?);
@@ -455,12 +457,17 @@
     }
 
     /// Returns whether a run that is to go on here is refused.
-    fn refuses_run(&self) -> bool {
+    fn refuses_run(&self, request: &str) -> bool {
         let mut continued_at = self.continued_at.lock().unwrap_or_else(PoisonError::into_inner);
-        let waited = continued_at.get_or_insert_with(Instant::now).elapsed();
+        let continued_at = *continued_at.get_or_insert_with(Instant::now);
         match self.script().resume_mode {
             ResumeMode::Accepts => false,
-            ResumeMode::AcceptsLate => waited < ResumeMode::REFUSAL_TIME,
+            ResumeMode::AcceptsLate => {
+                let is_source = self.stopped_run.borrow().as_deref() == Some(request);
+                let stopped_at = self.state.lock().stops.get(request).copied();
+                let copied_from = stopped_at.filter(|_| !is_source).unwrap_or(continued_at);
+                copied_from.elapsed() < ResumeMode::REFUSAL_TIME
+            },
             ResumeMode::Refuses => true,
         }
     }
@@ -550,6 +557,7 @@
             return Some((if is_copying { 409 } else { 404 }, String::new()));
         }
         if !is_first || script.stop_fault.ends_run() {
+            self.state.lock().stops.entry(request.clone()).or_insert_with(Instant::now);
             self.stopped_run.send_replace(Some(request));
         }
         if self.completes_on_move.load(Ordering::Relaxed) {
--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -91,6 +91,8 @@
     /// Servers whose report says that they are leaving.
     pub leaving: Vec<String>,
     pub runs: Vec<RunRecord>,
+    /// When runs were stopped for a move, by request.
+    pub stops: BTreeMap<String, Instant>,
     /// Part of prompts on which crashing engines end.
     pub fatal_part: Option<String>,
     /// Ends of crashing engines.
