Repeat the call that stops a run until it is answered

Cause: when a stream breaks off during the first copy, its engine may work on. The call that stops it was left to itself as soon as the other engine had accepted the run (MoveCall::detach): if it failed or met another call, nobody asked again.

Change: the call goes on by itself and is repeated after 60 ms, then after twice as long, up to 1 s, until an answer shows that the engine does not work on the run, for 5 s at most.

--- a/medlarlanding-bench/tests/forwarding_run_stops.rs
+++ b/medlarlanding-bench/tests/forwarding_run_stops.rs
@@ -178,11 +178,14 @@
 }
 
 /// Guards against a run that goes on at another engine while the one before, whose stream broke off
-/// during the copy, still works on it.
-#[test]
-fn run_whose_stream_breaks_off_is_stopped_before_it_goes_on() {
-    let breaks =
-        |stream_close| MoveScript { stream_close, breaks_in_copy: true, ..MoveScript::default() };
+/// during the copy, still works on it, also if the call that is to stop it fails once.
+fn run_whose_stream_breaks_off_is_stopped(stop_fault: StopFault) {
+    let breaks = |stream_close| MoveScript {
+        stop_fault,
+        stream_close,
+        breaks_in_copy: true,
+        ..MoveScript::default()
+    };
     let mut specs = Vec::new();
     for delimiter in BodyDelimiter::ALL {
         specs.push((delimiter, breaks(StreamClose::Reset)));
@@ -208,6 +211,14 @@
     });
 }
 
+cases! { run_whose_stream_breaks_off_is_stopped;
+    run_whose_stream_breaks_off_is_stopped_before_it_goes_on => StopFault::None,
+    run_whose_stream_breaks_off_is_stopped_after_a_lost_call => StopFault::CallLost,
+    run_whose_stream_breaks_off_is_stopped_beside_another_call => StopFault::Conflict,
+    run_whose_stream_breaks_off_is_stopped_by_a_call_without_an_answer => StopFault::AnswerLost,
+    run_whose_stream_breaks_off_is_stopped_by_a_failed_call => StopFault::Fails,
+}
+
 /// A caller that pauses again and again, and the time in which its run is stopped.
 struct PausingCaller {
     /// Bytes that the caller reads between two pauses, and the length of a pause.
--- a/medlarlanding/src/forwarding/engine_calls.rs
+++ b/medlarlanding/src/forwarding/engine_calls.rs
@@ -1,7 +1,7 @@
 //! Calls to servers: moving runs, freeing copies, reading reports and health.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::exchange::{self, ExchangeFault};
 use medlarlanding_core::forwarding::StopOutcome;
@@ -18,6 +18,10 @@
 /// Time limit of a move call. The engine processes the copies requested earlier first, and copying
 /// an engine's whole memory to another zone takes about 4 s.
 pub const MOVE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause before an engine is asked again to stop a run.
+pub const STOP_PAUSE: Duration = Duration::from_millis(60);
+/// Longest pause between two such calls after the run has gone on elsewhere.
+const STOP_PAUSE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Answer of a server to a call.
 pub struct CallAnswer {
@@ -72,19 +76,18 @@
     }
 }
 
-/// A move call in progress; dropping it cancels the call unless it is detached.
+/// A move call in progress; dropping it cancels the call.
 pub struct MoveCall {
     /// The call stops the run and copies its remainder.
     pub is_final: bool,
+    source: SocketAddr,
+    body: Vec<u8>,
     task: JoinHandle<MoveAnswer>,
-    is_detached: bool,
 }
 
 impl Drop for MoveCall {
     fn drop(&mut self) {
-        if !self.is_detached {
-            self.task.abort();
-        }
+        self.task.abort();
     }
 }
 
@@ -93,8 +96,8 @@
     /// set, to stop the run.
     pub fn begin(source: SocketAddr, request_id: &str, to: SocketAddr, is_final: bool) -> Self {
         let body = engines::move_body(request_id, to, is_final);
-        let task = tokio::task::spawn_local(request_move(source, body));
-        Self { is_final, task, is_detached: false }
+        let task = tokio::task::spawn_local(request_move(source, body.clone()));
+        Self { is_final, source, body, task }
     }
 
     /// Waits for the answer.
@@ -102,9 +105,30 @@
         (&mut self.task).await.unwrap_or(MoveAnswer::Failed)
     }
 
-    /// Lets the call end by itself, so that a run which it is to stop does not go on.
-    pub fn detach(mut self) {
-        self.is_detached = true;
+    /// Goes on with a call that is to stop a run, so that the engine does not work on it while it goes on
+    /// elsewhere.
+    pub fn detach(self) {
+        tokio::task::spawn_local(self.stop_run());
+    }
+
+    /// Repeats the call until an answer shows that the engine does not work on the run.
+    async fn stop_run(mut self) {
+        let begun_at = Instant::now();
+        let mut pause = STOP_PAUSE;
+        loop {
+            let answer = self.answer().await;
+            let is_stopped = answer.stop_outcome() == StopOutcome::Stopped;
+            if is_stopped || matches!(answer, MoveAnswer::NoRun) {
+                return;
+            }
+            if begun_at.elapsed() >= MOVE_TIMEOUT {
+                log::warn!("cannot stop a moved run at {}: {}", self.source, answer.name());
+                return;
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(STOP_PAUSE_LIMIT);
+            self.task = tokio::task::spawn_local(request_move(self.source, self.body.clone()));
+        }
     }
 }
 
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -6,7 +6,9 @@
 use super::{EngineStream, GenerationRun, outcome_name};
 use crate::answer_body::StreamPiece;
 use crate::exchange::{self, BodyFraming, ExchangeFault};
-use crate::forwarding::engine_calls::{MOVE_TIMEOUT, MoveAnswer, MoveCall, release_copy};
+use crate::forwarding::engine_calls::{
+    MOVE_TIMEOUT, MoveAnswer, MoveCall, STOP_PAUSE, release_copy,
+};
 use crate::forwarding::evacuations::SendPurpose;
 use crate::forwarding::load_guard::LoadGuard;
 use crate::forwarding::placing::Placement;
@@ -34,8 +36,6 @@
 /// Longest time for which a run waits for the remainder of its memory. Callers give a stream up after a
 /// pause of two seconds.
 const COPY_WAIT: Duration = Duration::from_millis(1500);
-/// Pause before an engine is asked again to stop a run.
-const STOP_PAUSE: Duration = Duration::from_millis(60);
 /// Longest time for which a moved run waits for an engine that wants no requests. Callers give a stream up
 /// after a pause of two seconds.
 const RESUME_DELAY_LIMIT: Duration = Duration::from_secs(1);
