Do not stop a run that its source has resumed

Found in reading the change: a run can also be resumed at the engine that stopped it, while the call that was to stop it is still under way, if the other engine is passed over. Repeating the call would then stop the resumed run. There the call ends by itself again, as before.

Not shown by a test: the stand-ins' source does not take its run back.

--- a/medlarlanding/src/forwarding/engine_calls.rs
+++ b/medlarlanding/src/forwarding/engine_calls.rs
@@ -105,9 +105,14 @@
         (&mut self.task).await.unwrap_or(MoveAnswer::Failed)
     }
 
+    /// Lets the call end by itself.
+    pub fn detach(mut self) {
+        tokio::task::spawn_local(async move { self.answer().await });
+    }
+
     /// Goes on with a call that is to stop a run, so that the engine does not work on it while it goes on
-    /// elsewhere.
-    pub fn detach(self) {
+    /// at another one.
+    pub fn detach_until_stopped(self) {
         tokio::task::spawn_local(self.stop_run());
     }
 
--- a/medlarlanding/src/forwarding/generation/moving.rs
+++ b/medlarlanding/src/forwarding/generation/moving.rs
@@ -490,8 +490,11 @@
                     if parts.status.is_success() && check == AnswerCheck::Stamped {
                         self.moves += 1;
                         self.state.telemetry.moves.with_label_values(&["resumed"]).inc();
-                        if let Some(call) = self.final_call.take() {
-                            call.detach();
+                        match self.final_call.take() {
+                            // A further call would stop the run that the source has resumed.
+                            Some(call) if *key == source_key => call.detach(),
+                            Some(call) => call.detach_until_stopped(),
+                            None => {},
                         }
                         let entry = entry.clone();
                         if let Some(run) = &mut prompt_run {
