--- a/review/support-3.rs
+++ b/review/support-3.rs
@@ -491,6 +491,8 @@
     /// Milliseconds for which the server says that it stays cold.
     cold_ms: AtomicU64,
     has_ended: AtomicBool,
+    /// The server has crashed: nothing of its host answers.
+    is_dark: AtomicBool,
     work: ServerWork,
     /// Streams in progress by request: events made, and whether a move has stopped the run.
     streams: Mutex<BTreeMap<String, (u32, bool)>>,
@@ -518,6 +520,7 @@
             is_leaving: AtomicBool::new(false),
             cold_ms: AtomicU64::new(0),
             has_ended: AtomicBool::new(false),
+            is_dark: AtomicBool::new(false),
             work,
             streams: Mutex::default(),
             runs: Arc::clone(&site.runs),
@@ -529,6 +532,10 @@
         let shared = Arc::clone(&server);
         thread::spawn(move || {
             while !shared.has_ended.load(Ordering::SeqCst) {
+                if shared.is_dark.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                }
                 match listener.accept() {
                     Ok((stream, _)) => {
                         let _ = stream.set_nonblocking(false);
@@ -575,6 +582,13 @@
         Some(Instant::now())
     }
 
+    /// Waits while the host of the server is dark.
+    fn wait_while_dark(&self) {
+        while self.is_dark.load(Ordering::SeqCst) && !self.has_ended.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Ends the process that the stand-in plays.
     fn end(&self) {
         self.has_ended.store(true, Ordering::SeqCst);
@@ -587,6 +601,7 @@
         let Ok(copy) = stream.try_clone() else { return };
         let mut reader = BufReader::new(copy);
         while let Some(request) = read_request(&mut reader) {
+            self.wait_while_dark();
             if self.has_ended.load(Ordering::SeqCst) || self.answer(&mut stream, &request).is_err()
             {
                 return;
@@ -645,6 +660,7 @@
             request.header("x-tenant").unwrap_or("none")
         ));
         thread::sleep(self.work.time);
+        self.wait_while_dark();
         let stamp = format!("stamp.{}", self.id);
         headers.push(("X-Server-Stamp", stamp.as_str()));
         if self.work.events == 0 {
@@ -655,7 +671,9 @@
                 request.header("kv-from").is_some()
             });
             let last = last.and_then(|text| text.parse().ok()).unwrap_or(0);
-            let written = self.stream_events(stream, &headers, id, last);
+            let parts = request.header("x-prefix-hash").unwrap_or_default();
+            let is_fatal = parts.split(',').any(|part| part.starts_with(FATAL_PART));
+            let written = self.stream_events(stream, &headers, id, last, is_fatal);
             lock(&self.streams).remove(id);
             written?;
         }
@@ -687,6 +705,7 @@
         headers: &[(&str, &str)],
         id: &str,
         last: u32,
+        is_fatal: bool,
     ) -> std::io::Result<()> {
         let mut head =
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
@@ -696,10 +715,24 @@
         }
         head.push_str("\r\n");
         stream.write_all(head.as_bytes())?;
+        if is_fatal {
+            self.is_dark.store(true, Ordering::SeqCst);
+            let leaves_host = std::env::var_os("CRASH").is_some_and(|value| value == "refused");
+            let host = if leaves_host { "refuses connections" } else { "is dark" };
+            self.record.line(&format!("server {}: crashed on {id}, its host {host}", self.id));
+            if leaves_host {
+                self.end();
+            }
+        }
+        self.wait_while_dark();
         for number in last + 1..=self.work.events {
             if number > last + 1 {
                 thread::sleep(self.work.pause);
             }
+            self.wait_while_dark();
+            if self.has_ended.load(Ordering::SeqCst) {
+                return Err(std::io::ErrorKind::Interrupted.into());
+            }
             let is_stopped = {
                 let mut streams = lock(&self.streams);
                 let run = streams.entry(id.to_owned()).or_default();
@@ -1087,40 +1120,36 @@
     Ok(Verdict { is_kept: late_runs == 0, reason })
 }
 
-/// Starts the store, three servers of each service and three instances.
+/// Starts the store, three plain servers, engines and three instances.
 fn start_site(
     site: &mut Site,
     zones: [&str; 3],
     config: &str,
     draft: ServerWork,
-) -> Result<Arc<Store>, String> {
+    engines: u8,
+) -> Result<(Arc<Store>, Vec<Arc<Server>>), String> {
     let fail = |error: std::io::Error| error.to_string();
     let store_address = site.address(250, SERVER_PORT);
     let store = Store::start(store_address, Arc::clone(&site.record)).map_err(fail)?;
     store.write("op/config", Some(config.as_bytes()));
-    for (number, zone) in (1..).zip(zones) {
-        let (first, second) =
-            (site.address(100 + number, SERVER_PORT), site.address(150 + number, SERVER_PORT));
-        let servers = [
-            Server::start(
-                &format!("i-ledger-{number}"),
-                "ledger-app",
-                zone,
-                first,
-                ORDER_WORK,
-                site,
-            ),
-            Server::start(&format!("i-pod-{number}"), "pod-llm", zone, second, draft, site),
-        ];
-        for server in servers {
+    let mut started = Vec::new();
+    for number in 1..=engines {
+        let zone = zones[usize::from(number) % 3];
+        if number <= 3 {
+            let (id, address) =
+                (format!("i-ledger-{number}"), site.address(100 + number, SERVER_PORT));
+            let server = Server::start(&id, "ledger-app", zone, address, ORDER_WORK, site);
             report_status(&[server.map_err(fail)?], &store);
         }
+        let (id, address) = (format!("i-pod-{number}"), site.address(150 + number, SERVER_PORT));
+        started.push(Server::start(&id, "pod-llm", zone, address, draft, site).map_err(fail)?);
     }
+    report_status(&started, &store);
     thread::sleep(Duration::from_millis(300));
     site.start_instances(&zones, store_address).map_err(fail)?;
     site.wait_ready()?;
     thread::sleep(Duration::from_secs(3));
-    Ok(store)
+    Ok((store, started))
 }
 
 /// Key that the operator withdraws.
@@ -1130,7 +1159,8 @@
 
 /// The store comes back from a copy some seconds old, and the operator withdraws a key.
 fn store_key(site: &mut Site, is_troubled: bool) -> Result<Verdict, String> {
-    let store = start_site(site, ZONES, &config_with_keys(10, "", &[KEY, OLD_KEY]), DRAFT_WORK)?;
+    let keys = [KEY, OLD_KEY];
+    let (store, _) = start_site(site, ZONES, &config_with_keys(10, "", &keys), DRAFT_WORK, 3)?;
     let route = |name: &str| {
         format!(
             ",{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"prefix\":\"/{name}/\",\
@@ -1235,7 +1265,7 @@
         events: 30,
         pause: Duration::from_millis(150),
     };
-    start_site(site, ["cairo-giza"; 3], &config(10, ""), work)?;
+    start_site(site, ["cairo-giza"; 3], &config(10, ""), work, 3)?;
     let balancer = Balancer::start(site);
     let stops = [Duration::from_millis(500), Duration::from_millis(1500)];
     let begun = Instant::now();
@@ -1285,6 +1315,114 @@
     Ok(Verdict { is_kept: cut == 0, reason })
 }
 
+/// Part of prompts on which engines crash.
+const FATAL_PART: &str = "dead0001:";
+/// Time after which a crashed engine is back.
+const CRASH_TIME: Duration = Duration::from_millis(4500);
+/// contactMs of the settings.
+const CONTACT: Duration = Duration::from_millis(3000);
+
+/// Keeps the host of a crashed server dark: connections to it are not established. Brings the server
+/// back later, as a new start.
+fn play_crash(server: &Arc<Server>, store: &Arc<Store>, number: usize, site: &Site) -> Arc<Server> {
+    // The queue of the listener is filled, so that the kernel drops the packets that open further ones.
+    let mut fillers = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&server.address, Duration::from_millis(30)) {
+        fillers.push(stream);
+    }
+    thread::sleep(HEARTBEAT * 3);
+    store.write(&server.key(), None);
+    thread::sleep(CRASH_TIME.saturating_sub(HEARTBEAT * 3));
+    server.end();
+    drop(fillers);
+    let id = server.id.split("-s").next().unwrap_or_default().to_owned();
+    loop {
+        thread::sleep(Duration::from_millis(10));
+        let started = Server::start(
+            &format!("{id}-s{number}"),
+            &server.service,
+            &server.zone,
+            server.address,
+            server.work,
+            site,
+        );
+        if let Ok(next) = started {
+            report_status(&[Arc::clone(&next)], store);
+            return next;
+        }
+    }
+}
+
+/// A part of prompts crashes each engine that begins to write on it. The host of a crashed engine is dark
+/// until the engine is back.
+fn dark_crash(site: &mut Site, is_troubled: bool) -> Result<Verdict, String> {
+    let work = ServerWork {
+        time: Duration::from_millis(100),
+        events: 10,
+        pause: Duration::from_millis(30),
+    };
+    let (store, engines) = start_site(site, ZONES, &config(10, ""), work, 9)?;
+    let crashes: Mutex<Vec<Instant>> = Mutex::default();
+    let is_over = AtomicBool::new(false);
+    let sound: Vec<bool> = thread::scope(|scope| {
+        let site = &*site;
+        for engine in engines {
+            let (store, crashes, is_over) = (&store, &crashes, &is_over);
+            scope.spawn(move || {
+                let (mut engine, mut number) = (engine, 0);
+                while !is_over.load(Ordering::SeqCst) {
+                    if engine.is_dark.load(Ordering::SeqCst) {
+                        lock(crashes).push(Instant::now());
+                        number += 1;
+                        engine = play_crash(&engine, store, number, site);
+                    }
+                    thread::sleep(Duration::from_millis(1));
+                }
+            });
+        }
+        let begun = Instant::now();
+        let mut sending = Vec::new();
+        for number in 0..360usize {
+            let is_fatal = is_troubled && number % 9 == 4;
+            sending.push(scope.spawn(move || {
+                let id = format!("{}-{number:03}", if is_fatal { "fatal" } else { "sound" });
+                let middle =
+                    if is_fatal { "dead0001".to_owned() } else { format!("b{:x}", number % 7) };
+                let parts = format!("a1:350,{middle}:400,c{number:04x}:100");
+                let headers = [
+                    ("X-Model", "m"),
+                    ("X-Token-Count", "850,40"),
+                    ("X-Prefix-Hash", parts.as_str()),
+                    ("X-Deadline-Ms", "6000"),
+                ];
+                let answer = site.send(number % 3, "POST", "/draft/a", &id, &headers);
+                (!is_fatal).then(|| answer.status == 200 && answer.is_complete)
+            }));
+            let next = begun + Duration::from_millis(100) * (number as u32 + 1);
+            thread::sleep(next.saturating_duration_since(Instant::now()));
+        }
+        let results =
+            sending.into_iter().filter_map(|handle| handle.join().ok().flatten()).collect();
+        is_over.store(true, Ordering::SeqCst);
+        results
+    });
+    let mut crashes = lock(&crashes).clone();
+    crashes.sort_unstable();
+    let known_at = crashes.get(4).map(|fifth| *fifth + CONTACT);
+    let late = known_at.map_or(0, |known_at| {
+        let late = |run: &&Run| run.request.starts_with("fatal-") && run.at > known_at;
+        lock(&site.runs).iter().filter(late).count()
+    });
+    let served = sound.iter().filter(|is_served| **is_served).count();
+    let reason = format!(
+        "{} engines crashed; {late} requests with the part reached engines later than 3 s after the fifth \
+         crash; {served} of {} sound requests were answered whole",
+        crashes.len(),
+        sound.len()
+    );
+    Ok(Verdict { is_kept: late <= 3, reason })
+}
+
 fn main() {
     let mut words = std::env::args().skip(1);
     let (scenario, case) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
@@ -1301,6 +1439,7 @@
     let result = match scenario.as_str() {
         "store-copy" => store_copy(&mut site, is_troubled),
         "store-key" => store_key(&mut site, is_troubled),
+        "dark-crash" => dark_crash(&mut site, is_troubled),
         "late-stream" => late_stream(&mut site, is_troubled),
         other => Err(format!("unknown scenario {other}")),
     };
