--- a/review/support-3.rs
+++ b/review/support-3.rs
@@ -664,7 +664,10 @@
         let stamp = format!("stamp.{}", self.id);
         headers.push(("X-Server-Stamp", stamp.as_str()));
         if self.work.events == 0 {
-            write_answer(stream, 200, &headers, format!("done {id} by {}", self.id).as_bytes())?;
+            let mut body = format!("done {id} by {}", self.id).into_bytes();
+            let length = path.strip_prefix("/order/long-").and_then(|text| text.parse().ok());
+            body.resize(body.len().max(length.unwrap_or(0)), b'x');
+            write_answer(stream, 200, &headers, &body)?;
         } else {
             let last = request.header("last-event-id").filter(|_| {
                 // Without a copy, a run begins at its first event.
@@ -954,7 +957,7 @@
     format!(
         "{{\"version\":{version},\"routes\":[\
          {{\"name\":\"order\",\"host\":\"{HOST}\",\"prefix\":\"/order/\",\"routeType\":\"unsafe\",\
-         \"timeoutMs\":2500,\"goalMs\":150,\"priority\":1,\"service\":\"ledger-app\",\
+         \"timeoutMs\":20000,\"goalMs\":150,\"priority\":1,\"service\":\"ledger-app\",\
          \"maxAttempts\":1,\"public\":false}},\
          {{\"name\":\"draft\",\"host\":\"{HOST}\",\"prefix\":\"/draft/\",\"routeType\":\"stream\",\
          \"timeoutMs\":39000,\"goalMs\":1800,\"gapGoalMs\":180,\"priority\":1,\
@@ -1423,6 +1426,52 @@
     Ok(Verdict { is_kept: late <= 3, reason })
 }
 
+/// Bytes of a long answer.
+const LONG_ANSWER: usize = 4_194_304;
+
+/// A caller sends a short and a long order on one channel and pauses while it reads the long answer.
+/// Returns whether it got both whole.
+fn read_slowly(site: &Site, number: usize, pause: Duration) -> std::io::Result<bool> {
+    let mut stream = TcpStream::connect(site.caller_address(number % 3))?;
+    stream.set_read_timeout(Some(Duration::from_secs(15)))?;
+    let mut send = |id: &str, path: &str| {
+        site.record.line(&format!("caller: sends {id} (POST {path}) on kept channel {number}"));
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 20000\r\n\
+             Content-Length: 0\r\nAuthorization: Token {KEY}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes())?;
+        stream.try_clone()
+    };
+    let short = read_answer(send(&format!("short-{number}"), "/order/a")?);
+    let id = format!("long-{number}");
+    let reader = send(&id, &format!("/order/long-{LONG_ANSWER}"))?;
+    // The answer has begun.
+    reader.peek(&mut [0])?;
+    thread::sleep(pause);
+    let long = read_answer(reader);
+    site.record.line(&format!("caller: {id} got {}", long.text()));
+    Ok(short.is_complete && long.is_complete && long.body.len() >= LONG_ANSWER)
+}
+
+/// Callers on kept channels pause while they read a long answer, within their time limit.
+fn slow_reader(site: &mut Site, is_troubled: bool) -> Result<Verdict, String> {
+    start_site(site, ZONES, &config(10, ""), DRAFT_WORK, 3)?;
+    let pause = Duration::from_millis(if is_troubled { 4500 } else { 0 });
+    let whole: Vec<bool> = thread::scope(|scope| {
+        let site = &*site;
+        let reading: Vec<_> = (0..6)
+            .map(|number| scope.spawn(move || read_slowly(site, number, pause).unwrap_or(false)))
+            .collect();
+        reading.into_iter().filter_map(|handle| handle.join().ok()).collect()
+    });
+    let cut = whole.iter().filter(|is_whole| !**is_whole).count();
+    let run = lock(&site.runs).iter().filter(|run| run.request.starts_with("long-")).count();
+    let reason =
+        format!("servers ran {run} of 6 long orders; {cut} channels were closed in their answers");
+    Ok(Verdict { is_kept: cut <= 3, reason })
+}
+
 fn main() {
     let mut words = std::env::args().skip(1);
     let (scenario, case) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
@@ -1439,6 +1488,7 @@
     let result = match scenario.as_str() {
         "store-copy" => store_copy(&mut site, is_troubled),
         "store-key" => store_key(&mut site, is_troubled),
+        "slow-reader" => slow_reader(&mut site, is_troubled),
         "dark-crash" => dark_crash(&mut site, is_troubled),
         "late-stream" => late_stream(&mut site, is_troubled),
         other => Err(format!("unknown scenario {other}")),
