--- a/review/support-3.rs
+++ b/review/support-3.rs
@@ -467,6 +467,22 @@
     server: String,
 }
 
+/// A call to a server to copy the memory of a run.
+#[derive(Clone, Debug)]
+struct MoveCall {
+    from: String,
+    to: SocketAddr,
+    is_last: bool,
+}
+
+/// What the servers of a site share.
+#[derive(Default)]
+struct ServerNetwork {
+    /// Zones of the servers.
+    zones: Mutex<BTreeMap<SocketAddr, String>>,
+    moves: Mutex<Vec<MoveCall>>,
+}
+
 /// Shared record of the runs of all servers.
 type Runs = Arc<Mutex<Vec<Run>>>;
 
@@ -480,6 +496,26 @@
     pause: Duration,
 }
 
+/// A stream in progress.
+#[derive(Clone, Copy, Debug, Default)]
+struct StreamRun {
+    /// Events made.
+    made: u32,
+    /// Tokens of the prompt.
+    prompt: u32,
+    /// Tokens that were copied to another server.
+    copied: u32,
+    /// A move has stopped the run.
+    is_stopped: bool,
+}
+
+/// Bytes of memory for each token, and the bandwidth of a server's link for copies in bits a second, from
+/// the configuration of gvic-landing.
+const TOKEN_BYTES: f64 = 18_432.0;
+const COPY_RATE: f64 = 2.7e9;
+/// Tokens of an event of a stream.
+const EVENT_TOKENS: u32 = 4;
+
 struct Server {
     id: String,
     service: String,
@@ -494,8 +530,11 @@
     /// The server has crashed: nothing of its host answers.
     is_dark: AtomicBool,
     work: ServerWork,
-    /// Streams in progress by request: events made, and whether a move has stopped the run.
-    streams: Mutex<BTreeMap<String, (u32, bool)>>,
+    /// Streams in progress by request.
+    streams: Mutex<BTreeMap<String, StreamRun>>,
+    /// Held while memory is copied: copies run one after another.
+    link: Mutex<()>,
+    network: Arc<ServerNetwork>,
     runs: Runs,
     connections: Connections,
     record: Arc<Record>,
@@ -523,12 +562,15 @@
             is_dark: AtomicBool::new(false),
             work,
             streams: Mutex::default(),
+            link: Mutex::default(),
+            network: Arc::clone(&site.network),
             runs: Arc::clone(&site.runs),
             connections: Connections::default(),
             record: Arc::clone(&site.record),
         });
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
+        lock(&site.network.zones).insert(address, zone.to_owned());
         let shared = Arc::clone(&server);
         thread::spawn(move || {
             while !shared.has_ended.load(Ordering::SeqCst) {
@@ -559,11 +601,12 @@
         let state = if self.is_leaving.load(Ordering::SeqCst) { "draining" } else { "ready" };
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-             \"slots\":6,\"state\":\"{state}\",\"coldRemainingMs\":{},\"stage\":\"both\",\
+             \"slots\":{},\"state\":\"{state}\",\"coldRemainingMs\":{},\"stage\":\"both\",\
              \"models\":[],\"sequence\":1,\"born\":{}}}",
             self.service,
             self.address,
             self.zone,
+            if self.work.events == 0 { 6 } else { 48 },
             self.cold_ms.load(Ordering::SeqCst),
             self.born
         )
@@ -664,41 +707,56 @@
         let stamp = format!("stamp.{}", self.id);
         headers.push(("X-Server-Stamp", stamp.as_str()));
         if self.work.events == 0 {
-            let mut body = format!("done {id} by {}", self.id).into_bytes();
-            let length = path.strip_prefix("/order/long-").and_then(|text| text.parse().ok());
-            body.resize(body.len().max(length.unwrap_or(0)), b'x');
-            write_answer(stream, 200, &headers, &body)?;
+            write_answer(stream, 200, &headers, format!("done {id} by {}", self.id).as_bytes())?;
         } else {
             let last = request.header("last-event-id").filter(|_| {
                 // Without a copy, a run begins at its first event.
                 request.header("kv-from").is_some()
             });
             let last = last.and_then(|text| text.parse().ok()).unwrap_or(0);
+            let prompt = request.header("x-token-count").and_then(|text| text.split(',').next());
+            let prompt = prompt.and_then(|text| text.parse().ok()).unwrap_or(0);
             let parts = request.header("x-prefix-hash").unwrap_or_default();
             let is_fatal = parts.split(',').any(|part| part.starts_with(FATAL_PART));
-            let written = self.stream_events(stream, &headers, id, last, is_fatal);
-            lock(&self.streams).remove(id);
+            let written = self.stream_events(stream, &headers, id, last, prompt, is_fatal);
+            // A stopped run keeps its memory, from which it goes on.
+            lock(&self.streams).retain(|run, state| run != id || state.is_stopped);
             written?;
         }
         Ok(())
     }
 
-    /// Copies the memory of a run to another server, which needs nothing of it here, and stops the run
-    /// if the call says so.
+    /// Copies what is new of the memory of a run to another server, after the copies called for before.
+    /// Stops the run first if the call says so.
     fn move_run(&self, body: &[u8]) -> (u16, String) {
         let text = String::from_utf8_lossy(body);
-        let id = text.split("\"id\":\"").nth(1).and_then(|rest| rest.split('"').next());
+        let field = |name: &str| {
+            let rest = text.split(&format!("\"{name}\":\"")).nth(1);
+            rest.and_then(|rest| rest.split('"').next()).unwrap_or_default().to_owned()
+        };
         let is_last = text.contains("\"last\":true");
-        let id = id.unwrap_or_default();
-        let made = {
+        let (id, to) = (field("id"), field("to"));
+        let Ok(to) = to.parse::<SocketAddr>() else { return (400, "{}".to_owned()) };
+        {
+            let mut streams = lock(&self.streams);
+            let Some(run) = streams.get_mut(&id) else { return (404, "{}".to_owned()) };
+            run.is_stopped |= is_last;
+        }
+        lock(&self.network.moves).push(MoveCall { from: self.id.clone(), to, is_last });
+        self.record.line(&format!("server {}: kv-move of {id} to {to}, last {is_last}", self.id));
+        let _link = lock(&self.link);
+        let (made, tokens) = {
             let mut streams = lock(&self.streams);
-            let Some(run) = streams.get_mut(id) else { return (404, "{}".to_owned()) };
-            run.1 |= is_last;
-            run.0
+            let Some(run) = streams.get_mut(&id) else { return (404, "{}".to_owned()) };
+            let tokens = run.prompt + run.made * EVENT_TOKENS - run.copied;
+            run.copied += tokens;
+            (run.made, tokens)
         };
-        self.record.line(&format!("server {}: kv-move of {id}, last {is_last}", self.id));
-        // Time of the copy of a few thousand tokens.
-        thread::sleep(Duration::from_millis(60));
+        let is_near = lock(&self.network.zones).get(&to) == Some(&self.zone);
+        let factor = if is_near { 1.0 } else { 2.0 };
+        let seconds = factor * f64::from(tokens) * TOKEN_BYTES * 8.0 / COPY_RATE;
+        thread::sleep(Duration::from_secs_f64(seconds));
+        self.record.line(&format!("server {}: copied {tokens} tokens of {id} to {to}", self.id));
         (200, format!("{{\"handle\":\"h-{id}\",\"created\":{made}}}"))
     }
 
@@ -708,6 +766,7 @@
         headers: &[(&str, &str)],
         id: &str,
         last: u32,
+        prompt: u32,
         is_fatal: bool,
     ) -> std::io::Result<()> {
         let mut head =
@@ -739,10 +798,11 @@
             let is_stopped = {
                 let mut streams = lock(&self.streams);
                 let run = streams.entry(id.to_owned()).or_default();
-                if !run.1 {
-                    run.0 = number;
+                run.prompt = prompt;
+                if !run.is_stopped {
+                    run.made = number;
                 }
-                run.1
+                run.is_stopped
             };
             if is_stopped {
                 self.record.line(&format!("server {}: {id} stopped for a move", self.id));
@@ -773,10 +833,11 @@
 
 struct Site {
     /// Second and third byte of all addresses.
-    network: [u8; 2],
+    prefix: [u8; 2],
     dir: PathBuf,
     record: Arc<Record>,
     runs: Runs,
+    network: Arc<ServerNetwork>,
     instances: Vec<Instance>,
 }
 
@@ -789,11 +850,12 @@
         let record = Arc::new(Record { started: Instant::now(), file });
         let network = [40 + (process % 180) as u8, 1 + (process / 180 % 250) as u8];
         let (runs, instances) = (Runs::default(), Vec::new());
-        Ok(Self { network, dir, record, runs, instances })
+        let servers = Arc::default();
+        Ok(Self { prefix: network, dir, record, runs, network: servers, instances })
     }
 
     fn ip(&self, number: u8) -> [u8; 4] {
-        [127, self.network[0], self.network[1], number]
+        [127, self.prefix[0], self.prefix[1], number]
     }
 
     fn address(&self, number: u8, port: u16) -> SocketAddr {
@@ -957,7 +1019,7 @@
     format!(
         "{{\"version\":{version},\"routes\":[\
          {{\"name\":\"order\",\"host\":\"{HOST}\",\"prefix\":\"/order/\",\"routeType\":\"unsafe\",\
-         \"timeoutMs\":20000,\"goalMs\":150,\"priority\":1,\"service\":\"ledger-app\",\
+         \"timeoutMs\":2500,\"goalMs\":150,\"priority\":1,\"service\":\"ledger-app\",\
          \"maxAttempts\":1,\"public\":false}},\
          {{\"name\":\"draft\",\"host\":\"{HOST}\",\"prefix\":\"/draft/\",\"routeType\":\"stream\",\
          \"timeoutMs\":39000,\"goalMs\":1800,\"gapGoalMs\":180,\"priority\":1,\
@@ -965,7 +1027,7 @@
          \"resumable\":false}}{rest}],\
          \"services\":[{{\"name\":\"ledger-app\",\"maxConnections\":96,\"healthPath\":\"/healthz\"}},\
          {{\"name\":\"pod-llm\",\"maxConnections\":362,\"healthPath\":\"/healthz\",\
-         \"engine\":{{\"slots\":48,\"kvCapacity\":34462,\"kvBytes\":1000,\"linkMbps\":1000,\
+         \"engine\":{{\"slots\":48,\"kvCapacity\":34462,\"kvBytes\":18432,\"linkMbps\":2700,\
          \"moves\":true}}}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":5000,\
          \"idleTimeoutMs\":15000}},\
@@ -1426,50 +1488,80 @@
     Ok(Verdict { is_kept: late <= 3, reason })
 }
 
-/// Bytes of a long answer.
-const LONG_ANSWER: usize = 4_194_304;
-
-/// A caller sends a short and a long order on one channel and pauses while it reads the long answer.
-/// Returns whether it got both whole.
-fn read_slowly(site: &Site, number: usize, pause: Duration) -> std::io::Result<bool> {
-    let mut stream = TcpStream::connect(site.caller_address(number % 3))?;
-    stream.set_read_timeout(Some(Duration::from_secs(15)))?;
-    let mut send = |id: &str, path: &str| {
-        site.record.line(&format!("caller: sends {id} (POST {path}) on kept channel {number}"));
-        let head = format!(
-            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 20000\r\n\
-             Content-Length: 0\r\nAuthorization: Token {KEY}\r\n\r\n"
-        );
-        stream.write_all(head.as_bytes())?;
-        stream.try_clone()
+/// Two engines leave, the second one just after it was chosen as the destination of a run of the first.
+fn leaving_destination(site: &mut Site, is_troubled: bool) -> Result<Verdict, String> {
+    let work = ServerWork {
+        time: Duration::from_millis(250),
+        events: 130,
+        pause: Duration::from_millis(100),
     };
-    let short = read_answer(send(&format!("short-{number}"), "/order/a")?);
-    let id = format!("long-{number}");
-    let reader = send(&id, &format!("/order/long-{LONG_ANSWER}"))?;
-    // The answer has begun.
-    reader.peek(&mut [0])?;
-    thread::sleep(pause);
-    let long = read_answer(reader);
-    site.record.line(&format!("caller: {id} got {}", long.text()));
-    Ok(short.is_complete && long.is_complete && long.body.len() >= LONG_ANSWER)
-}
-
-/// Callers on kept channels pause while they read a long answer, within their time limit.
-fn slow_reader(site: &mut Site, is_troubled: bool) -> Result<Verdict, String> {
-    start_site(site, ZONES, &config(10, ""), DRAFT_WORK, 3)?;
-    let pause = Duration::from_millis(if is_troubled { 4500 } else { 0 });
-    let whole: Vec<bool> = thread::scope(|scope| {
-        let site = &*site;
-        let reading: Vec<_> = (0..6)
-            .map(|number| scope.spawn(move || read_slowly(site, number, pause).unwrap_or(false)))
+    let (store, engines) = start_site(site, ZONES, &config(10, ""), work, 9)?;
+    let leave = |engine: &Server| {
+        engine.is_leaving.store(true, Ordering::SeqCst);
+        engine.report(&store);
+        Instant::now()
+    };
+    let (left, answers) = thread::scope(|scope| {
+        let (site, engines) = (&*site, &engines);
+        let sending: Vec<_> = (0..81)
+            .map(|number| {
+                let handle = scope.spawn(move || {
+                    let headers = [
+                        ("X-Model", "m"),
+                        ("X-Token-Count", "3000,520"),
+                        ("X-Length-Hint", "120"),
+                        ("X-Deadline-Ms", "39000"),
+                    ];
+                    site.send(
+                        number % 3,
+                        "POST",
+                        "/draft/a",
+                        &format!("draft-{number:02}"),
+                        &headers,
+                    )
+                });
+                thread::sleep(Duration::from_millis(30));
+                handle
+            })
             .collect();
-        reading.into_iter().filter_map(|handle| handle.join().ok()).collect()
+        thread::sleep(Duration::from_secs(1));
+        let most = engines.iter().max_by_key(|engine| lock(&engine.streams).len());
+        let first = most.map(Arc::clone);
+        let mut second: Option<(Arc<Server>, Instant)> = None;
+        if let Some(first) = &first {
+            leave(first);
+            thread::sleep(Duration::from_millis(250));
+            let calls = lock(&site.network.moves).clone();
+            let last = calls.iter().rfind(|call| call.from == first.id && !call.is_last);
+            let destination = last.and_then(|call| engines.iter().find(|it| it.address == call.to));
+            if let Some(destination) = destination.filter(|_| is_troubled) {
+                second = Some((Arc::clone(destination), leave(destination)));
+            }
+        }
+        if let Some((engine, left)) = &second {
+            thread::sleep(
+                (*left + Duration::from_millis(4500)).saturating_duration_since(Instant::now()),
+            );
+            engine.end();
+            store.write(&engine.key(), None);
+        }
+        let answers: Vec<Answer> =
+            sending.into_iter().filter_map(|handle| handle.join().ok()).collect();
+        (second, answers)
+    });
+    let late = left.as_ref().map_or(0, |(engine, left)| {
+        let is_late = |run: &&Run| run.server == engine.id && run.at > *left + DRAIN_LIMIT;
+        lock(&site.runs).iter().filter(is_late).count()
     });
-    let cut = whole.iter().filter(|is_whole| !**is_whole).count();
-    let run = lock(&site.runs).iter().filter(|run| run.request.starts_with("long-")).count();
-    let reason =
-        format!("servers ran {run} of 6 long orders; {cut} channels were closed in their answers");
-    Ok(Verdict { is_kept: cut <= 3, reason })
+    let whole = answers.iter().filter(|it| it.is_complete && it.event_count() == 130).count();
+    let refused = answers.iter().filter(|answer| answer.status == 503).count();
+    let cut = answers.len() - whole - refused;
+    let reason = format!(
+        "{late} requests reached the second engine later than 2 s after the store had acknowledged that it \
+         leaves; of {} streams {whole} were whole, {refused} refused and {cut} cut",
+        answers.len()
+    );
+    Ok(Verdict { is_kept: late == 0, reason })
 }
 
 fn main() {
@@ -1488,7 +1580,7 @@
     let result = match scenario.as_str() {
         "store-copy" => store_copy(&mut site, is_troubled),
         "store-key" => store_key(&mut site, is_troubled),
-        "slow-reader" => slow_reader(&mut site, is_troubled),
+        "leaving-destination" => leaving_destination(&mut site, is_troubled),
         "dark-crash" => dark_crash(&mut site, is_troubled),
         "late-stream" => late_stream(&mut site, is_troubled),
         other => Err(format!("unknown scenario {other}")),
