Take the longest time of a generation from its route

Cause: `DrainParams::longest_time` took twice the usual pace of a busy engine, 24 ms a token, for the longest that a sound one may take. The route states that: the objective for the first event and the longest pause for each event of four tokens.

Change: the bound is objective + pause x events; the usual pace counts only where it is longer. Without a stated pause only the deadline bounds a generation. What fits the bound ends before the process does, so no stream of an engine on time is cut; all others are refused before they are sent, at each place that compared the old bound.

--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -63,7 +63,7 @@
 pub use directory::{
     DirectoryChange, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
 };
-pub use drain::{DrainParams, can_finish};
+pub use drain::{AnswerTerms, DrainParams, can_finish};
 pub use entries::{EntryDelta, EntryLog};
 pub use evacuation::{EvacuationTable, ZoneChange, ZoneEntry, ZoneEntryState, ZoneState};
 pub use load::{LatencyClass, LoadReport, RemoteLoad, RunWeight};
--- a/medlarlanding/src/forwarding/admit.rs
+++ b/medlarlanding/src/forwarding/admit.rs
@@ -12,8 +12,8 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    DrainParams, EngineLimits, KeyCheck, LatencyClass, RegionLimit, RequestKind, RouteRule,
-    RunWeight, can_finish,
+    AnswerTerms, DrainParams, EngineLimits, KeyCheck, LatencyClass, RegionLimit, RequestKind,
+    RouteRule, RunWeight, can_finish,
 };
 use medlarlanding_core::prompts::{BLOCK_TIME, BlockedPart, PromptParts, PromptVerdict};
 use medlarlanding_core::time::Timestamp;
@@ -278,7 +278,7 @@
     let longest = engine.map(|_| RunWeight { output, ..caller.weight });
     let observed = state.longest_answer(&rule, &service);
     let longest_time =
-        DrainParams::default().longest_time(rule.kind, longest, rule.objective, observed);
+        DrainParams::default().longest_time(AnswerTerms::of(&rule), longest, observed);
     if !fits_stop(state, longest_time, wait) {
         return Err(ErrorAnswer::Stopping);
     }
