--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -7,6 +7,7 @@
 mod faulty_server;
 mod move_script;
 mod proxy;
+mod restore;
 mod server;
 mod state;
 mod store;
@@ -37,6 +38,7 @@
 pub use faulty_server::{CUT_HEADER, FRAMING_HEADER, FaultyAnswer, STATUS_HEADER};
 pub use move_script::{MoveScript, ResumeMode, StopFault, StreamClose};
 pub use proxy::{LinkMode, LinkSwitch};
+pub use restore::{LostWrites, OldChannels};
 pub use state::{RunRecord, ServerCrash, ServerMode, SiteState, StoreMode};
 pub use zones::{EvacuationPeriod, LateRun, ZoneLayout};
 
@@ -95,6 +97,8 @@
     version: u64,
     /// Until when servers are cold. Their entries state the rest whenever they are written.
     cold_until: Mutex<HashMap<String, Instant>>,
+    /// Starts of servers after the first one.
+    restarts: Mutex<HashMap<String, u64>>,
 }
 
 const CALLER_PORT: u16 = 18_740;
@@ -139,6 +143,7 @@
             store_links: Vec::new(),
             version: 0,
             cold_until: Mutex::default(),
+            restarts: Mutex::default(),
         };
         for index in 0..params.plain_servers {
             running.add_server("orders", index)?;
@@ -296,9 +301,12 @@
     }
 
     fn put_entry(&self, id: &str, service: &str, address: SocketAddr, state: &str, cold: Duration) {
+        let restarts = self.restarts.lock().unwrap_or_else(PoisonError::into_inner);
+        let restarts = restarts.get(id).copied().unwrap_or(0);
         let entry = json!({
             "service": service, "address": address.to_string(),
-            "zone": self.layout.zone_of(id), "version": "v1", "slots": 24, "state": state, "coldRemainingMs": cold.as_millis() as u64, "sequence": 1, "born": 1,
+            "zone": self.layout.zone_of(id), "version": "v1", "slots": 24, "state": state,
+            "coldRemainingMs": cold.as_millis() as u64, "sequence": 1, "born": 1 + restarts,
         });
         self.state.put(&format!("servers/{id}"), entry.to_string().as_bytes());
     }
@@ -360,6 +368,19 @@
         self.set_server_state(id, "ready");
     }
 
+    /// Registers a further start of a server under the id that it had.
+    pub fn restart_server(&self, id: &str) {
+        let mut restarts = self.restarts.lock().unwrap_or_else(PoisonError::into_inner);
+        *restarts.entry(id.to_owned()).or_default() += 1;
+        drop(restarts);
+        self.set_server_state(id, "ready");
+    }
+
+    /// Removes the entry of a server, which continues to serve.
+    pub fn remove_server(&self, id: &str) {
+        self.state.remove(&format!("servers/{id}"));
+    }
+
     fn set_server_state(&self, id: &str, state: &str) {
         let (service, address) = self.link_of(id);
         self.register(id, service, address, state);
--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -4,6 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use super::restore::StoreCopies;
+
 use tokio::sync::watch;
 
 /// Fault mode of a server.
@@ -38,6 +40,8 @@
     Unavailable,
     /// Answers calls for server entries with 503 and all others as usual.
     RefusesServers,
+    /// Answers nothing, also on connections that are opened.
+    Away,
 }
 
 /// One request that a server ran.
@@ -82,6 +86,11 @@
     /// Revision up to which the store has discarded its history.
     pub discarded: u64,
     pub store_mode: StoreMode,
+    /// Number of the store's history.
+    pub era: u64,
+    /// The store does not state `era`.
+    pub hides_era: bool,
+    pub copies: StoreCopies,
     pub store_calls: u64,
     pub further_server_pages: u64,
     pub watches: u64,
@@ -127,8 +136,13 @@
 
 impl Default for SiteState {
     fn default() -> Self {
-        let inner =
-            SiteInner { revision: 10, events: 20, event_interval_ms: 20, ..SiteInner::default() };
+        let inner = SiteInner {
+            revision: 10,
+            era: 4,
+            events: 20,
+            event_interval_ms: 20,
+            ..SiteInner::default()
+        };
         Self {
             inner: Mutex::new(inner),
             changes: watch::Sender::new(0),
@@ -143,11 +157,12 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn write(&self, key: &str, value: Option<Vec<u8>>) {
+    pub(super) fn write(&self, key: &str, value: Option<Vec<u8>>) {
         let mut inner = self.lock();
         inner.revision += 1;
         let revision = inner.revision;
         inner.items.insert(key.to_owned(), StoredItem { value, revision });
+        inner.keep_copy();
         drop(inner);
         self.changes.send_modify(|count| *count += 1);
     }
@@ -169,6 +184,7 @@
         inner.revision += 1;
         inner.discarded = inner.revision;
         inner.items.retain(|_, stored| stored.value.is_some());
+        inner.keep_copy();
         drop(inner);
         self.changes.send_modify(|count| *count += 1);
     }
--- a/medlarlanding-core/src/events.rs
+++ b/medlarlanding-core/src/events.rs
@@ -111,6 +111,11 @@
     606 SettingsRefused Warn "settings_refused" ["reason"];
     /// A report of a backend server is malformed.
     607 ReportRefused Warn "report_refused" ["server", "reason"];
+    /// The store came back from an older copy: what it had acknowledged since is lost.
+    608 StoreRestored Warn "store_restored" ["known", "revision", "restored", "source"];
+    /// The first list after the store came back from a copy disagrees with what is known of some servers,
+    /// which goes first until they or the store say more.
+    609 ServersRetained Info "servers_retained" ["servers", "revision", "source"];
     /// A request was refused before it was sent to any server.
     610 ForwardRefused Info "forward_refused" ["request", "reason", "config"];
     /// A request was sent to a backend server.
--- a/medlarlanding-core/src/forwarding/directory.rs
+++ b/medlarlanding-core/src/forwarding/directory.rs
@@ -191,7 +191,7 @@
 }
 
 /// All servers with an entry in the store, and recently removed ones.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ServerDirectory {
     records: IndexMap<ServerKey, ServerRecord>,
     /// Key of the latest record of each id.
@@ -478,6 +478,11 @@
         self.records.iter().map(|(key, record)| (*key, record))
     }
 
+    /// Iterates over the latest records of all servers, including those of leaving and removed ones.
+    pub fn latest(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.current.values().filter_map(|key| self.records.get(key))
+    }
+
     /// Iterates over the entries that have not been removed.
     pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
         let records = self.current.values().filter_map(|key| self.records.get(key));
--- a/medlarlanding-core/src/forwarding/entries.rs
+++ b/medlarlanding-core/src/forwarding/entries.rs
@@ -1,4 +1,6 @@
 //! Log of server entries with the revisions of their changes, which tells what a peer lacks.
+//!
+//! All revisions are of one history of the store; `StoreView` begins a new log with each history.
 
 use std::sync::Arc;
 
@@ -35,7 +37,7 @@
 }
 
 /// Server entries with the store revisions at which they last changed.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EntryLog {
     /// Store revision up to which all changes are recorded; 0 before the store was first read.
     revision: u64,
@@ -112,6 +114,15 @@
         true
     }
 
+    /// Returns whether a change differs from what is recorded. The removal of an unknown entry does not.
+    pub fn differs(&self, change: &DirectoryChange) -> bool {
+        let logged = self.entries.get(change.id()).and_then(|logged| logged.entry.as_ref());
+        match change {
+            DirectoryChange::Written(entry) => logged != Some(entry),
+            DirectoryChange::Removed(_) => logged.is_some(),
+        }
+    }
+
     /// Returns whether the content of an entry at a store revision is known already.
     pub fn confirms(&self, id: &str, revision: u64) -> bool {
         self.entries.get(id).is_some_and(|logged| revision <= logged.confirmed_at)
--- a/medlarlanding-core/src/forwarding/evacuation.rs
+++ b/medlarlanding-core/src/forwarding/evacuation.rs
@@ -1,5 +1,7 @@
 //! Table of the evacuated availability zones, merged by store revision.
 //!
+//! All revisions are of one history of the store; `StoreView` begins a new table with each history.
+//!
 //! Load pattern: an operator evacuates a zone because it is failing, at the moment at which the store
 //! answers late or refuses some instances, peers restart and datagrams are lost. Every instance must
 //! nevertheless send its requests elsewhere within seconds, and no late reading or message may bring
--- a/medlarlanding-core/src/forwarding/messages.rs
+++ b/medlarlanding-core/src/forwarding/messages.rs
@@ -9,6 +9,7 @@
 use super::peers::PeerDigest;
 use super::regions::RegionLimit;
 use super::speed_samples::EngineQueue;
+use super::store_position::StoreEra;
 use super::zone_plan::ZonePlan;
 use crate::pacing::AnswerPart;
 use crate::prompts::LedgerNews;
@@ -66,8 +67,11 @@
     }
 }
 
-/// Bytes that stand for the fields that digests of earlier versions lack.
+/// Bytes that stand for the fields that messages of earlier versions lack.
 const MISSING_FIELDS: [u8; 8] = [0; 8];
+/// First bytes of the messages that have gained fields: digests, `Servers`, `Evacuations`, `ZoneDigest` and
+/// `PassedDigest`.
+const EXTENDED_KINDS: [u8; 5] = [0, 1, 12, 17, 18];
 
 impl PeerMessage {
     /// Decodes a datagram.
@@ -76,10 +80,11 @@
     ///
     /// Fails if the bytes are no message.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        // The last fields of a digest of an earlier version are missing and count as 0, so that
+        // The last fields of a message of an earlier version are missing and count as 0, so that
         // instances hear one another while they are upgraded one after the other.
+        let is_extended = bytes.first().is_some_and(|kind| EXTENDED_KINDS.contains(kind));
         postcard::from_bytes(bytes).or_else(|error| match error {
-            postcard::Error::DeserializeUnexpectedEnd if bytes.first() == Some(&0) => {
+            postcard::Error::DeserializeUnexpectedEnd if is_extended => {
                 postcard::from_bytes(&[bytes, &MISSING_FIELDS].concat())
             },
             _ => Err(error),
@@ -150,6 +155,8 @@
         pub table: EvacuationTable,
         /// Purpose of the message.
         pub purpose: SyncPurpose,
+        /// History of the store to which the table belongs; unstated in messages of earlier versions.
+        pub era: StoreEra,
     }
 }
 
@@ -227,6 +234,8 @@
         pub changes: Vec<DirectoryChange>,
         /// Remaining cold times of the servers among them.
         pub cold: Vec<ColdReport>,
+        /// History of the store to which the revisions belong; unstated in messages of earlier versions.
+        pub era: StoreEra,
     }
 }
 
--- a/medlarlanding-core/src/forwarding/mod.rs
+++ b/medlarlanding-core/src/forwarding/mod.rs
@@ -29,10 +29,13 @@
 mod readiness;
 mod regions;
 mod relays;
+mod retention;
 mod room_reserve;
 mod server_access;
 mod server_speed;
 mod speed_samples;
+mod store_position;
+mod store_view;
 mod suspicion;
 mod wait_limit;
 mod waiting;
@@ -82,6 +85,7 @@
 pub use readiness::{ChangeSource, Readiness, ReadinessParams, RequiredPart};
 pub use regions::{RegionKey, RegionLimit, ZoneRegions};
 pub use relays::{RelayGroup, RelayParams, RelayRoute};
+pub use retention::{EntryRetention, RetentionParams, ZoneRetention};
 pub use room_reserve::{CriticalDemand, ReserveParams, RoomReserve};
 pub use server_access::ServerAccess;
 pub use server_speed::{
@@ -91,6 +95,8 @@
     EngineQueue, FIRST_EVENT_WEIGHT, SpeedReport, SpeedSums, StreamSample, StreamSampler,
     TOKENS_PER_EVENT,
 };
+pub use store_position::{StoreEra, StorePosition};
+pub use store_view::{HistoryOrder, ListedChanges, StoreView};
 pub use suspicion::{EngineFault, FaultLog, SuspicionParams};
 pub use wait_limit::{WaitDecision, WaitLimit, WaitLimitParams};
 pub use waiting::{QueuedRun, RunKey, WaitingClass, WaitingParams, WaitingRuns};
--- a/medlarlanding-core/src/forwarding/peer_lag.rs
+++ b/medlarlanding-core/src/forwarding/peer_lag.rs
@@ -8,24 +8,24 @@
 
 use crate::time::Timestamp;
 
-/// Tracks for how long an instance has lacked the same change.
+/// Tracks for how long an instance has lacked the same change. Changes are numbered by `V`.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct PeerLag {
-    /// Since when a peer has been ahead, and the revision that it had reached; `None` while no peer is
+pub struct PeerLag<V> {
+    /// Since when a peer has been ahead, and the change that it had reached; `None` while no peer is
     /// ahead.
-    behind: Option<(Timestamp, u64)>,
+    behind: Option<(Timestamp, V)>,
 }
 
-impl PeerLag {
-    /// Updates the lag from the revision that the instance has reached and the newest one among its
+impl<V: Copy + Ord> PeerLag<V> {
+    /// Updates the lag from the change that the instance has reached and the newest one among its
     /// peers. Returns for how long the instance has lacked a change that a peer had.
-    pub fn update(&mut self, now: Timestamp, own: u64, newest: u64) -> Duration {
+    pub fn update(&mut self, now: Timestamp, own: V, newest: V) -> Duration {
         if newest <= own {
             self.behind = None;
             return Duration::ZERO;
         }
         match self.behind {
-            Some((since, revision)) if own < revision => now.since(since),
+            Some((since, lacked)) if own < lacked => now.since(since),
             Some(_) | None => {
                 self.behind = Some((now, newest));
                 Duration::ZERO
--- a/medlarlanding-core/src/forwarding/peers.rs
+++ b/medlarlanding-core/src/forwarding/peers.rs
@@ -11,6 +11,7 @@
 
 use super::cold_share::{FleetNote, FleetView};
 use super::load::{LoadReport, RemoteLoad, RunWeight};
+use super::store_position::{StoreEra, StorePosition};
 use super::zone::ZoneKey;
 use crate::ids::stable_hash;
 use crate::time::Timestamp;
@@ -48,6 +49,9 @@
         /// Availability zone of the sender. Digests of earlier versions end before this field; see
         /// `PeerMessage::decode`.
         pub zone: ZoneKey,
+        /// History of the store to which `servers_revision` belongs; unstated in digests of earlier
+        /// versions.
+        pub era: StoreEra,
     }
 }
 
@@ -108,7 +112,8 @@
     strength: u16,
     reaches_store: bool,
     config_version: u64,
-    servers_revision: u64,
+    /// Position at which server entries last changed, as far as the peer knows.
+    servers: StorePosition,
     evacuations: u64,
     loads: Vec<LoadReport>,
     fleet: Option<FleetNote>,
@@ -249,7 +254,7 @@
             strength: digest.strength,
             reaches_store: digest.reaches_store,
             config_version: digest.config_version,
-            servers_revision: digest.servers_revision,
+            servers: StorePosition { era: digest.era, revision: digest.servers_revision },
             evacuations: digest.evacuations,
             loads: digest.loads,
             fleet: digest.fleet,
@@ -482,18 +487,18 @@
             .collect()
     }
 
-    /// Returns one of the live peers that know of changed server entries after `revision`, of the own
+    /// Returns one of the live peers that know of changed server entries after `known`, of the own
     /// zone if there is one. `draw`, a random number from 0 to 1, selects among them; if the one with
-    /// the highest revision were always selected, the whole fleet would ask that one.
+    /// the latest position were always selected, the whole fleet would ask that one.
     pub fn peer_with_newer_servers(
         &self,
         now: Timestamp,
-        revision: u64,
+        known: StorePosition,
         draw: f64,
     ) -> Option<SocketAddr> {
         let live = self.peers.iter().filter(|(_, record)| self.is_live(now, record));
         let mut ahead: Vec<(&SocketAddr, ZoneKey)> = live
-            .filter(|(_, record)| record.servers_revision > revision)
+            .filter(|(_, record)| record.servers.is_known() && record.servers > known)
             .map(|(address, record)| (address, record.zone))
             .collect();
         let is_near = |zone: ZoneKey| zone.is_known() && zone == self.zone;
@@ -519,10 +524,10 @@
         others.get((draw * others.len() as f64) as usize).map(|address| **address)
     }
 
-    /// Returns the newest store revision of server entries among the live peers; 0 for none.
-    pub fn newest_servers_revision(&self, now: Timestamp) -> u64 {
+    /// Returns the latest position of server entries among the live peers.
+    pub fn newest_servers(&self, now: Timestamp) -> StorePosition {
         let live = self.peers.values().filter(|record| self.is_live(now, record));
-        live.map(|record| record.servers_revision).max().unwrap_or(0)
+        live.map(|record| record.servers).max().unwrap_or_default()
     }
 
     /// Counts a placement granted to a peer as load until the peer's digests include it or
--- a/medlarlanding-core/src/forwarding/zone_fetch.rs
+++ b/medlarlanding-core/src/forwarding/zone_fetch.rs
@@ -74,7 +74,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ConfigFetch {
     params: ConfigFetchParams,
-    lag: PeerLag,
+    lag: PeerLag<u64>,
     /// Peer at which the last fetch failed; it is asked again only if no other has the
     /// configuration.
     failed: Option<SocketAddr>,
--- a/medlarlanding-core/tests/forwarding_cold_share.rs
+++ b/medlarlanding-core/tests/forwarding_cold_share.rs
@@ -10,7 +10,7 @@
     ColdServer, ColdShare, ColdTarget, DirectoryChange, FleetNote, LatencyClass, PeerDigest,
     PeerTable, PeerTableParams, PlacementPolicy, PlacementRequest, RegionLimit, RemoteLoad,
     RunWeight, ServerAccess, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
-    ShareAllocator, ZoneKey,
+    ShareAllocator, StoreEra, ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -188,6 +188,7 @@
                     reaches_store: true,
                     config_version: 1,
                     servers_revision: 1,
+                    era: StoreEra::UNSTATED,
                     evacuations: 0,
                     zone: ZoneKey::UNKNOWN,
                     peers: (0..count).map(address).collect(),
@@ -274,6 +275,7 @@
             reaches_store: true,
             config_version: 1,
             servers_revision: 1,
+            era: StoreEra::UNSTATED,
             evacuations: 0,
             zone: ZoneKey::UNKNOWN,
             peers: instance.peers.sample(at(millis), sequence),
--- a/medlarlanding-core/tests/forwarding_datagrams.rs
+++ b/medlarlanding-core/tests/forwarding_datagrams.rs
@@ -9,7 +9,7 @@
     AnswerOutcome, AnswerReport, ColdQuestion, ColdReport, DirectoryChange, EvacuationSync,
     EvacuationTable, FleetNote, LoadReport, PeerDigest, PeerMessage, PeerTable, PeerTableParams,
     PlainSpeed, RelayedMessage, ServerChanges, ServerEntry, ServerPhase, SpeedReport, SpeedSums,
-    SyncPurpose, ZoneEntry, ZoneEntryState, ZoneKey,
+    StoreEra, SyncPurpose, ZoneEntry, ZoneEntryState, ZoneKey,
 };
 use medlarlanding_core::pacing::AnswerPart;
 use medlarlanding_core::time::Timestamp;
@@ -28,7 +28,7 @@
     let entry = ZoneEntry { zone, revision: 5, state: ZoneEntryState::Evacuated };
     let mut table = EvacuationTable::default();
     table.read_snapshot(&[entry], 8);
-    EvacuationSync { table, purpose: SyncPurpose::Ask(3) }
+    EvacuationSync { table, purpose: SyncPurpose::Ask(3), era: StoreEra::stated(4) }
 }
 const COLD: ColdReport = ColdReport { server: 7, remaining_ms: 900 };
 
@@ -43,8 +43,13 @@
         born_millis: 1,
     };
     let changes = vec![DirectoryChange::Written(entry), DirectoryChange::Removed(Arc::from("i-2"))];
-    let servers =
-        PeerMessage::Servers(ServerChanges { after: 3, revision: 9, changes, cold: vec![COLD] });
+    let servers = PeerMessage::Servers(ServerChanges {
+        after: 3,
+        revision: 9,
+        changes,
+        cold: vec![COLD],
+        era: StoreEra::stated(4),
+    });
     let sums = SpeedSums { weight: 16, log_sum: -40 };
     let speed = SpeedReport { start: 9, token: sums, first: SpeedSums::default() };
     let load = LoadReport {
@@ -63,6 +68,7 @@
         reaches_store: true,
         config_version: 3,
         servers_revision: 9,
+        era: StoreEra::stated(4),
         evacuations: 0,
         peers: vec![address(3), address(4)],
         granted: 8,
@@ -93,6 +99,41 @@
     ]
 }
 
+/// Guards against an upgrade in which the news of instances of the version before is dropped: it does not
+/// state the history of the store, as the last field of a message.
+#[test]
+fn messages_without_a_history_are_decoded() {
+    let without = |message: PeerMessage| {
+        let bytes = postcard::to_stdvec(&message).expect("a datagram");
+        PeerMessage::decode(&bytes[..bytes.len() - 1]).expect("a message of the version before")
+    };
+    let unstated = |message: &mut PeerMessage| match message {
+        PeerMessage::Digest(digest) | PeerMessage::ZoneDigest(digest) => {
+            digest.era = StoreEra::UNSTATED;
+        },
+        PeerMessage::PassedDigest(digest) => digest.era = StoreEra::UNSTATED,
+        PeerMessage::Servers(changes) => changes.era = StoreEra::UNSTATED,
+        PeerMessage::Evacuations(sync) => sync.era = StoreEra::UNSTATED,
+        other => panic!("{other:?} has no history"),
+    };
+    let stated = |message: &PeerMessage| {
+        matches!(message, PeerMessage::Digest(_) | PeerMessage::Servers(_))
+            || matches!(message, PeerMessage::Evacuations(_))
+    };
+    let mut checked: Vec<PeerMessage> = messages().into_iter().filter(stated).collect();
+    if let Some(PeerMessage::Digest(digest)) = checked.first().cloned() {
+        checked.push(PeerMessage::ZoneDigest(digest.clone()));
+        checked.push(PeerMessage::PassedDigest(digest));
+    }
+    assert_eq!(checked.len(), 5);
+    for mut message in checked {
+        let decoded = without(message.clone());
+        assert_ne!(decoded, message);
+        unstated(&mut message);
+        assert_eq!(decoded, message);
+    }
+}
+
 /// Guards against datagrams of a faulty sender that end an instance, and against decoded values that
 /// take more memory than the datagram explains.
 #[test]
--- a/medlarlanding-core/tests/forwarding_fleet.rs
+++ b/medlarlanding-core/tests/forwarding_fleet.rs
@@ -11,7 +11,7 @@
     BudgetParams, DirectoryChange, LatencyClass, LoadReport, PeerDigest, PeerTable,
     PeerTableParams, PlacementPolicy, PlacementRequest, RegionLimit, RemoteLoad, RepeatBudget,
     RepeatPurpose, RunWeight, ServerDirectory, ServerEntry, ServerKey, ServerPhase, ServerRecord,
-    ZoneKey,
+    StoreEra, ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -38,6 +38,7 @@
         reaches_store: true,
         config_version: 3,
         servers_revision: 9,
+        era: StoreEra::UNSTATED,
         evacuations: 0,
         peers: Vec::new(),
         granted: 0,
--- a/medlarlanding-core/tests/forwarding_relays.rs
+++ b/medlarlanding-core/tests/forwarding_relays.rs
@@ -5,7 +5,7 @@
 
 use medlarlanding_core::cases;
 use medlarlanding_core::forwarding::{
-    PeerDigest, PeerTable, PeerTableParams, RelayGroup, RelayParams, ZoneKey,
+    PeerDigest, PeerTable, PeerTableParams, RelayGroup, RelayParams, StoreEra, ZoneKey,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -31,6 +31,7 @@
             reaches_store: true,
             config_version: 1,
             servers_revision: 1,
+            era: StoreEra::UNSTATED,
             evacuations: 0,
             peers: silent.iter().map(|number| address(*number)).collect(),
             granted: 0,
--- a/medlarlanding-core/tests/forwarding_zone_relays.rs
+++ b/medlarlanding-core/tests/forwarding_zone_relays.rs
@@ -5,7 +5,8 @@
 
 use medlarlanding_core::cases;
 use medlarlanding_core::forwarding::{
-    PeerDigest, PeerMessage, PeerTable, PeerTableParams, ZoneDuty, ZoneKey, ZonePlanParams,
+    PeerDigest, PeerMessage, PeerTable, PeerTableParams, StoreEra, ZoneDuty, ZoneKey,
+    ZonePlanParams,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -241,8 +242,8 @@
         ChangeCase { count: 300, zones: 4, is_zoned: false, crossings: 460, sends: 36 },
 }
 
-/// Guards against an upgrade in which instances of the version before are not heard: their digests end
-/// before the zone.
+/// Guards against an upgrade in which instances of the versions before are not heard: their digests end
+/// before the history of the store, or before the zone.
 #[test]
 fn digests_of_the_version_before_are_decoded() {
     let digest = PeerDigest {
@@ -253,6 +254,7 @@
         reaches_store: true,
         config_version: 3,
         servers_revision: 9,
+        era: StoreEra::UNSTATED,
         evacuations: 0,
         fleet: None,
         peers: vec![address(3)],
@@ -263,11 +265,13 @@
     let full = postcard::to_stdvec(&PeerMessage::Digest(digest.clone())).expect("a datagram");
     let decoded = PeerMessage::decode(&full);
     assert_eq!(decoded, Ok(PeerMessage::Digest(digest.clone())));
-    let zone = postcard::to_stdvec(&digest.zone).expect("a zone");
-    let shortened = PeerMessage::decode(&full[..full.len() - zone.len()]);
+    let added = postcard::to_stdvec(&(digest.zone, digest.era)).expect("the last fields");
+    let without_era = PeerMessage::decode(&full[..full.len() - 1]);
+    assert_eq!(without_era, Ok(PeerMessage::Digest(digest.clone())));
+    let shortened = PeerMessage::decode(&full[..full.len() - added.len()]);
     let unzoned = PeerDigest { zone: ZoneKey::UNKNOWN, ..digest };
     assert_eq!(shortened, Ok(PeerMessage::Digest(unzoned)));
-    assert!(PeerMessage::decode(&[1]).is_err(), "other messages are decoded strictly");
+    assert!(PeerMessage::decode(&[2]).is_err(), "other messages are decoded strictly");
 }
 
 /// Guards against plans that do not fit into a datagram.
@@ -283,6 +287,7 @@
             reaches_store: true,
             config_version: 3,
             servers_revision: 9,
+            era: StoreEra::UNSTATED,
             evacuations: 0,
             fleet: None,
             peers: Vec::new(),
--- a/medlarlanding-core/tests/zone_fleet/mod.rs
+++ b/medlarlanding-core/tests/zone_fleet/mod.rs
@@ -8,7 +8,7 @@
 
 use medlarlanding_core::forwarding::{
     ConfigFetch, ConfigStep, FetchEnd, LoadReport, PeerDigest, PeerMessage, PeerTable,
-    PeerTableParams, RelayParams, ZoneDuties, ZoneDuty, ZoneKey, ZonePlanner,
+    PeerTableParams, RelayParams, StoreEra, ZoneDuties, ZoneDuty, ZoneKey, ZonePlanner,
 };
 use medlarlanding_core::time::Timestamp;
 
@@ -441,6 +441,7 @@
             reaches_store: is_reaching && instance.table.watches_store(now),
             config_version: instance.version,
             servers_revision: 9,
+            era: StoreEra::UNSTATED,
             evacuations: 0,
             fleet: None,
             peers: instance.table.sample(now, sequence),
--- a/medlarlanding/src/forwarding/cold_limit.rs
+++ b/medlarlanding/src/forwarding/cold_limit.rs
@@ -275,7 +275,7 @@
             if let (Some(changed_at), Some(record)) = (changed_at, self.directory.borrow().get(key))
             {
                 // A later change of the entry has been recorded if this is refused.
-                let _ = self.entries.borrow_mut().touch(&record.entry.id, changed_at);
+                let _ = self.store.view_mut().entries_mut().touch(&record.entry.id, changed_at);
             }
         }
         news
--- a/medlarlanding/src/forwarding/evacuations.rs
+++ b/medlarlanding/src/forwarding/evacuations.rs
@@ -58,7 +58,6 @@
 
 /// Evacuated zones as this instance knows them.
 pub struct EvacuationState {
-    table: RefCell<EvacuationTable>,
     /// Ignored keys with the revisions at which that was logged; the oldest are dropped first.
     logged: RefCell<IndexMap<String, u64>>,
     /// Since when a live peer has had another table; `None` while all have the same.
@@ -75,7 +74,6 @@
     /// Creates the state of a process that starts now and knows of no evacuated zone.
     pub fn new(now: Timestamp) -> Self {
         Self {
-            table: RefCell::default(),
             logged: RefCell::default(),
             differs_since: Cell::default(),
             gate: RefCell::new(PauseGate::new(PauseParams::default(), now)),
@@ -95,19 +93,19 @@
 impl ForwardState {
     /// Returns the table of evacuated zones.
     pub fn evacuations(&self) -> EvacuationTable {
-        self.evacuation.table.borrow().clone()
+        self.store.view().evacuations().clone()
     }
 
     /// Returns the fingerprint of the table, which digests carry.
     pub fn evacuation_fingerprint(&self) -> u64 {
-        self.evacuation.table.borrow().fingerprint()
+        self.store.view().evacuations().fingerprint()
     }
 
     /// Applies the complete list of items that the store returned at a revision. Returns whether a zone
     /// was evacuated or restored by it.
     pub fn read_evacuations(&self, items: &[StoreItem], revision: u64) -> bool {
         let entries = self.decode_evacuations(items);
-        let changes = self.evacuation.table.borrow_mut().read_snapshot(&entries, revision);
+        let changes = self.store.view_mut().read_zones(self.now(), &entries, revision);
         self.apply_zone_changes(&changes, ChangeSource::Store);
         !changes.is_empty()
     }
@@ -116,14 +114,15 @@
     /// whether a zone was evacuated or restored by them.
     pub fn change_evacuations(&self, items: &[StoreItem], after: u64, revision: u64) -> bool {
         let entries = self.decode_evacuations(items);
-        let changes = self.evacuation.table.borrow_mut().read_changes(&entries, after, revision);
+        let now = self.now();
+        let changes = self.store.view_mut().change_listed_zones(now, &entries, after, revision);
         self.apply_zone_changes(&changes, ChangeSource::Store);
         !changes.is_empty()
     }
 
-    /// Merges the table of a peer.
+    /// Merges the table of a peer, which is of the known history of the store.
     pub fn merge_evacuations(&self, table: &EvacuationTable) {
-        let changes = self.evacuation.table.borrow_mut().merge(table);
+        let changes = self.store.view_mut().merge_zones(self.now(), table);
         self.apply_zone_changes(&changes, ChangeSource::Peer);
     }
 
@@ -138,7 +137,7 @@
         items.iter().filter_map(decode).collect()
     }
 
-    fn apply_zone_changes(&self, changes: &[ZoneChange], source: ChangeSource) {
+    pub(super) fn apply_zone_changes(&self, changes: &[ZoneChange], source: ChangeSource) {
         if changes.is_empty() {
             return;
         }
@@ -154,9 +153,9 @@
             };
             event(kind, &[zone, &state.revision, &source.name()]);
         }
-        let table = self.evacuation.table.borrow();
-        self.directory.borrow_mut().set_evacuated(self.now(), table.evacuated());
-        let known = table.evacuated().filter(|zone| self.is_known_zone(zone)).count();
+        let evacuated = self.store.view().evacuated();
+        self.directory.borrow_mut().set_evacuated(self.now(), evacuated.iter());
+        let known = evacuated.iter().filter(|zone| self.is_known_zone(zone)).count();
         self.telemetry.evacuated_zones.set(known as i64);
         self.digest_wanted.notify_one();
         self.directory_changes.send_modify(|count| *count += 1);
@@ -169,7 +168,7 @@
         settings.zone == zone
             || settings.zone_regions.iter().any(|(name, _)| name == zone)
             || self.directory.borrow().entries().any(|entry| &*entry.zone == zone)
-            || settings.zone_regions.is_empty() && self.entries.borrow().revision() == 0
+            || settings.zone_regions.is_empty() && !self.store.view().entries_position().is_known()
     }
 
     /// Logs an ignored item once.
@@ -297,7 +296,10 @@
         peer: SocketAddr,
         sync: &EvacuationSync,
     ) {
-        state.merge_evacuations(&sync.table);
+        let is_current = state.observe_history(sync.era, ChangeSource::Peer);
+        if is_current {
+            state.merge_evacuations(&sync.table);
+        }
         match sync.purpose {
             SyncPurpose::Share => {
                 if state.evacuation_fingerprint() != sync.table.fingerprint() {
@@ -310,7 +312,8 @@
             },
             SyncPurpose::Ask(_) => {},
             SyncPurpose::Answer(number) => {
-                if number != 0 && number == state.evacuation.question.get() {
+                // A peer of an earlier history may know less than this instance.
+                if is_current && number != 0 && number == state.evacuation.question.get() {
                     state.evacuation.gate.borrow_mut().open();
                 }
             },
@@ -328,7 +331,7 @@
 fn table_message(state: &ForwardState, purpose: SyncPurpose) -> Option<PeerMessage> {
     let table = state.evacuations();
     let length: usize = table.evacuated().map(|zone| zone.len() + ZONE_LENGTH).sum();
-    let sync = EvacuationSync { table, purpose };
+    let sync = EvacuationSync { table, purpose, era: state.store.era() };
     (length <= TABLE_LIMIT).then_some(PeerMessage::Evacuations(sync))
 }
 
--- a/medlarlanding/src/forwarding/mod.rs
+++ b/medlarlanding/src/forwarding/mod.rs
@@ -35,6 +35,7 @@
 mod shared;
 mod speeds;
 mod store_client;
+mod store_history;
 mod store_watch;
 mod stream_events;
 mod telemetry;
--- a/medlarlanding/src/forwarding/peer_fetch.rs
+++ b/medlarlanding/src/forwarding/peer_fetch.rs
@@ -13,7 +13,7 @@
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
     ChangeSource, ColdReport, ConfigDelta, ConfigStep, EntryDelta, EvacuationTable, FetchEnd,
-    PeerLag, ZoneDuty, ZoneKey,
+    PeerLag, StoreEra, StorePosition, ZoneDuty, ZoneKey,
 };
 use medlarlanding_core::value_type;
 
@@ -54,6 +54,9 @@
         zone: ZoneKey,
         /// The sender has the text of `config_version` and can apply a difference.
         accepts_delta: bool,
+        /// History of the store to which `servers_revision` belongs; unstated in requests of earlier
+        /// versions.
+        era: StoreEra,
     }
 }
 
@@ -71,6 +74,9 @@
         cold: Vec<ColdReport>,
         /// Difference from the requester's configuration; missing in answers of earlier versions.
         config_delta: Option<ConfigDelta>,
+        /// History of the store to which the evacuated zones and the entries belong; unstated in answers
+        /// of earlier versions.
+        era: StoreEra,
     }
 }
 
@@ -99,19 +105,18 @@
 /// Starts a fetch from a peer if one has a newer configuration, or server entries that this instance
 /// has lacked for a while. At most one fetch runs at a time. `lag` is kept between calls. Returns the time
 /// to wait for a relay, if this instance waits for one.
-fn fetch_if_behind(state: &SharedState, lag: &mut PeerLag) -> Option<Duration> {
+fn fetch_if_behind(state: &SharedState, lag: &mut PeerLag<StorePosition>) -> Option<Duration> {
     let now = state.now();
     let duty = state.zone_duty();
-    let (config_version, servers_revision) =
-        (state.config_version(), state.entries.borrow().revision());
+    let (config_version, known) = (state.config_version(), state.store.view().entries_position());
     let (step, with_servers, is_near) = {
         let peers = state.peers.borrow();
-        let behind = lag.update(now, servers_revision, peers.newest_servers_revision(now));
-        let lacks_servers = servers_revision == 0 || behind >= FETCH_DELAY;
+        let behind = lag.update(now, known, peers.newest_servers(now));
+        let lacks_servers = !known.is_known() || behind >= FETCH_DELAY;
         let mut config_fetch = state.zone.config_fetch.borrow_mut();
         let step = config_fetch.step(now, &peers, duty, config_version, state.draw());
         let with_servers = lacks_servers
-            .then(|| peers.peer_with_newer_servers(now, servers_revision, state.draw()))
+            .then(|| peers.peer_with_newer_servers(now, known, state.draw()))
             .flatten();
         let is_near = |peer| peers.zone(peer) == peers.own_zone() && duty == ZoneDuty::Member;
         let near = |peer: Option<SocketAddr>| peer.is_some_and(is_near);
@@ -134,7 +139,8 @@
     state.begin_table_fetch();
     let zone = state.peers.borrow().own_zone();
     let accepts_delta = config_version > 0 && !state.zone.whole_config_wanted.get();
-    let request = FetchRequest { config_version, servers_revision, zone, accepts_delta };
+    let StorePosition { era, revision: servers_revision } = known;
+    let request = FetchRequest { config_version, servers_revision, zone, accepts_delta, era };
     let answer_limit = if is_near { NEAR_ANSWER_TIMEOUT } else { FETCH_TIMEOUT };
     let state = Rc::clone(state);
     // A second fetch at the same time would only slow both down.
@@ -179,7 +185,10 @@
             &answer.servers.as_ref().map_or(0, |delta| delta.revision),
         ],
     );
-    state.merge_evacuations(&answer.evacuations);
+    let is_current = state.observe_history(answer.era, ChangeSource::Peer);
+    if is_current {
+        state.merge_evacuations(&answer.evacuations);
+    }
     if let Some(text) = answer.config {
         state.offer_config(&text, ChangeSource::Peer);
         state.zone.whole_config_wanted.set(false);
@@ -187,8 +196,8 @@
     if let Some(delta) = answer.config_delta {
         apply_delta(state, peer, &delta);
     }
-    let Some(delta) = answer.servers else { return };
-    if delta.revision <= state.entries.borrow().revision() {
+    let Some(delta) = answer.servers.filter(|_| is_current) else { return };
+    if delta.revision <= state.store.view().entries().revision() {
         return;
     }
     if delta.is_snapshot {
@@ -197,7 +206,7 @@
         for change in delta.changes {
             state.change_server(change, delta.revision, ChangeSource::Peer);
         }
-        state.entries.borrow_mut().advance_with_changes(delta.revision);
+        state.store.view_mut().entries_mut().advance_with_changes(delta.revision);
     }
     state.apply_cold_reports(&answer.cold, Some(delta.revision));
 }
@@ -278,14 +287,19 @@
 
 fn answer_fetch(state: &SharedState, request: &FetchRequest) -> FetchAnswer {
     let config = state.config().filter(|in_force| in_force.config.version > request.config_version);
-    let servers = state.entries.borrow().delta_since(request.servers_revision);
+    let (servers, era) = {
+        let view = state.store.view();
+        let known =
+            StorePosition { era: request.era.or(view.era()), revision: request.servers_revision };
+        (view.entries_after(known), view.era())
+    };
     let cold = if servers.is_some() { state.cold_reports() } else { Vec::new() };
     let config_delta = config.as_ref().filter(|_| request.accepts_delta).and_then(|in_force| {
         state.zone.config_history.borrow().delta_from(request.config_version, &in_force.text)
     });
     let config = config.filter(|_| config_delta.is_none()).map(|in_force| in_force.text.to_vec());
     let evacuations = state.evacuations();
-    FetchAnswer { config, evacuations, servers, cold, config_delta }
+    FetchAnswer { config, evacuations, servers, cold, config_delta, era }
 }
 
 async fn write_frame<T: Serialize>(
--- a/medlarlanding/src/forwarding/peer_link.rs
+++ b/medlarlanding/src/forwarding/peer_link.rs
@@ -86,7 +86,7 @@
     /// Passes a message on. Returns the message if it may be relayed.
     fn relay(&self, state: &ForwardState, relayed: ZoneRelayedMessage) -> Option<PeerMessage> {
         let bytes = relayed.message.clone();
-        let message = postcard::from_bytes(&bytes).ok().filter(PeerMessage::may_be_relayed);
+        let message = PeerMessage::decode(&bytes).ok().filter(PeerMessage::may_be_relayed);
         if message.is_none() {
             state.telemetry.dropped_datagrams.inc();
             return None;
@@ -130,11 +130,13 @@
         changed: Vec<(Arc<str>, u64)>,
     ) {
         let routes = relay_routes(state);
-        let mut pending =
-            ServerChanges { after, revision: after, changes: Vec::new(), cold: Vec::new() };
+        let era = state.store.era();
+        let empty =
+            |after| ServerChanges { after, revision: after, changes: vec![], cold: vec![], era };
+        let mut pending = empty(after);
         let mut size = 0;
         for (id, changed_at) in changed {
-            let Some(change) = state.entries.borrow().change(&id) else { continue };
+            let Some(change) = state.store.view().entries().change(&id) else { continue };
             let length = match &change {
                 DirectoryChange::Written(entry) => {
                     ENTRY_LENGTH + id.len() + entry.service.len() + entry.zone.len()
@@ -142,9 +144,7 @@
                 DirectoryChange::Removed(_) => ENTRY_LENGTH + id.len(),
             };
             if size > 0 && size + length > CHANGES_LIMIT {
-                let after = pending.revision;
-                let next =
-                    ServerChanges { after, revision: after, changes: Vec::new(), cold: Vec::new() };
+                let next = empty(pending.revision);
                 let full = std::mem::replace(&mut pending, next);
                 self.send_to_groups(state, &PeerMessage::Servers(full), &routes);
                 size = 0;
@@ -362,6 +362,7 @@
             coordinator = current;
         }
         state.peer_cut.update();
+        state.settle_retained();
         state.update_cold_shares();
         link.send_cold_reports(&state, state.take_cold_reports());
         if state.update_speeds() && current.is_none() {
@@ -414,13 +415,14 @@
         strength: state.peers.borrow().strength(),
         reaches_store: state.reaches_store.get(),
         config_version: state.config_version(),
-        servers_revision: state.entries.borrow().changed_revision(),
+        servers_revision: state.store.view().changed_position().revision,
         evacuations: state.evacuation_fingerprint(),
         peers: state.peers.borrow().sample(now, sequence),
         granted: state.placing.granted.get(),
         loads: Vec::new(),
         fleet: state.fleet_note(),
         zone: state.peers.borrow().own_zone(),
+        era: state.store.era(),
     };
     send_zone_messages(link, state, &digest);
     let route = state.zone.planner.borrow_mut().route(sequence, digest.config_version, &targets);
@@ -459,8 +461,9 @@
     }
 }
 
-fn receive_digest(link: &PeerLink, state: &SharedState, digest: PeerDigest) {
+fn receive_digest(link: &PeerLink, state: &SharedState, mut digest: PeerDigest) {
     let sender = digest.sender;
+    state.observe_digest(&mut digest);
     let has_started = state.peers.borrow().boot(sender) != Some(digest.boot);
     let has_newer_config = digest.config_version > state.config_version();
     let evacuations = digest.evacuations;
@@ -473,9 +476,11 @@
         // The sender takes requests as soon as it knows the servers.
         link.send_ledger(state, sender, false);
     }
-    if state.entries.borrow().revision() == 0 {
+    if !state.store.view().entries_position().is_known() {
         // The sender may have the list of servers, which is then fetched without delay.
-        state.digest_wanted.notify_one();
+        if state.directory.borrow().latest().next().is_none() {
+            state.digest_wanted.notify_one();
+        }
         state.zone.fetch_wanted.notify_one();
     } else if has_newer_config && state.zone_duty() != ZoneDuty::Unassigned {
         state.zone.fetch_wanted.notify_one();
@@ -508,16 +513,18 @@
         },
         PeerMessage::ZonePlan(plan) => state.receive_plan(link, source, plan),
         PeerMessage::Servers(changes) => {
-            let known = state.entries.borrow().revision();
-            // Older changes are known already. After a gap, the peers' digests cause a fetch.
-            if changes.after > known || changes.revision <= known || known == 0 {
+            if !state.observe_history(changes.era, ChangeSource::Peer) {
+                return;
+            }
+            // After a gap, the peers' digests cause a fetch.
+            if !state.store.view().accepts_changes(changes.after, changes.revision) {
                 return;
             }
             for change in changes.changes {
                 state.change_server(change, changes.revision, ChangeSource::Peer);
             }
             state.apply_cold_reports(&changes.cold, Some(changes.revision));
-            state.entries.borrow_mut().advance_with_changes(changes.revision);
+            state.store.view_mut().entries_mut().advance_with_changes(changes.revision);
         },
         PeerMessage::Leaving(servers) => {
             let is_news =
--- a/medlarlanding/src/forwarding/servers.rs
+++ b/medlarlanding/src/forwarding/servers.rs
@@ -16,18 +16,25 @@
 use medlarlanding_platform::headers::{announces_leaving, requested_hold};
 
 use hyper::{HeaderMap, StatusCode};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 impl ForwardState {
-    /// Applies a change of one server entry. Returns whether the entry differs from the known one.
+    /// Applies a change of one server entry in the known history of the store. Returns whether peers have
+    /// to be told: the entry differs from the recorded one, or from that of the server in use.
     pub fn change_server(
         &self,
         change: DirectoryChange,
         changed_at: u64,
         source: ChangeSource,
     ) -> bool {
-        let is_current = self.entries.borrow_mut().record(change.clone(), changed_at);
-        if !is_current || !self.has_new_content(&change) {
+        let recorded = self.store.view_mut().record_change(&change, changed_at);
+        recorded.is_some_and(|is_news| self.update_directory(change, source.name()) || is_news)
+    }
+
+    /// Applies a change to the directory. `source` names in logs where it comes from. Returns whether the
+    /// entry differs from the known one.
+    pub(super) fn update_directory(&self, change: DirectoryChange, source: &'static str) -> bool {
+        if !self.has_new_content(&change) {
             return false;
         }
         let id = Arc::clone(change.id());
@@ -43,7 +50,7 @@
         if let Some((key, _)) = applied {
             let directory = self.directory.borrow();
             let service = directory.get(key).map_or("", |record| &record.entry.service);
-            event(EventKind::ServerChanged, &[&id, &service, &written, &source.name()]);
+            event(EventKind::ServerChanged, &[&id, &service, &written, &source]);
         }
         self.directory_changes.send_modify(|count| *count += 1);
         true
@@ -146,27 +153,26 @@
             .collect()
     }
 
-    /// Replaces all server entries by a snapshot at a store revision.
+    /// Replaces all server entries by a snapshot at a revision of the known history of the store.
     pub fn replace_servers(
         &self,
         revision: u64,
         changes: Vec<DirectoryChange>,
         source: ChangeSource,
     ) {
-        let present: IndexSet<Arc<str>> =
-            changes.iter().map(|change| Arc::clone(change.id())).collect();
-        let known: Vec<Arc<str>> = self.entries.borrow().ids().cloned().collect();
-        for id in known.into_iter().filter(|id| !present.contains(id)) {
-            self.change_server(DirectoryChange::Removed(id), revision, source);
+        let now = self.now();
+        let listed =
+            self.store.view_mut().record_list(now, &self.directory.borrow(), changes, revision);
+        if listed.is_first && listed.retained > 0 {
+            event(EventKind::ServersRetained, &[&listed.retained, &revision, &source.name()]);
         }
-        for change in changes {
-            self.change_server(change, revision, source);
+        for change in listed.changes {
+            self.update_directory(change, source.name());
         }
-        if self.entries.borrow().revision() == 0 {
-            // Peers that start at the same time wait for the list.
+        if listed.is_first {
+            // Peers that lack the list wait for it.
             self.digest_wanted.notify_one();
         }
-        self.entries.borrow_mut().advance_with_changes(revision);
         self.readiness.borrow_mut().record(self.now(), RequiredPart::Servers, source);
     }
 
--- a/medlarlanding/src/forwarding/shared.rs
+++ b/medlarlanding/src/forwarding/shared.rs
@@ -13,6 +13,7 @@
 use super::placing::PlacementState;
 use super::server_pace::PaceState;
 use super::speeds::SpeedState;
+use super::store_history::StoreState;
 use super::telemetry::Telemetry;
 use super::zone_link::ZoneState;
 use crate::answer_buffer::AnswerMemory;
@@ -20,8 +21,8 @@
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
 use medlarlanding_core::forwarding::{
-    BudgetParams, ChangeSource, EntryLog, ForwardConfig, MoveParams, PeerTable, Readiness,
-    RepeatBudget, RepeatPurpose, RequiredPart, ServerDirectory,
+    BudgetParams, ChangeSource, ForwardConfig, MoveParams, PeerTable, Readiness, RepeatBudget,
+    RepeatPurpose, RequiredPart, RetentionParams, ServerDirectory,
 };
 use medlarlanding_core::ids::stable_hash;
 use medlarlanding_core::prompts::LedgerNews;
@@ -69,8 +70,8 @@
     pub directory: RefCell<ServerDirectory>,
     /// Peers known to this instance.
     pub peers: RefCell<PeerTable>,
-    /// Server entries of the store with the revisions of their changes.
-    pub entries: RefCell<EntryLog>,
+    /// What is known of the store, all of one history.
+    pub(super) store: StoreState,
     /// Parameters of moves.
     pub move_params: MoveParams,
     clock: ProcessClock,
@@ -128,6 +129,7 @@
         let answer_memory = AnswerMemory::new(settings.memory_bytes);
         let state = Self {
             answer_memory,
+            store: StoreState::new(RetentionParams::for_reports(settings.report_interval)),
             settings,
             boot,
             telemetry,
@@ -138,7 +140,6 @@
             answer_lengths: AnswerLengths::default(),
             directory: RefCell::new(directory),
             peers: RefCell::new(peers),
-            entries: RefCell::default(),
             move_params: MoveParams::default(),
             peer_cut: PeerCut::default(),
             cold: ColdLimitState::new(clock.now()),
@@ -277,9 +278,9 @@
     pub fn is_ready(&self) -> bool {
         let (now, draw) = (self.now(), self.draw());
         let peers = self.peers.borrow();
-        let servers_revision = self.entries.borrow().revision();
+        let known = self.store.view().entries_position();
         let is_behind = peers.newest_config_version(now) > self.config_version()
-            || peers.peer_with_newer_servers(now, servers_revision, draw).is_some()
+            || peers.peer_with_newer_servers(now, known, draw).is_some()
             || self.lacks_evacuations(now);
         self.stop_time_left().is_none() && self.readiness.borrow_mut().is_ready(now, is_behind)
     }
--- a/medlarlanding/src/forwarding/store_client.rs
+++ b/medlarlanding/src/forwarding/store_client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::exchange::{self, Exchange, RequestSender};
+use medlarlanding_core::forwarding::StoreEra;
 use medlarlanding_platform::store::{self, StoreChanges, StorePage};
 
 use anyhow::{Context, bail};
@@ -22,6 +23,15 @@
 /// times slower than usual.
 const WATCH_MARGIN: Duration = Duration::from_millis(400);
 
+/// An answer and the history of the store to which its revisions belong.
+#[derive(Debug)]
+pub struct StoreAnswer<T> {
+    /// The history, if the store states it.
+    pub era: StoreEra,
+    /// The answer.
+    pub content: T,
+}
+
 /// Result of a watch.
 #[derive(Debug)]
 pub enum WatchAnswer {
@@ -58,12 +68,13 @@
         &mut self,
         prefix: &str,
         after: Option<&str>,
-    ) -> anyhow::Result<StorePage> {
-        let (status, body) = self.call(&store::range_path(prefix, after), CALL_TIMEOUT).await?;
+    ) -> anyhow::Result<StoreAnswer<StorePage>> {
+        let answer = self.call(&store::range_path(prefix, after), CALL_TIMEOUT).await?;
+        let StoreAnswer { era, content: (status, body) } = answer;
         if status != StatusCode::OK {
             bail!("the store answered with status {status}");
         }
-        store::decode_page(&body)
+        Ok(StoreAnswer { era, content: store::decode_page(&body)? })
     }
 
     /// Waits at most `wait` for changes of items with a key prefix after the revision `after`.
@@ -76,17 +87,28 @@
         prefix: &str,
         after: u64,
         wait: Duration,
-    ) -> anyhow::Result<WatchAnswer> {
+    ) -> anyhow::Result<StoreAnswer<WatchAnswer>> {
         let path = store::watch_path(prefix, after, wait);
-        let (status, body) = self.call(&path, wait + WATCH_MARGIN).await?;
-        match status {
-            StatusCode::OK => Ok(WatchAnswer::Changes(store::decode_changes(&body)?)),
-            StatusCode::GONE => Ok(WatchAnswer::HistoryGone),
+        let answer = self.call(&path, wait + WATCH_MARGIN).await?;
+        let StoreAnswer { era, content: (status, body) } = answer;
+        let content = match status {
+            StatusCode::OK => WatchAnswer::Changes(store::decode_changes(&body)?),
+            StatusCode::GONE => WatchAnswer::HistoryGone,
             status => bail!("the store answered with status {status}"),
-        }
+        };
+        Ok(StoreAnswer { era, content })
+    }
+
+    /// Closes the connection, on which an answer of an earlier history arrived.
+    pub fn disconnect(&mut self) {
+        self.connection = None;
     }
 
-    async fn call(&mut self, path: &str, limit: Duration) -> anyhow::Result<(StatusCode, Bytes)> {
+    async fn call(
+        &mut self,
+        path: &str,
+        limit: Duration,
+    ) -> anyhow::Result<StoreAnswer<(StatusCode, Bytes)>> {
         // The connection is put back only after a complete answer. On the connection of a call that
         // failed or was cancelled, a late answer could be mistaken for that of the next call.
         let mut connection = match self.connection.take().filter(|open| !open.sender.is_closed()) {
@@ -103,11 +125,12 @@
             connection.sender.ready().await?;
             let response = connection.exchange.request(&mut connection.sender, request).await?;
             let status = response.status();
+            let era = store::stated_era(response.headers())?;
             let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await;
             let body = body
                 .map_err(|error| anyhow::anyhow!("cannot read the store's answer: {error}"))?
                 .to_bytes();
-            anyhow::Ok((status, body))
+            anyhow::Ok(StoreAnswer { era, content: (status, body) })
         };
         let answer = tokio::time::timeout(limit, exchange).await.with_context(|| {
             format!("no answer from the store within {} ms", limit.as_millis())
--- a/medlarlanding/src/forwarding/store_watch.rs
+++ b/medlarlanding/src/forwarding/store_watch.rs
@@ -5,16 +5,22 @@
 use std::time::Duration;
 
 use super::peer_link::PeerLink;
+use super::servers::start_hash;
 use super::shared::SharedState;
-use super::store_client::{StoreClient, WatchAnswer};
+use super::store_client::{StoreAnswer, StoreClient, WatchAnswer};
 use crate::logging::event;
 use medlarlanding_core::events::EventKind;
-use medlarlanding_core::forwarding::{ChangeSource, ColdReadParams, DirectoryChange};
+use medlarlanding_core::forwarding::{
+    ChangeSource, ColdReadParams, DirectoryChange, StoreEra, StorePosition,
+};
 use medlarlanding_core::time::Timestamp;
 use medlarlanding_platform::config::{CONFIG_KEY, OPERATOR_PREFIX};
 use medlarlanding_platform::servers::{SERVERS_PREFIX, ServerReport, decode_item};
 use medlarlanding_platform::store::StoreItem;
 
+use anyhow::bail;
+use indexmap::IndexMap;
+
 /// Time for which a watch waits at the store. A lost answer is noticed only after this time, and a
 /// configuration must be in force 2 s after the store has worked again for 3 s.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
@@ -80,7 +86,8 @@
         state: Rc::clone(&state),
         link,
         part,
-        revision: None,
+        position: None,
+        has_followed: true,
         started: state.now(),
         has_waited: false,
     };
@@ -89,7 +96,8 @@
     loop {
         watch.wait_until_needed().await;
         match watch.step().await {
-            Ok(()) => {
+            Ok(CallOutcome::Abandoned) => {},
+            Ok(CallOutcome::Answered) => {
                 state.telemetry.store_calls.with_label_values(&["ok"]).inc();
                 state.reaches_store.set(true);
                 if is_unreachable {
@@ -118,13 +126,25 @@
     }
 }
 
+/// Outcome of a call that did not fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallOutcome {
+    /// The store answered.
+    Answered,
+    /// The call was given up, because the store has left the history that it asked for.
+    Abandoned,
+}
+
 struct PartWatch {
     client: StoreClient,
     state: SharedState,
     link: Rc<PeerLink>,
     part: WatchedPart,
-    /// Store revision up to which changes are known; `None` if the part has to be read completely.
-    revision: Option<u64>,
+    /// Position up to which changes are known; `None` if the part has to be read completely. It also has
+    /// to be once the store has left the history of the position.
+    position: Option<StorePosition>,
+    /// A watch has succeeded since the part was last read completely.
+    has_followed: bool,
     /// When the process began to read the store.
     started: Timestamp,
     /// This process has waited in vain for the list of a peer.
@@ -135,7 +155,7 @@
     /// Waits until this instance has to call the store: either the part must be read completely, or
     /// this instance watches the store for the others.
     async fn wait_until_needed(&mut self) {
-        while self.revision.is_some() {
+        while self.position.is_some() {
             self.wait_for_first_watch().await;
             let level = self.state.peers.borrow().standby_level(self.state.now());
             if self.is_watching() && level == 0 {
@@ -155,9 +175,12 @@
                 }
             }
         }
-        if let (WatchedPart::Servers, Some(revision)) = (self.part, self.revision) {
-            // While another instance watched, peers have reported changes up to this revision.
-            self.revision = Some(self.state.entries.borrow().revision().max(revision));
+        if let (WatchedPart::Servers, Some(position)) = (self.part, self.position) {
+            // While another instance watched, peers have reported changes up to this position.
+            let reported = self.state.store.view().entries_position();
+            if reported.is_known() {
+                self.position = Some(reported.max(position));
+            }
         }
     }
 
@@ -179,30 +202,65 @@
         self.state.peers.borrow().coordinator(self.state.now()).is_none()
     }
 
-    async fn step(&mut self) -> anyhow::Result<()> {
-        let Some(revision) = self.revision else {
+    async fn step(&mut self) -> anyhow::Result<CallOutcome> {
+        let is_current = |position: &StorePosition| position.era == self.state.store.era();
+        let Some(StorePosition { era, revision }) = self.position.filter(is_current) else {
             return self.read_all().await;
         };
         let wait = match self.part {
             WatchedPart::Servers if self.is_coordinator() => COORDINATOR_WATCH_WAIT,
             WatchedPart::Servers | WatchedPart::Config => WATCH_WAIT,
         };
-        match self.client.watch(self.part.prefix(), revision, wait).await? {
-            WatchAnswer::HistoryGone => self.revision = None,
+        let answer = tokio::select! {
+            answer = self.client.watch(self.part.prefix(), revision, wait) => answer?,
+            // The other part or a peer has found that the store has left the history. A watch of a
+            // connection from before may never be answered.
+            () = self.state.store.history_after(era) => return Ok(CallOutcome::Abandoned),
+        };
+        if self.observe(answer.era)? != era {
+            return Ok(CallOutcome::Answered);
+        }
+        match answer.content {
+            WatchAnswer::HistoryGone => {
+                self.position = None;
+                if !self.has_followed {
+                    // The store dropped the history while it was read. It must not be called in a tight
+                    // loop.
+                    tokio::time::sleep(RETRY_MIN).await;
+                }
+            },
             WatchAnswer::Changes(changes) => {
+                self.has_followed = true;
                 let revision = changes.revision.max(revision);
+                if let WatchedPart::Servers = self.part {
+                    self.state.store.view_mut().note_heard(self.state.now());
+                }
                 self.apply_changes(changes.items, revision).await;
             },
         }
-        Ok(())
+        Ok(CallOutcome::Answered)
+    }
+
+    /// Records the history that an answer belongs to. Returns the history that is known now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store has left the history: the answer was under way for long, or its sender does
+    /// not know of the later one.
+    fn observe(&mut self, era: StoreEra) -> anyhow::Result<StoreEra> {
+        if !self.state.observe_history(era, ChangeSource::Store) {
+            self.client.disconnect();
+            bail!("the answer is of a history that the store has left");
+        }
+        Ok(self.state.store.era())
     }
 
     async fn apply_changes(&mut self, mut items: Vec<StoreItem>, revision: u64) {
         // Peers take a datagram with older revisions than the one before for known.
         items.sort_by_key(|item| item.revision);
         let has_changes = !items.is_empty();
-        if let (WatchedPart::Config, Some(after)) = (self.part, self.revision)
-            && self.state.change_evacuations(&items, after, revision)
+        if let (WatchedPart::Config, Some(after)) = (self.part, self.position)
+            && self.state.change_evacuations(&items, after.revision, revision)
         {
             self.link.send_evacuations(&self.state);
         }
@@ -215,8 +273,8 @@
         }
         self.advance(revision);
         if !changed.is_empty() {
-            let after = self.state.entries.borrow().changed_revision();
-            self.state.entries.borrow_mut().advance_with_changes(revision);
+            let after = self.state.store.view().changed_position().revision;
+            self.state.store.view_mut().entries_mut().advance_with_changes(revision);
             self.link.send_changes(&self.state, after, revision, changed);
         }
         if has_changes {
@@ -239,28 +297,36 @@
     }
 
     /// Reads all pages. The watch continues from the revision of the first page, because later pages
-    /// may be newer.
-    async fn read_all(&mut self) -> anyhow::Result<()> {
+    /// may be newer. Pages of two histories do not make up a list.
+    async fn read_all(&mut self) -> anyhow::Result<CallOutcome> {
         let mut items: Vec<StoreItem> = Vec::new();
-        let mut first_revision = None;
-        loop {
+        let mut first_position = None;
+        let first = loop {
             let after = items.last().map(|item| item.key.clone());
-            let page = self.client.read_page(self.part.prefix(), after.as_deref()).await?;
-            first_revision.get_or_insert(page.revision);
+            let answer = self.client.read_page(self.part.prefix(), after.as_deref()).await?;
+            let StoreAnswer { era, content: page } = answer;
+            let era = self.observe(era)?;
+            let first =
+                *first_position.get_or_insert(StorePosition { era, revision: page.revision });
+            if first.era != era {
+                // The next call begins again.
+                self.position = None;
+                return Ok(CallOutcome::Answered);
+            }
             let is_done = !page.has_more || page.items.is_empty();
             items.extend(page.items);
             if is_done {
-                break;
+                break first;
             }
             if self.wait_for_peers().await {
-                self.revision = Some(self.state.entries.borrow().revision());
-                return Ok(());
+                self.position = Some(self.state.store.view().entries_position());
+                return Ok(CallOutcome::Answered);
             }
-        }
+        };
         match self.part {
             WatchedPart::Config => {
                 // The configuration makes this instance ready, so the evacuated zones come first.
-                let is_news = self.state.read_evacuations(&items, first_revision.unwrap_or(0));
+                let is_news = self.state.read_evacuations(&items, first.revision);
                 if is_news {
                     self.link.send_evacuations(&self.state);
                 }
@@ -270,22 +336,30 @@
             },
             WatchedPart::Servers => {
                 let reports: Vec<ServerReport> = items.iter().filter_map(decode_entry).collect();
-                let revision = first_revision.unwrap_or(0);
                 let changes = reports.iter().map(|report| report.change.clone()).collect();
-                self.state.replace_servers(revision, changes, ChangeSource::Store);
+                let is_first = !self.state.store.view().entries_position().is_known();
+                let known = if is_first { self.state.start_keys() } else { IndexMap::new() };
+                self.state.replace_servers(first.revision, changes, ChangeSource::Store);
                 for report in reports {
-                    self.state.note_cold_entry(report.change.id(), &report.cold, Duration::ZERO);
+                    let id = report.change.id();
+                    // The entry in an older copy states a cold time that has mostly passed.
+                    let start =
+                        self.state.directory.borrow().find(id).map(|it| start_hash(&it.entry));
+                    if start.is_none_or(|start| !known.contains_key(&start)) {
+                        self.state.note_cold_entry(id, &report.cold, Duration::ZERO);
+                    }
                 }
             },
         }
-        self.advance(first_revision.unwrap_or(0));
-        Ok(())
+        self.has_followed = false;
+        self.advance(first.revision);
+        Ok(CallOutcome::Answered)
     }
 
     /// Waits for the list of servers from a peer, as long as `ColdReadParams` allows. Returns whether
     /// it was received; an instance that has had a list before does not wait.
     async fn wait_for_peers(&mut self) -> bool {
-        let is_known = || self.state.entries.borrow().revision() > 0;
+        let is_known = || self.state.store.view().entries_position().is_known();
         if !matches!(self.part, WatchedPart::Servers) || self.has_waited || is_known() {
             return false;
         }
@@ -325,21 +399,22 @@
             WatchedPart::Servers => {
                 let ServerReport { change, cold } = decode_entry(&item)?;
                 let id = Arc::clone(change.id());
-                let is_known = self.state.entries.borrow().confirms(&id, item.revision);
+                let is_known = self.state.store.view().entries().confirms(&id, item.revision);
                 let is_new = self.state.change_server(change, item.revision, ChangeSource::Store);
                 // An entry whose cold time counts down is no news; one that is cold again is.
                 let is_cold = !is_known
                     && self.state.note_cold_entry(&id, &cold, self.entry_lateness())
-                    && self.state.entries.borrow_mut().touch(&id, item.revision);
+                    && self.state.store.view_mut().entries_mut().touch(&id, item.revision);
                 (is_new || is_cold).then_some(id)
             },
         }
     }
 
+    /// Records that all changes up to a revision of the known history were applied.
     fn advance(&mut self, revision: u64) {
-        self.revision = Some(revision);
+        self.position = Some(StorePosition { era: self.state.store.era(), revision });
         if let WatchedPart::Servers = self.part {
-            self.state.entries.borrow_mut().advance(revision);
+            self.state.store.view_mut().entries_mut().advance(revision);
         }
     }
 }
--- a/medlarlanding/src/forwarding/telemetry.rs
+++ b/medlarlanding/src/forwarding/telemetry.rs
@@ -46,6 +46,12 @@
     pub cold_redirects: IntCounter,
     /// Requests refused because of the limits of cold servers.
     pub cold_refusals: IntCounter,
+    /// Number of the store's history that this instance follows; -1 if the store does not state it.
+    pub store_era: IntGauge,
+    /// Times that the store came back from an older copy.
+    pub store_restores: IntCounter,
+    /// News of an earlier history of the store that was dropped, by source.
+    pub stale_news: IntCounterVec,
     /// Calls to the store, by outcome.
     pub store_calls: IntCounterVec,
     /// Received datagrams dropped because they could not be decoded or named another sender.
@@ -127,6 +133,14 @@
                 .counter("cold_redirects", "Requests kept from cold servers by their limits.")?,
             cold_refusals: registry
                 .counter("cold_refusals", "Requests refused because of limits of cold servers.")?,
+            store_era: registry.gauge("store_era", "History of the store that is followed.")?,
+            store_restores: registry
+                .counter("store_restores", "Times that the store came back from a copy.")?,
+            stale_news: registry.counters(
+                "stale_news",
+                "Dropped news of an earlier history of the store.",
+                &["source"],
+            )?,
             store_calls: registry.counters("store_calls", "Calls to the store.", &["outcome"])?,
             dropped_datagrams: registry
                 .counter("dropped_datagrams", "Unreadable datagrams of peers.")?,
