Let the soak draw restores of the store

A restore comes beside the other faults, from a copy 0.3 to 6 s old, in series and overlapping with restarts, stops, freezes and store faults; in three of ten one instance is cut off from the others. Servers and operator write again what is lost within 1.5 s. Old connections are silent or answer on.

At the end of a soak servers are registered as restarted: a server that leaves is not ready again before its next start, and the same start called ready was a state that servers do not reach.

--- a/medlarlanding-bench/src/soak.rs
+++ b/medlarlanding-bench/src/soak.rs
@@ -4,6 +4,7 @@
 mod cold_servers;
 mod evacuations;
 mod fatal_prompts;
+mod restores;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,6 +16,7 @@
     LAYOUT, StoreOutages, change_zone, find_late_requests, latest_request, restore_zones,
 };
 use self::fatal_prompts::{PromptPlan, SOUND_PART, ServiceGaps, find_late_runs};
+use self::restores::{RestorePlan, find_call_flood};
 use crate::site::{
     FATAL_PART, LinkMode, ServerMode, SiteAnswer, SiteCall, SiteParams, SiteState, StoreMode,
     TestSite,
@@ -87,7 +89,7 @@
         let report = run_seed(params).with_context(|| format!("seed {seed}"))?;
         println!(
             "seed {seed}: {} requests, {} served, {} faults, {} engines ended, {} cold times checked, \
-             {} evacuations, latest request in an evacuated zone after {} ms, {} violations",
+             {} evacuations, latest request in an evacuated zone after {} ms, {} restores, {} violations",
             report.requests,
             report.served,
             report.faults,
@@ -95,6 +97,7 @@
             report.cold_times,
             report.evacuations,
             report.latest_request.as_millis(),
+            report.restores,
             report.violations.len()
         );
         report.violations.iter().for_each(|violation| println!("  {violation}"));
@@ -139,6 +142,8 @@
     pub evacuations: usize,
     /// Longest time after which a request reached an evacuated zone.
     pub latest_request: Duration,
+    /// Restores of the store from an older copy.
+    pub restores: usize,
     /// Violated guarantees.
     pub violations: Vec<String>,
 }
@@ -210,14 +215,17 @@
     let mut gaps = ServiceGaps::default();
     let mut cold = ColdPeriods::new(params.seed);
     let mut outages = StoreOutages::default();
+    let mut restores = RestorePlan::new(params.seed);
     let started = Instant::now();
     while started.elapsed() < params.length {
         let mut periods = FaultPeriods { gaps: &mut gaps, cold: &mut cold, outages: &mut outages };
         inject_fault(&mut site, &mut random, params.instances, &mut periods)?;
         cold.inject(&site, &SERVERS);
+        restores.inject(&site, params.instances, &mut outages)?;
         faults += 1;
         std::thread::sleep(Duration::from_millis(random.random_range(FAULT_INTERVAL_MS)));
     }
+    restores.finish(&site)?;
     clear_faults(&mut site, params.instances, &mut outages)?;
     let recovery = wait_for_service(&site, params.instances, plan);
     is_over.store(true, Ordering::Relaxed);
@@ -237,9 +245,11 @@
         cold_times,
         evacuations: site.evacuations().len(),
         latest_request: latest_request(&site),
+        restores: restores.count,
         violations: find_violations(&site.state, &records),
     };
     report.violations.extend(overloads);
+    report.violations.extend(find_call_flood(&site.state, params.instances, started));
     report.violations.extend(find_late_requests(&site, &outages));
     report.violations.extend(find_late_runs(&site.state, &records, &gaps));
     report.violations.extend(recovery.err().map(|error| format!("{error:#}")));
@@ -369,7 +379,7 @@
         for index in 0..count {
             let id = format!("{service}-{index}");
             site.state.set_mode(&id, ServerMode::Healthy);
-            site.mark_server_ready(&id);
+            site.restart_server(&id);
         }
     }
     for index in 0..instances {
--- a/medlarlanding-bench/src/soak/evacuations.rs
+++ b/medlarlanding-bench/src/soak/evacuations.rs
@@ -46,6 +46,18 @@
         site.state.set_store(mode);
     }
 
+    /// Records that the store is away while `action` runs, after which it answers.
+    pub(super) fn during<T>(&mut self, action: impl FnOnce() -> T) -> T {
+        if self.periods.last().is_none_or(|(_, until)| until.is_some()) {
+            self.periods.push((Instant::now(), None));
+        }
+        let result = action();
+        if let Some((_, until)) = self.periods.last_mut() {
+            until.get_or_insert_with(Instant::now);
+        }
+        result
+    }
+
     /// Returns the time after which no request may reach a zone that was evacuated at the given time;
     /// `None` if the store is still unavailable. No instance can learn of the evacuation before the end
     /// of an outage, and one that begins within the limit makes the store unstable.
