--- a/medlarlanding-bench/tests/soak.rs
+++ b/medlarlanding-bench/tests/soak.rs
@@ -23,6 +23,8 @@
     // Failed once: for 15 s and longer, runs were refused in favour of others that had themselves
     // just been refused.
     seed_53001_with_5_instances => (53_001, 5, false),
+    // The store comes back from a copy three times.
+    seed_510007_with_restores => (510_007, 3, false),
     seed_4_with_fatal_prompts => (4, 3, true),
     seed_5_with_fatal_prompts => (5, 5, true),
 }
--- a/medlarlanding-core/src/forwarding/store_view.rs
+++ b/medlarlanding-core/src/forwarding/store_view.rs
@@ -86,8 +86,9 @@
         }
     }
 
-    /// Records that everything is known that the store holds at a time, because it answered a watch. What is retained is given up only by such times, because
-    /// an instance that hears nothing does not learn what is written again.
+    /// Records that everything is known that the store holds at a time, because it answered a watch. What
+    /// is retained is given up only by such times: an instance that hears nothing does not learn what is
+    /// written again.
     pub fn note_heard(&mut self, now: Timestamp) {
         if self.entries.revision() > 0 {
             self.heard_until = self.heard_until.max(now);
