Count a restore as a time without news of cold servers

The soak checks that a cold server gets at most 6 requests in a second once all instances can know that it is cold, and excuses times in which the store does not answer. A restore and the cut that may come with it were not among them: a cold time written just before a restore is lost until it is written again, and an instance that is cut off from the hubs does not hear of it.

--- a/medlarlanding-bench/src/soak.rs
+++ b/medlarlanding-bench/src/soak.rs
@@ -221,7 +221,7 @@
         let mut periods = FaultPeriods { gaps: &mut gaps, cold: &mut cold, outages: &mut outages };
         inject_fault(&mut site, &mut random, params.instances, &mut periods)?;
         cold.inject(&site, &SERVERS);
-        restores.inject(&site, params.instances, &mut outages)?;
+        restores.inject(&site, params.instances, &mut outages, &mut cold)?;
         faults += 1;
         std::thread::sleep(Duration::from_millis(random.random_range(FAULT_INTERVAL_MS)));
     }
--- a/medlarlanding-bench/src/soak/restores.rs
+++ b/medlarlanding-bench/src/soak/restores.rs
@@ -4,6 +4,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use super::cold_servers::ColdPeriods;
 use super::evacuations::StoreOutages;
 use crate::site::{LostWrites, OldChannels, SiteState, TestSite};
 
@@ -51,7 +52,8 @@
         }
     }
 
-    /// Restores the store now and then.
+    /// Restores the store now and then. News of cold servers may not arrive before the store is back and
+    /// the cut has ended.
     ///
     /// # Errors
     ///
@@ -61,9 +63,11 @@
         site: &TestSite,
         instances: usize,
         outages: &mut StoreOutages,
+        cold: &mut ColdPeriods,
     ) -> anyhow::Result<()> {
         if std::mem::take(&mut self.is_cut) {
             site.heal_cuts()?;
+            cold.note_store(true);
         }
         if !self.random.random_bool(RESTORE_CHANCE) {
             return Ok(());
@@ -78,7 +82,11 @@
         let away = Duration::from_millis(self.random.random_range(AWAY_MS));
         let delay = Duration::from_millis(self.random.random_range(WRITE_MS));
         let channels = if self.random.random() { OldChannels::Silent } else { OldChannels::Stale };
+        cold.note_store(false);
         let mut lost = outages.during(|| site.state.restore_copy(age, away, channels));
+        if !self.is_cut {
+            cold.note_store(true);
+        }
         self.count += 1;
         let mut unwritten = lock(&self.lost);
         if let Some(earlier) = unwritten.take() {
