Restart only leaving servers at the end of a soak

Since the soak draws restores, it registered all servers as restarted at its end, and a new start counts its requests anew: the check of cold servers, which knows only ids, then found 7 to 9 requests in a second.

Only servers whose entry says that they leave get a new start now, which ends their cold times; the others are registered as ready, as before.

--- a/medlarlanding-bench/src/site/mod.rs
+++ b/medlarlanding-bench/src/site/mod.rs
@@ -376,6 +376,13 @@
         self.set_server_state(id, "ready");
     }
 
+    /// Returns whether the entry of a server says that it leaves.
+    pub fn is_draining(&self, id: &str) -> bool {
+        let entry = self.state.value(&format!("servers/{id}")).unwrap_or_default();
+        let entry: Value = serde_json::from_slice(&entry).unwrap_or_default();
+        entry["state"] == "draining"
+    }
+
     /// Removes the entry of a server, which continues to serve.
     pub fn remove_server(&self, id: &str) {
         self.state.remove(&format!("servers/{id}"));
--- a/medlarlanding-bench/src/site/state.rs
+++ b/medlarlanding-bench/src/site/state.rs
@@ -172,6 +172,11 @@
         self.write(key, Some(value.to_vec()));
     }
 
+    /// Returns the value of an item of the store.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.lock().items.get(key).and_then(|stored| stored.value.clone())
+    }
+
     /// Removes an item from the store.
     pub fn remove(&self, key: &str) {
         self.write(key, None);
--- a/medlarlanding-bench/src/soak.rs
+++ b/medlarlanding-bench/src/soak.rs
@@ -226,7 +226,7 @@
         std::thread::sleep(Duration::from_millis(random.random_range(FAULT_INTERVAL_MS)));
     }
     restores.finish(&site)?;
-    clear_faults(&mut site, params.instances, &mut outages)?;
+    clear_faults(&mut site, params.instances, &mut outages, &mut cold)?;
     let recovery = wait_for_service(&site, params.instances, plan);
     is_over.store(true, Ordering::Relaxed);
     for caller in callers {
@@ -370,6 +370,7 @@
     site: &mut TestSite,
     instances: usize,
     outages: &mut StoreOutages,
+    cold: &mut ColdPeriods,
 ) -> anyhow::Result<()> {
     outages.set(site, StoreMode::Available);
     restore_zones(site);
@@ -379,7 +380,13 @@
         for index in 0..count {
             let id = format!("{service}-{index}");
             site.state.set_mode(&id, ServerMode::Healthy);
-            site.restart_server(&id);
+            if site.is_draining(&id) {
+                // A server that leaves is ready again only with its next start, which counts anew.
+                site.restart_server(&id);
+                cold.note_restart(&id, &SERVERS);
+            } else {
+                site.mark_server_ready(&id);
+            }
         }
     }
     for index in 0..instances {
--- a/medlarlanding-bench/src/soak/cold_servers.rs
+++ b/medlarlanding-bench/src/soak/cold_servers.rs
@@ -73,6 +73,14 @@
         self.links.push((server, Instant::now(), is_healthy));
     }
 
+    /// Ends the cold times of a server that has restarted.
+    pub(super) fn note_restart(&mut self, id: &str, servers: &[&str]) {
+        let now = Instant::now();
+        for period in self.periods.iter_mut().filter(|period| servers[period.server] == id) {
+            period.until = period.until.min(now);
+        }
+    }
+
     /// Makes a server cold, one with a healthy link if there is any.
     pub(super) fn inject(&mut self, site: &TestSite, servers: &[&str]) {
         let is_healthy = |server: &usize| {
