Share the checks of the stop and restore tests

Three tests counted served and refused answers in the same lines, and two checked the calls to the store in the same ones. Each has one function now; bounds and assertions are the same. Two parameters of what is retained after a restore name where their times come from.

--- a/medlarlanding-bench/tests/forwarding_stops.rs
+++ b/medlarlanding-bench/tests/forwarding_stops.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use medlarlanding_bench::site::{
@@ -115,6 +116,24 @@
     }
 }
 
+/// Checks the answers of all callers. Returns how many requests were served and how many refused.
+fn count_answers(
+    site: &TestSite,
+    callers: Vec<JoinHandle<(String, anyhow::Result<SiteAnswer>)>>,
+) -> (usize, usize) {
+    let (mut served, mut refused) = (0, 0);
+    for caller in callers {
+        let (id, answer) = caller.join().expect("a caller");
+        check_answer(site, &id, &answer);
+        match answer.expect("an answer").status {
+            200 => served += 1,
+            _ => refused += 1,
+        }
+    }
+    println!("{served} served, {refused} refused");
+    (served, refused)
+}
+
 /// Guards against generations that a stopping instance lets wait for room until it ends, so that their
 /// callers get no answer (review case 3). They begin to wait before the stop or during it.
 #[test]
@@ -342,16 +361,7 @@
         callers.push(std::thread::spawn(move || (id, call.send(address))));
         std::thread::sleep(Duration::from_millis(200));
     }
-    let (mut served, mut refused) = (0, 0);
-    for caller in callers {
-        let (id, answer) = caller.join().expect("a caller");
-        check_answer(&site, &id, &answer);
-        match answer.expect("an answer").status {
-            200 => served += 1,
-            _ => refused += 1,
-        }
-    }
-    println!("{served} served, {refused} refused");
+    let (served, refused) = count_answers(&site, callers);
     assert!(served >= 20 && refused > 0, "{served} served, {refused} refused");
     assert!(site.wait_exit(0).expect("an exit").success());
 }
@@ -416,16 +426,7 @@
         callers.push(std::thread::spawn(move || (id, call.send(address))));
         std::thread::sleep(PERIOD);
     }
-    let (mut served, mut refused) = (0, 0);
-    for caller in callers {
-        let (id, answer) = caller.join().expect("a caller");
-        check_answer(&site, &id, &answer);
-        match answer.expect("an answer").status {
-            200 => served += 1,
-            _ => refused += 1,
-        }
-    }
-    println!("{served} served, {refused} refused");
+    let (served, refused) = count_answers(&site, callers);
     assert!(served >= case.served_min, "{served} served, {refused} refused");
     assert!(refused > 0, "none was sent too late");
     assert!(site.wait_exit(0).expect("an exit").success());
@@ -565,16 +566,7 @@
         }
         std::thread::sleep((PERIOD * (number as u32 + 1)).saturating_sub(started.elapsed()));
     }
-    let (mut served, mut refused) = (0, 0);
-    for caller in callers {
-        let (id, answer) = caller.join().expect("a caller");
-        check_answer(&site, &id, &answer);
-        match answer.expect("an answer").status {
-            200 => served += 1,
-            _ => refused += 1,
-        }
-    }
-    println!("{served} served, {refused} refused");
+    let (served, refused) = count_answers(&site, callers);
     let is_enough = served >= case.served_min;
     assert!(is_enough, "{served} served, {refused} refused\n{}", site.log(0));
     assert!(site.wait_exit(0).expect("an exit").success());
--- a/medlarlanding-bench/tests/forwarding_store_restores.rs
+++ b/medlarlanding-bench/tests/forwarding_store_restores.rs
@@ -105,6 +105,14 @@
     started.elapsed()
 }
 
+/// Fails if three instances have called the store more often than usual since `from`, when it had counted
+/// `before` calls.
+fn check_calls(site: &TestSite, before: u64, from: Instant) {
+    let (calls, seconds) = (site.state.store_calls() - before, from.elapsed().as_secs() + 1);
+    let most = 3 * CALLS_PER_SECOND * seconds + 30;
+    assert!(calls < most, "{calls} calls to the store in {seconds} s");
+}
+
 /// How the revision of a write after a restore compares with the last one before.
 #[derive(Clone, Copy, Debug)]
 enum RevisionOrder {
@@ -164,9 +172,7 @@
     assert!(took < WRITE_LIMIT, "{took:?}\n{}", site.log(0));
     std::thread::sleep(Duration::from_secs(1));
     (0..3).for_each(|index| assert_eq!(status_with(&site, index, OLD_KEY), 401));
-    let (calls, seconds) = (site.state.store_calls() - calls, returned.elapsed().as_secs() + 1);
-    let most = 3 * CALLS_PER_SECOND * seconds + 30;
-    assert!(calls < most, "{calls} calls to the store in {seconds} s");
+    check_calls(&site, calls, returned);
     crowd.finish(&site);
 }
 
@@ -291,9 +297,7 @@
             site.log(instance)
         );
     }
-    let (calls, seconds) = (site.state.store_calls() - calls, returned.elapsed().as_secs() + 1);
-    let most = 3 * CALLS_PER_SECOND * seconds + 30;
-    assert!(calls < most, "{calls} calls to the store in {seconds} s");
+    check_calls(&site, calls, returned);
     crowd.finish(&site);
 }
 
--- a/medlarlanding-core/src/forwarding/retention.rs
+++ b/medlarlanding-core/src/forwarding/retention.rs
@@ -17,10 +17,11 @@
 /// Parameters of the decision.
 #[derive(Clone, Copy, Debug)]
 pub struct RetentionParams {
-    /// Time within which living servers and the operator write again what the store lost. What is still
-    /// missing after it is gone.
+    /// Time within which living servers and the operator write again what the store lost, which the
+    /// platform states as about two seconds. What is still missing after it is gone.
     pub rewrite_time: Duration,
-    /// Time within which the store drops the entry of a server that no longer reports.
+    /// Time within which the store drops the entry of a server that no longer reports: three reports,
+    /// each 1.2 s after the last unless the settings say otherwise, and a margin.
     pub lapse_time: Duration,
 }
 
